--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; `make bench` prints ratios, nothing here is a timed test."""
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,1 @@
+"""Hooks of behave: nothing is shared between scenarios."""
--- /dev/null
+++ b/src/weirscale/__init__.py
@@ -0,0 +1,1 @@
+"""weirscale: a router for language-model traffic with long shared prompts."""
--- /dev/null
+++ b/src/weirscale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/weirscale/domain/choice/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of engine for a request, behind one interface with several policies."""
--- /dev/null
+++ b/src/weirscale/domain/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims: a quorum ledger of idempotency keys."""
--- /dev/null
+++ b/src/weirscale/domain/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration aggregate: what operators declare in one file, applied as a whole."""
--- /dev/null
+++ b/src/weirscale/domain/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Who does what: duties derived from membership, fenced by leases."""
--- /dev/null
+++ b/src/weirscale/domain/health/__init__.py
@@ -0,0 +1,1 @@
+"""Health of back ends: circuits, slow return, quarantine."""
--- /dev/null
+++ b/src/weirscale/domain/identifiers.py
@@ -0,0 +1,50 @@
+"""Names and numbers that identify the things the router deals with."""
+
+from typing import NewType
+
+import msgspec
+
+RequestId = NewType("RequestId", str)
+TenantName = NewType("TenantName", str)
+EngineName = NewType("EngineName", str)
+ModelName = NewType("ModelName", str)
+WeightVersion = NewType("WeightVersion", str)
+AdapterName = NewType("AdapterName", str)
+ServiceName = NewType("ServiceName", str)
+BackendName = NewType("BackendName", str)
+ZoneName = NewType("ZoneName", str)
+RegionName = NewType("RegionName", str)
+NodeName = NewType("NodeName", str)
+
+Incarnation = NewType("Incarnation", int)
+"""Grows each time a process (a node or an engine) starts anew; state of a lower one is void."""
+
+ConfigurationRevision = NewType("ConfigurationRevision", int)
+"""The key-value service's revision of the configuration key; grows with each accepted change."""
+
+BlockHash = NewType("BlockHash", int)
+"""64-bit chained hash of a prompt block and all blocks before it."""
+
+
+class NodeId(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """One run of one node.
+
+    Attributes:
+        name: The node's name, unique over the deployment.
+        incarnation: Milliseconds since the epoch at the start of the run.
+    """
+
+    name: NodeName
+    incarnation: Incarnation
+
+
+class NodeAddress(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Where a node's peer port listens, for datagrams and for calls alike.
+
+    Attributes:
+        host: An IP number.
+        port: UDP port for casts and TCP port for calls.
+    """
+
+    host: str
+    port: int
--- /dev/null
+++ b/src/weirscale/domain/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tenant limits, fair queueing and admission."""
--- /dev/null
+++ b/src/weirscale/domain/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes are alive: failure detection and dissemination rules."""
--- /dev/null
+++ b/src/weirscale/domain/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement and rollouts: declared against observed state of engines."""
--- /dev/null
+++ b/src/weirscale/domain/prefix/__init__.py
@@ -0,0 +1,1 @@
+"""Prefix identity and beliefs about which engine caches what."""
--- /dev/null
+++ b/src/weirscale/domain/request/model.py
@@ -0,0 +1,119 @@
+"""Requests as the router sees them, independent of the protocol they came by."""
+
+import enum
+from collections.abc import Mapping
+
+import msgspec
+
+from weirscale.domain.identifiers import (
+    AdapterName,
+    ModelName,
+    RequestId,
+    ServiceName,
+    TenantName,
+)
+
+
+class RunStatus(enum.Enum):
+    """Whether a back end ran a request."""
+
+    NOT_RUN = "not_run"
+    """Proved: no back end has started or will start work on it."""
+    RAN = "ran"
+    """A back end answered it."""
+    UNKNOWN = "unknown"
+    """It may have run; only the caller can find out."""
+
+
+class GenerationRequest(msgspec.Struct, frozen=True):
+    """A caller's request for generated text.
+
+    Attributes:
+        request_id: Unique id, given by the caller or made by the node.
+        tenant: The tenant whose API key came with it.
+        model: The model asked for.
+        adapter: Adapter of the model, or None for the base model.
+        prompt: The canonical prompt bytes (see `weirscale.domain.prefix.prompt`).
+        body: The OpenAI-shaped body, passed on to the engine.
+        path: `/v1/chat/completions` or `/v1/completions`.
+        max_tokens: Most tokens to generate.
+        priority: Lower is served first, as in vLLM.
+        deadline_s: Time, on the node's monotonic clock, at which the caller gives up.
+        repeatable: Whether it may run more than once.
+        idempotency_key: The caller's key, or None.
+        streamed: Whether the caller wants server-sent events.
+    """
+
+    request_id: RequestId
+    tenant: TenantName
+    model: ModelName
+    adapter: AdapterName | None
+    prompt: bytes
+    body: dict[str, object]
+    path: str
+    max_tokens: int
+    priority: int
+    deadline_s: float
+    repeatable: bool
+    idempotency_key: str | None
+    streamed: bool
+
+
+class ServiceRequest(msgspec.Struct, frozen=True):
+    """A caller's request to a named service, passed through whole.
+
+    Attributes:
+        request_id: Unique id, given by the caller or made by the node.
+        tenant: The tenant whose API key came with it.
+        service: The service's name in the configuration.
+        method: HTTP method.
+        path: Path and query below the service's root, with a leading slash.
+        headers: Headers to pass on, lower-case names.
+        body: The whole body.
+        deadline_s: Time, on the node's monotonic clock, at which the caller gives up.
+        repeatable: Whether it may run more than once.
+        idempotency_key: The caller's key, or None.
+        priority: Lower is served first.
+    """
+
+    request_id: RequestId
+    tenant: TenantName
+    service: ServiceName
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    deadline_s: float
+    repeatable: bool
+    idempotency_key: str | None
+    priority: int
+
+
+class ServiceResponse(msgspec.Struct, frozen=True):
+    """A service's whole answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class TokenChunk(msgspec.Struct, frozen=True):
+    """A piece of a generated answer.
+
+    Attributes:
+        request_id: The request that the chunk belongs to.
+        sequence: 0 for the first chunk, then one more for each chunk of one answer.
+        text: The generated text.
+        num_tokens: Tokens in `text`.
+        finish_reason: `stop` or `length` on the last chunk, else None.
+        num_prompt_tokens: On the last chunk: tokens of the prompt.
+        num_cached_tokens: On the last chunk: prompt tokens served from the prefix cache.
+    """
+
+    request_id: RequestId
+    sequence: int
+    text: str
+    num_tokens: int
+    finish_reason: str | None = None
+    num_prompt_tokens: int = 0
+    num_cached_tokens: int = 0
--- /dev/null
+++ b/src/weirscale/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, experiment runs, history checking and reports."""
--- /dev/null
+++ b/src/weirscale/node/interfaces.py
@@ -0,0 +1,320 @@
+"""What the tasks of a node offer one another.
+
+Request handling depends on these interfaces only, so each side can be built, tested and replaced
+alone. Implementations post messages to the owning task's mailbox; none shares state.
+"""
+
+import enum
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+from result import Result
+
+from weirscale.domain.choice.policy import Choice
+from weirscale.domain.configuration.model import Deployment, Tenant
+from weirscale.domain.identifiers import (
+    BackendName,
+    ConfigurationRevision,
+    EngineName,
+    Incarnation,
+    NodeAddress,
+    NodeId,
+    RequestId,
+    ServiceName,
+    TenantName,
+    WeightVersion,
+    ZoneName,
+)
+from weirscale.domain.request.model import (
+    GenerationRequest,
+    ServiceResponse,
+)
+from weirscale.domain.request.refusal import Refusal
+from weirscale.messages.cache import LoadReport
+from weirscale.ports.engine import EngineFailure, EnginePort
+from weirscale.ports.peers import PeerFailure
+from weirscale.ports.service import ServiceFailure, ServicePort
+
+
+class ConfigurationInForce(msgspec.Struct, frozen=True):
+    """The configuration that a node acts on.
+
+    Attributes:
+        revision: The key-value service's revision of it; only ever grows on a node.
+        deployment: The declared state.
+    """
+
+    revision: ConfigurationRevision
+    deployment: Deployment
+
+
+class ConfigurationView(Protocol):
+    """Read access to the configuration in force."""
+
+    def current(self) -> ConfigurationInForce | None:
+        """The configuration in force, or None before the first one arrives."""
+        ...
+
+    async def changed_after(self, revision: ConfigurationRevision) -> ConfigurationInForce:
+        """Wait for a revision higher than the given one (0 for any)."""
+        ...
+
+
+class PeerState(enum.Enum):
+    """What membership holds of a node."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """A live node as membership sees it."""
+
+    node: NodeId
+    address: NodeAddress
+    zone: ZoneName
+    state: PeerState
+
+
+class MembershipView(Protocol):
+    """Read access to the live nodes."""
+
+    @property
+    def self_id(self) -> NodeId:
+        """This node's own identity."""
+        ...
+
+    def peers(self) -> tuple[Peer, ...]:
+        """All nodes believed alive, suspect or leaving, this one included, sorted by id."""
+        ...
+
+    def version(self) -> int:
+        """Grows with each change of `peers`; cheap to compare."""
+        ...
+
+
+class PeerLink(Protocol):
+    """Authenticated typed messages between nodes.
+
+    Message types are msgspec Structs registered with `on_cast` or `on_call` by the task that
+    handles them; the type's tag names it on the wire.
+    """
+
+    async def cast(self, destination: NodeAddress, message: msgspec.Struct) -> None:
+        """Send one message; it may be lost, doubled or reordered."""
+        ...
+
+    async def call(
+        self, destination: NodeAddress, message: msgspec.Struct, timeout_s: float
+    ) -> Result[msgspec.Struct, PeerFailure]:
+        """Send a message of any size and await its typed reply."""
+        ...
+
+    def on_cast(
+        self,
+        message_type: type[msgspec.Struct],
+        handler: Callable[[NodeAddress, msgspec.Struct], None],
+    ) -> None:
+        """Have casts of a type given to a handler, which must not block."""
+        ...
+
+    def on_call(
+        self,
+        message_type: type[msgspec.Struct],
+        handler: Callable[[msgspec.Struct], "CallReply"],
+    ) -> None:
+        """Have calls of a type answered by an async handler that returns a registered struct."""
+        ...
+
+
+class CallReply(Protocol):
+    """What an `on_call` handler returns: an awaitable of the reply message."""
+
+    def __await__(self):  # type: ignore[no-untyped-def]
+        """Await the reply."""
+        ...
+
+
+class ChosenEngine(msgspec.Struct, frozen=True):
+    """An engine chosen for one attempt.
+
+    Attributes:
+        choice: The policy's decision with its estimates.
+        port: How to call the engine.
+        incarnation: The run that was chosen; the engine refuses on mismatch.
+        weight_version: The version that must serve.
+        address: The engine's host:port, for logs.
+    """
+
+    choice: Choice
+    port: EnginePort
+    incarnation: Incarnation
+    weight_version: WeightVersion
+    address: str
+
+
+class AttemptOutcome(msgspec.Struct, frozen=True):
+    """What became of one attempt; None failure means a complete answer.
+
+    Attributes:
+        request: The request.
+        attempt: Its number.
+        engine: The engine.
+        incarnation: The run chosen.
+        failure: How it failed, or None.
+        num_prompt_tokens: As the engine counted.
+        num_cached_tokens: Prompt tokens from cache, as the engine counted.
+        ttft_s: From sending the attempt to its first chunk, None without one.
+        duration_s: From sending the attempt to its end.
+    """
+
+    request: GenerationRequest
+    attempt: int
+    engine: EngineName
+    incarnation: Incarnation
+    failure: EngineFailure | None
+    num_prompt_tokens: int
+    num_cached_tokens: int
+    ttft_s: float | None
+    duration_s: float
+
+
+class EngineRouting(Protocol):
+    """Choice of engine, and what is learned from outcomes."""
+
+    async def choose(
+        self,
+        request: GenerationRequest,
+        attempt: int,
+        excluded: frozenset[EngineName],
+        required_version: WeightVersion | None,
+    ) -> Result[ChosenEngine, Refusal]:
+        """Choose an engine for an attempt; the refusal says when to come back."""
+        ...
+
+    def report(self, outcome: AttemptOutcome) -> None:
+        """Tell what became of an attempt; every successful `choose` is followed by one."""
+        ...
+
+
+class ChosenBackend(msgspec.Struct, frozen=True):
+    """A service back end chosen for one attempt."""
+
+    backend: BackendName
+    port: ServicePort
+    address: str
+
+
+class ServiceRouting(Protocol):
+    """Choice of service back end, and what is learned from outcomes."""
+
+    async def choose(
+        self, service: ServiceName, excluded: frozenset[BackendName]
+    ) -> Result[ChosenBackend, Refusal]:
+        """Choose a back end for an attempt."""
+        ...
+
+    def report(
+        self,
+        service: ServiceName,
+        backend: BackendName,
+        failure: ServiceFailure | None,
+        http_status: int | None,
+        duration_s: float,
+    ) -> None:
+        """Tell what became of an attempt; every successful `choose` is followed by one."""
+        ...
+
+
+class Permit(msgspec.Struct, frozen=True):
+    """Leave to run one request; must be released exactly once."""
+
+    tenant: TenantName
+    request_id: RequestId
+    num_prompt_tokens: int
+    admitted_at_s: float
+
+
+class Admission(Protocol):
+    """Tenant limits, fair queueing and load shedding."""
+
+    async def admit(
+        self,
+        tenant: Tenant,
+        request_id: RequestId,
+        num_prompt_tokens: int,
+        priority: int,
+        deadline_s: float,
+    ) -> Result[Permit, Refusal]:
+        """Wait for a permit; refused at once (NOT_RUN) when the wait would miss the deadline."""
+        ...
+
+    def release(self, permit: Permit) -> None:
+        """Give the permit back."""
+        ...
+
+
+class ClaimState(enum.Enum):
+    """What the ledger answers to a claim."""
+
+    GRANTED = "granted"
+    """This request is the first with its key: run it."""
+    IN_PROGRESS = "in_progress"
+    """Another request with the key may be running."""
+    COMPLETED = "completed"
+    """A request with the key has run; its answer may be attached."""
+    CONFLICT = "conflict"
+    """The key was used with another body."""
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """The ledger's answer.
+
+    Attributes:
+        state: What it says.
+        key: Tenant-qualified key.
+        holder_request_id: The request that holds the claim.
+        answer: The first request's answer when COMPLETED and small enough to be kept.
+    """
+
+    state: ClaimState
+    key: str
+    holder_request_id: RequestId
+    answer: ServiceResponse | None = None
+
+
+class ClaimLedger(Protocol):
+    """At-most-once claims over all nodes."""
+
+    async def claim(
+        self,
+        tenant: TenantName,
+        idempotency_key: str,
+        request_id: RequestId,
+        fingerprint: bytes,
+        deadline_s: float,
+    ) -> Result[Claim, Refusal]:
+        """Claim a key; the refusal (CLAIM_UNAVAILABLE, NOT_RUN) means no quorum answered."""
+        ...
+
+    async def complete(self, claim: Claim, answer: ServiceResponse | None) -> None:
+        """Record that the claim's request has run; best effort, bounded in time."""
+        ...
+
+    async def release(self, claim: Claim) -> None:
+        """Give a claim back after the request provably did not run."""
+        ...
+
+
+class BackendObservations(Protocol):
+    """Where observations of engines go: the task that owns the directory of back ends."""
+
+    def note_load_report(self, report: LoadReport, age_s: float) -> None:
+        """A load report arrived, from the engine or from its home node."""
+        ...
+
+    def note_unreachable(self, engine: EngineName, detail: str) -> None:
+        """A probe of the engine got no answer."""
+        ...
--- /dev/null
+++ b/src/weirscale/ports/key_value.py
@@ -0,0 +1,111 @@
+"""Interface to the platform's key-value service. Adapter: `key_value_etcd`."""
+
+import enum
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from typing import Protocol
+
+import msgspec
+from result import Result
+
+
+class KeyValueFailureKind(enum.Enum):
+    """How a call to the key-value service failed."""
+
+    UNREACHABLE = "unreachable"
+    """No connection was made, so nothing changed."""
+    RATE_LIMITED = "rate_limited"
+    """Refused for rate; nothing changed."""
+    AMBIGUOUS = "ambiguous"
+    """The answer was lost: the change may have taken effect. Read again to find out."""
+    LEASE_LOST = "lease_lost"
+    """The lease has expired or never was."""
+    COMPACTED = "compacted"
+    """The watch's start revision is gone: read, then watch from the read's revision."""
+
+
+class KeyValueFailure(msgspec.Struct, frozen=True):
+    """A failed call to the key-value service."""
+
+    kind: KeyValueFailureKind
+    detail: str
+    retry_after_s: float | None = None
+
+
+class KeyValue(msgspec.Struct, frozen=True):
+    """One key as read.
+
+    Attributes:
+        key: The key.
+        value: Its bytes.
+        create_revision: Revision at which the key was made.
+        mod_revision: Revision of its last change.
+        lease_id: The lease it hangs on, 0 for none.
+    """
+
+    key: str
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    lease_id: int = 0
+
+
+class ReadAnswer(msgspec.Struct, frozen=True):
+    """Keys read at one revision of the store."""
+
+    revision: int
+    values: tuple[KeyValue, ...]
+
+
+class SwapAnswer(msgspec.Struct, frozen=True):
+    """Outcome of a compare-and-swap.
+
+    Attributes:
+        succeeded: Whether the comparison held and the change was made.
+        revision: The store's revision after the call.
+        current: The key as it stands, None when it does not exist.
+    """
+
+    succeeded: bool
+    revision: int
+    current: KeyValue | None
+
+
+class WatchEvent(msgspec.Struct, frozen=True):
+    """One change of a watched key; `value` is None on deletion."""
+
+    key: str
+    value: KeyValue | None
+    revision: int
+
+
+class KeyValuePort(Protocol):
+    """What a node can ask of the key-value service."""
+
+    async def read(self, prefix: str) -> Result[ReadAnswer, KeyValueFailure]:
+        """Read every key with a prefix, linearizably."""
+        ...
+
+    async def compare_and_swap(
+        self, key: str, expected_mod_revision: int, value: bytes | None, lease_id: int = 0
+    ) -> Result[SwapAnswer, KeyValueFailure]:
+        """Write (or delete, with None) if the key's revision is the expected one (0: absent)."""
+        ...
+
+    async def grant_lease(self, time_to_live_s: float) -> Result[int, KeyValueFailure]:
+        """Make a lease; answers its id."""
+        ...
+
+    async def keep_lease_alive(self, lease_id: int) -> Result[float, KeyValueFailure]:
+        """Renew a lease; answers the seconds it now lives. LEASE_LOST if it is gone."""
+        ...
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, KeyValueFailure]:
+        """End a lease and delete its keys."""
+        ...
+
+    def watch(
+        self, prefix: str, start_revision: int
+    ) -> AbstractAsyncContextManager[AsyncIterator[Result[WatchEvent, KeyValueFailure]]]:
+        """Follow changes from a revision on; an Err ends the watch."""
+        ...
--- /dev/null
+++ b/src/weirscale/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for systems outside, for tests, demos and experiments."""
