Make the type check clean

Cause: the type checker does not see frozen inherited by msgspec subclasses. Change: frozen=True on each declared class; call handlers are plain awaitable callables.

--- a/src/weirscale/domain/configuration/model.py
+++ b/src/weirscale/domain/configuration/model.py
@@ -33,14 +33,14 @@
     """Base of everything in the file: frozen, unknown fields are errors."""
 
 
-class Region(Declared):
+class Region(Declared, frozen=True):
     """A region and its zones; zones of one region are near each other."""
 
     name: RegionName
     zones: tuple[ZoneName, ...]
 
 
-class Model(Declared):
+class Model(Declared, frozen=True):
     """A model and the weights that must serve it.
 
     Attributes:
@@ -62,7 +62,7 @@
     max_failed_loads: int = 2
 
 
-class Engine(Declared):
+class Engine(Declared, frozen=True):
     """One model runner.
 
     Attributes:
@@ -88,7 +88,7 @@
     max_concurrent_requests: int = 64
 
 
-class KeptKvStore(Declared):
+class KeptKvStore(Declared, frozen=True):
     """A store of kept KV cache."""
 
     name: str
@@ -97,7 +97,7 @@
     bandwidth_tokens_per_s: float = 100_000.0
 
 
-class ServiceRoute(Declared):
+class ServiceRoute(Declared, frozen=True):
     """Requests of a service that share rules; the first route that matches applies.
 
     Attributes:
@@ -113,7 +113,7 @@
     deadline_s: float = 10.0
 
 
-class ServiceBackend(Declared):
+class ServiceBackend(Declared, frozen=True):
     """One process of a service."""
 
     name: BackendName
@@ -121,7 +121,7 @@
     address: str
 
 
-class Service(Declared):
+class Service(Declared, frozen=True):
     """A named service, reached by callers under `/services/NAME/`."""
 
     name: ServiceName
@@ -129,7 +129,7 @@
     routes: tuple[ServiceRoute, ...]
 
 
-class Tenant(Declared):
+class Tenant(Declared, frozen=True):
     """A tenant and its limits; None means no limit.
 
     Attributes:
@@ -153,7 +153,7 @@
     prompt_tokens_per_s: float | None = None
 
 
-class RoutingObjective(Declared):
+class RoutingObjective(Declared, frozen=True):
     """What the choice of engine weighs, relative to a second of the request's own waiting.
 
     Attributes:
@@ -169,7 +169,7 @@
     max_import_wait_s: float = 0.2
 
 
-class RetryRules(Declared):
+class RetryRules(Declared, frozen=True):
     """Limits on sending requests again.
 
     Attributes:
@@ -186,7 +186,7 @@
     hedge_after_s: float | None = None
 
 
-class CallerLimits(Declared):
+class CallerLimits(Declared, frozen=True):
     """Bounds on what one caller may send."""
 
     max_body_bytes: int = 16 * 1024 * 1024
@@ -197,7 +197,7 @@
     max_tokens: int = 4096
 
 
-class ClaimRules(Declared):
+class ClaimRules(Declared, frozen=True):
     """At-most-once claims for requests with an idempotency key.
 
     Attributes:
@@ -209,7 +209,7 @@
     retention_s: float = 3600.0
 
 
-class Deployment(Declared):
+class Deployment(Declared, frozen=True):
     """The whole declared state.
 
     Attributes:
--- a/src/weirscale/node/interfaces.py
+++ b/src/weirscale/node/interfaces.py
@@ -5,7 +5,7 @@
 """
 
 import enum
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import msgspec
@@ -123,20 +123,12 @@
     def on_call(
         self,
         message_type: type[msgspec.Struct],
-        handler: Callable[[msgspec.Struct], "CallReply"],
+        handler: Callable[[msgspec.Struct], Awaitable[msgspec.Struct]],
     ) -> None:
         """Have calls of a type answered by an async handler that returns a registered struct."""
         ...
 
 
-class CallReply(Protocol):
-    """What an `on_call` handler returns: an awaitable of the reply message."""
-
-    def __await__(self):  # type: ignore[no-untyped-def]
-        """Await the reply."""
-        ...
-
-
 class ChosenEngine(msgspec.Struct, frozen=True):
     """An engine chosen for one attempt.
 
