--- /dev/null
+++ b/features/settings_file.feature
@@ -0,0 +1,25 @@
+Feature: A node's settings file
+  Scenario: Flags go before the file
+    Given a settings file with zone "bole-hall" and caller port 7001
+    When the settings are loaded with caller port 7002 as a flag
+    Then the node settings have zone "bole-hall" and caller port 7002
+
+  Scenario Outline: Unusable settings name the field and the remedy
+    Given a settings file with the text "<text>"
+    When the settings are loaded without flags
+    Then loading fails with a line about "<about>"
+
+    Examples:
+      | text                                                              | about                   |
+      | zone: [                                                           | correct the YAML        |
+      | just words                                                        | one `field: value`      |
+      | {zone: a, peer_keys: []}                                          | give at least one key   |
+      | {zone: a, colour: b, peer_keys: [{key_id: 1, secret: s}]}         | known fields are        |
+      | {peer_keys: [{key_id: 1, secret: s}]}                             | zone                    |
+      | {zone: a, host: example, peer_keys: [{key_id: 1, secret: s}]}     | is not an IP number     |
+      | {zone: a, peer_port: 70000, peer_keys: [{key_id: 1, secret: s}]}  | 70000 is no port        |
+      | {zone: a, seeds: ["1.2.3.4"], peer_keys: [{key_id: 1, secret: s}]} | has no valid port      |
+
+  Scenario: A missing settings file is one line, not a traceback
+    When settings are loaded from a file that does not exist
+    Then loading fails with a line about "check the path"
