--- /dev/null
+++ b/features/steps/choice_baselines_steps.py
@@ -0,0 +1,106 @@
+from random import Random
+
+from behave import given, then, when
+
+from weirscale.domain.choice.approximate_tree import ApproximateTree
+from weirscale.domain.choice.least_outstanding import LeastOutstanding
+from weirscale.domain.choice.policy import ChoiceRequest, EngineCandidate
+from weirscale.domain.choice.random_choice import RandomChoice
+from weirscale.domain.choice.rendezvous import rendezvous_score
+from weirscale.domain.choice.rendezvous_bounded import RendezvousBounded
+from weirscale.domain.configuration.model import EngineRole
+
+NUM_BLOCKS = 20
+TOKENS_PER_BLOCK = 16.0
+NOW_S = 100.0
+POLICIES = {
+    "random": RandomChoice,
+    "least_outstanding": LeastOutstanding,
+    "rendezvous_bounded": RendezvousBounded,
+    "approximate_tree": ApproximateTree,
+}
+
+
+def make_candidate(engine, outstanding=0, most=64, **changes):
+    values = {
+        "engine": engine,
+        "zone": "bole-hall",
+        "role": EngineRole.BOTH,
+        "incarnation": 1,
+        "weight_version": "v1",
+        "link_delay_s": 0.0015,
+        "num_outstanding": outstanding,
+        "num_waiting_prefill_tokens": 0,
+        "prefill_tokens_per_s": 8000.0,
+        "max_concurrent_requests": most,
+        "num_total_blocks": 4096,
+        "num_cached_blocks": 4096,
+        "report_age_s": 0.5,
+    }
+    return EngineCandidate(**{**values, **changes})
+
+
+def make_request(seed, excluded=frozenset(), num_blocks=NUM_BLOCKS):
+    random = Random(seed)
+    return ChoiceRequest(
+        request_id=f"r{seed}",
+        tenant="bole-school",
+        block_hashes=[random.getrandbits(64) for _ in range(num_blocks)],
+        num_prompt_tokens=int(num_blocks * TOKENS_PER_BLOCK),
+        tokens_per_block=TOKENS_PER_BLOCK,
+        excluded=frozenset(excluded),
+    )
+
+
+@given('choice policy "{policy}" and engines')
+def step_policy_and_engines(context, policy):
+    context.policy = POLICIES[policy]()
+    context.random = Random(7)
+    context.candidates = [
+        make_candidate(row["engine"], int(row["outstanding"]), int(row["most"]))
+        for row in context.table
+    ]
+
+
+@given('one prompt was sent to "{engine}"')
+def step_sent_before(context, engine):
+    context.request = make_request(1)
+    context.policy.note_sent(context.request, engine, NOW_S)
+
+
+def choose(context, request):
+    choice = context.policy.choose(request, context.candidates, NOW_S, context.random)
+    return "nothing" if choice is None else choice.engine
+
+
+@when('{count:d} different prompts are chosen for with "{excluded}" excluded')
+def step_choose_many(context, count, excluded):
+    requests = [make_request(seed, [excluded]) for seed in range(count)]
+    context.chosen = [choose(context, request) for request in requests]
+
+
+@when('one prompt is chosen for whose first rank is "{engine}"')
+def step_choose_ranked(context, engine):
+    names = [each.engine for each in context.candidates]
+    requests = (make_request(seed) for seed in range(1000))
+    request = next(
+        each
+        for each in requests
+        if max(names, key=lambda name: rendezvous_score(each.block_hashes[0], name)) == engine
+    )
+    context.chosen = [choose(context, request)]
+
+
+@when("the same prompt is chosen for again")
+def step_choose_again(context):
+    context.chosen = [choose(context, context.request) for _ in range(5)]
+
+
+@then('every choice is "{engine}"')
+def step_every_choice(context, engine):
+    assert context.chosen and set(context.chosen) == {engine}, context.chosen
+
+
+@then("every choice is nothing")
+def step_every_choice_nothing(context):
+    assert set(context.chosen) == {"nothing"}, context.chosen
