--- /dev/null
+++ b/src/weirscale/domain/configuration/parse.py
@@ -0,0 +1,167 @@
+"""Turns the text of a configuration file into a typed `Deployment`, collecting every error.
+
+Types, ranges of enumerations and required fields come from the model itself, so a field that is
+added there is checked here without a change.
+"""
+
+import enum
+import types
+import typing
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from weirscale.domain.configuration.errors import ConfigurationError
+from weirscale.domain.configuration.model import Declared, Deployment
+from weirscale.domain.configuration.validate import validate_deployment
+from weirscale.domain.configuration.yaml_tree import (
+    YamlMapping,
+    YamlNode,
+    YamlScalar,
+    YamlSequence,
+    read_yaml_tree,
+)
+
+MAX_ERRORS = 200
+"""Errors reported at most; a file with more has one cause that repeats."""
+
+TYPE_NAMES = {str: "text", int: "a whole number", float: "a number", bool: "true or false"}
+
+
+class ParsedDeployment(msgspec.Struct, frozen=True):
+    """A well-typed file.
+
+    Attributes:
+        deployment: Its content.
+        lines: Line of each field by its path, for errors found later.
+    """
+
+    deployment: Deployment
+    lines: dict[str, int]
+
+
+ConfigurationErrors = tuple[ConfigurationError, ...]
+
+
+def parse_deployment(text: str) -> Result[ParsedDeployment, ConfigurationErrors]:
+    """Read a file's fields by their types; rules over several fields are not checked here."""
+    tree = read_yaml_tree(text)
+    if isinstance(tree, Err):
+        return Err((tree.err_value,))
+    builder = _Builder()
+    deployment = builder.build(tree.ok_value, Deployment, "")
+    if builder.errors:
+        return Err(tuple(builder.errors[:MAX_ERRORS]))
+    assert isinstance(deployment, Deployment)
+    return Ok(ParsedDeployment(deployment, builder.lines))
+
+
+def check_deployment(text: str) -> Result[Deployment, ConfigurationErrors]:
+    """Parse a file and check the rules over several fields: the whole `weirscale check`."""
+    parsed = parse_deployment(text)
+    if isinstance(parsed, Err):
+        return parsed
+    errors = validate_deployment(parsed.ok_value.deployment, parsed.ok_value.lines)
+    if errors:
+        return Err(errors[:MAX_ERRORS])
+    return Ok(parsed.ok_value.deployment)
+
+
+class _Builder:
+    """Walks the tree along the model's types; a failed part yields None and an error."""
+
+    def __init__(self) -> None:
+        self.errors: list[ConfigurationError] = []
+        self.lines: dict[str, int] = {}
+
+    def build(self, node: YamlNode, expected: Any, path: str) -> Any:
+        """Convert one node to the expected type, or record why it cannot be."""
+        self.lines[path] = node.line
+        expected = _without_new_type(expected)
+        if isinstance(expected, type) and issubclass(expected, Declared):
+            return self._build_struct(node, expected, path)
+        if typing.get_origin(expected) is tuple:
+            return self._build_tuple(node, typing.get_args(expected)[0], path)
+        return self._build_scalar(node, expected, path)
+
+    def _build_struct(self, node: YamlNode, expected: type[Declared], path: str) -> Any:
+        if not isinstance(node, YamlMapping):
+            self._fail(node, path, "expected fields", f"write fields of {expected.__name__}")
+            return None
+        fields = {field.name: field for field in _struct_fields(expected)}
+        values: dict[str, Any] = {}
+        num_errors = len(self.errors)
+        for entry in node.entries:
+            entry_path = f"{path}.{entry.key}" if path else entry.key
+            if entry.key in values:
+                self._report(entry.line, entry_path, "written twice", "keep one of the two")
+                continue
+            if entry.key not in fields:
+                remedy = f"use one of: {', '.join(fields)}"
+                self._report(entry.line, entry_path, "unknown field", remedy)
+                continue
+            value = self.build(entry.value, fields[entry.key].type, entry_path)
+            values[entry.key] = value
+        for field in fields.values():
+            if field.required and field.name not in values:
+                field_path = f"{path}.{field.name}" if path else field.name
+                self._fail(node, field_path, "missing", f"add `{field.name}:`")
+        if len(self.errors) > num_errors:
+            return None
+        return expected(**values)
+
+    def _build_tuple(self, node: YamlNode, item_type: Any, path: str) -> Any:
+        if not isinstance(node, YamlSequence):
+            self._fail(node, path, "expected a list", "write each item after `- `")
+            return None
+        return tuple(
+            self.build(item, item_type, f"{path}[{index}]") for index, item in enumerate(node.items)
+        )
+
+    def _build_scalar(self, node: YamlNode, expected: Any, path: str) -> Any:
+        wanted = _describe(expected)
+        if not isinstance(node, YamlScalar):
+            self._fail(node, path, "expected one value", f"write {wanted}")
+            return None
+        if expected is str and not node.text:
+            self._fail(node, path, "empty", "write a text")
+            return None
+        try:
+            return msgspec.convert(node.text, expected, strict=False)
+        except msgspec.ValidationError:
+            shown = node.text if len(node.text) <= 40 else node.text[:40] + "…"
+            self._fail(node, path, f"`{shown}` is not {wanted}", f"write {wanted}")
+            return None
+
+    def _fail(self, node: YamlNode, path: str, message: str, remedy: str) -> None:
+        self._report(node.line, path, message, remedy)
+
+    def _report(self, line: int, path: str, message: str, remedy: str) -> None:
+        self.errors.append(ConfigurationError(line, path, message, remedy))
+
+
+_FIELDS: dict[type[Declared], tuple[msgspec.structs.FieldInfo, ...]] = {}
+
+
+def _struct_fields(expected: type[Declared]) -> tuple[msgspec.structs.FieldInfo, ...]:
+    """Return a type's fields; the inspection is slow, so it is kept for each type."""
+    if expected not in _FIELDS:
+        _FIELDS[expected] = msgspec.structs.fields(expected)
+    return _FIELDS[expected]
+
+
+def _without_new_type(expected: Any) -> Any:
+    while hasattr(expected, "__supertype__"):
+        expected = expected.__supertype__
+    return expected
+
+
+def _describe(expected: Any) -> str:
+    """Name a scalar type for an operator."""
+    if isinstance(expected, type) and issubclass(expected, enum.Enum):
+        return "one of: " + ", ".join(str(member.value) for member in expected)
+    if isinstance(expected, types.UnionType) or typing.get_origin(expected) is typing.Union:
+        kinds = [kind for kind in typing.get_args(expected) if kind is not type(None)]
+        return " or ".join([*(_describe(kind) for kind in kinds), "null"])
+    return TYPE_NAMES.get(expected, str(expected))
