--- a/src/weirscale/ports/key_value.py
+++ b/src/weirscale/ports/key_value.py
@@ -79,6 +79,18 @@
     revision: int
 
 
+PREFIX_OF_ALL = b"\x00"
+"""Range end that means all keys from the start on."""
+
+
+def prefix_end(prefix: bytes) -> bytes:
+    """Return the range end of a prefix: the smallest key above all keys that start with it."""
+    trimmed = prefix.rstrip(b"\xff")
+    if not trimmed:
+        return PREFIX_OF_ALL
+    return trimmed[:-1] + bytes([trimmed[-1] + 1])
+
+
 class KeyValuePort(Protocol):
     """What a node can ask of the key-value service."""
 
--- /dev/null
+++ b/src/weirscale/standins/key_value/app.py
@@ -0,0 +1,302 @@
+"""The stand-in as an ASGI app: the etcd v3 JSON gateway, plus `/stand-in/faults`.
+
+Keys and values are base64, 64-bit integers are strings, errors are gRPC's code and message, as the
+gateway's. Only what the router uses is there: range, txn with one comparison, leases and watches.
+"""
+
+import base64
+import json
+import math
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
+from typing import Any
+
+import anyio
+import msgspec
+
+from weirscale.standins.key_value.model import (
+    Change,
+    CompactedError,
+    LeaseNotFoundError,
+    StoredKey,
+)
+from weirscale.standins.key_value.server import (
+    AnswerLostError,
+    KeyValueFaults,
+    KeyValueServer,
+    StoreDownError,
+    StoreRateLimitedError,
+)
+
+GRPC_INVALID_ARGUMENT = 3
+GRPC_NOT_FOUND = 5
+GRPC_RESOURCE_EXHAUSTED = 8
+GRPC_UNIMPLEMENTED = 12
+GRPC_UNAVAILABLE = 14
+
+NO_LEADER = "etcdserver: no leader"
+"""What etcd answers before it takes a call on, so nothing changed."""
+TIMED_OUT = "etcdserver: request timed out"
+"""What etcd answers when it took a call on and does not know what became of it."""
+
+Body = dict[str, Any]
+Effect = Callable[[float], Body]
+Receive = Callable[[], Awaitable[Body]]
+Send = Callable[[Body], Awaitable[None]]
+
+
+class _BadRequestError(Exception):
+    """The request does not have the gateway's shape."""
+
+
+class KeyValueApp:
+    """ASGI application for `hypercorn.asyncio.serve`."""
+
+    def __init__(self, server: KeyValueServer) -> None:
+        self._server = server
+        self._effects: dict[str, Callable[[Body], Effect]] = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/txn": self._transaction,
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/keepalive": self._keep_alive,
+            "/v3/lease/revoke": self._revoke,
+            "/v3/kv/lease/revoke": self._revoke,
+        }
+
+    async def __call__(self, scope: Body, receive: Receive, send: Send) -> None:
+        """Answer one HTTP request, or the start and stop of the server."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+            return
+        try:
+            body = await _read_body(receive)
+            await self._answer(scope["path"], body, receive, send)
+        except (_BadRequestError, KeyError, TypeError, ValueError) as error:
+            await _send_error(send, 400, GRPC_INVALID_ARGUMENT, f"bad request: {error}")
+
+    async def _answer(self, path: str, body: Body, receive: Receive, send: Send) -> None:
+        if path == "/v3/watch":
+            await self._watch_until_disconnect(body, receive, send)
+        elif path == "/stand-in/faults":
+            self._server.faults = msgspec.convert(body, KeyValueFaults)
+            self._server.notify()
+            await _send_json(send, 200, {})
+        elif path in self._effects:
+            await self._run(self._effects[path](body), send)
+        else:
+            await _send_error(send, 404, GRPC_UNIMPLEMENTED, f"unknown path {path}")
+
+    async def _run(self, effect: Effect, send: Send) -> None:
+        try:
+            answer = await self._server.run(effect)
+        except StoreDownError:
+            await _send_error(send, 503, GRPC_UNAVAILABLE, NO_LEADER)
+        except AnswerLostError:
+            await _send_error(send, 503, GRPC_UNAVAILABLE, TIMED_OUT)
+        except StoreRateLimitedError as error:
+            await _send_rate_limited(send, error)
+        except LeaseNotFoundError:
+            message = "etcdserver: requested lease not found"
+            await _send_error(send, 404, GRPC_NOT_FOUND, message)
+        else:
+            await _send_json(send, 200, answer)
+
+    def _header(self) -> Body:
+        return {"revision": str(self._server.model.revision)}
+
+    def _range(self, body: Body) -> Effect:
+        key, range_end = _bytes(body, "key"), _bytes(body, "range_end")
+
+        def effect(now_s: float) -> Body:
+            found = self._server.model.range(key, range_end, now_s)
+            return {"header": self._header(), **_range_body(found)}
+
+        return effect
+
+    def _transaction(self, body: Body) -> Effect:
+        compares = body.get("compare", [])
+        for compare in compares:
+            if compare.get("target") != "MOD" or compare.get("result", "EQUAL") != "EQUAL":
+                raise _BadRequestError("only equality of MOD is supported")
+
+        def effect(now_s: float) -> Body:
+            model = self._server.model
+            succeeded = all(
+                model.mod_revision(_bytes(c, "key"), now_s) == int(c.get("mod_revision", 0))
+                for c in compares
+            )
+            operations = body.get("success" if succeeded else "failure", [])
+            responses = [self._operate(operation, now_s) for operation in operations]
+            return {"header": self._header(), "succeeded": succeeded, "responses": responses}
+
+        return effect
+
+    def _operate(self, operation: Body, now_s: float) -> Body:
+        """Carry out one operation of a transaction."""
+        model = self._server.model
+        if "request_put" in operation:
+            put = operation["request_put"]
+            lease_id = int(put.get("lease", 0))
+            model.put(_bytes(put, "key"), _bytes(put, "value"), lease_id, now_s)
+            return {"response_put": {"header": self._header()}}
+        if "request_delete_range" in operation:
+            was_there = model.delete(_bytes(operation["request_delete_range"], "key"), now_s)
+            return {"response_delete_range": {"deleted": str(int(was_there))}}
+        if "request_range" in operation:
+            wanted = operation["request_range"]
+            found = model.range(_bytes(wanted, "key"), _bytes(wanted, "range_end"), now_s)
+            return {"response_range": _range_body(found)}
+        raise _BadRequestError("unknown operation")
+
+    def _grant(self, body: Body) -> Effect:
+        time_to_live_s = math.ceil(float(body["TTL"]))
+
+        def effect(now_s: float) -> Body:
+            lease_id = self._server.model.grant_lease(time_to_live_s, now_s)
+            return {"header": self._header(), "ID": str(lease_id), "TTL": str(time_to_live_s)}
+
+        return effect
+
+    def _keep_alive(self, body: Body) -> Effect:
+        lease_id = int(body["ID"])
+
+        def effect(now_s: float) -> Body:
+            lives_s = self._server.model.keep_lease_alive(lease_id, now_s)
+            renewed = {"header": self._header(), "ID": str(lease_id)}
+            if lives_s:
+                renewed["TTL"] = str(lives_s)
+            return {"result": renewed}
+
+        return effect
+
+    def _revoke(self, body: Body) -> Effect:
+        lease_id = int(body["ID"])
+
+        def effect(now_s: float) -> Body:
+            self._server.model.revoke_lease(lease_id, now_s)
+            return {"header": self._header()}
+
+        return effect
+
+    async def _watch_until_disconnect(self, body: Body, receive: Receive, send: Send) -> None:
+        """Run a watch; it ends when its client leaves, which only `receive` tells."""
+        async with anyio.create_task_group() as tasks:
+
+            async def end_on_disconnect() -> None:
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(end_on_disconnect)
+            await self._watch(body, send)
+            tasks.cancel_scope.cancel()
+
+    async def _watch(self, body: Body, send: Send) -> None:
+        """Stream one JSON object a line; the end of the stream is the end of the watch."""
+        wanted = body["create_request"]
+        key, range_end = _bytes(wanted, "key"), _bytes(wanted, "range_end")
+        changes = self._server.changes(key, range_end, int(wanted.get("start_revision", 0)))
+        await _start(send, 200)
+        try:
+            created = {"header": self._header(), "created": True}
+            await _send_line(send, {"result": created})
+            async with aclosing(changes) as batches:
+                await self._send_batches(batches, send)
+        except CompactedError as error:
+            cancelled = {"canceled": True, "compact_revision": str(error.compact_revision)}
+            await _send_line(send, {"result": {"header": self._header(), **cancelled}})
+        except StoreRateLimitedError as error:
+            failed = {"grpc_code": GRPC_RESOURCE_EXHAUSTED, "message": str(error)}
+            await _send_line(send, {"error": failed})
+        except StoreDownError:
+            await _send_line(send, {"error": {"grpc_code": GRPC_UNAVAILABLE, "message": NO_LEADER}})
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    async def _send_batches(self, batches: AsyncIterator[list[Change]], send: Send) -> None:
+        async for batch in batches:
+            events = [_event_body(change) for change in batch]
+            await _send_line(send, {"result": {"header": self._header(), "events": events}})
+
+
+def _bytes(body: Body, field: str) -> bytes:
+    return base64.b64decode(body.get(field, ""), validate=True)
+
+
+def _encode(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _key_body(stored: StoredKey) -> Body:
+    body = {
+        "key": _encode(stored.key),
+        "create_revision": str(stored.create_revision),
+        "mod_revision": str(stored.mod_revision),
+        "version": str(stored.version),
+        "value": _encode(stored.value),
+    }
+    if stored.lease_id:
+        body["lease"] = str(stored.lease_id)
+    return body
+
+
+def _range_body(found: list[StoredKey]) -> Body:
+    if not found:
+        return {}
+    return {"kvs": [_key_body(stored) for stored in found], "count": str(len(found))}
+
+
+def _event_body(change: Change) -> Body:
+    if change.stored is not None:
+        return {"kv": _key_body(change.stored)}
+    deleted = {"key": _encode(change.key), "mod_revision": str(change.revision)}
+    return {"type": "DELETE", "kv": deleted}
+
+
+async def _read_body(receive: Receive) -> Body:
+    parts: list[bytes] = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            break
+    body = json.loads(b"".join(parts) or b"{}")
+    if not isinstance(body, dict):
+        raise _BadRequestError("not an object")
+    return body
+
+
+async def _lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _start(send: Send, status: int, retry_after_s: float | None = None) -> None:
+    headers = [(b"content-type", b"application/json")]
+    if retry_after_s is not None:
+        headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+
+
+async def _send_line(send: Send, value: Body) -> None:
+    line = json.dumps(value).encode() + b"\n"
+    await send({"type": "http.response.body", "body": line, "more_body": True})
+
+
+async def _send_json(send: Send, status: int, value: Body) -> None:
+    await _start(send, status)
+    body = json.dumps(value).encode()
+    await send({"type": "http.response.body", "body": body, "more_body": False})
+
+
+async def _send_error(send: Send, status: int, code: int, message: str) -> None:
+    await _send_json(send, status, {"error": message, "code": code, "message": message})
+
+
+async def _send_rate_limited(send: Send, error: StoreRateLimitedError) -> None:
+    await _start(send, 429, error.retry_after_s)
+    message = "etcdserver: too many requests"
+    body = json.dumps({"code": GRPC_RESOURCE_EXHAUSTED, "message": message}).encode()
+    await send({"type": "http.response.body", "body": body, "more_body": False})
