--- /dev/null
+++ b/src/weirscale/domain/claims/holder.py
@@ -0,0 +1,204 @@
+"""One replica of a claim group: remembers which claimant each key was first offered to.
+
+Safety rests on three rules. A holder votes for one claimant of a key and changes its vote only
+when that claimant itself withdraws. It answers only for the epoch that it is in, and never again
+once it has sealed it. Two majorities of one epoch share a holder, so two claimants of a key are
+never both granted.
+"""
+
+import enum
+from collections import OrderedDict
+from collections.abc import Iterable
+
+import msgspec
+
+from weirscale.domain.claims.model import (
+    ClaimEntry,
+    ClaimKey,
+    ClaimVote,
+    CopiedClaim,
+    EntryState,
+    StoredAnswer,
+    Vote,
+)
+
+MAX_ENTRIES = 200_000
+"""Claims that one holder of a group keeps; beyond it new keys are refused, none is forgotten."""
+MAX_ANSWER_BYTES = 1024
+"""Largest answer kept with a claim."""
+MAX_ANSWERS_BYTES = 4 * 1024 * 1024
+"""Answers kept in all by one holder; the oldest are dropped, their claims stay."""
+EXPIRY_BATCH = 16
+"""Expired claims that one operation clears at most, so that no operation takes long."""
+
+
+class HolderPhase(enum.Enum):
+    """Where a holder stands in the life of its epoch."""
+
+    PREPARING = "preparing"
+    """It has the claims of the epoch before and waits for the new epoch to be in force."""
+    ACTIVE = "active"
+    """It answers."""
+    SEALED = "sealed"
+    """It has handed its claims on and answers no more in this epoch."""
+
+
+class ClaimHolder:
+    """The state of one holder in one epoch of one group.
+
+    Args:
+        epoch: The epoch; the holder answers for no other.
+        retention_s: How long a claim is kept after its last change.
+        phase: PREPARING until the epoch is in force.
+        unknown_refused_until_s: Until then an unknown key is refused, because claims of an epoch
+            that was lost whole may have existed.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        retention_s: float,
+        phase: HolderPhase = HolderPhase.PREPARING,
+        unknown_refused_until_s: float = 0.0,
+    ) -> None:
+        self.epoch = epoch
+        self.phase = phase
+        self.retention_s = retention_s
+        self.unknown_refused_until_s = unknown_refused_until_s
+        self._entries: OrderedDict[ClaimKey, ClaimEntry] = OrderedDict()
+        self._answers: OrderedDict[ClaimKey, StoredAnswer] = OrderedDict()
+        self._num_answer_bytes = 0
+
+    @property
+    def num_entries(self) -> int:
+        """Claims kept."""
+        return len(self._entries)
+
+    def vote(
+        self, epoch: int, key: ClaimKey, claimant: bytes, fingerprint: bytes, now_s: float
+    ) -> ClaimVote:
+        """Vote for a claimant, or tell why not."""
+        if epoch != self.epoch or self.phase is not HolderPhase.ACTIVE:
+            return ClaimVote(Vote.WRONG_EPOCH, self.epoch)
+        self._expire(now_s)
+        entry = self._live_entry(key, now_s)
+        if entry is not None:
+            return self._vote_on(key, entry, claimant, fingerprint)
+        if now_s < self.unknown_refused_until_s:
+            wait_s = self.unknown_refused_until_s - now_s
+            return ClaimVote(Vote.UNCERTAIN, self.epoch, wait_s=wait_s)
+        if len(self._entries) >= MAX_ENTRIES:
+            return ClaimVote(Vote.FULL, self.epoch)
+        entry = ClaimEntry(EntryState.OFFERED, (claimant,), fingerprint, now_s)
+        self._entries[key] = entry
+        return ClaimVote(Vote.ACCEPTED, self.epoch)
+
+    def withdraw(self, epoch: int, key: ClaimKey, claimant: bytes) -> bool:
+        """Take a claimant's vote back: it was not granted, or its request did not run."""
+        entry = self._entries.get(key)
+        if entry is None or not self._may_change(epoch) or claimant not in entry.claimants:
+            return False
+        if entry.state is EntryState.COMPLETED:
+            return False
+        claimants = tuple(other for other in entry.claimants if other != claimant)
+        if claimants:
+            self._entries[key] = msgspec.structs.replace(entry, claimants=claimants)
+        else:
+            del self._entries[key]
+        return True
+
+    def complete(
+        self,
+        epoch: int,
+        key: ClaimKey,
+        claimant: bytes,
+        fingerprint: bytes,
+        answer: StoredAnswer | None,
+        now_s: float,
+    ) -> bool:
+        """Record that a claimant's request has run, with its answer when that is small.
+
+        Only the claimant that was granted the key sends this, so it outranks any other vote.
+        """
+        if not self._may_change(epoch):
+            return False
+        self._entries[key] = ClaimEntry(EntryState.COMPLETED, (claimant,), fingerprint, now_s)
+        self._entries.move_to_end(key)
+        if answer is not None and len(answer.body) <= MAX_ANSWER_BYTES:
+            self._keep_answer(key, answer)
+        return True
+
+    def seal(self, epoch: int) -> bool:
+        """Stop answering in this epoch for good, before its claims are copied."""
+        if epoch != self.epoch or self.phase is HolderPhase.PREPARING:
+            return False
+        self.phase = HolderPhase.SEALED
+        return True
+
+    def activate(self, epoch: int) -> bool:
+        """Begin to answer: the epoch is in force."""
+        if epoch != self.epoch or self.phase is HolderPhase.SEALED:
+            return False
+        self.phase = HolderPhase.ACTIVE
+        return True
+
+    def copy_out(self, now_s: float) -> tuple[CopiedClaim, ...]:
+        """All claims, with ages in place of times, for the next epoch."""
+        return tuple(
+            CopiedClaim(
+                key, entry.state, entry.claimants, entry.fingerprint, now_s - entry.changed_at_s
+            )
+            for key, entry in self._entries.items()
+        )
+
+    def copy_in(self, claims: Iterable[CopiedClaim], now_s: float) -> None:
+        """Take over the claims of the epoch before, in place of any copied in earlier."""
+        if self.phase is not HolderPhase.PREPARING:
+            return
+        self._entries.clear()
+        for claim in sorted(claims, key=lambda each: each.age_s, reverse=True):
+            changed_at_s = now_s - claim.age_s
+            entry = ClaimEntry(claim.state, claim.claimants, claim.fingerprint, changed_at_s)
+            self._entries[claim.key] = entry
+
+    def _may_change(self, epoch: int) -> bool:
+        return epoch == self.epoch and self.phase is HolderPhase.ACTIVE
+
+    def _vote_on(
+        self, key: ClaimKey, entry: ClaimEntry, claimant: bytes, fingerprint: bytes
+    ) -> ClaimVote:
+        holder = entry.claimants[0]
+        if entry.fingerprint != fingerprint:
+            return ClaimVote(Vote.CONFLICT, self.epoch, holder)
+        if entry.state is EntryState.COMPLETED:
+            return ClaimVote(Vote.COMPLETED, self.epoch, holder, self._answers.get(key))
+        if entry.claimants == (claimant,):
+            return ClaimVote(Vote.ACCEPTED, self.epoch, holder)
+        return ClaimVote(Vote.HELD, self.epoch, holder)
+
+    def _live_entry(self, key: ClaimKey, now_s: float) -> ClaimEntry | None:
+        entry = self._entries.get(key)
+        if entry is None or now_s - entry.changed_at_s < self.retention_s:
+            return entry
+        self._forget(key)
+        return None
+
+    def _expire(self, now_s: float) -> None:
+        for _ in range(EXPIRY_BATCH):
+            oldest = next(iter(self._entries.items()), None)
+            if oldest is None or now_s - oldest[1].changed_at_s < self.retention_s:
+                return
+            self._forget(oldest[0])
+
+    def _forget(self, key: ClaimKey) -> None:
+        del self._entries[key]
+        answer = self._answers.pop(key, None)
+        if answer is not None:
+            self._num_answer_bytes -= answer.num_bytes
+
+    def _keep_answer(self, key: ClaimKey, answer: StoredAnswer) -> None:
+        self._answers[key] = answer
+        self._num_answer_bytes += answer.num_bytes
+        while self._num_answer_bytes > MAX_ANSWERS_BYTES:
+            _, dropped = self._answers.popitem(last=False)
+            self._num_answer_bytes -= dropped.num_bytes
--- /dev/null
+++ b/src/weirscale/domain/limits/fair_queue.py
@@ -0,0 +1,130 @@
+"""Weighted fair queue with priorities and ageing."""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from weirscale.domain.configuration.model import Tenant
+from weirscale.domain.identifiers import TenantName
+
+AGEING_S_PER_LEVEL = 2.0
+"""Waiting time that lifts a request by one priority level: no level starves another."""
+
+
+class WaitingRequest(msgspec.Struct, frozen=True):
+    """A request that waits for a permit.
+
+    Attributes:
+        ticket: Unique number on this node.
+        tenant: Its tenant, as configured when it came.
+        num_prompt_tokens: Estimated prompt tokens.
+        priority: Lower is served first.
+        deadline_s: Monotonic time at which the caller gives up.
+        queued_at_s: Monotonic time of arrival.
+    """
+
+    ticket: int
+    tenant: Tenant
+    num_prompt_tokens: int
+    priority: int
+    deadline_s: float
+    queued_at_s: float
+
+
+class _Flow:
+    """Waiting requests of one tenant and priority, with its virtual finish time."""
+
+    def __init__(self) -> None:
+        self.requests: deque[WaitingRequest] = deque()
+        self.finish = 0.0
+
+
+class FairQueue:
+    """Orders by aged priority, then by virtual finish time (start-time fair queueing)."""
+
+    def __init__(self) -> None:
+        self._flows: dict[tuple[TenantName, int], _Flow] = {}
+        self._virtual_time = 0.0
+        self._num_waiting = 0
+        self._num_waiting_by_tenant: dict[TenantName, int] = {}
+
+    def __len__(self) -> int:
+        return self._num_waiting
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        for flow in self._flows.values():
+            yield from flow.requests
+
+    def num_waiting_of(self, tenant: TenantName) -> int:
+        """Number of the tenant's waiting requests."""
+        return self._num_waiting_by_tenant.get(tenant, 0)
+
+    def waiting_tenants(self) -> tuple[TenantName, ...]:
+        """Tenants with waiting requests."""
+        return tuple(self._num_waiting_by_tenant)
+
+    def push(self, request: WaitingRequest) -> None:
+        """Add a request."""
+        flow = self._flows.setdefault((request.tenant.name, request.priority), _Flow())
+        if not flow.requests:
+            flow.finish = max(flow.finish, self._virtual_time) + 1.0 / request.tenant.weight
+        flow.requests.append(request)
+        self._count(request.tenant.name, 1)
+
+    def pop(
+        self, now_s: float, is_eligible: Callable[[WaitingRequest], bool]
+    ) -> WaitingRequest | None:
+        """Remove and return the first request whose flow's head is eligible."""
+        ordered = sorted(
+            self._flows.items(), key=lambda item: self._rank(item[1], item[0][1], now_s)
+        )
+        for key, flow in ordered:
+            if is_eligible(flow.requests[0]):
+                return self._take_head(key, flow)
+        return None
+
+    def remove(self, request: WaitingRequest) -> bool:
+        """Remove a request whose caller has left; False if it is not here."""
+        key = (request.tenant.name, request.priority)
+        flow = self._flows.get(key)
+        if flow is None or request not in flow.requests:
+            return False
+        flow.requests.remove(request)
+        self._count(request.tenant.name, -1)
+        if not flow.requests:
+            del self._flows[key]
+        return True
+
+    def num_ahead_of(self, request: WaitingRequest, now_s: float) -> int:
+        """Number of waiting requests with the same or a better aged priority."""
+        return sum(
+            len(flow.requests)
+            for (_, priority), flow in self._flows.items()
+            if self._level(flow, priority, now_s) <= request.priority
+        )
+
+    def _rank(self, flow: _Flow, priority: int, now_s: float) -> tuple[int, float]:
+        return self._level(flow, priority, now_s), flow.finish
+
+    @staticmethod
+    def _level(flow: _Flow, priority: int, now_s: float) -> int:
+        waited_s = now_s - flow.requests[0].queued_at_s
+        return priority - int(waited_s / AGEING_S_PER_LEVEL)
+
+    def _take_head(self, key: tuple[TenantName, int], flow: _Flow) -> WaitingRequest:
+        request = flow.requests.popleft()
+        self._virtual_time = max(self._virtual_time, flow.finish)
+        flow.finish += 1.0 / request.tenant.weight
+        if not flow.requests:
+            del self._flows[key]
+        self._count(request.tenant.name, -1)
+        return request
+
+    def _count(self, tenant: TenantName, change: int) -> None:
+        self._num_waiting += change
+        remaining = self._num_waiting_by_tenant.get(tenant, 0) + change
+        if remaining:
+            self._num_waiting_by_tenant[tenant] = remaining
+        else:
+            self._num_waiting_by_tenant.pop(tenant, None)
--- /dev/null
+++ b/src/weirscale/node/claims/granted.py
@@ -0,0 +1,18 @@
+"""The ledger's own form of a claim."""
+
+from weirscale.domain.claims.model import ClaimKey
+from weirscale.node.interfaces import Claim
+
+
+class GrantedClaim(Claim, frozen=True):
+    """A claim with what is needed to complete or release it.
+
+    Attributes:
+        claim_key: Digest of tenant and key.
+        claimant: Names this attempt to claim; unlike the request id it is never used twice.
+        fingerprint: Short digest of the request.
+    """
+
+    claim_key: ClaimKey = ClaimKey(b"")
+    claimant: bytes = b""
+    fingerprint: bytes = b""
--- /dev/null
+++ b/src/weirscale/node/limits/task.py
@@ -0,0 +1,174 @@
+"""The admission task: owns the node's admission queue and answers by messages."""
+
+import itertools
+import math
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from weirscale.domain.configuration.model import Deployment, Tenant
+from weirscale.domain.identifiers import RequestId
+from weirscale.domain.limits.admission import (
+    MIN_RETRY_AFTER_S,
+    AdmissionQueue,
+    AllowanceSource,
+    overloaded_refusal,
+)
+from weirscale.domain.limits.fair_queue import WaitingRequest
+from weirscale.domain.request.refusal import Refusal
+from weirscale.node.interfaces import Permit
+from weirscale.node.mailbox import Mailbox, Reply
+
+WAITING_POLL_S = 0.02
+"""How often waiting requests are looked at again for tokens that have come since."""
+IDLE_POLL_S = 3600.0
+"""With nothing waiting the task sleeps until a message comes."""
+MIN_RUNNING = 64
+"""Permits that any node may give, however large the fleet."""
+IMBALANCE_FACTOR = 2.0
+"""How far above its equal share of the fleet's capacity one node may go: callers are uneven."""
+REQUESTS_PER_SERVICE_BACKEND = 64
+"""Requests counted for one service back end, which declares no concurrency of its own."""
+
+
+class NodePermit(Permit, frozen=True):
+    """A permit with the number that names it on this node."""
+
+    ticket: int
+
+
+Decision = Result[Permit, Refusal]
+
+
+class _Admit(msgspec.Struct, frozen=True):
+    request: WaitingRequest
+    request_id: RequestId
+    reply: Reply[Decision]
+
+
+class _Release(msgspec.Struct, frozen=True):
+    ticket: int
+
+
+class _Withdraw(msgspec.Struct, frozen=True):
+    ticket: int
+
+
+class _Reshape(msgspec.Struct, frozen=True):
+    max_running: int
+
+
+_Message = _Admit | _Release | _Withdraw | _Reshape
+
+
+def node_capacity(deployment: Deployment, num_nodes: int) -> int:
+    """Permits that one of `num_nodes` nodes may give at once."""
+    num_engine_requests = sum(engine.max_concurrent_requests for engine in deployment.engines)
+    num_backends = sum(len(service.backends) for service in deployment.services)
+    fleet_capacity = num_engine_requests + num_backends * REQUESTS_PER_SERVICE_BACKEND
+    share = math.ceil(IMBALANCE_FACTOR * fleet_capacity / max(1, num_nodes))
+    return max(MIN_RUNNING, share)
+
+
+class AdmissionTask:
+    """Implements `Admission`; `run` is the task that owns the queue.
+
+    Args:
+        max_running: Permits out at once.
+        allowance_of: Gives the node's allowance for a tenant.
+    """
+
+    def __init__(self, max_running: int, allowance_of: AllowanceSource) -> None:
+        self._mailbox: Mailbox[_Message] = Mailbox()
+        self._queue = AdmissionQueue(max_running, allowance_of)
+        self._replies: dict[int, _Admit] = {}
+        self._tickets = itertools.count(1)
+
+    async def admit(
+        self,
+        tenant: Tenant,
+        request_id: RequestId,
+        num_prompt_tokens: int,
+        priority: int,
+        deadline_s: float,
+    ) -> Decision:
+        """Wait for a permit; refused at once when the wait would miss the deadline."""
+        ticket = next(self._tickets)
+        now_s = anyio.current_time()
+        request = WaitingRequest(ticket, tenant, num_prompt_tokens, priority, deadline_s, now_s)
+        reply: Reply[Decision] = Reply()
+        if not self._mailbox.post(_Admit(request, request_id, reply)):
+            return Err(overloaded_refusal(MIN_RETRY_AFTER_S))
+        try:
+            return await reply.wait()
+        except anyio.get_cancelled_exc_class():
+            self._mailbox.post(_Withdraw(ticket))
+            raise
+
+    def release(self, permit: Permit) -> None:
+        """Give the permit back."""
+        if isinstance(permit, NodePermit):
+            self._mailbox.post(_Release(permit.ticket))
+
+    def reshape(self, max_running: int) -> None:
+        """Change the number of permits; those that are out stay out."""
+        self._mailbox.post(_Reshape(max_running))
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        while True:
+            message = await self._next_message()
+            if message is not None:
+                self._handle(message)
+            self._answer(anyio.current_time())
+
+    async def _next_message(self) -> _Message | None:
+        with anyio.move_on_after(self._poll_s()):
+            return await self._mailbox.receive()
+        return None
+
+    def _poll_s(self) -> float:
+        deadline_s = self._queue.next_deadline_s()
+        if deadline_s is None:
+            return IDLE_POLL_S
+        return max(0.0, min(WAITING_POLL_S, deadline_s - anyio.current_time()))
+
+    def _handle(self, message: _Message) -> None:
+        now_s = anyio.current_time()
+        match message:
+            case _Admit(request=request):
+                self._offer(message, request, now_s)
+            case _Release(ticket=ticket):
+                self._queue.finish(ticket, now_s)
+            case _Withdraw(ticket=ticket):
+                self._withdraw(ticket, now_s)
+            case _Reshape(max_running=max_running):
+                self._queue.max_running = max_running
+
+    def _offer(self, message: _Admit, request: WaitingRequest, now_s: float) -> None:
+        refusal = self._queue.offer(request, now_s)
+        if refusal is not None:
+            message.reply.set(Err(refusal))
+            return
+        self._replies[request.ticket] = message
+
+    def _withdraw(self, ticket: int, now_s: float) -> None:
+        """The caller has left: it may wait, or its permit may have crossed its leaving."""
+        self._replies.pop(ticket, None)
+        if not self._queue.withdraw(ticket):
+            self._queue.finish(ticket, now_s)
+
+    def _answer(self, now_s: float) -> None:
+        for request, refusal in self._queue.give_up(now_s):
+            self._replies.pop(request.ticket).reply.set(Err(refusal))
+        for request in self._queue.start_ready(now_s):
+            admitted = self._replies.pop(request.ticket)
+            permit = NodePermit(
+                request.tenant.name,
+                admitted.request_id,
+                request.num_prompt_tokens,
+                now_s,
+                request.ticket,
+            )
+            admitted.reply.set(Ok(permit))
