Add seeded workloads and history checkers

Change: plans of typed items for both workloads; records of callers, back ends and nodes; one checker for each rule and one for fencing; counts of what became of each request. Conclusion: a run can be judged from its records alone.

--- /dev/null
+++ b/features/steps/history_rules_steps.py
@@ -0,0 +1,33 @@
+from behave import given, then, when
+from features.support.history_cases import history_case
+
+from weirscale.experiments.history.verdict import CHECKERS, count_requests, judge
+
+
+@given('the recorded history "{name}"')
+def step_history(context, name):
+    context.history = history_case(name)
+
+
+@when("every rule is checked on the recorded history")
+def step_check(context):
+    context.verdict = judge(context.history)
+
+
+@then('the rules broken are exactly "{broken}"')
+def step_broken(context, broken):
+    found = {violation.rule for violation in context.verdict.violations}
+    assert found <= set(CHECKERS)
+    assert found == (set() if broken == "none" else set(broken.split())), context.verdict
+
+
+@when("the requests of the recorded history are counted")
+def step_count(context):
+    context.counts = count_requests(context.history)
+
+
+@then('the history counts are "{counts}"')
+def step_counts(context, counts):
+    expected = dict(pair.split("=") for pair in counts.split())
+    for field in context.counts.__struct_fields__:
+        assert getattr(context.counts, field) == int(expected.get(field, 0)), context.counts
--- /dev/null
+++ b/src/weirscale/experiments/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults on a timeline."""
--- /dev/null
+++ b/src/weirscale/experiments/history/fleet_rules.py
@@ -0,0 +1,128 @@
+"""Rules on nodes and back ends: restarts, leaving, planned stops."""
+
+from weirscale.domain.identifiers import NodeName
+from weirscale.domain.request.refusal import RefusalCode
+from weirscale.experiments.history.history import History, Violation
+from weirscale.experiments.history.intervals import (
+    DOWN_CHANGES,
+    Interval,
+    interval_start,
+    node_intervals,
+)
+from weirscale.experiments.history.records import (
+    BackendChange,
+    BackendChanged,
+    ConnectionBroke,
+    EngineRun,
+    GenerationAnswered,
+    NodeChange,
+    NodeChanged,
+    RefusalReceived,
+    Sent,
+    ServiceAnswered,
+    ServiceRun,
+)
+
+SERVES_AFTER_RESTART = "serves_after_restart"
+LEAVING_GETS_NO_WORK = "leaving_gets_no_work"
+PLANNED_STOP_CUTS_NOTHING = "planned_stop_cuts_nothing"
+
+NOT_SERVING_CODES = frozenset(
+    {RefusalCode.NOT_CONFIGURED, RefusalCode.DRAINING, RefusalCode.NO_BACKEND}
+)
+"""Refusals of a node that does not serve yet."""
+
+
+def check_serves_after_restart(history: History) -> list[Violation]:
+    """Check that a node that started serves what is sent to it after the bound.
+
+    NO_BACKEND counts only where another node answered at about that time, so that a fleet without
+    back ends is not held against a restarted node.
+    """
+    violations: list[Violation] = []
+    serving_since = node_intervals(history, DOWN_CHANGES)
+    answered_at = _answer_times(history)
+    for request_id, sent in history.sent.items():
+        started_at_s = interval_start(serving_since.get(sent.node, []), sent.at_s)
+        if started_at_s is None:
+            continue
+        if sent.at_s < started_at_s + history.bounds.serves_after_restart_s:
+            continue
+        ending = history.ending(request_id)
+        failure = _not_serving(ending, sent, answered_at)
+        if failure is not None:
+            detail = f"{sent.node}, started at {started_at_s:.3f} s: {failure}"
+            violations.append(Violation(SERVES_AFTER_RESTART, (request_id,), detail))
+    return violations
+
+
+def _not_serving(
+    ending: object, sent: Sent, answered_at: list[tuple[float, NodeName]]
+) -> str | None:
+    """Say how an ending shows a node that does not serve, or None."""
+    if isinstance(ending, ConnectionBroke) and not ending.was_connected:
+        return "refused the connection"
+    if not isinstance(ending, RefusalReceived) or ending.code not in NOT_SERVING_CODES:
+        return None
+    if ending.code is RefusalCode.NO_BACKEND:
+        others_serve = any(
+            node != sent.node and abs(at_s - ending.at_s) < 1.0 for at_s, node in answered_at
+        )
+        if not others_serve:
+            return None
+    return f"refused with {ending.code.value}"
+
+
+def _answer_times(history: History) -> list[tuple[float, NodeName]]:
+    times: list[tuple[float, NodeName]] = []
+    for request_id, sent in history.sent.items():
+        ending = history.ending(request_id)
+        if isinstance(ending, GenerationAnswered | ServiceAnswered):
+            times.append((ending.at_s, sent.node))
+    return times
+
+
+def check_leaving_gets_no_work(history: History) -> list[Violation]:
+    """Check that no back end starts new work later than the bound after it began to leave."""
+    violations: list[Violation] = []
+    leaving_since: dict[str, float] = {}
+    for record in history.records:
+        if isinstance(record, BackendChanged):
+            if record.change is BackendChange.LEAVING:
+                leaving_since.setdefault(record.backend, record.at_s)
+            else:
+                leaving_since.pop(record.backend, None)
+        elif isinstance(record, EngineRun | ServiceRun):
+            backend = record.engine if isinstance(record, EngineRun) else record.backend
+            since_s = leaving_since.get(backend)
+            if since_s is not None and record.at_s > since_s + history.bounds.leaving_s:
+                detail = f"{backend} got work {record.at_s - since_s:.3f} s after it began to leave"
+                violations.append(Violation(LEAVING_GETS_NO_WORK, (record.request_id,), detail))
+    return violations
+
+
+def check_planned_stop_cuts_nothing(history: History) -> list[Violation]:
+    """Check that requests in flight at a node when its planned stop begins are answered whole.
+
+    What is sent to it later may be refused, as not run, but never broken off.
+    """
+    violations: list[Violation] = []
+    draining: dict[NodeName, float] = {}
+    stops: dict[NodeName, list[Interval]] = {}
+    for changed in history.of_type(NodeChanged):
+        if changed.change is NodeChange.DRAIN_BEGAN:
+            draining[changed.node] = changed.at_s
+        elif changed.change is NodeChange.STOPPED and changed.node in draining:
+            interval = (draining.pop(changed.node), changed.at_s)
+            stops.setdefault(changed.node, []).append(interval)
+    for node, began_at_s in draining.items():
+        stops.setdefault(node, []).append((began_at_s, float("inf")))
+    for request_id, sent in history.sent.items():
+        ending = history.ending(request_id)
+        if not isinstance(ending, ConnectionBroke) or not ending.was_connected:
+            continue
+        for began_at_s, stopped_at_s in stops.get(sent.node, ()):
+            if sent.at_s <= stopped_at_s and ending.at_s >= began_at_s:
+                detail = f"{sent.node} cut it {ending.at_s - began_at_s:.3f} s into a planned stop"
+                violations.append(Violation(PLANNED_STOP_CUTS_NOTHING, (request_id,), detail))
+    return violations
--- /dev/null
+++ b/src/weirscale/experiments/history/history.py
@@ -0,0 +1,136 @@
+"""A whole history, indexed once for the checkers."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from typing import TypeVar
+
+import msgspec
+
+from weirscale.domain.identifiers import RequestId
+from weirscale.experiments.history.records import (
+    AnyRecord,
+    CallerLeft,
+    ChunkReceived,
+    ConnectionBroke,
+    EngineRun,
+    GenerationAnswered,
+    GenerationSent,
+    RefusalReceived,
+    Sent,
+    ServiceAnswered,
+    ServiceRun,
+    ServiceSent,
+)
+
+RecordT = TypeVar("RecordT", bound=msgspec.Struct)
+
+ExpectedText = Callable[[GenerationSent], str]
+"""The whole right answer to a request for generated text."""
+
+Ending = GenerationAnswered | ServiceAnswered | RefusalReceived | ConnectionBroke | CallerLeft
+"""Records that end a request for its caller."""
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A rule broken.
+
+    Attributes:
+        rule: The rule's name.
+        request_ids: Requests concerned; empty for rules on nodes.
+        detail: What was seen, one sentence.
+    """
+
+    rule: str
+    request_ids: tuple[RequestId, ...]
+    detail: str
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Times that the rules allow.
+
+    Attributes:
+        serves_after_restart_s: From a node's start to its serving.
+        leaving_s: From a back end's leaving to its last new work; includes the list's lag.
+        configuration_s: From a configuration's acceptance to its being in force everywhere.
+        answer_grace_s: From a caller's deadline to the last moment for any ending.
+    """
+
+    serves_after_restart_s: float = 1.0
+    leaving_s: float = 4.0
+    configuration_s: float = 10.0
+    answer_grace_s: float = 5.0
+
+
+class History:
+    """All records of a run, in order of time, with indexes by request."""
+
+    def __init__(
+        self,
+        records: Iterable[AnyRecord],
+        expected_text: ExpectedText,
+        block_size_bytes: int,
+        bounds: Bounds | None = None,
+        is_kv_kept: bool = False,
+    ) -> None:
+        """Index the records.
+
+        Args:
+            records: The records, in any order; those of one time keep their order.
+            expected_text: The whole right answer to a request.
+            block_size_bytes: Prompt bytes in one cache block of the engines.
+            bounds: Times that the rules allow.
+            is_kv_kept: Whether engines exchange blocks over a store of kept KV cache.
+        """
+        self.is_kv_kept = is_kv_kept
+        self.records: tuple[AnyRecord, ...] = tuple(sorted(records, key=lambda one: one.at_s))
+        self.expected_text = expected_text
+        self.block_size_bytes = block_size_bytes
+        self.bounds = bounds or Bounds()
+        self.sent: dict[RequestId, Sent] = {}
+        self.chunks: dict[RequestId, list[ChunkReceived]] = defaultdict(list)
+        self.endings: dict[RequestId, list[Ending]] = defaultdict(list)
+        self.engine_runs: dict[RequestId, list[EngineRun]] = defaultdict(list)
+        self.service_runs: dict[RequestId, list[ServiceRun]] = defaultdict(list)
+        for record in self.records:
+            self._index(record)
+
+    def _index(self, record: AnyRecord) -> None:
+        match record:
+            case GenerationSent() | ServiceSent():
+                self.sent[record.request_id] = record
+            case ChunkReceived():
+                self.chunks[record.request_id].append(record)
+            case (
+                GenerationAnswered()
+                | ServiceAnswered()
+                | RefusalReceived()
+                | ConnectionBroke()
+                | CallerLeft()
+            ):
+                self.endings[record.request_id].append(record)
+            case EngineRun():
+                self.engine_runs[record.request_id].append(record)
+            case ServiceRun():
+                self.service_runs[record.request_id].append(record)
+
+    def of_type(self, record_type: type[RecordT]) -> list[RecordT]:
+        """Return all records of a type, in order of time."""
+        return [record for record in self.records if isinstance(record, record_type)]
+
+    def ending(self, request_id: RequestId) -> Ending | None:
+        """Return what ended a request for its caller first, or None."""
+        endings = self.endings.get(request_id)
+        return endings[0] if endings else None
+
+    def text(self, request_id: RequestId) -> str:
+        """Return the text that a caller received."""
+        return "".join(chunk.text for chunk in self.chunks.get(request_id, ()))
+
+    def expected(self, request_id: RequestId) -> str | None:
+        """Return the whole right answer to a generation request, None for others."""
+        sent = self.sent.get(request_id)
+        return self.expected_text(sent) if isinstance(sent, GenerationSent) else None
+
+    def has_run(self, request_id: RequestId) -> bool:
+        """Whether any back end ran the request."""
+        return bool(self.engine_runs.get(request_id) or self.service_runs.get(request_id))
--- /dev/null
+++ b/src/weirscale/experiments/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports of experiments: figures, page and comparison."""
--- /dev/null
+++ b/src/weirscale/experiments/run/__init__.py
@@ -0,0 +1,1 @@
+"""Experiment files, virtual fleets and the run of one experiment."""
--- /dev/null
+++ b/src/weirscale/experiments/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Many seeds with random faults."""
--- /dev/null
+++ b/src/weirscale/experiments/workload/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded workloads of both deployments, as plans of typed items with intended send times."""
--- /dev/null
+++ b/src/weirscale/experiments/workload/shape.py
@@ -0,0 +1,150 @@
+"""The shape of a workload: rates, skews, nesting and caller behaviour, with both presets."""
+
+import msgspec
+
+from weirscale.domain.identifiers import ModelName, ServiceName
+
+
+class Level(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One level of nested shared prefixes.
+
+    Attributes:
+        name: What one section of the level is, for instance `class`.
+        num_children: Sections of this level below each section of the level above.
+        num_bytes: Bytes of one section.
+    """
+
+    name: str
+    num_children: int
+    num_bytes: int
+
+
+class Burst(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A time of higher arrival rate.
+
+    Attributes:
+        at_s: Its start, from the start of the run.
+        lasts_s: Its length.
+        factor: The rate's multiple while it lasts.
+    """
+
+    at_s: float
+    lasts_s: float
+    factor: float
+
+
+class ServiceMix(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Requests to the deployment's service.
+
+    Attributes:
+        service: Its name.
+        change_path: Path of requests that must not run twice (an order, a seat).
+        read_path: Path of reads (order status, roster).
+        change_share: Share of all requests that are changes.
+        read_share: Share of all requests that are reads.
+        impatient_share: Share of changes that are sent again through another node.
+        patience_s: Longest time before an impatient caller sends again.
+    """
+
+    service: ServiceName
+    change_path: str
+    read_path: str
+    change_share: float = 0.15
+    read_share: float = 0.15
+    impatient_share: float = 0.2
+    patience_s: float = 1.5
+
+
+class WorkloadShape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Everything that, with a seed, determines a plan.
+
+    Attributes:
+        name: `yearbook` or `racing`, or a name of its own.
+        model: The model asked for.
+        levels: Nested prefixes, outermost first.
+        service: Requests to the service.
+        requests_per_s: Mean arrival rate, before day shape and bursts.
+        day_length_s: Length of one day of the day shape.
+        day_swing: How far the rate swings around its mean, 0 to below 1.
+        bursts: Times of higher rate.
+        tenant_skew: Zipf exponent over tenants.
+        prefix_skew: Zipf exponent over sections of one level.
+        hot_shift_every_s: The hot set moves after each such time; None: never.
+        large_share: Share of tenants whose outermost section is `large_factor` times larger.
+        large_factor: See `large_share`.
+        question_bytes: Bytes of the caller's own text.
+        min_tokens: Fewest `max_tokens` asked for.
+        max_tokens: Most `max_tokens` asked for.
+        deadline_s: Callers' deadline of generation.
+        service_deadline_s: Callers' deadline of service requests.
+        leave_share: Share of generation callers that leave early.
+        slow_share: Share of generation callers that read slowly.
+        slow_read_delay_s: Pause of a slow reader after each chunk.
+    """
+
+    name: str
+    model: ModelName
+    levels: tuple[Level, ...]
+    service: ServiceMix
+    requests_per_s: float = 8.0
+    day_length_s: float = 600.0
+    day_swing: float = 0.4
+    bursts: tuple[Burst, ...] = ()
+    tenant_skew: float = 1.1
+    prefix_skew: float = 1.1
+    hot_shift_every_s: float | None = 60.0
+    large_share: float = 0.15
+    large_factor: int = 3
+    question_bytes: int = 240
+    min_tokens: int = 8
+    max_tokens: int = 48
+    deadline_s: float = 30.0
+    service_deadline_s: float = 10.0
+    leave_share: float = 0.03
+    slow_share: float = 0.03
+    slow_read_delay_s: float = 0.05
+
+
+YEARBOOK = WorkloadShape(
+    name="yearbook",
+    model=ModelName("qalam"),
+    levels=(
+        Level(name="yearbook", num_children=2, num_bytes=12_000),
+        Level(name="class", num_children=6, num_bytes=5_000),
+        Level(name="page", num_children=8, num_bytes=2_760),
+    ),
+    service=ServiceMix(
+        service=ServiceName("matemia"), change_path="/orders", read_path="/orders/status"
+    ),
+)
+"""School yearbooks: long drafts reused all day, short captions, print orders."""
+
+RACING = WorkloadShape(
+    name="racing",
+    model=ModelName("paddock-lm"),
+    levels=(
+        Level(name="rulebook", num_children=1, num_bytes=11_000),
+        Level(name="season", num_children=4, num_bytes=6_000),
+        Level(name="race", num_children=10, num_bytes=2_760),
+    ),
+    service=ServiceMix(
+        service=ServiceName("grid-api"),
+        change_path="/lobby",
+        read_path="/roster",
+        change_share=0.3,
+        read_share=0.2,
+        impatient_share=0.3,
+        patience_s=0.8,
+    ),
+    requests_per_s=12.0,
+    day_swing=0.6,
+    min_tokens=16,
+    max_tokens=96,
+    hot_shift_every_s=45.0,
+    deadline_s=20.0,
+    service_deadline_s=5.0,
+)
+"""Racing leagues: rulings on long rulebooks, and lobby seats that must not double."""
+
+PRESETS = {shape.name: shape for shape in (YEARBOOK, RACING)}
+"""Shapes that experiment files start from, by name."""
