--- /dev/null
+++ b/src/weirscale/node/callers/errors.py
@@ -0,0 +1,63 @@
+"""Renders refusals: the OpenAI error object and the headers that repeat its main fields."""
+
+import math
+
+import msgspec
+
+from weirscale.domain.request.refusal import Refusal
+from weirscale.node.callers.asgi import JSON_TYPE, HeaderList, Send, send_whole
+
+RUN_STATUS_HEADER = b"x-run-status"
+REQUEST_ID_HEADER = b"x-request-id"
+
+_FIRST_SERVER_ERROR = 500
+
+
+class ErrorObject(msgspec.Struct, frozen=True):
+    """The inner error object, shaped after OpenAI's, with three fields more."""
+
+    message: str
+    type: str
+    code: str
+    run_status: str
+    remedy: str
+    request_id: str
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """The body of every error answer."""
+
+    error: ErrorObject
+
+
+def error_body(refusal: Refusal, request_id: str) -> bytes:
+    """Return the JSON body of a refusal."""
+    is_server_error = refusal.http_status >= _FIRST_SERVER_ERROR
+    error = ErrorObject(
+        message=refusal.message,
+        type="server_error" if is_server_error else "invalid_request_error",
+        code=refusal.code.value,
+        run_status=refusal.run_status.value,
+        remedy=refusal.remedy,
+        request_id=request_id,
+    )
+    return msgspec.json.encode(ErrorBody(error))
+
+
+def error_headers(refusal: Refusal, request_id: str) -> HeaderList:
+    """Return the headers of a refusal."""
+    headers: HeaderList = [
+        (b"content-type", JSON_TYPE),
+        (RUN_STATUS_HEADER, refusal.run_status.value.encode()),
+        (REQUEST_ID_HEADER, request_id.encode()),
+    ]
+    if refusal.retry_after_s is not None:
+        # The header has whole seconds; rounded up so that nobody comes back too early.
+        headers.append((b"retry-after", str(math.ceil(refusal.retry_after_s)).encode()))
+    return headers
+
+
+async def send_refusal(send: Send, refusal: Refusal, request_id: str) -> None:
+    """Answer with a refusal."""
+    body = error_body(refusal, request_id)
+    await send_whole(send, refusal.http_status, error_headers(refusal, request_id), body)
--- /dev/null
+++ b/src/weirscale/node/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Runs admitted requests: attempts, resumes, retries, hedges and at-most-once claims."""
--- /dev/null
+++ b/src/weirscale/node/execution/attempt.py
@@ -0,0 +1,219 @@
+"""One attempt of a generation on one engine: its stream, its resumes, its outcome."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from weirscale.domain.identifiers import RequestId
+from weirscale.domain.request.model import GenerationRequest, TokenChunk
+from weirscale.domain.request.retry_policy import CHUNK_STALL_S, FailureClass
+from weirscale.domain.request.stream import ChunkVerdict, StreamCheck
+from weirscale.node.execution.canceller import EngineCanceller
+from weirscale.node.interfaces import AttemptOutcome, ChosenEngine, EngineRouting
+from weirscale.ports.engine import (
+    ChunkOrFailure,
+    EngineFailure,
+    EngineFailureKind,
+    GenerateCall,
+)
+
+CLOSE_TIMEOUT_S = 1.0
+"""Closing a broken connection must not hold up the caller's answer."""
+
+_TIMED_OUT = EngineFailure(EngineFailureKind.TIMED_OUT, "the engine sent nothing in time")
+_ENDED_EARLY = EngineFailure(EngineFailureKind.BROKEN, "the stream ended before its last chunk")
+
+_INTERRUPTIONS = frozenset({EngineFailureKind.BROKEN, EngineFailureKind.CORRUPT})
+
+
+def classify(failure: EngineFailure, is_resume: bool) -> FailureClass:
+    """Say what an engine's failure means for the request.
+
+    A resume that fails says nothing about the attempt that it wanted to go on with, so it never
+    proves that the request did not run.
+    """
+    if failure.kind in _INTERRUPTIONS:
+        return FailureClass.INTERRUPTED
+    if failure.kind is EngineFailureKind.TIMED_OUT:
+        return FailureClass.STALLED
+    if is_resume and failure.kind is EngineFailureKind.UNREACHABLE:
+        return FailureClass.CUT_OFF
+    if is_resume or not failure.provably_not_run:
+        return FailureClass.FORGOTTEN
+    if failure.kind is EngineFailureKind.REFUSED_INVALID:
+        return FailureClass.INVALID
+    return FailureClass.NOT_RUN
+
+
+class AttemptFailure(msgspec.Struct, frozen=True):
+    """A failed attempt; `failure_class` tells what may follow."""
+
+    failure: EngineFailure
+    failure_class: FailureClass
+
+
+class Attempt:
+    """Pulls one attempt's stream.
+
+    Owned by the task that made it. `next` answers only chunks that passed the request's check.
+    """
+
+    def __init__(
+        self,
+        call: GenerateCall,
+        request: GenerationRequest,
+        chosen: ChosenEngine,
+        check: StreamCheck,
+        started_s: float,
+    ) -> None:
+        self.call = call
+        self.chosen = chosen
+        self.num_idle_resumes = 0
+        self.num_repeated = 0
+        self.ttft_s: float | None = None
+        self.last_chunk: TokenChunk | None = None
+        self.failure: EngineFailure | None = None
+        self._request = request
+        self.check = check
+        self._started_s = started_s
+        self._is_resume = False
+        self._was_sent = False
+        self._context: AbstractAsyncContextManager[AsyncIterator[ChunkOrFailure]] | None = None
+        self._chunks: AsyncIterator[ChunkOrFailure] | None = None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether this attempt delivered the last chunk."""
+        return self.last_chunk is not None and self.last_chunk.finish_reason is not None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the engine may have done work for it."""
+        if not self._was_sent:
+            return False
+        if self.failure is None or self._is_resume:
+            return True
+        return not self.failure.provably_not_run
+
+    async def next(self, give_up_at_s: float) -> Result[TokenChunk, AttemptFailure]:
+        """Wait for the next chunk that passes the check, or for the attempt's failure."""
+        while True:
+            item = await self._pull(give_up_at_s)
+            if isinstance(item, Err):
+                return self._fail(item.err_value)
+            chunk = item.ok_value
+            verdict = self.check.check(chunk)
+            if verdict is ChunkVerdict.PASS:
+                self._note_passed(chunk)
+                return Ok(chunk)
+            if verdict is ChunkVerdict.REPEATED:
+                self.num_repeated += 1
+                continue
+            detail = f"{verdict.value} chunk {chunk.sequence} of {chunk.request_id}"
+            return self._fail(EngineFailure(EngineFailureKind.CORRUPT, detail))
+
+    async def resume(self) -> None:
+        """Go on with the same work on the same engine; the next `next` opens the stream."""
+        await self.close()
+        self.num_idle_resumes += 1
+        self._is_resume = True
+        self.failure = None
+
+    async def close(self) -> None:
+        """Close the connection; bounded in time, also while being cancelled."""
+        context = self._context
+        self._context = None
+        self._chunks = None
+        if context is not None:
+            with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+                await context.__aexit__(None, None, None)
+
+    def finish(
+        self, routing: EngineRouting, canceller: EngineCanceller, now_s: float
+    ) -> AttemptOutcome:
+        """Report the outcome and stop the engine's work if it may still go on."""
+        if self.may_have_run and not self.is_complete:
+            canceller.post(self.chosen.port, self.call.request_id, self.call.attempt)
+        last = self.last_chunk
+        outcome = AttemptOutcome(
+            request=self._request,
+            attempt=self.call.attempt,
+            engine=self.chosen.choice.engine,
+            incarnation=self.chosen.incarnation,
+            failure=self.failure,
+            num_prompt_tokens=last.num_prompt_tokens if last else 0,
+            num_cached_tokens=last.num_cached_tokens if last else 0,
+            ttft_s=self.ttft_s,
+            duration_s=now_s - self._started_s,
+        )
+        routing.report(outcome)
+        return outcome
+
+    def _note_passed(self, chunk: TokenChunk) -> None:
+        if self.ttft_s is None:
+            self.ttft_s = anyio.current_time() - self._started_s
+        self.last_chunk = chunk
+        self.num_idle_resumes = 0
+
+    def _fail(self, failure: EngineFailure) -> Err[AttemptFailure]:
+        self.failure = failure
+        return Err(AttemptFailure(failure, classify(failure, self._is_resume)))
+
+    async def _pull(self, give_up_at_s: float) -> ChunkOrFailure:
+        if self.last_chunk is not None:
+            give_up_at_s = min(give_up_at_s, anyio.current_time() + CHUNK_STALL_S)
+        with anyio.CancelScope(deadline=give_up_at_s) as scope:
+            chunks = self._chunks
+            if chunks is None:
+                chunks = await self._open()
+            try:
+                return await anext(chunks)
+            except StopAsyncIteration:
+                return Err(_ENDED_EARLY)
+        assert scope.cancelled_caught
+        return Err(_TIMED_OUT)
+
+    async def _open(self) -> AsyncIterator[ChunkOrFailure]:
+        port = self.chosen.port
+        if self._is_resume:
+            context = port.resume(self.call.request_id, self.call.attempt, self.check.next_sequence)
+        else:
+            self._was_sent = True
+            context = port.generate(self.call)
+        chunks = await context.__aenter__()
+        self._context = context
+        self._chunks = chunks
+        return chunks
+
+
+def generate_call(
+    request: GenerationRequest,
+    attempt: int,
+    chosen: ChosenEngine,
+    check: StreamCheck,
+    time_left_s: float,
+) -> GenerateCall:
+    """Build the call of an attempt; it continues from the chunks that passed already."""
+    return GenerateCall(
+        request_id=RequestId(request.request_id),
+        attempt=attempt,
+        path=request.path,
+        body=request.body,
+        prompt=request.prompt,
+        max_tokens=request.max_tokens,
+        priority=request.priority,
+        time_left_s=time_left_s,
+        cache_salt=request.tenant,
+        model=request.model,
+        adapter=request.adapter,
+        expected_incarnation=chosen.incarnation,
+        expected_weight_version=chosen.weight_version,
+        continue_text=check.text,
+        continue_sequence=check.next_sequence,
+        continue_num_tokens=check.num_tokens,
+        kept_kv_store=chosen.choice.import_from,
+        kept_kv_block_hash=chosen.choice.import_block_hash,
+    )
--- /dev/null
+++ b/src/weirscale/node/execution/claims.py
@@ -0,0 +1,68 @@
+"""Holds the at-most-once claim of one request and settles it at the end."""
+
+import anyio
+import xxhash
+from result import Err, Ok, Result
+
+from weirscale.domain.identifiers import RequestId, TenantName
+from weirscale.domain.request import refusals
+from weirscale.domain.request.model import RunStatus, ServiceResponse
+from weirscale.domain.request.refusal import Refusal
+from weirscale.node.interfaces import Claim, ClaimLedger, ClaimState
+
+SETTLE_TIMEOUT_S = 2.0
+"""Settling is best effort: an unsettled claim stays in progress until its retention ends."""
+
+MAX_KEPT_ANSWER_BYTES = 64 * 1024
+"""Answers up to this size are kept in the ledger and given to a repeated request."""
+
+
+def fingerprint(*parts: bytes) -> bytes:
+    """Identify a request's content, so that a key used for other content is noticed."""
+    digest = xxhash.xxh3_128()
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+async def take_claim(
+    ledger: ClaimLedger,
+    tenant: TenantName,
+    idempotency_key: str,
+    request_id: RequestId,
+    content: bytes,
+    deadline_s: float,
+) -> Result[Claim, Refusal]:
+    """Claim a key for a request; Ok is GRANTED, or COMPLETED with a kept answer."""
+    answer = await ledger.claim(tenant, idempotency_key, request_id, content, deadline_s)
+    if isinstance(answer, Err):
+        return answer
+    claim = answer.ok_value
+    if claim.state is ClaimState.CONFLICT:
+        return Err(refusals.duplicate_conflict())
+    if claim.state is ClaimState.IN_PROGRESS:
+        return Err(refusals.duplicate_in_progress(claim.holder_request_id))
+    if claim.state is ClaimState.COMPLETED and claim.answer is None:
+        return Err(refusals.duplicate_completed(claim.holder_request_id))
+    return Ok(claim)
+
+
+async def settle_claim(
+    ledger: ClaimLedger, claim: Claim, run_status: RunStatus, answer: ServiceResponse | None
+) -> None:
+    """Record that the request ran, or give the key back if it provably did not.
+
+    When it may have run, the claim stays in progress: a repetition is refused as UNKNOWN.
+    """
+    with anyio.move_on_after(SETTLE_TIMEOUT_S, shield=True):
+        if run_status is RunStatus.RAN:
+            await ledger.complete(claim, _kept_answer(answer))
+        elif run_status is RunStatus.NOT_RUN:
+            await ledger.release(claim)
+
+
+def _kept_answer(answer: ServiceResponse | None) -> ServiceResponse | None:
+    if answer is None or len(answer.body) > MAX_KEPT_ANSWER_BYTES:
+        return None
+    return answer
--- /dev/null
+++ b/src/weirscale/node/execution/service.py
@@ -0,0 +1,207 @@
+"""Runs service requests: passed through whole, sent again only where that is allowed."""
+
+from collections.abc import Callable
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from weirscale.domain.configuration.model import RetryRules
+from weirscale.domain.identifiers import BackendName
+from weirscale.domain.request import refusals
+from weirscale.domain.request.model import RunStatus, ServiceRequest, ServiceResponse
+from weirscale.domain.request.refusal import Refusal
+from weirscale.domain.request.retry_budget import RetryBudget
+from weirscale.domain.request.retry_policy import (
+    FailureClass,
+    NextStep,
+    RequestProgress,
+    RunEvidence,
+    final_refusal,
+    next_step,
+)
+from weirscale.node.event_log import EventLog
+from weirscale.node.execution.claims import fingerprint, settle_claim, take_claim
+from weirscale.node.interfaces import ChosenBackend, Claim, ClaimLedger, ClaimState, ServiceRouting
+from weirscale.ports.service import ServiceFailure, ServiceFailureKind
+
+_TIMED_OUT = ServiceFailure(ServiceFailureKind.TIMED_OUT, "the back end did not answer in time")
+
+REPLAYED_HEADER = "idempotent-replayed"
+"""Set to `true` on an answer that an earlier request with the same key got."""
+
+
+class ServiceExecutor:
+    """Runs requests to named services.
+
+    Args:
+        routing: Chooses back ends and learns from outcomes.
+        ledger: At-most-once claims, or None where the node has none.
+        rules: Answers the retry rules in force.
+        event_log: Where retries are told.
+        budget: The node's retry budget, shared with the generation executor.
+    """
+
+    def __init__(
+        self,
+        routing: ServiceRouting,
+        ledger: ClaimLedger | None,
+        rules: Callable[[], RetryRules],
+        event_log: EventLog,
+        budget: RetryBudget,
+    ) -> None:
+        self._routing = routing
+        self._ledger = ledger
+        self._rules = rules
+        self._event_log = event_log
+        self._budget = budget
+
+    async def run(self, request: ServiceRequest) -> Result[ServiceResponse, Refusal]:
+        """Run a request to its answer.
+
+        Any HTTP status of the back end is an Ok answer. A request that may not be repeated goes
+        on to its end (within its deadline) even if the caller leaves, so that its claim tells
+        the truth.
+        """
+        if request.repeatable:
+            return await self._run_attempts(request, RunEvidence())
+        result: Result[ServiceResponse, Refusal] | None = None
+        with anyio.CancelScope(shield=True):
+            result = await self._run_once(request)
+        assert result is not None
+        return result
+
+    async def _run_once(self, request: ServiceRequest) -> Result[ServiceResponse, Refusal]:
+        if request.idempotency_key is None or self._ledger is None:
+            return await self._run_attempts(request, RunEvidence())
+        return await self._run_claimed(request, self._ledger, request.idempotency_key)
+
+    async def _run_claimed(
+        self, request: ServiceRequest, ledger: ClaimLedger, idempotency_key: str
+    ) -> Result[ServiceResponse, Refusal]:
+        content = fingerprint(
+            request.service.encode(),
+            request.method.encode(),
+            request.path.encode(),
+            request.body,
+        )
+        taken = await take_claim(
+            ledger,
+            request.tenant,
+            idempotency_key,
+            request.request_id,
+            content,
+            request.deadline_s,
+        )
+        if isinstance(taken, Err):
+            return taken
+        claim = taken.ok_value
+        if claim.state is ClaimState.COMPLETED:
+            return _replay(claim)
+        evidence = RunEvidence()
+        result = await self._run_attempts(request, evidence)
+        answer = result.ok_value if isinstance(result, Ok) else None
+        await settle_claim(ledger, claim, evidence.status, answer)
+        return result
+
+    async def _run_attempts(
+        self, request: ServiceRequest, evidence: RunEvidence
+    ) -> Result[ServiceResponse, Refusal]:
+        rules = self._rules()
+        self._budget.note_first_attempt(rules)
+        excluded: frozenset[BackendName] = frozenset()
+        num_attempts = 0
+        while True:
+            choice = await self._routing.choose(request.service, excluded)
+            if isinstance(choice, Err):
+                return Err(refusals.with_run_status(choice.err_value, evidence.status))
+            chosen = choice.ok_value
+            num_attempts += 1
+            answer = await self._call(request, chosen)
+            if isinstance(answer, Ok):
+                evidence.note_answer()
+                return answer
+            failure = answer.err_value
+            if not failure.provably_not_run:
+                evidence.note_may_have_run()
+            refusal = self._refusal_or_retry(request, failure, evidence, num_attempts, rules)
+            self._log_failure(request, chosen, failure, num_attempts, refusal is None)
+            if refusal is not None:
+                return Err(refusal)
+            excluded |= {chosen.backend}
+
+    async def _call(
+        self, request: ServiceRequest, chosen: ChosenBackend
+    ) -> Result[ServiceResponse, ServiceFailure]:
+        started_s = anyio.current_time()
+        answer: Result[ServiceResponse, ServiceFailure] = Err(_TIMED_OUT)
+        time_left_s = request.deadline_s - started_s
+        try:
+            with anyio.CancelScope(deadline=request.deadline_s):
+                answer = await chosen.port.call(request, time_left_s)
+        finally:
+            self._routing.report(
+                request.service,
+                chosen.backend,
+                answer.err_value if isinstance(answer, Err) else None,
+                answer.ok_value.status if isinstance(answer, Ok) else None,
+                anyio.current_time() - started_s,
+            )
+        return answer
+
+    def _refusal_or_retry(
+        self,
+        request: ServiceRequest,
+        failure: ServiceFailure,
+        evidence: RunEvidence,
+        num_attempts: int,
+        rules: RetryRules,
+    ) -> Refusal | None:
+        """Return the final refusal, or None if another attempt is allowed."""
+        now_s = anyio.current_time()
+        progress = RequestProgress(
+            repeatable=request.repeatable,
+            num_attempts=num_attempts,
+            num_chunks=0,
+            num_idle_resumes=0,
+            may_have_run=evidence.may_have_run,
+            time_left_s=request.deadline_s - now_s,
+        )
+        # A service call can't be resumed, so an interrupted one counts as forgotten.
+        failure_class = FailureClass.NOT_RUN if failure.provably_not_run else FailureClass.FORGOTTEN
+        step = next_step(failure_class, progress, rules)
+        if step is NextStep.ANOTHER and self._budget.try_take(rules, now_s):
+            return None
+        return final_refusal(failure_class, failure.detail, evidence, progress.time_left_s)
+
+    def _log_failure(
+        self,
+        request: ServiceRequest,
+        chosen: ChosenBackend,
+        failure: ServiceFailure,
+        num_attempts: int,
+        is_sent_again: bool,
+    ) -> None:
+        self._event_log.event(
+            "service_attempt_failed",
+            request_id=request.request_id,
+            attempt=num_attempts - 1,
+            backend=chosen.backend,
+            address=chosen.address,
+            failure=failure.kind.value,
+            detail=failure.detail,
+            next="another" if is_sent_again else "give_up",
+        )
+
+
+def _replay(claim: Claim) -> Result[ServiceResponse, Refusal]:
+    answer = claim.answer
+    if answer is None:
+        return Err(refusals.duplicate_completed(claim.holder_request_id))
+    headers = {**answer.headers, REPLAYED_HEADER: "true"}
+    return Ok(msgspec.structs.replace(answer, headers=headers))
+
+
+def run_status_of(result: Result[ServiceResponse, Refusal]) -> RunStatus:
+    """Tell whether a service request ran, for logs."""
+    return result.err_value.run_status if isinstance(result, Err) else RunStatus.RAN
