--- /dev/null
+++ b/src/weirscale/domain/health/rules.py
@@ -0,0 +1,45 @@
+"""Numbers that govern the health of back ends, with the reason for each default."""
+
+import msgspec
+
+
+class HealthRules(msgspec.Struct, frozen=True):
+    """Thresholds and times of circuits.
+
+    Attributes:
+        max_consecutive_failures: Failed requests in a row that open a circuit; one alone is
+            common when a connection is reset.
+        max_failed_probes: Failed probes in a row that open a circuit.
+        max_failure_rate: Share of failed requests that opens a circuit.
+        min_samples: Recent requests below which the failure rate says nothing.
+        sample_half_life_s: Time after which a past outcome counts half.
+        open_time_s: Length of the first opening; doubles with each one that follows soon.
+        max_open_time_s: Longest opening.
+        open_jitter: Share by which an opening is lengthened or shortened at random, so that nodes
+            do not all try again at one moment.
+        quarantine_time_s: Length of the first quarantine after a wrong answer; doubles.
+        max_quarantine_time_s: Longest quarantine.
+        forget_openings_s: A back end healthy for this long starts again from `open_time_s`.
+        num_tolerated_restarts: Restarts that follow one another soon before a back end that keeps
+            restarting is held out.
+        slow_return_s: Time over which a returning back end's share grows to the full.
+        min_weight: Share of work at the start of the return and during trials.
+        max_ejected_share: Largest share of a pool held out by circuits; beyond it, a bad network is
+            likelier than so many bad back ends.
+    """
+
+    max_consecutive_failures: int = 3
+    max_failed_probes: int = 2
+    max_failure_rate: float = 0.5
+    min_samples: float = 10.0
+    sample_half_life_s: float = 10.0
+    open_time_s: float = 1.0
+    max_open_time_s: float = 60.0
+    open_jitter: float = 0.2
+    quarantine_time_s: float = 30.0
+    max_quarantine_time_s: float = 600.0
+    forget_openings_s: float = 300.0
+    num_tolerated_restarts: int = 2
+    slow_return_s: float = 10.0
+    min_weight: float = 0.1
+    max_ejected_share: float = 0.5
--- /dev/null
+++ b/src/weirscale/node/backends/probes.py
@@ -0,0 +1,108 @@
+"""Loops that ask engines and the machine list how things are."""
+
+from random import Random
+from typing import Protocol
+
+import anyio
+import msgspec
+from result import Ok
+
+from weirscale.domain.identifiers import EngineName
+from weirscale.node.backends.facts import DirectorySnapshot
+from weirscale.node.backends.observations import (
+    MachinesListed,
+    Observation,
+    ProbeFailed,
+    ReportArrived,
+)
+from weirscale.ports.engine import EnginePort
+from weirscale.ports.machines import MachineListPort
+
+
+class ProbeRules(msgspec.Struct, frozen=True):
+    """How often to ask.
+
+    Attributes:
+        polls_engines: Whether this node asks engines itself at all.
+        load_interval_s: Time between two load reports of one engine.
+        load_timeout_s: Longest wait for one.
+        fresh_report_s: An engine whose report is younger than this is not asked: its home node
+            reports for it.
+        machines_interval_s: Time between two reads of the machine list; with the read itself it
+            stays below the 2 s in which a leaving back end must stop getting work.
+        machines_timeout_s: Longest read of the list.
+        jitter: Share by which each interval is lengthened or shortened at random.
+    """
+
+    polls_engines: bool = True
+    load_interval_s: float = 1.0
+    load_timeout_s: float = 1.0
+    fresh_report_s: float = 0.5
+    machines_interval_s: float = 1.0
+    machines_timeout_s: float = 5.0
+    jitter: float = 0.2
+
+
+class ProbedDirectory(Protocol):
+    """What the loops need of the directory."""
+
+    def post(self, observation: Observation) -> None:
+        """Leave an observation."""
+        ...
+
+    def snapshot(self) -> DirectorySnapshot:
+        """What is known now."""
+        ...
+
+
+async def poll_engine(
+    directory: ProbedDirectory,
+    engine: EngineName,
+    port: EnginePort,
+    scope: anyio.CancelScope,
+    rules: ProbeRules,
+    random: Random,
+) -> None:
+    """Ask one engine for its load, at once and then at intervals, until the scope is cancelled."""
+    with scope:
+        while True:
+            if not _has_fresh_report(directory, engine, rules):
+                await _probe(directory, engine, port, rules)
+            await anyio.sleep(_jittered(rules.load_interval_s, rules, random))
+
+
+async def poll_machines(
+    directory: ProbedDirectory, machines: MachineListPort, rules: ProbeRules, random: Random
+) -> None:
+    """Read the machine list at intervals; a failed read changes nothing."""
+    while True:
+        with anyio.move_on_after(rules.machines_timeout_s):
+            answer = await machines.machines()
+            if isinstance(answer, Ok):
+                directory.post(MachinesListed(answer.ok_value))
+        await anyio.sleep(_jittered(rules.machines_interval_s, rules, random))
+
+
+async def _probe(
+    directory: ProbedDirectory, engine: EngineName, port: EnginePort, rules: ProbeRules
+) -> None:
+    asked_at_s = anyio.current_time()
+    with anyio.move_on_after(rules.load_timeout_s) as deadline:
+        answer = await port.load()
+        if isinstance(answer, Ok):
+            directory.post(ReportArrived(answer.ok_value, asked_at_s))
+        else:
+            directory.post(ProbeFailed(engine, answer.err_value.detail))
+    if deadline.cancelled_caught:
+        directory.post(ProbeFailed(engine, f"no answer within {rules.load_timeout_s} s"))
+
+
+def _has_fresh_report(directory: ProbedDirectory, engine: EngineName, rules: ProbeRules) -> bool:
+    facts = directory.snapshot().engines.get(engine)
+    if facts is None or facts.report is None:
+        return False
+    return anyio.current_time() - facts.reported_at_s < rules.fresh_report_s
+
+
+def _jittered(interval_s: float, rules: ProbeRules, random: Random) -> float:
+    return interval_s * (1.0 + rules.jitter * (2.0 * random.random() - 1.0))
--- a/src/weirscale/node/mailbox.py
+++ b/src/weirscale/node/mailbox.py
@@ -26,6 +26,10 @@
         self._value = value
         self._event.set()
 
+    def value(self) -> ReplyT | None:
+        """Return the answer if there is one yet."""
+        return self._value
+
     async def wait(self) -> ReplyT:
         """Wait for the answer."""
         await self._event.wait()
--- /dev/null
+++ b/src/weirscale/node/routing/candidates.py
@@ -0,0 +1,227 @@
+"""Which engines may take an attempt: facts of the directory joined with this node's own sends."""
+
+from collections.abc import Callable, Mapping
+from random import Random
+
+import msgspec
+
+from weirscale.domain.choice.policy import EngineCandidate
+from weirscale.domain.configuration.model import EngineRole
+from weirscale.domain.health.circuit import CircuitState, state_at
+from weirscale.domain.health.pool import admission_weights
+from weirscale.domain.health.rules import HealthRules
+from weirscale.domain.identifiers import EngineName, WeightVersion, ZoneName
+from weirscale.domain.request.model import GenerationRequest
+from weirscale.messages.cache import LoadReport
+from weirscale.node.backends.facts import DirectorySnapshot, EngineFacts
+from weirscale.node.routing.load_estimate import LoadEstimate
+
+FULL_WEIGHT = 1.0
+"""Admission weight of an engine that is held back in no way."""
+
+
+class GroupKey(msgspec.Struct, frozen=True):
+    """Engines of one group see a prompt as the same block hashes."""
+
+    weight_version: WeightVersion
+    block_size_bytes: int
+
+
+class CandidateSet(msgspec.Struct):
+    """Candidates of one attempt.
+
+    Attributes:
+        groups: Candidates by the identity of their block hashes.
+        num_held_out: Engines of the model that are not candidates.
+        num_full: Those of them that are up but full.
+        retry_after_s: When a full one is expected to have room or a held out one to be tried.
+    """
+
+    groups: dict[GroupKey, list[EngineCandidate]]
+    num_held_out: int = 0
+    num_full: int = 0
+    retry_after_s: float | None = None
+
+    @property
+    def num_candidates(self) -> int:
+        """Candidates of all groups."""
+        return sum(len(group) for group in self.groups.values())
+
+    def expect_room_after(self, delay_s: float) -> None:
+        """Take note of a time after which an engine may take work; the earliest counts."""
+        if self.retry_after_s is None or delay_s < self.retry_after_s:
+            self.retry_after_s = delay_s
+
+
+class LoadEstimates:
+    """Load estimates of the engines that this node knows; owned by the routing task."""
+
+    def __init__(self) -> None:
+        self._estimates: dict[EngineName, LoadEstimate] = {}
+
+    def of(self, facts: EngineFacts) -> LoadEstimate:
+        """Return the estimate of an engine, with its latest report taken in."""
+        name = facts.engine.name
+        estimate = self._estimates.get(name)
+        if estimate is None:
+            estimate = self._estimates[name] = LoadEstimate()
+        if facts.report is not None and estimate.num_reports != facts.num_reports:
+            estimate.note_report(
+                facts.num_reports,
+                facts.reported_at_s,
+                facts.report.num_running + facts.report.num_waiting,
+                facts.report.num_waiting_prefill_tokens,
+                facts.engine.prefill_tokens_per_s,
+            )
+        return estimate
+
+    def find(self, engine: EngineName) -> LoadEstimate | None:
+        """Return the estimate of an engine that has one."""
+        return self._estimates.get(engine)
+
+    def forget_all_but(self, engines: Mapping[EngineName, EngineFacts]) -> None:
+        """Drop the estimates of engines that are no longer declared."""
+        for name in self._estimates.keys() - engines.keys():
+            del self._estimates[name]
+
+
+class CandidateFinder:
+    """Finds the candidates of an attempt; owned by the routing task.
+
+    Args:
+        estimates: This node's load estimates.
+        link_delay_s: One-way delay from this node to a zone.
+        health_rules: Thresholds of circuits.
+        random: Decides which attempts an engine that returns slowly is weighed for.
+    """
+
+    def __init__(
+        self,
+        estimates: LoadEstimates,
+        link_delay_s: Callable[[ZoneName], float],
+        health_rules: HealthRules,
+        random: Random,
+    ) -> None:
+        self._estimates = estimates
+        self._link_delay_s = link_delay_s
+        self._health_rules = health_rules
+        self._random = random
+
+    def find(
+        self,
+        snapshot: DirectorySnapshot,
+        request: GenerationRequest,
+        excluded: frozenset[EngineName],
+        required_version: WeightVersion | None,
+        now_s: float,
+    ) -> CandidateSet:
+        """Return the engines that may take an attempt.
+
+        Engines that return after failures are weighed only for a share of the attempts, so every
+        policy brings them back slowly. Where nothing else is left they are weighed always.
+        """
+        names = snapshot.engines_of.get(request.model, ())
+        members = [snapshot.engines[name] for name in names]
+        weights = admission_weights(members, self._health_rules, now_s)
+        found = CandidateSet({})
+        held_back: list[tuple[GroupKey, EngineCandidate]] = []
+        for facts, weight in zip(members, weights, strict=True):
+            report = facts.report
+            if report is None or not _is_fit(facts, report, request, excluded, required_version):
+                found.num_held_out += 1
+                continue
+            if weight == 0.0:
+                found.num_held_out += 1
+                if facts.circuit.is_open and not facts.leaving.is_leaving_at(now_s):
+                    found.expect_room_after(facts.circuit.open_until_s - now_s)
+                continue
+            estimate = self._estimates.of(facts)
+            num_outstanding = estimate.num_outstanding()
+            if not _has_room(facts, estimate, num_outstanding, now_s, found):
+                found.num_held_out += 1
+                continue
+            candidate = self._candidate(facts, report, estimate, num_outstanding, weight, now_s)
+            key = GroupKey(candidate.weight_version, facts.engine.block_size_bytes)
+            if weight < FULL_WEIGHT and not self._is_drawn(facts, estimate, weight, now_s):
+                held_back.append((key, candidate))
+                continue
+            found.groups.setdefault(key, []).append(candidate)
+        if not found.groups:
+            for key, candidate in held_back:
+                found.groups.setdefault(key, []).append(candidate)
+        else:
+            found.num_held_out += len(held_back)
+        return found
+
+    def _is_drawn(
+        self, facts: EngineFacts, estimate: LoadEstimate, weight: float, now_s: float
+    ) -> bool:
+        is_trial = state_at(facts.circuit, now_s) is CircuitState.HALF_OPEN
+        if is_trial and estimate.num_own_outstanding > 0:
+            return False
+        return self._random.random() < weight
+
+    def _candidate(
+        self,
+        facts: EngineFacts,
+        report: LoadReport,
+        estimate: LoadEstimate,
+        num_outstanding: int,
+        weight: float,
+        now_s: float,
+    ) -> EngineCandidate:
+        engine = facts.engine
+        tokens_per_s = engine.prefill_tokens_per_s
+        return EngineCandidate(
+            engine=engine.name,
+            zone=engine.zone,
+            role=engine.role,
+            incarnation=report.incarnation,
+            weight_version=report.weight_version or WeightVersion(""),
+            link_delay_s=self._link_delay_s(engine.zone),
+            num_outstanding=num_outstanding,
+            num_waiting_prefill_tokens=estimate.num_waiting_prefill_tokens(now_s, tokens_per_s),
+            prefill_tokens_per_s=tokens_per_s,
+            max_concurrent_requests=engine.max_concurrent_requests,
+            num_total_blocks=report.num_total_blocks,
+            num_cached_blocks=report.num_cached_blocks,
+            report_age_s=max(0.0, now_s - facts.reported_at_s),
+            admission_weight=weight,
+        )
+
+
+def _is_fit(
+    facts: EngineFacts,
+    report: LoadReport,
+    request: GenerationRequest,
+    excluded: frozenset[EngineName],
+    required_version: WeightVersion | None,
+) -> bool:
+    """Whether an engine could serve the request at all."""
+    if facts.engine.name in excluded or facts.void_since_s is not None:
+        return False
+    if facts.engine.role is EngineRole.PREFILL or report.weight_version is None:
+        return False
+    if required_version is not None and report.weight_version != required_version:
+        return False
+    return request.adapter is None or request.adapter in report.adapters
+
+
+def _has_room(
+    facts: EngineFacts,
+    estimate: LoadEstimate,
+    num_outstanding: int,
+    now_s: float,
+    found: CandidateSet,
+) -> bool:
+    """Whether an engine is below its concurrency; takes note of when it may be, if not."""
+    if now_s < facts.busy_until_s:
+        found.num_full += 1
+        found.expect_room_after(facts.busy_until_s - now_s)
+        return False
+    if num_outstanding < facts.engine.max_concurrent_requests:
+        return True
+    found.num_full += 1
+    if estimate.mean_duration_s > 0.0:
+        found.expect_room_after(estimate.mean_duration_s / num_outstanding)
+    return False
--- /dev/null
+++ b/src/weirscale/node/routing/engine_router.py
@@ -0,0 +1,369 @@
+"""The task that chooses engines: it owns the policy, the load estimates and the decisions."""
+
+from collections.abc import Callable
+from random import Random
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from weirscale.domain.choice.policy import Choice, ChoicePolicy, ChoiceRequest
+from weirscale.domain.identifiers import (
+    BlockHash,
+    EngineName,
+    RequestId,
+    WeightVersion,
+    ZoneName,
+)
+from weirscale.domain.prefix.chain import BYTES_PER_TOKEN, chain_seed, extend_chain
+from weirscale.domain.request.model import GenerationRequest
+from weirscale.domain.request.refusal import Refusal
+from weirscale.messages.explain import AttemptRecord, AttemptResult
+from weirscale.node.backends.directory import BackendDirectory
+from weirscale.node.backends.facts import DirectorySnapshot
+from weirscale.node.backends.observations import EngineAttemptEnded, EngineAttemptStarted
+from weirscale.node.interfaces import AttemptOutcome, ChosenEngine
+from weirscale.node.mailbox import Mailbox, Reply
+from weirscale.node.routing.candidates import (
+    CandidateFinder,
+    CandidateSet,
+    GroupKey,
+    LoadEstimates,
+)
+from weirscale.node.routing.decisions import DecisionLog
+from weirscale.node.routing.refusals import (
+    all_full,
+    no_backend,
+    not_configured,
+    router_overloaded,
+    unknown_model,
+)
+
+FIRST_REPORT_WAIT_S = 1.0
+"""Longest wait of a request for the first configuration and reports after a node's start."""
+
+SWEEP_INTERVAL_S = 30.0
+"""How often attempts are looked for whose outcome never came."""
+
+SWEEP_MARGIN_S = 60.0
+"""An attempt this long past its caller's deadline has ended, reported or not."""
+
+HashPrompt = Callable[[BlockHash, bytes, int], list[BlockHash]]
+"""Hashes a prompt: seed, prompt, block size in bytes."""
+
+ChooseResult = Result[ChosenEngine, Refusal]
+
+
+def hash_whole_prompt(seed: BlockHash, prompt: bytes, block_size_bytes: int) -> list[BlockHash]:
+    """Hash every full block of a prompt."""
+    return extend_chain(seed, prompt, 0, block_size_bytes)
+
+
+class _Choose(msgspec.Struct, frozen=True):
+    request: GenerationRequest
+    attempt: int
+    excluded: frozenset[EngineName]
+    required_version: WeightVersion | None
+    reply: Reply[ChooseResult]
+
+
+class _Withdraw(msgspec.Struct, frozen=True):
+    """The caller went away before it got the choice."""
+
+    request_id: RequestId
+    attempt: int
+
+
+class _Sweep(msgspec.Struct, frozen=True):
+    pass
+
+
+_Message = _Choose | AttemptOutcome | _Withdraw | _Sweep
+
+
+class _Running(msgspec.Struct, frozen=True):
+    """An attempt whose outcome has not come."""
+
+    choice_request: ChoiceRequest
+    engine: EngineName
+    address: str
+    deadline_s: float
+
+
+class EngineRouter:
+    """Implements `EngineRouting`.
+
+    Args:
+        directory: The directory of back ends.
+        policy: Chooses among candidates; used by this task alone.
+        decisions: Where decisions are remembered.
+        link_delay_s: One-way delay from this node to a zone.
+        random: For the policy and for slow returns.
+        hash_prompt: Hashes prompts; one that remembers hot prefixes may be given.
+    """
+
+    def __init__(
+        self,
+        directory: BackendDirectory,
+        policy: ChoicePolicy,
+        decisions: DecisionLog,
+        link_delay_s: Callable[[ZoneName], float],
+        random: Random,
+        hash_prompt: HashPrompt = hash_whole_prompt,
+    ) -> None:
+        self._directory = directory
+        self._policy = policy
+        self._decisions = decisions
+        self._random = random
+        self._hash_prompt = hash_prompt
+        self._mailbox: Mailbox[_Message] = Mailbox()
+        self._estimates = LoadEstimates()
+        self._finder = CandidateFinder(
+            self._estimates, link_delay_s, directory.health_rules, random
+        )
+        self._running: dict[tuple[RequestId, int], _Running] = {}
+        self.num_lost_reports = 0
+
+    async def choose(
+        self,
+        request: GenerationRequest,
+        attempt: int,
+        excluded: frozenset[EngineName],
+        required_version: WeightVersion | None,
+    ) -> ChooseResult:
+        """Choose an engine for an attempt; waits only for a node's very first reports."""
+        give_up_s = min(anyio.current_time() + FIRST_REPORT_WAIT_S, request.deadline_s)
+        while True:
+            result = await self._ask(request, attempt, excluded, required_version)
+            if result.is_ok() or not self._is_starting(request):
+                return result
+            with anyio.move_on_at(give_up_s) as deadline:
+                await self._directory.wait_for_change()
+            if deadline.cancelled_caught:
+                return result
+
+    def report(self, outcome: AttemptOutcome) -> None:
+        """Tell what became of an attempt."""
+        if not self._mailbox.post(outcome):
+            self.num_lost_reports += 1
+
+    async def run(self) -> None:
+        """Own the choice until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._sweep_at_intervals)
+            while True:
+                self._handle(await self._mailbox.receive())
+
+    async def _ask(
+        self,
+        request: GenerationRequest,
+        attempt: int,
+        excluded: frozenset[EngineName],
+        required_version: WeightVersion | None,
+    ) -> ChooseResult:
+        reply: Reply[ChooseResult] = Reply()
+        message = _Choose(request, attempt, excluded, required_version, reply)
+        if not self._mailbox.post(message):
+            return Err(router_overloaded())
+        is_answered = False
+        try:
+            result = await reply.wait()
+            is_answered = True
+        finally:
+            if not is_answered:
+                self._mailbox.post(_Withdraw(request.request_id, attempt))
+        return result
+
+    def _is_starting(self, request: GenerationRequest) -> bool:
+        """Whether no engine of the model has ever been heard of."""
+        snapshot = self._directory.snapshot()
+        if not snapshot.revision:
+            return True
+        is_declared = request.model in snapshot.declared_models
+        return is_declared and not any(facts.num_reports for facts in snapshot.engines.values())
+
+    async def _sweep_at_intervals(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_S)
+            await self._mailbox.put(_Sweep())
+
+    def _handle(self, message: _Message) -> None:
+        match message:
+            case _Choose():
+                message.reply.set(self._choose(message, anyio.current_time()))
+            case AttemptOutcome():
+                self._learn(message)
+            case _Withdraw():
+                self._forget(message.request_id, message.attempt)
+            case _Sweep():
+                self._sweep(anyio.current_time())
+
+    def _choose(self, message: _Choose, now_s: float) -> ChooseResult:
+        request = message.request
+        snapshot = self._directory.snapshot()
+        if not snapshot.revision:
+            return Err(not_configured())
+        if request.model not in snapshot.declared_models:
+            return Err(unknown_model(request.model))
+        found = self._finder.find(
+            snapshot, request, message.excluded, message.required_version, now_s
+        )
+        chosen = self._choose_from(found, message, now_s)
+        if chosen is None:
+            return Err(self._refuse(found, message, now_s))
+        choice_request, choice = chosen
+        return Ok(self._send(snapshot, found, message, choice_request, choice, now_s))
+
+    def _choose_from(
+        self, found: CandidateSet, message: _Choose, now_s: float
+    ) -> tuple[ChoiceRequest, Choice] | None:
+        """Let the policy choose in each group and take the cheapest of its choices."""
+        best: tuple[ChoiceRequest, Choice] | None = None
+        best_cost = float("inf")
+        for key, candidates in found.groups.items():
+            choice_request = self._choice_request(message, key)
+            choice = self._policy.choose(choice_request, candidates, now_s, self._random)
+            if choice is None:
+                continue
+            cost = choice.estimates[0].cost if choice.estimates else 0.0
+            if best is None or cost < best_cost:
+                best, best_cost = (choice_request, choice), cost
+        return best
+
+    def _choice_request(self, message: _Choose, key: GroupKey) -> ChoiceRequest:
+        request = message.request
+        seed = chain_seed(request.tenant, request.model, key.weight_version, request.adapter)
+        return ChoiceRequest(
+            request_id=request.request_id,
+            tenant=request.tenant,
+            block_hashes=self._hash_prompt(seed, request.prompt, key.block_size_bytes),
+            num_prompt_tokens=max(1, int(len(request.prompt) / BYTES_PER_TOKEN)),
+            tokens_per_block=key.block_size_bytes / BYTES_PER_TOKEN,
+            excluded=message.excluded,
+        )
+
+    def _send(
+        self,
+        snapshot: DirectorySnapshot,
+        found: CandidateSet,
+        message: _Choose,
+        choice_request: ChoiceRequest,
+        choice: Choice,
+        now_s: float,
+    ) -> ChosenEngine:
+        facts = snapshot.engines[choice.engine]
+        engine = facts.engine
+        report = facts.report
+        assert report is not None and report.weight_version is not None
+        request = message.request
+        num_cached = min(
+            choice_request.num_prompt_tokens,
+            int(choice.num_matched_blocks * choice_request.tokens_per_block),
+        )
+        key = (request.request_id, message.attempt)
+        self._running[key] = _Running(
+            choice_request, engine.name, engine.address, request.deadline_s
+        )
+        self._estimates.of(facts).note_sent(
+            key, choice_request.num_prompt_tokens - num_cached, now_s, engine.prefill_tokens_per_s
+        )
+        self._policy.note_sent(choice_request, engine.name, now_s)
+        self._directory.post(EngineAttemptStarted(engine.name, engine.address))
+        self._decisions.note_decision(
+            request,
+            AttemptRecord(
+                attempt=message.attempt,
+                decided_at_s=now_s,
+                engine=engine.name,
+                address=engine.address,
+                incarnation=report.incarnation,
+                weight_version=report.weight_version,
+                num_candidates=found.num_candidates,
+                num_held_out=found.num_held_out,
+                estimates=choice.estimates,
+                num_predicted_cached_tokens=num_cached,
+                estimated_ttft_s=choice.estimated_ttft_s,
+            ),
+        )
+        return ChosenEngine(
+            choice, facts.port, report.incarnation, report.weight_version, engine.address
+        )
+
+    def _refuse(self, found: CandidateSet, message: _Choose, now_s: float) -> Refusal:
+        what = f"model {message.request.model!r}"
+        refusal = (
+            all_full(what, found.retry_after_s)
+            if found.num_full
+            else no_backend(what, found.retry_after_s)
+        )
+        self._decisions.note_decision(
+            message.request,
+            AttemptRecord(
+                attempt=message.attempt,
+                decided_at_s=now_s,
+                engine=None,
+                address="",
+                incarnation=None,
+                weight_version=message.required_version,
+                num_candidates=found.num_candidates,
+                num_held_out=found.num_held_out,
+                estimates=(),
+                num_predicted_cached_tokens=0,
+                estimated_ttft_s=0.0,
+                refusal=refusal.code.value,
+            ),
+        )
+        return refusal
+
+    def _learn(self, outcome: AttemptOutcome) -> None:
+        request_id = outcome.request.request_id
+        duration_s = outcome.duration_s if outcome.failure is None else None
+        running = self._forget(request_id, outcome.attempt, duration_s)
+        if running is None:
+            return
+        now_s = anyio.current_time()
+        if outcome.failure is None:
+            self._policy.note_finished(
+                running.choice_request, running.engine, outcome.num_cached_tokens, now_s
+            )
+        self._directory.post(
+            EngineAttemptEnded(
+                outcome.engine, running.address, outcome.incarnation, outcome.failure
+            )
+        )
+        self._decisions.note_result(request_id, outcome.attempt, _result_of(outcome))
+
+    def _forget(
+        self, request_id: RequestId, attempt: int, duration_s: float | None = None
+    ) -> _Running | None:
+        key = (request_id, attempt)
+        running = self._running.pop(key, None)
+        if running is None:
+            return None
+        estimate = self._estimates.find(running.engine)
+        if estimate is not None:
+            estimate.note_ended(key, duration_s)
+        return running
+
+    def _sweep(self, now_s: float) -> None:
+        """Forget attempts whose outcome never came and engines that are gone."""
+        overdue = [
+            key
+            for key, running in self._running.items()
+            if now_s > running.deadline_s + SWEEP_MARGIN_S
+        ]
+        for request_id, attempt in overdue:
+            self._forget(request_id, attempt)
+        self._estimates.forget_all_but(self._directory.snapshot().engines)
+
+
+def _result_of(outcome: AttemptOutcome) -> AttemptResult:
+    failure = outcome.failure
+    return AttemptResult(
+        failure=failure.kind.value if failure is not None else None,
+        detail=failure.detail if failure is not None else "",
+        num_prompt_tokens=outcome.num_prompt_tokens,
+        num_cached_tokens=outcome.num_cached_tokens,
+        ttft_s=outcome.ttft_s,
+        duration_s=outcome.duration_s,
+    )
--- /dev/null
+++ b/src/weirscale/node/routing/refusals.py
@@ -0,0 +1,90 @@
+"""Refusals of routing: nothing was sent, so each says truthfully that the request did not run."""
+
+from weirscale.domain.request.model import RunStatus
+from weirscale.domain.request.refusal import Refusal, RefusalCode
+
+MIN_RETRY_AFTER_S = 0.1
+"""Below this a retry would only meet the same state."""
+
+MAX_RETRY_AFTER_S = 30.0
+"""Beyond this the estimate says too little to make a caller wait."""
+
+DEFAULT_RETRY_AFTER_S = 1.0
+"""Used where nothing is known: one round of probes."""
+
+
+def bounded_retry_after_s(estimate_s: float | None) -> float:
+    """Return an estimate within sensible bounds."""
+    if estimate_s is None:
+        return DEFAULT_RETRY_AFTER_S
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, estimate_s))
+
+
+def not_configured() -> Refusal:
+    """No configuration has arrived yet."""
+    return Refusal(
+        code=RefusalCode.NOT_CONFIGURED,
+        http_status=503,
+        run_status=RunStatus.NOT_RUN,
+        message="this node has no configuration yet",
+        remedy="try again, or another node",
+        retry_after_s=DEFAULT_RETRY_AFTER_S,
+    )
+
+
+def unknown_model(model: str) -> Refusal:
+    """The configuration does not declare the model."""
+    return Refusal(
+        code=RefusalCode.UNKNOWN_MODEL,
+        http_status=404,
+        run_status=RunStatus.NOT_RUN,
+        message=f"model {model!r} is not served here",
+        remedy="ask for one of the models that /v1/models lists",
+    )
+
+
+def unknown_service(service: str) -> Refusal:
+    """The configuration does not declare the service."""
+    return Refusal(
+        code=RefusalCode.UNKNOWN_SERVICE,
+        http_status=404,
+        run_status=RunStatus.NOT_RUN,
+        message=f"service {service!r} is not served here",
+        remedy="check the service's name in the path",
+    )
+
+
+def no_backend(what: str, retry_after_s: float | None) -> Refusal:
+    """Every back end is down, leaving, excluded or not ready."""
+    return Refusal(
+        code=RefusalCode.NO_BACKEND,
+        http_status=503,
+        run_status=RunStatus.NOT_RUN,
+        message=f"no back end of {what} is ready",
+        remedy="try again after the time given",
+        retry_after_s=bounded_retry_after_s(retry_after_s),
+    )
+
+
+def all_full(what: str, retry_after_s: float | None) -> Refusal:
+    """Every back end that is up has as many requests as it may."""
+    return Refusal(
+        code=RefusalCode.OVERLOADED,
+        http_status=503,
+        run_status=RunStatus.NOT_RUN,
+        message=f"every back end of {what} is full",
+        remedy="try again after the time given",
+        retry_after_s=bounded_retry_after_s(retry_after_s),
+    )
+
+
+def router_overloaded() -> Refusal:
+    """The routing task lags behind its mailbox."""
+    return Refusal(
+        code=RefusalCode.OVERLOADED,
+        http_status=503,
+        run_status=RunStatus.NOT_RUN,
+        message="this node has too many requests to route",
+        remedy="try again, or another node",
+        retry_after_s=DEFAULT_RETRY_AFTER_S,
+    )
