Add prefix knowledge under faults and a first prefix-aware policy

Cause: cache events come late and with gaps, and no node can hear them all. Change: exact engine index with sequence, run and version fencing; compact block set; digests of sampled block keys within a byte budget; the view that matches chains by bisection; chain cache; policy that minimises estimated time to first token plus weighted waste.

--- a/features/choice_baselines.feature
+++ b/features/choice_baselines.feature
@@ -14,6 +14,7 @@
       | least_outstanding  |
       | rendezvous_bounded |
       | approximate_tree   |
+      | prefix_aware       |
 
   Scenario Outline: Without any candidate nothing is chosen
     Given choice policy "<policy>" and engines
@@ -28,6 +29,7 @@
       | least_outstanding  |
       | rendezvous_bounded |
       | approximate_tree   |
+      | prefix_aware       |
 
   Scenario: Least outstanding chooses by share of capacity
     Given choice policy "least_outstanding" and engines
--- a/features/steps/choice_baselines_steps.py
+++ b/features/steps/choice_baselines_steps.py
@@ -5,10 +5,12 @@
 from weirscale.domain.choice.approximate_tree import ApproximateTree
 from weirscale.domain.choice.least_outstanding import LeastOutstanding
 from weirscale.domain.choice.policy import ChoiceRequest, EngineCandidate
+from weirscale.domain.choice.prefix_aware import PrefixAware
 from weirscale.domain.choice.random_choice import RandomChoice
 from weirscale.domain.choice.rendezvous import rendezvous_score
 from weirscale.domain.choice.rendezvous_bounded import RendezvousBounded
-from weirscale.domain.configuration.model import EngineRole
+from weirscale.domain.configuration.model import EngineRole, RoutingObjective
+from weirscale.domain.prefix.cache_view import CacheView
 
 NUM_BLOCKS = 20
 TOKENS_PER_BLOCK = 16.0
@@ -18,6 +20,7 @@
     "least_outstanding": LeastOutstanding,
     "rendezvous_bounded": RendezvousBounded,
     "approximate_tree": ApproximateTree,
+    "prefix_aware": lambda: PrefixAware(CacheView(), RoutingObjective()),
 }
 
 
--- /dev/null
+++ b/features/steps/prefix_knowledge_properties_steps.py
@@ -0,0 +1,200 @@
+from random import Random
+
+from behave import then
+from hypothesis import given as given_data
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from weirscale.domain.prefix.block_set import BlockSet
+from weirscale.domain.prefix.cache_view import CacheView, ViewOutcome
+from weirscale.domain.prefix.digest_publisher import DigestPublisher
+from weirscale.domain.prefix.engine_index import MAX_GAP_S, ApplyOutcome, EngineIndex
+from weirscale.domain.prefix.engine_masks import EngineMasks
+from weirscale.domain.prefix.sampling import block_key, is_sampled
+from weirscale.messages.cache import (
+    AllBlocksCleared,
+    BlockRemoved,
+    BlockStored,
+    CacheDump,
+    CacheEventBatch,
+)
+from weirscale.messages.digest import DigestRequest
+
+PROPERTY = settings(max_examples=60, deadline=None, derandomize=True, database=None)
+SPREAD = Random(3)
+HASHES = [SPREAD.getrandbits(64) | 1 for _ in range(24)]
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["store", "remove", "clear", "restart", "reload"]),
+        st.sets(st.sampled_from(HASHES), max_size=6),
+    ),
+    max_size=30,
+)
+FATES = st.lists(st.sampled_from(["now", "late", "twice", "lost"]), min_size=1, max_size=40)
+
+
+class ModelEngine:
+    """A plain engine that publishes batches and remembers its contents at each sequence."""
+
+    def __init__(self):
+        self.incarnation, self.version, self.sequence, self.held = 1, "v1", 0, set()
+        self.history = {(1, 0): frozenset()}
+
+    def act(self, action, hashes):
+        if action == "restart":
+            self.incarnation, self.sequence, self.held = self.incarnation + 1, 0, set()
+            self.history[(self.incarnation, 0)] = frozenset()
+            return None
+        if action == "store":
+            events = (BlockStored(tuple(hashes), None),)
+            self.held |= hashes
+        elif action == "remove":
+            events = (BlockRemoved(tuple(hashes)),)
+            self.held -= hashes
+        else:
+            if action == "reload":
+                self.version += "+"
+            events = (AllBlocksCleared(),)
+            self.held = set()
+        self.sequence += 1
+        self.history[(self.incarnation, self.sequence)] = frozenset(self.held)
+        return CacheEventBatch("e1", self.incarnation, "qalam", self.version, self.sequence, events)
+
+    def dump(self):
+        return CacheDump(
+            "e1", self.incarnation, "qalam", self.version, self.sequence, tuple(self.held)
+        )
+
+
+def deliver(messages, fates):
+    """Return messages as a bad network gives them: late ones come after the next one."""
+    arrived, late = [], []
+    for number, message in enumerate(messages):
+        fate = fates[number % len(fates)]
+        if fate == "late":
+            late.append(message)
+            continue
+        if fate != "lost":
+            arrived.extend([message] * (2 if fate == "twice" else 1))
+        arrived.extend(late)
+        late = []
+    return arrived + late
+
+
+@then("the block set equals a plain set after any additions and removals")
+def step_block_set(context):
+    @PROPERTY
+    @given_data(st.lists(st.tuples(st.booleans(), st.integers(1, 2**64 - 2) | st.integers(1, 40))))
+    def check(changes):
+        compact, plain = BlockSet(), set()
+        for is_added, value in changes:
+            spread = (value << 24) % (2**64 - 1) or 1
+            if is_added:
+                assert compact.add(spread) == (spread not in plain)
+                plain.add(spread)
+            else:
+                assert compact.discard(spread) == (spread in plain)
+                plain.discard(spread)
+            assert len(compact) == len(plain)
+        assert set(compact) == plain and all(each in compact for each in plain)
+
+    check()
+
+
+@then(
+    "the engine index equals the model at its sequence after any gaps, reorders, duplicates and runs"
+)
+def step_engine_index(context):
+    @PROPERTY
+    @given_data(ACTIONS, FATES)
+    def check(actions, fates):
+        engine, index = ModelEngine(), EngineIndex("e1")
+        batches = [batch for batch in (engine.act(*each) for each in actions) if batch]
+        gap_opened_s = None
+        for now_s, batch in enumerate(deliver(batches, fates)):
+            outcome = index.apply(batch, float(now_s))
+            assert (outcome is ApplyOutcome.GAP) <= index.has_gap
+            index.expire(float(now_s))
+            held = set(index.blocks)
+            assert held <= engine.history[(index.incarnation, index.sequence)]
+            if not index.has_gap:
+                assert held == engine.history[(index.incarnation, index.sequence)]
+                gap_opened_s = None
+            elif gap_opened_s is None:
+                gap_opened_s = now_s
+            elif now_s - gap_opened_s >= MAX_GAP_S:
+                assert not held
+        index.load_dump(engine.dump(), 1e6)
+        assert set(index.blocks) == engine.held and not index.has_gap
+        for batch in batches:
+            assert index.apply(batch, 1e6) in (ApplyOutcome.VOID, ApplyOutcome.DUPLICATE)
+        assert set(index.blocks) == engine.held
+
+    check()
+
+
+def sampled_keys(index, bits):
+    return {key for key in map(block_key, index.blocks) if is_sampled(key, bits)}
+
+
+@then("the cache view equals the sampled index after any losses, reorders, duplicates and runs")
+def step_cache_view(context):
+    @PROPERTY
+    @given_data(ACTIONS, FATES, st.sampled_from([20.0, 60.0, 1e6]))
+    def check(actions, fates, bytes_per_s):
+        engine, index, view = ModelEngine(), EngineIndex("e1"), CacheView()
+        publisher = DigestPublisher(index, stream=5, bytes_per_s=bytes_per_s)
+        now_s = 0.0
+        digests = []
+        for action in actions:
+            batch = engine.act(*action)
+            if batch:
+                index.apply(batch, now_s)
+            now_s += 0.2
+            digests.extend(publisher.publish(1, now_s))
+        for digest in deliver(digests, fates):
+            if view.receive(digest, now_s) is ViewOutcome.GAP and digest.sequence % 2:
+                answer(publisher, view, now_s)
+        # Whatever was lost, quiet publishing and one answer make the view whole again.
+        for _ in range(200):
+            now_s += 1.0
+            for digest in publisher.publish(1, now_s):
+                last_outcome = view.receive(digest, now_s)
+        if last_outcome is ViewOutcome.GAP:
+            answer(publisher, view, now_s)
+        assert publisher.num_waiting_keys == 0
+        assert view.keys("e1") == sampled_keys(index, publisher.sample_bits)
+
+    check()
+
+
+def answer(publisher, view, now_s):
+    stream, sequence = view.position("e1")
+    reply = publisher.answer(DigestRequest("e1", stream, sequence))
+    for digest in reply.digests:
+        view.receive(digest, now_s)
+    if reply.full:
+        view.receive_full(reply.full, now_s)
+
+
+@then("leading depths by bisection equal those by scanning for any engines and sample")
+def step_bisection(context):
+    @PROPERTY
+    @given_data(st.lists(st.integers(0, 64), max_size=6), st.integers(0, 4), st.integers(0, 10**6))
+    def check(depths, sample_bits, seed):
+        random = Random(seed)
+        chain = [random.getrandbits(64) for _ in range(64)]
+        masks = EngineMasks()
+        bits = [masks.new_bit() for _ in depths]
+        for bit, depth in zip(bits, depths, strict=True):
+            for block_hash in chain[:depth]:
+                if is_sampled(block_key(block_hash), sample_bits):
+                    masks.add(block_key(block_hash), bit)
+        found = dict.fromkeys(bits, 0)
+        for mask, depth in masks.leading_depths(chain, 24, sample_bits, masks.live):
+            found.update({bit: depth for bit in bits if mask & bit})
+        sampled = [i for i, each in enumerate(chain) if is_sampled(block_key(each), sample_bits)]
+        for bit, depth in zip(bits, depths, strict=True):
+            assert found[bit] == max((i + 1 for i in sampled if i < depth), default=0)
+
+    check()
--- /dev/null
+++ b/src/weirscale/domain/choice/estimate.py
@@ -0,0 +1,96 @@
+"""The estimate that the prefix-aware policy minimises: time to first token plus weighted waste."""
+
+import msgspec
+
+from weirscale.domain.choice.eligible import MIN_ADMISSION_WEIGHT
+from weirscale.domain.choice.policy import CandidateEstimate, ChoiceRequest, EngineCandidate
+from weirscale.domain.configuration.model import RoutingObjective
+
+EVICTION_SHARE = 0.1
+"""Share of evicted blocks that would have been asked for again; a full engine drops its least
+recently used ones, most of which are not."""
+
+FULL_CACHE_SHARE = 0.95
+"""An engine evicts for new blocks when its cache is filled to this share."""
+
+BUSY_SLOT_S = 1.0
+"""Wait charged for a request on an engine that has no free slot, for each multiple of its slots."""
+
+
+class PromptBelief(msgspec.Struct, frozen=True):
+    """What is believed of one prompt on one engine.
+
+    Attributes:
+        num_matched_blocks: Leading blocks believed to be there or on the way.
+        age_s: Age of that knowledge.
+    """
+
+    num_matched_blocks: float
+    age_s: float
+
+
+NO_BELIEF = PromptBelief(0.0, 0.0)
+
+
+class CostModel:
+    """Estimates candidates for one request.
+
+    Args:
+        request: The request.
+        objective: The deployment's weights.
+        num_best_blocks: Leading blocks on the engine that holds most.
+        replication_relief: 0 where an engine without the prefix is charged in full for computing
+            it again, up to 1 where the prefix is hot and another copy is wanted.
+    """
+
+    def __init__(
+        self,
+        request: ChoiceRequest,
+        objective: RoutingObjective,
+        num_best_blocks: float,
+        replication_relief: float,
+    ) -> None:
+        self._request = request
+        self._objective = objective
+        self._num_best_blocks = num_best_blocks
+        self._recompute_weight = objective.waste_weight * (1.0 - replication_relief)
+
+    def estimate(self, candidate: EngineCandidate, belief: PromptBelief) -> CandidateEstimate:
+        """Estimate one candidate."""
+        request = self._request
+        weight = max(candidate.admission_weight, MIN_ADMISSION_WEIGHT)
+        tokens_per_s = candidate.prefill_tokens_per_s * weight
+        matched_tokens = belief.num_matched_blocks * request.tokens_per_block
+        missing_tokens = max(request.num_prompt_tokens - matched_tokens, 0.0)
+        queue_s = candidate.num_waiting_prefill_tokens / tokens_per_s
+        if candidate.num_outstanding >= candidate.max_concurrent_requests:
+            queue_s += BUSY_SLOT_S * candidate.num_outstanding / candidate.max_concurrent_requests
+        prefill_s = missing_tokens / tokens_per_s
+        link_s = 2.0 * candidate.link_delay_s
+        waste_s = self._waste_s(candidate, belief, missing_tokens)
+        cost = self._objective.tail_weight * queue_s + prefill_s + link_s + waste_s
+        return CandidateEstimate(
+            engine=candidate.engine,
+            cost=cost,
+            num_matched_blocks=int(belief.num_matched_blocks),
+            queue_s=queue_s,
+            prefill_s=prefill_s,
+            link_s=link_s,
+            waste_s=waste_s,
+            belief_age_s=belief.age_s,
+        )
+
+    def _waste_s(
+        self, candidate: EngineCandidate, belief: PromptBelief, missing_tokens: float
+    ) -> float:
+        """Return weighted seconds of computing what another engine holds, and of evictions."""
+        request = self._request
+        tokens_per_s = candidate.prefill_tokens_per_s
+        num_again_blocks = max(self._num_best_blocks - belief.num_matched_blocks, 0.0)
+        again_s = num_again_blocks * request.tokens_per_block / tokens_per_s
+        waste_s = self._recompute_weight * again_s
+        is_full = candidate.num_cached_blocks >= FULL_CACHE_SHARE * candidate.num_total_blocks
+        if is_full:
+            evicted_s = EVICTION_SHARE * missing_tokens / tokens_per_s
+            waste_s += self._objective.waste_weight * evicted_s
+        return waste_s
--- a/src/weirscale/domain/choice/least_outstanding.py
+++ b/src/weirscale/domain/choice/least_outstanding.py
@@ -5,10 +5,10 @@
 
 from weirscale.domain.choice.eligible import eligible_candidates, relative_load
 from weirscale.domain.choice.policy import Choice, ChoiceRequest, EngineCandidate
-from weirscale.domain.identifiers import EngineName
+from weirscale.domain.choice.stateless import StatelessPolicy
 
 
-class LeastOutstanding:
+class LeastOutstanding(StatelessPolicy):
     """Chooses the least loaded engine; ties are broken at random."""
 
     def choose(
@@ -24,11 +24,3 @@
             return None
         chosen = min(eligible, key=lambda each: (relative_load(each), random.random()))
         return Choice(engine=chosen.engine, estimates=())
-
-    def note_sent(self, request: ChoiceRequest, engine: EngineName, now_s: float) -> None:
-        """Nothing to learn: candidates already count what was sent."""
-
-    def note_finished(
-        self, request: ChoiceRequest, engine: EngineName, num_cached_tokens: int, now_s: float
-    ) -> None:
-        """Nothing to learn."""
--- /dev/null
+++ b/src/weirscale/domain/choice/prefix_aware.py
@@ -0,0 +1,225 @@
+"""The prefix-aware policy: least estimated time to first token plus weighted waste.
+
+Beliefs about caches are late and sampled, and load reports lag. Three things keep many nodes from
+spoiling each other's choices without talking:
+
+- a prefix that nobody is believed to hold goes to its rendezvous engine, so first askers at
+  different nodes meet at one engine and wait for one prefill;
+- engines without a match are considered only if rendezvous or chance proposes them, so nodes do
+  not all pick the one engine that looked idle in the last report;
+- among estimates that differ by less than their error, the choice is random.
+"""
+
+import math
+from collections.abc import Mapping, Sequence
+from random import Random
+
+from weirscale.domain.choice.belief_trust import BeliefTrust
+from weirscale.domain.choice.beliefs import CacheBeliefs
+from weirscale.domain.choice.eligible import eligible_candidates, relative_load
+from weirscale.domain.choice.estimate import NO_BELIEF, CostModel, PromptBelief
+from weirscale.domain.choice.policy import (
+    CandidateEstimate,
+    Choice,
+    ChoiceRequest,
+    EngineCandidate,
+)
+from weirscale.domain.choice.recent_sends import RecentSends
+from weirscale.domain.choice.rendezvous import rendezvous_score
+from weirscale.domain.configuration.model import RoutingObjective
+from weirscale.domain.identifiers import EngineName
+
+NUM_RANKED_PROPOSALS = 3
+"""Engines that rendezvous proposes for a prefix; the later ones take over when it is hot."""
+
+NUM_RANDOM_PROPOSALS = 2
+"""Engines that chance proposes, as in the power of two choices."""
+
+AFFINITY_SHARE = 0.7
+"""The rendezvous key is the block at the highest power of two below this share of the prompt:
+the tail is mostly the caller's own, and prompts of one page share the key."""
+
+AFFINITY_TRUST = 0.5
+"""Chance that another node has just sent the same cold prefix to its rendezvous engine."""
+
+TIE_S = 0.004
+"""Estimates closer than this, for each second of the load report's age, count as equal."""
+
+MIN_TIE_S = 0.001
+MAX_REPORTED_ESTIMATES = 5
+"""Estimates kept in a choice for `explain`."""
+
+FAILED_BELIEF_SHARE = 0.5
+"""Below this share of predicted tokens, own recent sends to the engine are forgotten."""
+
+
+class PrefixAware:
+    """Chooses by estimated cost.
+
+    Args:
+        beliefs: What is believed of engines' caches.
+        objective: The deployment's weights.
+    """
+
+    def __init__(self, beliefs: CacheBeliefs, objective: RoutingObjective) -> None:
+        self._beliefs = beliefs
+        self._objective = objective
+        self._recent = RecentSends()
+        self._trust = BeliefTrust()
+
+    def set_objective(self, objective: RoutingObjective) -> None:
+        """Take over changed weights."""
+        self._objective = objective
+
+    def choose(
+        self,
+        request: ChoiceRequest,
+        candidates: Sequence[EngineCandidate],
+        now_s: float,
+        random: Random,
+    ) -> Choice | None:
+        """Choose the candidate of least cost."""
+        eligible = eligible_candidates(request, candidates)
+        if not eligible:
+            return None
+        beliefs = self._prompt_beliefs(request, now_s)
+        proposals = self._proposals(request, eligible, beliefs, random)
+        model = self._cost_model(request, proposals, beliefs)
+        expected = self._with_affinity(request, eligible, beliefs)
+        estimates = [
+            model.estimate(each, expected.get(each.engine, NO_BELIEF)) for each in proposals
+        ]
+        estimates.sort(key=_cost)
+        chosen = _among_ties(estimates, proposals, random)
+        num_matched_blocks = beliefs.get(chosen.engine, NO_BELIEF).num_matched_blocks
+        num_promised_blocks = num_matched_blocks / self._trust.trust(chosen.engine)
+        self._trust.note_predicted(
+            request.request_id, num_promised_blocks * request.tokens_per_block
+        )
+        return Choice(
+            engine=chosen.engine,
+            estimates=tuple(estimates[:MAX_REPORTED_ESTIMATES]),
+            num_matched_blocks=int(num_matched_blocks),
+            estimated_ttft_s=chosen.queue_s + chosen.prefill_s + chosen.link_s,
+        )
+
+    def note_sent(self, request: ChoiceRequest, engine: EngineName, now_s: float) -> None:
+        """Count the prompt as cached there from now on."""
+        self._recent.note_sent(request.block_hashes, engine, now_s)
+
+    def note_finished(
+        self, request: ChoiceRequest, engine: EngineName, num_cached_tokens: int, now_s: float
+    ) -> None:
+        """Compare the belief with what was real."""
+        share = self._trust.note_real(request.request_id, engine, num_cached_tokens)
+        if share is not None and share < FAILED_BELIEF_SHARE:
+            self._recent.forget(engine)
+
+    def _prompt_beliefs(
+        self, request: ChoiceRequest, now_s: float
+    ) -> dict[EngineName, PromptBelief]:
+        """Join digests, scaled by trust, with own recent sends."""
+        beliefs: dict[EngineName, PromptBelief] = {}
+        for engine, match in self._beliefs.match(request.block_hashes, now_s).items():
+            num_blocks = match.num_blocks * self._trust.trust(engine)
+            beliefs[engine] = PromptBelief(num_blocks, match.age_s)
+        for engine, num_sent_blocks in self._recent.match(request.block_hashes, now_s):
+            num_blocks = num_sent_blocks * self._trust.trust(engine)
+            known = beliefs.get(engine, NO_BELIEF)
+            if num_blocks > known.num_matched_blocks:
+                beliefs[engine] = PromptBelief(num_blocks, 0.0)
+        return beliefs
+
+    def _proposals(
+        self,
+        request: ChoiceRequest,
+        eligible: list[EngineCandidate],
+        beliefs: Mapping[EngineName, PromptBelief],
+        random: Random,
+    ) -> list[EngineCandidate]:
+        """Return the candidates worth estimating."""
+        num_few = NUM_RANKED_PROPOSALS + NUM_RANDOM_PROPOSALS
+        if len(eligible) <= num_few:
+            return eligible
+        key = affinity_key(request, random)
+        ranked = sorted(eligible, key=lambda each: -rendezvous_score(key, each.engine))
+        proposals = {each.engine: each for each in ranked[:NUM_RANKED_PROPOSALS]}
+        for each in random.sample(eligible, NUM_RANDOM_PROPOSALS):
+            proposals[each.engine] = each
+        for each in eligible:
+            if each.engine in beliefs:
+                proposals[each.engine] = each
+        return list(proposals.values())
+
+    def _cost_model(
+        self,
+        request: ChoiceRequest,
+        proposals: list[EngineCandidate],
+        beliefs: Mapping[EngineName, PromptBelief],
+    ) -> CostModel:
+        """Prepare the estimate: who holds most, and how near to saturation its holders are."""
+        num_best_blocks = 0.0
+        least_load = 0.0
+        for each in proposals:
+            num_blocks = beliefs.get(each.engine, NO_BELIEF).num_matched_blocks
+            load = relative_load(each)
+            if num_blocks > num_best_blocks:
+                num_best_blocks = num_blocks
+                least_load = load
+            elif num_blocks == num_best_blocks:
+                least_load = min(least_load, load)
+        hot_load = max(self._objective.hot_prefix_load, 0.01)
+        relief = min(least_load / hot_load, 1.0)
+        return CostModel(request, self._objective, num_best_blocks, relief)
+
+    def _with_affinity(
+        self,
+        request: ChoiceRequest,
+        eligible: list[EngineCandidate],
+        beliefs: dict[EngineName, PromptBelief],
+    ) -> dict[EngineName, PromptBelief]:
+        """Count a cold prefix as half cached at its rendezvous engine."""
+        num_blocks = affinity_depth(len(request.block_hashes))
+        if num_blocks == 0:
+            return beliefs
+        if any(each.num_matched_blocks >= num_blocks for each in beliefs.values()):
+            return beliefs
+        key = request.block_hashes[num_blocks - 1]
+        first = max(eligible, key=lambda each: rendezvous_score(key, each.engine)).engine
+        known = beliefs.get(first, NO_BELIEF)
+        num_expected = known.num_matched_blocks + AFFINITY_TRUST * (
+            num_blocks - known.num_matched_blocks
+        )
+        return {**beliefs, first: PromptBelief(num_expected, known.age_s)}
+
+
+def affinity_depth(num_blocks: int) -> int:
+    """Return the depth of the block whose hash is the rendezvous key, 0 without one."""
+    most = int(num_blocks * AFFINITY_SHARE)
+    return 1 << (most.bit_length() - 1) if most else min(num_blocks, 1)
+
+
+def affinity_key(request: ChoiceRequest, random: Random) -> int:
+    """Return the rendezvous key of a prompt, a random one for a prompt without a full block."""
+    num_blocks = affinity_depth(len(request.block_hashes))
+    if num_blocks == 0:
+        return random.getrandbits(64)
+    return request.block_hashes[num_blocks - 1]
+
+
+def _cost(estimate: CandidateEstimate) -> float:
+    return estimate.cost
+
+
+def _among_ties(
+    estimates: list[CandidateEstimate], proposals: list[EngineCandidate], random: Random
+) -> CandidateEstimate:
+    """Choose at random, in favour of the best, among estimates within their error."""
+    age_s = max(each.report_age_s for each in proposals)
+    tie_s = max(TIE_S * age_s, MIN_TIE_S)
+    best_cost = estimates[0].cost
+    near = [each for each in estimates if each.cost - best_cost < 3 * tie_s]
+    if len(near) == 1:
+        return near[0]
+    weights = [math.exp((best_cost - each.cost) / tie_s) for each in near]
+    return random.choices(near, weights)[0]
--- a/src/weirscale/domain/choice/random_choice.py
+++ b/src/weirscale/domain/choice/random_choice.py
@@ -5,10 +5,10 @@
 
 from weirscale.domain.choice.eligible import MIN_ADMISSION_WEIGHT, eligible_candidates
 from weirscale.domain.choice.policy import Choice, ChoiceRequest, EngineCandidate
-from weirscale.domain.identifiers import EngineName
+from weirscale.domain.choice.stateless import StatelessPolicy
 
 
-class RandomChoice:
+class RandomChoice(StatelessPolicy):
     """Chooses at random and learns nothing."""
 
     def choose(
@@ -25,11 +25,3 @@
         weights = [max(each.admission_weight, MIN_ADMISSION_WEIGHT) for each in eligible]
         chosen = random.choices(eligible, weights)[0]
         return Choice(engine=chosen.engine, estimates=())
-
-    def note_sent(self, request: ChoiceRequest, engine: EngineName, now_s: float) -> None:
-        """Nothing to learn."""
-
-    def note_finished(
-        self, request: ChoiceRequest, engine: EngineName, num_cached_tokens: int, now_s: float
-    ) -> None:
-        """Nothing to learn."""
--- a/src/weirscale/domain/choice/rendezvous_bounded.py
+++ b/src/weirscale/domain/choice/rendezvous_bounded.py
@@ -7,13 +7,13 @@
 from weirscale.domain.choice.eligible import eligible_candidates
 from weirscale.domain.choice.policy import Choice, ChoiceRequest, EngineCandidate
 from weirscale.domain.choice.rendezvous import rendezvous_score
-from weirscale.domain.identifiers import EngineName
+from weirscale.domain.choice.stateless import StatelessPolicy
 
 DEFAULT_LOAD_BOUND = 1.25
 """An engine takes at most this multiple of the mean load, as in published bounded-load hashing."""
 
 
-class RendezvousBounded:
+class RendezvousBounded(StatelessPolicy):
     """Sends prompts with one root to one engine until that is loaded above the bound.
 
     Args:
@@ -49,11 +49,3 @@
         if num_blocks == 0:
             return random.getrandbits(64)
         return request.block_hashes[min(self._num_root_blocks, num_blocks) - 1]
-
-    def note_sent(self, request: ChoiceRequest, engine: EngineName, now_s: float) -> None:
-        """Nothing to learn."""
-
-    def note_finished(
-        self, request: ChoiceRequest, engine: EngineName, num_cached_tokens: int, now_s: float
-    ) -> None:
-        """Nothing to learn."""
--- /dev/null
+++ b/src/weirscale/domain/prefix/digest_publisher.py
@@ -0,0 +1,204 @@
+"""Turns the changes of one engine's index into digests that stay within a byte budget.
+
+The publisher holds a backlog of keys whose state changed and sends it in sequence. When the
+backlog would take too long it samples more coarsely; when there is budget to spare it refines the
+sample step by step. Receivers can therefore always rely on the declared sample bits.
+"""
+
+import math
+from collections import deque
+
+from weirscale.domain.prefix.engine_index import EngineIndex
+from weirscale.domain.prefix.sampling import MAX_SAMPLE_BITS, block_key, is_sampled
+from weirscale.messages.digest import (
+    KEY_BYTES,
+    CacheDigest,
+    DigestReply,
+    DigestRequest,
+    FullDigest,
+    pack_keys,
+)
+
+MAX_KEYS_PER_DIGEST = 180
+"""Keeps an encoded digest below 1000 bytes, so that it fits one cast with its signature."""
+
+DIGEST_OVERHEAD_BYTES = 90
+"""Encoded size of a digest without keys, with its signature."""
+
+MAX_BACKLOG_S = 1.0
+"""A change waits no longer than this for its turn; beyond it the sample gets coarser."""
+
+BURST_S = 2.0
+"""Unused budget is kept for so long; covers a refinement and a new run's first digests."""
+
+REFINE_SHARE = 0.5
+"""The sample is refined only if changes would then take less than this share of the budget."""
+
+RATE_SMOOTHING_S = 5.0
+"""Time constant of the change rate."""
+
+NUM_KEPT_DIGESTS = 32
+"""Digests kept for receivers that missed some; a full digest is many times larger."""
+
+
+class DigestPublisher:
+    """Publishes one engine's cache.
+
+    Args:
+        index: The engine's exact index.
+        stream: Name of the stream; higher than that of any earlier publisher of the engine.
+        bytes_per_s: Budget for this engine, over all receivers together.
+    """
+
+    def __init__(self, index: EngineIndex, stream: int, bytes_per_s: float) -> None:
+        self._index = index
+        self._stream = stream
+        self._bytes_per_s = bytes_per_s
+        self._sequence = 0
+        self._sample_bits = 0
+        self._sending_bits = 0
+        self._backlog: dict[int, bool] = {}
+        self._is_reset_due = True
+        self._allowance_bytes = 0.0
+        self._changes_per_s = 0.0
+        self._published_at_s: float | None = None
+        self._kept: deque[CacheDigest] = deque(maxlen=NUM_KEPT_DIGESTS)
+
+    @property
+    def sample_bits(self) -> int:
+        """The declared sampling level."""
+        return self._sample_bits
+
+    @property
+    def num_waiting_keys(self) -> int:
+        """Changes not yet sent."""
+        return len(self._backlog)
+
+    def publish(self, num_receivers: int, now_s: float) -> list[CacheDigest]:
+        """Return the digests to send now to every receiver.
+
+        Args:
+            num_receivers: Nodes that each get a copy; the budget is divided among them.
+            now_s: Time.
+        """
+        rate = self._bytes_per_s / max(num_receivers, 1)
+        elapsed_s = self._note_time(now_s)
+        self._allowance_bytes = min(self._allowance_bytes + rate * elapsed_s, rate * BURST_S)
+        num_changes = self._take_changes()
+        self._note_changes(num_changes, elapsed_s)
+        self._coarsen(rate)
+        if not self._backlog:
+            self._finish_or_start_refining(rate)
+        return self._send()
+
+    def answer(self, request: DigestRequest) -> DigestReply:
+        """Answer a receiver that missed digests."""
+        if self._index.needs_dump or self._sequence == 0:
+            return DigestReply(is_home=False)
+        missed = [each for each in self._kept if each.sequence > request.after_sequence]
+        is_complete = bool(missed) and missed[0].sequence == request.after_sequence + 1
+        if request.stream == self._stream and is_complete:
+            return DigestReply(is_home=True, digests=tuple(missed))
+        return DigestReply(is_home=True, full=self._full())
+
+    def _full(self) -> FullDigest:
+        """Return all keys sampled, those of a running refinement included.
+
+        Later digests may repeat some, which changes nothing.
+        """
+        bits = self._sending_bits
+        keys = [block_key(block_hash) for block_hash in self._index.blocks]
+        return FullDigest(
+            engine=self._index.engine,
+            incarnation=self._index.incarnation,
+            stream=self._stream,
+            sequence=self._sequence,
+            sample_bits=self._sample_bits,
+            held=pack_keys([key for key in keys if is_sampled(key, bits)]),
+        )
+
+    def _note_time(self, now_s: float) -> float:
+        before_s = self._published_at_s
+        self._published_at_s = now_s
+        return BURST_S if before_s is None else max(now_s - before_s, 0.0)
+
+    def _note_changes(self, num_changes: int, elapsed_s: float) -> None:
+        if elapsed_s <= 0:
+            return
+        share = 1.0 - math.exp(-elapsed_s / RATE_SMOOTHING_S)
+        self._changes_per_s += share * (num_changes / elapsed_s - self._changes_per_s)
+
+    def _take_changes(self) -> int:
+        """Move the index's changes to the backlog; return how many there were, before sampling."""
+        was_reset, added, removed = self._index.take_changes()
+        if was_reset:
+            self._is_reset_due = True
+            self._backlog.clear()
+            self._sending_bits = self._sample_bits
+        for block_hashes, is_held in ((added, True), (removed, False)):
+            for block_hash in block_hashes:
+                key = block_key(block_hash)
+                if is_sampled(key, self._sending_bits):
+                    self._backlog.pop(key, None)
+                    self._backlog[key] = is_held
+        return 0 if was_reset else len(added) + len(removed)
+
+    def _coarsen(self, rate: float) -> None:
+        """Sample more coarsely until the backlog can be sent in time."""
+        max_keys = max(int(rate * MAX_BACKLOG_S / KEY_BYTES), 1)
+        # A refinement given up must not leave keys at receivers that are no longer updated: the
+        # declared level goes up by one at least, on which they drop every key outside of it.
+        while len(self._backlog) > max_keys and self._sample_bits < MAX_SAMPLE_BITS:
+            self._sample_bits += 1
+            self._sending_bits = self._sample_bits
+            self._drop_unsampled()
+
+    def _drop_unsampled(self) -> None:
+        bits = self._sending_bits
+        self._backlog = {key: held for key, held in self._backlog.items() if is_sampled(key, bits)}
+
+    def _finish_or_start_refining(self, rate: float) -> None:
+        """Declare a refinement that is sent, or start the next one if the budget allows it."""
+        if self._sending_bits < self._sample_bits:
+            self._sample_bits = self._sending_bits
+            return
+        if self._sample_bits == 0 or self._is_reset_due:
+            return
+        finer_bits = self._sample_bits - 1
+        bytes_per_s = self._changes_per_s * KEY_BYTES / (1 << finer_bits)
+        num_extra_keys = len(self._index.blocks) >> self._sample_bits
+        fits_backlog = num_extra_keys * KEY_BYTES <= rate * MAX_BACKLOG_S
+        if bytes_per_s > REFINE_SHARE * rate or not fits_backlog:
+            return
+        self._sending_bits = finer_bits
+        for block_hash in self._index.blocks:
+            key = block_key(block_hash)
+            if is_sampled(key, finer_bits) and not is_sampled(key, self._sample_bits):
+                self._backlog[key] = True
+
+    def _send(self) -> list[CacheDigest]:
+        """Cut the backlog into digests as far as the allowance goes; at least one is sent."""
+        digests: list[CacheDigest] = []
+        while not digests or (self._backlog and self._allowance_bytes > 0):
+            keys = list(self._backlog.items())[:MAX_KEYS_PER_DIGEST]
+            for key, _ in keys:
+                del self._backlog[key]
+            digests.append(self._digest(keys))
+            self._allowance_bytes -= DIGEST_OVERHEAD_BYTES + KEY_BYTES * len(keys)
+        return digests
+
+    def _digest(self, keys: list[tuple[int, bool]]) -> CacheDigest:
+        self._sequence += 1
+        digest = CacheDigest(
+            engine=self._index.engine,
+            incarnation=self._index.incarnation,
+            stream=self._stream,
+            sequence=self._sequence,
+            sample_bits=self._sample_bits,
+            is_reset=self._is_reset_due,
+            added=pack_keys([key for key, is_held in keys if is_held]),
+            removed=pack_keys([key for key, is_held in keys if not is_held]),
+        )
+        self._is_reset_due = False
+        self._kept.append(digest)
+        return digest
--- /dev/null
+++ b/src/weirscale/domain/prefix/engine_masks.py
@@ -0,0 +1,131 @@
+"""Which engines hold a block key: one table for all engines of a zone, one bit for each engine."""
+
+from collections.abc import Callable, Sequence
+
+MAX_RETIRED_BITS = 16
+"""Bits of emptied engines that may linger in the table before it is swept; a sweep of 100,000
+entries takes some 10 ms."""
+
+
+class EngineMasks:
+    """Table of key to engine bits.
+
+    Emptying an engine is cheap: its bit is retired and a new one is used; retired bits are swept
+    out of the table together.
+    """
+
+    def __init__(self) -> None:
+        self._masks: dict[int, int] = {}
+        self._live = 0
+        self._retired = 0
+
+    def __len__(self) -> int:
+        return len(self._masks)
+
+    @property
+    def live(self) -> int:
+        """All bits in use."""
+        return self._live
+
+    def new_bit(self) -> int:
+        """Return a bit that no key has, for one engine."""
+        used = self._live | self._retired
+        bit = ~used & (used + 1)
+        self._live |= bit
+        return bit
+
+    def retire_bit(self, bit: int) -> None:
+        """Empty an engine; its bit must not be used again."""
+        self._live &= ~bit
+        self._retired |= bit
+        if self._retired.bit_count() >= MAX_RETIRED_BITS:
+            self._sweep()
+
+    def add(self, key: int, bit: int) -> None:
+        """Note that the engine holds the key."""
+        self._masks[key] = self._masks.get(key, 0) | bit
+
+    def remove(self, key: int, bit: int) -> None:
+        """Note that the engine does not hold the key."""
+        mask = self._masks.get(key, 0) & ~bit
+        if mask:
+            self._masks[key] = mask
+        else:
+            self._masks.pop(key, None)
+
+    def remove_where(self, bit: int, is_removed: Callable[[int], bool]) -> None:
+        """Remove the keys of one engine that satisfy a condition."""
+        held = [key for key, mask in self._masks.items() if mask & bit]
+        for key in held:
+            if is_removed(key):
+                self.remove(key, bit)
+
+    def mask(self, key: int) -> int:
+        """Return the bits of the engines that hold the key."""
+        return self._masks.get(key, 0) & self._live
+
+    def keys_of(self, bit: int) -> set[int]:
+        """Return all keys of one engine; scans the table."""
+        return {key for key, mask in self._masks.items() if mask & bit}
+
+    def leading_depths(
+        self, block_hashes: Sequence[int], shift: int, sample_bits: int, within: int
+    ) -> list[tuple[int, int]]:
+        """Find how deep each engine holds a chain, by bisection.
+
+        Engines evict the tail of a chain before its head, so a sampled block that is held implies
+        all blocks before it; the number of look-ups grows with the number of different depths and
+        with the logarithm of the chain's length.
+
+        Args:
+            block_hashes: The chain.
+            shift: A hash shifted right by this is a key.
+            sample_bits: Only keys with so many zero low bits are in the table.
+            within: Bits of the engines asked about, none of them retired.
+
+        Returns:
+            Pairs of engine bits and leading blocks held, at least; engines without any are absent.
+        """
+        num_blocks = len(block_hashes)
+        unsampled = (1 << sample_bits) - 1
+        masks = self._masks
+        depths: list[tuple[int, int]] = []
+        # Each segment: the last block held by `present`, and a later one held by `remaining` only.
+        segments = [(-1, within, num_blocks, 0)]
+        while segments:
+            low, present, high, remaining = segments.pop()
+            leaving = present & ~remaining
+            if not leaving:
+                continue
+            probe = _next_sampled(block_hashes, shift, unsampled, low, high)
+            if probe < 0:
+                if low >= 0:
+                    depths.append((leaving, low + 1))
+                continue
+            held = (masks.get(block_hashes[probe] >> shift, 0) & present) | remaining
+            segments.append((low, present, probe, held))
+            segments.append((probe, held, high, remaining))
+        return depths
+
+    def _sweep(self) -> None:
+        live = self._live
+        self._masks = {key: mask & live for key, mask in self._masks.items() if mask & live}
+        self._retired = 0
+
+
+def _next_sampled(
+    block_hashes: Sequence[int], shift: int, unsampled: int, low: int, high: int
+) -> int:
+    """Return a sampled position near the middle between two exclusive bounds, or -1."""
+    if high - low < 2:
+        return -1
+    middle = (low + high) // 2
+    if not unsampled:
+        return middle
+    for position in range(middle, high):
+        if not (block_hashes[position] >> shift) & unsampled:
+            return position
+    for position in range(middle - 1, low, -1):
+        if not (block_hashes[position] >> shift) & unsampled:
+            return position
+    return -1
