--- /dev/null
+++ b/src/weirscale/node/configuration/status.py
@@ -0,0 +1,134 @@
+"""Tells how far the configuration has come: which nodes have it in force, which lag and why."""
+
+import anyio
+import msgspec
+from result import Err
+
+from weirscale.domain.identifiers import ConfigurationRevision, ZoneName
+from weirscale.messages.configuration import (
+    WHOLE,
+    ConfigurationStatusQuery,
+    ConfigurationStatusReply,
+)
+from weirscale.node.configuration.holder import ConfigurationHolder
+from weirscale.node.configuration.reader import ConfigurationReader
+from weirscale.node.configuration.spread import ConfigurationSpread
+from weirscale.node.interfaces import MembershipView, Peer, PeerLink, PeerState
+
+NUM_QUERIES_AT_ONCE = 32
+QUERY_TIMEOUT_S = 2.0
+
+
+class NodeConfigurationStatus(msgspec.Struct, frozen=True):
+    """One node's state.
+
+    Attributes:
+        node: Its name.
+        zone: Its zone.
+        revision: In force there; None when it did not answer.
+        lag_reason: Why it is behind; empty when it is not.
+    """
+
+    node: str
+    zone: ZoneName
+    revision: ConfigurationRevision | None
+    lag_reason: str
+
+
+class FleetConfigurationStatus(msgspec.Struct, frozen=True):
+    """State of all nodes that membership knows, as one of them sees it.
+
+    Attributes:
+        revision: The highest revision that any node has heard of.
+        nodes: Each node, sorted by name.
+        store_problem: Why this node cannot read the store; empty when it can or does not try.
+    """
+
+    revision: ConfigurationRevision
+    nodes: tuple[NodeConfigurationStatus, ...]
+    store_problem: str
+
+    def lagging(self, revision: ConfigurationRevision) -> tuple[NodeConfigurationStatus, ...]:
+        """Return the nodes that do not have a revision, or a higher one, in force."""
+        return tuple(n for n in self.nodes if n.revision is None or n.revision < revision)
+
+
+class ConfigurationStatusTask:
+    """Answers status queries of peers and asks all of them for an operator."""
+
+    def __init__(
+        self,
+        holder: ConfigurationHolder,
+        spread: ConfigurationSpread,
+        reader: ConfigurationReader,
+        link: PeerLink,
+        membership: MembershipView,
+        zone: ZoneName,
+    ) -> None:
+        self._holder = holder
+        self._spread = spread
+        self._reader = reader
+        self._link = link
+        self._membership = membership
+        self._zone = zone
+        link.on_call(ConfigurationStatusQuery, self._answer)
+
+    async def fleet_status(self) -> FleetConfigurationStatus:
+        """Ask every node; takes at most a few query timeouts."""
+        replies: dict[Peer, ConfigurationStatusReply | str] = {}
+        limiter = anyio.CapacityLimiter(NUM_QUERIES_AT_ONCE)
+        async with anyio.create_task_group() as tasks:
+            for peer in self._membership.peers():
+                tasks.start_soon(self._ask, peer, replies, limiter)
+        answered = [reply for reply in replies.values() if not isinstance(reply, str)]
+        highest = max((reply.highest_heard for reply in answered), default=WHOLE)
+        nodes = [_node_status(peer, reply, highest) for peer, reply in replies.items()]
+        nodes.sort(key=lambda status: status.node)
+        return FleetConfigurationStatus(highest, tuple(nodes), self._reader.last_problem)
+
+    async def _ask(
+        self,
+        peer: Peer,
+        replies: dict[Peer, ConfigurationStatusReply | str],
+        limiter: anyio.CapacityLimiter,
+    ) -> None:
+        query = ConfigurationStatusQuery()
+        if peer.node == self._membership.self_id:
+            replies[peer] = await self._answer(query)
+            return
+        async with limiter:
+            answer = await self._link.call(peer.address, query, QUERY_TIMEOUT_S)
+        if isinstance(answer, Err):
+            replies[peer] = answer.err_value.detail
+        elif isinstance(answer.ok_value, ConfigurationStatusReply):
+            replies[peer] = answer.ok_value
+        else:
+            replies[peer] = "answered with another message: run one version on all nodes"
+
+    async def _answer(self, _query: msgspec.Struct) -> ConfigurationStatusReply:
+        return ConfigurationStatusReply(
+            node=self._membership.self_id,
+            zone=self._zone,
+            revision=self._holder.revision,
+            highest_heard=self._holder.highest_heard,
+            is_reader=self._reader.is_reader,
+            last_problem=self._spread.last_problem or self._reader.last_problem,
+        )
+
+
+def _node_status(
+    peer: Peer, reply: ConfigurationStatusReply | str, highest: ConfigurationRevision
+) -> NodeConfigurationStatus:
+    name, zone = peer.node.name, peer.zone
+    if isinstance(reply, str):
+        state = f"{peer.state.value}, " if peer.state is not PeerState.ALIVE else ""
+        return NodeConfigurationStatus(name, zone, None, f"{state}no answer: {reply}")
+    if reply.revision >= highest:
+        return NodeConfigurationStatus(name, zone, reply.revision, "")
+    if reply.highest_heard < highest:
+        reason = f"has not heard of revision {highest}"
+    else:
+        reason = f"has heard of revision {highest} and not fetched it"
+    if reply.last_problem:
+        reason += f" ({reply.last_problem})"
+    return NodeConfigurationStatus(name, zone, reply.revision, reason)
--- a/src/weirscale/ports/key_value_etcd.py
+++ b/src/weirscale/ports/key_value_etcd.py
@@ -49,6 +49,7 @@
         addresses: Sequence[str],
         timeout_s: float = DEFAULT_TIMEOUT_S,
         watch_idle_s: float = WATCH_IDLE_S,
+        transport: httpx.AsyncBaseTransport | None = None,
     ) -> None:
         """Make a client.
 
@@ -56,11 +57,12 @@
             addresses: host:port of the gateways; the next is tried when one is unreachable.
             timeout_s: Longest wait for an answer.
             watch_idle_s: Longest silence of a watch.
+            transport: Replaces sockets in tests.
         """
         self._addresses = tuple(addresses)
         self._current = 0
         timeout = httpx.Timeout(timeout_s, connect=min(CONNECT_TIMEOUT_S, timeout_s))
-        self._client = httpx.AsyncClient(timeout=timeout, trust_env=False)
+        self._client = httpx.AsyncClient(timeout=timeout, trust_env=False, transport=transport)
         self._watch_timeout = httpx.Timeout(timeout_s, read=watch_idle_s)
 
     async def aclose(self) -> None:
--- /dev/null
+++ b/src/weirscale/ports/machines_http.py
@@ -0,0 +1,60 @@
+"""`MachineListPort` over HTTP: `GET /machines` answers a JSON object with the list."""
+
+import httpx
+import msgspec
+from result import Err, Ok, Result
+
+from weirscale.ports.machines import Machine, MachineListFailure
+
+DEFAULT_TIMEOUT_S = 3.0
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+"""About a hundred bytes for each of 40,000 machines."""
+
+
+class MachineListAnswer(msgspec.Struct, frozen=True):
+    """Body of the answer."""
+
+    machines: tuple[Machine, ...]
+
+
+class HttpMachineList:
+    """A client of the machine list; close it with `aclose`."""
+
+    def __init__(
+        self,
+        address: str,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Make a client.
+
+        Args:
+            address: host:port of the list.
+            timeout_s: Longest wait for an answer.
+            transport: Replaces sockets in tests.
+        """
+        self._url = f"http://{address}/machines"
+        self._client = httpx.AsyncClient(timeout=timeout_s, trust_env=False, transport=transport)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def machines(self) -> Result[tuple[Machine, ...], MachineListFailure]:
+        """Read the list; it may be seconds old."""
+        try:
+            response = await self._client.get(self._url)
+        except httpx.HTTPError as error:
+            return _failed(f"{type(error).__name__} {error}")
+        if response.status_code != httpx.codes.OK:
+            return _failed(f"status {response.status_code}")
+        if len(response.content) > MAX_ANSWER_BYTES:
+            return _failed(f"an answer of {len(response.content)} bytes")
+        try:
+            return Ok(msgspec.json.decode(response.content, type=MachineListAnswer).machines)
+        except msgspec.MsgspecError as error:
+            return _failed(f"not a machine list: {error}")
+
+
+def _failed(problem: str) -> Err[MachineListFailure]:
+    return Err(MachineListFailure(f"{problem}: go on with the last list and with own probes"))
--- /dev/null
+++ b/src/weirscale/standins/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's lagging list of machines."""
--- /dev/null
+++ b/src/weirscale/standins/machines/app.py
@@ -0,0 +1,83 @@
+"""The machine list as an ASGI app: `GET /machines`, and `/stand-in/...` to change it.
+
+`POST /stand-in/faults` sets the faults; `POST /stand-in/machines` puts one machine and
+`POST /stand-in/machines/remove` takes one away, each with the machine as a JSON object.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import msgspec
+
+from weirscale.ports.machines import Machine
+from weirscale.standins.machines.model import MachineListFaults, MachineListModel
+
+Message = dict[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+
+class MachineListBody(msgspec.Struct, frozen=True):
+    """Body of `GET /machines`."""
+
+    machines: tuple[Machine, ...]
+
+
+class MachineListApp:
+    """ASGI application for `hypercorn.asyncio.serve`."""
+
+    def __init__(
+        self, model: MachineListModel, now: Callable[[], float] = anyio.current_time
+    ) -> None:
+        self._model = model
+        self._now = now
+
+    async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
+        """Answer one HTTP request, or the start and stop of the server."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+            return
+        body = await _read_body(receive)
+        try:
+            status, answer = await self._answer(scope["method"], scope["path"], body)
+        except msgspec.MsgspecError as error:
+            status, answer = 400, msgspec.json.encode({"message": str(error)})
+        headers = [(b"content-type", b"application/json")]
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": answer})
+
+    async def _answer(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        """Return status and body."""
+        if (method, path) == ("GET", "/machines"):
+            if self._model.faults.is_down:
+                return 503, b"{}"
+            await anyio.sleep(self._model.faults.delay_s)
+            return 200, msgspec.json.encode(MachineListBody(self._model.shown(self._now())))
+        if (method, path) == ("POST", "/stand-in/faults"):
+            self._model.faults = msgspec.json.decode(body, type=MachineListFaults)
+            return 200, b"{}"
+        if (method, path) == ("POST", "/stand-in/machines"):
+            self._model.put(msgspec.json.decode(body, type=Machine), self._now())
+            return 200, b"{}"
+        if (method, path) == ("POST", "/stand-in/machines/remove"):
+            self._model.remove(msgspec.json.decode(body, type=Machine).host, self._now())
+            return 200, b"{}"
+        return 404, b"{}"
+
+
+async def _read_body(receive: Receive) -> bytes:
+    parts: list[bytes] = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def _lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
