Add the replicated claim ledger

Cause: an idempotency key sent again through another node must never run twice. Change: quorum rounds, groups of holders with epochs swapped in the key-value service, seal and copy between epochs, holder authority, a keeper that plans changes, and the ledger over the peer link. Conclusion: not yet proved; the local ledger stays the one in use until then.

--- a/src/weirscale/domain/claims/holder.py
+++ b/src/weirscale/domain/claims/holder.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import itertools
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -22,12 +23,14 @@
     Vote,
 )
 
-MAX_ENTRIES = 200_000
+MAX_ENTRIES = 50_000
 """Claims that one holder of a group keeps; beyond it new keys are refused, none is forgotten."""
-MAX_ANSWER_BYTES = 1024
+MAX_ANSWER_BYTES = 8 * 1024
 """Largest answer kept with a claim."""
-MAX_ANSWERS_BYTES = 4 * 1024 * 1024
+MAX_ANSWERS_BYTES = 256 * 1024
 """Answers kept in all by one holder; the oldest are dropped, their claims stay."""
+MAX_WITHDRAWN = 1024
+"""Withdrawn claimants remembered: enough for the seconds in which a late copy may still come."""
 EXPIRY_BATCH = 16
 """Expired claims that one operation clears at most, so that no operation takes long."""
 
@@ -68,6 +71,7 @@
         self._entries: OrderedDict[ClaimKey, ClaimEntry] = OrderedDict()
         self._answers: OrderedDict[ClaimKey, StoredAnswer] = OrderedDict()
         self._num_answer_bytes = 0
+        self._withdrawn: OrderedDict[bytes, None] = OrderedDict()
 
     @property
     def num_entries(self) -> int:
@@ -80,6 +84,8 @@
         """Vote for a claimant, or tell why not."""
         if epoch != self.epoch or self.phase is not HolderPhase.ACTIVE:
             return ClaimVote(Vote.WRONG_EPOCH, self.epoch)
+        if claimant in self._withdrawn:
+            return ClaimVote(Vote.WITHDRAWN, self.epoch)
         self._expire(now_s)
         entry = self._live_entry(key, now_s)
         if entry is not None:
@@ -94,10 +100,17 @@
         return ClaimVote(Vote.ACCEPTED, self.epoch)
 
     def withdraw(self, epoch: int, key: ClaimKey, claimant: bytes) -> bool:
-        """Take a claimant's vote back: it was not granted, or its request did not run."""
-        entry = self._entries.get(key)
-        if entry is None or not self._may_change(epoch) or claimant not in entry.claimants:
+        """Take a claimant's vote back: it was not granted, or its request did not run.
+
+        Returns:
+            Whether the claimant has no vote here any more.
+        """
+        if not self._may_change(epoch):
             return False
+        self._remember_withdrawn(claimant)
+        entry = self._entries.get(key)
+        if entry is None or claimant not in entry.claimants:
+            return True
         if entry.state is EntryState.COMPLETED:
             return False
         claimants = tuple(other for other in entry.claimants if other != claimant)
@@ -142,13 +155,16 @@
         self.phase = HolderPhase.ACTIVE
         return True
 
-    def copy_out(self, now_s: float) -> tuple[CopiedClaim, ...]:
-        """All claims, with ages in place of times, for the next epoch."""
+    def copy_out(
+        self, now_s: float, offset: int = 0, max_claims: int = MAX_ENTRIES
+    ) -> tuple[CopiedClaim, ...]:
+        """A page of the claims, with ages in place of times; stable once sealed."""
+        page = itertools.islice(self._entries.items(), offset, offset + max_claims)
         return tuple(
             CopiedClaim(
                 key, entry.state, entry.claimants, entry.fingerprint, now_s - entry.changed_at_s
             )
-            for key, entry in self._entries.items()
+            for key, entry in page
         )
 
     def copy_in(self, claims: Iterable[CopiedClaim], now_s: float) -> None:
@@ -164,6 +180,11 @@
     def _may_change(self, epoch: int) -> bool:
         return epoch == self.epoch and self.phase is HolderPhase.ACTIVE
 
+    def _remember_withdrawn(self, claimant: bytes) -> None:
+        self._withdrawn[claimant] = None
+        if len(self._withdrawn) > MAX_WITHDRAWN:
+            self._withdrawn.popitem(last=False)
+
     def _vote_on(
         self, key: ClaimKey, entry: ClaimEntry, claimant: bytes, fingerprint: bytes
     ) -> ClaimVote:
--- a/src/weirscale/domain/claims/model.py
+++ b/src/weirscale/domain/claims/model.py
@@ -13,8 +13,8 @@
 
 CLAIM_KEY_BYTES = 16
 FINGERPRINT_BYTES = 8
-NUM_GROUPS = 32
-"""Groups that claims are spread over: a fifth of 400 nodes holds some, 96 replicas in all."""
+NUM_GROUPS = 64
+"""Groups that claims are spread over: 192 replicas in all, for 400 nodes at most one each or so."""
 
 
 def claim_key(tenant: TenantName, idempotency_key: str) -> ClaimKey:
@@ -93,8 +93,15 @@
     COMPLETED = 2
     CONFLICT = 3
     WRONG_EPOCH = 4
+    """The holder is in another epoch, has sealed this one, or is no holder."""
     UNCERTAIN = 5
+    """The key may have been claimed in an epoch that was lost whole."""
     FULL = 6
+    """The holder has no room for another claim."""
+    WITHDRAWN = 7
+    """This claimant has withdrawn before; the offer is a late copy."""
+    UNCONFIRMED = 8
+    """The holder has not been able to confirm lately that its epoch is still in force."""
 
 
 class ClaimVote(msgspec.Struct, frozen=True, array_like=True):
@@ -123,18 +130,23 @@
     zone: ZoneName
 
 
-class GroupEpoch(msgspec.Struct, frozen=True):
+class GroupEpoch(msgspec.Struct, frozen=True, array_like=True):
     """The record of a group in the key-value service.
 
     Attributes:
+        group: The group's number.
         epoch: Grows by one with each change of holders; 1 is the first.
         holders: The members; a majority of them is a quorum.
+        attempt: Names the change that made it; holders take part only if that change prepared
+            them, so two changes at once never mix.
         follows_loss: Whether the epoch before was lost whole, so that unknown keys are refused
             for a retention window from its start.
     """
 
+    group: int
     epoch: int
     holders: tuple[Holder, ...]
+    attempt: bytes
     follows_loss: bool = False
 
     @property
@@ -142,6 +154,10 @@
         """Holders that make a majority."""
         return len(self.holders) // 2 + 1
 
+    def has_member(self, node: NodeId) -> bool:
+        """Whether this run of the node is a holder."""
+        return any(holder.node == node for holder in self.holders)
+
 
 CLAIMANT_PREFIX_BYTES = 12
 """Unique part of a claimant; the request id follows it."""
--- /dev/null
+++ b/src/weirscale/node/claims/ledger.py
@@ -0,0 +1,299 @@
+"""The claim ledger of a node: coordinates claims with the holders of a key's group."""
+
+import itertools
+from random import Random
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+from result import Err, Ok, Result
+
+from weirscale.domain.claims.authority import HolderAuthority
+from weirscale.domain.claims.model import (
+    ClaimKey,
+    GroupEpoch,
+    Holder,
+    claim_key,
+    group_of,
+    make_claimant,
+    request_id_of,
+    short_fingerprint,
+)
+from weirscale.domain.claims.round import ClaimRound, RoundOutcome, RoundState
+from weirscale.domain.identifiers import RequestId, TenantName, ZoneName
+from weirscale.domain.request.model import ServiceResponse
+from weirscale.domain.request.refusal import Refusal
+from weirscale.messages.claims import (
+    ClaimAck,
+    ClaimComplete,
+    ClaimOffer,
+    ClaimOfferReply,
+    ClaimWithdraw,
+)
+from weirscale.node.claims.answers import (
+    claim_unavailable,
+    service_response,
+    stored_answer,
+)
+from weirscale.node.claims.granted import GrantedClaim
+from weirscale.node.claims.keeper import ClaimKeeper, authority_check, node_digest
+from weirscale.node.claims.peers import ClaimPeers
+from weirscale.node.claims.registry import HolderRegistry
+from weirscale.node.interfaces import (
+    Claim,
+    ClaimState,
+    ConfigurationView,
+    MembershipView,
+    PeerLink,
+)
+from weirscale.ports.key_value import KeyValuePort
+
+CLAIM_BUDGET_S = 3.0
+"""Longest time for a claim with all its rounds, within the caller's deadline."""
+OFFER_TIMEOUT_S = 0.8
+"""For one offer: several round trips between the most distant regions."""
+SETTLE_TIMEOUT_S = 0.8
+"""For one completion or withdrawal."""
+SETTLE_ATTEMPTS = 6
+"""Tries to settle a claim with a quorum; in all longer than a change of epoch takes."""
+SETTLE_RETRY_S = 0.25
+"""First wait between two tries; doubles."""
+SPLIT_RETRY_S = 0.03
+"""Longest first wait after a split vote; doubles, and is drawn at random to part the callers."""
+RECORD_WAIT_S = 0.2
+"""Wait for a group's first record."""
+
+FINAL_STATES = {
+    RoundState.HELD: ClaimState.IN_PROGRESS,
+    RoundState.COMPLETED: ClaimState.COMPLETED,
+    RoundState.CONFLICT: ClaimState.CONFLICT,
+}
+
+
+class _Attempt(msgspec.Struct, frozen=True):
+    """What is claimed, by whom."""
+
+    key: ClaimKey
+    group: int
+    claimant: bytes
+    fingerprint: bytes
+
+
+class QuorumClaimLedger:
+    """Implements `ClaimLedger` with holders on several nodes; `run` must be running.
+
+    Args:
+        link: Calls between nodes, to this node itself too.
+        membership: Who is live.
+        configuration: Zones and claim rules.
+        store: Keeps the groups' epochs.
+        zone: This node's zone.
+        random: Parts racing callers and spreads load.
+    """
+
+    def __init__(
+        self,
+        link: PeerLink,
+        membership: MembershipView,
+        configuration: ConfigurationView,
+        store: KeyValuePort,
+        zone: ZoneName,
+        random: Random,
+    ) -> None:
+        authority = HolderAuthority(zone)
+        self._peers = ClaimPeers(link, membership)
+        self.registry = HolderRegistry(
+            membership.self_id,
+            link,
+            authority_check(authority, configuration),
+            lambda: authority.note_store_read(anyio.current_time()),
+        )
+        self._keeper = ClaimKeeper(
+            self.registry, self._peers, membership, configuration, store, authority, random
+        )
+        self._random = random
+        self._digest = node_digest(membership.self_id)
+        self._numbers = itertools.count(1)
+        self._tasks: TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Tend the groups and carry out what outlives a request, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            try:
+                await self._keeper.run()
+            finally:
+                self._tasks = None
+
+    async def claim(
+        self,
+        tenant: TenantName,
+        idempotency_key: str,
+        request_id: RequestId,
+        fingerprint: bytes,
+        deadline_s: float,
+    ) -> Result[Claim, Refusal]:
+        """Claim a key; the refusal (CLAIM_UNAVAILABLE, NOT_RUN) means no quorum answered."""
+        key = claim_key(tenant, idempotency_key)
+        attempt = _Attempt(
+            key, group_of(key), self._claimant(request_id), short_fingerprint(fingerprint)
+        )
+        budget_s = min(CLAIM_BUDGET_S, deadline_s - anyio.current_time())
+        try:
+            with anyio.move_on_after(max(0.0, budget_s)):
+                return await self._claim(attempt, request_id)
+        except anyio.get_cancelled_exc_class():
+            self._settle_later(attempt, self._withdrawal(attempt))
+            raise
+        self._settle_later(attempt, self._withdrawal(attempt))
+        return Err(claim_unavailable("the holders did not agree in time"))
+
+    async def complete(self, claim: Claim, answer: ServiceResponse | None) -> None:
+        """Record that the claim's request has run; waits for one try with a quorum at most."""
+        if not isinstance(claim, GrantedClaim) or claim.state is not ClaimState.GRANTED:
+            return
+        attempt = _attempt_of(claim)
+        message = ClaimComplete(
+            attempt.group,
+            0,
+            attempt.key,
+            attempt.claimant,
+            attempt.fingerprint,
+            stored_answer(answer),
+        )
+        if not await self._settle_once(attempt.group, message):
+            self._settle_later(attempt, message)
+
+    async def release(self, claim: Claim) -> None:
+        """Give a claim back after the request provably did not run."""
+        if not isinstance(claim, GrantedClaim) or claim.state is not ClaimState.GRANTED:
+            return
+        attempt = _attempt_of(claim)
+        if not await self._settle_once(attempt.group, self._withdrawal(attempt)):
+            self._settle_later(attempt, self._withdrawal(attempt))
+
+    async def _claim(self, attempt: _Attempt, request_id: RequestId) -> Result[Claim, Refusal]:
+        split_wait_s = SPLIT_RETRY_S
+        while True:
+            record = self.registry.epochs.record(attempt.group)
+            if record is None:
+                await anyio.sleep(RECORD_WAIT_S)
+                continue
+            outcome = await self._round(record, attempt)
+            if outcome.state is RoundState.STALE:
+                await self._wait_for_newer(record)
+                continue
+            if outcome.state is not RoundState.GRANTED:
+                self._settle_later(attempt, self._withdrawal(attempt))
+            if outcome.state is not RoundState.SPLIT:
+                return self._answer(attempt, outcome)
+            await anyio.sleep(self._random.uniform(0.0, split_wait_s))
+            split_wait_s *= 2
+            attempt = msgspec.structs.replace(attempt, claimant=self._claimant(request_id))
+
+    def _answer(self, attempt: _Attempt, outcome: RoundOutcome) -> Result[Claim, Refusal]:
+        match outcome.state:
+            case RoundState.GRANTED:
+                state = ClaimState.GRANTED
+            case RoundState.HELD | RoundState.COMPLETED | RoundState.CONFLICT:
+                state = FINAL_STATES[outcome.state]
+            case RoundState.UNCERTAIN:
+                detail = "its group of holders was lost, and the key may have been used before"
+                return Err(claim_unavailable(detail, outcome.wait_s))
+            case RoundState.FULL:
+                return Err(claim_unavailable("the ledger is full"))
+            case _:
+                return Err(claim_unavailable("no quorum of holders answered"))
+        owner = request_id_of(outcome.claimant or attempt.claimant)
+        answer = service_response(outcome.answer)
+        return Ok(
+            GrantedClaim(
+                state,
+                attempt.key.hex(),
+                owner,
+                answer,
+                attempt.key,
+                attempt.claimant,
+                attempt.fingerprint,
+            )
+        )
+
+    async def _round(self, record: GroupEpoch, attempt: _Attempt) -> RoundOutcome:
+        """Offer the claim to all holders; ends with the first votes that decide it."""
+        send, receive = anyio.create_memory_object_stream[tuple[int, ClaimOfferReply | None]](
+            len(record.holders)
+        )
+        message = ClaimOffer(
+            record.group, record.epoch, attempt.key, attempt.claimant, attempt.fingerprint
+        )
+
+        async def offer(index: int, holder: Holder) -> None:
+            reply = await self._peers.ask(holder, message, ClaimOfferReply, OFFER_TIMEOUT_S)
+            send.send_nowait((index, reply))
+
+        tasks = self._tasks
+        if tasks is None:
+            return RoundOutcome(RoundState.UNAVAILABLE)
+        for index, holder in enumerate(record.holders):
+            tasks.start_soon(offer, index, holder)
+        claim_round = ClaimRound(record)
+        while True:
+            index, reply = await receive.receive()
+            if reply is not None:
+                self.registry.epochs.adopt(reply.record)
+            claim_round.note(index, reply.vote if reply is not None else None)
+            outcome = claim_round.outcome()
+            if outcome is not None:
+                return outcome
+
+    async def _wait_for_newer(self, record: GroupEpoch) -> None:
+        """A holder has moved on: learn the next epoch, or give its change a moment."""
+        if self.registry.epochs.newer_than(record.group, record.epoch) is not None:
+            return
+        await self._keeper.refresh()
+        if self.registry.epochs.newer_than(record.group, record.epoch) is None:
+            await anyio.sleep(RECORD_WAIT_S)
+
+    def _settle_later(self, attempt: _Attempt, message: ClaimComplete | ClaimWithdraw) -> None:
+        """Keep trying in the background; what is never settled stays in progress."""
+        if self._tasks is not None:
+            self._tasks.start_soon(self._settle, attempt.group, message)
+
+    async def _settle(self, group: int, message: ClaimComplete | ClaimWithdraw) -> None:
+        wait_s = SETTLE_RETRY_S
+        for _ in range(SETTLE_ATTEMPTS):
+            if await self._settle_once(group, message):
+                return
+            await anyio.sleep(wait_s)
+            wait_s *= 2
+
+    async def _settle_once(self, group: int, message: ClaimComplete | ClaimWithdraw) -> bool:
+        """Tell all holders; True when a quorum of the epoch now in force did it."""
+        record = self.registry.epochs.record(group)
+        if record is None:
+            return False
+        current = msgspec.structs.replace(message, epoch=record.epoch)
+        acks: list[bool] = []
+
+        async def settle(holder: Holder) -> None:
+            ack = await self._peers.ask(holder, current, ClaimAck, SETTLE_TIMEOUT_S)
+            if ack is not None:
+                self.registry.epochs.adopt(ack.record)
+                acks.append(ack.is_done)
+
+        async with anyio.create_task_group() as tasks:
+            for holder in record.holders:
+                tasks.start_soon(settle, holder)
+        return acks.count(True) >= record.quorum
+
+    def _claimant(self, request_id: RequestId) -> bytes:
+        return make_claimant(self._digest, next(self._numbers), request_id)
+
+    @staticmethod
+    def _withdrawal(attempt: _Attempt) -> ClaimWithdraw:
+        return ClaimWithdraw(attempt.group, 0, attempt.key, attempt.claimant)
+
+
+def _attempt_of(claim: GrantedClaim) -> _Attempt:
+    key = claim.claim_key
+    return _Attempt(key, group_of(key), claim.claimant, claim.fingerprint)
--- /dev/null
+++ b/src/weirscale/node/claims/peers.py
@@ -0,0 +1,61 @@
+"""Calls to claim holders, on other nodes or on this one."""
+
+from typing import TypeVar
+
+import msgspec
+from result import Err
+
+from weirscale.domain.claims.model import Holder
+from weirscale.domain.claims.planning import LiveNode
+from weirscale.node.interfaces import MembershipView, PeerLink, PeerState
+
+ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
+
+
+class ClaimPeers:
+    """Typed calls over the peer link.
+
+    Args:
+        link: Carries the calls, to this node itself too.
+        membership: Who is live.
+    """
+
+    def __init__(self, link: PeerLink, membership: MembershipView) -> None:
+        self._link = link
+        self._membership = membership
+
+    async def ask(
+        self,
+        holder: Holder,
+        message: msgspec.Struct,
+        reply_type: type[ReplyT],
+        timeout_s: float,
+    ) -> ReplyT | None:
+        """Call a node and return its reply; None when none of the right type came in time."""
+        answer = await self._link.call(holder.address, message, timeout_s)
+        if isinstance(answer, Err) or not isinstance(answer.ok_value, reply_type):
+            return None
+        return answer.ok_value
+
+    async def tell(self, holder: Holder, message: msgspec.Struct) -> None:
+        """Cast a message."""
+        await self._link.cast(holder.address, message)
+
+    def nodes(self) -> tuple[LiveNode, ...]:
+        """The nodes that membership sees."""
+        return tuple(
+            LiveNode(
+                Holder(peer.node, peer.address, peer.zone),
+                may_hold=peer.state is not PeerState.LEAVING,
+            )
+            for peer in self._membership.peers()
+        )
+
+    def others(self) -> tuple[Holder, ...]:
+        """All other nodes."""
+        own = self._membership.self_id
+        return tuple(
+            Holder(peer.node, peer.address, peer.zone)
+            for peer in self._membership.peers()
+            if peer.node != own
+        )
--- /dev/null
+++ b/src/weirscale/node/claims/registry.py
@@ -0,0 +1,223 @@
+"""The claim holders on this node: answers the calls of coordinators and planners.
+
+Every handler runs without waiting, so each call sees and leaves a whole state.
+"""
+
+from collections.abc import Callable
+
+import anyio
+
+from weirscale.domain.claims.holder import ClaimHolder, HolderPhase
+from weirscale.domain.claims.model import ClaimVote, CopiedClaim, GroupEpoch, Vote
+from weirscale.domain.identifiers import NodeId
+from weirscale.messages.claims import (
+    ClaimAck,
+    ClaimAnnounce,
+    ClaimComplete,
+    ClaimCopied,
+    ClaimCopy,
+    ClaimEpochsQuery,
+    ClaimEpochsReply,
+    ClaimOffer,
+    ClaimOfferReply,
+    ClaimPrepare,
+    ClaimSeal,
+    ClaimSealed,
+    ClaimWithdraw,
+    KnownEpoch,
+)
+from weirscale.node.claims.epochs import EpochDirectory
+from weirscale.node.interfaces import PeerLink
+
+COPY_PAGE_CLAIMS = 2000
+"""Claims in one page of a copy: some 150 kB, a few milliseconds to encode."""
+MAX_PREPARED = 2 * 64
+"""Epochs prepared and not yet in force that a node keeps at most; the oldest is dropped."""
+
+
+class _Prepared:
+    """Claims received so far for an epoch to come."""
+
+    def __init__(self, record: GroupEpoch) -> None:
+        self.record = record
+        self.claims: list[CopiedClaim] = []
+        self.holder: ClaimHolder | None = None
+
+
+class HolderRegistry:
+    """Owns this node's holders.
+
+    Args:
+        self_id: This node's run.
+        link: Where calls come from.
+        may_vote: Whether this node's epochs have been confirmed lately.
+        note_activated: Told when an epoch that this node holds came into force.
+    """
+
+    def __init__(
+        self,
+        self_id: NodeId,
+        link: PeerLink,
+        may_vote: Callable[[], bool],
+        note_activated: Callable[[], None],
+    ) -> None:
+        self.epochs = EpochDirectory(self._enter)
+        self._self_id = self_id
+        self._may_vote = may_vote
+        self._note_activated = note_activated
+        self._holders: dict[int, ClaimHolder] = {}
+        self._prepared: dict[tuple[int, bytes], _Prepared] = {}
+        self._sealed_at_s: dict[int, float] = {}
+        self._serve(link)
+
+    def _serve(self, link: PeerLink) -> None:
+        link.on_call(ClaimOffer, self.offer)  # type: ignore[arg-type]
+        link.on_call(ClaimWithdraw, self.withdraw)  # type: ignore[arg-type]
+        link.on_call(ClaimComplete, self.complete)  # type: ignore[arg-type]
+        link.on_call(ClaimSeal, self.seal)  # type: ignore[arg-type]
+        link.on_call(ClaimCopy, self.copy)  # type: ignore[arg-type]
+        link.on_call(ClaimPrepare, self.prepare)  # type: ignore[arg-type]
+        link.on_call(ClaimAnnounce, self.announce)  # type: ignore[arg-type]
+        link.on_call(ClaimEpochsQuery, self.newer_epochs)  # type: ignore[arg-type]
+        link.on_cast(ClaimAnnounce, lambda _, message: self._announced(message))
+
+    def num_holders(self) -> int:
+        """Groups that this node holds."""
+        return len(self._holders)
+
+    def held(self) -> tuple[KnownEpoch, ...]:
+        """The epochs of the groups that this node holds."""
+        return tuple(KnownEpoch(group, held.epoch) for group, held in self._holders.items())
+
+    def num_claims(self) -> int:
+        """Claims that this node keeps in all its groups."""
+        return sum(holder.num_entries for holder in self._holders.values())
+
+    def groups_sealed_before(self, time_s: float) -> tuple[int, ...]:
+        """Groups sealed here before a time whose next epoch has not come."""
+        return tuple(group for group, at_s in self._sealed_at_s.items() if at_s < time_s)
+
+    async def offer(self, message: ClaimOffer) -> ClaimOfferReply:
+        """Vote."""
+        newer = self.epochs.newer_than(message.group, message.epoch)
+        holder = self._holders.get(message.group)
+        if holder is None:
+            return ClaimOfferReply(ClaimVote(Vote.WRONG_EPOCH, 0), newer)
+        if not self._may_vote():
+            return ClaimOfferReply(ClaimVote(Vote.UNCONFIRMED, holder.epoch), newer)
+        vote = holder.vote(
+            message.epoch,
+            message.key,
+            message.claimant,
+            message.fingerprint,
+            anyio.current_time(),
+        )
+        return ClaimOfferReply(vote, newer)
+
+    async def withdraw(self, message: ClaimWithdraw) -> ClaimAck:
+        """Take a vote back."""
+        holder = self._holders.get(message.group)
+        is_done = holder is not None and holder.withdraw(
+            message.epoch, message.key, message.claimant
+        )
+        return ClaimAck(is_done, self.epochs.newer_than(message.group, message.epoch))
+
+    async def complete(self, message: ClaimComplete) -> ClaimAck:
+        """Record that a request has run."""
+        holder = self._holders.get(message.group)
+        is_done = holder is not None and holder.complete(
+            message.epoch,
+            message.key,
+            message.claimant,
+            message.fingerprint,
+            message.answer,
+            anyio.current_time(),
+        )
+        return ClaimAck(is_done, self.epochs.newer_than(message.group, message.epoch))
+
+    async def seal(self, message: ClaimSeal) -> ClaimSealed:
+        """Stop answering in an epoch."""
+        holder = self._holders.get(message.group)
+        if holder is None or not holder.seal(message.epoch):
+            return ClaimSealed(False, 0, 0.0)
+        now_s = anyio.current_time()
+        self._sealed_at_s.setdefault(message.group, now_s)
+        wait_s = max(0.0, holder.unknown_refused_until_s - now_s)
+        return ClaimSealed(True, holder.num_entries, wait_s)
+
+    async def copy(self, message: ClaimCopy) -> ClaimCopied:
+        """Give a page of a sealed holder's claims."""
+        holder = self._holders.get(message.group)
+        if holder is None or holder.epoch != message.epoch:
+            return ClaimCopied(False, ())
+        if holder.phase is not HolderPhase.SEALED:
+            return ClaimCopied(False, ())
+        return ClaimCopied(
+            True, holder.copy_out(anyio.current_time(), message.offset, COPY_PAGE_CLAIMS)
+        )
+
+    async def prepare(self, message: ClaimPrepare) -> ClaimAck:
+        """Keep a page of claims for an epoch to come."""
+        record = message.record
+        if not record.has_member(self._self_id):
+            return ClaimAck(False)
+        newer = self.epochs.newer_than(record.group, record.epoch - 1)
+        if newer is not None:
+            return ClaimAck(False, newer)
+        prepared = self._prepared_for(message)
+        if message.offset > len(prepared.claims):
+            return ClaimAck(False)
+        del prepared.claims[message.offset :]
+        prepared.claims.extend(message.claims)
+        if len(prepared.claims) == message.num_claims:
+            prepared.holder = self._make_holder(message, prepared.claims)
+        return ClaimAck(True)
+
+    async def announce(self, message: ClaimAnnounce) -> ClaimAck:
+        """Learn that an epoch is in force."""
+        self._announced(message)
+        return ClaimAck(True)
+
+    async def newer_epochs(self, message: ClaimEpochsQuery) -> ClaimEpochsReply:
+        """Tell which groups have newer epochs than the asking node knows."""
+        newer = (self.epochs.newer_than(known.group, known.epoch) for known in message.known)
+        return ClaimEpochsReply(tuple(record for record in newer if record is not None))
+
+    def _announced(self, message: object) -> None:
+        if isinstance(message, ClaimAnnounce):
+            self.epochs.adopt(message.record)
+
+    def _prepared_for(self, message: ClaimPrepare) -> _Prepared:
+        name = (message.record.group, message.record.attempt)
+        prepared = self._prepared.get(name)
+        if prepared is None:
+            prepared = _Prepared(message.record)
+            self._prepared[name] = prepared
+            if len(self._prepared) > MAX_PREPARED:
+                del self._prepared[next(iter(self._prepared))]
+        return prepared
+
+    @staticmethod
+    def _make_holder(message: ClaimPrepare, claims: list[CopiedClaim]) -> ClaimHolder:
+        now_s = anyio.current_time()
+        holder = ClaimHolder(
+            message.record.epoch,
+            message.retention_s,
+            unknown_refused_until_s=now_s + message.uncertain_wait_s,
+        )
+        holder.copy_in(claims, now_s)
+        return holder
+
+    def _enter(self, record: GroupEpoch) -> None:
+        """An epoch is in force: take part if this run was prepared for it, else stop for good."""
+        self._holders.pop(record.group, None)
+        self._sealed_at_s.pop(record.group, None)
+        prepared = self._prepared.pop((record.group, record.attempt), None)
+        for name in [name for name in self._prepared if name[0] == record.group]:
+            if self._prepared[name].record.epoch <= record.epoch:
+                del self._prepared[name]
+        if prepared is None or prepared.holder is None:
+            return
+        prepared.holder.activate(record.epoch)
+        self._holders[record.group] = prepared.holder
+        self._note_activated()
