Put the request path under fault tables

Change: behave tables of engine faults at each step (kill, stall, cross, duplicate, cut, reset), of bad input and of service calls, driven through the ASGI application in virtual time; a stalled first chunk of an at-most-once request is resumed instead of awaited to the deadline.

--- a/features/support/path_asgi.py
+++ b/features/support/path_asgi.py
@@ -34,6 +34,7 @@
     parts: list = field(default_factory=list)
     is_ended: bool = False
     num_received_parts: int = 0
+    has_caller_left: bool = False
 
     @property
     def body(self):
@@ -113,6 +114,7 @@
 
     async def leave():
         await anyio.sleep(script.leaves_after_s)
+        answer.has_caller_left = True
         gone.set()
 
     async with anyio.create_task_group() as tasks:
--- a/src/weirscale/domain/request/retry_policy.py
+++ b/src/weirscale/domain/request/retry_policy.py
@@ -31,7 +31,10 @@
 """Wait for a first chunk, as a multiple of the time that the policy expected."""
 
 RETRY_SHARE_OF_TIME_LEFT = 0.5
-"""Share of the time left that an attempt may wait for its first chunk, if another may follow."""
+"""Share of the time left that an attempt may wait for its first chunk."""
+
+MIN_SHARE_S = 1.0
+"""Least of such shares, so that waiting does not end in ever shorter steps."""
 
 
 class FailureClass(enum.Enum):
@@ -86,14 +89,11 @@
     """Decide what follows a failure; the retry budget has the last word on ANOTHER."""
     if progress.time_left_s <= 0 or failure is FailureClass.INVALID:
         return NextStep.GIVE_UP
-    is_only_choice = progress.may_have_run and not progress.repeatable
+    may_run_elsewhere = progress.repeatable or not progress.may_have_run
+    is_only_choice = not may_run_elsewhere or progress.num_attempts >= rules.max_attempts
     if progress.num_idle_resumes < _max_idle_resumes(failure, progress, is_only_choice):
         return NextStep.RESUME
-    if is_only_choice:
-        return NextStep.GIVE_UP
-    if progress.num_attempts >= rules.max_attempts:
-        return NextStep.GIVE_UP
-    return NextStep.ANOTHER
+    return NextStep.GIVE_UP if is_only_choice else NextStep.ANOTHER
 
 
 def _max_idle_resumes(
@@ -116,15 +116,12 @@
     return float(RESUME_BACKOFF_S * 2 ** (num_idle_resumes - 1))
 
 
-def first_chunk_patience_s(
-    estimated_ttft_s: float, time_left_s: float, may_try_another: bool
-) -> float:
-    """How long an attempt may wait for its first chunk."""
-    if not may_try_another:
-        return time_left_s
+def first_chunk_patience_s(estimated_ttft_s: float, time_left_s: float) -> float:
+    """How long to wait for a first chunk before asking again, here or elsewhere."""
     expected_s = FIRST_CHUNK_PATIENCE_FACTOR * estimated_ttft_s
     patience_s = max(MIN_FIRST_CHUNK_PATIENCE_S, expected_s)
-    return min(patience_s, time_left_s * RETRY_SHARE_OF_TIME_LEFT)
+    share_s = max(MIN_SHARE_S, time_left_s * RETRY_SHARE_OF_TIME_LEFT)
+    return min(patience_s, share_s, time_left_s)
 
 
 class RunEvidence:
--- a/src/weirscale/node/execution/generation.py
+++ b/src/weirscale/node/execution/generation.py
@@ -29,7 +29,7 @@
 from weirscale.node.execution.canceller import EngineCanceller
 from weirscale.node.execution.claims import fingerprint, settle_claim, take_claim
 from weirscale.node.execution.hedge import race_first_chunk
-from weirscale.node.interfaces import Claim, ClaimLedger, ClaimState, EngineRouting
+from weirscale.node.interfaces import ChosenEngine, Claim, ClaimLedger, ClaimState, EngineRouting
 
 ChunkOrRefusal = Result[TokenChunk, Refusal]
 
@@ -216,13 +216,14 @@
         call = generate_call(request, number, chosen, check, time_left_s)
         self._num_attempts += 1
         self._executor.counts.num_attempts += 1
-        may_try_another = request.repeatable and self._num_attempts < self._rules.max_attempts
-        patience_s = first_chunk_patience_s(
-            chosen.choice.estimated_ttft_s, time_left_s, may_try_another
-        )
-        self._attempt_give_up_at_s = now_s + patience_s
+        self._set_patience(chosen, now_s)
         return Ok(Attempt(call, request, chosen, check, now_s))
 
+    def _set_patience(self, chosen: ChosenEngine, now_s: float) -> None:
+        time_left_s = self._request.deadline_s - now_s
+        patience_s = first_chunk_patience_s(chosen.choice.estimated_ttft_s, time_left_s)
+        self._attempt_give_up_at_s = now_s + patience_s
+
     # --- passing chunks ---
 
     async def _next_of(self, attempt: Attempt) -> Result[TokenChunk, AttemptFailure]:
@@ -244,8 +245,7 @@
         return race.result
 
     async def _make_hedge(self, first: Attempt) -> Attempt | None:
-        if not self._executor.budget.try_take(self._rules, anyio.current_time()):
-            self._executor.counts.num_budget_refusals += 1
+        if not self._may_try_another():
             return None
         excluded = self._excluded | {first.chosen.choice.engine}
         check = StreamCheck(self._request.request_id)
@@ -283,29 +283,39 @@
             self._evidence.note_may_have_run()
         time_left_s = self._request.deadline_s - anyio.current_time()
         step = next_step(failure_class, self._progress(attempt, time_left_s), self._rules)
+        if step is NextStep.ANOTHER and not self._may_try_another():
+            # The budget is spent. A slow engine may still answer; a failed one will not.
+            is_slow = failure_class is FailureClass.STALLED
+            step = NextStep.RESUME if is_slow else NextStep.GIVE_UP
         self._log_failure(attempt, failed, step)
         if step is NextStep.RESUME:
-            self._executor.counts.num_resumes += 1
-            await anyio.sleep(resume_backoff_s(attempt.num_idle_resumes))
-            await attempt.resume()
+            await self._resume(attempt)
             return None
         await self._leave_attempt()
-        detail = failed.failure.detail
-        refusal = final_refusal(failure_class, detail, self._evidence, time_left_s)
         if step is NextStep.GIVE_UP:
-            return refusal
-        return await self._try_another(attempt, refusal)
+            detail = failed.failure.detail
+            return final_refusal(failure_class, detail, self._evidence, time_left_s)
+        self._excluded |= {attempt.chosen.choice.engine}
+        self._count_another()
+        return await self._start_attempt()
 
-    async def _try_another(self, failed: Attempt, refusal: Refusal) -> Refusal | None:
-        if not self._executor.budget.try_take(self._rules, anyio.current_time()):
-            self._executor.counts.num_budget_refusals += 1
-            return refusal
-        self._excluded |= {failed.chosen.choice.engine}
+    def _may_try_another(self) -> bool:
+        if self._executor.budget.try_take(self._rules, anyio.current_time()):
+            return True
+        self._executor.counts.num_budget_refusals += 1
+        return False
+
+    async def _resume(self, attempt: Attempt) -> None:
+        self._executor.counts.num_resumes += 1
+        await anyio.sleep(resume_backoff_s(attempt.num_idle_resumes))
+        await attempt.resume()
+        self._set_patience(attempt.chosen, anyio.current_time())
+
+    def _count_another(self) -> None:
         if self._check.next_sequence > 0:
             self._executor.counts.num_continued += 1
         else:
             self._executor.counts.num_retries += 1
-        return await self._start_attempt()
 
     def _progress(self, attempt: Attempt, time_left_s: float) -> RequestProgress:
         return RequestProgress(
