--- a/src/weirscale/domain/configuration/yaml_tree.py
+++ b/src/weirscale/domain/configuration/yaml_tree.py
@@ -148,5 +148,8 @@
         if not isinstance(key, YamlScalar):
             raise _TreeError(key.line, "a key must be plain text", "write `key: value`")
         value = _read_node(next(events), events, depth + 1)
+        if isinstance(value, YamlScalar) and not value.text:
+            # A value that is left out has the place of what follows it; the key's is meant.
+            value = YamlScalar(key.line, value.text, value.is_quoted)
         entries.append(YamlEntry(key.line, key.text, value))
     return YamlMapping(line, entries)
