Add experiment files, reports, and the gates of virtual nodes

Cause: runs need a checked description, a report to compare, and nodes that can be killed and paused. Change: experiment files with line-aware errors; report.json, page with plots, comparison by ratios; process life, links and gated ports for nodes in virtual time; callers that record what they see. Conclusion: what is missing for a run is the node itself and the injection of faults.

--- /dev/null
+++ b/features/experiment_files.feature
@@ -0,0 +1,62 @@
+Feature: Experiment files are checked and reports are worked out from histories
+
+  Scenario: A whole experiment file is read
+    Given an experiment file with faults "hot_shift at 10 for 5, engine_crash at 20 for 1"
+    When the experiment file is checked
+    Then the experiment file is accepted
+    And the experiment's workload shifts its hot set at 10 s with twice the rate for 5 s
+
+  Scenario Outline: Each error names line, field and remedy
+    Given an experiment file in which "<before>" is replaced by "<after>"
+    When the experiment file is checked
+    Then the experiment file has one error at line <line> for "<field>" with remedy "<remedy>"
+
+    Examples:
+      | before           | after              | line | field                    | remedy                                       |
+      | format: 1        | format: 2          | 1    | format                   | write `format: 1`                            |
+      | preset: yearbook | preset: almanac    | 5    | workload.preset          | use one of: yearbook, racing                 |
+      | seed: 1          | sead: 1            | 7    | sead                     | use one of: format, name,                    |
+      | duration_s: 60   | duration_s: 0      | 6    | duration_s               | write a finite number, more than 0           |
+      | duration_s: 60   | duration_s: soon   | 6    | duration_s               | write a number                               |
+      | kind: store_down | kind: store_asleep | 9    | faults[0].kind           | write one of: engine_crash,                  |
+      | at_s: 5          | at_s: 60           | 10   | faults[0].at_s           | write 0 or more and less than 60.0           |
+      | lasts_s: 3       | lasts_s: -1        | 11   | faults[0].lasts_s        | write a finite number, more than 0           |
+
+  Scenario: Report figures are those of the history
+    Given the recorded history "a plain answered run"
+    When its report figures are worked out
+    Then the report's time to first token is 0.2 s and its hit rate is 0.0
+    And the report's recomputed tokens ratio is 1.0
+    And the report has the agreed keys and reads back equal
+
+  Scenario: Time to first token counts from the intended send time
+    Given the recorded history "a plain answered run" whose caption was meant to be sent 3 s earlier
+    When its report figures are worked out
+    Then the report's time to first token is 3.2 s and its hit rate is 0.0
+
+  Scenario Outline: Cached tokens count as hits and save recomputation
+    Given the recorded history "<history>"
+    When its report figures are worked out
+    Then the report's time to first token is 0.2 s and its hit rate is <hit rate>
+    And the report's recomputed tokens ratio is <ratio>
+
+    Examples:
+      | history                              | hit rate | ratio |
+      | cached prefix of the same engine run | 0.487    | 1.0   |
+      | same prompt computed twice           | 0.0      | 1.949 |
+
+  Scenario: Reports are compared as ratios to the first
+    Given the reports of the recorded histories "a plain answered run, order repeated with its key and run twice, no ending"
+    When the reports are compared
+    Then the compared ratios are
+      | path                   | ratios         |
+      | requests.sent          | 1.0 1.5 1.0    |
+      | requests.answered_once | 1.0 1.5 0.5    |
+      | requests.doubled       | 1.0 none 1.0   |
+      | violations             | 1.0 none none  |
+      | control.core_share     | none none none |
+
+  Scenario: The page of a run shows its violations
+    Given the recorded history "refused as not run after a run"
+    When its report page is written
+    Then the report page names "not_run_is_true" and "caption" and holds 3 plots
--- /dev/null
+++ b/features/steps/experiment_files_steps.py
@@ -0,0 +1,155 @@
+import tempfile
+from pathlib import Path
+
+import msgspec
+from behave import given, then, when
+from features.support.history_cases import BLOCK_SIZE_BYTES, CAPTION, CASES, change, history_case
+from result import Err, Ok
+
+from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
+from weirscale.experiments.history.history import History
+from weirscale.experiments.history.verdict import judge
+from weirscale.experiments.report.compare import compare_figures
+from weirscale.experiments.report.figures import ControlCost, RunIdentity, work_out
+from weirscale.experiments.report.files import PAGE_FILE, REPORT_FILE, read_report, write_report
+from weirscale.experiments.run.experiment import check_experiment, workload_shape
+from weirscale.standins.engine.answer import expected_text
+
+FILE = """format: 1
+name: store-down
+deployment: ../deployments/tsehay.yaml
+workload:
+  preset: yearbook
+duration_s: 60
+seed: 1
+faults:
+  - kind: store_down
+    at_s: 5
+    lasts_s: 3
+"""
+IDENTITY = RunIdentity("run", "tsehay", "default", 1, 60.0)
+FAULT = PlannedFault(kind=FaultKind.STORE_DOWN, at_s=1.0)
+TOLERANCE = 0.01
+
+
+def figures_of(history):
+    return work_out(history, judge(history), IDENTITY, ControlCost())
+
+
+@given('an experiment file with faults "{faults}"')
+def step_file_with_faults(context, faults):
+    head = FILE.split("faults:")[0]
+    words = [fault.split() for fault in faults.split(", ")]
+    lines = [
+        f"  - {{kind: {kind}, at_s: {at}, lasts_s: {lasts}}}\n" for kind, _, at, _, lasts in words
+    ]
+    context.experiment_text = head + "faults:\n" + "".join(lines)
+
+
+@given('an experiment file in which "{before}" is replaced by "{after}"')
+def step_file_with_error(context, before, after):
+    assert before in FILE
+    context.experiment_text = FILE.replace(before, after)
+
+
+@when("the experiment file is checked")
+def step_check(context):
+    context.checked = check_experiment(context.experiment_text)
+
+
+@then("the experiment file is accepted")
+def step_accepted(context):
+    assert isinstance(context.checked, Ok), context.checked
+
+
+@then(
+    "the experiment's workload shifts its hot set at {at:g} s with twice the rate for {lasts:g} s"
+)
+def step_shift(context, at, lasts):
+    shape = workload_shape(context.checked.ok_value)
+    assert shape.hot_shifts_at_s == (at,)
+    bursts = [(burst.at_s, burst.lasts_s, burst.factor) for burst in shape.bursts]
+    assert bursts == [(at, lasts, 2.0)]
+
+
+@then('the experiment file has one error at line {line:d} for "{field}" with remedy "{remedy}"')
+def step_error(context, line, field, remedy):
+    assert isinstance(context.checked, Err)
+    (error,) = context.checked.err_value
+    assert (error.line, error.path) == (line, field), error
+    assert error.remedy.startswith(remedy), error.remedy
+
+
+@given('the recorded history "{name}" whose caption was meant to be sent {early:g} s earlier')
+def step_early(context, name, early):
+    early_caption = change(CAPTION, intended_at_s=CAPTION.intended_at_s - early)
+    records = [early_caption if record is CAPTION else record for record in CASES[name]]
+    context.history = History(
+        records, lambda sent: expected_text(sent.prompt, sent.max_tokens), BLOCK_SIZE_BYTES
+    )
+
+
+@when("its report figures are worked out")
+def step_figures(context):
+    context.figures = figures_of(context.history)
+
+
+@then("the report's time to first token is {ttft:g} s and its hit rate is {hit_rate:g}")
+def step_measures(context, ttft, hit_rate):
+    assert abs(context.figures.ttft_seconds.p99 - ttft) < TOLERANCE, context.figures
+    assert abs(context.figures.prefix_hit_rate - hit_rate) < TOLERANCE, context.figures
+
+
+@then("the report's recomputed tokens ratio is {ratio:g}")
+def step_ratio(context, ratio):
+    assert abs(context.figures.recomputed_tokens_ratio - ratio) < TOLERANCE, context.figures
+
+
+@then("the report has the agreed keys and reads back equal")
+def step_keys(context):
+    with tempfile.TemporaryDirectory() as folder:
+        directory = Path(folder)
+        write_report(directory, context.figures, context.history, ())
+        report = msgspec.json.decode((directory / REPORT_FILE).read_bytes())
+        assert read_report(directory) == Ok(context.figures)
+    requests = "sent answered_once refused_not_run failed lost doubled crossed truncated"
+    assert {*requests.split(), "false_not_run"} <= set(report["requests"])
+    assert {"p50", "p95", "p99"} <= set(report["ttft_seconds"])
+    assert "p95" in report["inter_token_seconds"]
+    assert "p99" in report["configuration_in_force_seconds"]
+    assert {"core_share", "resident_bytes", "bytes_per_second"} == set(report["control"])
+    keys = {"prefix_hit_rate", "recomputed_tokens_ratio", "violations", "seed"}
+    assert keys <= set(report)
+
+
+@given('the reports of the recorded histories "{names}"')
+def step_reports(context, names):
+    context.reports = [figures_of(history_case(name)) for name in names.split(", ")]
+
+
+@when("the reports are compared")
+def step_compare(context):
+    context.rows = {row.path: row for row in compare_figures(context.reports)}
+
+
+@then("the compared ratios are")
+def step_ratios(context):
+    for row in context.table:
+        ratios = context.rows[row["path"]].ratios
+        shown = " ".join("none" if ratio is None else str(ratio) for ratio in ratios)
+        assert shown == row["ratios"], (row["path"], shown)
+
+
+@when("its report page is written")
+def step_page(context):
+    with tempfile.TemporaryDirectory() as folder:
+        figures = figures_of(context.history)
+        write_report(Path(folder), figures, context.history, (FAULT,))
+        context.page = (Path(folder) / PAGE_FILE).read_text()
+
+
+@then('the report page names "{rule}" and "{request}" and holds {count:d} plots')
+def step_page_content(context, rule, request, count):
+    assert rule in context.page
+    assert request in context.page
+    assert context.page.count("data:image/png") == count
--- /dev/null
+++ b/src/weirscale/experiments/faults/schedule.py
@@ -0,0 +1,33 @@
+"""Random fault schedules, determined by a seed."""
+
+from random import Random
+
+from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
+
+FIRST_FAULT_S = 4.0
+"""No fault comes before the fleet has settled."""
+MIN_LASTS_S = 2.0
+MAX_LASTS_S = 15.0
+SETTLE_S = 12.0
+"""Time at the end of a run without new faults, so that repair can be seen."""
+
+
+def random_schedule(duration_s: float, num_faults: int, random: Random) -> tuple[PlannedFault, ...]:
+    """Draw faults of any kinds at any moments, together or twice.
+
+    Args:
+        duration_s: Length of the run; at least FIRST_FAULT_S + SETTLE_S.
+        num_faults: Faults to draw.
+        random: Source of all chance.
+    """
+    kinds = list(FaultKind)
+    latest_s = max(FIRST_FAULT_S, duration_s - SETTLE_S)
+    faults = [
+        PlannedFault(
+            kind=random.choice(kinds),
+            at_s=round(random.uniform(FIRST_FAULT_S, latest_s), 3),
+            lasts_s=round(random.uniform(MIN_LASTS_S, MAX_LASTS_S), 3),
+        )
+        for _ in range(num_faults)
+    ]
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
--- a/src/weirscale/experiments/history/configuration_rules.py
+++ b/src/weirscale/experiments/history/configuration_rules.py
@@ -2,7 +2,7 @@
 
 from weirscale.domain.identifiers import ConfigurationRevision, NodeName
 from weirscale.experiments.history.history import History, Violation
-from weirscale.experiments.history.intervals import UNABLE_CHANGES, interval_start, node_intervals
+from weirscale.experiments.history.intervals import able_intervals, interval_start
 from weirscale.experiments.history.records import (
     ConfigurationAccepted,
     ConfigurationTaken,
@@ -43,7 +43,7 @@
     violations: list[Violation] = []
     taken = history.of_type(ConfigurationTaken)
     end_s = history.records[-1].at_s if history.records else 0.0
-    able = node_intervals(history, UNABLE_CHANGES)
+    able = able_intervals(history)
     for accepted in history.of_type(ConfigurationAccepted):
         for node, intervals in able.items():
             for start_s, stop_s in intervals:
@@ -76,7 +76,7 @@
 def configuration_delays_s(history: History) -> list[float]:
     """Return the delay of each accepted revision at each node that was able to follow it."""
     delays: list[float] = []
-    able = node_intervals(history, UNABLE_CHANGES)
+    able = able_intervals(history)
     taken = history.of_type(ConfigurationTaken)
     for accepted in history.of_type(ConfigurationAccepted):
         for node, intervals in able.items():
--- a/src/weirscale/experiments/history/history.py
+++ b/src/weirscale/experiments/history/history.py
@@ -50,12 +50,14 @@
 
     Attributes:
         serves_after_restart_s: From a node's start to its serving.
+        restart_window_s: From a node's start; later refusals are no matter of the restart.
         leaving_s: From a back end's leaving to its last new work; includes the list's lag.
         configuration_s: From a configuration's acceptance to its being in force everywhere.
         answer_grace_s: From a caller's deadline to the last moment for any ending.
     """
 
     serves_after_restart_s: float = 1.0
+    restart_window_s: float = 15.0
     leaving_s: float = 4.0
     configuration_s: float = 10.0
     answer_grace_s: float = 5.0
--- /dev/null
+++ b/src/weirscale/experiments/run/fleet.py
@@ -0,0 +1,208 @@
+"""A fleet of virtual nodes: starting, killing, pausing and stopping them, all on record."""
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from weirscale.domain.identifiers import (
+    ConfigurationRevision,
+    Incarnation,
+    NodeAddress,
+    NodeName,
+    ZoneName,
+)
+from weirscale.experiments.history.records import ConfigurationTaken, NodeChange, NodeChanged
+from weirscale.experiments.memory_network import MemoryEndpoint, MemoryNetwork
+from weirscale.experiments.run.node_process import FleetNode, NodeFactory, NodeProcess, NodeSetup
+from weirscale.experiments.run.recorder import Recorder
+
+PEER_PORT = 7400
+FIRST_HOST_NUMBER = 1
+
+
+class MemberPlace(msgspec.Struct, frozen=True):
+    """Where a node of the fleet stands."""
+
+    name: NodeName
+    zone: ZoneName
+    address: NodeAddress
+
+
+class _Member:
+    """One node over all its runs."""
+
+    def __init__(self, place: MemberPlace) -> None:
+        self.place = place
+        self.num_starts = 0
+        self.process: NodeProcess | None = None
+        self.endpoint: MemoryEndpoint | None = None
+        self.is_draining = False
+
+
+class Fleet:
+    """Owns the nodes of a run.
+
+    Attributes:
+        places: All nodes, sorted by name.
+        failures: Exceptions raised in nodes: faults of the product.
+    """
+
+    def __init__(
+        self,
+        tasks: TaskGroup,
+        zones: tuple[ZoneName, ...],
+        nodes_per_zone: int,
+        network: MemoryNetwork,
+        recorder: Recorder,
+    ) -> None:
+        self.failures: list[Exception] = []
+        self._tasks = tasks
+        self._network = network
+        self._recorder = recorder
+        self._make_node: NodeFactory | None = None
+        self.places = _places(zones, nodes_per_zone)
+        self._members = {place.name: _Member(place) for place in self.places}
+
+    def use_factory(self, make_node: NodeFactory) -> None:
+        """Set what nodes are made by; called once before any is started."""
+        self._make_node = make_node
+
+    def start(self, name: NodeName) -> None:
+        """Start a node that is not running."""
+        member = self._members[name]
+        make_node = self._make_node
+        assert make_node is not None
+        member.num_starts += 1
+        member.is_draining = False
+        place = member.place
+        endpoint = self._network.attach(place.address, place.zone)
+        process = NodeProcess(self.failures)
+        member.endpoint = endpoint
+        member.process = process
+        incarnation = Incarnation(member.num_starts)
+
+        def make(tasks: TaskGroup) -> FleetNode:
+            setup = NodeSetup(
+                name=place.name,
+                zone=place.zone,
+                address=place.address,
+                incarnation=incarnation,
+                life=process.life,
+                tasks=tasks,
+            )
+            node = make_node(setup)
+            tasks.start_soon(self._watch_configuration, name, node)
+            return node
+
+        self._tasks.start_soon(process.run, make)
+        self._record(name, NodeChange.STARTED)
+
+    def endpoint(self, name: NodeName) -> MemoryEndpoint:
+        """Return the network access of a node's present run."""
+        endpoint = self._members[name].endpoint
+        assert endpoint is not None
+        return endpoint
+
+    def is_running(self, name: NodeName) -> bool:
+        """Whether a node runs, paused or not."""
+        process = self._members[name].process
+        return process is not None and process.accepts
+
+    def crash(self, name: NodeName) -> None:
+        """Kill a node; does nothing if it does not run."""
+        if not self.is_running(name):
+            return
+        self._record(name, NodeChange.CRASHED)
+        self._end(name)
+
+    async def restart(self, name: NodeName, down_s: float) -> None:
+        """Kill a node and start it again after a time."""
+        if not self.is_running(name):
+            return
+        self.crash(name)
+        await anyio.sleep(down_s)
+        if not self.is_running(name):
+            self.start(name)
+
+    async def pause(self, name: NodeName, lasts_s: float) -> None:
+        """Stop a node as SIGSTOP would and let it go on after a time."""
+        member = self._members[name]
+        process, endpoint = member.process, member.endpoint
+        if process is None or endpoint is None or not process.accepts or process.life.is_paused:
+            return
+        self._record(name, NodeChange.PAUSED)
+        process.life.pause()
+        endpoint.freeze()
+        await anyio.sleep(lasts_s)
+        endpoint.thaw()
+        if member.process is process and process.accepts:
+            process.life.resume()
+            self._record(name, NodeChange.RESUMED)
+
+    async def stop_planned(self, name: NodeName, patience_s: float) -> bool:
+        """Drain a node and end it; False if draining took longer than the patience."""
+        member = self._members[name]
+        process = member.process
+        if process is None or process.node is None or not process.accepts or member.is_draining:
+            return True
+        member.is_draining = True
+        self._record(name, NodeChange.DRAIN_BEGAN)
+        is_drained = False
+        with anyio.move_on_after(patience_s):
+            await process.node.drain()
+            is_drained = True
+        if member.process is process and process.accepts:
+            self._record(name, NodeChange.STOPPED)
+            self._end(name)
+        return is_drained
+
+    def note(self, name: NodeName, change: NodeChange) -> None:
+        """Record a change that the harness made elsewhere."""
+        self._record(name, change)
+
+    def reachable(self, zone: ZoneName, index: int) -> tuple[NodeName, NodeProcess] | None:
+        """Return the node that a caller near a zone gets a connection to.
+
+        Callers know all nodes' addresses: they try those of their zone first, beginning at an
+        index, then the others. Draining nodes have left the callers' lists but still accept.
+        """
+        near = [place for place in self.places if place.zone == zone]
+        far = [place for place in self.places if place.zone != zone]
+        start = index % len(near)
+        ordered = near[start:] + near[:start] + far
+        ordered.sort(key=lambda place: self._members[place.name].is_draining)
+        for place in ordered:
+            process = self._members[place.name].process
+            if process is not None and process.accepts:
+                return place.name, process
+        return None
+
+    def _end(self, name: NodeName) -> None:
+        member = self._members[name]
+        if member.process is not None:
+            member.process.kill()
+        self._network.detach(member.place.address)
+        if member.endpoint is not None:
+            member.endpoint.thaw()
+
+    def _record(self, name: NodeName, change: NodeChange) -> None:
+        self._recorder.add(NodeChanged(at_s=self._recorder.now(), node=name, change=change))
+
+    async def _watch_configuration(self, name: NodeName, node: FleetNode) -> None:
+        """Record each revision that a node puts in force."""
+        revision = ConfigurationRevision(0)
+        while True:
+            in_force = await node.configuration.changed_after(revision)
+            revision = in_force.revision
+            taken = ConfigurationTaken(at_s=self._recorder.now(), node=name, revision=revision)
+            self._recorder.add(taken)
+
+
+def _places(zones: tuple[ZoneName, ...], nodes_per_zone: int) -> tuple[MemberPlace, ...]:
+    places: list[MemberPlace] = []
+    for zone in zones:
+        for number in range(1, nodes_per_zone + 1):
+            host = f"10.0.0.{FIRST_HOST_NUMBER + len(places)}"
+            name = NodeName(f"{zone}-node-{number}")
+            places.append(MemberPlace(name, zone, NodeAddress(host, PEER_PORT)))
+    return tuple(places)
--- a/src/weirscale/experiments/workload/plan.py
+++ b/src/weirscale/experiments/workload/plan.py
@@ -137,8 +137,7 @@
 
     def _sections(self, time_s: float, tenant: TenantName) -> tuple[tuple[str, int], ...]:
         """Draw a path down the nested levels; what is hot depends on the epoch."""
-        every_s = self._shape.hot_shift_every_s
-        epoch = int(time_s // every_s) if every_s else 0
+        epoch = self._epoch(time_s)
         path = str(tenant)
         sections: list[tuple[str, int]] = []
         for depth, level in enumerate(self._shape.levels):
@@ -150,6 +149,12 @@
             sections.append((path, level.num_bytes * factor))
         return tuple(sections)
 
+    def _epoch(self, time_s: float) -> int:
+        every_s = self._shape.hot_shift_every_s
+        num_regular = int(time_s // every_s) if every_s else 0
+        num_further = sum(at_s <= time_s for at_s in self._shape.hot_shifts_at_s)
+        return num_regular + num_further
+
     def _popularity_order(self, epoch: int, path: str, depth: int) -> list[int]:
         """Return the children of a section, most popular first, in one epoch."""
         key = (epoch, path, depth)
--- a/src/weirscale/experiments/workload/shape.py
+++ b/src/weirscale/experiments/workload/shape.py
@@ -1,11 +1,10 @@
 """The shape of a workload: rates, skews, nesting and caller behaviour, with both presets."""
 
-import msgspec
-
+from weirscale.domain.configuration.model import Declared
 from weirscale.domain.identifiers import ModelName, ServiceName
 
 
-class Level(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Level(Declared, frozen=True):
     """One level of nested shared prefixes.
 
     Attributes:
@@ -19,7 +18,7 @@
     num_bytes: int
 
 
-class Burst(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Burst(Declared, frozen=True):
     """A time of higher arrival rate.
 
     Attributes:
@@ -33,7 +32,7 @@
     factor: float
 
 
-class ServiceMix(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ServiceMix(Declared, frozen=True):
     """Requests to the deployment's service.
 
     Attributes:
@@ -55,7 +54,7 @@
     patience_s: float = 1.5
 
 
-class WorkloadShape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class WorkloadShape(Declared, frozen=True):
     """Everything that, with a seed, determines a plan.
 
     Attributes:
@@ -70,6 +69,7 @@
         tenant_skew: Zipf exponent over tenants.
         prefix_skew: Zipf exponent over sections of one level.
         hot_shift_every_s: The hot set moves after each such time; None: never.
+        hot_shifts_at_s: Further times at which it moves.
         large_share: Share of tenants whose outermost section is `large_factor` times larger.
         large_factor: See `large_share`.
         question_bytes: Bytes of the caller's own text.
@@ -93,6 +93,7 @@
     tenant_skew: float = 1.1
     prefix_skew: float = 1.1
     hot_shift_every_s: float | None = 60.0
+    hot_shifts_at_s: tuple[float, ...] = ()
     large_share: float = 0.15
     large_factor: int = 3
     question_bytes: int = 240
