--- /dev/null
+++ b/src/weirscale/ports/engine_stream.py
@@ -0,0 +1,119 @@
+"""Parser of an engine's server-sent events into chunks; does little work for each token."""
+
+import msgspec
+from result import Err, Ok
+
+from weirscale.domain.identifiers import RequestId
+from weirscale.domain.request.model import TokenChunk
+from weirscale.ports import engine_wire as wire
+from weirscale.ports.engine import ChunkOrFailure, EngineFailure, EngineFailureKind
+
+MAX_EVENT_BYTES = 1024 * 1024
+"""An event that is longer is no chunk of an answer."""
+
+NO_RUN_STATUS = 200
+"""Status of a stream that carries an error event."""
+
+_DECODER = msgspec.json.Decoder(wire.StreamEvent)
+
+
+class SseParser:
+    """State of one stream.
+
+    An engine may send token counts in an event of their own after the last chunk (vLLM does): the
+    last chunk is held back until they or the end marker come.
+
+    Attributes:
+        is_finished: Whether nothing more is to be read: the answer is whole or has failed.
+    """
+
+    def __init__(self, request_id: RequestId, first_sequence: int) -> None:
+        self.is_finished = False
+        self._request_id = request_id
+        self._next_sequence = first_sequence
+        self._rest = b""
+        self._last_chunk: TokenChunk | None = None
+
+    def feed(self, data: bytes) -> list[ChunkOrFailure]:
+        """Return what a piece of the body completes."""
+        if b"\r" in data:
+            data = data.replace(b"\r", b"")
+        *events, self._rest = (self._rest + data).split(wire.EVENT_END)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            return [self._corrupt(f"an event is longer than {MAX_EVENT_BYTES} bytes")]
+        items: list[ChunkOrFailure] = []
+        for event in events:
+            if self.is_finished:
+                break
+            item = self._read_event(event)
+            if item is not None:
+                items.append(item)
+        return items
+
+    def end(self) -> ChunkOrFailure:
+        """Return what the end of the body stands for when the answer is not finished."""
+        self.is_finished = True
+        if self._last_chunk is not None:
+            return Ok(self._last_chunk)
+        detail = "the stream ended before the answer; resume it"
+        return Err(EngineFailure(EngineFailureKind.BROKEN, detail))
+
+    def _read_event(self, event: bytes) -> ChunkOrFailure | None:
+        if not event.startswith(wire.DATA_PREFIX):
+            return None if event.startswith(b":") or not event else self._corrupt(repr(event[:80]))
+        payload = event[len(wire.DATA_PREFIX) :]
+        if payload == wire.END_OF_STREAM:
+            return self.end()
+        try:
+            decoded = _DECODER.decode(payload)
+        except (msgspec.DecodeError, ValueError) as error:
+            return self._corrupt(str(error))
+        if decoded.error is not None:
+            self.is_finished = True
+            return Err(wire.failure_of_answer(NO_RUN_STATUS, decoded.error))
+        return self._chunk_of(decoded)
+
+    def _chunk_of(self, event: wire.StreamEvent) -> ChunkOrFailure | None:
+        if not event.choices:
+            return self._finish_with(event.usage) if event.usage is not None else None
+        choice = event.choices[0]
+        text = choice.text if choice.delta is None else choice.delta.content
+        if not text and choice.finish_reason is None:
+            return None
+        sequence = self._next_sequence if event.sequence is None else event.sequence
+        self._next_sequence = sequence + 1
+        chunk = TokenChunk(
+            request_id=self._request_of(event.id),
+            sequence=sequence,
+            text=text or "",
+            num_tokens=event.num_tokens if text else 0,
+            finish_reason=choice.finish_reason,
+        )
+        if choice.finish_reason is None:
+            return Ok(chunk)
+        self._last_chunk = chunk
+        return self._finish_with(event.usage) if event.usage is not None else None
+
+    def _finish_with(self, usage: wire.Usage | None) -> ChunkOrFailure | None:
+        if self._last_chunk is None or usage is None:
+            return None
+        self.is_finished = True
+        details = usage.prompt_tokens_details
+        whole = msgspec.structs.replace(
+            self._last_chunk,
+            num_prompt_tokens=usage.prompt_tokens,
+            num_cached_tokens=details.cached_tokens if details else 0,
+        )
+        return Ok(whole)
+
+    def _request_of(self, wire_id: str) -> RequestId:
+        if wire_id == self._request_id:
+            return self._request_id
+        for prefix in wire.ID_PREFIXES:
+            if wire_id == prefix + self._request_id:
+                return self._request_id
+        return RequestId(wire_id)
+
+    def _corrupt(self, detail: str) -> ChunkOrFailure:
+        self.is_finished = True
+        return Err(EngineFailure(EngineFailureKind.CORRUPT, f"the stream does not parse: {detail}"))
--- a/src/weirscale/standins/engine/in_process.py
+++ b/src/weirscale/standins/engine/in_process.py
@@ -72,6 +72,7 @@
         self._wake = anyio.Event()
         self._loading: LoadModel | None = None
         self._down_until_s = 0.0
+        self._crash_listeners: list[anyio.Event] = []
 
     async def run(self) -> None:
         """Run the engine until cancelled."""
@@ -125,6 +126,9 @@
         self._down_until_s = now_s + self.settings.restart_s
         self.model.crash(incarnation or Incarnation(self.model.incarnation + 1), now_s)
         self._wake.set()
+        listeners, self._crash_listeners = self._crash_listeners, []
+        for listener in listeners:
+            listener.set()
 
     def leave(self) -> None:
         """Refuse new work and say so in the load report; what runs goes on."""
@@ -137,6 +141,13 @@
             return False
         return anyio.current_time() >= self._down_until_s
 
+    def reachability_change(self) -> anyio.Event:
+        """Return an event that is set when faults change or the engine crashes."""
+        changed = anyio.Event()
+        self.faults.on_change(changed.set)
+        self._crash_listeners.append(changed)
+        return changed
+
     def _unreachable(self) -> EngineFailure | None:
         if self.is_reachable:
             return None
@@ -186,6 +197,10 @@
         async with aclosing(chunks):
             yield chunks
 
+    def time_left_s(self, attempt: Attempt) -> float:
+        """Return the seconds until an attempt's caller gives up."""
+        return max(0.0, attempt.deadline_s - anyio.current_time())
+
     @asynccontextmanager
     async def resume(
         self, request_id: RequestId, attempt: int, from_sequence: int
@@ -195,8 +210,9 @@
         if isinstance(found, Err):
             chunks = _only(found)
         else:
-            time_left_s = max(0.0, found.ok_value.deadline_s - anyio.current_time())
-            chunks = self.stream(found.ok_value, from_sequence, time_left_s)
+            attempt_found = found.ok_value
+            time_left_s = self.time_left_s(attempt_found)
+            chunks = self.stream(attempt_found, from_sequence, time_left_s)
         async with aclosing(chunks):
             yield chunks
 
--- /dev/null
+++ b/src/weirscale/standins/engine/stream_encoder.py
@@ -0,0 +1,80 @@
+"""Chunks of an answer as OpenAI-shaped server-sent events or as one whole answer."""
+
+import msgspec
+
+from weirscale.domain.request.model import TokenChunk
+from weirscale.ports import engine_wire as wire
+from weirscale.ports.engine import EngineFailure, EngineFailureKind, GenerateCall
+from weirscale.standins.engine.attempt import FINISH_REASON, Attempt
+
+CHAT_PATH = "/v1/chat/completions"
+GARBLED_EVENT = b'data: {"choices": [{"del' + wire.EVENT_END
+
+
+class StreamEncoder:
+    """Encodes the events of one stream."""
+
+    def __init__(self, call: GenerateCall) -> None:
+        self._is_chat = call.path == CHAT_PATH
+        self._object = "chat.completion.chunk" if self._is_chat else "text_completion"
+        self._model = call.model
+
+    def encode(self, chunk: TokenChunk) -> bytes:
+        """Return one chunk as an event."""
+        choice = wire.StreamChoice(finish_reason=chunk.finish_reason)
+        if self._is_chat:
+            choice.delta = wire.Delta(chunk.text)
+        else:
+            choice.text = chunk.text
+        event = wire.StreamEvent(
+            id=chunk.request_id,
+            object=self._object,
+            model=self._model,
+            choices=[choice],
+            sequence=chunk.sequence,
+            num_tokens=chunk.num_tokens,
+        )
+        if chunk.finish_reason is not None:
+            event.usage = _usage(chunk.num_prompt_tokens, chunk.num_cached_tokens, 0)
+        return wire.DATA_PREFIX + msgspec.json.encode(event) + wire.EVENT_END
+
+    def encode_failure(self, failure: EngineFailure) -> bytes:
+        """Return a failure as an error event; a corrupt one does not parse."""
+        if failure.kind is EngineFailureKind.CORRUPT:
+            return GARBLED_EVENT
+        error = wire.WireError(
+            message=failure.detail, code=failure.kind.value, retry_after_s=failure.retry_after_s
+        )
+        body = msgspec.json.encode(wire.ErrorBody(error))
+        return wire.DATA_PREFIX + body + wire.EVENT_END
+
+    def end(self) -> bytes:
+        """Return the end marker."""
+        return wire.DATA_PREFIX + wire.END_OF_STREAM + wire.EVENT_END
+
+
+def whole_answer(attempt: Attempt, text: str) -> dict[str, object]:
+    """Return an answer that is not streamed."""
+    is_chat = attempt.call.path == CHAT_PATH
+    choice: dict[str, object] = {"index": 0, "finish_reason": FINISH_REASON}
+    if is_chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    num_generated = attempt.num_generated - attempt.call.continue_num_tokens
+    return {
+        "id": attempt.call.request_id,
+        "object": "chat.completion" if is_chat else "text_completion",
+        "model": attempt.call.model,
+        "choices": [choice],
+        "usage": _usage(attempt.num_prompt_tokens, attempt.num_cached_tokens, num_generated),
+    }
+
+
+def _usage(num_prompt_tokens: int, num_cached_tokens: int, num_generated: int) -> wire.Usage:
+    return wire.Usage(
+        prompt_tokens=num_prompt_tokens,
+        completion_tokens=num_generated,
+        total_tokens=num_prompt_tokens + num_generated,
+        prompt_tokens_details=wire.PromptDetails(num_cached_tokens),
+    )
