--- a/src/weirscale/node/claims/ledger.py
+++ b/src/weirscale/node/claims/ledger.py
@@ -1,7 +1,9 @@
 """The claim ledger of a node: coordinates claims with the holders of a key's group."""
 
 import itertools
+from collections.abc import AsyncIterator
 from random import Random
+from typing import TypeVar
 
 import anyio
 import msgspec
@@ -48,6 +50,8 @@
 )
 from weirscale.ports.key_value import KeyValuePort
 
+ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
+
 CLAIM_BUDGET_S = 3.0
 """Longest time for a claim with all its rounds, within the caller's deadline."""
 OFFER_TIMEOUT_S = 0.8
@@ -220,31 +224,44 @@
 
     async def _round(self, record: GroupEpoch, attempt: _Attempt) -> RoundOutcome:
         """Offer the claim to all holders; ends with the first votes that decide it."""
-        send, receive = anyio.create_memory_object_stream[tuple[int, ClaimOfferReply | None]](
-            len(record.holders)
-        )
         message = ClaimOffer(
             record.group, record.epoch, attempt.key, attempt.claimant, attempt.fingerprint
         )
-
-        async def offer(index: int, holder: Holder) -> None:
-            reply = await self._peers.ask(holder, message, ClaimOfferReply, OFFER_TIMEOUT_S)
-            send.send_nowait((index, reply))
-
-        tasks = self._tasks
-        if tasks is None:
-            return RoundOutcome(RoundState.UNAVAILABLE)
-        for index, holder in enumerate(record.holders):
-            tasks.start_soon(offer, index, holder)
         claim_round = ClaimRound(record)
-        while True:
-            index, reply = await receive.receive()
+        replies = self._ask_all(record, message, ClaimOfferReply, OFFER_TIMEOUT_S)
+        async for index, reply in replies:
             if reply is not None:
                 self.registry.epochs.adopt(reply.record)
             claim_round.note(index, reply.vote if reply is not None else None)
             outcome = claim_round.outcome()
             if outcome is not None:
                 return outcome
+        return RoundOutcome(RoundState.UNAVAILABLE)
+
+    async def _ask_all(
+        self,
+        record: GroupEpoch,
+        message: msgspec.Struct,
+        reply_type: type[ReplyT],
+        timeout_s: float,
+    ) -> AsyncIterator[tuple[int, ReplyT | None]]:
+        """Ask all holders and yield their replies as they come, None for each that gives none.
+
+        The calls go on when the reader stops early, so that the slower holders hear too.
+        """
+        num_holders = len(record.holders)
+        send, receive = anyio.create_memory_object_stream[tuple[int, ReplyT | None]](num_holders)
+
+        async def ask(index: int, holder: Holder) -> None:
+            reply = await self._peers.ask(holder, message, reply_type, timeout_s)
+            send.send_nowait((index, reply))
+
+        if self._tasks is None:
+            return
+        for index, holder in enumerate(record.holders):
+            self._tasks.start_soon(ask, index, holder)
+        for _ in range(num_holders):
+            yield await receive.receive()
 
     async def _wait_for_newer(self, record: GroupEpoch) -> None:
         """A holder has moved on: learn the next epoch, or give its change a moment."""
@@ -273,18 +290,15 @@
         if record is None:
             return False
         current = msgspec.structs.replace(message, epoch=record.epoch)
-        acks: list[bool] = []
-
-        async def settle(holder: Holder) -> None:
-            ack = await self._peers.ask(holder, current, ClaimAck, SETTLE_TIMEOUT_S)
+        num_done = 0
+        replies = self._ask_all(record, current, ClaimAck, SETTLE_TIMEOUT_S)
+        async for _, ack in replies:
             if ack is not None:
                 self.registry.epochs.adopt(ack.record)
-                acks.append(ack.is_done)
-
-        async with anyio.create_task_group() as tasks:
-            for holder in record.holders:
-                tasks.start_soon(settle, holder)
-        return acks.count(True) >= record.quorum
+                num_done += ack.is_done
+            if num_done >= record.quorum:
+                return True
+        return False
 
     def _claimant(self, request_id: RequestId) -> bytes:
         return make_claimant(self._digest, next(self._numbers), request_id)
