Give crossed chunks words of their own in the fault tables

Cause: a crossed chunk carried the expected text, so only one scenario noticed it passing. Change: the scripted engine gives crossed chunks other text.

--- a/features/support/path_engine.py
+++ b/features/support/path_engine.py
@@ -13,6 +13,7 @@
 NUM_CHUNKS = 6
 CHUNK_INTERVAL_S = 0.05
 FOREVER_S = 10_000.0
+STRANGER = "somebody-else"
 
 
 class Step(enum.Enum):
@@ -163,7 +164,7 @@
         elif fault is Fault.STALL:
             await anyio.sleep(FOREVER_S)
         elif fault is Fault.CROSS:
-            yield Ok(self._chunk("somebody-else", sequence))
+            yield Ok(self._chunk(STRANGER, sequence))
         elif fault is Fault.DUPLICATE:
             yield Ok(self._chunk(request_id, sequence))
         elif fault is Fault.RESET:
@@ -175,7 +176,7 @@
         return TokenChunk(
             request_id=request_id,
             sequence=sequence,
-            text=answer_piece(sequence),
+            text=answer_piece(sequence) if request_id != STRANGER else "a stranger's words ",
             num_tokens=1,
             finish_reason="stop" if is_last else None,
             num_prompt_tokens=10 if is_last else 0,
