Add contract tests of the key-value service and the machine list

Cause: adapters and stand-ins must keep one contract, also under faults. Change: the same tables over both adapters, broken exchanges by mock transport, histories of concurrent swaps checked for linearizability, the checker checked on wrong histories.

--- a/features/configuration_difference.feature
+++ b/features/configuration_difference.feature
@@ -2,8 +2,8 @@
 
   Scenario Outline: A plan names what an edit changes
     Given the shipped deployment "tsehay"
-    When its text "<old>" becomes "<new>"
-    Then the plan is "<plan>"
+    When the deployment text "<old>" becomes "<new>"
+    Then the configuration plan is "<plan>"
 
     Examples:
       | old                     | new                     | plan                                              |
--- a/features/steps/configuration_difference_steps.py
+++ b/features/steps/configuration_difference_steps.py
@@ -3,11 +3,11 @@
 import cbor2
 import msgspec
 from behave import given, then, when
+from features.support.deployments import large_deployment, text_of
 from hypothesis import given as generated
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from features.steps.configuration_file_steps import text_of
 from weirscale.domain.configuration.difference import (
     apply_delta,
     canonical,
@@ -24,7 +24,7 @@
     encode_deployment,
     encode_stored,
 )
-from weirscale.domain.configuration.model import Deployment, Engine, Model, Region, Tenant
+from weirscale.domain.configuration.model import Deployment, Engine, Model
 from weirscale.domain.configuration.parse import check_deployment
 
 NAMES = st.sampled_from("abcdef")
@@ -55,35 +55,19 @@
 ).map(canonical)
 
 
-def large_deployment(version="1"):
-    zones = tuple(f"zone-{i}" for i in range(18))
-    engines = tuple(
-        Engine(
-            f"engine-{i}", zones[i % 18], f"10.{i % 18}.{i // 250}.{i % 250}:8000", f"model-{i % 5}"
-        )
-        for i in range(1700)
-    )
-    models = tuple(Model(f"model-{i}", version if i == 0 else "1") for i in range(5))
-    tenants = tuple(
-        Tenant(f"tenant-{i}", (digest(Deployment(1, str(i), (), (), (), ())).hex() * 2,))
-        for i in range(290)
-    )
-    return canonical(Deployment(1, "large", (Region("r", zones),), models, engines, tenants))
-
-
 @given('the shipped deployment "{name}"')
 def step_shipped(context, name):
     context.source = text_of(name)
 
 
-@when('its text "{old}" becomes "{new}"')
+@when('the deployment text "{old}" becomes "{new}"')
 def step_edit(context, old, new):
     before = check_deployment(context.source).unwrap()
     after = check_deployment(context.source.replace(old, new.replace("\\n", "\n"))).unwrap()
     context.plan = render_plan(differences(before, after))
 
 
-@then('the plan is "{plan}"')
+@then('the configuration plan is "{plan}"')
 def step_plan(context, plan):
     assert context.plan == plan.replace(" and ", "\n"), context.plan
 
--- a/features/steps/configuration_file_steps.py
+++ b/features/steps/configuration_file_steps.py
@@ -1,10 +1,8 @@
-from pathlib import Path
-
 from behave import then, when
+from features.support.deployments import text_of
 
 from weirscale.domain.configuration.parse import check_deployment
 
-DEPLOYMENTS = Path(__file__).parents[2] / "deployments"
 TEXTS = {
     "nothing": "",
     "an open bracket": "name: [",
@@ -27,10 +25,6 @@
 """
 
 
-def text_of(name):
-    return (DEPLOYMENTS / f"{name}.yaml").read_text()
-
-
 def file_with(old):
     """Return the shipped file that has a text, Tsehay's where both do."""
     return next(text for text in map(text_of, ("tsehay", "startgrid")) if old in text)
--- /dev/null
+++ b/features/steps/key_value_history_steps.py
@@ -0,0 +1,164 @@
+import random
+import re
+
+import anyio
+import msgspec
+from behave import then, when
+from features.support.virtual_time import run_in_virtual_time
+from result import Err
+
+from weirscale.experiments.linearizability import Operation, find_linearization
+from weirscale.ports.key_value import KeyValueFailureKind
+from weirscale.standins.key_value.in_process import InProcessKeyValue
+from weirscale.standins.key_value.server import KeyValueServer
+
+ABSENT = (0, b"")
+UNSEEN = None
+
+
+class Read(msgspec.Struct, frozen=True):
+    seen: tuple
+
+
+class Swap(msgspec.Struct, frozen=True):
+    """A swap; `after` is the state that its answer told, UNSEEN when the answer was lost."""
+
+    expected: int
+    value: bytes
+    succeeded: bool | None
+    after: tuple | None
+
+
+def register_step(state, action):
+    """The key as (modification revision, value); no other key is written, so revisions count up."""
+    if isinstance(action, Read):
+        return state if action.seen == state else None
+    is_due = state[0] == action.expected
+    following = ((state[0] or 1) + 1, action.value) if is_due else state
+    if action.succeeded is UNSEEN:
+        return following
+    is_as_seen = (is_due, following) == (action.succeeded, action.after)
+    return following if is_as_seen else None
+
+
+def seen_of(key_value):
+    return (key_value.mod_revision, key_value.value) if key_value else ABSENT
+
+
+class Client:
+    """Reads and swaps one key, recording what it saw."""
+
+    def __init__(self, name, port, random, history):
+        self.name = name
+        self.port = port
+        self.random = random
+        self.history = history
+        self.last = ABSENT
+
+    async def run(self, num_operations):
+        for number in range(num_operations):
+            await anyio.sleep(self.random.random() * 0.02)
+            start_s = anyio.current_time()
+            if self.random.random() < 0.4:
+                await self.read(start_s)
+            else:
+                await self.swap(start_s, f"{self.name}-{number}".encode())
+
+    async def read(self, start_s):
+        answer = await self.port.read("key")
+        if isinstance(answer, Err):
+            return
+        values = answer.ok_value.values
+        self.last = seen_of(values[0] if values else None)
+        self.record(Read(self.last), start_s, anyio.current_time())
+
+    async def swap(self, start_s, value):
+        expected = self.last[0]
+        answer = await self.port.compare_and_swap("key", expected, value)
+        if isinstance(answer, Err):
+            if answer.err_value.kind is KeyValueFailureKind.AMBIGUOUS:
+                self.record(Swap(expected, value, UNSEEN, UNSEEN), start_s, None)
+            return
+        self.last = seen_of(answer.ok_value.current)
+        action = Swap(expected, value, answer.ok_value.succeeded, self.last)
+        self.record(action, start_s, anyio.current_time())
+
+    def record(self, action, start_s, end_s):
+        self.history.append(Operation(action, start_s, end_s))
+
+
+async def vary_faults(fault, server, random):
+    """Put a fault in force, or switch it on and off, until cancelled."""
+    server.faults.delay_s = 0.01
+    if fault == "a third of answers lost":
+        server.faults.lost_answer_probability = 0.33
+    while fault in ("outages", "slowness beyond the timeout"):
+        is_on = random.random() < 0.5
+        server.faults.is_down = is_on and fault == "outages"
+        server.faults.delay_s = 0.15 if is_on and fault != "outages" else 0.01
+        await anyio.sleep(0.03)
+
+
+def race(fault, seed):
+    async def main():
+        rand = random.Random(seed)
+        server = KeyValueServer(rand)
+        history = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(vary_faults, fault, server, rand)
+            async with anyio.create_task_group() as clients:
+                for number in range(5):
+                    port = InProcessKeyValue(server, timeout_s=0.1)
+                    client = Client(f"client-{number}", port, rand, history)
+                    clients.start_soon(client.run, 12)
+            tasks.cancel_scope.cancel()
+        return history
+
+    return run_in_virtual_time(main)
+
+
+@when(
+    "{clients:d} clients run {operations:d} operations each on one key with {fault}, for seeds 1 to 8"
+)
+def step_race(context, clients, operations, fault):
+    context.histories = [race(fault, seed) for seed in range(1, 9)]
+
+
+@then("every history is linearizable")
+def step_all_linearizable(context):
+    for seed, history in enumerate(context.histories, 1):
+        assert find_linearization(history, ABSENT, register_step) is not None, seed
+
+
+@then("the histories hold at least {lost:d} lost answers and {won:d} won swaps")
+def step_not_vacuous(context, lost, won):
+    swaps = [
+        operation.action
+        for history in context.histories
+        for operation in history
+        if isinstance(operation.action, Swap)
+    ]
+    num_lost = sum(swap.succeeded is UNSEEN for swap in swaps)
+    num_won = sum(swap.succeeded is True for swap in swaps)
+    assert num_lost >= lost and num_won >= won, (num_lost, num_won)
+
+
+@when('the history "{history}" is checked')
+def step_check_history(context, history):
+    operations = []
+    for kind, value, start, end in re.findall(r"(\w+) (\d) \[(\d)-(\d|\?)\]", history):
+        returned_at = None if end == "?" else float(end)
+        operations.append(Operation((kind, int(value)), float(start), returned_at))
+
+    def step(state, action):
+        kind, value = action
+        if kind == "write":
+            return value
+        return state if state == value else None
+
+    context.order = find_linearization(operations, 0, step)
+
+
+@then("the checked history is {verdict}")
+def step_verdict(context, verdict):
+    assert (context.order is not None) == (verdict == "linearizable"), context.order
--- /dev/null
+++ b/features/steps/machines_contract_steps.py
@@ -0,0 +1,109 @@
+import anyio
+import httpx
+from behave import then, when
+from features.support.loopback import served
+from features.support.virtual_time import run_in_virtual_time
+from result import Err
+
+from weirscale.ports.machines import Machine
+from weirscale.ports.machines_http import HttpMachineList
+from weirscale.standins.machines.app import MachineListApp
+from weirscale.standins.machines.in_process import InProcessMachineList
+from weirscale.standins.machines.model import MachineListModel
+
+CHANGED_AT_S = 100.0
+REMOVED_AT_S = 200.0
+
+
+def changed_model():
+    """Return a list with a lag of 3 s whose machines change twice."""
+    model = MachineListModel([Machine("10.0.0.1", is_leaving=False)])
+    model.put(Machine("10.0.0.1", is_leaving=True), CHANGED_AT_S)
+    model.put(Machine("10.0.0.2", is_leaving=False), CHANGED_AT_S)
+    model.remove("10.0.0.1", REMOVED_AT_S)
+    return model
+
+
+def prepare(step):
+    """Return the model and the time at which the list is read."""
+    model = changed_model()
+    model.faults.is_down = step == "down"
+    if step == "a machine wrongly left out":
+        model.faults.omitted_hosts = ("10.0.0.2",)
+    is_early = step == "before the lag has passed"
+    now_s = CHANGED_AT_S + (2.9 if is_early else 3.0)
+    return model, REMOVED_AT_S + 3.0 if step == "after a removal" else now_s
+
+
+def shown(result):
+    if isinstance(result, Err):
+        return "unreadable"
+    machines = result.ok_value
+    return ", ".join(m.host + (" leaving" if m.is_leaving else "") for m in machines)
+
+
+@when('the machine list\'s "{step}" runs over the {adapter} adapter')
+def step_contract(context, step, adapter):
+    model, now_s = prepare(step)
+
+    async def in_process():
+        return shown(await InProcessMachineList(model, lambda: now_s).machines())
+
+    async def over_http():
+        async with served(MachineListApp(model, lambda: now_s)) as address:
+            return shown(await HttpMachineList(address).machines())
+
+    if adapter == "HTTP":
+        context.machine_list = anyio.run(over_http)
+    else:
+        context.machine_list = run_in_virtual_time(in_process)
+
+
+@then('the machine list reads "{outcome}"')
+def step_outcome(context, outcome):
+    assert context.machine_list == outcome, context.machine_list
+
+
+@when('the machine list\'s exchange ends in "{event}"')
+def step_broken(context, event):
+    raised = {"a refused connection": httpx.ConnectError, "an answer timeout": httpx.ReadTimeout}
+    answers = {
+        "status 500": (500, b'{"machines": []}'),
+        "a body that is no JSON": (200, b"["),
+        "a list of numbers": (200, b'{"machines": [1]}'),
+    }
+
+    def handle(request):
+        if event in raised:
+            raise raised[event]("broken", request=request)
+        status, body = answers[event]
+        return httpx.Response(status, content=body)
+
+    port = HttpMachineList("127.0.0.1:1", transport=httpx.MockTransport(handle))
+    context.machine_list = shown(anyio.run(port.machines))
+
+
+@when("the machine list takes {delay:d} s and the timeout is {timeout:d} s")
+def step_slow(context, delay, timeout):
+    model = changed_model()
+    model.faults.delay_s = delay
+    port = InProcessMachineList(model, timeout_s=timeout)
+    context.machine_list = shown(run_in_virtual_time(port.machines))
+
+
+@when("a machine is put, put and removed over HTTP with a lag of 0 s")
+def step_admin(context):
+    async def main():
+        async with (
+            served(MachineListApp(MachineListModel())) as address,
+            httpx.AsyncClient(base_url=f"http://{address}/stand-in") as client,
+        ):
+            await client.post("/faults", json={"lag_s": 0})
+            for host in ("10.0.0.7", "10.0.0.8"):
+                await client.post("/machines", json={"host": host, "is_leaving": False})
+            gone = {"host": "10.0.0.7", "is_leaving": False}
+            await client.post("/machines/remove", json=gone)
+            assert (await client.post("/machines", json={"host": 7})).status_code == 400
+            return shown(await HttpMachineList(address).machines())
+
+    context.machine_list = anyio.run(main)
