Add placement: planned loads, fenced orders and a recorded rollout

Cause: engines must come to the declared weights, adapters and roles without losing capacity. Conclusion: bounds hold under every fault of the table on stand-in engines.

--- /dev/null
+++ b/features/placement_rollout.feature
@@ -0,0 +1,75 @@
+Feature: Rollouts bring engines to the declared weights without losing capacity
+
+  Scenario Outline: A rollout under a fault keeps its bounds
+    Given 6 engines serve v1, 4 must stay ready and 2 may load at once
+    When v2 is declared and <fault>
+    Then after <minutes> minutes <current> engines serve v2 and the rollout is <state>
+    And never more than 2 engines loaded at once
+    And never fewer than 4 engines were ready, those lost to the fault aside
+    And no engine carried out a token below an earlier one
+    And no token named two orders
+
+    Examples:
+      | fault                                            | minutes | current | state            |
+      | nothing fails                                    | 3       | 6       | done             |
+      | the weight store is slow                         | 5       | 6       | done             |
+      | an engine crashes while it loads                 | 3       | 6       | done             |
+      | an engine crashes while it serves                | 3       | 6       | done             |
+      | an engine cannot be reached for a while          | 3       | 6       | done             |
+      | one load is stuck                                | 5       | 6       | done             |
+      | an engine leaves while it loads                  | 3       | 5       | short_of_engines |
+      | an engine leaves while it serves                 | 3       | 5       | short_of_engines |
+      | every load of v2 fails                           | 4       | 0       | stopped          |
+      | the key-value service is down for a minute       | 3       | 6       | done             |
+      | answers of the key-value service are lost        | 3       | 6       | done             |
+      | the planner is paused past its lease and wakes   | 3       | 6       | done             |
+      | the planner is replaced again and again          | 3       | 6       | done             |
+      | two planners both believe to hold the lease      | 3       | 6       | done             |
+
+  Scenario: A new version that fails costs no more engines than allowed
+    Given 6 engines serve v1, 4 must stay ready and 2 may load at once
+    When v2 is declared and every load of v2 fails
+    Then after 4 minutes 0 engines serve v2 and the rollout is stopped
+    And 4 engines still serve v1
+    And 2 loads of v2 were ordered
+    And the progress names 2 failed loads and a remedy
+
+  Scenario Outline: Declaring another version changes a running rollout
+    Given 6 engines serve v1, 4 must stay ready and 2 may load at once
+    When v2 is declared and <moment> <version> is declared
+    Then after 5 minutes 6 engines serve <version> and the rollout is done
+    And never more than 2 engines loaded at once
+    And never fewer than 4 engines were ready, those lost to the fault aside
+
+    Examples:
+      | moment                      | version |
+      | while the first load runs   | v1      |
+      | while the first load runs   | v3      |
+      | half-way                    | v1      |
+      | half-way                    | v3      |
+      | after v2 has been stopped   | v1      |
+      | after v2 has been stopped   | v3      |
+
+  Scenario: A version is tried on one serving engine before it is loaded on more
+    Given 6 engines serve v1, 4 must stay ready and 2 may load at once
+    When v2 is declared and nothing fails
+    Then only 1 engine loaded until the first one served v2
+
+  Scenario: A floor that forbids every load is reported
+    Given 6 engines serve v1, 6 must stay ready and 2 may load at once
+    When v2 is declared and nothing fails
+    Then after 2 minutes 0 engines serve v2 and the rollout is waiting_for_floor
+
+  Scenario: A lost placement record does not bring tokens back
+    Given 6 engines serve v1, 4 must stay ready and 2 may load at once
+    When v2 is declared and the placement record is deleted
+    Then after 5 minutes 6 engines serve v2 and the rollout is done
+    And never fewer than 4 engines were ready, those lost to the fault aside
+    And no engine carried out a token below an earlier one
+
+  Scenario: Adapters and roles follow the configuration, also after a crash
+    Given 3 decode engines serve v1 with the adapter amharic declared
+    When an engine crashes after the first orders
+    Then every engine has the adapter amharic and the role decode
+    When the adapter tigrinya is declared instead
+    Then every engine has the adapter tigrinya and the role decode
--- /dev/null
+++ b/features/steps/placement_rollout_steps.py
@@ -0,0 +1,257 @@
+import anyio
+from behave import given, then, when
+from features.support.rollout_fleet import Rollout, rolling_model
+from features.support.virtual_time import run_in_virtual_time
+
+from weirscale.domain.configuration.model import EngineRole
+from weirscale.messages.placement import FailedLoad
+from weirscale.standins.faults import EngineFaults
+
+SLOW_FACTOR = 2.0
+CUT_S = 30.0
+OUTAGE_S = 60.0
+LEASE_TURN_S = 7.0
+
+
+async def nothing_fails(rollout):
+    pass
+
+
+async def weight_store_is_slow(rollout):
+    rollout.weights.load_s *= SLOW_FACTOR
+
+
+async def crash_loading(rollout):
+    (await rollout.wait_for_loading()).crash()
+
+
+async def crash_serving(rollout):
+    loading = await rollout.wait_for_loading()
+    next(engine for engine in rollout.engines.values() if engine is not loading).crash()
+
+
+async def cut_engine_off(rollout):
+    engine = rollout.engines["qalam-0"]
+    engine.faults.set(EngineFaults(refuse_connections=True))
+    await anyio.sleep(CUT_S)
+    engine.faults.clear()
+
+
+async def one_stuck_load(rollout):
+    rollout.weights.num_to_stick = 1
+
+
+async def leave_loading(rollout):
+    (await rollout.wait_for_loading()).leave()
+
+
+async def leave_serving(rollout):
+    loading = await rollout.wait_for_loading()
+    next(engine for engine in rollout.engines.values() if engine is not loading).leave()
+
+
+async def new_version_fails(rollout):
+    rollout.weights.failing_versions.add("v2")
+
+
+async def store_is_down(rollout):
+    await rollout.wait_for_loading()
+    rollout.store.faults.is_down = True
+    await anyio.sleep(OUTAGE_S)
+    rollout.store.faults.is_down = False
+
+
+async def lose_store_answers(rollout):
+    rollout.store.faults.num_answers_to_lose = 4
+
+
+async def pause_planner(rollout):
+    """The first planner sleeps in the middle of its write while the second takes over."""
+    rollout.store.faults.delay_s = 4.0
+    await anyio.sleep(3.5)
+    rollout.leases[0].held = False
+    rollout.store.faults.delay_s = 0.0
+    rollout.leases[1].held = True
+
+
+async def replace_planner(rollout):
+    for turn in range(20):
+        for index, lease in enumerate(rollout.leases):
+            lease.held = index == turn % len(rollout.leases)
+        await anyio.sleep(LEASE_TURN_S)
+
+
+async def two_holders(rollout):
+    for lease in rollout.leases:
+        lease.held = True
+
+
+async def delete_record(rollout):
+    await rollout.wait_for_loading()
+    model = rollout.store.model
+    assert model.delete(b"weirscale/placement", anyio.current_time())
+
+
+FAULTS = {
+    "nothing fails": nothing_fails,
+    "the weight store is slow": weight_store_is_slow,
+    "an engine crashes while it loads": crash_loading,
+    "an engine crashes while it serves": crash_serving,
+    "an engine cannot be reached for a while": cut_engine_off,
+    "one load is stuck": one_stuck_load,
+    "an engine leaves while it loads": leave_loading,
+    "an engine leaves while it serves": leave_serving,
+    "every load of v2 fails": new_version_fails,
+    "the key-value service is down for a minute": store_is_down,
+    "answers of the key-value service are lost": lose_store_answers,
+    "the planner is paused past its lease and wakes": pause_planner,
+    "the planner is replaced again and again": replace_planner,
+    "two planners both believe to hold the lease": two_holders,
+    "the placement record is deleted": delete_record,
+}
+
+HALF_WAY = 3
+VERSIONS = ("v1", "v2", "v3")
+POLL_S = 0.5
+
+
+def rollout_after(context, minutes):
+    """Run the rollout that the steps before describe, once, and return it."""
+
+    async def main():
+        rollout = Rollout(6, rolling_model(min_ready_engines=context.floor), num_planners=2)
+        async with rollout.running(), anyio.create_task_group() as tasks:
+            tasks.start_soon(context.fault, rollout)
+            rollout.declare_version("v2")
+            await anyio.sleep(60.0 * minutes)
+            rollout.progress = {each for task in rollout.planners for each in task.progress()}
+            rollout.counts = {version: rollout.count_at(version) for version in VERSIONS}
+            tasks.cancel_scope.cancel()
+        return rollout
+
+    if "rollout" not in context:
+        context.rollout = run_in_virtual_time(main)
+    return context.rollout
+
+
+@given("{count:d} engines serve v1, {floor:d} must stay ready and {most:d} may load at once")
+def step_engines_serve(context, count, floor, most):
+    context.floor = floor
+
+
+@when("v2 is declared and {moment} {version:w} is declared")
+def step_declare_again(context, moment, version):
+    async def change(rollout):
+        if moment == "while the first load runs":
+            await rollout.wait_for_loading()
+            await anyio.sleep(2.0)
+        elif moment == "half-way":
+            while rollout.count_at("v2") < HALF_WAY:  # noqa: ASYNC110 - engines tell nobody
+                await anyio.sleep(POLL_S)
+        elif moment == "after v2 has been stopped":
+            rollout.weights.failing_versions.add("v2")
+            await anyio.sleep(140.0)
+        else:
+            raise AssertionError(moment)
+        rollout.declare_version(version)
+
+    context.fault = change
+
+
+@when("v2 is declared and {fault}")
+def step_declare_with_fault(context, fault):
+    context.fault = FAULTS[fault]
+
+
+@then("after {minutes:d} minutes {count:d} engines serve {version} and the rollout is {state}")
+def step_rollout_state(context, minutes, count, version, state):
+    rollout = rollout_after(context, minutes)
+    states = {progress.state for progress in rollout.progress}
+    assert (rollout.counts[version], states) == (count, {state}), rollout.progress
+
+
+@then("never more than {most:d} engines loaded at once")
+def step_most_loading(context, most):
+    assert 1 <= context.rollout.most_loading() <= most, context.rollout.most_loading()
+
+
+@then("never fewer than {floor:d} engines were ready, those lost to the fault aside")
+def step_fewest_ready(context, floor):
+    assert context.rollout.fewest_ready() >= floor, context.rollout.fewest_ready()
+
+
+@then("no engine carried out a token below an earlier one")
+def step_token_order(context):
+    assert any(engine.accepted_tokens for engine in context.rollout.engines.values())
+    assert not context.rollout.token_order_broken()
+
+
+@then("no token named two orders")
+def step_tokens_unique(context):
+    assert not context.rollout.tokens_given_twice()
+
+
+@then("{count:d} engines still serve v1")
+def step_still_serving(context, count):
+    assert context.rollout.counts["v1"] == count
+
+
+@then("{count:d} loads of v2 were ordered")
+def step_loads_ordered(context, count):
+    assert context.rollout.num_loads_of("v2") == count
+
+
+@then("the progress names {count:d} failed loads and a remedy")
+def step_progress_failures(context, count):
+    (progress,) = context.rollout.progress
+    assert len(progress.failures) == count
+    assert all(isinstance(failure, FailedLoad) and failure.reason for failure in progress.failures)
+    assert progress.remedy
+
+
+@then("only {count:d} engine loaded until the first one served v2")
+def step_canary(context, count):
+    rollout_after(context, 2)
+    first_ready = next(
+        index
+        for index, (num_loading, num_ready, _) in enumerate(context.rollout.samples)
+        if num_ready == 6 and index and context.rollout.samples[index - 1][0]
+    )
+    assert max(sample[0] for sample in context.rollout.samples[:first_ready]) == count
+    assert context.rollout.most_loading() > count
+
+
+@given("{count:d} decode engines serve v1 with the adapter {adapter} declared")
+def step_decode_engines(context, count, adapter):
+    context.num_engines = count
+    context.adapters = [adapter]
+
+
+@when("an engine crashes after the first orders")
+def step_crash_after_orders(context):
+    context.crashes = True
+
+
+@when("the adapter {adapter} is declared instead")
+def step_other_adapter(context, adapter):
+    context.adapters.append(adapter)
+
+
+@then("every engine has the adapter {adapter} and the role {role}")
+def step_adapter_and_role(context, adapter, role):
+    async def main():
+        model = rolling_model(adapters=tuple(context.adapters[:1]))
+        rollout = Rollout(context.num_engines, model, role=EngineRole(role))
+        async with rollout.running():
+            await anyio.sleep(20.0)
+            rollout.engines["qalam-1"].crash()
+            await anyio.sleep(40.0)
+            for name in context.adapters[1:]:
+                rollout.declare_version("v1", adapters=(name,))
+                await anyio.sleep(40.0)
+            return [
+                (engine.model.adapters, engine.model.role) for engine in rollout.engines.values()
+            ]
+
+    states = run_in_virtual_time(main)
+    assert states == [({adapter}, role)] * context.num_engines, states
--- /dev/null
+++ b/features/support/rollout_fleet.py
@@ -0,0 +1,184 @@
+"""Rollouts in virtual time: planners over in-process engines, with a record of what happened."""
+
+from contextlib import asynccontextmanager
+from random import Random
+
+import anyio
+import msgspec
+from features.support.backend_fleet import MODEL, Fleet, declare
+from result import Err, Ok
+
+from weirscale.domain.configuration.model import Model
+from weirscale.node.event_log import SilentEventLog
+from weirscale.node.placement.task import PlacementTask
+from weirscale.ports.engine import LoadModel
+from weirscale.standins.engine.in_process import InProcessEngine
+from weirscale.standins.engine.settings import EngineSettings
+from weirscale.standins.key_value.in_process import InProcessKeyValue
+from weirscale.standins.key_value.server import KeyValueServer
+
+SAMPLE_INTERVAL_S = 0.25
+LOAD_S = 10.0
+
+
+class WeightStore:
+    """Source of weights whose loads slow one another down; a test sets what goes wrong."""
+
+    def __init__(self):
+        self.load_s = LOAD_S
+        self.failing_versions = set()
+        self.num_to_stick = 0
+        self.num_reading = 0
+
+    async def fetch(self, engine, load, num_bytes):
+        self.num_reading += 1
+        if self.num_to_stick:
+            self.num_to_stick -= 1
+            await anyio.sleep_forever()
+        await anyio.sleep(self.load_s * self.num_reading)
+        self.num_reading -= 1
+        return Err("no such version") if load.weight_version in self.failing_versions else Ok(None)
+
+
+class RecordedEngine(InProcessEngine):
+    """Engine that remembers the load orders it accepted and all tokens it was sent."""
+
+    def __init__(self, settings, random, weight_source):
+        super().__init__(settings, random, weight_source=weight_source)
+        self.accepted_tokens = []
+
+    async def order(self, order):
+        answer = await super().order(order)
+        if isinstance(answer, Ok):
+            run = self.model.incarnation
+            self.accepted_tokens.append((run, order.token, order.action))
+        return answer
+
+    @property
+    def is_loading(self):
+        return self.model.pending_load is not None
+
+    @property
+    def is_serving(self):
+        return not self.is_loading and self.model.model is not None and not self.is_lost
+
+    @property
+    def is_lost(self):
+        return self.model.is_leaving or not self.is_reachable
+
+
+class Lease:
+    """Planner's lease that a test gives and takes."""
+
+    def __init__(self, held):
+        self.held = held
+
+    def is_held(self):
+        return self.held
+
+
+class Rollout(Fleet):
+    """A fleet with planners; `samples` hold loading, ready and lost engines over time."""
+
+    def __init__(self, num_engines, model, num_planners=1, **engine_fields):
+        self.weights = WeightStore()
+        deployment = declare(num_engines, models=(model,), **engine_fields)
+        super().__init__(deployment)
+        self.model = model
+        self.store = KeyValueServer(Random(2))
+        self.leases = [Lease(index == 0) for index in range(num_planners)]
+        self.planners = [
+            PlacementTask(
+                self.configuration,
+                self.directory,
+                InProcessKeyValue(self.store, timeout_s=60.0),
+                lease,
+                SilentEventLog(),
+            )
+            for lease in self.leases
+        ]
+        self.samples = []
+
+    def add_engine(self, engine):
+        settings = EngineSettings(name=engine.name, model=engine.model, weight_version="v1")
+        self.engines[engine.name] = RecordedEngine(settings, Random(3), self.weights)
+
+    @asynccontextmanager
+    async def running(self):
+        async with super().running(), anyio.create_task_group() as tasks:
+            await anyio.sleep(3.0)
+            for planner in self.planners:
+                tasks.start_soon(planner.run)
+            tasks.start_soon(self._sample)
+            yield self
+            tasks.cancel_scope.cancel()
+
+    def declare_version(self, version, **fields):
+        self.model = msgspec.structs.replace(self.model, weight_version=version, **fields)
+        deployment = self.configuration.current().deployment
+        self.configuration.change(msgspec.structs.replace(deployment, models=(self.model,)))
+
+    def count_at(self, version):
+        return sum(
+            engine.is_serving and engine.model.weight_version == version
+            for engine in self.engines.values()
+        )
+
+    def loading(self):
+        return [engine for engine in self.engines.values() if engine.is_loading]
+
+    async def wait_for_loading(self):
+        while not self.loading():  # noqa: ASYNC110 - engines tell nobody
+            await anyio.sleep(SAMPLE_INTERVAL_S)
+        return self.loading()[0]
+
+    async def _sample(self):
+        while True:
+            engines = self.engines.values()
+            self.samples.append(
+                (
+                    sum(engine.is_loading for engine in engines),
+                    sum(engine.is_serving for engine in engines),
+                    sum(engine.is_lost for engine in engines),
+                )
+            )
+            await anyio.sleep(SAMPLE_INTERVAL_S)
+
+    def most_loading(self):
+        return max(num_loading for num_loading, _, _ in self.samples)
+
+    def fewest_ready(self):
+        """Ready engines at the worst moment, engines lost to the fault counted as ready."""
+        return min(num_ready + num_lost for _, num_ready, num_lost in self.samples)
+
+    def token_order_broken(self):
+        """Engines that carried out an order with a lower token than one before in one run."""
+        broken = []
+        for name, engine in self.engines.items():
+            for before, after in zip(
+                engine.accepted_tokens, engine.accepted_tokens[1:], strict=False
+            ):
+                if before[0] == after[0] and (after[1] < before[1]):
+                    broken.append(name)
+        return broken
+
+    def tokens_given_twice(self):
+        """Tokens that stand for two different orders."""
+        seen = {}
+        for name, engine in self.engines.items():
+            for _, token, action in engine.accepted_tokens:
+                seen.setdefault(token, set()).add((name, action))
+        return [token for token, orders in seen.items() if len(orders) > 1]
+
+    def num_loads_of(self, version):
+        return sum(
+            isinstance(action, LoadModel) and action.weight_version == version
+            for engine in self.engines.values()
+            for _, _, action in engine.accepted_tokens
+        )
+
+
+def rolling_model(**fields):
+    defaults = {"weight_version": "v1", "min_ready_engines": 4, "max_concurrent_loads": 2}
+    defaults |= {"load_timeout_s": 60.0, "max_failed_loads": 2}
+    return Model(name=MODEL, **{**defaults, **fields})
--- /dev/null
+++ b/src/weirscale/domain/placement/progress.py
@@ -0,0 +1,68 @@
+"""How far each model's rollout is, for status."""
+
+from collections.abc import Mapping
+
+from weirscale.domain.configuration.model import Model
+from weirscale.domain.identifiers import EngineName, ModelName
+from weirscale.domain.placement.model import DesiredEngine, EngineObservation, RolloutState
+from weirscale.domain.placement.plan import is_stopped, needs_load
+from weirscale.messages.placement import PlacementRecord, RolloutProgress
+
+_REMEDIES = {
+    RolloutState.DONE: "",
+    RolloutState.ROLLING: "",
+    RolloutState.WAITING_FOR_FLOOR: (
+        "no engine may load without going below min_ready_engines: lower it or add engines"
+    ),
+    RolloutState.STOPPED: (
+        "loads of this version fail: apply the version before, or a mended one under a new name"
+    ),
+    RolloutState.SHORT_OF_ENGINES: (
+        "engines are down, leaving or unheard of: look at them in status"
+    ),
+}
+
+
+def rollout_progress(
+    model: Model,
+    record: PlacementRecord,
+    desired: Mapping[EngineName, DesiredEngine],
+    observations: Mapping[EngineName, EngineObservation],
+    waiting_for_floor: frozenset[ModelName],
+) -> RolloutProgress:
+    """Return the progress of one model."""
+    wanted = [each for each in desired.values() if each.model == model.name]
+    ready = [
+        (each, observations[each.engine])
+        for each in wanted
+        if each.engine in observations and observations[each.engine].is_ready
+    ]
+    num_ready = sum(seen.model == model.name for _, seen in ready)
+    num_current = sum(_is_current(each, seen) for each, seen in ready)
+    loading = tuple(load.engine for load in record.loads if load.model == model.name)
+    failures = tuple(failure for failure in record.failures if failure.model == model.name)
+    if num_current == len(wanted):
+        state = RolloutState.DONE
+    elif is_stopped(record, model):
+        state = RolloutState.STOPPED
+    elif model.name in waiting_for_floor:
+        state = RolloutState.WAITING_FOR_FLOOR
+    elif loading or num_current < len(ready):
+        state = RolloutState.ROLLING
+    else:
+        state = RolloutState.SHORT_OF_ENGINES
+    return RolloutProgress(
+        model=model.name,
+        weight_version=model.weight_version,
+        num_engines=len(wanted),
+        num_ready=num_ready,
+        num_current=num_current,
+        loading=loading,
+        failures=failures,
+        state=state.value,
+        remedy=_REMEDIES[state],
+    )
+
+
+def _is_current(wanted: DesiredEngine, seen: EngineObservation) -> bool:
+    return not needs_load(wanted, seen) and set(wanted.adapters) <= seen.adapters
--- /dev/null
+++ b/src/weirscale/node/placement/__init__.py
@@ -0,0 +1,1 @@
+"""The task that brings engines to what the configuration declares."""
