Keep digests within their byte budget while samples change

Cause: a refinement that was given up could leave stale keys at receivers, and one digest a period could exceed the budget. Conclusion: receivers may rely on the declared sample.

--- a/src/weirscale/domain/prefix/digest_publisher.py
+++ b/src/weirscale/domain/prefix/digest_publisher.py
@@ -7,6 +7,7 @@
 
 import math
 from collections import deque
+from itertools import islice
 
 from weirscale.domain.prefix.engine_index import EngineIndex
 from weirscale.domain.prefix.sampling import MAX_SAMPLE_BITS, block_key, is_sampled
@@ -22,6 +23,12 @@
 MAX_KEYS_PER_DIGEST = 180
 """Keeps an encoded digest below 1000 bytes, so that it fits one cast with its signature."""
 
+MIN_KEYS_PER_DIGEST = 8
+"""With fewer the overhead outweighs the keys; the allowance then goes below zero for a while."""
+
+HEARTBEAT_S = 3.0
+"""Longest time without a digest; a third of the silence after which receivers forget."""
+
 DIGEST_OVERHEAD_BYTES = 90
 """Encoded size of a digest without keys, with its signature."""
 
@@ -34,6 +41,9 @@
 REFINE_SHARE = 0.5
 """The sample is refined only if changes would then take less than this share of the budget."""
 
+MAX_REFINING_S = 60.0
+"""A refinement that would take longer than this is not started."""
+
 RATE_SMOOTHING_S = 5.0
 """Time constant of the change rate."""
 
@@ -58,10 +68,13 @@
         self._sample_bits = 0
         self._sending_bits = 0
         self._backlog: dict[int, bool] = {}
+        self._refining: dict[int, bool] = {}
         self._is_reset_due = True
+        self._is_coarsening_due = False
         self._allowance_bytes = 0.0
         self._changes_per_s = 0.0
         self._published_at_s: float | None = None
+        self._sent_at_s = -math.inf
         self._kept: deque[CacheDigest] = deque(maxlen=NUM_KEPT_DIGESTS)
 
     @property
@@ -72,7 +85,7 @@
     @property
     def num_waiting_keys(self) -> int:
         """Changes not yet sent."""
-        return len(self._backlog)
+        return len(self._backlog) + len(self._refining)
 
     def publish(self, num_receivers: int, now_s: float) -> list[CacheDigest]:
         """Return the digests to send now to every receiver.
@@ -87,9 +100,9 @@
         num_changes = self._take_changes()
         self._note_changes(num_changes, elapsed_s)
         self._coarsen(rate)
-        if not self._backlog:
+        if not self._refining and not self._is_coarsening_due:
             self._finish_or_start_refining(rate)
-        return self._send()
+        return self._send(rate, now_s)
 
     def answer(self, request: DigestRequest) -> DigestReply:
         """Answer a receiver that missed digests."""
@@ -134,11 +147,13 @@
         if was_reset:
             self._is_reset_due = True
             self._backlog.clear()
+            self._refining.clear()
             self._sending_bits = self._sample_bits
         for block_hashes, is_held in ((added, True), (removed, False)):
             for block_hash in block_hashes:
                 key = block_key(block_hash)
                 if is_sampled(key, self._sending_bits):
+                    self._refining.pop(key, None)
                     self._backlog.pop(key, None)
                     self._backlog[key] = is_held
         return 0 if was_reset else len(added) + len(removed)
@@ -151,11 +166,13 @@
         while len(self._backlog) > max_keys and self._sample_bits < MAX_SAMPLE_BITS:
             self._sample_bits += 1
             self._sending_bits = self._sample_bits
-            self._drop_unsampled()
-
-    def _drop_unsampled(self) -> None:
-        bits = self._sending_bits
-        self._backlog = {key: held for key, held in self._backlog.items() if is_sampled(key, bits)}
+            self._is_coarsening_due = True
+            self._refining.clear()
+            self._backlog = {
+                key: is_held
+                for key, is_held in self._backlog.items()
+                if is_sampled(key, self._sample_bits)
+            }
 
     def _finish_or_start_refining(self, rate: float) -> None:
         """Declare a refinement that is sent, or start the next one if the budget allows it."""
@@ -165,26 +182,33 @@
         if self._sample_bits == 0 or self._is_reset_due:
             return
         finer_bits = self._sample_bits - 1
-        bytes_per_s = self._changes_per_s * KEY_BYTES / (1 << finer_bits)
+        changes_bytes_per_s = self._changes_per_s * KEY_BYTES / (1 << finer_bits)
         num_extra_keys = len(self._index.blocks) >> self._sample_bits
-        fits_backlog = num_extra_keys * KEY_BYTES <= rate * MAX_BACKLOG_S
-        if bytes_per_s > REFINE_SHARE * rate or not fits_backlog:
+        refining_s = num_extra_keys * KEY_BYTES / (REFINE_SHARE * rate)
+        if changes_bytes_per_s > REFINE_SHARE * rate or refining_s > MAX_REFINING_S:
             return
         self._sending_bits = finer_bits
         for block_hash in self._index.blocks:
             key = block_key(block_hash)
             if is_sampled(key, finer_bits) and not is_sampled(key, self._sample_bits):
-                self._backlog[key] = True
+                self._refining[key] = True
 
-    def _send(self) -> list[CacheDigest]:
-        """Cut the backlog into digests as far as the allowance goes; at least one is sent."""
+    def _send(self, rate: float, now_s: float) -> list[CacheDigest]:
+        """Cut what waits into digests as far as the allowance goes, or give a sign of life."""
         digests: list[CacheDigest] = []
-        while not digests or (self._backlog and self._allowance_bytes > 0):
-            keys = list(self._backlog.items())[:MAX_KEYS_PER_DIGEST]
-            for key, _ in keys:
-                del self._backlog[key]
+        while self.num_waiting_keys and self._allowance_bytes > 0:
+            num_affordable = int(self._allowance_bytes / KEY_BYTES)
+            num_keys = min(max(num_affordable, MIN_KEYS_PER_DIGEST), MAX_KEYS_PER_DIGEST)
+            keys = _take(self._backlog, num_keys)
+            keys += _take(self._refining, num_keys - len(keys))
             digests.append(self._digest(keys))
             self._allowance_bytes -= DIGEST_OVERHEAD_BYTES + KEY_BYTES * len(keys)
+        if not digests and (self._is_reset_due or now_s - self._sent_at_s >= HEARTBEAT_S):
+            digests.append(self._digest([]))
+            self._allowance_bytes -= DIGEST_OVERHEAD_BYTES
+        if digests:
+            self._sent_at_s = now_s
+        self._allowance_bytes = max(self._allowance_bytes, -rate * BURST_S)
         return digests
 
     def _digest(self, keys: list[tuple[int, bool]]) -> CacheDigest:
@@ -200,5 +224,14 @@
             removed=pack_keys([key for key, is_held in keys if not is_held]),
         )
         self._is_reset_due = False
+        self._is_coarsening_due = False
         self._kept.append(digest)
         return digest
+
+
+def _take(waiting: dict[int, bool], num_most: int) -> list[tuple[int, bool]]:
+    """Remove and return the entries that have waited longest."""
+    taken = list(islice(waiting.items(), num_most))
+    for key, _ in taken:
+        del waiting[key]
+    return taken
