Share the tenants' limits over the fleet

Cause: a limit must hold over all nodes, also while zones are cut off. Change: each declared zone owns a part of every limit, kept by a home that gives tokens and leases slots to its zone's nodes and lends spare ones to other zones; admission waits on what the node holds.

--- a/src/weirscale/domain/limits/admission.py
+++ b/src/weirscale/domain/limits/admission.py
@@ -8,7 +8,7 @@
 from weirscale.domain.configuration.model import Tenant
 from weirscale.domain.identifiers import TenantName
 from weirscale.domain.limits.allowance import TenantAllowance
-from weirscale.domain.limits.fair_queue import FairQueue, WaitingRequest
+from weirscale.domain.limits.fair_queue import FairQueue, Waiting, WaitingRequest
 from weirscale.domain.request.model import RunStatus
 from weirscale.domain.request.refusal import Refusal, RefusalCode
 
@@ -101,13 +101,9 @@
         """Requests that wait."""
         return len(self._queue)
 
-    def num_waiting_of(self, tenant: TenantName) -> int:
-        """The tenant's requests that wait."""
-        return self._queue.num_waiting_of(tenant)
-
-    def waiting(self) -> tuple[WaitingRequest, ...]:
-        """All requests that wait, in no order."""
-        return tuple(self._waiting.values())
+    def waiting(self) -> dict[TenantName, Waiting]:
+        """What waits, by tenant."""
+        return self._queue.waiting()
 
     def offer(self, request: WaitingRequest, now_s: float) -> Refusal | None:
         """Queue a request, or refuse it at once when its wait would miss the deadline."""
@@ -186,4 +182,8 @@
         num_ahead = self._queue.num_waiting_of(request.tenant.name)
         if num_ahead == 0 and allowance.can_start(request.num_prompt_tokens, now_s):
             return 0.0
-        return allowance.wait_s(num_ahead + 1, request.num_prompt_tokens)
+        rate_wait_s = allowance.wait_s(num_ahead + 1, request.num_prompt_tokens)
+        num_slots = allowance.num_slots(now_s)
+        if num_slots is None:
+            return rate_wait_s
+        return max(rate_wait_s, num_ahead * self._mean_hold_s / max(1, num_slots))
--- a/src/weirscale/domain/limits/allowance.py
+++ b/src/weirscale/domain/limits/allowance.py
@@ -25,7 +25,11 @@
         ...
 
     def wait_s(self, num_ahead: int, num_prompt_tokens: int) -> float:
-        """Estimated wait of a request behind others of the tenant; 0 when unknown."""
+        """Time for the rates to admit this many requests, the asked one included."""
+        ...
+
+    def num_slots(self, now_s: float) -> int | None:
+        """Requests that may run at once; None for no limit."""
         ...
 
 
@@ -46,6 +50,10 @@
         """No wait."""
         return 0.0
 
+    def num_slots(self, now_s: float) -> int | None:
+        """No limit."""
+        return None
+
 
 class LocalAllowance:
     """The whole limit on one node, for a process that stands alone."""
@@ -88,3 +96,7 @@
         if self._requests is None:
             return 0.0
         return num_ahead / max(self._requests.rate_per_s, 1e-9)
+
+    def num_slots(self, now_s: float) -> int | None:
+        """The tenant's concurrency limit."""
+        return self._max_running
--- a/src/weirscale/domain/limits/fair_queue.py
+++ b/src/weirscale/domain/limits/fair_queue.py
@@ -32,6 +32,16 @@
     queued_at_s: float
 
 
+class Waiting(msgspec.Struct, frozen=True):
+    """A tenant's waiting requests."""
+
+    num_requests: int
+    num_prompt_tokens: int
+
+
+NOTHING = Waiting(0, 0)
+
+
 class _Flow:
     """Waiting requests of one tenant and priority, with its virtual finish time."""
 
@@ -47,7 +57,7 @@
         self._flows: dict[tuple[TenantName, int], _Flow] = {}
         self._virtual_time = 0.0
         self._num_waiting = 0
-        self._num_waiting_by_tenant: dict[TenantName, int] = {}
+        self._waiting: dict[TenantName, Waiting] = {}
 
     def __len__(self) -> int:
         return self._num_waiting
@@ -58,11 +68,11 @@
 
     def num_waiting_of(self, tenant: TenantName) -> int:
         """Number of the tenant's waiting requests."""
-        return self._num_waiting_by_tenant.get(tenant, 0)
+        return self._waiting.get(tenant, NOTHING).num_requests
 
-    def waiting_tenants(self) -> tuple[TenantName, ...]:
-        """Tenants with waiting requests."""
-        return tuple(self._num_waiting_by_tenant)
+    def waiting(self) -> dict[TenantName, Waiting]:
+        """What waits, by tenant; only tenants with waiting requests."""
+        return dict(self._waiting)
 
     def push(self, request: WaitingRequest) -> None:
         """Add a request."""
@@ -70,7 +80,7 @@
         if not flow.requests:
             flow.finish = max(flow.finish, self._virtual_time) + 1.0 / request.tenant.weight
         flow.requests.append(request)
-        self._count(request.tenant.name, 1)
+        self._count(request, 1)
 
     def pop(
         self, now_s: float, is_eligible: Callable[[WaitingRequest], bool]
@@ -91,7 +101,7 @@
         if flow is None or request not in flow.requests:
             return False
         flow.requests.remove(request)
-        self._count(request.tenant.name, -1)
+        self._count(request, -1)
         if not flow.requests:
             del self._flows[key]
         return True
@@ -118,13 +128,14 @@
         flow.finish += 1.0 / request.tenant.weight
         if not flow.requests:
             del self._flows[key]
-        self._count(request.tenant.name, -1)
+        self._count(request, -1)
         return request
 
-    def _count(self, tenant: TenantName, change: int) -> None:
+    def _count(self, request: WaitingRequest, change: int) -> None:
         self._num_waiting += change
-        remaining = self._num_waiting_by_tenant.get(tenant, 0) + change
-        if remaining:
-            self._num_waiting_by_tenant[tenant] = remaining
-        else:
-            self._num_waiting_by_tenant.pop(tenant, None)
+        name = request.tenant.name
+        before = self._waiting.get(name, NOTHING)
+        num_tokens = before.num_prompt_tokens + change * request.num_prompt_tokens
+        self._waiting[name] = Waiting(before.num_requests + change, num_tokens)
+        if self._waiting[name].num_requests == 0:
+            del self._waiting[name]
--- /dev/null
+++ b/src/weirscale/domain/limits/share_holding.py
@@ -0,0 +1,115 @@
+"""What a node holds of one tenant's limits: tokens and leased slots from the zone's home."""
+
+from weirscale.domain.configuration.model import Tenant
+from weirscale.domain.limits.share_pool import NODE_LEASE_S
+from weirscale.messages.limits import TenantDemand, TenantGrant
+
+MIN_RATE_PER_S = 1e-3
+"""Least rate used in an estimate of a wait."""
+PREFETCH_S = 1.0
+"""Tokens are fetched ahead for this much of the recent arrivals, so that few requests wait."""
+ARRIVAL_SMOOTHING = 0.3
+"""Weight of the newest interval in the arrival rate."""
+
+
+class ShareHolding:
+    """A `TenantAllowance` fed by grants.
+
+    Args:
+        tenant: The tenant as configured.
+        digest: 32-bit digest of its name.
+        now_s: Time of creation.
+    """
+
+    def __init__(self, tenant: Tenant, digest: int, now_s: float) -> None:
+        self.tenant = tenant
+        self.digest = digest
+        self.num_running = 0
+        self._num_requests = 0
+        self._num_prompt_tokens = 0
+        self._slots = 0
+        self._slots_until_s = now_s
+        self._expected_per_s = tenant.requests_per_s or 0.0
+        self._num_arrived = 0
+        self._arrivals_per_s = 0.0
+        self._prompt_tokens_per_request = 0.0
+        self._measured_at_s = now_s
+
+    def slots(self, now_s: float) -> int:
+        """Slots that may be used now."""
+        return self._slots if now_s < self._slots_until_s else 0
+
+    def can_start(self, num_prompt_tokens: int, now_s: float) -> bool:
+        """Whether the node holds enough of every limit."""
+        tenant = self.tenant
+        if tenant.max_concurrent_requests is not None and self.num_running >= self.slots(now_s):
+            return False
+        if tenant.requests_per_s is not None and self._num_requests < 1:
+            return False
+        return tenant.prompt_tokens_per_s is None or self._num_prompt_tokens >= num_prompt_tokens
+
+    def start(self, num_prompt_tokens: int, now_s: float) -> None:
+        """Use a slot and tokens."""
+        self.num_running += 1
+        if self.tenant.requests_per_s is not None:
+            self._num_requests -= 1
+        if self.tenant.prompt_tokens_per_s is not None:
+            self._num_prompt_tokens -= num_prompt_tokens
+
+    def finish(self) -> None:
+        """Free the slot."""
+        self.num_running -= 1
+
+    def wait_s(self, num_ahead: int, num_prompt_tokens: int) -> float:
+        """Time for the expected rate to admit those ahead."""
+        if self.tenant.requests_per_s is None:
+            return 0.0
+        lacking = num_ahead - 1 - self._num_requests
+        return max(0.0, lacking / max(MIN_RATE_PER_S, self._expected_per_s))
+
+    def num_slots(self, now_s: float) -> int | None:
+        """Slots that this node may use now."""
+        return None if self.tenant.max_concurrent_requests is None else self.slots(now_s)
+
+    def note_arrival(self, num_prompt_tokens: int) -> None:
+        """A request of the tenant came."""
+        self._num_arrived += 1
+        change = num_prompt_tokens - self._prompt_tokens_per_request
+        self._prompt_tokens_per_request += ARRIVAL_SMOOTHING * change
+
+    def measure(self, now_s: float) -> None:
+        """Update the arrival rate; once an interval."""
+        elapsed_s = now_s - self._measured_at_s
+        if elapsed_s <= 0.0:
+            return
+        rate_per_s = self._num_arrived / elapsed_s
+        self._arrivals_per_s += ARRIVAL_SMOOTHING * (rate_per_s - self._arrivals_per_s)
+        self._num_arrived = 0
+        self._measured_at_s = now_s
+
+    def demand(
+        self, num_waiting: int, num_waiting_prompt_tokens: int, now_s: float
+    ) -> TenantDemand | None:
+        """What to ask the home for; None when nothing is held, used or wanted."""
+        tenant = self.tenant
+        ahead = int(self._arrivals_per_s * PREFETCH_S + 0.5)
+        requests = tokens = held = wanted = 0
+        if tenant.requests_per_s is not None:
+            requests = max(0, num_waiting + ahead - self._num_requests)
+        if tenant.prompt_tokens_per_s is not None:
+            ahead_tokens = int(ahead * self._prompt_tokens_per_request)
+            tokens = max(0, num_waiting_prompt_tokens + ahead_tokens - self._num_prompt_tokens)
+        if tenant.max_concurrent_requests is not None:
+            held = max(self.slots(now_s), self.num_running)
+            wanted = self.num_running + num_waiting + min(1, ahead)
+        if not (requests or tokens or held or wanted):
+            return None
+        return TenantDemand(self.digest, requests, tokens, held, wanted)
+
+    def take(self, granted: TenantGrant, asked_at_s: float) -> None:
+        """Add what the home gave in answer to the latest demand, sent at `asked_at_s`."""
+        self._num_requests += granted.num_requests
+        self._num_prompt_tokens += granted.num_prompt_tokens
+        self._slots = granted.slots
+        self._slots_until_s = asked_at_s + NODE_LEASE_S
+        self._expected_per_s = granted.requests_per_s
--- /dev/null
+++ b/src/weirscale/domain/limits/share_pool.py
@@ -0,0 +1,258 @@
+"""A zone's part of one tenant's limits, kept by the zone's home for that tenant.
+
+Every token and slot is in one place: in a pool, with a node, or lost on the way, never in two. So
+messages that are lost, doubled or late lower what the tenant gets and never raise it.
+
+Tokens are given for good. Slots are leased: a borrower counts its lease from the moment it sent
+the demand that was granted, the pool counts from the moment it heard that demand, which is later.
+"""
+
+import math
+
+import msgspec
+
+from weirscale.domain.configuration.model import Tenant
+from weirscale.domain.identifiers import NodeAddress
+from weirscale.domain.limits.allowance import PROMPT_BURST_S
+from weirscale.domain.limits.node_fairness import NodeFairness
+from weirscale.domain.limits.token_bucket import TokenBucket
+from weirscale.messages.limits import TenantDemand, TenantGrant
+
+NODE_LEASE_S = 2.0
+"""How long a node may use slots without a new grant."""
+HOME_LEASE_S = 6.0
+"""How long a home may use another zone's slots without a new grant; covers its nodes' leases."""
+DEMAND_MEMORY_S = 2.0
+"""How long an unmet demand counts when slots are divided."""
+TAKEOVER_SHARE = 0.5
+"""Part of the zone's limits that a new home gives before the leases of its predecessor end."""
+BORROWED_TOKENS_LIFE_S = 2.0
+"""How long tokens from other zones are kept; then they are void."""
+
+
+def part_of(limit: int, index: int, num_parts: int) -> int:
+    """Size of one of `num_parts` whole parts that sum to the limit."""
+    return (index + 1) * limit // num_parts - index * limit // num_parts
+
+
+class ZoneShare(msgspec.Struct, frozen=True):
+    """Which part of every limit a zone owns: part `index` of `num_zones` declared zones."""
+
+    index: int
+    num_zones: int
+
+
+class _Loan(msgspec.Struct, frozen=True):
+    """Slots lent to a node or to another zone's home."""
+
+    slots: int
+    expires_at_s: float
+    wanted: int
+
+
+class SharePool:
+    """The zone's part of one tenant's limits.
+
+    Args:
+        tenant: The tenant as configured.
+        share: The zone's part.
+        now_s: When this node became the tenant's home.
+    """
+
+    def __init__(self, tenant: Tenant, share: ZoneShare, now_s: float) -> None:
+        self.tenant = tenant
+        self._made_at_s = now_s
+        self._requests: TokenBucket | None = None
+        self._prompt_tokens: TokenBucket | None = None
+        self._slots: int | None = None
+        self._loans: dict[NodeAddress, _Loan] = {}
+        self._fairness = NodeFairness()
+        self._borrowed_slots: dict[NodeAddress, _Loan] = {}
+        self._returned_slots: dict[NodeAddress, _Loan] = {}
+        self._borrowed_requests = 0
+        self._borrowed_prompt_tokens = 0
+        self._borrowed_at_s = now_s
+        self._unmet_requests = 0
+        self._unmet_prompt_tokens = 0
+        self._unmet_at_s = float("-inf")
+        self._make_limits(tenant, share, now_s)
+
+    def _make_limits(self, tenant: Tenant, share: ZoneShare, now_s: float) -> None:
+        if tenant.requests_per_s is not None:
+            depth = max(1.0, tenant.burst_requests / share.num_zones)
+            first = max(1.0, depth * TAKEOVER_SHARE)
+            rate_per_s = tenant.requests_per_s / share.num_zones
+            self._requests = TokenBucket(rate_per_s, depth, now_s, first)
+        if tenant.prompt_tokens_per_s is not None:
+            rate_per_s = tenant.prompt_tokens_per_s / share.num_zones
+            depth = rate_per_s * PROMPT_BURST_S
+            self._prompt_tokens = TokenBucket(rate_per_s, depth, now_s, depth * TAKEOVER_SHARE)
+        if tenant.max_concurrent_requests is not None:
+            self._slots = part_of(tenant.max_concurrent_requests, share.index, share.num_zones)
+
+    def grant(
+        self, source: NodeAddress, is_home: bool, demand: TenantDemand, now_s: float
+    ) -> TenantGrant:
+        """Answer a demand of a node, or of another zone's home, which gets only what is spare."""
+        self._drop_expired(now_s)
+        if is_home:
+            num_requests = self._spare(self._requests, demand.num_requests, now_s)
+            num_prompt_tokens = self._spare(self._prompt_tokens, demand.num_prompt_tokens, now_s)
+        else:
+            num_requests = self._give_requests(source, demand.num_requests, now_s)
+            num_prompt_tokens = self._give_prompt_tokens(demand.num_prompt_tokens, now_s)
+            self._note_unmet(demand, num_requests, num_prompt_tokens, now_s)
+        slots = self._lend(source, is_home, demand, now_s)
+        return TenantGrant(
+            demand.tenant, num_requests, num_prompt_tokens, slots, self._expected_rate()
+        )
+
+    def unmet(self, now_s: float) -> tuple[int, int, int]:
+        """Request tokens, prompt tokens and slots that this zone's nodes lack now."""
+        self._drop_expired(now_s)
+        slots = 0
+        if self._slots is not None:
+            wanted = sum(loan.wanted for loan in self._loans.values())
+            slots = max(0, min(wanted, self._limit_slots()) - self._owned_slots(now_s))
+        if now_s - self._unmet_at_s > DEMAND_MEMORY_S:
+            return 0, 0, slots
+        return self._unmet_requests, self._unmet_prompt_tokens, slots
+
+    def borrowed_from(self, home: NodeAddress, now_s: float) -> int:
+        """Slots of another zone that this one's nodes may still use, returned ones included."""
+        loans = (self._borrowed_slots.get(home), self._returned_slots.get(home))
+        return max(
+            (loan.slots for loan in loans if loan is not None and loan.expires_at_s > now_s),
+            default=0,
+        )
+
+    def wants_from(self, num_homes: int, now_s: float) -> tuple[int, int, int]:
+        """What to ask each of `num_homes` other homes for beyond what it lends already."""
+        return tuple(math.ceil(lack / num_homes) for lack in self.unmet(now_s))  # type: ignore[return-value]
+
+    def needs_borrowed_slots(self, now_s: float) -> bool:
+        """Whether this zone's nodes use more slots than the zone owns."""
+        if self._slots is None:
+            return False
+        self._drop_expired(now_s)
+        return sum(max(loan.slots, loan.wanted) for loan in self._loans.values()) > self._slots
+
+    def take_borrowed(
+        self, home: NodeAddress, granted: TenantGrant, asked_at_s: float, now_s: float
+    ) -> None:
+        """Add what another zone's home gave in answer to a demand sent at `asked_at_s`."""
+        self._borrowed_requests += granted.num_requests
+        self._borrowed_prompt_tokens += granted.num_prompt_tokens
+        self._borrowed_at_s = now_s
+        self._unmet_requests = max(0, self._unmet_requests - granted.num_requests)
+        self._unmet_prompt_tokens = max(0, self._unmet_prompt_tokens - granted.num_prompt_tokens)
+        before = self.borrowed_from(home, now_s)
+        if before > granted.slots:
+            self._returned_slots[home] = _Loan(before, now_s + NODE_LEASE_S, 0)
+        expires_at_s = asked_at_s + HOME_LEASE_S
+        self._borrowed_slots[home] = _Loan(granted.slots, expires_at_s, 0)
+
+    def _lend(self, source: NodeAddress, is_home: bool, demand: TenantDemand, now_s: float) -> int:
+        if self._slots is None:
+            return 0
+        lent_to_others = sum(loan.slots for other, loan in self._loans.items() if other != source)
+        free = self._available_slots(is_home, now_s) - lent_to_others
+        slots = max(0, min(demand.slots_wanted, free))
+        if self._others_lack(source):
+            fair = slots // 2 if is_home else self._fair_slots(source, now_s)
+            slots = min(slots, fair)
+        lease_s = HOME_LEASE_S if is_home else NODE_LEASE_S
+        counted = max(slots, demand.slots_held)
+        if counted or demand.slots_wanted:
+            self._loans[source] = _Loan(counted, now_s + lease_s, demand.slots_wanted)
+        else:
+            self._loans.pop(source, None)
+        return slots
+
+    def _available_slots(self, is_home: bool, now_s: float) -> int:
+        """Slots to lend in all; other zones get own ones only, never such as are borrowed.
+
+        While the predecessor's leases may run, only a part of the own slots is lent.
+        """
+        own = self._slots or 0
+        if own and now_s - self._made_at_s < NODE_LEASE_S:
+            own = max(1, math.floor(own * TAKEOVER_SHARE))
+        return own if is_home else own + self._borrowed(now_s)
+
+    def _owned_slots(self, now_s: float) -> int:
+        return (self._slots or 0) + self._borrowed(now_s)
+
+    def _borrowed(self, now_s: float) -> int:
+        """Slots of other zones that are borrowed long enough to cover a node's whole lease."""
+        return sum(
+            loan.slots
+            for loan in self._borrowed_slots.values()
+            if loan.expires_at_s - NODE_LEASE_S > now_s
+        )
+
+    def _limit_slots(self) -> int:
+        return self.tenant.max_concurrent_requests or 0
+
+    def _others_lack(self, source: NodeAddress) -> bool:
+        return any(
+            loan.wanted > loan.slots for other, loan in self._loans.items() if other != source
+        )
+
+    def _fair_slots(self, source: NodeAddress, now_s: float) -> int:
+        num_demanding = len({*self._loans, source})
+        return max(1, self._owned_slots(now_s) // num_demanding)
+
+    def _give_requests(self, source: NodeAddress, wanted: int, now_s: float) -> int:
+        if self._requests is None:
+            return 0
+        fair = min(wanted, self._fairness.most_for(source, now_s))
+        own = min(fair, math.floor(self._requests.available(now_s)))
+        self._requests.take(own, now_s)
+        borrowed = min(fair - own, self._borrowed_requests)
+        self._borrowed_requests -= borrowed
+        self._fairness.note(source, own + borrowed, own + borrowed < wanted, now_s)
+        return own + borrowed
+
+    def _give_prompt_tokens(self, wanted: int, now_s: float) -> int:
+        if self._prompt_tokens is None:
+            return 0
+        own = min(wanted, math.floor(self._prompt_tokens.available(now_s)))
+        self._prompt_tokens.take(own, now_s)
+        borrowed = min(wanted - own, self._borrowed_prompt_tokens)
+        self._borrowed_prompt_tokens -= borrowed
+        return own + borrowed
+
+    def _spare(self, bucket: TokenBucket | None, wanted: int, now_s: float) -> int:
+        """Give to another zone only while this zone's own nodes lack nothing."""
+        is_short = now_s - self._unmet_at_s <= DEMAND_MEMORY_S and self._unmet_requests > 0
+        if bucket is None or is_short:
+            return 0
+        given = min(wanted, math.floor(bucket.available(now_s)))
+        bucket.take(given, now_s)
+        return given
+
+    def _note_unmet(
+        self, demand: TenantDemand, num_requests: int, num_prompt_tokens: int, now_s: float
+    ) -> None:
+        lacking_requests = demand.num_requests - num_requests if self._requests else 0
+        lacking_tokens = demand.num_prompt_tokens - num_prompt_tokens if self._prompt_tokens else 0
+        if now_s - self._unmet_at_s > DEMAND_MEMORY_S:
+            self._unmet_requests = 0
+            self._unmet_prompt_tokens = 0
+        if lacking_requests > 0 or lacking_tokens > 0:
+            self._unmet_requests = max(self._unmet_requests, lacking_requests)
+            self._unmet_prompt_tokens = max(self._unmet_prompt_tokens, lacking_tokens)
+            self._unmet_at_s = now_s
+
+    def _expected_rate(self) -> float:
+        """Rate that one node may expect; optimistic, since other zones may lend theirs."""
+        if self.tenant.requests_per_s is None:
+            return 0.0
+        return self.tenant.requests_per_s / max(1, len(self._loans))
+
+    def _drop_expired(self, now_s: float) -> None:
+        for source in [key for key, loan in self._loans.items() if loan.expires_at_s <= now_s]:
+            del self._loans[source]
+        if now_s - self._borrowed_at_s > BORROWED_TOKENS_LIFE_S:
+            self._borrowed_requests = 0
+            self._borrowed_prompt_tokens = 0
--- a/src/weirscale/node/limits/task.py
+++ b/src/weirscale/node/limits/task.py
@@ -59,9 +59,6 @@
     max_running: int
 
 
-_Message = _Admit | _Release | _Withdraw | _Reshape
-
-
 def node_capacity(deployment: Deployment, num_nodes: int) -> int:
     """Permits that one of `num_nodes` nodes may give at once."""
     num_engine_requests = sum(engine.max_concurrent_requests for engine in deployment.engines)
@@ -80,8 +77,8 @@
     """
 
     def __init__(self, max_running: int, allowance_of: AllowanceSource) -> None:
-        self._mailbox: Mailbox[_Message] = Mailbox()
-        self._queue = AdmissionQueue(max_running, allowance_of)
+        self.mailbox: Mailbox[msgspec.Struct] = Mailbox()
+        self.queue = AdmissionQueue(max_running, allowance_of)
         self._replies: dict[int, _Admit] = {}
         self._tickets = itertools.count(1)
 
@@ -98,56 +95,62 @@
         now_s = anyio.current_time()
         request = WaitingRequest(ticket, tenant, num_prompt_tokens, priority, deadline_s, now_s)
         reply: Reply[Decision] = Reply()
-        if not self._mailbox.post(_Admit(request, request_id, reply)):
+        if not self.mailbox.post(_Admit(request, request_id, reply)):
             return Err(overloaded_refusal(MIN_RETRY_AFTER_S))
         try:
             return await reply.wait()
         except anyio.get_cancelled_exc_class():
-            self._mailbox.post(_Withdraw(ticket))
+            self.mailbox.post(_Withdraw(ticket))
             raise
 
     def release(self, permit: Permit) -> None:
         """Give the permit back."""
         if isinstance(permit, NodePermit):
-            self._mailbox.post(_Release(permit.ticket))
+            self.mailbox.post(_Release(permit.ticket))
 
     def reshape(self, max_running: int) -> None:
         """Change the number of permits; those that are out stay out."""
-        self._mailbox.post(_Reshape(max_running))
+        self.mailbox.post(_Reshape(max_running))
 
     async def run(self) -> None:
         """Serve until cancelled."""
         while True:
             message = await self._next_message()
             if message is not None:
-                self._handle(message)
+                self.handle(message)
+            await self.exchange_shares()
             self._answer(anyio.current_time())
 
-    async def _next_message(self) -> _Message | None:
-        with anyio.move_on_after(self._poll_s()):
-            return await self._mailbox.receive()
+    async def exchange_shares(self) -> None:
+        """Talk to other nodes about the tenants' shares; a process that stands alone does not."""
+
+    async def _next_message(self) -> msgspec.Struct | None:
+        with anyio.move_on_after(self.poll_s()):
+            return await self.mailbox.receive()
         return None
 
-    def _poll_s(self) -> float:
-        deadline_s = self._queue.next_deadline_s()
+    def poll_s(self) -> float:
+        """How long to wait for a message before looking at the queue again."""
+        deadline_s = self.queue.next_deadline_s()
         if deadline_s is None:
             return IDLE_POLL_S
         return max(0.0, min(WAITING_POLL_S, deadline_s - anyio.current_time()))
 
-    def _handle(self, message: _Message) -> None:
+    def handle(self, message: msgspec.Struct) -> None:
+        """Carry out one message."""
         now_s = anyio.current_time()
         match message:
             case _Admit(request=request):
                 self._offer(message, request, now_s)
             case _Release(ticket=ticket):
-                self._queue.finish(ticket, now_s)
+                self.queue.finish(ticket, now_s)
             case _Withdraw(ticket=ticket):
                 self._withdraw(ticket, now_s)
             case _Reshape(max_running=max_running):
-                self._queue.max_running = max_running
+                self.queue.max_running = max_running
 
     def _offer(self, message: _Admit, request: WaitingRequest, now_s: float) -> None:
-        refusal = self._queue.offer(request, now_s)
+        refusal = self.queue.offer(request, now_s)
         if refusal is not None:
             message.reply.set(Err(refusal))
             return
@@ -156,13 +159,13 @@
     def _withdraw(self, ticket: int, now_s: float) -> None:
         """The caller has left: it may wait, or its permit may have crossed its leaving."""
         self._replies.pop(ticket, None)
-        if not self._queue.withdraw(ticket):
-            self._queue.finish(ticket, now_s)
+        if not self.queue.withdraw(ticket):
+            self.queue.finish(ticket, now_s)
 
     def _answer(self, now_s: float) -> None:
-        for request, refusal in self._queue.give_up(now_s):
+        for request, refusal in self.queue.give_up(now_s):
             self._replies.pop(request.ticket).reply.set(Err(refusal))
-        for request in self._queue.start_ready(now_s):
+        for request in self.queue.start_ready(now_s):
             admitted = self._replies.pop(request.ticket)
             permit = NodePermit(
                 request.tenant.name,
