--- /dev/null
+++ b/features/limits_shares.feature
@@ -0,0 +1,42 @@
+Feature: Limits that hold over the fleet
+  Scenario Outline: The whole limit is used wherever the load is: <load>
+    Given 3 zones of 3 nodes that share <limit>
+    When the load is "<load>" for 20 seconds
+    Then between <least> and <most> requests a second are admitted in all
+    And no loaded node gets less than half of an equal part
+
+    Examples:
+      | limit         | load      | least | most |
+      | 20 requests/s | one node  | 18.0  | 20.0 |
+      | 20 requests/s | one zone  | 18.0  | 20.0 |
+      | 20 requests/s | all nodes | 18.0  | 20.0 |
+      | 9 slots       | one node  | 25.0  | 31.0 |
+      | 9 slots       | one zone  | 25.0  | 31.0 |
+      | 9 slots       | all nodes | 25.0  | 31.0 |
+
+  Scenario: No loss, doubling, delay or cut lifts the sum above the limit
+    Given 3 zones of 3 nodes that share 20 requests/s and 9 slots
+    When many schedules of lost, doubled, late and cut messages are tried
+    Then no schedule admits more than the rate and one burst
+    And no schedule has more usable slots than the limit
+
+  Scenario Outline: Nodes that take themselves for homes lift the sum by one zone's part each: <num_alone>
+    Given 3 zones of 3 nodes that share 9 slots
+    When <num_alone> nodes of one zone lose sight of all others under load
+    Then at most <slots> slots are usable at any time
+    And the nodes that lost sight still admit requests
+
+    Examples:
+      | num_alone | slots |
+      | 1         | 12    |
+      | 2         | 15    |
+
+  Scenario: A zone that is cut off goes on with its own part
+    Given 3 zones of 3 nodes that share 9 slots
+    When one zone is cut off for 20 seconds under load
+    Then its nodes hold 3 slots at the end
+
+  Scenario: Admission tasks share a limit over the peer link
+    Given 3 nodes with admission tasks that share 20 requests/s
+    When callers flood one of them for 20 seconds
+    Then the flooded node admits between 18 and 20 requests a second and one burst
--- /dev/null
+++ b/features/steps/limits_shares_steps.py
@@ -0,0 +1,218 @@
+import random
+from types import SimpleNamespace
+
+import anyio
+from behave import given, then, when
+from features.support.claims_fleet import Faults, Link
+from features.support.limits_fleet import SharingFleet, limited_tenant
+from features.support.virtual_time import run_in_virtual_time
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from weirscale.domain.configuration.model import Deployment, Region
+from weirscale.domain.identifiers import NodeAddress, NodeId
+from weirscale.domain.limits.exchange import Member
+from weirscale.node.interfaces import ConfigurationInForce, Peer, PeerState
+from weirscale.node.limits.fleet import FleetAdmissionTask
+
+ZONES = ("a", "b", "c")
+RATE_PER_S, BURST, SLOTS = 20.0, 12, 9
+LIMITS = {
+    "20 requests/s": {"requests_per_s": RATE_PER_S, "burst_requests": BURST},
+    "9 slots": {"max_concurrent_requests": SLOTS},
+}
+LIMITS["20 requests/s and 9 slots"] = {**LIMITS["20 requests/s"], **LIMITS["9 slots"]}
+LOADS = {"one node": {0: 60.0}, "one zone": dict.fromkeys(range(3), 20.0)}
+LOADS["all nodes"] = dict.fromkeys(range(9), 10.0)
+
+
+def make_fleet(context, seed=1):
+    return SharingFleet(limited_tenant(**LIMITS[context.limit]), ZONES, 3, seed)
+
+
+@given("3 zones of 3 nodes that share {limit}")
+def step_sharing(context, limit):
+    context.limit = limit
+
+
+@when('the load is "{load}" for 20 seconds')
+def step_load(context, load):
+    fleet = make_fleet(context)
+    fleet.arrivals_per_s = LOADS[load]
+    fleet.run(5.0)
+    before = {number: node.num_started for number, node in fleet.nodes.items()}
+    fleet.run(20.0)
+    context.started = [fleet.nodes[number].num_started - before[number] for number in LOADS[load]]
+
+
+@then("between {least:g} and {most:g} requests a second are admitted in all")
+def step_rate(context, least, most):
+    assert least * 20 <= sum(context.started) <= most * 20, context.started
+
+
+@then("no loaded node gets less than half of an equal part")
+def step_fair(context):
+    equal = sum(context.started) / len(context.started)
+    assert min(context.started) >= equal / 2, context.started
+
+
+TROUBLE = st.tuples(
+    st.sampled_from([(), ("a",), ("a", "b"), ("c",)]),
+    st.frozensets(st.integers(0, 8), max_size=3),
+    st.dictionaries(st.integers(0, 8), st.sampled_from([0.0, 3.0, 40.0]), max_size=6),
+    st.sampled_from([0.5, 2.5, 5.0]),
+)
+SCHEDULES = st.tuples(
+    st.sampled_from([0.0, 0.1, 0.4]),
+    st.sampled_from([0.0, 0.3]),
+    st.sampled_from([0.002, 0.1, 1.0, 3.0]),
+    st.lists(TROUBLE, min_size=2, max_size=4),
+)
+
+
+@when("many schedules of lost, doubled, late and cut messages are tried")
+def step_schedules(context):
+    context.excess, context.most_slots = [], []
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=80)
+    @for_all(SCHEDULES)
+    def attempt(schedule):
+        fleet = make_fleet(context)
+        fleet.lose, fleet.double, fleet.max_delay_s, troubles = schedule
+        fleet.arrivals_per_s = dict.fromkeys(range(9), 10.0)
+        fleet.run(1.5)
+        for cut_zones, isolated, loads, duration_s in troubles:
+            fleet.cut_zones, fleet.isolated = set(cut_zones), set(isolated)
+            fleet.arrivals_per_s.update(loads)
+            fleet.run(duration_s)
+        context.excess.append(fleet.num_started() - RATE_PER_S * fleet.now_s)
+        context.most_slots.append(fleet.most_slots)
+
+    attempt()
+
+
+@then("no schedule admits more than the rate and one burst")
+def step_rate_bound(context):
+    assert len(context.excess) >= 80
+    assert max(context.excess) <= BURST, max(context.excess)
+
+
+@then("no schedule has more usable slots than the limit")
+def step_slots_bound(context):
+    assert max(context.most_slots) == SLOTS, max(context.most_slots)
+
+
+@when("{num_alone:d} nodes of one zone lose sight of all others under load")
+def step_alone(context, num_alone):
+    fleet = make_fleet(context)
+    fleet.arrivals_per_s = dict.fromkeys(range(9), 10.0)
+    fleet.run(5.0)
+    context.alone = [fleet.nodes[number] for number in range(num_alone)]
+    fleet.isolated = set(range(num_alone))
+    others = [node.member for number, node in fleet.nodes.items() if number >= num_alone]
+    for node in fleet.nodes.values():
+        seen = [node.member] if node in context.alone else others
+        node.exchange.set_members([Member(each.address, each.zone) for each in seen], fleet.now_s)
+    fleet.run(4.0)
+    before = [node.num_started for node in context.alone]
+    fleet.run(10.0)
+    context.most_slots = fleet.most_slots
+    context.admitted = [
+        node.num_started - count for node, count in zip(context.alone, before, strict=True)
+    ]
+
+
+@then("at most {slots:d} slots are usable at any time")
+def step_bound_alone(context, slots):
+    assert SLOTS <= context.most_slots <= slots, context.most_slots
+
+
+@then("the nodes that lost sight still admit requests")
+def step_alone_admits(context):
+    assert min(context.admitted) > 0, context.admitted
+
+
+@when("one zone is cut off for 20 seconds under load")
+def step_cut(context):
+    fleet = make_fleet(context)
+    fleet.arrivals_per_s = dict.fromkeys(range(9), 10.0)
+    fleet.run(5.0)
+    fleet.cut_zones = {"a"}
+    fleet.run(20.0)
+    context.slots = sum(fleet.nodes[number].holding.slots(fleet.now_s) for number in range(3))
+
+
+@then("its nodes hold {count:d} slots at the end")
+def step_own_part(context, count):
+    assert context.slots == count, context.slots
+
+
+class LinkFleet:
+    """What `Link` needs, and a membership that sees all nodes."""
+
+    def __init__(self, tasks):
+        self.tasks, self.faults, self.random = tasks, Faults(), random.Random(1)
+        self.links, self.num_bytes = {}, 0
+
+    def reach(self, source, destination):
+        return self.links.get(destination)
+
+
+@given("3 nodes with admission tasks that share 20 requests/s")
+def step_admission_fleet(context):
+    tenant = limited_tenant(**LIMITS["20 requests/s"])
+    regions = (Region("region", ZONES),)
+    in_force = ConfigurationInForce(1, Deployment(1, "test", regions, (), (), (tenant,)))
+    peers = tuple(
+        Peer(NodeId(f"node-{zone}", 1), NodeAddress("10.0.0.1", number), zone, PeerState.ALIVE)
+        for number, zone in enumerate(ZONES)
+    )
+
+    def start(tasks):
+        fleet = LinkFleet(tasks)
+        admissions = []
+        for peer in peers:
+            link = fleet.links[peer.address] = Link(fleet, peer.address)
+            view = SimpleNamespace(self_id=peer.node, peers=lambda: peers, version=lambda: 1)
+            configuration = SimpleNamespace(current=lambda: in_force)
+            admission = FleetAdmissionTask(
+                link, view, configuration, peer.address, peer.zone, random.Random(1)
+            )
+            tasks.start_soon(admission.run)
+            admissions.append(admission)
+        return admissions
+
+    context.start, context.tenant = start, tenant
+
+
+@when("callers flood one of them for 20 seconds")
+def step_flood(context):
+    times_s = []
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            flooded = context.start(tasks)[0]
+
+            async def repeat():
+                while anyio.current_time() < begin_s + 25.0:
+                    deadline_s = anyio.current_time() + 5.0
+                    answer = await flooded.admit(context.tenant, "request", 1, 10, deadline_s)
+                    await anyio.sleep(0.05)
+                    if answer.is_ok():
+                        times_s.append(anyio.current_time() - begin_s)
+                        flooded.release(answer.ok_value)
+
+            begin_s = anyio.current_time()
+            async with anyio.create_task_group() as callers:
+                for _ in range(10):
+                    callers.start_soon(repeat)
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(main)
+    context.num_admitted = sum(1 for at_s in times_s if 5.0 <= at_s < 25.0)
+
+
+@then("the flooded node admits between {least:d} and {most:d} requests a second and one burst")
+def step_flooded_rate(context, least, most):
+    assert least * 20 <= context.num_admitted <= most * 20 + BURST, context.num_admitted
--- a/src/weirscale/domain/limits/fair_queue.py
+++ b/src/weirscale/domain/limits/fair_queue.py
@@ -8,8 +8,10 @@
 from weirscale.domain.configuration.model import Tenant
 from weirscale.domain.identifiers import TenantName
 
-AGEING_S_PER_LEVEL = 2.0
-"""Waiting time that lifts a request by one priority level: no level starves another."""
+AGEING_S_PER_LEVEL = 4.0
+"""Waiting time that lifts a request by one priority level, so that no level starves another.
+
+Long against the waits of a healthy node, within which weights decide among equal priorities."""
 
 
 class WaitingRequest(msgspec.Struct, frozen=True):
