Strengthen the rollout table: both bounds bind, planners see engines apart

Cause: breaking the load bound, the lease check and the superseding on purpose failed no scenario. Change: rows where each bound binds, engines with running answers, planners with different lag, orders watched for the lease, a stuck load replaced at once.

--- a/features/placement_rollout.feature
+++ b/features/placement_rollout.feature
@@ -1,43 +1,70 @@
 Feature: Rollouts bring engines to the declared weights without losing capacity
 
   Scenario Outline: A rollout under a fault keeps its bounds
-    Given 6 engines serve v1, 4 must stay ready and 2 may load at once
+    Given 6 engines serve v1, <floor> must stay ready and <most> may load at once
     When v2 is declared and <fault>
-    Then after <minutes> minutes <current> engines serve v2 and the rollout is <state>
-    And never more than 2 engines loaded at once
-    And never fewer than 4 engines were ready, those lost to the fault aside
+    Then after <seconds> seconds <current> engines serve v2 and the rollout is <state>
+    And never more than <most> engines loaded at once
+    And never fewer than <floor> engines were ready, those lost to the fault aside
     And no engine carried out a token below an earlier one
     And no token named two orders
+    And no planner gave an order without its lease
 
     Examples:
-      | fault                                            | minutes | current | state            |
-      | nothing fails                                    | 3       | 6       | done             |
-      | the weight store is slow                         | 5       | 6       | done             |
-      | an engine crashes while it loads                 | 3       | 6       | done             |
-      | an engine crashes while it serves                | 3       | 6       | done             |
-      | an engine cannot be reached for a while          | 3       | 6       | done             |
-      | one load is stuck                                | 5       | 6       | done             |
-      | an engine leaves while it loads                  | 3       | 5       | short_of_engines |
-      | an engine leaves while it serves                 | 3       | 5       | short_of_engines |
-      | every load of v2 fails                           | 4       | 0       | stopped          |
-      | the key-value service is down for a minute       | 3       | 6       | done             |
-      | answers of the key-value service are lost        | 3       | 6       | done             |
-      | the planner is paused past its lease and wakes   | 3       | 6       | done             |
-      | the planner is replaced again and again          | 3       | 6       | done             |
-      | two planners both believe to hold the lease      | 3       | 6       | done             |
+      | fault                                          | floor | most | seconds | current | state            |
+      | nothing fails                                  | 2     | 2    | 75      | 6       | done             |
+      | nothing fails                                  | 4     | 3    | 75      | 6       | done             |
+      | the weight store is slow                       | 2     | 2    | 150     | 6       | done             |
+      | an engine crashes while it loads               | 2     | 2    | 75      | 6       | done             |
+      | an engine crashes while it serves              | 4     | 3    | 75      | 6       | done             |
+      | an engine cannot be reached for a while        | 2     | 2    | 75      | 6       | done             |
+      | an engine refuses orders for a while           | 4     | 3    | 75      | 6       | done             |
+      | an engine leaves while it loads                | 4     | 3    | 75      | 5       | short_of_engines |
+      | an engine leaves while it serves               | 4     | 3    | 100     | 5       | short_of_engines |
+      | every load of v2 fails                         | 4     | 3    | 100     | 0       | stopped          |
+      | the key-value service is down for a while      | 2     | 2    | 100     | 6       | done             |
+      | answers of the key-value service are lost      | 2     | 2    | 75      | 6       | done             |
+      | the planner is paused past its lease and wakes | 2     | 2    | 75      | 6       | done             |
+      | the planner is replaced again and again        | 2     | 2    | 100     | 6       | done             |
+      | two planners both believe to hold the lease    | 2     | 2    | 150     | 6       | done             |
+
+  Scenario: An order that certainly was not given holds no slot
+    Given 6 engines serve v1, 2 must stay ready and 1 may load at once
+    When v2 is declared and an engine refuses orders for a while
+    Then after 150 seconds 6 engines serve v2 and the rollout is done
+    And no load counted as failed
+
+  Scenario: Answers that run when a rollout begins finish on their version
+    Given 6 engines serve v1, 2 must stay ready and 3 may load at once
+    When v2 is declared and nothing fails
+    Then after 75 seconds 6 engines serve v2 and the rollout is done
+    And every answer that ran before finished on v1
+
+  Scenario: A stuck load is given up and counted
+    Given 6 engines serve v1, 2 must stay ready and 2 may load at once
+    When v2 is declared and one load is stuck
+    Then after 150 seconds 6 engines serve v2 and the rollout is done
+    And never more than 3 engines loaded at once
+    And the progress names 1 failed loads
+
+  Scenario: A stuck load gives way at once to another version
+    Given 6 engines serve v1, 2 must stay ready and 2 may load at once
+    When v2 is declared and while the first load is stuck v1 is declared
+    Then after 30 seconds 6 engines serve v1 and the rollout is done
 
   Scenario: A new version that fails costs no more engines than allowed
     Given 6 engines serve v1, 4 must stay ready and 2 may load at once
     When v2 is declared and every load of v2 fails
-    Then after 4 minutes 0 engines serve v2 and the rollout is stopped
+    Then after 100 seconds 0 engines serve v2 and the rollout is stopped
     And 4 engines still serve v1
     And 2 loads of v2 were ordered
-    And the progress names 2 failed loads and a remedy
+    And the progress names 2 failed loads
+    And the progress names a remedy
 
   Scenario Outline: Declaring another version changes a running rollout
     Given 6 engines serve v1, 4 must stay ready and 2 may load at once
     When v2 is declared and <moment> <version> is declared
-    Then after 5 minutes 6 engines serve <version> and the rollout is done
+    Then after 150 seconds 6 engines serve <version> and the rollout is done
     And never more than 2 engines loaded at once
     And never fewer than 4 engines were ready, those lost to the fault aside
 
@@ -56,14 +83,14 @@
     Then only 1 engine loaded until the first one served v2
 
   Scenario: A floor that forbids every load is reported
-    Given 6 engines serve v1, 6 must stay ready and 2 may load at once
+    Given 6 engines serve v1, 6 must stay ready and 3 may load at once
     When v2 is declared and nothing fails
-    Then after 2 minutes 0 engines serve v2 and the rollout is waiting_for_floor
+    Then after 50 seconds 0 engines serve v2 and the rollout is waiting_for_floor
 
   Scenario: A lost placement record does not bring tokens back
     Given 6 engines serve v1, 4 must stay ready and 2 may load at once
     When v2 is declared and the placement record is deleted
-    Then after 5 minutes 6 engines serve v2 and the rollout is done
+    Then after 150 seconds 6 engines serve v2 and the rollout is done
     And never fewer than 4 engines were ready, those lost to the fault aside
     And no engine carried out a token below an earlier one
 
--- a/features/steps/placement_rollout_steps.py
+++ b/features/steps/placement_rollout_steps.py
@@ -8,9 +8,9 @@
 from weirscale.standins.faults import EngineFaults
 
 SLOW_FACTOR = 2.0
-CUT_S = 30.0
-OUTAGE_S = 60.0
-LEASE_TURN_S = 7.0
+CUT_S = 15.0
+OUTAGE_S = 30.0
+LEASE_TURN_S = 4.0
 
 
 async def nothing_fails(rollout):
@@ -37,6 +37,12 @@
     engine.faults.clear()
 
 
+async def refuse_orders(rollout):
+    rollout.engines["qalam-0"].refuses_orders = True
+    await anyio.sleep(CUT_S)
+    rollout.engines["qalam-0"].refuses_orders = False
+
+
 async def one_stuck_load(rollout):
     rollout.weights.num_to_stick = 1
 
@@ -98,11 +104,12 @@
     "an engine crashes while it loads": crash_loading,
     "an engine crashes while it serves": crash_serving,
     "an engine cannot be reached for a while": cut_engine_off,
+    "an engine refuses orders for a while": refuse_orders,
     "one load is stuck": one_stuck_load,
     "an engine leaves while it loads": leave_loading,
     "an engine leaves while it serves": leave_serving,
     "every load of v2 fails": new_version_fails,
-    "the key-value service is down for a minute": store_is_down,
+    "the key-value service is down for a while": store_is_down,
     "answers of the key-value service are lost": lose_store_answers,
     "the planner is paused past its lease and wakes": pause_planner,
     "the planner is replaced again and again": replace_planner,
@@ -115,15 +122,16 @@
 POLL_S = 0.5
 
 
-def rollout_after(context, minutes):
+def rollout_after(context, seconds):
     """Run the rollout that the steps before describe, once, and return it."""
 
     async def main():
-        rollout = Rollout(6, rolling_model(min_ready_engines=context.floor), num_planners=2)
+        model = rolling_model(min_ready_engines=context.floor, max_concurrent_loads=context.most)
+        rollout = Rollout(6, model, num_planners=2)
         async with rollout.running(), anyio.create_task_group() as tasks:
             tasks.start_soon(context.fault, rollout)
             rollout.declare_version("v2")
-            await anyio.sleep(60.0 * minutes)
+            await anyio.sleep(seconds)
             rollout.progress = {each for task in rollout.planners for each in task.progress()}
             rollout.counts = {version: rollout.count_at(version) for version in VERSIONS}
             tasks.cancel_scope.cancel()
@@ -137,6 +145,7 @@
 @given("{count:d} engines serve v1, {floor:d} must stay ready and {most:d} may load at once")
 def step_engines_serve(context, count, floor, most):
     context.floor = floor
+    context.most = most
 
 
 @when("v2 is declared and {moment} {version:w} is declared")
@@ -144,13 +153,17 @@
     async def change(rollout):
         if moment == "while the first load runs":
             await rollout.wait_for_loading()
-            await anyio.sleep(2.0)
+            await anyio.sleep(1.0)
+        elif moment == "while the first load is stuck":
+            rollout.weights.num_to_stick = 1
+            await rollout.wait_for_loading()
+            await anyio.sleep(8.0)
         elif moment == "half-way":
             while rollout.count_at("v2") < HALF_WAY:  # noqa: ASYNC110 - engines tell nobody
                 await anyio.sleep(POLL_S)
         elif moment == "after v2 has been stopped":
             rollout.weights.failing_versions.add("v2")
-            await anyio.sleep(140.0)
+            await anyio.sleep(90.0)
         else:
             raise AssertionError(moment)
         rollout.declare_version(version)
@@ -163,9 +176,9 @@
     context.fault = FAULTS[fault]
 
 
-@then("after {minutes:d} minutes {count:d} engines serve {version} and the rollout is {state}")
-def step_rollout_state(context, minutes, count, version, state):
-    rollout = rollout_after(context, minutes)
+@then("after {seconds:d} seconds {count:d} engines serve {version} and the rollout is {state}")
+def step_rollout_state(context, seconds, count, version, state):
+    rollout = rollout_after(context, seconds)
     states = {progress.state for progress in rollout.progress}
     assert (rollout.counts[version], states) == (count, {state}), rollout.progress
 
@@ -191,6 +204,21 @@
     assert not context.rollout.tokens_given_twice()
 
 
+@then("no planner gave an order without its lease")
+def step_lease_held(context):
+    assert [lease.num_orders_without for lease in context.rollout.leases] == [0, 0]
+
+
+@then("no load counted as failed")
+def step_no_failed_loads(context):
+    assert all(not progress.failures for progress in context.rollout.progress)
+
+
+@then("every answer that ran before finished on v1")
+def step_answers_finished(context):
+    assert context.rollout.long_answers() == [("finished", "v1")] * 6
+
+
 @then("{count:d} engines still serve v1")
 def step_still_serving(context, count):
     assert context.rollout.counts["v1"] == count
@@ -201,17 +229,22 @@
     assert context.rollout.num_loads_of("v2") == count
 
 
-@then("the progress names {count:d} failed loads and a remedy")
+@then("the progress names {count:d} failed loads")
 def step_progress_failures(context, count):
     (progress,) = context.rollout.progress
     assert len(progress.failures) == count
     assert all(isinstance(failure, FailedLoad) and failure.reason for failure in progress.failures)
+
+
+@then("the progress names a remedy")
+def step_progress_remedy(context):
+    (progress,) = context.rollout.progress
     assert progress.remedy
 
 
 @then("only {count:d} engine loaded until the first one served v2")
 def step_canary(context, count):
-    rollout_after(context, 2)
+    rollout_after(context, 50)
     first_ready = next(
         index
         for index, (num_loading, num_ready, _) in enumerate(context.rollout.samples)
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -11,14 +11,19 @@
 from weirscale.domain.configuration.model import Model
 from weirscale.node.event_log import SilentEventLog
 from weirscale.node.placement.task import PlacementTask
-from weirscale.ports.engine import LoadModel
+from weirscale.ports.engine import EngineFailure, EngineFailureKind, GenerateCall, LoadModel
 from weirscale.standins.engine.in_process import InProcessEngine
 from weirscale.standins.engine.settings import EngineSettings
 from weirscale.standins.key_value.in_process import InProcessKeyValue
 from weirscale.standins.key_value.server import KeyValueServer
 
 SAMPLE_INTERVAL_S = 0.25
-LOAD_S = 10.0
+LOAD_S = 5.0
+LONG_ANSWER_TOKENS = 750
+"""About 3 s of generating: loads must wait for it."""
+
+PLANNER_LAG_S = (0.0, 3.0)
+"""How late each planner sees the engines; planners that see the same would decide the same."""
 
 
 class WeightStore:
@@ -46,8 +51,11 @@
     def __init__(self, settings, random, weight_source):
         super().__init__(settings, random, weight_source=weight_source)
         self.accepted_tokens = []
+        self.refuses_orders = False
 
     async def order(self, order):
+        if self.refuses_orders:
+            return Err(EngineFailure(EngineFailureKind.UNREACHABLE, "connection refused"))
         answer = await super().order(order)
         if isinstance(answer, Ok):
             run = self.model.incarnation
@@ -72,11 +80,65 @@
 
     def __init__(self, held):
         self.held = held
+        self.num_orders_without = 0
 
     def is_held(self):
         return self.held
 
 
+class WatchedPort:
+    """An engine's port as one planner uses it; counts orders given without the lease."""
+
+    def __init__(self, port, lease):
+        self._port = port
+        self._lease = lease
+
+    async def order(self, order):
+        if not self._lease.held:
+            self._lease.num_orders_without += 1
+        return await self._port.order(order)
+
+
+class PlannerDirectory:
+    """The directory as one planner sees it, some time late."""
+
+    def __init__(self, directory, lease, lag_s):
+        self._directory = directory
+        self._lease = lease
+        self._lag_s = lag_s
+        self._seen = []
+
+    def snapshot(self):
+        now_s = anyio.current_time()
+        self._seen.append((now_s, self._directory.snapshot()))
+        while len(self._seen) > 1 and self._seen[1][0] <= now_s - self._lag_s:
+            self._seen.pop(0)
+        snapshot = self._seen[0][1]
+        engines = {
+            name: msgspec.structs.replace(facts, port=WatchedPort(facts.port, self._lease))
+            for name, facts in snapshot.engines.items()
+        }
+        return msgspec.structs.replace(snapshot, engines=engines)
+
+
+def long_call(number):
+    return GenerateCall(
+        request_id=f"long-{number}",
+        attempt=0,
+        path="/v1/completions",
+        body={},
+        prompt=b"a long dedication " * 10,
+        max_tokens=LONG_ANSWER_TOKENS,
+        priority=10,
+        time_left_s=300.0,
+        cache_salt="bole-school",
+        model=MODEL,
+        adapter=None,
+        expected_incarnation=None,
+        expected_weight_version="v1",
+    )
+
+
 class Rollout(Fleet):
     """A fleet with planners; `samples` hold loading, ready and lost engines over time."""
 
@@ -90,12 +152,12 @@
         self.planners = [
             PlacementTask(
                 self.configuration,
-                self.directory,
+                PlannerDirectory(self.directory, lease, lag_s),
                 InProcessKeyValue(self.store, timeout_s=60.0),
                 lease,
                 SilentEventLog(),
             )
-            for lease in self.leases
+            for lease, lag_s in zip(self.leases, PLANNER_LAG_S, strict=False)
         ]
         self.samples = []
 
@@ -107,6 +169,8 @@
     async def running(self):
         async with super().running(), anyio.create_task_group() as tasks:
             await anyio.sleep(3.0)
+            for number, engine in enumerate(self.engines.values()):
+                assert (await engine.start(long_call(number))).is_ok()
             for planner in self.planners:
                 tasks.start_soon(planner.run)
             tasks.start_soon(self._sample)
@@ -170,6 +234,14 @@
                 seen.setdefault(token, set()).add((name, action))
         return [token for token, orders in seen.items() if len(orders) > 1]
 
+    def long_answers(self):
+        """Outcome and version of the requests that ran when the rollout began."""
+        return [
+            (record.outcome, record.weight_version)
+            for engine in self.engines.values()
+            for record in engine.model.ledger.records()
+        ]
+
     def num_loads_of(self, version):
         return sum(
             isinstance(action, LoadModel) and action.weight_version == version
@@ -180,5 +252,5 @@
 
 def rolling_model(**fields):
     defaults = {"weight_version": "v1", "min_ready_engines": 4, "max_concurrent_loads": 2}
-    defaults |= {"load_timeout_s": 60.0, "max_failed_loads": 2}
+    defaults |= {"load_timeout_s": 30.0, "max_failed_loads": 2}
     return Model(name=MODEL, **{**defaults, **fields})
