Serve requests end to end: node assembly, program, command line, demonstration

Cause: the parts had no process around them. Change: Node puts the tasks together over ports; NodeProgram adds sockets and signals; commands by fire with one-line errors; an embedded deployment on loopback with HTTP callers that verify each answer. A cancelled stand-in server looped without a checkpoint and never ended; it has one now.

--- a/features/settings_file.feature
+++ b/features/settings_file.feature
@@ -14,11 +14,13 @@
       | zone: [                                                           | correct the YAML        |
       | just words                                                        | one `field: value`      |
       | {zone: a, peer_keys: []}                                          | give at least one key   |
-      | {zone: a, colour: b, peer_keys: [{key_id: 1, secret: s}]}         | known fields are        |
-      | {peer_keys: [{key_id: 1, secret: s}]}                             | zone                    |
-      | {zone: a, host: example, peer_keys: [{key_id: 1, secret: s}]}     | is not an IP number     |
-      | {zone: a, peer_port: 70000, peer_keys: [{key_id: 1, secret: s}]}  | 70000 is no port        |
-      | {zone: a, seeds: ["1.2.3.4"], peer_keys: [{key_id: 1, secret: s}]} | has no valid port      |
+      | {zone: a, colour: b, peer_keys: [{key_id: 1, secret: sixteen-letters!}]}         | known fields are        |
+      | {peer_keys: [{key_id: 1, secret: sixteen-letters!}]}                             | zone                    |
+      | {zone: a, host: example, peer_keys: [{key_id: 1, secret: sixteen-letters!}]}     | is not an IP number     |
+      | {zone: a, peer_port: 70000, peer_keys: [{key_id: 1, secret: sixteen-letters!}]}  | 70000 is no port        |
+      | {zone: a, seeds: ["1.2.3.4"], peer_keys: [{key_id: 1, secret: sixteen-letters!}]} | has no valid port      |
+      | {zone: a, peer_keys: [{key_id: 1, secret: short}]}                | give 16 to 64 characters |
+      | {zone: a, peer_keys: [{key_id: 300, secret: sixteen-letters!}]}   | use 0 to 255            |
 
   Scenario: A missing settings file is one line, not a traceback
     When settings are loaded from a file that does not exist
--- /dev/null
+++ b/src/weirscale/cli/exit_codes.py
@@ -0,0 +1,5 @@
+"""Exit codes that all commands share; those of configuration commands are in `configuration`."""
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
--- /dev/null
+++ b/src/weirscale/cli/main.py
@@ -0,0 +1,179 @@
+"""Entry point of `weirscale`: one class whose methods are the commands, by fire."""
+
+import contextlib
+import io
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from result import Err
+
+from weirscale.cli.exit_codes import EXIT_FAILED, EXIT_USAGE
+
+Run = Callable[[], int]
+
+
+class Command:
+    """A command whose arguments have been taken; running it is left to `main`.
+
+    Not callable itself, or fire would call it while it still takes arguments.
+    """
+
+    def __init__(self, run: Run) -> None:
+        self._run = run
+
+
+def execute(command: Command) -> int:
+    """Run a command and return its exit code."""
+    return command._run()
+
+
+class Commands:
+    """Router for language-model traffic with long shared prompts.
+
+    Exit codes: 0 done, 1 failed, 2 bad arguments, 3 bad file, 4 refused, 5 unknown whether done,
+    6 unreachable, 7 not in force everywhere.
+    """
+
+    def node(
+        self,
+        settings: str | None = None,
+        zone: str | None = None,
+        name: str | None = None,
+        host: str | None = None,
+        caller_port: int | None = None,
+        peer_port: int | None = None,
+        operator_port: int | None = None,
+        seeds: Sequence[str] | str | None = None,
+        key_value: Sequence[str] | str | None = None,
+        machine_list: str | None = None,
+        log_level: str | None = None,
+    ) -> Command:
+        """Run a node until SIGTERM, which drains it. Flags go before the settings file."""
+        overrides: dict[str, object] = {
+            "zone": zone,
+            "name": name,
+            "host": host,
+            "caller_port": caller_port,
+            "peer_port": peer_port,
+            "operator_port": operator_port,
+            "seeds": _addresses(seeds),
+            "key_value": _addresses(key_value),
+            "machine_list": machine_list,
+            "log_level": log_level,
+        }
+        return Command(lambda: _run_node(settings, overrides))
+
+    def check(self, file: str) -> Command:
+        """Check a deployment file; every error names line, field and remedy."""
+        from weirscale.cli import configuration
+
+        return Command(lambda: configuration.check(str(file)))
+
+    def plan(self, file: str, key_value: Sequence[str] | str) -> Command:
+        """Print what applying a file would change, and the revision to apply it from."""
+        from weirscale.cli import configuration
+
+        return Command(lambda: configuration.plan(str(file), _addresses(key_value) or ()))
+
+    def apply(
+        self, file: str, key_value: Sequence[str] | str, made_from: int | None = None
+    ) -> Command:
+        """Apply a file as a whole, by compare-and-swap; answers accepted, refused or unknown."""
+        from weirscale.cli import configuration
+
+        addresses = _addresses(key_value) or ()
+        return Command(lambda: configuration.apply(str(file), addresses, made_from))
+
+    def status(self, node: str, revision: int = 0, wait_s: float = 0.0) -> Command:
+        """Tell whether a revision is in force on all nodes; NODE is an operator address."""
+        from weirscale.cli import configuration
+
+        return Command(lambda: configuration.status(str(node), revision, wait_s))
+
+    def demo(
+        self,
+        file: str = "deployments/tsehay.yaml",
+        workload: str = "yearbook",
+        duration_s: float = 12.0,
+        requests_per_s: float = 12.0,
+        seed: int = 1,
+    ) -> Command:
+        """Run a deployment in this process on loopback sockets and print what callers saw."""
+        from weirscale.experiments.demo.main import run
+
+        return Command(lambda: run(Path(file), workload, duration_s, requests_per_s, seed))
+
+
+def _addresses(given: Sequence[str] | str | None) -> tuple[str, ...] | None:
+    """Return addresses from a flag: one, or several with commas between."""
+    if given is None:
+        return None
+    if isinstance(given, str):
+        return tuple(part.strip() for part in given.split(",") if part.strip())
+    return tuple(str(part) for part in given)
+
+
+def _run_node(settings_file: str | None, overrides: dict[str, object]) -> int:
+    from weirscale.node.program import run_node
+    from weirscale.node.settings import load_settings
+
+    loaded = load_settings(Path(settings_file) if settings_file else None, overrides)
+    if isinstance(loaded, Err):
+        _print_error(str(loaded.err_value))
+        return EXIT_USAGE
+    return run_node(loaded.ok_value)
+
+
+def _print_error(line: str) -> None:
+    print(f"weirscale: {line}", file=sys.stderr)
+
+
+def _parse(arguments: Sequence[str]) -> Command | int:
+    """Have fire take the arguments; an int is the exit code of a usage error or of help."""
+    import fire
+    from fire.core import FireExit
+
+    output = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(output), contextlib.redirect_stdout(output):
+            parsed = fire.Fire(  # type: ignore[no-untyped-call]
+                Commands(), list(arguments), name="weirscale", serialize=lambda _result: None
+            )
+    except FireExit as exit_request:
+        if exit_request.code == 0:
+            lines = output.getvalue().splitlines()
+            print("\n".join(line for line in lines if not line.startswith("INFO:")).strip())
+            return 0
+        _print_error(f"{_first_error(output.getvalue())}; see `weirscale --help`")
+        return EXIT_USAGE
+    if isinstance(parsed, Command):
+        return parsed
+    _print_error("no command given; see `weirscale --help`")
+    return EXIT_USAGE
+
+
+def _first_error(output: str) -> str:
+    """Return fire's error without its usage text."""
+    for line in output.splitlines():
+        if line.startswith("ERROR:"):
+            return line.removeprefix("ERROR:").strip().rstrip(".")
+    return "the arguments do not fit"
+
+
+def main() -> None:
+    """Run the command given on the command line; exits with its code."""
+    command = _parse(sys.argv[1:])
+    if isinstance(command, int):
+        sys.exit(command)
+    try:
+        sys.exit(execute(command))
+    except KeyboardInterrupt:
+        sys.exit(EXIT_FAILED)
+    except OSError as error:
+        _print_error(f"{error}; check the addresses and paths given")
+        sys.exit(EXIT_FAILED)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/weirscale/experiments/demo/embedded.py
@@ -0,0 +1,206 @@
+"""Starts a deployment in this process: stand-ins for everything outside, and real nodes."""
+
+import socket
+from random import Random
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from weirscale.domain.configuration.model import (
+    Deployment,
+    Engine,
+    KeptKvStore,
+    Model,
+    Service,
+    ServiceBackend,
+)
+from weirscale.domain.identifiers import BackendName, ConfigurationRevision, NodeName, ZoneName
+from weirscale.node.configuration.apply import Applier
+from weirscale.node.configuration.outcome import Accepted
+from weirscale.node.program import NodeProgram
+from weirscale.node.settings import NodeSettings, PeerKeySettings
+from weirscale.ports.key_value_etcd import EtcdKeyValue
+from weirscale.standins.asgi_server import LOOPBACK, OutageServer
+from weirscale.standins.engine.in_process import InProcessEngine
+from weirscale.standins.engine.server import EngineServer, serve_engine
+from weirscale.standins.engine.settings import EngineSettings
+from weirscale.standins.key_value.app import KeyValueApp
+from weirscale.standins.key_value.server import KeyValueServer
+from weirscale.standins.service.http_app import ServiceServer, serve_service
+from weirscale.standins.service.in_process import InProcessService
+from weirscale.standins.service.model import ServiceSettings
+
+DEMO_SECRET = "shared-secret-of-the-demonstration"
+APPLY_ID = "demonstration"
+NODE_READY_TIMEOUT_S = 20.0
+NO_REVISION = ConfigurationRevision(0)
+
+
+class DemoFailedError(Exception):
+    """The embedded deployment did not start; the message says why."""
+
+
+class EmbeddedDeployment(msgspec.Struct):
+    """A running deployment.
+
+    Attributes:
+        deployment: What was applied, with the addresses taken here.
+        engines: Stand-in engines.
+        services: Stand-in service back ends.
+        nodes: Nodes, one for each zone.
+    """
+
+    deployment: Deployment
+    engines: list[InProcessEngine]
+    services: list[InProcessService]
+    nodes: list[NodeProgram]
+
+    def caller_address(self, zone: ZoneName) -> str:
+        """Return host:port of the node of a zone."""
+        node = next(node for node in self.nodes if node.identity.zone == zone)
+        return f"{LOOPBACK}:{node.caller_port}"
+
+
+async def start_embedded(
+    declared: Deployment, tasks: TaskGroup, stop: anyio.Event, random: Random
+) -> EmbeddedDeployment:
+    """Start everything and return when every node has the configuration.
+
+    Args:
+        declared: The deployment; its addresses are replaced by free loopback ports.
+        tasks: Runs what is started.
+        stop: Drains the nodes when set.
+        random: Source of randomness.
+
+    Raises:
+        DemoFailedError: The configuration was not accepted or not in force in time.
+    """
+    key_value_server = KeyValueServer(random)
+    key_value = OutageServer(KeyValueApp(key_value_server), lambda: True)
+    tasks.start_soon(key_value.run)
+    engines = [await _start_engine(engine, declared.models, tasks) for engine in declared.engines]
+    services = {
+        backend.name: await _start_backend(service, backend, tasks)
+        for service in declared.services
+        for backend in service.backends
+    }
+    deployment = _with_addresses(declared, engines, services)
+    await _apply(deployment, key_value.address, random)
+    nodes = _make_nodes(deployment, key_value.address)
+    for node in nodes:
+        tasks.start_soon(node.run, stop)
+    await _wait_until_configured(nodes)
+    return EmbeddedDeployment(
+        deployment,
+        [server.engine for server in engines],
+        [server.service for server in services.values()],
+        nodes,
+    )
+
+
+async def _start_engine(
+    engine: Engine, models: tuple[Model, ...], tasks: TaskGroup
+) -> EngineServer:
+    model = next(model for model in models if model.name == engine.model)
+    settings = EngineSettings(
+        name=engine.name,
+        model=engine.model,
+        weight_version=model.weight_version,
+        adapters=model.adapters,
+        block_size_bytes=engine.block_size_bytes,
+        num_total_blocks=engine.num_total_blocks,
+        prefill_token_s=1.0 / engine.prefill_tokens_per_s,
+    )
+    server: EngineServer = await tasks.start(serve_engine, settings)
+    return server
+
+
+async def _start_backend(
+    service: Service, backend: ServiceBackend, tasks: TaskGroup
+) -> ServiceServer:
+    settings = ServiceSettings(name=backend.name, service=service.name)
+    server: ServiceServer = await tasks.start(serve_service, settings)
+    return server
+
+
+def _with_addresses(
+    declared: Deployment,
+    engines: list[EngineServer],
+    services: dict[BackendName, ServiceServer],
+) -> Deployment:
+    """Return the deployment with the addresses that were taken."""
+    replace = msgspec.structs.replace
+    return replace(
+        declared,
+        engines=tuple(
+            replace(engine, address=server.address)
+            for engine, server in zip(declared.engines, engines, strict=True)
+        ),
+        services=tuple(
+            replace(
+                service,
+                backends=tuple(
+                    replace(backend, address=services[backend.name].address)
+                    for backend in service.backends
+                ),
+            )
+            for service in declared.services
+        ),
+        kept_kv_stores=_no_stores(declared.kept_kv_stores),
+    )
+
+
+def _no_stores(_stores: tuple[KeptKvStore, ...]) -> tuple[KeptKvStore, ...]:
+    """The demonstration runs without kept-KV stores."""
+    return ()
+
+
+async def _apply(deployment: Deployment, key_value_address: str, random: Random) -> None:
+    store = EtcdKeyValue((key_value_address,))
+    outcome = await Applier(store, deployment, None, APPLY_ID, random).run()
+    await store.aclose()
+    if not isinstance(outcome, Accepted):
+        raise DemoFailedError(f"the configuration was not accepted: {outcome}")
+
+
+def _make_nodes(deployment: Deployment, key_value_address: str) -> list[NodeProgram]:
+    zones = [zone for region in deployment.regions for zone in region.zones]
+    ports = [_free_port() for _ in zones]
+    seeds = tuple(f"{LOOPBACK}:{port}" for port in ports)
+    return [
+        NodeProgram(
+            NodeSettings(
+                zone=zone,
+                name=NodeName(f"node-{zone}"),
+                peer_keys=(PeerKeySettings(1, DEMO_SECRET),),
+                peer_port=port,
+                seeds=seeds,
+                key_value=(key_value_address,),
+            ),
+            Random(f"{deployment.name}/{zone}"),
+        )
+        for zone, port in zip(zones, ports, strict=True)
+    ]
+
+
+def _free_port() -> int:
+    """Return a port that is free for UDP and TCP now."""
+    while True:
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
+            stream.bind((LOOPBACK, 0))
+            port: int = stream.getsockname()[1]
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram:
+                try:
+                    datagram.bind((LOOPBACK, port))
+                except OSError:
+                    continue
+            return port
+
+
+async def _wait_until_configured(nodes: list[NodeProgram]) -> None:
+    with anyio.move_on_after(NODE_READY_TIMEOUT_S):
+        for node in nodes:
+            await node.node.configuration.changed_after(NO_REVISION)
+        return
+    raise DemoFailedError(f"not every node was ready within {NODE_READY_TIMEOUT_S} s")
--- /dev/null
+++ b/src/weirscale/node/assembly.py
@@ -0,0 +1,232 @@
+"""Puts the tasks of one node together, for real processes and for fleets in virtual time.
+
+Everything outside the node comes in as a port, so the same node runs on sockets and on an
+in-memory network.
+"""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager
+from random import Random
+
+import anyio
+import msgspec
+from anyio.abc import TaskStatus
+from result import Result
+
+from weirscale.domain.choice.least_outstanding import LeastOutstanding
+from weirscale.domain.configuration.model import Deployment, Engine, RetryRules, ServiceBackend
+from weirscale.domain.identifiers import ConfigurationRevision, NodeAddress, NodeId, ZoneName
+from weirscale.domain.prefix.chain_cache import ChainCache
+from weirscale.domain.request.model import (
+    GenerationRequest,
+    ServiceRequest,
+    ServiceResponse,
+    TokenChunk,
+)
+from weirscale.domain.request.refusal import Refusal
+from weirscale.domain.request.retry_budget import RetryBudget
+from weirscale.messages.envelope import KeyRing
+from weirscale.node.backends.directory import BackendDirectory
+from weirscale.node.callers.app import CallerApp
+from weirscale.node.callers.drain import Drain
+from weirscale.node.callers.metrics import CallerMetrics
+from weirscale.node.claims.ledger import QuorumClaimLedger
+from weirscale.node.configuration.task import ConfigurationTask
+from weirscale.node.event_log import EventLog
+from weirscale.node.execution.canceller import EngineCanceller
+from weirscale.node.execution.generation import GenerationExecutor
+from weirscale.node.execution.service import ServiceExecutor
+from weirscale.node.interfaces import Peer, PeerState
+from weirscale.node.limits.local import LocalAllowances
+from weirscale.node.limits.task import AdmissionTask, node_capacity
+from weirscale.node.link_delays import LinkDelays
+from weirscale.node.peers.link import AuthenticatedPeerLink
+from weirscale.node.routing.decisions import DecisionLog
+from weirscale.node.routing.engine_router import EngineRouter
+from weirscale.node.routing.service_router import ServiceRouter
+from weirscale.node.static_membership import StaticMembership
+from weirscale.ports.engine import EnginePort
+from weirscale.ports.key_value import KeyValuePort
+from weirscale.ports.machines import MachineListPort
+from weirscale.ports.peers import PeerNetwork
+from weirscale.ports.service import ServicePort
+
+
+class NodeIdentity(msgspec.Struct, frozen=True):
+    """Who a node is.
+
+    Attributes:
+        node: Name and incarnation of this run.
+        zone: Its zone.
+        address: Its peer address, as others reach it.
+        seeds: Peer addresses to join by.
+    """
+
+    node: NodeId
+    zone: ZoneName
+    address: NodeAddress
+    seeds: tuple[NodeAddress, ...] = ()
+
+
+class NodePorts(msgspec.Struct, frozen=True):
+    """Everything outside a node.
+
+    Attributes:
+        network: Reaches other nodes; run by whoever made it.
+        key_value: The platform's key-value service.
+        machines: The platform's machine list, or None.
+        make_engine_port: Makes the port of a declared engine.
+        make_service_port: Makes the port of a declared service back end.
+    """
+
+    network: PeerNetwork
+    key_value: KeyValuePort
+    machines: MachineListPort | None
+    make_engine_port: Callable[[Engine], EnginePort]
+    make_service_port: Callable[[ServiceBackend], ServicePort]
+
+
+class Node:
+    """One run of one node.
+
+    Args:
+        identity: Who it is.
+        ports: Everything outside.
+        keys: Shared keys between nodes.
+        random: Source of randomness of all its tasks.
+        event_log: Where events go.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        ports: NodePorts,
+        keys: KeyRing,
+        random: Random,
+        event_log: EventLog,
+    ) -> None:
+        self.identity = identity
+        membership = StaticMembership(identity.node, _listed_peers(identity))
+        policy = LeastOutstanding()
+        self._event_log = event_log
+        self.link = AuthenticatedPeerLink(
+            ports.network, identity.node, identity.address, keys, random
+        )
+        self.configuration = ConfigurationTask(
+            ports.key_value, self.link, membership, identity.zone, random, event_log
+        )
+        self._membership = membership
+        self.directory = BackendDirectory(
+            self.configuration,
+            ports.make_engine_port,
+            ports.make_service_port,
+            ports.machines,
+            random,
+        )
+        self.decisions = DecisionLog(identity.node.name)
+        link_delays = LinkDelays(self.configuration, identity.zone)
+        self.engine_router = EngineRouter(
+            self.directory,
+            policy,
+            self.decisions,
+            link_delays.delay_s,
+            random,
+            ChainCache().chain,
+        )
+        self.service_router = ServiceRouter(self.directory, identity.zone, random)
+        self.ledger = QuorumClaimLedger(
+            self.link, membership, self.configuration, ports.key_value, identity.zone, random
+        )
+        self.admission = AdmissionTask(node_capacity(_NO_DEPLOYMENT, 1), LocalAllowances())
+        self._build_execution(anyio.current_time())
+
+    def _build_execution(self, now_s: float) -> None:
+        budget = RetryBudget(now_s)
+        self._canceller = EngineCanceller()
+        self.generation = GenerationExecutor(
+            self.engine_router,
+            self.ledger,
+            self._retry_rules,
+            self._canceller,
+            self._event_log,
+            budget,
+        )
+        self.services = ServiceExecutor(
+            self.service_router, self.ledger, self._retry_rules, self._event_log, budget
+        )
+        self.drain_state = Drain()
+        self.metrics = CallerMetrics()
+        self.caller_app = CallerApp(
+            self.configuration,
+            self.admission,
+            self.generation,
+            self.services,
+            self._event_log,
+            self.drain_state,
+            self.metrics,
+        )
+
+    def generate(
+        self, request: GenerationRequest
+    ) -> AbstractAsyncContextManager[AsyncIterator[Result[TokenChunk, Refusal]]]:
+        """Run a generation request without a caller-side protocol or admission."""
+        return self.generation.run(request)
+
+    async def call_service(self, request: ServiceRequest) -> Result[ServiceResponse, Refusal]:
+        """Run a service request without a caller-side protocol or admission."""
+        return await self.services.run(request)
+
+    async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Run all tasks until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for task in (
+                self.link.run,
+                self.configuration.run,
+                self.directory.run,
+                self.engine_router.run,
+                self.service_router.run,
+                self.ledger.run,
+                self.admission.run,
+                self._canceller.run,
+                self._follow_configuration,
+            ):
+                tasks.start_soon(task)
+            task_status.started()
+
+    async def drain(self) -> bool:
+        """Refuse new requests and finish those that run.
+
+        Returns:
+            True if all finished within the configured time.
+        """
+        self._event_log.event("drain_began", running=self.drain_state.num_running)
+        self.drain_state.begin()
+        in_force = self.configuration.current()
+        timeout_s = in_force.deployment.drain_timeout_s if in_force else 0.0
+        with anyio.move_on_after(timeout_s) as limit:
+            await self.drain_state.wait_idle()
+            await self._canceller.wait_idle()
+        self._event_log.event("drain_ended", left_over=self.drain_state.num_running)
+        return not limit.cancelled_caught
+
+    def _retry_rules(self) -> RetryRules:
+        in_force = self.configuration.current()
+        return in_force.deployment.retry if in_force is not None else RetryRules()
+
+    async def _follow_configuration(self) -> None:
+        """Fit the number of permits to each new configuration."""
+        in_force = await self.configuration.changed_after(_FIRST_REVISION)
+        while True:
+            num_nodes = len(self._membership.peers())
+            self.admission.reshape(node_capacity(in_force.deployment, num_nodes))
+            in_force = await self.configuration.changed_after(in_force.revision)
+
+
+_FIRST_REVISION = ConfigurationRevision(0)
+_NO_DEPLOYMENT = Deployment(
+    format=1, name="none", regions=(), models=(), engines=(), tenants=(), services=()
+)
+
+
+def _listed_peers(identity: NodeIdentity) -> tuple[Peer, ...]:
+    return (Peer(identity.node, identity.address, identity.zone, PeerState.ALIVE),)
--- a/src/weirscale/node/interfaces.py
+++ b/src/weirscale/node/interfaces.py
@@ -125,7 +125,14 @@
         message_type: type[msgspec.Struct],
         handler: Callable[[msgspec.Struct], Awaitable[msgspec.Struct]],
     ) -> None:
-        """Have calls of a type answered by an async handler that returns a registered struct."""
+        """Have calls of a type answered by an async handler that returns a registered struct.
+
+        Reply types in the handler's return annotation are registered with it.
+        """
+        ...
+
+    def register(self, *message_types: type[msgspec.Struct]) -> None:
+        """Make types known that this node only receives as replies."""
         ...
 
 
--- /dev/null
+++ b/src/weirscale/node/program.py
@@ -0,0 +1,147 @@
+"""The node as a process: sockets, signals, logs."""
+
+import signal
+import time
+from random import Random
+
+import anyio
+from result import Ok
+
+from weirscale.domain.configuration.model import Engine, ServiceBackend
+from weirscale.domain.identifiers import Incarnation, NodeAddress, NodeId
+from weirscale.messages.envelope import KeyRing, PeerKey
+from weirscale.node.assembly import Node, NodeIdentity, NodePorts
+from weirscale.node.caller_server import open_listener, serve_callers
+from weirscale.node.event_log import EliotEventLog, start_line_log
+from weirscale.node.settings import NodeSettings, parse_address
+from weirscale.ports.engine import EnginePort
+from weirscale.ports.engine_http import HttpEngine
+from weirscale.ports.key_value_etcd import EtcdKeyValue
+from weirscale.ports.machines_http import HttpMachineList
+from weirscale.ports.peers_network import UdpHttpPeerNetwork
+from weirscale.ports.service import ServicePort
+from weirscale.ports.service_http import HttpService
+
+MILLISECONDS_PER_S = 1000
+
+EXIT_DRAINED = 0
+EXIT_CUT = 4
+"""The drain ran out of time and cut requests."""
+
+
+def new_incarnation() -> Incarnation:
+    """Return the incarnation of a run that starts now: milliseconds since the epoch."""
+    return Incarnation(int(time.time() * MILLISECONDS_PER_S))
+
+
+def key_ring(settings: NodeSettings) -> KeyRing:
+    """Make the ring of shared keys from checked settings."""
+    keys = (PeerKey(key.key_id, key.secret.encode()) for key in settings.peer_keys)
+    return KeyRing(tuple(keys))
+
+
+def make_engine_port(engine: Engine) -> EnginePort:
+    """Make the HTTP port of an engine."""
+    return HttpEngine(engine.address)
+
+
+def make_service_port(backend: ServiceBackend) -> ServicePort:
+    """Make the HTTP port of a service back end."""
+    return HttpService(backend.address)
+
+
+class NodeProgram:
+    """One node on real sockets.
+
+    Args:
+        settings: Checked settings with a peer port other than 0.
+        random: Source of randomness.
+    """
+
+    def __init__(self, settings: NodeSettings, random: Random) -> None:
+        self._settings = settings
+        self._random = random
+        self.stopped = anyio.Event()
+        self._listener = open_listener(settings.host, settings.caller_port)
+        self.caller_port: int = self._listener.getsockname()[1]
+        self.event_log = EliotEventLog(node=settings.name, zone=settings.zone)
+        self.network = UdpHttpPeerNetwork(NodeAddress(settings.host, settings.peer_port))
+        self.identity = NodeIdentity(
+            NodeId(settings.name, new_incarnation()),
+            settings.zone,
+            NodeAddress(settings.host, settings.peer_port),
+            _addresses(settings.seeds),
+        )
+        self.node = Node(
+            self.identity,
+            self._ports(),
+            key_ring(settings),
+            random,
+            self.event_log,
+        )
+
+    def _ports(self) -> NodePorts:
+        settings = self._settings
+        machines = HttpMachineList(settings.machine_list) if settings.machine_list else None
+        return NodePorts(
+            self.network,
+            EtcdKeyValue(settings.key_value),
+            machines,
+            make_engine_port,
+            make_service_port,
+        )
+
+    async def run(self, stop: anyio.Event) -> bool:
+        """Serve until `stop` is set, then drain.
+
+        Returns:
+            True if the drain cut no request.
+        """
+        served = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self.network.run)
+            await tasks.start(self.node.run)
+            tasks.start_soon(serve_callers, self.node.caller_app, self._listener, served)
+            self.event_log.event("node_started", callers=self.caller_port)
+            await stop.wait()
+            was_clean = await self.node.drain()
+            served.set()
+            tasks.cancel_scope.cancel()
+        self.event_log.event("node_stopped", clean=was_clean)
+        self.stopped.set()
+        return was_clean
+
+
+def _addresses(texts: tuple[str, ...]) -> tuple[NodeAddress, ...]:
+    parsed = (parse_address(text) for text in texts)
+    return tuple(result.ok_value for result in parsed if isinstance(result, Ok))
+
+
+async def _set_on_signal(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stop.set()
+            return
+
+
+async def _serve(settings: NodeSettings) -> int:
+    program = NodeProgram(settings, Random())
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_set_on_signal, stop)
+        was_clean = await program.run(stop)
+        tasks.cancel_scope.cancel()
+    return EXIT_DRAINED if was_clean else EXIT_CUT
+
+
+def run_node(settings: NodeSettings) -> int:
+    """Run a node until SIGTERM or SIGINT.
+
+    Returns:
+        The process's exit code.
+
+    Raises:
+        OSError: An address cannot be bound.
+    """
+    start_line_log()
+    return anyio.run(_serve, settings, backend_options={"use_uvloop": True})
--- a/src/weirscale/node/routing/engine_router.py
+++ b/src/weirscale/node/routing/engine_router.py
@@ -1,6 +1,6 @@
 """The task that chooses engines: it owns the policy, the load estimates and the decisions."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 import anyio
@@ -48,7 +48,7 @@
 SWEEP_MARGIN_S = 60.0
 """An attempt this long past its caller's deadline has ended, reported or not."""
 
-HashPrompt = Callable[[BlockHash, bytes, int], list[BlockHash]]
+HashPrompt = Callable[[BlockHash, bytes, int], Sequence[BlockHash]]
 """Hashes a prompt: seed, prompt, block size in bytes."""
 
 ChooseResult = Result[ChosenEngine, Refusal]
--- a/src/weirscale/node/settings.py
+++ b/src/weirscale/node/settings.py
@@ -13,19 +13,23 @@
 from ruamel.yaml.error import YAMLError
 
 from weirscale.domain.identifiers import NodeAddress, NodeName, ZoneName
+from weirscale.messages.envelope import MAX_SECRET_BYTES, MIN_SECRET_BYTES
 
 MAX_SETTINGS_BYTES = 64 * 1024
 """Settings are a screenful; anything larger is the wrong file."""
 
 MAX_PORT = 65_535
+MAX_KEY_ID = 255
 
+DEFAULT_PEER_PORT = 7100
 
-class PeerKey(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+
+class PeerKeySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A shared key between nodes; two are given while keys are rotated, the first one signs.
 
     Attributes:
         key_id: Number that names the key on the wire, 0 to 255.
-        secret: The key, at least 16 characters.
+        secret: The key, 16 to 64 characters.
     """
 
     key_id: int
@@ -40,7 +44,8 @@
         zone: Zone of this machine, as named in the configuration.
         host: IP number to listen on.
         caller_port: TCP port for callers; 0 takes a free one.
-        peer_port: UDP and TCP port for other nodes; 0 takes a free one.
+        peer_port: UDP and TCP port for other nodes.
+        operator_port: TCP port for operators' questions, on loopback only; 0 takes a free one.
         seeds: Peer addresses (host:port) of nodes to join by.
         key_value: Addresses (host:port) of the key-value service.
         machine_list: Address (host:port) of the machine list, or None.
@@ -49,11 +54,12 @@
     """
 
     zone: ZoneName
-    peer_keys: tuple[PeerKey, ...]
+    peer_keys: tuple[PeerKeySettings, ...]
     name: NodeName = NodeName("")
     host: str = "127.0.0.1"
     caller_port: int = 0
-    peer_port: int = 0
+    peer_port: int = DEFAULT_PEER_PORT
+    operator_port: int = 0
     seeds: tuple[str, ...] = ()
     key_value: tuple[str, ...] = ()
     machine_list: str | None = None
@@ -142,11 +148,21 @@
     """Check the rules that types do not express."""
     if not _is_ip_number(settings.host):
         return SettingsError("host", f"{settings.host!r} is not an IP number", "use 127.0.0.1")
-    for name, port in (("caller_port", settings.caller_port), ("peer_port", settings.peer_port)):
-        if not 0 <= port <= MAX_PORT:
-            return SettingsError(name, f"{port} is no port", f"use 0 to {MAX_PORT}")
+    for name, port, lowest in (
+        ("caller_port", settings.caller_port, 0),
+        ("operator_port", settings.operator_port, 0),
+        ("peer_port", settings.peer_port, 1),
+    ):
+        if not lowest <= port <= MAX_PORT:
+            return SettingsError(name, f"{port} is no port", f"use {lowest} to {MAX_PORT}")
     if not settings.peer_keys:
         return SettingsError("peer_keys", "no key is given", "give at least one key")
+    for key in settings.peer_keys:
+        if not 0 <= key.key_id <= MAX_KEY_ID:
+            return SettingsError("peer_keys", f"{key.key_id} is no key id", "use 0 to 255")
+        if not MIN_SECRET_BYTES <= len(key.secret.encode()) <= MAX_SECRET_BYTES:
+            remedy = f"give {MIN_SECRET_BYTES} to {MAX_SECRET_BYTES} characters"
+            return SettingsError("peer_keys", f"secret of key {key.key_id} does not fit", remedy)
     for field, addresses in (("seeds", settings.seeds), ("key_value", settings.key_value)):
         for address in addresses:
             parsed = parse_address(address)
--- a/src/weirscale/standins/asgi_server.py
+++ b/src/weirscale/standins/asgi_server.py
@@ -1,14 +1,15 @@
 """Small helpers to answer ASGI requests and to serve apps on loopback ports in this process."""
 
 import socket
-from collections.abc import Awaitable, Callable, Iterable, MutableMapping
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 import msgspec
 
-Scope = MutableMapping[str, Any]
-Message = MutableMapping[str, Any]
+Scope = dict[str, Any]
+Message = dict[str, Any]
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
 AsgiApp = Callable[[Scope, Receive, Send], Awaitable[None]]
@@ -172,6 +173,8 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         while True:
+            # Serving turns cancellation into a stop; only a checkpoint here ends the loop then.
+            await anyio.lowlevel.checkpoint()
             if self._is_reachable():
                 await self._serve_until_outage()
             else:
