Authenticate messages between nodes

Cause: nodes need typed casts and calls that a stranger, a replay or a corrupted datagram cannot affect.

--- /dev/null
+++ b/features/peers_link.feature
@@ -0,0 +1,67 @@
+Feature: Authenticated messages between nodes
+
+  Scenario: Casts and calls arrive typed, with the sender's own address
+    Given two linked nodes
+    When node A casts "hello" and calls "question" to node B
+    Then node B has received the cast "hello" from node A
+    And node A has the reply "question answered"
+
+  Scenario Outline: Hostile datagrams change nothing
+    Given two linked nodes
+    And node A has cast "first" to node B on a recorded wire
+    When a stranger sends to node B <datagram>
+    Then node B has received only the cast "first"
+    And node B has counted a rejection "<kind>"
+
+    Examples:
+      | datagram                               | kind            |
+      | the recorded cast again                | replayed        |
+      | the recorded cast with a flipped bit   | bad_mac         |
+      | a cast signed with another key         | bad_mac         |
+      | a cast with an unknown key id          | unknown_key     |
+      | an empty datagram                      | too_short       |
+      | random bytes under a known key id      | bad_mac         |
+      | a signed envelope that is not CBOR     | malformed       |
+      | a signed envelope of the wrong shape   | malformed       |
+      | a signed cast of an unknown type       | unknown_tag     |
+      | a signed cast with a field too few     | wrong_shape     |
+      | a cast that was sent to node A         | bad_mac         |
+      | a cast of an earlier run of node A     | stale_incarnation |
+
+  Scenario: What was recorded before a restart cannot be played to the new run
+    Given two linked nodes
+    And node A has cast "first" to node B on a recorded wire
+    When node B restarts and a stranger plays the whole record to it while node A is gone
+    Then node B has received no cast
+
+  Scenario: A call replayed after its answer does not run again
+    Given two linked nodes
+    When node A calls "question" to node B and the call arrives twice
+    Then node B has run the call 1 time
+
+  Scenario: Keys rotate without a gap
+    Given two linked nodes
+    When the keys go from old to new on one node at a time, with a cast each way at each step
+    Then every cast has arrived
+    And casts signed with the old key alone are rejected
+
+  Scenario Outline: Casts over a poor link arrive at most once
+    Given two linked nodes over a link with <fault>
+    When node A casts 200 numbered messages to node B
+    Then node B has received each at most once and at least <least> of them
+
+    Examples:
+      | fault                        | least |
+      | every datagram doubled       | 200   |
+      | heavy reordering             | 200   |
+      | a third of datagrams dropped | 100   |
+
+  Scenario: The codec answers any bytes with a message or a typed failure
+    When arbitrary bytes and mutated messages are decoded
+    Then the codec has raised nothing
+
+  Scenario: The real network carries casts and calls over loopback
+    Given two nodes linked over UDP and HTTP on loopback
+    When they exchange a cast and a call of 100000 bytes each way
+    Then the real network has delivered both each way
+    And a call to a closed port is provably not sent
--- /dev/null
+++ b/src/weirscale/node/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated typed messages between nodes."""
--- /dev/null
+++ b/src/weirscale/ports/peers_network.py
@@ -0,0 +1,198 @@
+"""The real network between nodes: casts as UDP datagrams, calls as HTTP POST.
+
+UDP and TCP use the same port number, so one address names a node. Calls are served by hypercorn
+in the process and sent by httpx.
+"""
+
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import anyio
+import anyio.lowlevel
+import httpx
+from anyio.abc import TaskStatus, UDPSocket
+from result import Err, Ok, Result
+
+from weirscale.domain.identifiers import NodeAddress
+from weirscale.ports.peers import CallHandler, Datagram, PeerFailure
+
+CALL_PATH = "/peer"
+MAX_CALL_BYTES = 8 * 1024 * 1024
+"""Largest call body or reply: above a whole configuration or a cache digest."""
+
+MAX_IDLE_CONNECTIONS = 8
+"""Idle connections kept to other nodes; calls are rare next to casts."""
+
+IDLE_CONNECTION_S = 15.0
+LISTEN_BACKLOG = 256
+STOP_S = 0.5
+"""Calls in progress may still end in this time when the node stops."""
+
+CONTENT_TYPE = "application/cbor"
+
+AsgiReceive = Callable[[], Awaitable[Any]]
+AsgiSend = Callable[[Any], Awaitable[None]]
+
+
+class UdpHttpPeerNetwork:
+    """Implements `PeerNetwork`; `run` must be started before use.
+
+    Args:
+        listen: Address to bind; for wildcard hosts the others need another one to send to.
+    """
+
+    def __init__(self, listen: NodeAddress) -> None:
+        self._listen = listen
+        self._handler: CallHandler | None = None
+        self._socket: UDPSocket | None = None
+        self._client: httpx.AsyncClient | None = None
+        self._started = anyio.Event()
+
+    async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Hold the sockets until cancelled; `started` once casts and calls can be made."""
+        limits = httpx.Limits(
+            max_keepalive_connections=MAX_IDLE_CONNECTIONS, keepalive_expiry=IDLE_CONNECTION_S
+        )
+        udp_socket = await anyio.create_udp_socket(
+            local_host=self._listen.host, local_port=self._listen.port
+        )
+        # Listening before `started`, so that no early call is refused.
+        listener = _listen(self._listen)
+        async with udp_socket, httpx.AsyncClient(limits=limits, trust_env=False) as client:
+            self._socket = udp_socket
+            self._client = client
+            self._started.set()
+            task_status.started()
+            await self._serve(listener)
+
+    async def cast(self, destination: NodeAddress, payload: bytes) -> None:
+        """Send one datagram; a failure to send counts as a loss."""
+        if self._socket is None:
+            return
+        try:
+            await self._socket.sendto(payload, destination.host, destination.port)
+        except (OSError, anyio.ClosedResourceError, anyio.BrokenResourceError):
+            return
+
+    async def datagrams(self) -> AsyncIterator[Datagram]:
+        """Iterate over arriving casts."""
+        await self._started.wait()
+        assert self._socket is not None
+        while True:
+            try:
+                payload, (host, port) = await self._socket.receive()
+            except (OSError, anyio.BrokenResourceError):
+                # An ICMP error of an earlier send; the socket goes on.
+                await anyio.lowlevel.checkpoint()
+                continue
+            except (anyio.ClosedResourceError, anyio.EndOfStream):
+                return
+            yield Datagram(NodeAddress(host, port), payload)
+
+    async def call(
+        self, destination: NodeAddress, payload: bytes, timeout_s: float
+    ) -> Result[bytes, PeerFailure]:
+        """Send a request and await its reply."""
+        if self._client is None:
+            return Err(PeerFailure("network not started", provably_not_sent=True))
+        url = httpx.URL(scheme="http", host=destination.host, port=destination.port, path=CALL_PATH)
+        headers = {"content-type": CONTENT_TYPE}
+        try:
+            with anyio.fail_after(timeout_s):
+                response = await self._client.post(
+                    url, content=payload, headers=headers, timeout=None
+                )
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            return Err(PeerFailure(f"no connection: {error}", provably_not_sent=True))
+        except (httpx.HTTPError, OSError) as error:
+            detail = str(error) or type(error).__name__
+            return Err(PeerFailure(f"no answer: {detail}", provably_not_sent=False))
+        if response.status_code != httpx.codes.OK:
+            detail = f"HTTP status {response.status_code}"
+            return Err(PeerFailure(detail, provably_not_sent=False))
+        return Ok(response.content)
+
+    def serve_calls(self, handler: CallHandler) -> None:
+        """Set the handler of arriving calls."""
+        self._handler = handler
+
+    async def _serve(self, listener: socket.socket) -> None:
+        shutdown = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._serve_until, listener, shutdown)
+            try:
+                await anyio.sleep_forever()
+            finally:
+                shutdown.set()
+
+    async def _serve_until(self, listener: socket.socket, shutdown: anyio.Event) -> None:
+        from hypercorn.asyncio import serve
+        from hypercorn.config import Config
+
+        config = Config()
+        config.bind = [f"fd://{listener.detach()}"]
+        config.accesslog = None
+        config.errorlog = None
+        config.graceful_timeout = STOP_S
+        # The server ends by its own trigger: cancelling it midway leaves connections open.
+        with anyio.CancelScope(shield=True):
+            application: Any = self._application
+            await serve(application, config, shutdown_trigger=shutdown.wait)
+
+    async def _application(
+        self, scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend
+    ) -> None:
+        if scope["type"] == "lifespan":
+            await _acknowledge_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        body = await _read_body(receive)
+        if scope["path"] != CALL_PATH or self._handler is None:
+            await _respond(send, 404, b"")
+        elif body is None:
+            await _respond(send, 413, b"")
+        else:
+            await _respond(send, 200, await self._handler(body))
+
+
+def _listen(address: NodeAddress) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address.host, address.port))
+    listener.listen(LISTEN_BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+async def _acknowledge_lifespan(receive: AsgiReceive, send: AsgiSend) -> None:
+    while True:
+        event = await receive()
+        await send({"type": event["type"] + ".complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
+
+
+async def _read_body(receive: AsgiReceive) -> bytes | None:
+    """Read a request's body; None when it is too large or the caller went away."""
+    parts: list[bytes] = []
+    num_bytes = 0
+    while True:
+        event = await receive()
+        if event["type"] != "http.request":
+            return None
+        part = event.get("body", b"")
+        num_bytes += len(part)
+        if num_bytes > MAX_CALL_BYTES:
+            return None
+        parts.append(part)
+        if not event.get("more_body", False):
+            return b"".join(parts)
+
+
+async def _respond(send: AsgiSend, status: int, body: bytes) -> None:
+    headers = [(b"content-type", CONTENT_TYPE.encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
