--- a/src/weirscale/experiments/history/verdict.py
+++ b/src/weirscale/experiments/history/verdict.py
@@ -121,7 +121,8 @@
     if answers.is_lost(history, request_id):
         return Fate.LOST
     if isinstance(ending, GenerationAnswered):
-        is_truncated = answers.is_truncated(history, request_id)
+        has_no_end = ending.finish_reason is None
+        is_truncated = has_no_end or answers.is_truncated(history, request_id)
         return Fate.TRUNCATED if is_truncated else Fate.ANSWERED_ONCE
     if isinstance(ending, ServiceAnswered):
         return Fate.ANSWERED_ONCE
