--- /dev/null
+++ b/features/configuration_spread.feature
@@ -0,0 +1,58 @@
+Feature: A configuration comes into force on every node and never goes back
+
+  Scenario Outline: A fleet under faults, for seeds 1 and 2
+    Given a fleet of <nodes> nodes in <zones> zones
+    When 8 changes are applied over a minute under "<faults>"
+    Then every change accepted is in force on every node within <within> s
+    And no node ever goes back, and no node has what was not accepted
+
+    Examples:
+      | nodes | zones | faults                            | within |
+      | 3     | 3     | no fault                          | 1      |
+      | 12    | 4     | no fault                          | 3      |
+      | 12    | 4     | a fifth of casts and calls lost   | 10     |
+      | 12    | 4     | slow and reordering links         | 10     |
+      | 12    | 4     | a store slowed to a second a call | 10     |
+      | 12    | 4     | a store limited to 5 calls a second | 10   |
+      | 12    | 4     | outages of the store              | 10     |
+      | 12    | 4     | half of the store's answers lost  | 10     |
+      | 12    | 4     | watches cut every second          | 10     |
+      | 12    | 4     | restarts of a third of the nodes  | 10     |
+      | 12    | 4     | half of the nodes cut off from the store | 10 |
+
+  Scenario Outline: A node restarts while the store is down
+    Given a fleet of <nodes> nodes in 3 zones with a configuration in force
+    When the store goes down and one node restarts with <peers>
+    Then the node has the highest configuration of them within <within> s
+
+    Examples:
+      | nodes | peers                              | within |
+      | 9     | all peers up                       | 0.5    |
+      | 9     | one of three peers behind          | 0.5    |
+      | 9     | two of three peers paused          | 1.5    |
+
+  Scenario: A whole deployment restarts while the store is down for long, then returns
+    Given a fleet of 12 nodes in 4 zones with a configuration in force
+    When all nodes restart with the store down and it returns after five minutes
+    Then no node acts on any configuration before, and all have it within 10 s after
+    And the store was asked at most 5 times a second meanwhile, and by 2 nodes of a zone only
+
+  Scenario: A zone cut off from the store and the others catches up after the cut
+    Given a fleet of 12 nodes in 4 zones with a configuration in force
+    When zone-0 is cut off, a change is applied, and the cut heals after 60 s
+    Then the cut-off nodes kept the old configuration and have the new one within 10 s of healing
+
+  Scenario: Status tells which nodes lag and why
+    Given a fleet of 9 nodes in 3 zones with a configuration in force
+    When one node is paused and one cannot fetch while a change is applied
+    Then status names just these two, with "no answer" and "not fetched"
+
+  Scenario: A change costs a node little
+    Given a fleet of 12 nodes in 4 zones with a configuration in force
+    When five minutes pass without a change
+    Then each node has sent at most 150 bytes a second for the configuration
+    And 8 changes of a deployment at the size to design for cost it at most 2000 bytes each
+
+  Scenario: A reply that does not give the announced content is not taken
+    When a peer's delta is damaged, of a forgotten base, or with another digest
+    Then each is refused with a reason and nothing changes
--- /dev/null
+++ b/features/steps/configuration_spread_steps.py
@@ -0,0 +1,320 @@
+import anyio
+import msgspec
+from behave import given, then, when
+from features.support.configuration_fleet import run_fleet, small_deployment
+from features.support.deployments import large_deployment
+from features.support.virtual_time import run_in_virtual_time
+
+from weirscale.domain.configuration.difference import canonical
+from weirscale.messages.configuration import ConfigurationReply
+from weirscale.node.configuration.holder import MAX_KEPT_REVISIONS, ConfigurationHolder
+
+SEEDS = (1, 2)
+QUIET_S = 300
+NUM_CHANGES = 8
+CHANGE_PERIOD_S = 8.0
+
+
+async def repeat(period_s, action):
+    while True:
+        await anyio.sleep(period_s)
+        action()
+
+
+def start_faults(fleet, faults, tasks):
+    """Put the faults that a row names in force."""
+    store, seeded = fleet.server.faults, fleet.random
+    nodes = list(fleet.nodes)
+
+    def flap():
+        store.is_down = not store.is_down
+        fleet.server.notify()
+
+    def restart_some():
+        for name in seeded.sample(nodes, len(nodes) // 3):
+            fleet.restart(name)
+
+    if faults == "a fifth of casts and calls lost":
+        fleet.set_quality(drop_rate=0.2)
+    elif faults == "slow and reordering links":
+        fleet.set_quality(delay_s=0.15, jitter_s=0.3, duplicate_rate=0.2)
+    elif faults == "a store slowed to a second a call":
+        store.delay_s = 1.0
+    elif faults == "a store limited to 5 calls a second":
+        store.requests_per_s, store.burst_requests = 5.0, 2
+    elif faults == "half of the store's answers lost":
+        store.lost_answer_probability = 0.5
+    elif faults == "outages of the store":
+        tasks.start_soon(repeat, 7.0, flap)
+    elif faults == "watches cut every second":
+        tasks.start_soon(repeat, 1.0, fleet.server.cut_watches)
+    elif faults == "restarts of a third of the nodes":
+        tasks.start_soon(repeat, 15.0, restart_some)
+    elif faults == "half of the nodes cut off from the store":
+        for name in nodes[::2]:
+            fleet.nodes[name].port.is_cut_off = True
+    else:
+        assert faults == "no fault"
+
+
+async def change_under_faults(fleet, faults):
+    """Apply changes; returns the fleet and, for each revision, how long each node lacked it."""
+    delays_s = []
+    async with anyio.create_task_group() as tasks:
+        start_faults(fleet, faults, tasks)
+        for number in range(NUM_CHANGES):
+            tasks.start_soon(change_once, fleet, f"change-{number}", delays_s)
+            await anyio.sleep(CHANGE_PERIOD_S)
+        await anyio.sleep(2 * CHANGE_PERIOD_S)
+        tasks.cancel_scope.cancel()
+    return fleet, delays_s
+
+
+async def change_once(fleet, name, delays_s):
+    outcome = await fleet.apply(small_deployment(name))
+    if getattr(outcome, "revision", None):
+        delays_s.append(await fleet.wait_until_in_force(outcome.revision))
+
+
+@given("a fleet of {nodes:d} nodes in {zones:d} zones")
+def step_fleet(context, nodes, zones):
+    context.size = (nodes, zones)
+
+
+@when('8 changes are applied over a minute under "{faults}"')
+def step_changes(context, faults):
+    async def script(fleet):
+        return await change_under_faults(fleet, faults)
+
+    context.runs = [run_in_virtual_time(run_fleet, script, *context.size, seed) for seed in SEEDS]
+
+
+@then("every change accepted is in force on every node within {within:g} s")
+def step_in_force(context, within):
+    for fleet, delays_s in context.runs:
+        assert len(delays_s) == len(fleet.accepted) >= NUM_CHANGES // 2, delays_s
+        assert max(delays_s) <= within, delays_s
+
+
+@then("no node ever goes back, and no node has what was not accepted")
+def step_monotonic(context):
+    for fleet, _ in context.runs:
+        for node in [*fleet.nodes.values(), *fleet.past_nodes]:
+            revisions = [revision for _, revision, _ in node.history]
+            assert revisions == sorted(set(revisions)), (node.name, revisions)
+            for _, revision, deployment in node.history:
+                assert fleet.accepted[revision][1] == deployment.name, (node.name, revision)
+
+
+@given("a fleet of {nodes:d} nodes in {zones:d} zones with a configuration in force")
+def step_fleet_in_force(context, nodes, zones):
+    context.size = (nodes, zones)
+
+
+def run_in_force(context, script, deployment=None):
+    deployment = deployment or small_deployment("first")
+    return run_in_virtual_time(run_fleet, script, *context.size, 1, deployment)
+
+
+async def time_restart(fleet, peers):
+    """Restart a node with the store down; returns the wait and the revision that it got."""
+    names = list(fleet.nodes)
+    if peers == "one of three peers behind":
+        fleet.network.cut_both_ways(
+            {fleet.nodes[names[1]].address}, {node.address for node in fleet.nodes.values()}
+        )
+        fleet.nodes[names[1]].port.is_cut_off = True
+        await fleet.apply(small_deployment("second"))
+        await anyio.sleep(10)
+        fleet.network.heal()
+    fleet.server.faults.is_down = True
+    fleet.server.notify()
+    if "three" in peers:
+        for name in names[4:]:
+            fleet.stop(name)
+            fleet.members.by_name.pop(name)
+    if peers == "two of three peers paused":
+        for name in names[1:3]:
+            fleet.nodes[name].endpoint.freeze()
+    node = fleet.restart(names[0])
+    start_s = anyio.current_time()
+    with anyio.move_on_after(30):
+        await node.task.changed_after(0)
+    return anyio.current_time() - start_s, node.task.current().revision, max(fleet.accepted)
+
+
+@when("the store goes down and one node restarts with {peers}")
+def step_restart(context, peers):
+    async def script(fleet):
+        return await time_restart(fleet, peers)
+
+    context.restarted = run_in_force(context, script)
+
+
+@then("the node has the highest configuration of them within {within:g} s")
+def step_restarted(context, within):
+    waited_s, revision, highest = context.restarted
+    assert revision == highest and waited_s <= within, context.restarted
+
+
+async def restart_all(fleet):
+    """Restart all nodes with the store down for long."""
+    fleet.server.faults.is_down = True
+    fleet.server.notify()
+    for name in list(fleet.nodes):
+        fleet.restart(name)
+    # The duty of reading is settled by then.
+    await anyio.sleep(10)
+    num_calls = fleet.server.num_calls
+    await anyio.sleep(QUIET_S)
+    rate = (fleet.server.num_calls - num_calls) / QUIET_S
+    num_readers = sum(node.task._reader.is_reader for node in fleet.nodes.values())
+    num_early = sum(bool(node.history) for node in fleet.nodes.values())
+    fleet.server.faults.is_down = False
+    return num_early, rate, num_readers, await fleet.wait_until_in_force(2)
+
+
+@when("all nodes restart with the store down and it returns after five minutes")
+def step_restart_all(context):
+    context.herd = run_in_force(context, restart_all)
+
+
+@then("no node acts on any configuration before, and all have it within {within:d} s after")
+def step_herd(context, within):
+    num_early, _, _, delay_s = context.herd
+    assert num_early == 0 and delay_s <= within, context.herd
+
+
+@then(
+    "the store was asked at most {rate:d} times a second meanwhile, and by {readers:d} nodes of a zone only"
+)
+def step_herd_rate(context, rate, readers):
+    assert 0 < context.herd[1] <= rate and context.herd[2] == readers * context.size[1], (
+        context.herd
+    )
+
+
+async def cut_zone(fleet):
+    cut = [node for node in fleet.nodes.values() if node.zone == "zone-0"]
+    others = {node.address for node in fleet.nodes.values() if node not in cut}
+    fleet.network.cut_both_ways({node.address for node in cut}, others)
+    for node in cut:
+        node.port.is_cut_off = True
+    fleet.server.cut_watches()
+    outcome = await fleet.apply(small_deployment("second"))
+    await anyio.sleep(60)
+    during = {node.revision for node in cut}
+    fleet.network.heal()
+    delay_s = await fleet.wait_until_in_force(outcome.revision)
+    return during, delay_s
+
+
+@when("zone-0 is cut off, a change is applied, and the cut heals after 60 s")
+def step_cut(context):
+    context.cut = run_in_force(context, cut_zone)
+
+
+@then(
+    "the cut-off nodes kept the old configuration and have the new one within {within:d} s of healing"
+)
+def step_cut_healed(context, within):
+    during, delay_s = context.cut
+    assert during == {2} and delay_s <= within, context.cut
+
+
+async def lag_two(fleet):
+    names = list(fleet.nodes)
+    fleet.nodes[names[7]].endpoint.freeze()
+    # Casts still reach this one, its calls do not get out.
+    lagging = fleet.nodes[names[8]]
+    lagging.port.is_cut_off = True
+    fleet.server.cut_watches()
+    others = {node.address for node in fleet.nodes.values()}
+    fleet.network.cut({lagging.address}, others - {fleet.nodes[names[0]].address})
+    lagging.task._spread._fetch_from = fail_fetch
+    await fleet.apply(small_deployment("second"))
+    await anyio.sleep(10)
+    return await fleet.nodes[names[0]].task.fleet_status()
+
+
+async def fail_fetch(source, have_revision):
+    return "fetch failed on purpose"
+
+
+@when("one node is paused and one cannot fetch while a change is applied")
+def step_lag(context):
+    context.status = run_in_force(context, lag_two)
+
+
+@then('status names just these two, with "{first}" and "{second}"')
+def step_status(context, first, second):
+    lagging = context.status.lagging(context.status.revision)
+    assert [node.node for node in lagging] == ["node-007", "node-008"], lagging
+    assert first in lagging[0].lag_reason and second in lagging[1].lag_reason, lagging
+    assert "fetch failed on purpose" in lagging[1].lag_reason
+    assert len(context.status.nodes) == 9 and context.status.revision == 3
+
+
+async def count_bytes(fleet):
+    """Return bytes a second without changes, and bytes a change, of the node that sent most."""
+    nodes = list(fleet.nodes.values())
+    before = {node.name: node.num_bytes_sent() for node in nodes}
+    await anyio.sleep(QUIET_S)
+    idle = {node.name: (node.num_bytes_sent() - before[node.name]) / QUIET_S for node in nodes}
+    before = {node.name: node.num_bytes_sent() for node in nodes}
+    start_s = anyio.current_time()
+    for number in range(8):
+        await fleet.apply(large_deployment(version=f"version-{number}"))
+        await anyio.sleep(5)
+    duration_s = anyio.current_time() - start_s
+    each = [(n.num_bytes_sent() - before[n.name] - idle[n.name] * duration_s) / 8 for n in nodes]
+    assert all(node.revision == max(fleet.accepted) for node in nodes)
+    return max(idle.values()), max(each)
+
+
+@when("five minutes pass without a change")
+def step_hour(context):
+    context.cost = run_in_force(context, count_bytes, large_deployment())
+
+
+@then("each node has sent at most {rate:d} bytes a second for the configuration")
+def step_idle_cost(context, rate):
+    assert 0 < context.cost[0] <= rate, context.cost
+
+
+@then(
+    "8 changes of a deployment at the size to design for cost it at most {num_bytes:d} bytes each"
+)
+def step_change_cost(context, num_bytes):
+    assert 0 < context.cost[1] <= num_bytes, context.cost
+
+
+@when("a peer's delta is damaged, of a forgotten base, or with another digest")
+def step_bad_replies(context):
+    ahead, behind = ConfigurationHolder(), ConfigurationHolder()
+    for revision in range(1, MAX_KEPT_REVISIONS + 5):
+        ahead.take(revision, canonical(small_deployment(f"change-{revision}")))
+        if revision == MAX_KEPT_REVISIONS:
+            behind.take(revision, canonical(small_deployment(f"change-{revision}")))
+    good = ahead.reply_to(behind.revision)
+    assert good.base_revision == behind.revision and ahead.reply_to(1).base_revision == 0
+    assert behind.read_reply(good).name == f"change-{ahead.revision}"
+    replace = msgspec.structs.replace
+    bad = [
+        replace(good, payload=good.payload[:-4]),
+        replace(good, payload=b""),
+        replace(good, base_revision=1),
+        replace(good, digest=bytes(16)),
+        ConfigurationReply(good.revision, 0, good.digest, good.payload),
+    ]
+    context.refusals = [behind.read_reply(reply) for reply in bad]
+    context.holders = (ahead, behind)
+
+
+@then("each is refused with a reason and nothing changes")
+def step_bad_refused(context):
+    assert all(isinstance(refusal, str) and refusal for refusal in context.refusals)
+    ahead, behind = context.holders
+    assert behind.revision == MAX_KEPT_REVISIONS
+    assert not ahead.take(behind.revision, behind.current().deployment)
+    assert ahead.revision == MAX_KEPT_REVISIONS + 4
--- a/src/weirscale/node/configuration/spread.py
+++ b/src/weirscale/node/configuration/spread.py
@@ -21,6 +21,7 @@
     ConfigurationStatusQuery,
     ConfigurationStatusReply,
 )
+from weirscale.node.configuration.backoff import Backoff
 from weirscale.node.configuration.holder import ConfigurationHolder
 from weirscale.node.configuration.reader import Offer, Sleep
 from weirscale.node.interfaces import MembershipView, Peer, PeerLink
@@ -29,15 +30,19 @@
 ANNOUNCE_FANOUT = 6
 """Announcements of a new revision from each node; about e^-6 of the nodes hear none of them."""
 EXCHANGE_PERIOD_S = 2.0
-"""Mean time between exchanges with a random peer: about 100 bytes a second."""
+"""Mean time between exchanges with a random peer: about 120 bytes a second, envelopes included."""
 NUM_FETCHERS = 3
 """Fetches at once, so that one dead peer holds up no revision."""
+HEDGE_FETCH_AFTER_S = 0.3
+"""A second fetch starts only if the first has not brought the revision after this time."""
 FETCH_TIMEOUT_S = 1.5
 NUM_BOOTSTRAP_PEERS = 3
 BOOTSTRAP_ANSWER_WAIT_S = 0.3
 """How long the first answer waits for the others."""
 BOOTSTRAP_TIMEOUT_S = 1.0
-BOOTSTRAP_RETRY_S = 0.3
+FIRST_BOOTSTRAP_RETRY_S = 0.3
+MAX_BOOTSTRAP_RETRY_S = 5.0
+"""Long waits do no harm: a node that gets a configuration announces it."""
 MAX_QUEUED_ANNOUNCEMENTS = 256
 
 
@@ -66,6 +71,7 @@
         sleep: Sleep = anyio.sleep,
     ) -> None:
         self.last_problem = ""
+        self._num_fetching = 0
         self._holder = holder
         self._link = link
         self._membership = membership
@@ -131,15 +137,20 @@
     async def _fetch_announced(self) -> None:
         while True:
             heard = await self._heard.receive()
+            if self._num_fetching:
+                with anyio.move_on_after(HEDGE_FETCH_AFTER_S):
+                    await self._holder.changed_after(ConfigurationRevision(heard.revision - 1))
             if heard.revision > self._holder.revision:
                 await self._fetch(heard.source)
 
     async def _fetch(self, source: NodeAddress) -> None:
         """Fetch from one peer, the whole if its delta does not fit."""
+        self._num_fetching += 1
         problem = await self._fetch_from(source, self._holder.revision)
         if problem and self._holder.revision != WHOLE:
             problem = await self._fetch_from(source, WHOLE)
         self.last_problem = problem
+        self._num_fetching -= 1
 
     async def _fetch_from(self, source: NodeAddress, have_revision: ConfigurationRevision) -> str:
         """Make one fetch; answers what went wrong, or an empty text."""
@@ -160,6 +171,7 @@
 
     async def _bootstrap(self) -> None:
         """Until a configuration is in force, ask several peers and fetch the highest."""
+        backoff = Backoff(self._random, FIRST_BOOTSTRAP_RETRY_S, MAX_BOOTSTRAP_RETRY_S)
         while self._holder.current() is None:
             others = self._others()
             chosen = self._random.sample(others, min(len(others), NUM_BOOTSTRAP_PEERS))
@@ -167,7 +179,7 @@
             if best is not None:
                 await self._fetch(best)
             if self._holder.current() is None:
-                await self._sleep(BOOTSTRAP_RETRY_S * (0.5 + self._random.random()))
+                await self._sleep(backoff.next_s())
 
     async def _highest_of(self, peers: Sequence[Peer]) -> NodeAddress | None:
         """Ask peers for their revisions and return where the highest is."""
