--- a/features/steps/placement_rollout_steps.py
+++ b/features/steps/placement_rollout_steps.py
@@ -10,6 +10,8 @@
 SLOW_FACTOR = 2.0
 CUT_S = 15.0
 OUTAGE_S = 30.0
+REFUSAL_S = 45.0
+"""Longer than a load may take."""
 LEASE_TURN_S = 4.0
 
 
@@ -39,7 +41,7 @@
 
 async def refuse_orders(rollout):
     rollout.engines["qalam-0"].refuses_orders = True
-    await anyio.sleep(CUT_S)
+    await anyio.sleep(REFUSAL_S)
     rollout.engines["qalam-0"].refuses_orders = False
 
 
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -80,6 +80,7 @@
 
     def __init__(self, held):
         self.held = held
+        self.num_orders = 0
         self.num_orders_without = 0
 
     def is_held(self):
@@ -94,6 +95,7 @@
         self._lease = lease
 
     async def order(self, order):
+        self._lease.num_orders += 1
         if not self._lease.held:
             self._lease.num_orders_without += 1
         return await self._port.order(order)
