--- a/features/history_rules.feature
+++ b/features/history_rules.feature
@@ -30,6 +30,8 @@
       | server error without the marker            | none                      |
       | no ending                                  | whole_own_answer          |
       | ending long after the deadline             | whole_own_answer          |
+      | ending late from a node paused over the deadline | none                |
+      | ending late from a node paused long before | whole_own_answer          |
       | two endings                                | whole_own_answer          |
       | caller left                                | none                      |
       | refused as not run and never run           | none                      |
--- a/features/support/history_cases.py
+++ b/features/support/history_cases.py
@@ -219,6 +219,16 @@
     ],
     "no ending": UNANSWERED,
     "ending long after the deadline": [*UNANSWERED, change(ANSWERED, at_s=26.0)],
+    "ending late from a node paused over the deadline": [
+        *node_changes((0.0, "started"), (19.0, "paused"), (26.0, "resumed")),
+        *UNANSWERED,
+        change(ANSWERED, at_s=26.0),
+    ],
+    "ending late from a node paused long before": [
+        *node_changes((0.0, "started"), (2.0, "paused"), (9.0, "resumed")),
+        *UNANSWERED,
+        change(ANSWERED, at_s=26.0),
+    ],
     "two endings": [*PLAIN, STREAM_BROKEN],
     "caller left": [*UNANSWERED, CallerLeft(at_s=2.0, request_id="caption")],
     "refused as not run and never run": [CAPTION, NOT_RUN, *ORDER_RECORDS],
--- a/src/weirscale/experiments/faults/schedule.py
+++ b/src/weirscale/experiments/faults/schedule.py
@@ -1,5 +1,6 @@
 """Random fault schedules, determined by a seed."""
 
+from collections.abc import Sequence
 from random import Random
 
 from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
@@ -11,6 +12,23 @@
 SETTLE_S = 12.0
 """Time at the end of a run without new faults, so that repair can be seen."""
 
+OVERLAP_FIRST_AT_S = 8.0
+OVERLAP_INTERVAL_S = 3.0
+OVERLAP_LASTS_S = 12.0
+"""Faults that are named without times begin one after the other and overlap."""
+
+
+def overlapping(kinds: Sequence[FaultKind]) -> tuple[PlannedFault, ...]:
+    """Return faults of the kinds, in order, that overlap."""
+    return tuple(
+        PlannedFault(
+            kind=kind,
+            at_s=OVERLAP_FIRST_AT_S + place * OVERLAP_INTERVAL_S,
+            lasts_s=OVERLAP_LASTS_S,
+        )
+        for place, kind in enumerate(kinds)
+    )
+
 
 def random_schedule(duration_s: float, num_faults: int, random: Random) -> tuple[PlannedFault, ...]:
     """Draw faults of any kinds at any moments, together or twice.
--- a/src/weirscale/experiments/history/history.py
+++ b/src/weirscale/experiments/history/history.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import RequestId
+from weirscale.domain.identifiers import NodeName, RequestId
 from weirscale.experiments.history.records import (
     AnyRecord,
     CallerLeft,
@@ -15,6 +15,8 @@
     EngineRun,
     GenerationAnswered,
     GenerationSent,
+    NodeChange,
+    NodeChanged,
     RefusalReceived,
     Sent,
     ServiceAnswered,
@@ -93,6 +95,7 @@
         self.endings: dict[RequestId, list[Ending]] = defaultdict(list)
         self.engine_runs: dict[RequestId, list[EngineRun]] = defaultdict(list)
         self.service_runs: dict[RequestId, list[ServiceRun]] = defaultdict(list)
+        self.pauses: dict[NodeName, list[tuple[float, float]]] = defaultdict(list)
         for record in self.records:
             self._index(record)
 
@@ -114,6 +117,16 @@
                 self.engine_runs[record.request_id].append(record)
             case ServiceRun():
                 self.service_runs[record.request_id].append(record)
+            case NodeChanged():
+                self._index_pause(record)
+
+    def _index_pause(self, changed: NodeChanged) -> None:
+        pauses = self.pauses[changed.node]
+        if changed.change is NodeChange.PAUSED:
+            pauses.append((changed.at_s, float("inf")))
+        elif pauses and changed.change in (NodeChange.RESUMED, NodeChange.STARTED):
+            began_at_s, ended_at_s = pauses[-1]
+            pauses[-1] = (began_at_s, min(ended_at_s, changed.at_s))
 
     def of_type(self, record_type: type[RecordT]) -> list[RecordT]:
         """Return all records of a type, in order of time."""
--- a/src/weirscale/experiments/run/fleet.py
+++ b/src/weirscale/experiments/run/fleet.py
@@ -46,6 +46,7 @@
         places: All nodes, sorted by name.
         failures: Exceptions raised in nodes: faults of the product.
         num_changes: Starts and ends of nodes so far.
+        num_peer_bytes: Bytes that nodes have sent to one another.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
     ) -> None:
         self.failures: list[Exception] = []
         self.num_changes = 0
+        self.num_peer_bytes = 0
         self._tasks = tasks
         self._network = network
         self._recorder = recorder
@@ -166,6 +168,10 @@
             self._end(name)
         return is_drained
 
+    def count_peer_bytes(self, num_bytes: int) -> None:
+        """Count bytes that a node sends to another."""
+        self.num_peer_bytes += num_bytes
+
     def note(self, name: NodeName, change: NodeChange) -> None:
         """Record a change that the harness made elsewhere."""
         self._record(name, change)
--- a/src/weirscale/experiments/run/node_factory.py
+++ b/src/weirscale/experiments/run/node_factory.py
@@ -80,7 +80,9 @@
         key_value = InProcessKeyValue(platform.store)
         machines = InProcessMachineList(platform.machines)
         return NodePorts(
-            network=GatedPeers(self._fleet.endpoint(setup.name), life, setup.tasks),
+            network=GatedPeers(
+                self._fleet.endpoint(setup.name), life, setup.tasks, self._fleet.count_peer_bytes
+            ),
             key_value=GatedKeyValue(key_value, life, platform.links, setup.zone),
             machines=GatedMachines(machines, life, path_to(setup.zone)),
             make_engine_port=engine_port,
--- a/src/weirscale/experiments/run/platform_gates.py
+++ b/src/weirscale/experiments/run/platform_gates.py
@@ -1,6 +1,6 @@
 """Access of one virtual node to the key-value service and to its peers."""
 
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, aclosing, asynccontextmanager
 
 import anyio
@@ -15,6 +15,11 @@
 from weirscale.ports.peers import CallHandler, Datagram, PeerFailure
 from weirscale.standins.key_value.in_process import InProcessKeyValue
 
+DATAGRAM_HEADER_BYTES = 28
+"""IP and UDP headers."""
+CALL_HEADER_BYTES = 300
+"""About the HTTP and TCP/IP headers of one request or answer."""
+
 Watch = AsyncIterator[Result[WatchEvent, KeyValueFailure]]
 
 
@@ -88,13 +93,21 @@
     meanwhile does not stop them halfway.
     """
 
-    def __init__(self, endpoint: MemoryEndpoint, life: ProcessLife, tasks: TaskGroup) -> None:
+    def __init__(
+        self,
+        endpoint: MemoryEndpoint,
+        life: ProcessLife,
+        tasks: TaskGroup,
+        count_bytes: Callable[[int], None],
+    ) -> None:
         self._endpoint = endpoint
         self._life = life
         self._tasks = tasks
+        self._count_bytes = count_bytes
 
     async def cast(self, destination: NodeAddress, payload: bytes) -> None:
         """Send one datagram."""
+        self._count_bytes(len(payload) + DATAGRAM_HEADER_BYTES)
         await self._life.guard(lambda: self._endpoint.cast(destination, payload))
 
     async def datagrams(self) -> AsyncIterator[Datagram]:
@@ -107,6 +120,7 @@
         self, destination: NodeAddress, payload: bytes, timeout_s: float
     ) -> Result[bytes, PeerFailure]:
         """Send a request and await its reply."""
+        self._count_bytes(len(payload) + CALL_HEADER_BYTES)
         return await self._life.guard(lambda: self._endpoint.call(destination, payload, timeout_s))
 
     def serve_calls(self, handler: CallHandler) -> None:
@@ -127,6 +141,8 @@
         self, handler: CallHandler, payload: bytes, answers: list[bytes], answered: anyio.Event
     ) -> None:
         await self._life.go_on()
-        answers.append(await handler(payload))
+        answer = await handler(payload)
+        self._count_bytes(len(answer) + CALL_HEADER_BYTES)
+        answers.append(answer)
         await self._life.go_on()
         answered.set()
--- a/src/weirscale/experiments/run/virtual.py
+++ b/src/weirscale/experiments/run/virtual.py
@@ -157,7 +157,9 @@
             seed=self.seed,
             duration_s=experiment.duration_s,
         )
-        figures = work_out(history, judge(history), identity, ControlCost(), fleet.failures)
+        node_seconds = len(fleet.places) * anyio.current_time()
+        control = ControlCost(bytes_per_second=fleet.num_peer_bytes / node_seconds)
+        figures = work_out(history, judge(history), identity, control, fleet.failures)
         return RunOutcome(history, figures, self._faults_on_clock)
 
 
