--- a/src/weirscale/domain/health/rules.py
+++ b/src/weirscale/domain/health/rules.py
@@ -11,7 +11,7 @@
             common when a connection is reset.
         max_failed_probes: Failed probes in a row that open a circuit.
         max_failure_rate: Share of failed requests that opens a circuit.
-        min_samples: Recent requests below which the failure rate says nothing.
+        min_samples: Decayed number of recent requests below which the failure rate says nothing.
         sample_half_life_s: Time after which a past outcome counts half.
         open_time_s: Length of the first opening; doubles with each one that follows soon.
         max_open_time_s: Longest opening.
@@ -31,7 +31,7 @@
     max_consecutive_failures: int = 3
     max_failed_probes: int = 2
     max_failure_rate: float = 0.5
-    min_samples: float = 10.0
+    min_samples: float = 8.0
     sample_half_life_s: float = 10.0
     open_time_s: float = 1.0
     max_open_time_s: float = 60.0
