--- a/src/weirscale/experiments/report/page.py
+++ b/src/weirscale/experiments/report/page.py
@@ -141,7 +141,7 @@
         for place, height in zip(places, heights, strict=True):
             bottoms[place] = bottoms.get(place, 0) + height
     axes.set_ylabel("requests a second")
-    axes.legend(fontsize="small")
+    axes.legend(fontsize="small", loc="center left", bbox_to_anchor=(1.0, 0.5))
 
 
 def _plot_events(axes: Any, history: History) -> None:
@@ -154,4 +154,4 @@
         heights = [nodes.index(changed.node) for changed in those]
         axes.scatter([one.at_s for one in those], heights, s=22, label=kind.value)
     axes.set_yticks(range(-1, len(nodes)), ["refusals", *nodes])
-    axes.legend(fontsize="small")
+    axes.legend(fontsize="small", loc="center left", bbox_to_anchor=(1.0, 0.5))
