--- a/src/weirscale/node/backends/directory.py
+++ b/src/weirscale/node/backends/directory.py
@@ -4,36 +4,17 @@
 messages, and publishes immutable snapshots. Other tasks read the latest snapshot and post messages.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from random import Random
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
 
-from weirscale.domain.configuration.model import Deployment, Engine, ServiceBackend
-from weirscale.domain.health.leaving import after_machine_list
+from weirscale.domain.configuration.model import Engine, ServiceBackend
 from weirscale.domain.health.rules import HealthRules
-from weirscale.domain.identifiers import (
-    BackendName,
-    ConfigurationRevision,
-    EngineName,
-    ModelName,
-    ServiceName,
-)
+from weirscale.domain.identifiers import ConfigurationRevision, EngineName
 from weirscale.messages.cache import LoadReport
-from weirscale.node.backends.facts import (
-    EMPTY_SNAPSHOT,
-    DirectorySnapshot,
-    EngineFacts,
-    ServiceBackendFacts,
-)
-from weirscale.node.backends.learning import (
-    after_engine_attempt,
-    after_report,
-    after_service_attempt,
-    after_unreachable,
-)
+from weirscale.node.backends.facts import DirectorySnapshot
 from weirscale.node.backends.observations import (
     ConfigurationChanged,
     EngineAttemptEnded,
@@ -44,12 +25,14 @@
     ReportArrived,
     ServiceAttemptEnded,
 )
-from weirscale.node.backends.port_table import ClosablePort, PortTable
+from weirscale.node.backends.port_table import ClosablePort
 from weirscale.node.backends.probes import ProbeRules, poll_engine, poll_machines
+from weirscale.node.backends.state import DirectoryState
+from weirscale.node.event_log import EventLog, SilentEventLog
 from weirscale.node.interfaces import ConfigurationView
 from weirscale.node.mailbox import Mailbox
 from weirscale.ports.engine import EnginePort
-from weirscale.ports.machines import Machine, MachineListPort
+from weirscale.ports.machines import MachineListPort
 from weirscale.ports.service import ServicePort
 
 CLOSE_CHECK_INTERVAL_S = 1.0
@@ -67,6 +50,7 @@
         random: For jitter.
         health_rules: Thresholds of circuits.
         probe_rules: How often to ask engines and the machine list.
+        events: Where changes of health are told.
     """
 
     def __init__(
@@ -78,6 +62,7 @@
         random: Random,
         health_rules: HealthRules | None = None,
         probe_rules: ProbeRules | None = None,
+        events: EventLog | None = None,
     ) -> None:
         self.health_rules = health_rules or HealthRules()
         self._configuration = configuration
@@ -85,22 +70,20 @@
         self._random = random
         self._probe_rules = probe_rules or ProbeRules()
         self._mailbox: Mailbox[Observation] = Mailbox()
-        self._engine_ports: PortTable[Engine, EnginePort] = PortTable(
-            make_engine_port, counts_attempts=True
-        )
-        self._service_ports: PortTable[ServiceBackend, ServicePort] = PortTable(
-            make_service_port, counts_attempts=False
+        self._state = DirectoryState(
+            make_engine_port,
+            make_service_port,
+            self.health_rules,
+            random,
+            events or SilentEventLog(),
         )
-        self._snapshot = EMPTY_SNAPSHOT
         self._changed = anyio.Event()
         self._probe_scopes: dict[tuple[EngineName, str], anyio.CancelScope] = {}
-        self._leaving_hosts: frozenset[str] = frozenset()
-        self._drain_timeout_s = 0.0
         self.num_dropped_observations = 0
 
     def snapshot(self) -> DirectorySnapshot:
         """Return what is known now; the value never changes."""
-        return self._snapshot
+        return self._state.snapshot
 
     async def wait_for_change(self) -> None:
         """Wait until a newer snapshot is published."""
@@ -141,177 +124,36 @@
     async def _close_retired_ports(self) -> None:
         while True:
             await anyio.sleep(CLOSE_CHECK_INTERVAL_S)
-            now_s = anyio.current_time()
-            idle: list[EnginePort | ServicePort] = []
-            idle.extend(self._engine_ports.take_idle(now_s, self._drain_timeout_s))
-            idle.extend(self._service_ports.take_idle(now_s, self._drain_timeout_s))
-            for port in idle:
+            for port in self._state.take_idle_ports(anyio.current_time()):
                 if isinstance(port, ClosablePort):
                     await port.aclose()
 
     def _handle(self, message: Observation, tasks: TaskGroup) -> None:
+        before = self._state.snapshot
+        self._learn(message, anyio.current_time())
+        if isinstance(message, ConfigurationChanged):
+            self._sync_probes(tasks)
+        if self._state.snapshot is not before:
+            self._changed.set()
+            self._changed = anyio.Event()
+
+    def _learn(self, message: Observation, now_s: float) -> None:
+        state = self._state
         match message:
             case ConfigurationChanged():
-                self._apply(message, tasks)
+                state.apply_configuration(message.configuration, now_s)
             case ReportArrived():
-                self._learn_report(message)
+                state.learn_report(message.report, message.reported_at_s, now_s)
             case ProbeFailed():
-                self._learn_probe_failure(message)
+                state.learn_probe_failure(message.engine, message.detail, now_s)
             case MachinesListed():
-                self._learn_machines(message.machines)
+                state.learn_machines(message.machines, now_s)
             case EngineAttemptStarted():
-                self._engine_ports.note_started(message.engine, message.address)
+                state.learn_attempt_started(message)
             case EngineAttemptEnded():
-                self._learn_engine_attempt(message)
+                state.learn_attempt_ended(message, now_s)
             case ServiceAttemptEnded():
-                self._learn_service_attempt(message)
-
-    def _learn_report(self, message: ReportArrived) -> None:
-        facts = self._snapshot.engines.get(message.report.engine)
-        if facts is None:
-            return
-        now_s = anyio.current_time()
-        updated = after_report(
-            facts, message.report, message.reported_at_s, now_s, self.health_rules, self._random
-        )
-        self._replace_engine(facts, updated)
-
-    def _learn_probe_failure(self, message: ProbeFailed) -> None:
-        facts = self._snapshot.engines.get(message.engine)
-        if facts is None:
-            return
-        now_s = anyio.current_time()
-        updated = after_unreachable(facts, message.detail, now_s, self.health_rules, self._random)
-        self._replace_engine(facts, updated)
-
-    def _learn_engine_attempt(self, message: EngineAttemptEnded) -> None:
-        self._engine_ports.note_ended(message.engine, message.address)
-        facts = self._snapshot.engines.get(message.engine)
-        if facts is None or facts.engine.address != message.address:
-            return
-        updated = after_engine_attempt(
-            facts,
-            message.incarnation,
-            message.failure,
-            anyio.current_time(),
-            self.health_rules,
-            self._random,
-        )
-        self._replace_engine(facts, updated)
-
-    def _learn_service_attempt(self, message: ServiceAttemptEnded) -> None:
-        facts = self._snapshot.services.get(message.service, {}).get(message.backend)
-        if facts is None:
-            return
-        updated = after_service_attempt(
-            facts,
-            message.failure,
-            message.http_status,
-            anyio.current_time(),
-            self.health_rules,
-            self._random,
-        )
-        self._replace_service_backend(message.service, updated)
-
-    def _learn_machines(self, machines: tuple[Machine, ...]) -> None:
-        self._leaving_hosts = frozenset(machine.host for machine in machines if machine.is_leaving)
-        for facts in tuple(self._snapshot.engines.values()):
-            self._replace_engine(facts, self._with_machine_list(facts))
-        for service, backends in tuple(self._snapshot.services.items()):
-            for backend in tuple(backends.values()):
-                listed = self._is_listed_leaving(backend.backend.address)
-                leaving = after_machine_list(backend.leaving, listed, None, anyio.current_time())
-                if leaving is not backend.leaving:
-                    updated = msgspec.structs.replace(backend, leaving=leaving)
-                    self._replace_service_backend(service, updated)
-
-    def _with_machine_list(self, facts: EngineFacts) -> EngineFacts:
-        listed = self._is_listed_leaving(facts.engine.address)
-        now_s = anyio.current_time()
-        leaving = after_machine_list(facts.leaving, listed, facts.incarnation, now_s)
-        if leaving is facts.leaving:
-            return facts
-        return msgspec.structs.replace(facts, leaving=leaving)
-
-    def _is_listed_leaving(self, address: str) -> bool:
-        host = address.rpartition(":")[0]
-        return address in self._leaving_hosts or host in self._leaving_hosts
-
-    def _replace_engine(self, before: EngineFacts, after: EngineFacts) -> None:
-        if after is before:
-            return
-        engines = dict(self._snapshot.engines)
-        engines[after.engine.name] = after
-        engines_of = self._snapshot.engines_of
-        if _reported_model(before) != _reported_model(after):
-            engines_of = _group_by_model(engines)
-        self._publish(
-            msgspec.structs.replace(self._snapshot, engines=engines, engines_of=engines_of)
-        )
-
-    def _replace_service_backend(self, service: ServiceName, after: ServiceBackendFacts) -> None:
-        services = dict(self._snapshot.services)
-        services[service] = {**services[service], after.backend.name: after}
-        self._publish(msgspec.structs.replace(self._snapshot, services=services))
-
-    def _publish(self, snapshot: DirectorySnapshot) -> None:
-        self._snapshot = snapshot
-        self._changed.set()
-        self._changed = anyio.Event()
-
-    def _apply(self, message: ConfigurationChanged, tasks: TaskGroup) -> None:
-        deployment = message.configuration.deployment
-        self._drain_timeout_s = deployment.drain_timeout_s
-        engines = {engine.name: self._engine_facts(engine) for engine in deployment.engines}
-        self._publish(
-            DirectorySnapshot(
-                revision=message.configuration.revision,
-                engines=engines,
-                engines_of=_group_by_model(engines),
-                declared_models=frozenset(model.name for model in deployment.models),
-                services=self._service_facts(deployment),
-            )
-        )
-        self._retire_ports(deployment)
-        self._sync_probes(tasks)
-
-    def _engine_facts(self, engine: Engine) -> EngineFacts:
-        port = self._engine_ports.get(engine.name, engine.address, engine)
-        known = self._snapshot.engines.get(engine.name)
-        if known is not None and known.engine.address == engine.address:
-            return msgspec.structs.replace(known, engine=engine, port=port)
-        return self._with_machine_list(EngineFacts(engine, port))
-
-    def _service_facts(
-        self, deployment: Deployment
-    ) -> Mapping[ServiceName, Mapping[BackendName, ServiceBackendFacts]]:
-        return {
-            service.name: {
-                backend.name: self._service_backend_facts(service.name, backend)
-                for backend in service.backends
-            }
-            for service in deployment.services
-        }
-
-    def _service_backend_facts(
-        self, service: ServiceName, backend: ServiceBackend
-    ) -> ServiceBackendFacts:
-        port = self._service_ports.get(backend.name, backend.address, backend)
-        known = self._snapshot.services.get(service, {}).get(backend.name)
-        if known is not None and known.backend.address == backend.address:
-            return msgspec.structs.replace(known, backend=backend, port=port)
-        return ServiceBackendFacts(backend, port)
-
-    def _retire_ports(self, deployment: Deployment) -> None:
-        now_s = anyio.current_time()
-        engines = {(str(engine.name), engine.address) for engine in deployment.engines}
-        self._engine_ports.retire_all_but(engines, now_s)
-        backends = {
-            (str(backend.name), backend.address)
-            for service in deployment.services
-            for backend in service.backends
-        }
-        self._service_ports.retire_all_but(backends, now_s)
+                state.learn_service_attempt(message, now_s)
 
     def _sync_probes(self, tasks: TaskGroup) -> None:
         """Start and stop probe loops so that each declared engine has one."""
@@ -319,11 +161,11 @@
             return
         wanted = {
             (facts.engine.name, facts.engine.address): facts
-            for facts in self._snapshot.engines.values()
+            for facts in self._state.snapshot.engines.values()
         }
         for key in self._probe_scopes.keys() - wanted.keys():
             self._probe_scopes.pop(key).cancel()
-        for key in wanted.keys() - self._probe_scopes.keys():
+        for key in sorted(wanted.keys() - self._probe_scopes.keys()):
             scope = anyio.CancelScope()
             self._probe_scopes[key] = scope
             tasks.start_soon(
@@ -335,19 +177,3 @@
                 self._probe_rules,
                 self._random,
             )
-
-
-def _reported_model(facts: EngineFacts) -> ModelName | None:
-    return facts.report.model if facts.report is not None else None
-
-
-def _group_by_model(
-    engines: Mapping[EngineName, EngineFacts],
-) -> Mapping[ModelName, tuple[EngineName, ...]]:
-    """Group engines by the model that they have loaded, whatever they are declared for."""
-    groups: dict[ModelName, list[EngineName]] = {}
-    for name, facts in engines.items():
-        model = _reported_model(facts)
-        if model is not None:
-            groups.setdefault(model, []).append(name)
-    return {model: tuple(names) for model, names in groups.items()}
--- /dev/null
+++ b/src/weirscale/node/backends/state.py
@@ -0,0 +1,263 @@
+"""State of the directory: how each observation changes it. No I/O and no clock of its own."""
+
+from collections.abc import Callable, Mapping
+from random import Random
+
+import msgspec
+
+from weirscale.domain.configuration.model import Deployment, Engine, ServiceBackend
+from weirscale.domain.health.circuit import CircuitState, state_at
+from weirscale.domain.health.leaving import after_machine_list
+from weirscale.domain.health.rules import HealthRules
+from weirscale.domain.identifiers import BackendName, EngineName, ModelName, ServiceName
+from weirscale.messages.cache import LoadReport
+from weirscale.node.backends.facts import (
+    EMPTY_SNAPSHOT,
+    DirectorySnapshot,
+    EngineFacts,
+    ServiceBackendFacts,
+)
+from weirscale.node.backends.learning import (
+    after_engine_attempt,
+    after_report,
+    after_service_attempt,
+    after_unreachable,
+)
+from weirscale.node.backends.observations import (
+    EngineAttemptEnded,
+    EngineAttemptStarted,
+    ServiceAttemptEnded,
+)
+from weirscale.node.backends.port_table import PortTable
+from weirscale.node.event_log import EventLog
+from weirscale.node.interfaces import ConfigurationInForce
+from weirscale.ports.engine import EnginePort
+from weirscale.ports.machines import Machine
+from weirscale.ports.service import ServicePort
+
+
+class DirectoryState:
+    """What is known of back ends; owned by the directory's task.
+
+    Args:
+        make_engine_port: Makes the one port object of an engine.
+        make_service_port: Makes the one port object of a service back end.
+        rules: Thresholds of circuits.
+        random: For the jitter of openings.
+        events: Where changes of health are told.
+    """
+
+    def __init__(
+        self,
+        make_engine_port: Callable[[Engine], EnginePort],
+        make_service_port: Callable[[ServiceBackend], ServicePort],
+        rules: HealthRules,
+        random: Random,
+        events: EventLog,
+    ) -> None:
+        self.snapshot = EMPTY_SNAPSHOT
+        self._rules = rules
+        self._random = random
+        self._events = events
+        self._engine_ports: PortTable[Engine, EnginePort] = PortTable(
+            make_engine_port, counts_attempts=True
+        )
+        self._service_ports: PortTable[ServiceBackend, ServicePort] = PortTable(
+            make_service_port, counts_attempts=False
+        )
+        self._leaving_hosts: frozenset[str] = frozenset()
+        self._drain_timeout_s = 0.0
+
+    def apply_configuration(self, in_force: ConfigurationInForce, now_s: float) -> None:
+        """Take a configuration; what is known of back ends at the same address is kept."""
+        deployment = in_force.deployment
+        self._drain_timeout_s = deployment.drain_timeout_s
+        engines = {engine.name: self._engine_facts(engine, now_s) for engine in deployment.engines}
+        self.snapshot = DirectorySnapshot(
+            revision=in_force.revision,
+            engines=engines,
+            engines_of=_group_by_model(engines),
+            declared_models=frozenset(model.name for model in deployment.models),
+            services=self._service_facts(deployment, now_s),
+        )
+        self._retire_ports(deployment, now_s)
+
+    def take_idle_ports(self, now_s: float) -> list[EnginePort | ServicePort]:
+        """Remove and return the ports to close."""
+        return [
+            *self._engine_ports.take_idle(now_s, self._drain_timeout_s),
+            *self._service_ports.take_idle(now_s, self._drain_timeout_s),
+        ]
+
+    def learn_report(self, report: LoadReport, reported_at_s: float, now_s: float) -> None:
+        """Take in a load report."""
+        facts = self.snapshot.engines.get(report.engine)
+        if facts is not None:
+            after = after_report(facts, report, reported_at_s, now_s, self._rules, self._random)
+            self._replace_engine(facts, after, now_s)
+
+    def learn_probe_failure(self, engine: EngineName, detail: str, now_s: float) -> None:
+        """Learn that a probe got no answer."""
+        facts = self.snapshot.engines.get(engine)
+        if facts is not None:
+            after = after_unreachable(facts, detail, now_s, self._rules, self._random)
+            self._replace_engine(facts, after, now_s)
+
+    def learn_attempt_started(self, attempt: EngineAttemptStarted) -> None:
+        """Count an attempt that uses an engine's port."""
+        self._engine_ports.note_started(attempt.engine, attempt.address)
+
+    def learn_attempt_ended(self, attempt: EngineAttemptEnded, now_s: float) -> None:
+        """Learn from the end of an attempt; an engine that has moved learns nothing from it."""
+        self._engine_ports.note_ended(attempt.engine, attempt.address)
+        facts = self.snapshot.engines.get(attempt.engine)
+        if facts is None or facts.engine.address != attempt.address:
+            return
+        after = after_engine_attempt(
+            facts, attempt.incarnation, attempt.failure, now_s, self._rules, self._random
+        )
+        self._replace_engine(facts, after, now_s)
+
+    def learn_service_attempt(self, attempt: ServiceAttemptEnded, now_s: float) -> None:
+        """Learn from the end of an attempt on a service back end."""
+        facts = self.snapshot.services.get(attempt.service, {}).get(attempt.backend)
+        if facts is None:
+            return
+        after = after_service_attempt(
+            facts, attempt.failure, attempt.http_status, now_s, self._rules, self._random
+        )
+        self._replace_service_backend(attempt.service, facts, after, now_s)
+
+    def learn_machines(self, machines: tuple[Machine, ...], now_s: float) -> None:
+        """Take in the machine list; machines that it does not name stay as they were."""
+        self._leaving_hosts = frozenset(machine.host for machine in machines if machine.is_leaving)
+        for facts in tuple(self.snapshot.engines.values()):
+            self._replace_engine(facts, self._with_machine_list(facts, now_s), now_s)
+        for service, backends in tuple(self.snapshot.services.items()):
+            for backend in tuple(backends.values()):
+                after = self._backend_with_machine_list(backend, now_s)
+                self._replace_service_backend(service, backend, after, now_s)
+
+    def _with_machine_list(self, facts: EngineFacts, now_s: float) -> EngineFacts:
+        is_listed = self._is_listed_leaving(facts.engine.address)
+        leaving = after_machine_list(facts.leaving, is_listed, facts.incarnation, now_s)
+        if leaving is facts.leaving:
+            return facts
+        return msgspec.structs.replace(facts, leaving=leaving)
+
+    def _backend_with_machine_list(
+        self, facts: ServiceBackendFacts, now_s: float
+    ) -> ServiceBackendFacts:
+        is_listed = self._is_listed_leaving(facts.backend.address)
+        leaving = after_machine_list(facts.leaving, is_listed, None, now_s)
+        if leaving is facts.leaving:
+            return facts
+        return msgspec.structs.replace(facts, leaving=leaving)
+
+    def _is_listed_leaving(self, address: str) -> bool:
+        host = address.rpartition(":")[0]
+        return address in self._leaving_hosts or host in self._leaving_hosts
+
+    def _replace_engine(self, before: EngineFacts, after: EngineFacts, now_s: float) -> None:
+        if after is before:
+            return
+        self._tell(after.engine.name, before, after, now_s)
+        engines = dict(self.snapshot.engines)
+        engines[after.engine.name] = after
+        engines_of = self.snapshot.engines_of
+        if _reported_model(before) != _reported_model(after):
+            engines_of = _group_by_model(engines)
+        self.snapshot = msgspec.structs.replace(
+            self.snapshot, engines=engines, engines_of=engines_of
+        )
+
+    def _replace_service_backend(
+        self,
+        service: ServiceName,
+        before: ServiceBackendFacts,
+        after: ServiceBackendFacts,
+        now_s: float,
+    ) -> None:
+        if after is before:
+            return
+        self._tell(after.backend.name, before, after, now_s)
+        services = dict(self.snapshot.services)
+        services[service] = {**services[service], after.backend.name: after}
+        self.snapshot = msgspec.structs.replace(self.snapshot, services=services)
+
+    def _tell(
+        self,
+        name: str,
+        before: EngineFacts | ServiceBackendFacts,
+        after: EngineFacts | ServiceBackendFacts,
+        now_s: float,
+    ) -> None:
+        """Log a change of health, once for each."""
+        circuit = after.circuit
+        if circuit.is_open and circuit.opened_at_s != before.circuit.opened_at_s:
+            is_quarantined = state_at(circuit, now_s) is CircuitState.QUARANTINED
+            self._events.event(
+                "backend_quarantined" if is_quarantined else "backend_circuit_opened",
+                backend=name,
+                reason=circuit.reason,
+                open_s=circuit.open_until_s - now_s,
+                openings=circuit.num_openings,
+            )
+        elif before.circuit.is_open and not circuit.is_open:
+            self._events.event("backend_circuit_closed", backend=name)
+        source = after.leaving.source_at(now_s)
+        if source is not None and not before.leaving.is_leaving_at(now_s):
+            self._events.event("backend_leaving", backend=name, source=source.value)
+
+    def _engine_facts(self, engine: Engine, now_s: float) -> EngineFacts:
+        port = self._engine_ports.get(engine.name, engine.address, engine)
+        known = self.snapshot.engines.get(engine.name)
+        if known is not None and known.engine.address == engine.address:
+            return msgspec.structs.replace(known, engine=engine, port=port)
+        return self._with_machine_list(EngineFacts(engine, port), now_s)
+
+    def _service_facts(
+        self, deployment: Deployment, now_s: float
+    ) -> Mapping[ServiceName, Mapping[BackendName, ServiceBackendFacts]]:
+        return {
+            service.name: {
+                backend.name: self._service_backend_facts(service.name, backend, now_s)
+                for backend in service.backends
+            }
+            for service in deployment.services
+        }
+
+    def _service_backend_facts(
+        self, service: ServiceName, backend: ServiceBackend, now_s: float
+    ) -> ServiceBackendFacts:
+        port = self._service_ports.get(backend.name, backend.address, backend)
+        known = self.snapshot.services.get(service, {}).get(backend.name)
+        if known is not None and known.backend.address == backend.address:
+            return msgspec.structs.replace(known, backend=backend, port=port)
+        return self._backend_with_machine_list(ServiceBackendFacts(backend, port), now_s)
+
+    def _retire_ports(self, deployment: Deployment, now_s: float) -> None:
+        engines = {(str(engine.name), engine.address) for engine in deployment.engines}
+        self._engine_ports.retire_all_but(engines, now_s)
+        backends = {
+            (str(backend.name), backend.address)
+            for service in deployment.services
+            for backend in service.backends
+        }
+        self._service_ports.retire_all_but(backends, now_s)
+
+
+def _reported_model(facts: EngineFacts) -> ModelName | None:
+    return facts.report.model if facts.report is not None else None
+
+
+def _group_by_model(
+    engines: Mapping[EngineName, EngineFacts],
+) -> Mapping[ModelName, tuple[EngineName, ...]]:
+    """Group engines by the model that they have loaded, whatever they are declared for."""
+    groups: dict[ModelName, list[EngineName]] = {}
+    for name, facts in engines.items():
+        model = _reported_model(facts)
+        if model is not None:
+            groups.setdefault(model, []).append(name)
+    return {model: tuple(names) for model, names in groups.items()}
