--- a/src/weirscale/cli/configuration.py
+++ b/src/weirscale/cli/configuration.py
@@ -48,7 +48,7 @@
     UNKNOWN = 5
     """It may have been applied; run the same command again."""
     UNREACHABLE = 6
-    """The key-value service or the node gave no answer; nothing was changed."""
+    """`plan` or `status` got no answer; `apply` says REFUSED or UNKNOWN instead."""
     NOT_IN_FORCE = 7
     """Some nodes lag; each is printed on its own line."""
 
