--- a/src/weirscale/domain/choice/estimate.py
+++ b/src/weirscale/domain/choice/estimate.py
@@ -1,10 +1,14 @@
 """The estimate that the prefix-aware policy minimises: time to first token plus weighted waste."""
 
+from collections.abc import Mapping, Sequence
+from statistics import median
+
 import msgspec
 
-from weirscale.domain.choice.eligible import MIN_ADMISSION_WEIGHT
+from weirscale.domain.choice.eligible import MIN_ADMISSION_WEIGHT, relative_load
 from weirscale.domain.choice.policy import CandidateEstimate, ChoiceRequest, EngineCandidate
 from weirscale.domain.configuration.model import RoutingObjective
+from weirscale.domain.identifiers import EngineName
 
 EVICTION_SHARE = 0.1
 """Share of evicted blocks that would have been asked for again; a full engine drops its least
@@ -13,6 +17,14 @@
 FULL_CACHE_SHARE = 0.95
 """An engine evicts for new blocks when its cache is filled to this share."""
 
+CONGESTION_WEIGHT = 20.0
+"""How much dearer waste gets with each prompt that waits: work that is repeated while queues are
+long delays everybody behind it, and queues that are long everywhere never drain if affinity is
+given up for the shortest of them."""
+
+MIN_HOT_LOAD = 0.01
+"""Lower settings count as this one."""
+
 BUSY_SLOT_S = 1.0
 """Wait charged for a request on an engine that has no free slot, for each multiple of its slots."""
 
@@ -41,6 +53,7 @@
         num_best_blocks: Leading blocks on the engine that holds most.
         replication_relief: 0 where an engine without the prefix is charged in full for computing
             it again, up to 1 where the prefix is hot and another copy is wanted.
+        congestion: Median queue of the candidates, in multiples of computing the whole prompt.
     """
 
     def __init__(
@@ -49,11 +62,13 @@
         objective: RoutingObjective,
         num_best_blocks: float,
         replication_relief: float,
+        congestion: float,
     ) -> None:
         self._request = request
         self._objective = objective
         self._num_best_blocks = num_best_blocks
-        self._recompute_weight = objective.waste_weight * (1.0 - replication_relief)
+        self._waste_weight = objective.waste_weight * (1.0 + CONGESTION_WEIGHT * congestion)
+        self._recompute_weight = self._waste_weight * (1.0 - replication_relief)
 
     def estimate(self, candidate: EngineCandidate, belief: PromptBelief) -> CandidateEstimate:
         """Estimate one candidate."""
@@ -92,5 +107,38 @@
         is_full = candidate.num_cached_blocks >= FULL_CACHE_SHARE * candidate.num_total_blocks
         if is_full:
             evicted_s = EVICTION_SHARE * missing_tokens / tokens_per_s
-            waste_s += self._objective.waste_weight * evicted_s
+            waste_s += self._waste_weight * evicted_s
         return waste_s
+
+
+def cost_model(
+    request: ChoiceRequest,
+    objective: RoutingObjective,
+    candidates: Sequence[EngineCandidate],
+    beliefs: Mapping[EngineName, PromptBelief],
+) -> CostModel:
+    """Prepare the estimates of a request: who holds most, and how near to saturation they are."""
+    num_best_blocks = 0.0
+    least_load = 0.0
+    for candidate in candidates:
+        num_blocks = beliefs.get(candidate.engine, NO_BELIEF).num_matched_blocks
+        load = relative_load(candidate)
+        if num_blocks > num_best_blocks:
+            num_best_blocks = num_blocks
+            least_load = load
+        elif num_blocks == num_best_blocks:
+            least_load = min(least_load, load)
+    hot_load = max(objective.hot_prefix_load, MIN_HOT_LOAD)
+    relief = min(least_load / hot_load, 1.0)
+    congestion = _congestion(request, candidates)
+    return CostModel(request, objective, num_best_blocks, relief, congestion)
+
+
+def _congestion(request: ChoiceRequest, candidates: Sequence[EngineCandidate]) -> float:
+    """Return the median queue of the candidates, in multiples of computing the whole prompt.
+
+    The median, because one long queue among short ones calls for another engine, not for more
+    affinity.
+    """
+    queues = [each.num_waiting_prefill_tokens for each in candidates]
+    return median(queues) / max(request.num_prompt_tokens, 1)
--- a/src/weirscale/domain/choice/prefix_aware.py
+++ b/src/weirscale/domain/choice/prefix_aware.py
@@ -16,8 +16,8 @@
 
 from weirscale.domain.choice.belief_trust import BeliefTrust
 from weirscale.domain.choice.beliefs import CacheBeliefs
-from weirscale.domain.choice.eligible import eligible_candidates, relative_load
-from weirscale.domain.choice.estimate import NO_BELIEF, CostModel, PromptBelief
+from weirscale.domain.choice.eligible import eligible_candidates
+from weirscale.domain.choice.estimate import NO_BELIEF, PromptBelief, cost_model
 from weirscale.domain.choice.policy import (
     CandidateEstimate,
     Choice,
@@ -84,7 +84,7 @@
             return None
         beliefs = self._prompt_beliefs(request, now_s)
         proposals = self._proposals(request, eligible, beliefs, random)
-        model = self._cost_model(request, proposals, beliefs)
+        model = cost_model(request, self._objective, proposals, beliefs)
         expected = self._with_affinity(request, eligible, beliefs)
         estimates = [
             model.estimate(each, expected.get(each.engine, NO_BELIEF)) for each in proposals
@@ -151,27 +151,6 @@
                 proposals[each.engine] = each
         return list(proposals.values())
 
-    def _cost_model(
-        self,
-        request: ChoiceRequest,
-        proposals: list[EngineCandidate],
-        beliefs: Mapping[EngineName, PromptBelief],
-    ) -> CostModel:
-        """Prepare the estimate: who holds most, and how near to saturation its holders are."""
-        num_best_blocks = 0.0
-        least_load = 0.0
-        for each in proposals:
-            num_blocks = beliefs.get(each.engine, NO_BELIEF).num_matched_blocks
-            load = relative_load(each)
-            if num_blocks > num_best_blocks:
-                num_best_blocks = num_blocks
-                least_load = load
-            elif num_blocks == num_best_blocks:
-                least_load = min(least_load, load)
-        hot_load = max(self._objective.hot_prefix_load, 0.01)
-        relief = min(least_load / hot_load, 1.0)
-        return CostModel(request, self._objective, num_best_blocks, relief)
-
     def _with_affinity(
         self,
         request: ChoiceRequest,
--- /dev/null
+++ b/src/weirscale/experiments/choice/__init__.py
@@ -0,0 +1,1 @@
+"""Policies of engine choice compared in virtual time, on models of both deployments."""
