--- /dev/null
+++ b/src/weirscale/ports/service_http.py
@@ -0,0 +1,119 @@
+"""Service port over HTTP: requests and answers are passed through whole."""
+
+import anyio
+import httpx
+from result import Err, Ok, Result
+
+from weirscale.domain.request.model import ServiceRequest, ServiceResponse
+from weirscale.ports.service import ServiceFailure, ServiceFailureKind
+from weirscale.ports.service_headers import (
+    CONNECTION_HEADERS,
+    answers_request,
+    request_headers,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+"""Back ends stand in the same region: a connection takes milliseconds or does not come."""
+
+KEEP_ALIVE_S = 4.0
+"""Below the usual 5 s of servers, so that a request seldom meets a connection being closed."""
+
+MAX_CONNECTIONS = 256
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Larger answers are refused: they are held in memory whole."""
+
+
+class HttpService:
+    """One service back end at one address, with its own client; a `ServicePort`."""
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        """Make a port; no connection is opened yet.
+
+        Args:
+            address: host:port.
+            connect_timeout_s: Limit of making a connection.
+            max_answer_bytes: Larger answers are CORRUPT.
+        """
+        self.address = address
+        self._connect_timeout_s = connect_timeout_s
+        self._max_answer_bytes = max_answer_bytes
+        self._client = httpx.AsyncClient(
+            limits=httpx.Limits(
+                max_connections=MAX_CONNECTIONS,
+                max_keepalive_connections=MAX_CONNECTIONS,
+                keepalive_expiry=KEEP_ALIVE_S,
+            ),
+            trust_env=False,
+        )
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._client.aclose()
+
+    async def call(
+        self, request: ServiceRequest, time_left_s: float
+    ) -> Result[ServiceResponse, ServiceFailure]:
+        """Send the request once; any HTTP status is an Ok answer."""
+        try:
+            with anyio.fail_after(time_left_s):
+                return await self._send(request, time_left_s)
+        except httpx.HTTPError as error:
+            return Err(failure_of_error(error))
+        except httpx.InvalidURL as error:
+            detail = f"the path cannot be sent: {error}"
+            return Err(ServiceFailure(ServiceFailureKind.UNREACHABLE, detail))
+        except TimeoutError:
+            detail = f"no answer within {time_left_s} s"
+            return Err(ServiceFailure(ServiceFailureKind.TIMED_OUT, detail))
+
+    async def _send(
+        self, request: ServiceRequest, time_left_s: float
+    ) -> Result[ServiceResponse, ServiceFailure]:
+        connect_s = min(self._connect_timeout_s, time_left_s)
+        outgoing = self._client.build_request(
+            request.method,
+            f"http://{self.address}/{request.path.removeprefix('/')}",
+            headers=request_headers(request),
+            content=request.body,
+            timeout=httpx.Timeout(None, connect=connect_s, pool=connect_s),
+        )
+        response = await self._client.send(outgoing, stream=True)
+        try:
+            return await self._read(request, response)
+        finally:
+            await response.aclose()
+
+    async def _read(
+        self, request: ServiceRequest, response: httpx.Response
+    ) -> Result[ServiceResponse, ServiceFailure]:
+        if not answers_request(response.headers, request):
+            detail = "the answer belongs to another request"
+            return Err(ServiceFailure(ServiceFailureKind.CORRUPT, detail))
+        body = bytearray()
+        async for part in response.aiter_raw():
+            body += part
+            if len(body) > self._max_answer_bytes:
+                detail = f"the answer is larger than {self._max_answer_bytes} bytes"
+                return Err(ServiceFailure(ServiceFailureKind.CORRUPT, detail))
+        headers = {
+            name: value
+            for name, value in response.headers.items()
+            if name not in CONNECTION_HEADERS
+        }
+        return Ok(ServiceResponse(response.status_code, headers, bytes(body)))
+
+
+def failure_of_error(error: httpx.HTTPError) -> ServiceFailure:
+    """Return the failure that a client's error stands for; unknown ones may have run."""
+    detail = f"{type(error).__name__}: {error}"
+    if isinstance(error, httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout):
+        return ServiceFailure(ServiceFailureKind.UNREACHABLE, detail)
+    if isinstance(error, httpx.TimeoutException):
+        return ServiceFailure(ServiceFailureKind.TIMED_OUT, detail)
+    return ServiceFailure(ServiceFailureKind.BROKEN, detail)
--- /dev/null
+++ b/src/weirscale/standins/service/http_app.py
@@ -0,0 +1,98 @@
+"""HTTP interface of the stand-in service, and its server with an admin port."""
+
+import anyio
+import msgspec
+from anyio.abc import TaskStatus
+
+from weirscale.standins.admin import AdminApp
+from weirscale.standins.asgi_server import (
+    OutageServer,
+    Receive,
+    Scope,
+    Send,
+    answer_lifespan,
+    headers_of,
+    read_body,
+    send_part,
+    start_response,
+)
+from weirscale.standins.faults import ServiceFaults
+from weirscale.standins.service.in_process import InProcessService
+from weirscale.standins.service.model import OK, ServiceSettings
+
+
+class ServiceApp:
+    """ASGI app over one in-process back end; every path runs."""
+
+    def __init__(self, service: InProcessService) -> None:
+        self._service = service
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        body = await read_body(receive)
+        if body is None:
+            return
+        path = scope["raw_path"].decode("latin-1")
+        query = scope["query_string"].decode("latin-1")
+        target = f"{path}?{query}" if query else path
+        answer = await self._service.handle(scope["method"], target, headers_of(scope), body)
+        if answer is None:
+            await break_connection(send)
+            return
+        headers = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
+        await start_response(send, answer.status, headers)
+        await send_part(send, answer.body, is_last=True)
+
+
+async def break_connection(send: Send) -> None:
+    """Begin an answer and leave it incomplete: the server then closes the connection."""
+    await start_response(send, OK, ())
+    await send_part(send, b"{")
+
+
+class ServiceServer(msgspec.Struct, frozen=True):
+    """A stand-in back end that is being served.
+
+    Attributes:
+        service: The back end, for faults and records.
+        address: host:port of its HTTP interface.
+        admin_address: host:port of its admin port.
+    """
+
+    service: InProcessService
+    address: str
+    admin_address: str
+
+
+async def serve_service(
+    service: InProcessService | ServiceSettings,
+    *,
+    port: int = 0,
+    admin_port: int = 0,
+    task_status: TaskStatus[ServiceServer] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve a back end on loopback until cancelled; arguments as of `serve_engine`."""
+    if isinstance(service, ServiceSettings):
+        service = InProcessService(service)
+    server = OutageServer(ServiceApp(service), lambda: service.is_reachable, port)
+    admin = AdminApp(service.faults, ServiceFaults, records=service.model.runs, actions={})
+    admin_server = OutageServer(admin, lambda: True, admin_port)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        tasks.start_soon(admin_server.run)
+        tasks.start_soon(_follow_faults, service, server)
+        task_status.started(ServiceServer(service, server.address, admin_server.address))
+
+
+async def _follow_faults(service: InProcessService, server: OutageServer) -> None:
+    """Tell the server of each change of the faults."""
+    while True:
+        changed = anyio.Event()
+        service.faults.on_change(changed.set)
+        server.notify()
+        await changed.wait()
