Add home nodes of engines and receivers of digests

Cause: no node can hear all cache events; one home for each engine must, and tell the others. Change: tasks that follow events and loads, replay or dump after gaps at a bounded rate, publish digests, and keep every node's view; missed digests are asked for. Conclusion: an event stream that is quiet is opened anew, or a lost last batch would go unnoticed.

--- /dev/null
+++ b/src/weirscale/node/home/engine_home.py
@@ -0,0 +1,202 @@
+"""The home of one engine: follows its events and load, keeps its index, publishes digests."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+import anyio
+from result import Err, Ok
+
+from weirscale.domain.configuration.model import Engine
+from weirscale.domain.identifiers import NodeAddress
+from weirscale.domain.prefix.digest_publisher import DigestPublisher
+from weirscale.domain.prefix.engine_index import NO_INCARNATION, ApplyOutcome, EngineIndex
+from weirscale.messages.cache import CacheEventBatch, LoadReport
+from weirscale.messages.digest import (
+    CacheDigest,
+    DigestReply,
+    DigestRequest,
+    LoadDigest,
+    LoadSummary,
+)
+from weirscale.node.home.rate import RateGate
+from weirscale.node.home.rules import HomeRules
+from weirscale.node.interfaces import BackendObservations, PeerLink
+from weirscale.ports.engine import EngineFailure, EngineFailureKind, EnginePort
+
+REPLAY_PAUSE_S = 0.05
+"""Pause before a replay is asked for, so that a replay that keeps failing cannot spin."""
+
+MAX_DUMP_BACKOFF_S = 8.0
+"""Longest pause after failed dumps, so that a dead engine does not use up the dumps of others."""
+
+GetReceivers = Callable[[], Sequence[NodeAddress]]
+"""Returns the other nodes that hear of the engine."""
+
+TakeOwnDigest = Callable[[CacheDigest], None]
+"""Gives a digest to this node's own view."""
+
+
+class EngineHome:
+    """Runs while this node is home of one engine.
+
+    Args:
+        engine: The engine's declaration.
+        port: How to call it.
+        stream: Name of the digest stream; higher than that of any earlier home.
+        digest_bytes_per_s: Budget for this engine's digests, over all receivers.
+        receivers: The other nodes that hear of the engine.
+        take_own: Gives digests to this node's own view.
+        link: Sends to other nodes.
+        observations: Learns of loads.
+        dumps: Limits dumps over all engines of this node.
+        rules: Intervals and limits.
+        random: Spreads dumps.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        port: EnginePort,
+        stream: int,
+        digest_bytes_per_s: float,
+        receivers: GetReceivers,
+        take_own: TakeOwnDigest,
+        link: PeerLink,
+        observations: BackendObservations,
+        dumps: RateGate,
+        rules: HomeRules,
+        random: Random,
+    ) -> None:
+        self._engine = engine
+        self._port = port
+        self._receivers = receivers
+        self._take_own = take_own
+        self._link = link
+        self._observations = observations
+        self._dumps = dumps
+        self._rules = rules
+        self._random = random
+        self.index = EngineIndex(engine.name)
+        self._publisher = DigestPublisher(self.index, stream, digest_bytes_per_s)
+        self._lost_since_s: float | None = None
+        self._dump_backoff_s = 0.0
+        self.num_dumps = 0
+
+    async def run(self) -> None:
+        """Act as home until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow_events)
+            tasks.start_soon(self._publish_at_intervals)
+            tasks.start_soon(self._report_load_at_intervals)
+
+    def answer(self, request: DigestRequest) -> DigestReply:
+        """Answer a receiver that missed digests."""
+        return self._publisher.answer(request)
+
+    async def _follow_events(self) -> None:
+        """Keep the index true: a dump when the state is unknown, then events in sequence."""
+        while True:
+            if self.index.needs_dump:
+                await self._load_dump()
+            is_gap = await self._follow_stream()
+            await anyio.sleep(REPLAY_PAUSE_S if is_gap else self._rules.retry_interval_s)
+
+    async def _follow_stream(self) -> bool:
+        """Follow events until one is missing (True: ask for a replay) or the stream ends.
+
+        A stream that is quiet for long is opened anew: if its last batches were lost, nothing else
+        would show it.
+        """
+        known = self.index.incarnation
+        incarnation = None if known == NO_INCARNATION else known
+        async with self._port.cache_events(incarnation, self.index.sequence) as stream:
+            while not self.index.needs_dump:
+                with anyio.move_on_after(self._rules.max_quiet_s) as quiet:
+                    item = await anext(stream, None)
+                if quiet.cancelled_caught:
+                    self._lost_since_s = None
+                    return True
+                if item is None or isinstance(item, Err):
+                    self._note_stream_failure(item.err_value if item is not None else None)
+                    return False
+                if self._take_batch(item.ok_value):
+                    return True
+        return False
+
+    def _take_batch(self, batch: CacheEventBatch) -> bool:
+        """Take in a batch; True if an earlier one is missing."""
+        self._lost_since_s = None
+        return self.index.apply(batch, anyio.current_time()) is ApplyOutcome.GAP
+
+    def _note_stream_failure(self, failure: EngineFailure | None) -> None:
+        if failure is not None and failure.kind is EngineFailureKind.NOT_FOUND:
+            # The replay window has passed, or the engine runs anew.
+            self.index.invalidate()
+        if self._lost_since_s is None:
+            self._lost_since_s = anyio.current_time()
+
+    async def _load_dump(self) -> None:
+        jitter_s = self._random.random() * self._rules.dump_jitter_s
+        await anyio.sleep(jitter_s + self._dump_backoff_s)
+        await self._dumps.pass_through()
+        self.num_dumps += 1
+        with anyio.move_on_after(self._rules.dump_timeout_s):
+            answer = await self._port.cache_dump()
+            if isinstance(answer, Ok):
+                self.index.load_dump(answer.ok_value, anyio.current_time())
+                self._dump_backoff_s = 0.0
+                self._lost_since_s = None
+                return
+        longer_s = max(2.0 * self._dump_backoff_s, self._rules.retry_interval_s)
+        self._dump_backoff_s = min(longer_s, MAX_DUMP_BACKOFF_S)
+
+    async def _publish_at_intervals(self) -> None:
+        await anyio.sleep(self._random.random() * self._rules.publish_interval_s)
+        while True:
+            await self._publish(anyio.current_time())
+            await anyio.sleep(self._rules.publish_interval_s)
+
+    async def _publish(self, now_s: float) -> None:
+        self.index.expire(now_s)
+        lost_since_s = self._lost_since_s
+        if lost_since_s is not None and now_s - lost_since_s > self._rules.max_lost_s:
+            self._lost_since_s = now_s
+            self.index.invalidate()
+        if self.index.incarnation == NO_INCARNATION:
+            return
+        receivers = self._receivers()
+        for digest in self._publisher.publish(len(receivers), now_s):
+            self._take_own(digest)
+            for address in receivers:
+                await self._link.cast(address, digest)
+
+    async def _report_load_at_intervals(self) -> None:
+        while True:
+            await self._report_load()
+            await anyio.sleep(self._rules.load_interval_s)
+
+    async def _report_load(self) -> None:
+        asked_at_s = anyio.current_time()
+        with anyio.move_on_after(self._rules.load_timeout_s) as timeout:
+            answer = await self._port.load()
+        if timeout.cancelled_caught:
+            self._observations.note_unreachable(self._engine.name, "load report timed out")
+            return
+        if isinstance(answer, Err):
+            self._observations.note_unreachable(self._engine.name, answer.err_value.detail)
+            return
+        await self._spread_load(answer.ok_value, anyio.current_time() - asked_at_s)
+
+    async def _spread_load(self, report: LoadReport, age_s: float) -> None:
+        if report.weight_version is not None:
+            self.index.note_run(report.incarnation, report.weight_version)
+        self._observations.note_load_report(report, age_s)
+        digest = LoadDigest(
+            engine=report.engine,
+            incarnation=report.incarnation,
+            model=report.model,
+            weight_version=report.weight_version,
+            load=LoadSummary.of(report, age_s),
+        )
+        for address in self._receivers():
+            await self._link.cast(address, digest)
--- /dev/null
+++ b/src/weirscale/node/home/home_task.py
@@ -0,0 +1,141 @@
+"""The task that acts as home of the engines that membership assigns to this node."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from weirscale.domain.identifiers import EngineName, NodeAddress
+from weirscale.messages.digest import CacheDigest, DigestReply, DigestRequest
+from weirscale.node.backends.facts import EngineFacts, SnapshotSource
+from weirscale.node.home.engine_home import EngineHome
+from weirscale.node.home.homes import digest_receivers, home_of
+from weirscale.node.home.rate import RateGate
+from weirscale.node.home.rules import HomeRules
+from weirscale.node.interfaces import (
+    BackendObservations,
+    ConfigurationView,
+    MembershipView,
+    PeerLink,
+)
+
+
+class _Running(msgspec.Struct):
+    """One engine that this node is home of."""
+
+    home: EngineHome
+    scope: anyio.CancelScope
+    facts: EngineFacts
+
+
+class HomeTask:
+    """Starts and stops homes as nodes come and go and engines are declared.
+
+    Args:
+        membership: The live nodes.
+        configuration: Regions and zones.
+        directory: Declared engines and their ports.
+        observations: Learns of loads.
+        link: Sends to other nodes and answers their requests.
+        take_own: Gives digests to this node's own view.
+        epoch_ms: Milliseconds since the epoch; names digest streams, later ones higher.
+        rules: Intervals and limits.
+        random: Spreads dumps and digests.
+    """
+
+    def __init__(
+        self,
+        membership: MembershipView,
+        configuration: ConfigurationView,
+        directory: SnapshotSource,
+        observations: BackendObservations,
+        link: PeerLink,
+        take_own: Callable[[CacheDigest], None],
+        epoch_ms: Callable[[], int],
+        rules: HomeRules,
+        random: Random,
+    ) -> None:
+        self._membership = membership
+        self._configuration = configuration
+        self._directory = directory
+        self._observations = observations
+        self._link = link
+        self._take_own = take_own
+        self._epoch_ms = epoch_ms
+        self._rules = rules
+        self._random = random
+        self._dumps = RateGate(rules.dumps_per_s, rules.burst_dumps)
+        self._running: dict[EngineName, _Running] = {}
+        link.on_call(DigestRequest, self._answer)
+
+    @property
+    def engines(self) -> frozenset[EngineName]:
+        """The engines that this node is home of."""
+        return frozenset(self._running)
+
+    async def run(self) -> None:
+        """Act as home until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._adjust(tasks)
+                await anyio.sleep(self._rules.check_interval_s)
+
+    async def _answer(self, message: msgspec.Struct) -> DigestReply:
+        assert isinstance(message, DigestRequest)
+        running = self._running.get(message.engine)
+        return running.home.answer(message) if running else DigestReply(is_home=False)
+
+    def _adjust(self, tasks: TaskGroup) -> None:
+        """Start homes that are due and stop those that are not."""
+        due = self._due()
+        for engine, running in list(self._running.items()):
+            facts = due.get(engine)
+            is_same = facts is not None and facts.port is running.facts.port
+            if not is_same:
+                running.scope.cancel()
+                del self._running[engine]
+        for engine, facts in due.items():
+            if engine not in self._running:
+                self._start(tasks, facts, len(due))
+
+    def _due(self) -> dict[EngineName, EngineFacts]:
+        peers = self._membership.peers()
+        self_id = self._membership.self_id
+        due: dict[EngineName, EngineFacts] = {}
+        for name, facts in self._directory.snapshot().engines.items():
+            home = home_of(facts.engine, peers)
+            if home is not None and home.node == self_id:
+                due[name] = facts
+        return due
+
+    def _start(self, tasks: TaskGroup, facts: EngineFacts, num_engines: int) -> None:
+        home = EngineHome(
+            engine=facts.engine,
+            port=facts.port,
+            stream=self._epoch_ms(),
+            digest_bytes_per_s=self._rules.digest_bytes_per_s / num_engines,
+            receivers=lambda: self._receivers(facts),
+            take_own=self._take_own,
+            link=self._link,
+            observations=self._observations,
+            dumps=self._dumps,
+            rules=self._rules,
+            random=self._random,
+        )
+        scope = anyio.CancelScope()
+        self._running[facts.engine.name] = _Running(home, scope, facts)
+        tasks.start_soon(self._run_home, home, scope)
+
+    async def _run_home(self, home: EngineHome, scope: anyio.CancelScope) -> None:
+        with scope:
+            await home.run()
+
+    def _receivers(self, facts: EngineFacts) -> Sequence[NodeAddress]:
+        in_force = self._configuration.current()
+        if in_force is None:
+            return ()
+        peers = digest_receivers(facts.engine, self._membership.peers(), in_force.deployment)
+        self_id = self._membership.self_id
+        return [peer.address for peer in peers if peer.node != self_id]
--- /dev/null
+++ b/src/weirscale/node/home/homes.py
@@ -0,0 +1,49 @@
+"""Which node is home of which engine: rendezvous hashing over live nodes, engine's zone first."""
+
+from collections.abc import Sequence
+
+from weirscale.domain.choice.rendezvous import rendezvous_score
+from weirscale.domain.configuration.model import Deployment, Engine
+from weirscale.domain.identifiers import EngineName, ZoneName
+from weirscale.node.interfaces import Peer, PeerState
+
+MAX_SCOPE_NODES = 32
+"""With more nodes in a region, digests go to the engine's zone only: their bytes grow with the
+receivers."""
+
+
+def home_of(engine: Engine, peers: Sequence[Peer]) -> Peer | None:
+    """Return the node that is home of an engine.
+
+    Suspect nodes stay homes until they are declared dead, so that a short suspicion moves nothing;
+    leaving ones hand over at once. Without a node in the engine's zone all zones take part.
+    """
+    staying = [peer for peer in peers if peer.state is not PeerState.LEAVING]
+    near = [peer for peer in staying if peer.zone == engine.zone]
+    key = rendezvous_key(engine.name)
+    return max(
+        near or staying,
+        key=lambda peer: rendezvous_score(key, EngineName(peer.node.name)),
+        default=None,
+    )
+
+
+def rendezvous_key(engine: EngineName) -> int:
+    """Return a 64-bit key for an engine's name."""
+    return int(rendezvous_score(0, engine) * 2**64)
+
+
+def digest_receivers(engine: Engine, peers: Sequence[Peer], deployment: Deployment) -> list[Peer]:
+    """Return the nodes that hear of an engine's cache: its region, or its zone in a large one."""
+    zones = _region_zones(engine.zone, deployment)
+    region = [peer for peer in peers if peer.zone in zones]
+    if len(region) <= MAX_SCOPE_NODES:
+        return region
+    return [peer for peer in region if peer.zone == engine.zone]
+
+
+def _region_zones(zone: ZoneName, deployment: Deployment) -> frozenset[ZoneName]:
+    for region in deployment.regions:
+        if zone in region.zones:
+            return frozenset(region.zones)
+    return frozenset((zone,))
--- /dev/null
+++ b/src/weirscale/node/home/rules.py
@@ -0,0 +1,41 @@
+"""Intervals and limits of homes and of receivers of digests."""
+
+import msgspec
+
+
+class HomeRules(msgspec.Struct, frozen=True):
+    """How a node acts as home of engines and as receiver of digests.
+
+    Attributes:
+        check_interval_s: How often a node looks which engines it is home of.
+        publish_interval_s: Time between digests of one engine.
+        load_interval_s: Time between load reports.
+        load_timeout_s: Longest wait for one.
+        digest_bytes_per_s: Budget for digests of all engines of a home, to all receivers together.
+        dumps_per_s: Dumps that a node asks for at most, over all its engines.
+        burst_dumps: Dumps that it may ask for at once.
+        dump_jitter_s: A dump waits at random up to this, so that a herd of restarted nodes does
+            not ask all engines in one moment.
+        dump_timeout_s: Longest wait for a dump.
+        retry_interval_s: Pause before events are followed again after a failure.
+        max_quiet_s: An event stream without events for so long is opened anew.
+        max_quiet_s: float = 3.0
+    max_lost_s: Longest time that an index is believed while its events cannot be followed.
+        requests_per_s: Missed digests that a receiver asks for at most, over all engines.
+        request_timeout_s: Longest wait for them.
+    """
+
+    check_interval_s: float = 0.5
+    publish_interval_s: float = 1.0
+    load_interval_s: float = 1.0
+    load_timeout_s: float = 1.0
+    digest_bytes_per_s: float = 3000.0
+    dumps_per_s: float = 1.0
+    burst_dumps: int = 2
+    dump_jitter_s: float = 1.0
+    dump_timeout_s: float = 10.0
+    retry_interval_s: float = 0.5
+    max_quiet_s: float = 3.0
+    max_lost_s: float = 5.0
+    requests_per_s: float = 4.0
+    request_timeout_s: float = 2.0
