Prove the directory under traffic: leaving, failing, restarting and moved engines

Cause: the directory had no scenarios of its own.

Conclusion: no new work to a leaving engine 2 s after hearing.

--- /dev/null
+++ b/features/steps/backends_directory_steps.py
@@ -0,0 +1,306 @@
+from collections import namedtuple
+
+import anyio
+import msgspec
+from behave import given, then, when
+from features.support.backend_fleet import Fleet, declare, declare_engine, make_request
+from features.support.virtual_time import run_in_virtual_time
+
+from weirscale.messages.cache import LoadReport
+from weirscale.node.interfaces import AttemptOutcome
+from weirscale.ports.engine import EngineFailure, EngineFailureKind
+from weirscale.ports.machines import Machine
+from weirscale.standins.faults import EngineFaults
+
+NUM_ENGINES = 4
+REQUESTS_PER_S = 40
+SERVICE_S = 0.05
+LEAVING_BOUND_S = 2.0
+LEAVES_AT_S = 3.0
+ENGINE = "qalam-1"
+ADDRESS = "10.0.0.1:8000"
+
+Sent = namedtuple("Sent", "at_s engine incarnation failure")
+
+
+class Traffic:
+    """Sends a steady stream of attempts and remembers where they went."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.sent = []
+        self.num_refused = 0
+        self.failing = {}
+
+    async def run(self, tasks, duration_s):
+        for number in range(int(duration_s * REQUESTS_PER_S)):
+            await anyio.sleep_until((number + 1) / REQUESTS_PER_S)
+            tasks.start_soon(self._attempt, number)
+
+    async def _attempt(self, number):
+        request = make_request(number)
+        chosen = await self.fleet.router.choose(request, 0, frozenset(), None)
+        if chosen.is_err():
+            self.num_refused += 1
+            return
+        choice = chosen.ok_value
+        engine = choice.choice.engine
+        failure = self._failure(engine, choice.incarnation)
+        self.sent.append(Sent(anyio.current_time(), engine, choice.incarnation, failure))
+        await anyio.sleep(0.0 if failure else SERVICE_S)
+        self.fleet.router.report(
+            AttemptOutcome(request, 0, engine, choice.incarnation, failure, 100, 0, None, SERVICE_S)
+        )
+
+    def _failure(self, engine, incarnation):
+        stand_in = self.fleet.engines[engine]
+        kind = self.failing.get(engine)
+        if not stand_in.is_reachable:
+            kind = EngineFailureKind.UNREACHABLE
+        elif stand_in.model.is_leaving:
+            kind = EngineFailureKind.REFUSED_LEAVING
+        elif incarnation != stand_in.model.incarnation:
+            kind = EngineFailureKind.REFUSED_MISMATCH
+        return EngineFailure(kind, "as the test wants") if kind else None
+
+    def num_sent(self, engine, start_s, end_s):
+        return sum(each.engine == engine and start_s <= each.at_s < end_s for each in self.sent)
+
+
+def run_traffic(context, duration_s):
+    async def main():
+        fleet = Fleet(declare(NUM_ENGINES))
+        traffic = Traffic(fleet)
+        async with fleet.running(), anyio.create_task_group() as tasks:
+            for script in context.scripts:
+                tasks.start_soon(script, fleet, traffic)
+            await traffic.run(tasks, duration_s)
+            await anyio.sleep(1.0)
+            tasks.cancel_scope.cancel()
+        return traffic
+
+    if "traffic" not in context:
+        context.traffic = run_in_virtual_time(main)
+    return context.traffic
+
+
+def list_leaving(fleet, is_leaving):
+    fleet.machines.machines_now = (Machine(ADDRESS, is_leaving), Machine("10.0.0.2:8000", False))
+
+
+@given("a node that routes 40 requests a second to 4 engines")
+def step_traffic(context):
+    context.scripts = []
+
+
+@when("after 3 s engine 1 leaves as told by {source}")
+def step_leaves(context, source):
+    async def leave(fleet, traffic):
+        await anyio.sleep(LEAVES_AT_S)
+        engine = fleet.engines[ENGINE]
+        if source == "its load report":
+            engine.leave()
+        elif source == "a refusal":
+            traffic.failing[ENGINE] = EngineFailureKind.REFUSED_LEAVING
+        elif source == "the machine list":
+            list_leaving(fleet, True)
+        elif source == "its home node":
+            report = engine.model.load_report(anyio.current_time())
+            fleet.directory.note_load_report(msgspec.structs.replace(report, is_leaving=True), 0.0)
+        else:
+            raise AssertionError(source)
+
+    context.scripts.append(leave)
+
+
+@when("after 8 s it says that it stays, {how}")
+def step_stays(context, how):
+    async def stay(fleet, traffic):
+        await anyio.sleep(8.0)
+        engine = fleet.engines[ENGINE]
+        engine.model.is_leaving = False
+        list_leaving(fleet, False)
+        if how == "in a new run":
+            engine.crash()
+
+    context.scripts.append(stay)
+
+
+@then("engine 1 had work before and gets none from 2 s after the node could hear it")
+def step_no_work_after_bound(context):
+    traffic = run_traffic(context, 20.0)
+    assert traffic.num_sent(ENGINE, 0.0, LEAVES_AT_S) > 15
+    assert traffic.num_sent(ENGINE, LEAVES_AT_S + LEAVING_BOUND_S, 99.0) == 0
+
+
+@then("the other engines go on getting work")
+def step_others_work(context):
+    assert context.traffic.num_refused == 0
+    for index in (0, 2, 3):
+        assert context.traffic.num_sent(f"qalam-{index}", 15.0, 20.0) > 40
+
+
+@then("engine 1 gets {work} in the last 5 s")
+def step_work_at_end(context, work):
+    num_sent = run_traffic(context, 30.0).num_sent(ENGINE, 25.0, 30.0)
+    assert (num_sent > 30) if work == "work" else (num_sent == 0), num_sent
+
+
+@when("from 3 s to 6 s engine 1 {fault}")
+def step_fault(context, fault):
+    async def strike(fleet, traffic):
+        await anyio.sleep(3.0)
+        engine = fleet.engines[ENGINE]
+        if fault == "refuses connections":
+            engine.faults.set(EngineFaults(refuse_connections=True))
+        elif fault == "breaks every stream":
+            traffic.failing[ENGINE] = EngineFailureKind.BROKEN
+        elif fault == "answers wrongly":
+            traffic.failing[ENGINE] = EngineFailureKind.CORRUPT
+        elif fault == "restarts under another run":
+            engine.crash()
+        else:
+            raise AssertionError(fault)
+        await anyio.sleep(3.0)
+        engine.faults.clear()
+        traffic.failing.clear()
+
+    context.scripts.append(strike)
+
+
+@then("engine 1 gets at most {most:d} attempts from 5 s to 6 s")
+def step_few_attempts(context, most):
+    num_sent = run_traffic(context, 60.0).num_sent(ENGINE, 5.0, 6.0)
+    assert num_sent <= most, num_sent
+
+
+@then("engine 1 gets between {least:d} and {most:d} attempts from {start_s:d} s on for 5 s")
+def step_back_to_normal(context, least, most, start_s):
+    num_sent = context.traffic.num_sent(ENGINE, start_s, start_s + 5.0)
+    assert least <= num_sent <= most, num_sent
+
+
+@when("from 3 s to 6 s every engine refuses connections")
+def step_all_refuse(context):
+    async def cut(fleet, traffic):
+        await anyio.sleep(3.0)
+        for engine in fleet.engines.values():
+            engine.faults.set(EngineFaults(refuse_connections=True))
+        await anyio.sleep(3.0)
+        for engine in fleet.engines.values():
+            engine.faults.clear()
+
+    context.scripts.append(cut)
+
+
+@then("at least 30 requests a second are still given an engine from 4 s to 6 s")
+def step_still_given(context):
+    traffic = run_traffic(context, 25.0)
+    assert sum(4.0 <= each.at_s < 6.0 for each in traffic.sent) >= 60
+
+
+@then("every engine gets work again from 20 s to 25 s")
+def step_all_back(context):
+    counts = [context.traffic.num_sent(f"qalam-{i}", 20.0, 25.0) for i in range(NUM_ENGINES)]
+    assert min(counts) > 25, counts
+
+
+@when("at 3 s engine 1 restarts at once")
+def step_restart_at_once(context):
+    async def restart(fleet, traffic):
+        await anyio.sleep(3.0)
+        engine = fleet.engines[ENGINE]
+        engine.settings = msgspec.structs.replace(engine.settings, restart_s=0.0)
+        engine.crash()
+
+    context.scripts.append(restart)
+
+
+@then("at most {most:d} requests are refused for the old run")
+def step_old_run_refused(context, most):
+    traffic = run_traffic(context, 20.0)
+    mismatch = EngineFailureKind.REFUSED_MISMATCH
+    num = sum(each.failure is not None and each.failure.kind is mismatch for each in traffic.sent)
+    assert num <= most, num
+
+
+@then("engine 1 gets work under run 2")
+def step_new_run(context):
+    runs = {each.incarnation for each in context.traffic.sent if each.engine == ENGINE}
+    assert runs == {1, 2}, runs
+
+
+@when("the machine list names engine 1 as leaving and is then down")
+def step_list_down(context):
+    async def take_down(fleet, traffic):
+        list_leaving(fleet, True)
+        await anyio.sleep(5.0)
+        fleet.machines.is_down = True
+
+    context.scripts.append(take_down)
+
+
+@given("a configuration of 3 engines")
+def step_three_engines(context):
+    context.deployment = declare(3)
+
+
+@when("an engine that answers one more request for 20 s leaves the configuration and another joins")
+def step_swap_engines(context):
+    async def main():
+        fleet = Fleet(context.deployment)
+        joining = declare_engine(7)
+        fleet.add_engine(joining)
+        closed = context.closed = []
+        for name, engine in fleet.engines.items():
+            engine.aclose = lambda name=name: note_closed(name)
+
+        async def note_closed(name):
+            closed.append((name, anyio.current_time()))
+
+        async with fleet.running():
+            chosen = await fleet.router.choose(make_request(), 0, frozenset(), None)
+            leaving = context.left = chosen.ok_value.choice.engine
+            engines = [each for each in context.deployment.engines if each.name != leaving]
+            fleet.configuration.change(
+                msgspec.structs.replace(context.deployment, engines=(*engines, joining))
+            )
+            await anyio.sleep(20.0)
+            fleet.router.report(
+                AttemptOutcome(make_request(), 0, leaving, 1, None, 1, 0, 0.1, 20.0)
+            )
+            await anyio.sleep(300.0)
+        return fleet
+
+    context.fleet = run_in_virtual_time(main)
+
+
+@then("one port was made for each engine")
+def step_one_port_each(context):
+    assert sorted(context.fleet.ports_made) == ["qalam-0", "qalam-1", "qalam-2", "qalam-7"]
+
+
+@then("the port of the one that left was closed after 20 s and no other")
+def step_port_closed(context):
+    ((name, at_s),) = context.closed
+    assert name == context.left
+    assert 20.0 <= at_s <= 22.0, at_s
+
+
+@when("a report of run {run:d} that is {age:g} s old says that version {version} is loaded")
+def step_report_arrives(context, run, age, version):
+    async def main():
+        fleet = Fleet(context.deployment)
+        async with fleet.running():
+            await anyio.sleep(5.0)
+            report = LoadReport(ENGINE, run, "qalam", version, (), 0, 0, 0, 0, 4096, False, 0)
+            fleet.directory.note_load_report(report, age)
+            await anyio.sleep(0.01)
+            return fleet.directory.snapshot().engines[ENGINE].report
+
+    context.report = run_in_virtual_time(main)
+
+
+@then("the directory holds run {run:d} with version {version}")
+def step_known_report(context, run, version):
+    assert (context.report.incarnation, context.report.weight_version) == (run, version)
--- a/src/weirscale/node/placement/task.py
+++ b/src/weirscale/node/placement/task.py
@@ -28,7 +28,7 @@
     plan_small_changes,
 )
 from weirscale.messages.placement import PlacementRecord, RolloutProgress
-from weirscale.node.backends.directory import BackendDirectory
+from weirscale.node.backends.facts import SnapshotSource
 from weirscale.node.event_log import EventLog
 from weirscale.node.interfaces import ConfigurationView
 from weirscale.node.placement.observing import observe_engines
@@ -78,7 +78,7 @@
     def __init__(
         self,
         configuration: ConfigurationView,
-        directory: BackendDirectory,
+        directory: SnapshotSource,
         key_value: KeyValuePort,
         lease: PlannerLease,
         events: EventLog,
--- a/src/weirscale/node/routing/decisions.py
+++ b/src/weirscale/node/routing/decisions.py
@@ -38,7 +38,12 @@
         best = attempt.estimates[:MAX_ESTIMATES_KEPT]
         attempt = msgspec.structs.replace(attempt, estimates=best)
         known = self._records.pop(request.request_id, None)
-        attempts = known.attempts if known is not None else ()
+        # An attempt that was refused while the node started is decided again; the last one counts.
+        attempts = tuple(
+            earlier
+            for earlier in (known.attempts if known is not None else ())
+            if earlier.attempt != attempt.attempt
+        )
         self._records[request.request_id] = DecisionRecord(
             request_id=request.request_id,
             node=self._node,
