Report what faults visibly did

Cause: a run in which a fault does nothing passes as easily as one that withstands it. Change: report and matrix count engine restarts, later attempts, versions served, orders, node changes. Conclusion: the matrix says which rows are vacuous.

--- a/src/weirscale/experiments/report/page.py
+++ b/src/weirscale/experiments/report/page.py
@@ -34,6 +34,7 @@
     parts.append(_table("Requests", _request_rows(figures)))
     parts.append(_table("Measures", _measure_rows(figures)))
     parts.append(_table("Faults", [(f"{one.at_s:g} s", _fault_text(one)) for one in faults]))
+    parts.append(_table("Traces of faults", _effect_rows(figures)))
     parts.append(_violations(figures))
     plots: tuple[tuple[str, Callable[[Any], None]], ...] = (
         ("Time to first token", lambda axes: _plot_first_tokens(axes, history, faults)),
@@ -60,6 +61,12 @@
     return [(name.replace("_", " "), str(count)) for name, count in counts.items()]
 
 
+def _effect_rows(figures: Figures) -> list[tuple[str, str]]:
+    counts = msgspec.structs.asdict(figures.effects)
+    names = {name: name.removeprefix("num_").replace("_", " ") for name in counts}
+    return [(names[name], str(count)) for name, count in counts.items() if count]
+
+
 def _measure_rows(figures: Figures) -> list[tuple[str, str]]:
     return [
         ("prefix hit rate", _number(figures.prefix_hit_rate)),
--- a/src/weirscale/experiments/soak/matrix.py
+++ b/src/weirscale/experiments/soak/matrix.py
@@ -10,6 +10,7 @@
 
 from weirscale.experiments.faults.kinds import FaultKind
 from weirscale.experiments.history.verdict import RequestCounts
+from weirscale.experiments.report.effects import Effects, describe
 from weirscale.experiments.run.main import (
     EXIT_BAD_ARGUMENT,
     EXIT_OK,
@@ -38,6 +39,7 @@
         requests: What became of the requests.
         rules_broken: Rules broken, with how often.
         num_internal_errors: Exceptions raised in nodes.
+        effects: What the faults visibly did.
         ttft_p99_s: 99th percentile of the time to first token.
     """
 
@@ -47,6 +49,7 @@
     requests: RequestCounts
     rules_broken: dict[str, int]
     num_internal_errors: int
+    effects: Effects
     ttft_p99_s: float | None
 
 
@@ -112,6 +115,7 @@
         requests=figures.requests,
         rules_broken=rules_broken,
         num_internal_errors=figures.num_internal_errors,
+        effects=figures.effects,
         ttft_p99_s=figures.ttft_seconds.p99,
     )
 
@@ -174,8 +178,8 @@
     lines = [
         f"## {title}: {num_ok} of {len(cells)} ok\n",
         "| deployment | faults | result | sent | answered | not run | failed | p99 TTFT "
-        "| command |",
-        "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | --- |",
+        "| traces of the faults | command |",
+        "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | --- | --- |",
     ]
     lines.extend(_line(cell) for cell in cells)
     return "\n".join(lines) + "\n"
@@ -198,6 +202,7 @@
         str(requests.refused_not_run),
         str(requests.failed),
         ttft,
+        describe(cell.effects),
         command,
     )
     return f"| {' | '.join(fields)} |"
