Prove routing: honest refusals, corrected load, versions apart, explain

Cause: the routing tasks had no scenarios of their own. Change: tables for refusals, the load estimate, failing service back ends; withdrawn choices; explain over nodes.

--- /dev/null
+++ b/features/steps/routing_choice_steps.py
@@ -0,0 +1,424 @@
+import json
+from collections import Counter
+from types import SimpleNamespace
+
+import anyio
+import msgspec
+from behave import given, then, when
+from features.support.backend_fleet import (
+    MODEL,
+    ZONES,
+    Fleet,
+    declare,
+    declare_service,
+    make_request,
+)
+from features.support.virtual_time import run_in_virtual_time
+from result import Ok
+
+from weirscale.domain.choice.policy import CandidateEstimate, Choice
+from weirscale.domain.prefix.chain import chain_seed, extend_chain
+from weirscale.node.interfaces import AttemptOutcome
+from weirscale.node.routing.decisions import DecisionLog
+from weirscale.node.routing.explain import Explainer
+from weirscale.node.routing.explain_text import render_json, render_text
+from weirscale.node.routing.load_estimate import LoadEstimate
+from weirscale.ports.engine import EngineFailure, EngineFailureKind
+from weirscale.ports.machines import Machine
+from weirscale.ports.service import ServiceFailure, ServiceFailureKind
+from weirscale.standins.faults import EngineFaults
+
+NOBODY = frozenset()
+SETTLE_S = 3.0
+
+
+def in_fleet(fleet, function):
+    """Run a function of a running fleet whose first reports are in."""
+
+    async def main():
+        async with fleet.running():
+            await anyio.sleep(SETTLE_S)
+            return await function()
+
+    return run_in_virtual_time(main)
+
+
+def outcome(request, chosen, failure=None, duration_s=1.0, num_cached_tokens=40):
+    engine = chosen.ok_value.choice.engine
+    return AttemptOutcome(request, 0, engine, 1, failure, 100, num_cached_tokens, 0.25, duration_s)
+
+
+@given("a node with {count:d} engines that take {most:d} requests each")
+def step_node(context, count, most):
+    context.deployment = declare(count, max_concurrent_requests=most)
+
+
+@when("every engine is full and answers take {duration_s:g} s")
+def step_all_full(context, duration_s):
+    async def situation(fleet):
+        for number in range(3):
+            request = make_request(number)
+            chosen = await fleet.router.choose(request, 0, NOBODY, None)
+            fleet.router.report(outcome(request, chosen, duration_s=duration_s))
+        for number in range(3, 9):
+            assert (await fleet.router.choose(make_request(number), 0, NOBODY, None)).is_ok()
+
+    context.situation, context.call = situation, {}
+
+
+@when("every engine refused as busy for {pause_s:g} s")
+def step_all_busy(context, pause_s):
+    async def situation(fleet):
+        busy = EngineFailure(EngineFailureKind.REFUSED_BUSY, "full", pause_s)
+        for number in range(3):
+            request = make_request(number)
+            chosen = await fleet.router.choose(request, 0, NOBODY, None)
+            fleet.router.report(outcome(request, chosen, busy))
+            await anyio.sleep(0.01)
+
+    context.situation, context.call = situation, {}
+
+
+async def nothing(fleet):
+    pass
+
+
+@when("every engine is excluded")
+def step_all_excluded(context):
+    context.situation = nothing
+    context.call = {"excluded": frozenset(each.name for each in context.deployment.engines)}
+
+
+@when("no engine has the adapter")
+def step_no_adapter(context):
+    context.situation, context.call = nothing, {"adapter": "amharic"}
+
+
+@when("no engine has the version of a continued answer")
+def step_no_version(context):
+    context.situation, context.call = nothing, {"required_version": "v0"}
+
+
+@when("every engine is leaving")
+def step_all_leaving(context):
+    async def situation(fleet):
+        for engine in fleet.engines.values():
+            engine.leave()
+        await anyio.sleep(SETTLE_S)
+
+    context.situation, context.call = situation, {}
+
+
+@when("the model is not declared")
+def step_unknown_model(context):
+    context.situation, context.call = nothing, {"model": "other"}
+
+
+@when("no configuration ever came")
+def step_no_configuration(context):
+    context.deployment = None
+    context.situation, context.call = nothing, {}
+
+
+@then(
+    "the next request is refused as {code}, not run, with a retry between {least:g} and {most:g} s"
+)
+def step_refused(context, code, least, most):
+    fleet = Fleet(context.deployment or declare(3))
+    if context.deployment is None:
+        fleet.configuration.changed_after = lambda revision: anyio.sleep_forever()
+
+    async def ask():
+        await context.situation(fleet)
+        call = dict(context.call)
+        excluded = call.pop("excluded", NOBODY)
+        required_version = call.pop("required_version", None)
+        return await fleet.router.choose(make_request(99, **call), 0, excluded, required_version)
+
+    refusal = in_fleet(fleet, ask).err_value
+    assert (refusal.code.value, refusal.run_status.value) == (code, "not_run"), refusal
+    assert least <= (refusal.retry_after_s or 0.0) <= most, refusal
+    assert refusal.remedy
+
+
+@when("a request comes {early_s:g} s before the engines can be reached")
+def step_early_request(context, early_s):
+    async def main():
+        fleet = Fleet(context.deployment)
+        for engine in fleet.engines.values():
+            engine.faults.set(EngineFaults(load_report_delay_s=early_s))
+        async with fleet.running():
+            chosen = await fleet.router.choose(make_request(), 0, NOBODY, None)
+            return chosen, anyio.current_time()
+
+    context.chosen, context.waited_s = run_in_virtual_time(main)
+
+
+@then("it is given an engine after {least:g} to {most:g} s")
+def step_given_after(context, least, most):
+    assert context.chosen.is_ok() and least <= context.waited_s <= most, context.waited_s
+
+
+async def choose_many(fleet, count):
+    chosen = [
+        await fleet.router.choose(make_request(number), 0, NOBODY, None) for number in range(count)
+    ]
+    return Counter(each.ok_value.choice.engine for each in chosen)
+
+
+@when("{count:d} requests come at one moment")
+def step_at_one_moment(context, count):
+    if "services" in context:
+        context.chosen = in_fleet(context.services, lambda: choose_services(context, count))
+    else:
+        fleet = Fleet(context.deployment)
+        context.counts = in_fleet(fleet, lambda: choose_many(fleet, count))
+
+
+@then("each engine gets {count:d} of them")
+def step_each_gets(context, count):
+    assert set(context.counts.values()) == {count}, context.counts
+
+
+@given(
+    "a load estimate at {speed:d} tokens/s with a report of {requests:d} requests and"
+    " {tokens:d} tokens made at {at:g} s"
+)
+def step_estimate(context, speed, requests, tokens, at):
+    context.speed = speed
+    context.estimate = LoadEstimate()
+    context.estimate.note_report(1, at, requests, tokens, speed)
+
+
+@when("nothing is sent")
+def step_nothing_sent(context):
+    pass
+
+
+@when("a of {events}")
+def step_sent(context, events):
+    estimate = context.estimate
+    for event in f"a of {events}".split(", "):
+        words = event.split()
+        if words[0] == "report":
+            estimate.note_report(2, float(words[6]), int(words[2]), int(words[4]), context.speed)
+        elif words[1] == "ends":
+            estimate.note_ended((words[0], 0), 1.0)
+        else:
+            estimate.note_sent((words[0], 0), int(words[2]), float(words[5]), context.speed)
+
+
+@then("it says {requests:d} requests and {tokens:d} tokens at {at:g} s")
+def step_estimate_says(context, requests, tokens, at):
+    estimate = context.estimate
+    said = (estimate.num_outstanding(), estimate.num_waiting_prefill_tokens(at, context.speed))
+    assert said[0] == requests and abs(said[1] - tokens) <= 1, said
+
+
+class AskedPolicy:
+    """Remembers what it was asked; the engine with the highest name costs least."""
+
+    def __init__(self):
+        self.asked = []
+
+    def choose(self, request, candidates, now_s, random):
+        self.asked.append((request, candidates))
+        best = max(each.engine for each in candidates)
+        cost = -float(best[-1])
+        return Choice(best, (CandidateEstimate(best, cost),))
+
+    def note_sent(self, *arguments):
+        pass
+
+    note_finished = note_sent
+
+
+@when("two of them load v2 and 30 requests come at one moment")
+def step_two_versions(context):
+    context.policy = AskedPolicy()
+    fleet = Fleet(context.deployment, policy=context.policy)
+    for name in ("qalam-0", "qalam-1"):
+        fleet.engines[name].model.weight_version = "v2"
+    context.counts = in_fleet(fleet, lambda: choose_many(fleet, 30))
+
+
+@then("the policy was asked for each version apart, with hashes of that version")
+def step_asked_apart(context):
+    versions = set()
+    for request, candidates in context.policy.asked:
+        (version,) = {each.weight_version for each in candidates}
+        seed = chain_seed(request.tenant, MODEL, version, None)
+        assert request.block_hashes == extend_chain(seed, make_prompt(), 0, 64)
+        versions.add(version)
+    assert versions == {"v1", "v2"}
+
+
+def make_prompt():
+    return make_request(deadline_s=0.0).prompt
+
+
+@then("the cheaper of its two choices was taken")
+def step_cheaper(context):
+    assert context.counts == {"qalam-2": 30}, context.counts
+
+
+@when("{count:d} callers go away while their choice is made")
+def step_callers_leave(context, count):
+    fleet = Fleet(context.deployment, seed=5)
+    fleet.configuration.change(
+        msgspec.structs.replace(context.deployment, services=(declare_service(3),))
+    )
+
+    async def ask_engine(request):
+        chosen = await fleet.router.choose(request, 0, NOBODY, None)
+        fleet.router.report(outcome(request, chosen))
+
+    async def ask_service():
+        chosen = await fleet.services.choose("matemia", NOBODY)
+        fleet.services.report("matemia", chosen.ok_value.backend, None, 200, 0.1)
+
+    async def leave():
+        for number in range(count):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask_engine, make_request(number))
+                tasks.start_soon(ask_service)
+                await anyio.lowlevel.checkpoint()
+                tasks.cancel_scope.cancel()
+        await anyio.sleep(1.0)
+        estimates = [
+            fleet.router._estimates.of(facts).num_own_outstanding
+            for facts in fleet.directory.snapshot().engines.values()
+        ]
+        decided = [fleet.decisions.find(f"request-{n}") is not None for n in range(count)]
+        return sum(estimates), len(fleet.router._running), fleet.services._num_outstanding, decided
+
+    context.left = in_fleet(fleet, leave)
+
+
+@then("no engine and no service back end counts a request")
+def step_no_trace(context):
+    num_outstanding, num_running, services, decided = context.left
+    assert any(decided), "no choice was made before its caller left: the case was not met"
+    assert (num_outstanding, num_running, services) == (0, 0, {}), context.left
+
+
+@given("a service with {count:d} back ends in 3 zones")
+def step_service(context, count):
+    context.services = Fleet(declare(1, services=(declare_service(count),)))
+
+
+async def choose_services(context, count):
+    chosen = []
+    for _ in range(count):
+        answer = await context.services.services.choose("matemia", NOBODY)
+        chosen.append(answer.ok_value.backend)
+    return chosen
+
+
+@then("the first {count:d} go to the own zone and every back end gets some")
+def step_zone_first(context, count):
+    own = {f"matemia-{index}" for index in range(6) if ZONES[index % 3] == ZONES[0]}
+    assert set(context.chosen[:count]) <= own, context.chosen
+    assert len(set(context.chosen)) == 6, context.chosen
+
+
+SERVICE_OUTCOMES = {
+    "breaks connections": (ServiceFailure(ServiceFailureKind.BROKEN, "reset"), None, 3),
+    "answers 503 to every request": (None, 503, 3),
+    "answers 500 to every request": (None, 500, 3),
+    "crosses an answer": (ServiceFailure(ServiceFailureKind.CORRUPT, "crossed"), None, 1),
+}
+
+
+@when("one of the own zone {fault}")
+def step_service_fault(context, fault):
+    fleet = context.services
+
+    async def run():
+        if fault == "is listed as leaving":
+            fleet.machines.machines_now = (Machine("10.0.1.0", True),)
+            await anyio.sleep(SETTLE_S)
+        else:
+            failure, status, times = SERVICE_OUTCOMES[fault]
+            for _ in range(times):
+                fleet.services.report("matemia", "matemia-0", failure, status, 0.1)
+            await anyio.sleep(0.01)
+        return await choose_services(context, 50)
+
+    context.chosen = in_fleet(fleet, run)
+
+
+@then("it gets {share} of the next 50 requests")
+def step_service_share(context, share):
+    assert ("matemia-0" in context.chosen) == (share == "some"), Counter(context.chosen)
+
+
+class DirectLink:
+    """Calls between nodes of one test, without a network."""
+
+    def __init__(self, handlers, address):
+        self._handlers = handlers
+        self._address = address
+
+    def on_call(self, message_type, handler):
+        self._handlers[self._address] = handler
+
+    async def call(self, destination, message, timeout_s):
+        return Ok(await self._handlers[destination](message))
+
+
+@given("three nodes that each remember {count:d} requests")
+def step_three_nodes(context, count):
+    context.logs = [DecisionLog(f"node-{index}", count) for index in range(3)]
+    handlers = {}
+    peers = [SimpleNamespace(node=SimpleNamespace(name=f"node-{i}"), address=i) for i in range(3)]
+    context.explainers = [
+        Explainer(
+            log,
+            DirectLink(handlers, index),
+            SimpleNamespace(self_id=peers[index].node, peers=lambda: tuple(peers)),
+        )
+        for index, log in enumerate(context.logs)
+    ]
+
+
+@when("{count:d} requests have been served by the first node")
+def step_served(context, count):
+    fleet = Fleet(declare(3), policy=AskedPolicy())
+    fleet.router._decisions = context.logs[0]
+
+    async def serve():
+        for number in range(count):
+            request = make_request(number)
+            chosen = await fleet.router.choose(request, 0, NOBODY, None)
+            fleet.router.report(outcome(request, chosen))
+        await anyio.sleep(1.0)
+
+    in_fleet(fleet, serve)
+    context.last = f"request-{count - 1}"
+
+
+def explain(context, request_id):
+    async def main():
+        return await context.explainers[2].explain(request_id)
+
+    return run_in_virtual_time(main)
+
+
+@then("the third node explains the last one with its outcome, as text and as JSON")
+def step_explained(context):
+    record = explain(context, context.last)
+    attempt = record.attempts[0]
+    assert (record.node, attempt.engine, attempt.num_candidates) == ("node-0", "qalam-2", 3)
+    assert attempt.result.num_cached_tokens == 40
+    assert json.loads(render_json(record))["attempts"][0]["result"]["num_cached_tokens"] == 40
+    text = render_text(record)
+    for part in (context.last, "node-0", "qalam-2", "cost", "40 of 100 prompt tokens cached"):
+        assert part in text, text
+
+
+@then("it explains nothing of the first one or of a request that nobody served")
+def step_not_explained(context):
+    assert explain(context, "request-0") is None
+    assert explain(context, "request-77") is None
+    assert len(context.logs[0]) == 4
