Detect failed nodes and spread membership

Cause: nodes must agree on crashes, joins and leaving within seconds, and survive pauses, cuts and herds. Change: SWIM-style protocol with ring probes, suspicion with confirmations, local health, anti-entropy by digest, tombstones; task over the peer link; hollow fleet in virtual time; the scheduler of virtual time is seeded, since trio's own order varied from run to run.

--- /dev/null
+++ b/features/steps/membership_faults_steps.py
@@ -0,0 +1,384 @@
+import random
+
+import anyio
+from behave import given, then, when
+from features.support.virtual_time import run_in_virtual_time
+from msgspec.structs import replace
+from result import Ok
+
+from weirscale.domain.identifiers import NodeAddress, NodeId
+from weirscale.domain.membership.beliefs import MemberBeliefs
+from weirscale.domain.membership.rules import MembershipRules
+from weirscale.experiments.scale.fleet import HollowFleet, HollowNode
+from weirscale.messages.codec import MessageCodec
+from weirscale.messages.envelope import (
+    EnvelopeKind,
+    EnvelopeSealer,
+    KeyRing,
+    PeerKey,
+    address_binding,
+)
+from weirscale.messages.membership import Gossip, MemberState, MemberUpdate
+from weirscale.node.interfaces import PeerState
+from weirscale.ports.machines import Machine
+
+AGREEMENT_LIMIT_S = 60.0
+OWN = MemberUpdate("own", 1, 0, MemberState.ALIVE, "10.0.0.1", 1, "z")
+MEMBER = MemberUpdate("m", 5, 2, MemberState.ALIVE, "10.0.0.2", 1, "z")
+
+
+class FalseDeaths:
+    """Watches for running nodes that another one holds dead."""
+
+    def __init__(self, fleet, ignored=()):
+        self.fleet = fleet
+        self.ignored = ignored
+        self.found = set()
+
+    async def watch(self):
+        expected = {node.node.name for node in self.fleet.running()}
+        while True:
+            for node in self.fleet.running():
+                for name in expected - node.names():
+                    self.found.add((node.node.name, name))
+            await anyio.sleep(0.05)
+
+
+def run_fleet(context, script):
+    """Start the fleet of the scenario, run a script in virtual time and stop the fleet."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            fleet = HollowFleet(tasks, context.seed, context.num_zones)
+            await fleet.start(context.num_nodes, settle_s=4.0)
+            fleet.network.set_drop_rate(context.loss)
+            context.deaths = FalseDeaths(fleet)
+            await script(fleet, tasks)
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(main)
+
+
+@given(
+    "a hollow fleet of {nodes:d} nodes in {zones:d} zones, seed {seed:d}, "
+    "losing {loss:d} % of datagrams"
+)
+def step_hollow_fleet(context, nodes, zones, seed, loss):
+    context.num_nodes = nodes
+    context.num_zones = zones
+    context.seed = seed
+    context.loss = loss / 100
+
+
+def ring_neighbours(fleet, count):
+    ring = fleet.running()[0].membership.protocol.beliefs.table.fleet_ring
+    return [fleet.nodes[name] for name in ring.names()[:count]]
+
+
+async def cause(fleet, event):
+    nodes = fleet.running()
+    victim = nodes[len(nodes) // 2]
+    if event == "a crash":
+        fleet.crash(victim)
+    elif event == "a crash of a whole zone":
+        for node in nodes:
+            if node.zone == victim.zone:
+                fleet.crash(node)
+    elif event == "a crash of five ring neighbours":
+        for node in ring_neighbours(fleet, 5):
+            fleet.crash(node)
+    elif event == "a join":
+        fleet.start_node()
+    elif event == "a restart under the same name":
+        fleet.crash(victim)
+        fleet.start_node(replaces=victim)
+    elif event == "an orderly leave":
+        await fleet.leave(victim)
+    elif event == "a herd replacing half at once":
+        for node in nodes[::2]:
+            fleet.crash(node)
+            fleet.start_node()
+    else:
+        raise ValueError(event)
+
+
+@when("{event} happens to it")
+def step_event(context, event):
+    async def script(fleet, tasks):
+        await cause(fleet, event)
+        context.agreed_s = await fleet.until(fleet.all_agree, AGREEMENT_LIMIT_S)
+
+    run_fleet(context, script)
+
+
+@then("all live nodes agree within {limit:d} s")
+def step_agree(context, limit):
+    assert context.agreed_s is not None, "the nodes never agreed"
+    assert context.agreed_s < limit, context.agreed_s
+
+
+async def pause_random_nodes(fleet, chance):
+    while True:
+        node = chance.choice(fleet.running())
+        node.endpoint.freeze()
+        await anyio.sleep(1.0)
+        node.endpoint.thaw()
+        await anyio.sleep(1.0)
+
+
+@when("it runs for 30 s under {fault}")
+def step_runs_under(context, fault):
+    async def script(fleet, tasks):
+        nodes = fleet.running()
+        tasks.start_soon(context.deaths.watch)
+        if fault == "pauses of 1 s of random nodes":
+            tasks.start_soon(pause_random_nodes, fleet, random.Random(context.seed))
+        elif fault == "a one-way cut from one node to another":
+            fleet.network.cut({nodes[3].address}, {nodes[4].address})
+        elif fault == "a one-way cut from a node to a third of the nodes":
+            fleet.network.cut({nodes[3].address}, {node.address for node in nodes[4:10]})
+        else:
+            assert fault == "no fault"
+        await anyio.sleep(30)
+
+    run_fleet(context, script)
+
+
+@then("no node has ever held a running node dead")
+def step_no_false_death(context):
+    assert not context.deaths.found, context.deaths.found
+
+
+@when("one node is frozen for {pause:d} s and wakes")
+def step_frozen(context, pause):
+    async def script(fleet, tasks):
+        context.frozen = fleet.running()[7]
+        tasks.start_soon(context.deaths.watch)
+        context.frozen.endpoint.freeze()
+        await anyio.sleep(pause)
+        context.frozen.endpoint.thaw()
+        context.agreed_s = await fleet.until(fleet.all_agree, AGREEMENT_LIMIT_S)
+        await anyio.sleep(10)
+
+    run_fleet(context, script)
+
+
+@then("the others never held one another dead")
+def step_others_intact(context):
+    frozen = context.frozen.node.name
+    wrong = {pair for pair in context.deaths.found if frozen not in pair}
+    assert not wrong, wrong
+
+
+@then("the woken node never held another node dead")
+def step_woken_intact(context):
+    frozen = context.frozen.node.name
+    wrong = {pair for pair in context.deaths.found if pair[0] == frozen}
+    assert not wrong, wrong
+
+
+@when("{cut} lasts {length:d} s and heals")
+def step_cut(context, cut, length):
+    async def script(fleet, tasks):
+        split = {"a cut between halves": 2, "a cut of one zone": 1}[cut]
+        first = fleet.group(fleet.zones[:split])
+        second = fleet.group(fleet.zones[split:])
+        expected = len(first), len(second)
+        fleet.network.cut_both_ways(first, second)
+        await anyio.sleep(length)
+        context.sizes = {(node.address in first, len(node.names())) for node in fleet.running()}
+        context.split_sizes = {(True, expected[0]), (False, expected[1])}
+        fleet.network.heal()
+        context.agreed_s = await fleet.until(fleet.all_agree, AGREEMENT_LIMIT_S)
+
+    run_fleet(context, script)
+
+
+@then("each side held the other dead when the cut {outcome}")
+def step_sides(context, outcome):
+    whole = {(True, context.num_nodes), (False, context.num_nodes)}
+    expected = {"was long": context.split_sizes, "was short": whole}[outcome]
+    assert context.sizes == expected, context.sizes
+
+
+@when("a node announces that it leaves")
+def step_announces_leave(context):
+    async def script(fleet, tasks):
+        leaver = fleet.running()[4]
+        name = leaver.node.name
+        leaver.membership.leave()
+        context.seen_s = await fleet.until(
+            lambda: all(node.peer(name).state is PeerState.LEAVING for node in fleet.running()),
+            AGREEMENT_LIMIT_S,
+        )
+        old = replace(leaver.membership.protocol.beliefs.own, state=MemberState.ALIVE)
+        await leaver.membership.depart()
+        fleet.crash(leaver)
+        gone = await fleet.until(fleet.all_agree, AGREEMENT_LIMIT_S)
+        teller, *others = fleet.running()
+        for other in others:
+            await teller.link.cast(other.address, Gossip((replace(old, refutations=99),)))
+        await anyio.sleep(1)
+        context.gone = gone is not None and fleet.all_agree()
+
+    run_fleet(context, script)
+
+
+@then("all other nodes hold it leaving within {limit:d} s")
+def step_leaving(context, limit):
+    assert context.seen_s is not None and context.seen_s < limit, context.seen_s
+
+
+@when("it departs and an old ALIVE claim about it is gossiped")
+def step_departs(context):
+    pass  # Done in the same run of the fleet as the announcement.
+
+
+@then("no node holds it live")
+def step_not_live(context):
+    assert context.gone
+
+
+@given('beliefs that hold member "m" at incarnation 5, refutations 2, state {held}')
+def step_beliefs(context, held):
+    context.beliefs = MemberBeliefs(OWN, MembershipRules(), 0.0)
+    context.beliefs.take(MEMBER, 0.0)
+    context.beliefs.take(replace(MEMBER, state=MemberState[held], accuser="x"), 0.0)
+
+
+@when(
+    "a claim arrives with incarnation {incarnation:d}, refutations {refutations:d}, state {claim}"
+)
+def step_claim(context, incarnation, refutations, claim):
+    context.beliefs.take(
+        replace(MEMBER, incarnation=incarnation, refutations=refutations, state=MemberState[claim]),
+        1.0,
+    )
+
+
+@then("the member is held at state {state}")
+def step_held(context, state):
+    assert context.beliefs.table.get("m").state is MemberState[state]
+
+
+@when("a stranger forges the death of every node and replays all that was sent during a leave")
+def step_forge(context):
+    async def script(fleet, tasks):
+        codec = MessageCodec()
+        leaver = fleet.running()[4]
+        context.left = leaver
+        fleet.network.recorded = []
+        await anyio.sleep(2)
+        await fleet.leave(leaver)
+        await anyio.sleep(2)
+        record, fleet.network.recorded = fleet.network.recorded, None
+        tasks.start_soon(context.deaths.watch)
+        for target in fleet.running():
+            for victim in fleet.running():
+                own = victim.membership.protocol.beliefs.own
+                death = codec.encode(Gossip((replace(own, state=MemberState.DEAD),)))
+                sealer = EnvelopeSealer(
+                    KeyRing((PeerKey(1, b"a stranger's own key....."),)),
+                    NodeId(victim.node.name, 10**9),
+                    victim.address,
+                )
+                data = sealer.seal(EnvelopeKind.CAST, death, address_binding(target.address))
+                fleet.network.inject(victim.address, target.address, data)
+        for destination, data in record:
+            fleet.network.inject(leaver.address, destination, data)
+        await anyio.sleep(10)
+        context.versions = {
+            node.membership.protocol.beliefs.own.refutations for node in fleet.running()
+        }
+        context.stays_gone = fleet.all_agree()
+
+    run_fleet(context, script)
+
+
+@then("the node that left stays gone")
+def step_stays_gone(context):
+    assert context.stays_gone
+    assert context.versions == {0}, "a node has refuted a forged claim"
+
+
+class ListedMachines:
+    def __init__(self, machines):
+        self._machines = machines
+
+    async def machines(self):
+        return Ok(tuple(self._machines))
+
+
+@when("the machine list marks one node as leaving and omits another that runs")
+def step_machine_list(context):
+    async def script(fleet, tasks):
+        nodes = fleet.running()
+        marked, omitted, observer = nodes[1], nodes[2], nodes[0]
+        machines = [
+            Machine(node.address.host, node is marked) for node in nodes if node is not omitted
+        ]
+        tasks.start_soon(observer.membership._follow_machine_list, ListedMachines(machines))
+        await anyio.sleep(10)
+        context.marked = observer.peer(marked.node.name).state
+        context.omitted = observer.peer(omitted.node.name).state
+
+    run_fleet(context, script)
+
+
+@then("the marked node is held leaving and the omitted one stays alive")
+def step_hints(context):
+    assert (context.marked, context.omitted) == (PeerState.LEAVING, PeerState.ALIVE)
+
+
+@given("beliefs that remember at most {count:d} dead members for {time:d} s")
+def step_tombstone_rules(context, count, time):
+    context.rules = MembershipRules(max_tombstones=count, tombstone_s=time)
+    context.beliefs = MemberBeliefs(OWN, context.rules, 0.0)
+
+
+@when("{count:d} members are born and die")
+def step_born_and_die(context, count):
+    for number in range(count):
+        member = replace(MEMBER, name=f"m{number}")
+        context.beliefs.take(member, 0.0)
+        context.beliefs.take(replace(member, state=MemberState.DEAD), 0.0)
+
+
+def num_remembered(context):
+    table = context.beliefs.table
+    return len(table.in_buckets(table.differing_buckets(()))) - table.num_live
+
+
+@then("{count:d} dead members are remembered")
+def step_remembered(context, count):
+    assert num_remembered(context) == count, num_remembered(context)
+
+
+@then("none is remembered {time:d} s later")
+def step_none_remembered(context, time):
+    context.beliefs.table.expire_tombstones(time - context.rules.tombstone_s)
+    assert num_remembered(context) == 0
+
+
+@when("a second node with a later incarnation starts under a running node's name elsewhere")
+def step_second_run(context):
+    async def script(fleet, tasks):
+        first = fleet.running()[3]
+        second = HollowNode(
+            fleet.network,
+            NodeId(first.node.name, first.node.incarnation + 10**6),
+            NodeAddress("10.9.9.9", 7100),
+            first.zone,
+            fleet.seeds,
+            MembershipRules(),
+            context.seed,
+        )
+        tasks.start_soon(second.run)
+        context.noticed_s = await fleet.until(lambda: first.membership.is_superseded, 10.0)
+
+    run_fleet(context, script)
+
+
+@then("the earlier run notices that it is superseded")
+def step_superseded(context):
+    assert context.noticed_s is not None
--- /dev/null
+++ b/src/weirscale/domain/membership/suspicions.py
@@ -0,0 +1,60 @@
+"""Suspicions and when they become deaths."""
+
+import msgspec
+
+from weirscale.domain.identifiers import NodeName
+from weirscale.domain.membership.rules import MembershipRules
+
+
+class Suspicion(msgspec.Struct):
+    """One suspected member.
+
+    Attributes:
+        started_at_s: When this node first heard of it, moved on by pauses of this process.
+        accusers: Distinct nodes whose probes failed.
+    """
+
+    started_at_s: float
+    accusers: set[str]
+
+
+class SuspicionTable:
+    """Suspicions by member."""
+
+    def __init__(self, rules: MembershipRules) -> None:
+        self._rules = rules
+        self._suspicions: dict[NodeName, Suspicion] = {}
+
+    def start(self, name: NodeName, accuser: str, now_s: float) -> None:
+        """Begin to suspect a member."""
+        self._suspicions[name] = Suspicion(now_s, {accuser})
+
+    def confirm(self, name: NodeName, accuser: str) -> bool:
+        """Add an accuser; True if it is new and still shortens the suspicion."""
+        suspicion = self._suspicions.get(name)
+        if suspicion is None or accuser in suspicion.accusers:
+            return False
+        if len(suspicion.accusers) > self._rules.num_confirmations:
+            return False
+        suspicion.accusers.add(accuser)
+        return True
+
+    def end(self, name: NodeName) -> Suspicion | None:
+        """Stop suspecting a member."""
+        return self._suspicions.pop(name, None)
+
+    def postpone(self, by_s: float) -> None:
+        """Move all deadlines on: refutations could not be heard in that time."""
+        for suspicion in self._suspicions.values():
+            suspicion.started_at_s += by_s
+
+    def expired(self, now_s: float, num_live: int) -> list[NodeName]:
+        """Return members whose suspicion has lasted its time."""
+        return [
+            name
+            for name, suspicion in self._suspicions.items()
+            if now_s >= suspicion.started_at_s + self._timeout_s(suspicion, num_live)
+        ]
+
+    def _timeout_s(self, suspicion: Suspicion, num_live: int) -> float:
+        return self._rules.suspicion_timeout_s(len(suspicion.accusers) - 1, num_live)
--- a/src/weirscale/experiments/memory_network.py
+++ b/src/weirscale/experiments/memory_network.py
@@ -145,6 +145,12 @@
         """Set the quality of links with none of their own."""
         self._default_quality = quality
 
+    def set_drop_rate(self, drop_rate: float) -> None:
+        """Set the share of datagrams and calls lost on every link."""
+        self._default_quality = msgspec.structs.replace(self._default_quality, drop_rate=drop_rate)
+        for zones, quality in list(self._zone_quality.items()):
+            self._zone_quality[zones] = msgspec.structs.replace(quality, drop_rate=drop_rate)
+
     def cut(self, sources: set[NodeAddress], destinations: set[NodeAddress]) -> None:
         """Lose everything from the sources to the destinations (one way)."""
         self._blocked.update((a, b) for a in sources for b in destinations)
--- /dev/null
+++ b/src/weirscale/experiments/scale/fleet.py
@@ -0,0 +1,179 @@
+"""A fleet of hollow nodes over the in-memory network: peer link and membership, nothing else."""
+
+from collections.abc import Callable
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from weirscale.domain.identifiers import Incarnation, NodeAddress, NodeId, NodeName, ZoneName
+from weirscale.domain.membership.rules import MembershipRules
+from weirscale.experiments.memory_network import LinkQuality, MemoryEndpoint, MemoryNetwork
+from weirscale.messages.envelope import KeyRing, PeerKey
+from weirscale.node.interfaces import Peer
+from weirscale.node.membership import MembershipTask
+from weirscale.node.peers.link import AuthenticatedPeerLink
+
+FLEET_KEY = PeerKey(1, b"key of the hollow fleet.")
+PEER_PORT = 7100
+WATCH_INTERVAL_S = 0.05
+"""How often `until` looks; the resolution of measured times."""
+
+NODES_PER_ZONE = 22
+"""About 400 nodes in 18 zones."""
+
+SAME_ZONE = LinkQuality(delay_s=0.0003, jitter_s=0.0003)
+OTHER_ZONE = LinkQuality(delay_s=0.0015, jitter_s=0.001)
+
+
+class HollowNode:
+    """One node's link and membership.
+
+    Attributes:
+        node: Its identity.
+        endpoint: Its access to the network, which can be frozen.
+        link: Its peer link, with traffic counts.
+        membership: Its membership task.
+    """
+
+    def __init__(
+        self,
+        network: MemoryNetwork,
+        node: NodeId,
+        address: NodeAddress,
+        zone: ZoneName,
+        seeds: list[NodeAddress],
+        rules: MembershipRules,
+        seed: int,
+    ) -> None:
+        random = Random(f"{seed} {node}")
+        self.node = node
+        self.address = address
+        self.zone = zone
+        self.endpoint: MemoryEndpoint = network.attach(address, zone)
+        self.link = AuthenticatedPeerLink(
+            self.endpoint, node, address, KeyRing((FLEET_KEY,)), random
+        )
+        self.membership = MembershipTask(
+            self.link, node, address, zone, seeds, random, rules, sleep=self.endpoint.sleep
+        )
+        self.scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        """Run until the scope is cancelled."""
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.link.run)
+                tasks.start_soon(self.membership.run)
+
+    def names(self) -> frozenset[NodeName]:
+        """Return the names that the node believes live."""
+        return frozenset(peer.node.name for peer in self.membership.peers())
+
+    def peer(self, name: NodeName) -> Peer | None:
+        """Return what the node holds of another one."""
+        for peer in self.membership.peers():
+            if peer.node.name == name:
+                return peer
+        return None
+
+
+class HollowFleet:
+    """Starts, stops, freezes and cuts hollow nodes.
+
+    Args:
+        tasks: Nodes run in this task group.
+        seed: Seeds all chance.
+        zones: Zones that nodes are spread over.
+        rules: Membership rules of all nodes.
+    """
+
+    def __init__(
+        self,
+        tasks: TaskGroup,
+        seed: int,
+        zones: int,
+        rules: MembershipRules | None = None,
+    ) -> None:
+        self.network = MemoryNetwork(tasks, Random(seed), OTHER_ZONE)
+        self.zones = [ZoneName(f"zone-{number:02d}") for number in range(zones)]
+        for zone in self.zones:
+            self.network.set_zone_quality(zone, zone, SAME_ZONE)
+        self.nodes: dict[NodeName, HollowNode] = {}
+        self.seeds: list[NodeAddress] = []
+        self._rules = rules or MembershipRules()
+        self._tasks = tasks
+        self._seed = seed
+        self._num_started = 0
+
+    async def start(self, count: int, settle_s: float = 12.0) -> None:
+        """Start nodes at once, then wait until all agree and the traffic of starting is over."""
+        for _ in range(count):
+            self.start_node()
+        agreed = await self.until(self.all_agree, 60.0)
+        assert agreed is not None, "the fleet did not form"
+        await anyio.sleep(settle_s)
+
+    def start_node(self, replaces: HollowNode | None = None) -> HollowNode:
+        """Start a node: a new one, or a later run of one that stopped, at its address."""
+        self._num_started += 1
+        number = self._num_started
+        incarnation = Incarnation(1_000_000 + number)
+        if replaces is None:
+            name = NodeName(f"node-{number:04d}")
+            address = NodeAddress(f"10.0.{number // 250}.{number % 250 + 1}", PEER_PORT)
+            zone = self.zones[number % len(self.zones)]
+        else:
+            name, address, zone = replaces.node.name, replaces.address, replaces.zone
+        if len(self.seeds) < 3:
+            self.seeds.append(address)
+        node = HollowNode(
+            self.network,
+            NodeId(name, incarnation),
+            address,
+            zone,
+            self.seeds,
+            self._rules,
+            self._seed,
+        )
+        self.nodes[name] = node
+        self._tasks.start_soon(node.run)
+        return node
+
+    def crash(self, node: HollowNode) -> None:
+        """Stop a node without a word."""
+        node.scope.cancel()
+        self.network.detach(node.address)
+        self.nodes.pop(node.node.name, None)
+
+    async def leave(self, node: HollowNode, drain_s: float = 1.0) -> None:
+        """Stop a node as an operator would."""
+        node.membership.leave()
+        await anyio.sleep(drain_s)
+        await node.membership.depart()
+        self.crash(node)
+
+    def running(self) -> list[HollowNode]:
+        """Return nodes that run, frozen ones included, by name."""
+        return [self.nodes[name] for name in sorted(self.nodes)]
+
+    def group(self, zones: list[ZoneName]) -> set[NodeAddress]:
+        """Return the addresses of the nodes in some zones."""
+        return {node.address for node in self.running() if node.zone in zones}
+
+    def all_agree(self) -> bool:
+        """Whether every node believes live exactly the nodes that run, each in its latest run."""
+        expected = sorted(node.node for node in self.nodes.values())
+        return all(
+            [peer.node for peer in node.membership.peers()] == expected
+            for node in self.nodes.values()
+        )
+
+    async def until(self, holds: Callable[[], bool], timeout_s: float) -> float | None:
+        """Wait for a condition; returns the seconds it took, or None if it never held."""
+        started_at_s = anyio.current_time()
+        while not holds():
+            if anyio.current_time() - started_at_s >= timeout_s:
+                return None
+            await anyio.sleep(WATCH_INTERVAL_S)
+        return anyio.current_time() - started_at_s
