Keep a herd of starting nodes off the key-value service

Cause: a node that starts knows only itself and took itself for a reader of its zone. Change: the reader waits 0.5 to 1 s for the node to join before it looks at its duty. Conclusion: a restart of a whole fleet asks the store twice a reader.

--- a/features/configuration_spread.feature
+++ b/features/configuration_spread.feature
@@ -37,6 +37,11 @@
     Then no node acts on any configuration before, and all have it within 10 s after
     And the store was asked at most 5 times a second meanwhile, and by 2 nodes of a zone only
 
+  Scenario: A whole deployment restarts at once while the store is up
+    Given a fleet of 12 nodes in 4 zones with a configuration in force
+    When all nodes restart at once with the store up
+    Then all have the configuration within 2 s after 16 calls of the store at most
+
   Scenario: A zone cut off from the store and the others catches up after the cut
     Given a fleet of 12 nodes in 4 zones with a configuration in force
     When zone-0 is cut off, a change is applied, and the cut heals after 60 s
--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -194,6 +194,26 @@
     )
 
 
+async def restart_all_with_store(fleet):
+    num_calls = fleet.server.num_calls
+    for name in list(fleet.nodes):
+        fleet.restart(name)
+    delay_s = await fleet.wait_until_in_force(2)
+    await anyio.sleep(5)
+    return delay_s, fleet.server.num_calls - num_calls
+
+
+@when("all nodes restart at once with the store up")
+def step_restart_all_up(context):
+    context.herd = run_in_force(context, restart_all_with_store)
+
+
+@then("all have the configuration within {within:g} s after {calls:d} calls of the store at most")
+def step_herd_up(context, within, calls):
+    delay_s, num_calls = context.herd
+    assert delay_s <= within and 0 < num_calls <= calls, context.herd
+
+
 async def cut_zone(fleet):
     cut = [node for node in fleet.nodes.values() if node.zone == "zone-0"]
     others = {node.address for node in fleet.nodes.values() if node not in cut}
--- a/features/support/configuration_fleet.py
+++ b/features/support/configuration_fleet.py
@@ -18,11 +18,13 @@
 from weirscale.standins.key_value.in_process import InProcessKeyValue
 from weirscale.standins.key_value.server import KeyValueServer
 
+JOIN_S = 0.2
+"""How long a node takes to learn of the others."""
 KEY = PeerKey(1, b"a secret of 24 bytes....")
 
 
 class KnownMembers:
-    """A membership view that all nodes share: it knows at once who is there."""
+    """A membership view that all nodes share; a node that starts knows only itself at first."""
 
     def __init__(self):
         self.by_name = {}
@@ -33,7 +35,11 @@
         self.num_changes += 1
 
     def view(self, self_id):
+        joins_at_s = anyio.current_time() + JOIN_S
+
         def sorted_peers():
+            if anyio.current_time() < joins_at_s:
+                return (self.by_name[self_id.name],)
             return tuple(self.by_name[name] for name in sorted(self.by_name))
 
         return SimpleNamespace(
--- a/src/weirscale/node/configuration/reader.py
+++ b/src/weirscale/node/configuration/reader.py
@@ -30,6 +30,10 @@
 REREAD_AFTER_S = 60.0
 """A watch can go silent without an error, so the key is read again this often."""
 DUTY_CHECK_S = 0.5
+MIN_START_WAIT_S = 0.5
+MAX_START_WAIT_S = 1.0
+"""A node that starts knows no other yet and would take itself for a reader. It first waits this
+long to join, so that a herd of starts does not meet the store."""
 RENDEZVOUS_SEED = b"configuration reader "
 """Keeps this duty's choice of nodes apart from that of other duties."""
 
@@ -73,10 +77,12 @@
         self._offer = offer
         self._log = log
         self._sleep = sleep
+        self._random = random
         self._backoff = Backoff(random, FIRST_BACKOFF_S, MAX_BACKOFF_S)
 
     async def run(self) -> None:
         """Read while on duty, until cancelled."""
+        await self._sleep(self._random.uniform(MIN_START_WAIT_S, MAX_START_WAIT_S))
         while True:
             self.is_reader = self._is_on_duty()
             if not self.is_reader:
