Tell other nodes of sends that make an engine compute

Cause: events and digests take seconds to show what other nodes have just sent; meanwhile they repeat prefills and queue up on the same engines. Change: short notes of sends, matched on a ladder of depths and counted as load; bounded memory of the view; fewer estimates for one choice.

--- a/src/weirscale/domain/choice/prefix_aware.py
+++ b/src/weirscale/domain/choice/prefix_aware.py
@@ -11,13 +11,17 @@
 """
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from heapq import nlargest, nsmallest
 from random import Random
 
+import msgspec
+
 from weirscale.domain.choice.belief_trust import BeliefTrust
 from weirscale.domain.choice.beliefs import CacheBeliefs
 from weirscale.domain.choice.eligible import eligible_candidates
 from weirscale.domain.choice.estimate import NO_BELIEF, PromptBelief, cost_model
+from weirscale.domain.choice.noted_sends import NotedSends
 from weirscale.domain.choice.policy import (
     CandidateEstimate,
     Choice,
@@ -27,7 +31,7 @@
 from weirscale.domain.choice.recent_sends import RecentSends
 from weirscale.domain.choice.rendezvous import rendezvous_score
 from weirscale.domain.configuration.model import RoutingObjective
-from weirscale.domain.identifiers import EngineName
+from weirscale.domain.identifiers import BlockHash, EngineName
 
 NUM_RANKED_PROPOSALS = 3
 """Engines that rendezvous proposes for a prefix; the later ones take over when it is hot."""
@@ -35,6 +39,13 @@
 NUM_RANDOM_PROPOSALS = 2
 """Engines that chance proposes, as in the power of two choices."""
 
+MAX_ALL_PROPOSED = 9
+"""Up to so many candidates all are estimated."""
+
+NUM_OF_EQUAL_DEPTH = 3
+"""Of engines that hold equally much, the ones with the shortest queues are estimated; more than
+one, so that nodes do not all pick the same."""
+
 AFFINITY_SHARE = 0.7
 """The rendezvous key is the block at the highest power of two below this share of the prompt:
 the tail is mostly the caller's own, and prompts of one page share the key."""
@@ -59,10 +70,17 @@
     Args:
         beliefs: What is believed of engines' caches.
         objective: The deployment's weights.
+        noted: What other nodes tell of their sends, or None without notes.
     """
 
-    def __init__(self, beliefs: CacheBeliefs, objective: RoutingObjective) -> None:
+    def __init__(
+        self,
+        beliefs: CacheBeliefs,
+        objective: RoutingObjective,
+        noted: NotedSends | None = None,
+    ) -> None:
         self._beliefs = beliefs
+        self._noted = noted
         self._objective = objective
         self._recent = RecentSends()
         self._trust = BeliefTrust()
@@ -83,9 +101,11 @@
         if not eligible:
             return None
         beliefs = self._prompt_beliefs(request, now_s)
-        proposals = self._proposals(request, eligible, beliefs, random)
+        ranked = self._ranked(request, eligible, random)
+        proposals = self._proposals(eligible, ranked, beliefs, random)
+        proposals = [self._with_noted_load(each, now_s) for each in proposals]
         model = cost_model(request, self._objective, proposals, beliefs)
-        expected = self._with_affinity(request, eligible, beliefs)
+        expected = self._with_affinity(request, ranked[0].engine, beliefs)
         estimates = [
             model.estimate(each, expected.get(each.engine, NO_BELIEF)) for each in proposals
         ]
@@ -118,53 +138,83 @@
     def _prompt_beliefs(
         self, request: ChoiceRequest, now_s: float
     ) -> dict[EngineName, PromptBelief]:
-        """Join digests, scaled by trust, with own recent sends."""
+        """Join digests with recent sends, own and noted, all scaled by trust."""
         beliefs: dict[EngineName, PromptBelief] = {}
         for engine, match in self._beliefs.match(request.block_hashes, now_s).items():
             num_blocks = match.num_blocks * self._trust.trust(engine)
             beliefs[engine] = PromptBelief(num_blocks, match.age_s)
-        for engine, num_sent_blocks in self._recent.match(request.block_hashes, now_s):
+        for engine, num_sent_blocks in self._recent_matches(request.block_hashes, now_s):
             num_blocks = num_sent_blocks * self._trust.trust(engine)
             known = beliefs.get(engine, NO_BELIEF)
             if num_blocks > known.num_matched_blocks:
                 beliefs[engine] = PromptBelief(num_blocks, 0.0)
         return beliefs
 
+    def _recent_matches(
+        self, block_hashes: Sequence[BlockHash], now_s: float
+    ) -> Iterator[tuple[EngineName, int]]:
+        """Yield engines with the leading blocks sent there lately, some maybe twice."""
+        yield from self._recent.match(block_hashes, now_s)
+        if self._noted is None:
+            return
+        for engine, match in self._noted.match(block_hashes, now_s).items():
+            yield engine, match.num_blocks
+
+    def _with_noted_load(self, candidate: EngineCandidate, now_s: float) -> EngineCandidate:
+        """Add to a candidate's queue what other nodes sent since its load report."""
+        if self._noted is None:
+            return candidate
+        reported_at_s = now_s - candidate.report_age_s
+        num_tokens = self._noted.num_tokens_since(candidate.engine, reported_at_s)
+        if num_tokens == 0:
+            return candidate
+        num_waiting = candidate.num_waiting_prefill_tokens + num_tokens
+        return msgspec.structs.replace(candidate, num_waiting_prefill_tokens=num_waiting)
+
+    def _ranked(
+        self, request: ChoiceRequest, eligible: list[EngineCandidate], random: Random
+    ) -> list[EngineCandidate]:
+        """Return the first candidates by rendezvous hash of the prompt's prefix."""
+        key = affinity_key(request, random)
+        return nlargest(
+            NUM_RANKED_PROPOSALS, eligible, lambda each: rendezvous_score(key, each.engine)
+        )
+
     def _proposals(
         self,
-        request: ChoiceRequest,
         eligible: list[EngineCandidate],
+        ranked: list[EngineCandidate],
         beliefs: Mapping[EngineName, PromptBelief],
         random: Random,
     ) -> list[EngineCandidate]:
         """Return the candidates worth estimating."""
-        num_few = NUM_RANKED_PROPOSALS + NUM_RANDOM_PROPOSALS
-        if len(eligible) <= num_few:
+        if len(eligible) <= MAX_ALL_PROPOSED:
             return eligible
-        key = affinity_key(request, random)
-        ranked = sorted(eligible, key=lambda each: -rendezvous_score(key, each.engine))
-        proposals = {each.engine: each for each in ranked[:NUM_RANKED_PROPOSALS]}
+        proposals = {each.engine: each for each in ranked}
         for each in random.sample(eligible, NUM_RANDOM_PROPOSALS):
             proposals[each.engine] = each
+        by_depth: dict[float, list[EngineCandidate]] = {}
         for each in eligible:
-            if each.engine in beliefs:
+            belief = beliefs.get(each.engine)
+            if belief is not None:
+                by_depth.setdefault(belief.num_matched_blocks, []).append(each)
+        for group in by_depth.values():
+            for each in nsmallest(NUM_OF_EQUAL_DEPTH, group, _waiting_tokens):
                 proposals[each.engine] = each
         return list(proposals.values())
 
     def _with_affinity(
         self,
         request: ChoiceRequest,
-        eligible: list[EngineCandidate],
+        first: EngineName,
         beliefs: dict[EngineName, PromptBelief],
     ) -> dict[EngineName, PromptBelief]:
-        """Count a cold prefix as half cached at its rendezvous engine."""
+        """Count a cold prefix as half cached at its first engine by rendezvous hash."""
         num_blocks = affinity_depth(len(request.block_hashes))
         if num_blocks == 0:
             return beliefs
         if any(each.num_matched_blocks >= num_blocks for each in beliefs.values()):
             return beliefs
-        key = request.block_hashes[num_blocks - 1]
-        first = max(eligible, key=lambda each: rendezvous_score(key, each.engine)).engine
         known = beliefs.get(first, NO_BELIEF)
         num_expected = known.num_matched_blocks + AFFINITY_TRUST * (
             num_blocks - known.num_matched_blocks
@@ -186,6 +236,10 @@
     return request.block_hashes[num_blocks - 1]
 
 
+def _waiting_tokens(candidate: EngineCandidate) -> int:
+    return candidate.num_waiting_prefill_tokens
+
+
 def _cost(estimate: CandidateEstimate) -> float:
     return estimate.cost
 
--- a/src/weirscale/domain/prefix/digest_publisher.py
+++ b/src/weirscale/domain/prefix/digest_publisher.py
@@ -44,6 +44,9 @@
 MAX_REFINING_S = 60.0
 """A refinement that would take longer than this is not started."""
 
+DEFAULT_MAX_KEYS = 8192
+"""Keys of one engine in a receiver's table, of some 115 bytes each."""
+
 RATE_SMOOTHING_S = 5.0
 """Time constant of the change rate."""
 
@@ -58,12 +61,20 @@
         index: The engine's exact index.
         stream: Name of the stream; higher than that of any earlier publisher of the engine.
         bytes_per_s: Budget for this engine, over all receivers together.
+        max_keys: Keys of this engine that receivers are made to remember at most.
     """
 
-    def __init__(self, index: EngineIndex, stream: int, bytes_per_s: float) -> None:
+    def __init__(
+        self,
+        index: EngineIndex,
+        stream: int,
+        bytes_per_s: float,
+        max_keys: int = DEFAULT_MAX_KEYS,
+    ) -> None:
         self._index = index
         self._stream = stream
         self._bytes_per_s = bytes_per_s
+        self._max_keys = max_keys
         self._sequence = 0
         self._sample_bits = 0
         self._sending_bits = 0
@@ -163,7 +174,7 @@
         max_keys = max(int(rate * MAX_BACKLOG_S / KEY_BYTES), 1)
         # A refinement given up must not leave keys at receivers that are no longer updated: the
         # declared level goes up by one at least, on which they drop every key outside of it.
-        while len(self._backlog) > max_keys and self._sample_bits < MAX_SAMPLE_BITS:
+        while self._is_too_fine(max_keys) and self._sample_bits < MAX_SAMPLE_BITS:
             self._sample_bits += 1
             self._sending_bits = self._sample_bits
             self._is_coarsening_due = True
@@ -174,6 +185,10 @@
                 if is_sampled(key, self._sample_bits)
             }
 
+    def _is_too_fine(self, max_waiting_keys: int) -> bool:
+        num_held_keys = len(self._index.blocks) >> self._sample_bits
+        return len(self._backlog) > max_waiting_keys or num_held_keys > self._max_keys
+
     def _finish_or_start_refining(self, rate: float) -> None:
         """Declare a refinement that is sent, or start the next one if the budget allows it."""
         if self._sending_bits < self._sample_bits:
@@ -185,8 +200,11 @@
         changes_bytes_per_s = self._changes_per_s * KEY_BYTES / (1 << finer_bits)
         num_extra_keys = len(self._index.blocks) >> self._sample_bits
         refining_s = num_extra_keys * KEY_BYTES / (REFINE_SHARE * rate)
+        num_finer_keys = len(self._index.blocks) >> finer_bits
         if changes_bytes_per_s > REFINE_SHARE * rate or refining_s > MAX_REFINING_S:
             return
+        if num_finer_keys > REFINE_SHARE * self._max_keys:
+            return
         self._sending_bits = finer_bits
         for block_hash in self._index.blocks:
             key = block_key(block_hash)
--- a/src/weirscale/experiments/choice/fleet.py
+++ b/src/weirscale/experiments/choice/fleet.py
@@ -2,12 +2,14 @@
 
 import heapq
 import itertools
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
 import msgspec
 
+from weirscale.domain.choice.noted_sends import NotedSends
 from weirscale.domain.choice.policy import ChoicePolicy, ChoiceRequest, EngineCandidate
+from weirscale.domain.choice.recent_sends import keys_at, ladder_depths
 from weirscale.domain.configuration.model import EngineRole
 from weirscale.domain.identifiers import BlockHash, EngineName, RequestId, TenantName, ZoneName
 from weirscale.domain.prefix.cache_view import CacheView
@@ -20,14 +22,33 @@
 )
 from weirscale.experiments.choice.knowledge import HomeModel, KnowledgeFaults
 from weirscale.experiments.choice.shape import ChoiceShape
+from weirscale.messages.digest import KEY_BYTES
 from weirscale.node.routing.load_estimate import LoadEstimate
 
 EVENT_BATCH_INTERVAL_S = 0.1
+NOTE_OVERHEAD_BYTES = 80
+"""Encoded size of a note without keys, with its signature."""
+
 LOCAL_DELAY_S = 0.0002
 """One-way delay within a zone."""
 
-MakePolicy = Callable[[ChoiceShape, CacheView, dict[EngineName, EngineModel]], ChoicePolicy]
-"""Makes one node's policy; only the oracle looks at the engines."""
+
+class NodeKnowledge(msgspec.Struct, frozen=True):
+    """What a node's policy may be given.
+
+    Attributes:
+        view: Beliefs from digests.
+        noted: What other nodes told of their sends.
+        engines: The engines themselves, for the oracle only.
+    """
+
+    view: CacheView
+    noted: NotedSends
+    engines: Mapping[EngineName, EngineModel]
+
+
+MakePolicy = Callable[[ChoiceShape, NodeKnowledge], ChoicePolicy]
+"""Makes one node's policy."""
 
 
 class Served(msgspec.Struct, frozen=True):
@@ -56,6 +77,7 @@
     def __init__(self, zone: int, engines: Sequence[EngineModel], seed: int) -> None:
         self.zone = zone
         self.view = CacheView()
+        self.noted = NotedSends()
         self.random = Random(seed)
         self.loads = {engine.name: LoadEstimate() for engine in engines}
         self.reported_at_s = dict.fromkeys(self.loads, 0.0)
@@ -106,7 +128,7 @@
             for number in range(shape.num_zones * shape.nodes_per_zone)
         ]
         for node in self._nodes:
-            node.policy = make_policy(shape, node.view, self._engines)
+            node.policy = make_policy(shape, NodeKnowledge(node.view, node.noted, self._engines))
         views = [node.view for node in self._nodes]
         self.homes = [
             HomeModel(engine, views, faults, self._random, self._schedule, self.now_s)
@@ -115,6 +137,7 @@
         self._requests: dict[int, ChoiceRequest] = {}
         self._predicted: dict[int, int] = {}
         self.served: list[Served] = []
+        self.num_note_bytes = 0
 
     def now_s(self) -> float:
         """Return the virtual time."""
@@ -200,6 +223,24 @@
         engine = self._engines[choice.engine]
         delay_s = self._delay_s(node, engine)
         self._schedule(delay_s, lambda: self._reach(engine, work))
+        self._tell_others(node, request, choice.engine, num_missing * shape.tokens_per_block)
+
+    def _tell_others(
+        self, sender: _Node, request: ChoiceRequest, engine: EngineName, num_missing_tokens: int
+    ) -> None:
+        """Let the other nodes learn of a send, unless it brings the engine little work."""
+        if num_missing_tokens < self._faults.min_noted_tokens:
+            return
+        keys = keys_at(request.block_hashes, ladder_depths(len(request.block_hashes)))
+        others = [node for node in self._nodes if node is not sender]
+        self.num_note_bytes += len(others) * (len(keys) * KEY_BYTES + NOTE_OVERHEAD_BYTES)
+
+        def deliver() -> None:
+            for node in others:
+                if self._random.random() >= self._faults.digest_loss:
+                    node.noted.note(engine, keys, num_missing_tokens, self._now_s)
+
+        self._schedule(self._faults.note_delay_s, deliver)
 
     def _candidates(self, node: _Node) -> list[EngineCandidate]:
         shape = self._shape
--- a/src/weirscale/experiments/choice/knowledge.py
+++ b/src/weirscale/experiments/choice/knowledge.py
@@ -34,6 +34,8 @@
         report_interval_s: Time between load reports.
         report_lag_s: Age of a load report on arrival.
         digest_bytes_per_s: Budget for one engine's digests to all nodes together.
+        note_delay_s: Time until other nodes learn of a send.
+        min_noted_tokens: Sends that make an engine compute less are not told.
     """
 
     event_lag_s: float = 2.0
@@ -44,6 +46,8 @@
     report_interval_s: float = 1.0
     report_lag_s: float = 0.2
     digest_bytes_per_s: float = 3000.0
+    note_delay_s: float = 0.01
+    min_noted_tokens: int = 512
 
 
 class HomeModel:
--- a/src/weirscale/experiments/choice/main.py
+++ b/src/weirscale/experiments/choice/main.py
@@ -28,15 +28,16 @@
 ORACLE = "oracle"
 
 POLICIES: dict[str, MakePolicy] = {
-    "random": lambda shape, view, engines: RandomChoice(),
-    "least_outstanding": lambda shape, view, engines: LeastOutstanding(),
-    "rendezvous_bounded": lambda shape, view, engines: RendezvousBounded(
+    "random": lambda shape, known: RandomChoice(),
+    "least_outstanding": lambda shape, known: LeastOutstanding(),
+    "rendezvous_bounded": lambda shape, known: RendezvousBounded(
         num_root_blocks=shape.sections[0].num_tokens // shape.tokens_per_block
     ),
-    "approximate_tree": lambda shape, view, engines: ApproximateTree(),
-    "prefix_aware": lambda shape, view, engines: PrefixAware(view, shape.objective),
-    ORACLE: lambda shape, view, engines: OraclePolicy(
-        ExactBeliefs({name: engine.leading_soon for name, engine in engines.items()}),
+    "approximate_tree": lambda shape, known: ApproximateTree(),
+    "prefix_aware": lambda shape, known: PrefixAware(known.view, shape.objective, known.noted),
+    "prefix_aware_silent": lambda shape, known: PrefixAware(known.view, shape.objective),
+    ORACLE: lambda shape, known: OraclePolicy(
+        ExactBeliefs({name: engine.leading_soon for name, engine in known.engines.items()}),
         shape.objective,
     ),
 }
@@ -54,6 +55,7 @@
         recomputed: Prompt blocks computed again, as a share.
         predicted: Blocks that the policy counted on, as a share.
         digest_bytes_per_s: Digest keys sent by all homes to one node.
+        note_bytes_per_s: Notes received by one node.
         wall_s: Time that the simulation took.
     """
 
@@ -65,6 +67,7 @@
     recomputed: float
     predicted: float
     digest_bytes_per_s: float
+    note_bytes_per_s: float
     wall_s: float
 
 
@@ -102,11 +105,17 @@
     fleet = FleetRun(shape, POLICIES[policy], faults, seed, exact_loads=policy == ORACLE)
     served = [each for each in fleet.run(arrivals) if each.at_s >= WARM_UP_S]
     num_digest_bytes = sum(home.num_digest_bytes for home in fleet.homes)
-    return _result(policy, served, num_digest_bytes / duration_s, started_s)
+    num_nodes = shape.num_zones * shape.nodes_per_zone
+    note_bytes_per_s = fleet.num_note_bytes / num_nodes / duration_s
+    return _result(policy, served, num_digest_bytes / duration_s, note_bytes_per_s, started_s)
 
 
 def _result(
-    policy: str, served: list[Served], digest_bytes_per_s: float, started_s: float
+    policy: str,
+    served: list[Served],
+    digest_bytes_per_s: float,
+    note_bytes_per_s: float,
+    started_s: float,
 ) -> PolicyResult:
     num_blocks = sum(each.num_blocks for each in served)
     ttfts = sorted(each.ttft_s for each in served)
@@ -119,6 +128,7 @@
         recomputed=sum(each.num_again_blocks for each in served) / num_blocks,
         predicted=sum(each.num_predicted_blocks for each in served) / num_blocks,
         digest_bytes_per_s=digest_bytes_per_s,
+        note_bytes_per_s=note_bytes_per_s,
         wall_s=time.perf_counter() - started_s,
     )
 
@@ -132,13 +142,14 @@
     oracle = next((each for each in results if each.policy == ORACLE), results[-1])
     lines = [
         f"{shape_name:20} {'hit':>6} {'p50 s':>7} {'p95 s':>7} {'p99 s':>7} {'again':>6}"
-        f" {'believed':>8} {'B/s':>6} {'hit/o':>6} {'p99/o':>6} {'again/o':>7}"
+        f" {'believed':>8} {'dig B/s':>7} {'note B/s':>8} {'hit/o':>6} {'p99/o':>6} {'again/o':>7}"
     ]
     for each in results:
         lines.append(
             f"{each.policy:20} {each.hit_rate:6.3f} {each.ttft_p50_s:7.3f} {each.ttft_p95_s:7.3f}"
             f" {each.ttft_p99_s:7.3f} {each.recomputed:6.3f} {each.predicted:8.3f}"
-            f" {each.digest_bytes_per_s:6.0f} {each.hit_rate / oracle.hit_rate:6.3f}"
+            f" {each.digest_bytes_per_s:7.0f} {each.note_bytes_per_s:8.0f}"
+            f" {each.hit_rate / oracle.hit_rate:6.3f}"
             f" {each.ttft_p99_s / oracle.ttft_p99_s:6.2f}"
             f" {each.recomputed / max(oracle.recomputed, 1e-9):7.2f}"
         )
--- a/src/weirscale/node/home/engine_home.py
+++ b/src/weirscale/node/home/engine_home.py
@@ -44,6 +44,7 @@
         port: How to call it.
         stream: Name of the digest stream; higher than that of any earlier home.
         digest_bytes_per_s: Budget for this engine's digests, over all receivers.
+        max_digest_keys: Keys of this engine that receivers are made to remember at most.
         receivers: The other nodes that hear of the engine.
         take_own: Gives digests to this node's own view.
         link: Sends to other nodes.
@@ -59,6 +60,7 @@
         port: EnginePort,
         stream: int,
         digest_bytes_per_s: float,
+        max_digest_keys: int,
         receivers: GetReceivers,
         take_own: TakeOwnDigest,
         link: PeerLink,
@@ -77,7 +79,7 @@
         self._rules = rules
         self._random = random
         self.index = EngineIndex(engine.name)
-        self._publisher = DigestPublisher(self.index, stream, digest_bytes_per_s)
+        self._publisher = DigestPublisher(self.index, stream, digest_bytes_per_s, max_digest_keys)
         self._lost_since_s: float | None = None
         self._dump_backoff_s = 0.0
         self.num_dumps = 0
--- a/src/weirscale/node/home/home_task.py
+++ b/src/weirscale/node/home/home_task.py
@@ -116,6 +116,7 @@
             port=facts.port,
             stream=self._epoch_ms(),
             digest_bytes_per_s=self._rules.digest_bytes_per_s / num_engines,
+            max_digest_keys=self._max_digest_keys(facts),
             receivers=lambda: self._receivers(facts),
             take_own=self._take_own,
             link=self._link,
@@ -128,6 +129,13 @@
         self._running[facts.engine.name] = _Running(home, scope, facts)
         tasks.start_soon(self._run_home, home, scope)
 
+    def _max_digest_keys(self, facts: EngineFacts) -> int:
+        """Share the receivers' memory among the engines that they hear of."""
+        zone = facts.engine.zone
+        engines = self._directory.snapshot().engines.values()
+        num_near = sum(1 for each in engines if each.engine.zone == zone)
+        return max(self._rules.max_view_keys // max(num_near, 1), 1)
+
     async def _run_home(self, home: EngineHome, scope: anyio.CancelScope) -> None:
         with scope:
             await home.run()
