Run experiments against running processes too

Cause: virtual time leaves sockets out. Change: real mode sends the same plan by httpx, injects faults of engines over admin ports, reads the stand-ins' records and judges them with the same checkers. The scenario of the killed process had its kill at the same moment as a count, an order that nothing determines: the kill now comes between two counts. Conclusion: faults of nodes, links and store stay with virtual mode.

--- a/features/experiment_virtual_runs.feature
+++ b/features/experiment_virtual_runs.feature
@@ -20,7 +20,7 @@
 
   Scenario: A killed node runs no further, not even what is shielded, and a paused one goes on later
     Given a process whose task counts at its gate each second, shielded from cancellation
-    When it is paused from 3.5 s to 6.5 s and killed at 9.5 s
+    When it is paused from 3.5 s to 6.5 s and killed at 9.2 s
     Then it has counted at "1 2 3 6.5 7.5 8.5" and never again by 20 s
 
   Scenario Outline: The product's nodes keep every rule under a fault
--- a/features/steps/experiment_files_steps.py
+++ b/features/steps/experiment_files_steps.py
@@ -1,9 +1,11 @@
 import tempfile
 from pathlib import Path
 
+import httpx
 import msgspec
 from behave import given, then, when
 from features.support.history_cases import BLOCK_SIZE_BYTES, CAPTION, CASES, change, history_case
+from features.support.virtual_time import run_in_virtual_time
 from result import Err, Ok
 
 from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
@@ -12,7 +14,16 @@
 from weirscale.experiments.report.compare import compare_figures
 from weirscale.experiments.report.figures import ControlCost, RunIdentity, work_out
 from weirscale.experiments.report.files import PAGE_FILE, REPORT_FILE, read_report, write_report
+from weirscale.experiments.run.answers import (
+    ReceivedBody,
+    ReceivedEnd,
+    ReceivedRefusal,
+    ReceivedText,
+    read_answer,
+)
+from weirscale.experiments.run.exchange import HttpRequest
 from weirscale.experiments.run.experiment import check_experiment, workload_shape
+from weirscale.experiments.run.http_exchange import HttpExchange
 from weirscale.standins.engine.answer import expected_text
 
 FILE = """format: 1
@@ -30,6 +41,12 @@
 IDENTITY = RunIdentity("run", "tsehay", "default", 1, 60.0)
 FAULT = PlannedFault(kind=FaultKind.STORE_DOWN, at_s=1.0)
 TOLERANCE = 0.01
+EVENT_STREAM = {"content-type": "text/event-stream"}
+FIRST_EVENT = b'data: {"id": "a", "choices": [{"delta": {"content": "abcd"}}]}\n\n'
+LAST_EVENT = (
+    b'data: {"id": "a", "choices": [{"delta": {"content": "efgh"}, "finish_reason": "length"}]}'
+    b"\n\ndata: [DONE]"
+)
 
 
 def figures_of(history):
@@ -52,6 +69,88 @@
     context.experiment_text = FILE.replace(before, after)
 
 
+@given('an experiment file in real mode with {targets} and the fault "{fault}"')
+def step_real_file(context, targets, fault):
+    real = """mode: real
+real:
+  nodes: [{zone: bole-hall, address: 127.0.0.1:8001}]
+  stand_ins: [{admin_address: 127.0.0.1:22001, is_engine: true}]
+"""
+    text = FILE.replace("store_down", fault)
+    context.experiment_text = text + (real if targets == "targets" else "mode: real\n")
+
+
+@then('the experiment file\'s errors are for "{fields}"')
+def step_error_fields(context, fields):
+    errors = context.checked.err_value if isinstance(context.checked, Err) else ()
+    assert [error.path for error in errors] == ([] if fields == "none" else fields.split()), errors
+
+
+class CutStream(httpx.AsyncByteStream):
+    async def __aiter__(self):
+        yield FIRST_EVENT
+        raise httpx.ReadError("connection reset")
+
+
+def respond(answer):
+    if answer == "no connection":
+        raise httpx.ConnectError("connection refused")
+    events = {
+        "a whole stream": FIRST_EVENT + LAST_EVENT,
+        "a stream and error": FIRST_EVENT + b"data: " + error_of("stream_broken", "unknown"),
+    }
+    if answer == "a cut stream":
+        return httpx.Response(200, headers=EVENT_STREAM, stream=CutStream())
+    if answer in events:
+        return httpx.Response(200, headers=EVENT_STREAM, content=events[answer] + b"\n\n")
+    if answer == "a refusal":
+        return httpx.Response(503, content=error_of("overloaded", "not_run"))
+    return httpx.Response(200, content=b"done")
+
+
+def error_of(code, run_status):
+    return msgspec.json.encode({"error": {"code": code, "run_status": run_status}})
+
+
+def shown(received, was_connected):
+    match received:
+        case ReceivedText():
+            return f"text {received.text}"
+        case ReceivedEnd():
+            return f"end {received.finish_reason}"
+        case ReceivedRefusal():
+            return f"refusal {received.code.value} {received.run_status.value}"
+        case ReceivedBody():
+            return f"body {received.status} {received.body.decode()}"
+        case _:
+            return "break " + ("connected" if was_connected else "unconnected")
+
+
+async def read_over_http(answer):
+    transport = httpx.MockTransport(lambda request: respond(answer))
+    request = HttpRequest("POST", "/v1/chat/completions", "", (), b"{}")
+    async with httpx.AsyncClient(transport=transport) as client:
+        exchange = HttpExchange(client, "127.0.0.1:1", request)
+        received = [one async for one in read_answer(exchange)]
+        await exchange.leave()
+    return ", ".join(shown(one, exchange.was_connected) for one in received)
+
+
+@given('a server that answers "{answer}"')
+def step_server(context, answer):
+    context.server_answer = answer
+
+
+@when("a caller reads it over HTTP")
+def step_read_http(context):
+    context.received = run_in_virtual_time(read_over_http, context.server_answer)
+
+
+@then('the caller has received "{received}"')
+def step_received(context, received):
+    assert context.received == received, context.received
+
+
 @when("the experiment file is checked")
 def step_check(context):
     context.checked = check_experiment(context.experiment_text)
--- a/src/weirscale/experiments/run/answers.py
+++ b/src/weirscale/experiments/run/answers.py
@@ -7,7 +7,7 @@
 
 from weirscale.domain.request.model import RunStatus
 from weirscale.domain.request.refusal import RefusalCode
-from weirscale.experiments.run.exchange import Exchange
+from weirscale.experiments.run.exchange import CallerExchange
 
 EVENT_END = b"\n\n"
 DATA_FIELD = b"data: "
@@ -84,7 +84,7 @@
 Received = ReceivedText | ReceivedEnd | ReceivedRefusal | ReceivedBody | ReceivedBreak
 
 
-async def read_answer(exchange: Exchange) -> AsyncGenerator[Received, None]:
+async def read_answer(exchange: CallerExchange) -> AsyncGenerator[Received, None]:
     """Yield what a caller receives; the last item is never a `ReceivedText`."""
     start = await exchange.next_message()
     if start is None:
@@ -103,7 +103,7 @@
     yield _refusal(body) or ReceivedBody(start["status"], body)
 
 
-async def _read_body(exchange: Exchange) -> bytes | None:
+async def _read_body(exchange: CallerExchange) -> bytes | None:
     """Return the whole body, None if the connection closed before its end."""
     parts: list[bytes] = []
     while True:
@@ -123,7 +123,7 @@
     return ReceivedRefusal(error.code, error.run_status)
 
 
-async def _read_stream(exchange: Exchange) -> AsyncGenerator[Received, None]:
+async def _read_stream(exchange: CallerExchange) -> AsyncGenerator[Received, None]:
     buffer = b""
     last = ReceivedEnd(finish_reason=None, num_prompt_tokens=0, num_cached_tokens=0)
     while True:
--- a/src/weirscale/experiments/run/callers.py
+++ b/src/weirscale/experiments/run/callers.py
@@ -6,7 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from weirscale.domain.identifiers import NodeName, RequestId
+from weirscale.domain.identifiers import NodeName, RequestId, ZoneName
 from weirscale.experiments.history.history import Ending
 from weirscale.experiments.history.records import (
     CallerLeft,
@@ -25,8 +25,7 @@
     ReceivedText,
     read_answer,
 )
-from weirscale.experiments.run.exchange import Exchange, HttpRequest
-from weirscale.experiments.run.fleet import Fleet
+from weirscale.experiments.run.exchange import CallerExchange, Connect, HttpRequest
 from weirscale.experiments.run.links import CALLER_DELAY_S
 from weirscale.experiments.run.recorder import Recorder
 from weirscale.experiments.run.requests import (
@@ -39,6 +38,8 @@
 from weirscale.experiments.workload.prompts import request_body
 from weirscale.standins.engine.answer import CHARACTERS_PER_TOKEN
 
+Reach = Callable[[ZoneName, int], tuple[NodeName, Connect]]
+"""Finds the node for a caller near a zone, by an index among the zone's nodes."""
 GIVE_UP_GRACE_S = 8.0
 """Callers wait this much longer than their deadline, so that late endings are seen as late."""
 STAYING_CALLER = CallerBehaviour()
@@ -51,8 +52,14 @@
         num_ended: Requests that have ended, for the display of progress.
     """
 
-    def __init__(self, fleet: Fleet, recorder: Recorder) -> None:
-        self._fleet = fleet
+    def __init__(self, reach: Reach, recorder: Recorder) -> None:
+        """Make callers.
+
+        Args:
+            reach: Finds the node that a caller gets a connection to.
+            recorder: Takes what callers see.
+        """
+        self._reach = reach
         self._recorder = recorder
         self.num_ended = 0
 
@@ -65,9 +72,7 @@
                 self._send(tasks, item, start_s)
 
     def _send(self, tasks: TaskGroup, item: PlanItem, start_s: float) -> None:
-        found = self._fleet.reachable(item.zone, item.node_index)
-        node = found[0] if found is not None else NodeName("")
-        connect = found[1].connect if found is not None else _refuse_connection
+        node, connect = self._reach(item.zone, item.node_index)
         now_s = self._recorder.now()
         if isinstance(item, GenerationItem):
             body = request_body(item)
@@ -85,34 +90,35 @@
         self,
         sent: Sent,
         request: HttpRequest,
-        connect: Callable[[HttpRequest], Exchange | None],
+        connect: Connect,
         behaviour: CallerBehaviour,
     ) -> None:
         await anyio.sleep(CALLER_DELAY_S)
         exchange = connect(request)
         if exchange is None:
-            broke = ConnectionBroke(
-                at_s=self._now(), request_id=sent.request_id, was_connected=False
-            )
-            self._end(broke)
+            self._end(self._broke(sent.request_id, was_connected=False))
             return
         until_s = sent.deadline_at_s + GIVE_UP_GRACE_S
         if behaviour.leaves_after_s is not None:
             until_s = anyio.current_time() + behaviour.leaves_after_s
         with anyio.CancelScope(deadline=until_s) as scope:
             async with aclosing(read_answer(exchange)) as answer:
-                await self._read(sent.request_id, answer, behaviour.read_delay_s)
-        exchange.leave()
+                await self._read(sent.request_id, exchange, answer, behaviour.read_delay_s)
+        await exchange.leave()
         if scope.cancelled_caught and behaviour.leaves_after_s is not None:
             self._end(CallerLeft(at_s=self._now(), request_id=sent.request_id))
 
     async def _read(
-        self, request_id: RequestId, answer: AsyncIterator[Received], read_delay_s: float
+        self,
+        request_id: RequestId,
+        exchange: CallerExchange,
+        answer: AsyncIterator[Received],
+        read_delay_s: float,
     ) -> None:
         num_chunks = 0
         async for received in answer:
             if not isinstance(received, ReceivedText):
-                self._end(self._ending(request_id, received))
+                self._end(self._ending(request_id, received, exchange.was_connected))
                 return
             chunk = ChunkReceived(
                 at_s=self._now(),
@@ -126,7 +132,7 @@
             num_chunks += 1
             await anyio.sleep(read_delay_s)
 
-    def _ending(self, request_id: RequestId, received: Received) -> Ending:
+    def _ending(self, request_id: RequestId, received: Received, was_connected: bool) -> Ending:
         at_s = self._now()
         match received:
             case ReceivedEnd():
@@ -149,7 +155,10 @@
                     at_s=at_s, request_id=request_id, status=received.status, body=received.body
                 )
             case _:
-                return ConnectionBroke(at_s=at_s, request_id=request_id, was_connected=True)
+                return self._broke(request_id, was_connected)
+
+    def _broke(self, request_id: RequestId, was_connected: bool) -> ConnectionBroke:
+        return ConnectionBroke(at_s=self._now(), request_id=request_id, was_connected=was_connected)
 
     def _end(self, ending: Ending) -> None:
         self.num_ended += 1
@@ -158,7 +167,3 @@
     def _now(self) -> float:
         """Return when the caller sees what the node has just sent."""
         return self._recorder.now() + CALLER_DELAY_S
-
-
-def _refuse_connection(request: HttpRequest) -> Exchange | None:
-    return None
--- a/src/weirscale/experiments/run/exchange.py
+++ b/src/weirscale/experiments/run/exchange.py
@@ -4,7 +4,8 @@
 when the caller has taken the message. So whole callers' paths run in virtual time.
 """
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, Protocol
 
 import anyio
 import msgspec
@@ -31,8 +32,32 @@
     body: bytes
 
 
+class CallerExchange(Protocol):
+    """The caller's side of one exchange, in memory or on a socket.
+
+    Attributes:
+        was_connected: Whether a connection was made; known after the first message.
+    """
+
+    was_connected: bool
+
+    async def next_message(self) -> Message | None:
+        """Return the node's next ASGI message; None when the connection is closed."""
+        ...
+
+    async def leave(self) -> None:
+        """Close the connection from the caller's side."""
+        ...
+
+
+Connect = Callable[[HttpRequest], CallerExchange | None]
+"""Opens an exchange; None if the connection is refused at once."""
+
+
 class Exchange:
-    """One exchange; the caller's methods are `next_message` and `leave`."""
+    """An exchange in memory: a `CallerExchange`, and the node's side of it."""
+
+    was_connected = True
 
     def __init__(self, request: HttpRequest) -> None:
         streams = anyio.create_memory_object_stream[Message](0)
@@ -49,7 +74,7 @@
         except (anyio.EndOfStream, anyio.ClosedResourceError):
             return None
 
-    def leave(self) -> None:
+    async def leave(self) -> None:
         """Close the connection from the caller's side."""
         self._has_left.set()
         self._receive.close()
--- a/src/weirscale/experiments/run/experiment.py
+++ b/src/weirscale/experiments/run/experiment.py
@@ -14,6 +14,7 @@
     check_deployment,
     parse_declared,
 )
+from weirscale.domain.identifiers import ZoneName
 from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
 from weirscale.experiments.workload.shape import PRESETS, Burst, WorkloadShape
 
@@ -27,6 +28,50 @@
 
     VIRTUAL = "virtual"
     """A whole fleet in one process, in virtual time."""
+    REAL = "real"
+    """Against processes that run already, in real time."""
+
+
+REAL_FAULTS = frozenset(
+    {
+        FaultKind.ENGINE_CRASH,
+        FaultKind.EVENT_LOSS,
+        FaultKind.CROSSED_ANSWERS,
+        FaultKind.HOT_SHIFT,
+    }
+)
+"""Faults that can be brought about from outside: over admin ports, or by the callers."""
+
+
+class RealNode(Declared, frozen=True):
+    """A running node.
+
+    Attributes:
+        zone: Its zone.
+        address: host:port that callers reach.
+    """
+
+    zone: ZoneName
+    address: str
+
+
+class RealStandIn(Declared, frozen=True):
+    """A running stand-in.
+
+    Attributes:
+        admin_address: host:port of its admin port.
+        is_engine: Whether it is an engine; else a service back end.
+    """
+
+    admin_address: str
+    is_engine: bool
+
+
+class RealTargets(Declared, frozen=True):
+    """What an experiment in real mode runs against."""
+
+    nodes: tuple[RealNode, ...] = ()
+    stand_ins: tuple[RealStandIn, ...] = ()
 
 
 class WorkloadChoice(Declared, frozen=True):
@@ -76,7 +121,8 @@
         duration_s: Time in which callers send.
         seed: Determines workload, faults' targets and all chance.
         mode: How it is run.
-        engines: What the stand-in engines do differently.
+        real: What it runs against in real mode.
+        engines: What the stand-in engines do differently; in virtual mode.
         faults: Faults on the timeline.
     """
 
@@ -89,6 +135,7 @@
     duration_s: float = 60.0
     seed: int = 1
     mode: Mode = Mode.VIRTUAL
+    real: RealTargets = RealTargets()
     engines: EngineChanges = EngineChanges()
     faults: tuple[PlannedFault, ...] = ()
 
@@ -167,7 +214,15 @@
             fail(path, f"{value} is out of range", "write a finite number, more than 0")
     # A duration that is itself wrong says nothing about the faults' times.
     end_s = experiment.duration_s if experiment.duration_s > 0 else float("inf")
+    is_real = experiment.mode is Mode.REAL
+    if is_real and not (experiment.real.nodes and experiment.real.stand_ins):
+        remedy = "list `nodes:` and `stand_ins:` under `real:`"
+        fail("mode", "real mode needs running nodes and stand-ins", remedy)
     for index, fault in enumerate(experiment.faults):
+        if is_real and fault.kind not in REAL_FAULTS:
+            names = ", ".join(sorted(kind.value for kind in REAL_FAULTS))
+            message = f"{fault.kind.value} cannot be brought about in real mode"
+            fail(f"faults[{index}].kind", message, f"use one of: {names}")
         if not 0 <= fault.at_s < end_s:
             message = f"{fault.at_s} s is outside of the run"
             remedy = f"write 0 or more and less than {experiment.duration_s}"
--- a/src/weirscale/experiments/run/fleet.py
+++ b/src/weirscale/experiments/run/fleet.py
@@ -13,6 +13,7 @@
 )
 from weirscale.experiments.history.records import ConfigurationTaken, NodeChange, NodeChanged
 from weirscale.experiments.memory_network import MemoryEndpoint, MemoryNetwork
+from weirscale.experiments.run.exchange import CallerExchange, Connect, HttpRequest
 from weirscale.experiments.run.node_process import FleetNode, NodeFactory, NodeProcess, NodeSetup
 from weirscale.experiments.run.recorder import Recorder
 
@@ -176,7 +177,7 @@
         """Record a change that the harness made elsewhere."""
         self._record(name, change)
 
-    def reachable(self, zone: ZoneName, index: int) -> tuple[NodeName, NodeProcess] | None:
+    def reach(self, zone: ZoneName, index: int) -> tuple[NodeName, Connect]:
         """Return the node that a caller near a zone gets a connection to.
 
         Callers know all nodes' addresses: they try those of their zone first, beginning at an
@@ -190,8 +191,8 @@
         for place in ordered:
             process = self._members[place.name].process
             if process is not None and process.accepts:
-                return place.name, process
-        return None
+                return place.name, process.connect
+        return ordered[0].name, _refuse_connection
 
     def _end(self, name: NodeName) -> None:
         member = self._members[name]
@@ -215,6 +216,10 @@
             self._recorder.add(taken)
 
 
+def _refuse_connection(request: HttpRequest) -> CallerExchange | None:
+    return None
+
+
 def _places(zones: tuple[ZoneName, ...], nodes_per_zone: int) -> tuple[MemberPlace, ...]:
     places: list[MemberPlace] = []
     for zone in zones:
--- a/src/weirscale/experiments/run/main.py
+++ b/src/weirscale/experiments/run/main.py
@@ -11,7 +11,13 @@
 from weirscale.experiments.faults.kinds import FaultKind
 from weirscale.experiments.faults.schedule import overlapping
 from weirscale.experiments.report.files import write_report
-from weirscale.experiments.run.experiment import LoadedExperiment, load_experiment, with_shape
+from weirscale.experiments.run.experiment import (
+    LoadedExperiment,
+    Mode,
+    load_experiment,
+    with_shape,
+)
+from weirscale.experiments.run.real import RealRun, run_against_processes
 from weirscale.experiments.run.virtual import Progress, RunOutcome, VirtualRun, run_in_virtual_time
 
 EXIT_OK = 0
@@ -60,9 +66,13 @@
     if isinstance(chosen, Err):
         print(chosen.err_value, file=sys.stderr)
         return EXIT_BAD_ARGUMENT
-    ensure_fixed_hash_seed()
     experiment = chosen.ok_value.experiment
-    outcome = run_with_progress(chosen.ok_value, experiment.seed if seed is None else seed)
+    used_seed = experiment.seed if seed is None else seed
+    if experiment.mode is Mode.REAL:
+        outcome = run_against_processes(RealRun(chosen.ok_value, used_seed))
+    else:
+        ensure_fixed_hash_seed()
+        outcome = run_with_progress(chosen.ok_value, used_seed)
     print_outcome(outcome)
     if report is not None:
         write_report(Path(report), outcome.figures, outcome.history, outcome.faults)
--- a/src/weirscale/experiments/run/platform.py
+++ b/src/weirscale/experiments/run/platform.py
@@ -14,10 +14,12 @@
 from weirscale.ports.engine import LoadModel
 from weirscale.ports.machines import Machine
 from weirscale.standins.engine.in_process import InProcessEngine
+from weirscale.standins.engine.ledger import RunRecord
 from weirscale.standins.engine.settings import EngineSettings
 from weirscale.standins.key_value.server import KeyValueServer
 from weirscale.standins.machines.model import MachineListModel
 from weirscale.standins.service.in_process import InProcessService
+from weirscale.standins.service.model import ServiceRun as StandInServiceRun
 from weirscale.standins.service.model import ServiceSettings
 
 NUM_SCHEDULER_STEPS = 4
@@ -98,36 +100,40 @@
         """Return what engines and services ran, as records."""
         records: list[AnyRecord] = []
         for engine in self.engines.values():
-            for run in engine.model.ledger.records():
-                records.append(
-                    EngineRun(
-                        at_s=run.started_at_s,
-                        request_id=run.request_id,
-                        attempt=run.attempt,
-                        engine=run.engine,
-                        incarnation=run.incarnation,
-                        model=run.model,
-                        weight_version=run.weight_version,
-                        adapter=run.adapter,
-                        cache_salt=run.cache_salt,
-                        num_prompt_tokens=run.num_prompt_tokens,
-                        num_cached_tokens=run.num_cached_tokens,
-                        finished_at_s=run.finished_at_s,
-                    )
-                )
+            records.extend(map(engine_run, engine.model.ledger.records()))
         for service in self.services.values():
-            for ran in service.model.runs():
-                records.append(
-                    ServiceRun(
-                        at_s=ran.ran_at_s,
-                        request_id=ran.request_id,
-                        backend=ran.backend,
-                        idempotency_key=ran.idempotency_key,
-                    )
-                )
+            records.extend(map(service_run, service.model.runs()))
         return records
 
 
+def engine_run(run: RunRecord) -> EngineRun:
+    """Return an engine's ledger entry as a record of a history."""
+    return EngineRun(
+        at_s=run.started_at_s,
+        request_id=run.request_id,
+        attempt=run.attempt,
+        engine=run.engine,
+        incarnation=run.incarnation,
+        model=run.model,
+        weight_version=run.weight_version,
+        adapter=run.adapter,
+        cache_salt=run.cache_salt,
+        num_prompt_tokens=run.num_prompt_tokens,
+        num_cached_tokens=run.num_cached_tokens,
+        finished_at_s=run.finished_at_s,
+    )
+
+
+def service_run(run: StandInServiceRun) -> ServiceRun:
+    """Return a service's run as a record of a history."""
+    return ServiceRun(
+        at_s=run.ran_at_s,
+        request_id=run.request_id,
+        backend=run.backend,
+        idempotency_key=run.idempotency_key,
+    )
+
+
 def _engine_settings(
     engine: Engine, deployment: Deployment, changes: EngineChanges
 ) -> EngineSettings:
--- a/src/weirscale/experiments/run/virtual.py
+++ b/src/weirscale/experiments/run/virtual.py
@@ -1,7 +1,7 @@
 """Runs one experiment: a whole fleet in one process, in virtual time."""
 
 import importlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 import anyio
@@ -106,7 +106,7 @@
             await anyio.sleep(SETTLE_S)
             self._faults_on_clock = _later(experiment.faults, anyio.current_time())
             Injector(world, self._fork()).start(tasks, self._faults_on_clock)
-            await self._send_all(Callers(fleet, recorder))
+            await self._send_all(Callers(fleet.reach, recorder))
             tasks.cancel_scope.cancel()
         return self._outcome(platform, fleet, recorder)
 
@@ -120,21 +120,12 @@
         return ProductNodes(platform, fleet, recorder, random, self._event_log).make
 
     async def _send_all(self, callers: Callers) -> None:
-        plan = self._plan()
+        plan = plan_of(self._loaded, self.seed)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._tell_progress, callers, len(plan))
             await callers.send_all(plan)
             tasks.cancel_scope.cancel()
 
-    def _plan(self) -> list[PlanItem]:
-        deployment = self._loaded.deployment
-        setting = PlanSetting(
-            tenants=tuple(tenant.name for tenant in deployment.tenants),
-            zones=tuple(zone for region in deployment.regions for zone in region.zones),
-        )
-        duration_s = self._loaded.experiment.duration_s
-        return list(make_plan(self._loaded.shape, setting, duration_s, self.seed))
-
     async def _tell_progress(self, callers: Callers, num_planned: int) -> None:
         start_s = anyio.current_time()
         while self._progress is not None:
@@ -142,32 +133,48 @@
             await anyio.sleep(PROGRESS_INTERVAL_S)
 
     def _outcome(self, platform: Platform, fleet: Fleet, recorder: Recorder) -> RunOutcome:
-        experiment = self._loaded.experiment
         lag_s = platform.machines.faults.lag_s
         history = History(
             [*recorder.records, *platform.run_records()],
-            _expected_text,
+            right_answer,
             self._loaded.deployment.engines[0].block_size_bytes,
             Bounds(leaving_s=lag_s + LEAVING_BOUND_S + MEASURING_SLACK_S),
         )
-        identity = RunIdentity(
-            name=experiment.name,
-            deployment=self._loaded.deployment.name,
-            policy=experiment.policy,
-            seed=self.seed,
-            duration_s=experiment.duration_s,
-        )
+        identity = identity_of(self._loaded, self.seed)
         node_seconds = len(fleet.places) * anyio.current_time()
         control = ControlCost(bytes_per_second=fleet.num_peer_bytes / node_seconds)
         figures = work_out(history, judge(history), identity, control, fleet.failures)
         return RunOutcome(history, figures, self._faults_on_clock)
 
 
+def plan_of(loaded: LoadedExperiment, seed: int) -> Sequence[PlanItem]:
+    """Return the plan of an experiment's callers."""
+    deployment = loaded.deployment
+    setting = PlanSetting(
+        tenants=tuple(tenant.name for tenant in deployment.tenants),
+        zones=tuple(zone for region in deployment.regions for zone in region.zones),
+    )
+    return make_plan(loaded.shape, setting, loaded.experiment.duration_s, seed)
+
+
 def _later(faults: tuple[PlannedFault, ...], by_s: float) -> tuple[PlannedFault, ...]:
     return tuple(msgspec.structs.replace(fault, at_s=fault.at_s + by_s) for fault in faults)
 
 
-def _expected_text(sent: GenerationSent) -> str:
+def identity_of(loaded: LoadedExperiment, seed: int) -> RunIdentity:
+    """Return what names a run of an experiment."""
+    experiment = loaded.experiment
+    return RunIdentity(
+        name=experiment.name,
+        deployment=loaded.deployment.name,
+        policy=experiment.policy,
+        seed=seed,
+        duration_s=experiment.duration_s,
+    )
+
+
+def right_answer(sent: GenerationSent) -> str:
+    """Return the whole text that a stand-in engine generates for a request."""
     return expected_text(sent.prompt, sent.max_tokens)
 
 
