--- a/src/weirscale/standins/key_value/app.py
+++ b/src/weirscale/standins/key_value/app.py
@@ -5,15 +5,25 @@
 """
 
 import base64
-import json
 import math
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 from typing import Any
 
 import anyio
 import msgspec
 
+from weirscale.standins.asgi_server import (
+    JSON_HEADERS,
+    Receive,
+    Scope,
+    Send,
+    answer_lifespan,
+    read_body,
+    send_json,
+    send_part,
+    start_response,
+)
 from weirscale.standins.key_value.model import (
     Change,
     CompactedError,
@@ -41,8 +51,6 @@
 
 Body = dict[str, Any]
 Effect = Callable[[float], Body]
-Receive = Callable[[], Awaitable[Body]]
-Send = Callable[[Body], Awaitable[None]]
 
 
 class _BadRequestError(Exception):
@@ -63,13 +71,13 @@
             "/v3/kv/lease/revoke": self._revoke,
         }
 
-    async def __call__(self, scope: Body, receive: Receive, send: Send) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request, or the start and stop of the server."""
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await answer_lifespan(receive, send)
             return
         try:
-            body = await _read_body(receive)
+            body = await _read_object(receive)
             await self._answer(scope["path"], body, receive, send)
         except (_BadRequestError, KeyError, TypeError, ValueError) as error:
             await _send_error(send, 400, GRPC_INVALID_ARGUMENT, f"bad request: {error}")
@@ -80,7 +88,7 @@
         elif path == "/stand-in/faults":
             self._server.faults = msgspec.convert(body, KeyValueFaults)
             self._server.notify()
-            await _send_json(send, 200, {})
+            await send_json(send, 200, {})
         elif path in self._effects:
             await self._run(self._effects[path](body), send)
         else:
@@ -99,7 +107,7 @@
             message = "etcdserver: requested lease not found"
             await _send_error(send, 404, GRPC_NOT_FOUND, message)
         else:
-            await _send_json(send, 200, answer)
+            await send_json(send, 200, answer)
 
     def _header(self) -> Body:
         return {"revision": str(self._server.model.revision)}
@@ -196,7 +204,7 @@
         wanted = body["create_request"]
         key, range_end = _bytes(wanted, "key"), _bytes(wanted, "range_end")
         changes = self._server.changes(key, range_end, int(wanted.get("start_revision", 0)))
-        await _start(send, 200)
+        await start_response(send, 200, JSON_HEADERS)
         try:
             created = {"header": self._header(), "created": True}
             await _send_line(send, {"result": created})
@@ -210,7 +218,7 @@
             await _send_line(send, {"error": failed})
         except StoreDownError:
             await _send_line(send, {"error": {"grpc_code": GRPC_UNAVAILABLE, "message": NO_LEADER}})
-        await send({"type": "http.response.body", "body": b"", "more_body": False})
+        await send_part(send, b"", is_last=True)
 
     async def _send_batches(self, batches: AsyncIterator[list[Change]], send: Send) -> None:
         async for batch in batches:
@@ -252,51 +260,26 @@
     return {"type": "DELETE", "kv": deleted}
 
 
-async def _read_body(receive: Receive) -> Body:
-    parts: list[bytes] = []
-    while True:
-        message = await receive()
-        parts.append(message.get("body", b""))
-        if not message.get("more_body", False):
-            break
-    body = json.loads(b"".join(parts) or b"{}")
-    if not isinstance(body, dict):
-        raise _BadRequestError("not an object")
-    return body
-
-
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
-async def _start(send: Send, status: int, retry_after_s: float | None = None) -> None:
-    headers = [(b"content-type", b"application/json")]
-    if retry_after_s is not None:
-        headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
-    await send({"type": "http.response.start", "status": status, "headers": headers})
+async def _read_object(receive: Receive) -> Body:
+    content = await read_body(receive)
+    if content is None:
+        raise _BadRequestError("no whole body came")
+    try:
+        return msgspec.json.decode(content or b"{}", type=dict[str, Any])
+    except msgspec.MsgspecError as error:
+        raise _BadRequestError(str(error)) from error
 
 
 async def _send_line(send: Send, value: Body) -> None:
-    line = json.dumps(value).encode() + b"\n"
-    await send({"type": "http.response.body", "body": line, "more_body": True})
-
-
-async def _send_json(send: Send, status: int, value: Body) -> None:
-    await _start(send, status)
-    body = json.dumps(value).encode()
-    await send({"type": "http.response.body", "body": body, "more_body": False})
+    await send_part(send, msgspec.json.encode(value) + b"\n")
 
 
 async def _send_error(send: Send, status: int, code: int, message: str) -> None:
-    await _send_json(send, status, {"error": message, "code": code, "message": message})
+    await send_json(send, status, {"error": message, "code": code, "message": message})
 
 
 async def _send_rate_limited(send: Send, error: StoreRateLimitedError) -> None:
-    await _start(send, 429, error.retry_after_s)
-    message = "etcdserver: too many requests"
-    body = json.dumps({"code": GRPC_RESOURCE_EXHAUSTED, "message": message}).encode()
-    await send({"type": "http.response.body", "body": body, "more_body": False})
+    retry_after = f"{error.retry_after_s:.3f}".encode()
+    await start_response(send, 429, (*JSON_HEADERS, (b"retry-after", retry_after)))
+    body = {"code": GRPC_RESOURCE_EXHAUSTED, "message": "etcdserver: too many requests"}
+    await send_part(send, msgspec.json.encode(body), is_last=True)
--- a/src/weirscale/standins/machines/app.py
+++ b/src/weirscale/standins/machines/app.py
@@ -4,19 +4,24 @@
 `POST /stand-in/machines/remove` takes one away, each with the machine as a JSON object.
 """
 
-from collections.abc import Awaitable, Callable
-from typing import Any
+from collections.abc import Callable
 
 import anyio
 import msgspec
 
 from weirscale.ports.machines import Machine
+from weirscale.standins.asgi_server import (
+    JSON_HEADERS,
+    Receive,
+    Scope,
+    Send,
+    answer_lifespan,
+    read_body,
+    send_part,
+    start_response,
+)
 from weirscale.standins.machines.model import MachineListFaults, MachineListModel
 
-Message = dict[str, Any]
-Receive = Callable[[], Awaitable[Message]]
-Send = Callable[[Message], Awaitable[None]]
-
 
 class MachineListBody(msgspec.Struct, frozen=True):
     """Body of `GET /machines`."""
@@ -33,19 +38,18 @@
         self._model = model
         self._now = now
 
-    async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request, or the start and stop of the server."""
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await answer_lifespan(receive, send)
             return
-        body = await _read_body(receive)
+        body = await read_body(receive) or b""
         try:
             status, answer = await self._answer(scope["method"], scope["path"], body)
         except msgspec.MsgspecError as error:
             status, answer = 400, msgspec.json.encode({"message": str(error)})
-        headers = [(b"content-type", b"application/json")]
-        await send({"type": "http.response.start", "status": status, "headers": headers})
-        await send({"type": "http.response.body", "body": answer})
+        await start_response(send, status, JSON_HEADERS)
+        await send_part(send, answer, is_last=True)
 
     async def _answer(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
         """Return status and body."""
@@ -64,20 +68,3 @@
             self._model.remove(msgspec.json.decode(body, type=Machine).host, self._now())
             return 200, b"{}"
         return 404, b"{}"
-
-
-async def _read_body(receive: Receive) -> bytes:
-    parts: list[bytes] = []
-    while True:
-        message = await receive()
-        parts.append(message.get("body", b""))
-        if not message.get("more_body", False):
-            return b"".join(parts)
-
-
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
