--- a/features/backends_directory.feature
+++ b/features/backends_directory.feature
@@ -50,6 +50,12 @@
     Then at most 3 requests are refused for the old run
     And engine 1 gets work under run 2
 
+  Scenario: An engine that drains before it loads other weights is not asked at every report
+    Given a node that routes 40 requests a second to 4 engines
+    When from 3 s to 6 s engine 1 refuses as if it had other weights
+    Then engine 1 gets at most 0 attempts from 5 s to 6 s
+    And engine 1 gets between 30 and 80 attempts from 25 s on for 5 s
+
   Scenario: Ports are made once and closed after the last answer
     Given a configuration of 3 engines
     When an engine that answers one more request for 20 s leaves the configuration and another joins
--- a/features/steps/backends_directory_steps.py
+++ b/features/steps/backends_directory_steps.py
@@ -157,6 +157,8 @@
             traffic.failing[ENGINE] = EngineFailureKind.BROKEN
         elif fault == "answers wrongly":
             traffic.failing[ENGINE] = EngineFailureKind.CORRUPT
+        elif fault == "refuses as if it had other weights":
+            traffic.failing[ENGINE] = EngineFailureKind.REFUSED_MISMATCH
         elif fault == "restarts under another run":
             engine.crash()
         else:
--- a/src/weirscale/node/backends/facts.py
+++ b/src/weirscale/node/backends/facts.py
@@ -33,7 +33,7 @@
         leaving: Whether it leaves.
         num_reports: Load reports taken in; tells a new report from the same one seen again.
         void_since_s: When the engine refused as another run or version than reported; its report
-            is void until one made later arrives. None while it is good.
+            is void until one differs, or for a few seconds. None while it is good.
         busy_until_s: Until when the engine asked not to be sent work.
     """
 
--- a/src/weirscale/node/backends/learning.py
+++ b/src/weirscale/node/backends/learning.py
@@ -25,6 +25,10 @@
 )
 """Failures that speak against the engine; its refusals are answers of a healthy one."""
 
+VOID_RETRY_S = 5.0
+"""An engine that refused for a mismatch, but whose reports do not change, is tried again after
+this time."""
+
 DEFAULT_BUSY_S = 0.2
 """Pause after a refusal for being full that gives no time; about a few short answers."""
 
@@ -58,7 +62,7 @@
     leaving = after_incarnation(facts.leaving, report.incarnation)
     if report.is_leaving:
         leaving = after_own_word(leaving, LeavingSource.LOAD_REPORT, report.incarnation)
-    is_void = facts.void_since_s is not None and reported_at_s < facts.void_since_s
+    is_void = _stays_void(facts, report, reported_at_s)
     return msgspec.structs.replace(
         facts,
         report=report,
@@ -70,6 +74,23 @@
     )
 
 
+def _stays_void(facts: EngineFacts, report: LoadReport, reported_at_s: float) -> bool:
+    """Whether a report leaves in doubt what the engine refused for.
+
+    An engine that finishes its requests before it loads other weights still reports the old ones
+    and refuses new requests for them; asking it after each report would waste an attempt each time.
+    """
+    if facts.void_since_s is None or facts.report is None:
+        return False
+    if _identity(report) != _identity(facts.report):
+        return False
+    return reported_at_s < facts.void_since_s + VOID_RETRY_S
+
+
+def _identity(report: LoadReport) -> tuple[object, ...]:
+    return (report.incarnation, report.model, report.weight_version, report.adapters)
+
+
 def after_unreachable(
     facts: EngineFacts, detail: str, now_s: float, rules: HealthRules, random: Random
 ) -> EngineFacts:
--- a/src/weirscale/node/routing/engine_router.py
+++ b/src/weirscale/node/routing/engine_router.py
@@ -18,12 +18,16 @@
 from weirscale.domain.prefix.chain import BYTES_PER_TOKEN, chain_seed, extend_chain
 from weirscale.domain.request.model import GenerationRequest
 from weirscale.domain.request.refusal import Refusal
-from weirscale.messages.explain import AttemptRecord, AttemptResult
 from weirscale.node.backends.directory import BackendDirectory
 from weirscale.node.backends.facts import DirectorySnapshot
 from weirscale.node.backends.observations import EngineAttemptEnded, EngineAttemptStarted
 from weirscale.node.interfaces import AttemptOutcome, ChosenEngine
 from weirscale.node.mailbox import Mailbox, Reply
+from weirscale.node.routing.attempt_records import (
+    record_of_choice,
+    record_of_refusal,
+    result_of,
+)
 from weirscale.node.routing.candidates import (
     CandidateFinder,
     CandidateSet,
@@ -269,22 +273,17 @@
         )
         self._policy.note_sent(choice_request, engine.name, now_s)
         self._directory.post(EngineAttemptStarted(engine.name, engine.address))
-        self._decisions.note_decision(
-            request,
-            AttemptRecord(
-                attempt=message.attempt,
-                decided_at_s=now_s,
-                engine=engine.name,
-                address=engine.address,
-                incarnation=report.incarnation,
-                weight_version=report.weight_version,
-                num_candidates=found.num_candidates,
-                num_held_out=found.num_held_out,
-                estimates=choice.estimates,
-                num_predicted_cached_tokens=num_cached,
-                estimated_ttft_s=choice.estimated_ttft_s,
-            ),
+        record = record_of_choice(
+            message.attempt,
+            found,
+            choice,
+            engine.address,
+            report.incarnation,
+            report.weight_version,
+            num_cached,
+            now_s,
         )
+        self._decisions.note_decision(request, record)
         return ChosenEngine(
             choice, facts.port, report.incarnation, report.weight_version, engine.address
         )
@@ -296,23 +295,8 @@
             if found.num_full
             else no_backend(what, found.retry_after_s)
         )
-        self._decisions.note_decision(
-            message.request,
-            AttemptRecord(
-                attempt=message.attempt,
-                decided_at_s=now_s,
-                engine=None,
-                address="",
-                incarnation=None,
-                weight_version=message.required_version,
-                num_candidates=found.num_candidates,
-                num_held_out=found.num_held_out,
-                estimates=(),
-                num_predicted_cached_tokens=0,
-                estimated_ttft_s=0.0,
-                refusal=refusal.code.value,
-            ),
-        )
+        record = record_of_refusal(message.attempt, found, message.required_version, refusal, now_s)
+        self._decisions.note_decision(message.request, record)
         return refusal
 
     def _learn(self, outcome: AttemptOutcome) -> None:
@@ -331,7 +315,7 @@
                 outcome.engine, running.address, outcome.incarnation, outcome.failure
             )
         )
-        self._decisions.note_result(request_id, outcome.attempt, _result_of(outcome))
+        self._decisions.note_result(request_id, outcome.attempt, result_of(outcome))
 
     def _forget(
         self, request_id: RequestId, attempt: int, duration_s: float | None = None
@@ -355,15 +339,3 @@
         for request_id, attempt in overdue:
             self._forget(request_id, attempt)
         self._estimates.forget_all_but(self._directory.snapshot().engines)
-
-
-def _result_of(outcome: AttemptOutcome) -> AttemptResult:
-    failure = outcome.failure
-    return AttemptResult(
-        failure=failure.kind.value if failure is not None else None,
-        detail=failure.detail if failure is not None else "",
-        num_prompt_tokens=outcome.num_prompt_tokens,
-        num_cached_tokens=outcome.num_cached_tokens,
-        ttft_s=outcome.ttft_s,
-        duration_s=outcome.duration_s,
-    )
