Ask engines for load only while their home node does not report

Cause: a report younger than half a second held back a node's probe, so a node asked each engine itself about every other second although its home reported for it. Change: home reports are told apart from own probes and hold probes back for 3 s. Measured: behave features/backends_directory.feature -> 22 scenarios passed. Conclusion: probes resume by themselves when a home falls silent.

--- a/features/backends_directory.feature
+++ b/features/backends_directory.feature
@@ -78,3 +78,9 @@
     Given a node that routes 40 requests a second to 4 engines
     When the machine list names engine 1 as leaving and is then down
     Then engine 1 gets no work in the last 5 s
+
+  Scenario: An engine is asked only while its home node does not report for it
+    Given a configuration of 3 engines
+    When its home node reports for engine 1 every second from 10 s to 30 s
+    Then engine 1 was asked every second before, not once from 12 s to 30 s, and again from 34 s
+    And the other engines were asked all the time
--- a/features/steps/backends_directory_steps.py
+++ b/features/steps/backends_directory_steps.py
@@ -306,3 +306,41 @@
 @then("the directory holds run {run:d} with version {version}")
 def step_known_report(context, run, version):
     assert (context.report.incarnation, context.report.weight_version) == (run, version)
+
+
+@when("its home node reports for engine 1 every second from 10 s to 30 s")
+def step_home_reports(context):
+    async def main():
+        fleet = Fleet(context.deployment)
+        for name, engine in fleet.engines.items():
+            engine.load = lambda name=name, load=engine.load: note_asked(name, load)
+
+        async def note_asked(name, load):
+            context.asked.append((name, anyio.current_time()))
+            return await load()
+
+        async with fleet.running():
+            await anyio.sleep(10.0)
+            for _ in range(21):
+                report = fleet.engines[ENGINE].model.load_report(anyio.current_time())
+                fleet.directory.note_load_report(report, 0.5)
+                await anyio.sleep(1.0)
+            await anyio.sleep_until(44.0)
+
+    context.asked = []
+    run_in_virtual_time(main)
+
+
+def num_asked(context, engine, start_s, end_s):
+    return sum(name == engine and start_s <= at_s < end_s for name, at_s in context.asked)
+
+
+@then("engine 1 was asked every second before, not once from 12 s to 30 s, and again from 34 s")
+def step_asked_apart(context):
+    counts = [num_asked(context, ENGINE, *span) for span in ((0, 10), (12, 30), (34, 44))]
+    assert 8 <= counts[0] <= 12 and counts[1] == 0 and 8 <= counts[2] <= 12, counts
+
+
+@then("the other engines were asked all the time")
+def step_others_asked(context):
+    assert all(num_asked(context, f"qalam-{index}", 12, 30) >= 14 for index in (0, 2))
--- a/src/weirscale/node/backends/directory.py
+++ b/src/weirscale/node/backends/directory.py
@@ -96,7 +96,8 @@
 
     def note_load_report(self, report: LoadReport, age_s: float) -> None:
         """A load report arrived, from the engine or from its home node."""
-        self.post(ReportArrived(report, anyio.current_time() - age_s))
+        reported_at_s = anyio.current_time() - age_s
+        self.post(ReportArrived(report, reported_at_s, is_own_probe=False))
 
     def note_unreachable(self, engine: EngineName, detail: str) -> None:
         """A probe of the engine got no answer."""
@@ -143,7 +144,7 @@
             case ConfigurationChanged():
                 state.apply_configuration(message.configuration, now_s)
             case ReportArrived():
-                state.learn_report(message.report, message.reported_at_s, now_s)
+                state.learn_report(message, now_s)
             case ProbeFailed():
                 state.learn_probe_failure(message.engine, message.detail, now_s)
             case MachinesListed():
--- a/src/weirscale/node/backends/facts.py
+++ b/src/weirscale/node/backends/facts.py
@@ -32,6 +32,7 @@
         circuit: Its health.
         leaving: Whether it leaves.
         num_reports: Load reports taken in; tells a new report from the same one seen again.
+        home_reported_at_s: When the engine made the latest report that its home node passed on.
         void_since_s: When the engine refused as another run or version than reported; its report
             is void until one differs, or for a few seconds. None while it is good.
         busy_until_s: Until when the engine asked not to be sent work.
@@ -44,6 +45,7 @@
     circuit: Circuit = HEALTHY
     leaving: Leaving = STAYING
     num_reports: int = 0
+    home_reported_at_s: float = float("-inf")
     void_since_s: float | None = None
     busy_until_s: float = 0.0
 
--- a/src/weirscale/node/backends/observations.py
+++ b/src/weirscale/node/backends/observations.py
@@ -22,10 +22,17 @@
 
 
 class ReportArrived(msgspec.Struct, frozen=True):
-    """A load report; `reported_at_s` is on this node's clock."""
+    """A load report.
+
+    Attributes:
+        report: What the engine says.
+        reported_at_s: When it said so, on this node's clock.
+        is_own_probe: Whether this node asked; false for reports from the engine's home node.
+    """
 
     report: LoadReport
     reported_at_s: float
+    is_own_probe: bool
 
 
 class ProbeFailed(msgspec.Struct, frozen=True):
--- a/src/weirscale/node/backends/probes.py
+++ b/src/weirscale/node/backends/probes.py
@@ -8,7 +8,7 @@
 from result import Ok
 
 from weirscale.domain.identifiers import EngineName
-from weirscale.node.backends.facts import DirectorySnapshot
+from weirscale.node.backends.facts import SnapshotSource
 from weirscale.node.backends.observations import (
     MachinesListed,
     Observation,
@@ -26,8 +26,8 @@
         polls_engines: Whether this node asks engines itself at all.
         load_interval_s: Time between two load reports of one engine.
         load_timeout_s: Longest wait for one.
-        fresh_report_s: An engine whose report is younger than this is not asked: its home node
-            reports for it.
+        home_report_s: An engine whose home node passed on a report younger than this is not asked;
+            a few times the interval of such reports.
         machines_interval_s: Time between two reads of the machine list; with the read itself it
             stays below the 2 s in which a leaving back end must stop getting work.
         machines_timeout_s: Longest read of the list.
@@ -37,23 +37,19 @@
     polls_engines: bool = True
     load_interval_s: float = 1.0
     load_timeout_s: float = 1.0
-    fresh_report_s: float = 0.5
+    home_report_s: float = 3.0
     machines_interval_s: float = 1.0
     machines_timeout_s: float = 5.0
     jitter: float = 0.2
 
 
-class ProbedDirectory(Protocol):
+class ProbedDirectory(SnapshotSource, Protocol):
     """What the loops need of the directory."""
 
     def post(self, observation: Observation) -> None:
         """Leave an observation."""
         ...
 
-    def snapshot(self) -> DirectorySnapshot:
-        """What is known now."""
-        ...
-
 
 async def poll_engine(
     directory: ProbedDirectory,
@@ -66,7 +62,7 @@
     """Ask one engine for its load, at once and then at intervals, until the scope is cancelled."""
     with scope:
         while True:
-            if not _has_fresh_report(directory, engine, rules):
+            if not _has_home_report(directory, engine, rules):
                 await _probe(directory, engine, port, rules)
             await anyio.sleep(_jittered(rules.load_interval_s, rules, random))
 
@@ -90,18 +86,19 @@
     with anyio.move_on_after(rules.load_timeout_s) as deadline:
         answer = await port.load()
         if isinstance(answer, Ok):
-            directory.post(ReportArrived(answer.ok_value, asked_at_s))
+            directory.post(ReportArrived(answer.ok_value, asked_at_s, is_own_probe=True))
         else:
             directory.post(ProbeFailed(engine, answer.err_value.detail))
     if deadline.cancelled_caught:
         directory.post(ProbeFailed(engine, f"no answer within {rules.load_timeout_s} s"))
 
 
-def _has_fresh_report(directory: ProbedDirectory, engine: EngineName, rules: ProbeRules) -> bool:
+def _has_home_report(directory: SnapshotSource, engine: EngineName, rules: ProbeRules) -> bool:
+    """Whether the engine's home node reports for it, so that this node need not ask."""
     facts = directory.snapshot().engines.get(engine)
-    if facts is None or facts.report is None:
+    if facts is None:
         return False
-    return anyio.current_time() - facts.reported_at_s < rules.fresh_report_s
+    return anyio.current_time() - facts.home_reported_at_s < rules.home_report_s
 
 
 def _jittered(interval_s: float, rules: ProbeRules, random: Random) -> float:
--- a/src/weirscale/node/backends/state.py
+++ b/src/weirscale/node/backends/state.py
@@ -10,7 +10,6 @@
 from weirscale.domain.health.leaving import after_machine_list
 from weirscale.domain.health.rules import HealthRules
 from weirscale.domain.identifiers import BackendName, EngineName, ModelName, ServiceName
-from weirscale.messages.cache import LoadReport
 from weirscale.node.backends.facts import (
     EMPTY_SNAPSHOT,
     DirectorySnapshot,
@@ -26,6 +25,7 @@
 from weirscale.node.backends.observations import (
     EngineAttemptEnded,
     EngineAttemptStarted,
+    ReportArrived,
     ServiceAttemptEnded,
 )
 from weirscale.node.backends.port_table import PortTable
@@ -89,12 +89,17 @@
             *self._service_ports.take_idle(now_s, self._drain_timeout_s),
         ]
 
-    def learn_report(self, report: LoadReport, reported_at_s: float, now_s: float) -> None:
+    def learn_report(self, arrived: ReportArrived, now_s: float) -> None:
         """Take in a load report."""
-        facts = self.snapshot.engines.get(report.engine)
-        if facts is not None:
-            after = after_report(facts, report, reported_at_s, now_s, self._rules, self._random)
-            self._replace_engine(facts, after, now_s)
+        facts = self.snapshot.engines.get(arrived.report.engine)
+        if facts is None:
+            return
+        after = after_report(
+            facts, arrived.report, arrived.reported_at_s, now_s, self._rules, self._random
+        )
+        if not arrived.is_own_probe and after is not facts:
+            after = msgspec.structs.replace(after, home_reported_at_s=arrived.reported_at_s)
+        self._replace_engine(facts, after, now_s)
 
     def learn_probe_failure(self, engine: EngineName, detail: str, now_s: float) -> None:
         """Learn that a probe got no answer."""
