Add kept-KV and weight stores and contract tests of engine and service ports

Cause: every failure kind of the ports must be shown to be reached, in process and over sockets alike. Change: one fault table for both ports of each kind; behaviour of the engine in virtual time; stores with rate limits and faults.

--- /dev/null
+++ b/features/steps/engine_behaviour_steps.py
@@ -0,0 +1,269 @@
+from random import Random
+
+import anyio
+import msgspec
+from behave import given, then, when
+from features.support.engine_calls import collect, make_call
+from features.support.virtual_time import run_in_virtual_time
+from result import Ok
+
+from weirscale.domain.prefix.chain import chain_seed, extend_chain
+from weirscale.ports.engine import EngineOrder, LoadModel
+from weirscale.standins.engine.answer import expected_text
+from weirscale.standins.engine.in_process import InProcessEngine
+from weirscale.standins.engine.settings import EngineSettings
+from weirscale.standins.faults import StoreFaults
+from weirscale.standins.kept_kv.in_process import InProcessKeptKvStore, KeptKvSettings
+from weirscale.standins.weight_store.in_process import InProcessWeightStore, WeightStoreSettings
+
+PROMPT = b"twenty bytes of text" * 1000
+OTHER_PROMPT = b"another twenty bytes" * 1000
+SETTINGS = EngineSettings(
+    name="runner-1",
+    model="qalam",
+    weight_version="v1",
+    adapters=("amharic",),
+    num_total_blocks=400,
+    weight_bytes=2_000_000_000,
+)
+# After the eviction, 400 - 313 blocks of 16 tokens are left: deep blocks leave first.
+CHANGES = {
+    "another tenant": {"cache_salt": "kirkos-school"},
+    "another adapter": {"adapter": "amharic"},
+    "longer prompt": {"prompt": PROMPT + b"and a new page"},
+}
+TENANTS = ("bole-school", "kirkos-school")
+LOAD_V2 = EngineOrder(1, LoadModel("qalam", "v2"))
+
+
+def run_with_engine(engine, scenario):
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(engine.run)
+            answer = await scenario(engine)
+            tasks.cancel_scope.cancel()
+        return answer
+
+    return run_in_virtual_time(main)
+
+
+async def last_chunk(engine, call):
+    return (await collect(engine.generate(call)))[-1].ok_value
+
+
+async def bring_about(engine, change):
+    if change == "a crash":
+        engine.crash()
+        await anyio.sleep(SETTINGS.restart_s)
+    elif change == "another version":
+        await engine.order(LOAD_V2)
+        await anyio.sleep(1)
+    elif change == "eviction":
+        await last_chunk(engine, make_call(prompt=OTHER_PROMPT, attempt=7))
+
+
+@given("a stand-in engine that has answered a prompt of {size:d} bytes")
+def step_answered(context, size):
+    assert len(PROMPT) == size
+
+
+@when('"{change}" happens and the prompt is sent again')
+def step_again(context, change):
+    async def scenario(engine):
+        first = await last_chunk(engine, make_call(prompt=PROMPT))
+        assert first.num_cached_tokens == 0
+        await bring_about(engine, change)
+        call = make_call(attempt=1, prompt=PROMPT)
+        return await last_chunk(engine, msgspec.structs.replace(call, **CHANGES.get(change, {})))
+
+    context.chunk = run_with_engine(InProcessEngine(SETTINGS, Random(1)), scenario)
+
+
+@then("{count:d} prompt tokens come from the cache")
+def step_cached(context, count):
+    assert context.chunk.num_cached_tokens == count, context.chunk
+
+
+@given('a kept-KV store that holds a prompt\'s prefix for tenant "{tenant}"')
+def step_store(context, tenant):
+    context.hashes = extend_chain(chain_seed(tenant, "qalam", "v1", None), PROMPT, 0, 64)
+
+
+async def time_to_first_chunk(engine, call):
+    started_s = anyio.current_time()
+    async with engine.generate(call) as chunks:
+        async for _ in chunks:
+            break
+    return anyio.current_time() - started_s
+
+
+@when('an empty engine imports it for tenant "{tenant}" with the store "{fault}"')
+def step_import(context, tenant, fault):
+    own = extend_chain(chain_seed(tenant, "qalam", "v1", None), PROMPT, 0, 64)
+    call = make_call(
+        prompt=PROMPT, cache_salt=tenant, kept_kv_store="mezgeb:1", kept_kv_block_hash=own[-1]
+    )
+
+    async def scenario(engine):
+        store = engine._block_stores["mezgeb:1"]
+        await store.export_blocks(context.hashes)
+        store.faults.set(StoreFaults() if fault == "none" else StoreFaults(**{fault: True}))
+        with_store_s = await time_to_first_chunk(engine, call)
+        return with_store_s, engine.model.ledger.records()[0]
+
+    async def without_store(engine):
+        return await time_to_first_chunk(engine, call)
+
+    store = InProcessKeptKvStore(KeptKvSettings(name="mezgeb"))
+    engine = InProcessEngine(SETTINGS, Random(1), block_stores={"mezgeb:1": store})
+    with_store_s, context.chunk = run_with_engine(engine, scenario)
+    plain_s = run_with_engine(InProcessEngine(SETTINGS, Random(1)), without_store)
+    context.extra_s = with_store_s - plain_s
+
+
+@then("the first chunk comes within {wait_s:f} s of an engine without a store")
+def step_wait(context, wait_s):
+    assert context.extra_s <= wait_s, context.extra_s
+
+
+@given("a weight store of {rate:d} MB/s and engines with weights of {size:d} MB")
+def step_weight_store(context, rate, size):
+    assert size * 1_000_000 == SETTINGS.weight_bytes
+    context.rate = rate * 1_000_000.0
+
+
+@when('{count:d} engines are ordered to load version "{version}" at once')
+def step_load(context, count, version):
+    load_on_engines(context, count, version, 0)
+
+
+@when('{count:d} engines are ordered to load version "{version}" {gap_s:d} s after one another')
+def step_load_apart(context, count, version, gap_s):
+    load_on_engines(context, count, version, gap_s)
+
+
+def load_on_engines(context, count, version, gap_s):
+    async def main():
+        store = InProcessWeightStore(WeightStoreSettings(bytes_per_s=context.rate), {"damaged"})
+        engines = [InProcessEngine(SETTINGS, Random(1), weight_source=store) for _ in range(count)]
+        async with anyio.create_task_group() as tasks:
+            for engine in engines:
+                tasks.start_soon(engine.run)
+            for engine in engines:
+                await anyio.sleep(gap_s)
+                assert await engine.order(EngineOrder(1, LoadModel("qalam", version))) == Ok(None)
+            await anyio.sleep(60)
+            context.durations = [load.finished_at_s - load.started_at_s for load in store.loads]
+            context.reports = [(await engine.load()).ok_value for engine in engines]
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(main)
+
+
+@then('each is done after {duration_s:d} s and serves "{served}"')
+def step_loaded(context, duration_s, served):
+    assert context.durations and context.reports
+    assert all(abs(item - duration_s) < 0.01 for item in context.durations), context.durations
+    version = None if served == "nothing" else served
+    token = 0 if served == "nothing" else 1
+    seen = {(report.weight_version, report.order_token) for report in context.reports}
+    assert seen == {(version, token)}, seen
+
+
+@given("a stand-in engine with room for two prompts")
+def step_two_prompts_fit(context):
+    settings = msgspec.structs.replace(SETTINGS, num_total_blocks=800, max_step_tokens=20_000)
+    context.engine = InProcessEngine(settings, Random(1))
+
+
+@when("two tenants send a prompt at once")
+def step_two_tenants(context):
+    async def scenario(engine):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(last_chunk, engine, make_call(prompt=b"short"))
+            # The step of the short prompt takes longer than this: the two join the next one.
+            await anyio.sleep(0.001)
+            for tenant in TENANTS:
+                call = make_call(request_id=tenant, prompt=PROMPT, cache_salt=tenant)
+                tasks.start_soon(last_chunk, engine, call)
+        async with engine.cache_events(None, 0) as batches:
+            return (await anext(batches)).ok_value
+
+    context.batch = run_with_engine(context.engine, scenario)
+
+
+@then("every stored event continues the chain of one tenant")
+def step_parents(context):
+    parents = {}
+    for tenant in TENANTS:
+        chain = extend_chain(chain_seed(tenant, "qalam", "v1", None), PROMPT, 0, 64)
+        parents.update(zip(chain, [None, *chain], strict=False))
+    seen = {}
+    for event in context.batch.events:
+        hashes = event.block_hashes
+        seen.update(zip(hashes, [event.parent_block_hash, *hashes], strict=False))
+    assert len(seen) == 2 * (len(PROMPT) // 64) and seen == parents
+
+
+@given("a stand-in engine that runs one request at a time")
+def step_one_at_a_time(context):
+    settings = msgspec.structs.replace(SETTINGS, max_running=1)
+    context.engine = InProcessEngine(settings, Random(1))
+
+
+@when(
+    'requests of priorities "{priorities}" and one with {left_s:f} s left wait behind a running one'
+)
+def step_priorities(context, priorities, left_s):
+    calls = [make_call(request_id=number, priority=int(number)) for number in priorities.split()]
+    calls.append(make_call(request_id="expired", priority=0, time_left_s=left_s))
+
+    async def scenario(engine):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(last_chunk, engine, make_call(request_id="running"))
+            await anyio.sleep(0.001)
+            for call in calls[:-1]:
+                tasks.start_soon(last_chunk, engine, call)
+            context.expired = await collect(engine.generate(calls[-1]))
+
+    run_with_engine(context.engine, scenario)
+
+
+@then('they start in the order "{order}" and the expired one never starts')
+def step_order(context, order):
+    started = [record.request_id for record in context.engine.model.ledger.records()]
+    assert started == ["running", *order.split()], started
+    assert [item.err_value.kind.value for item in context.expired] == ["timed_out"]
+
+
+@when("a new version is ordered while a request runs and another waits")
+def step_order_while_running(context):
+    async def scenario(engine):
+        answers = {}
+
+        async def keep(request_id):
+            answers[request_id] = await collect(engine.generate(make_call(request_id=request_id)))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep, "running")
+            await anyio.sleep(0.001)
+            tasks.start_soon(keep, "waiting")
+            await anyio.sleep(0.001)
+            await engine.order(LOAD_V2)
+        await anyio.sleep(1)
+        return answers
+
+    context.answers = run_with_engine(context.engine, scenario)
+
+
+@then('the running one is complete on "{version}" and the waiting one is refused unrun')
+def step_versions(context, version):
+    running = context.answers["running"]
+    assert "".join(item.ok_value.text for item in running) == expected_text(make_call().prompt, 8)
+    refused = [item.err_value for item in context.answers["waiting"]]
+    assert [failure.kind.value for failure in refused] == ["refused_mismatch"]
+    records = context.engine.model.ledger.records()
+    assert [(record.request_id, record.weight_version) for record in records] == [
+        ("running", version)
+    ]
+    assert context.engine.model.weight_version == "v2"
--- a/src/weirscale/standins/asgi_server.py
+++ b/src/weirscale/standins/asgi_server.py
@@ -20,8 +20,8 @@
 KEEP_ALIVE_S = 75.0
 """Above any client's own limit, so that the client closes idle connections."""
 
-GRACEFUL_TIMEOUT_S = 0.2
-"""Open streams of a stand-in that stops are cut after this."""
+GRACEFUL_TIMEOUT_S = 3.0
+"""Open requests are cut at once when a stand-in stops; this bounds the closing of connections."""
 
 NO_CONTENT = 204
 JSON_HEADERS = ((b"content-type", b"application/json"),)
--- a/src/weirscale/standins/engine/chunk_faults.py
+++ b/src/weirscale/standins/engine/chunk_faults.py
@@ -11,6 +11,9 @@
 OTHER_REQUEST_ID = RequestId("another-request")
 OTHER_TEXT = "text of another answer"
 
+EARLY_END = EngineFailure(EngineFailureKind.BROKEN, "the stream ended before the answer; resume it")
+"""Stands for a stream that ends normally before the answer is whole."""
+
 
 class ChunkFaults:
     """Passes the chunks of one stream on, with the faults that strike it."""
@@ -31,7 +34,7 @@
             return [Err(self._failure(number))]
         if number == faults.end_before_chunk:
             self.is_ended = True
-            return []
+            return [Err(EARLY_END)]
         if number == faults.skip_chunk:
             return []
         if number == faults.swap_chunk and chunk.finish_reason is None:
--- a/src/weirscale/standins/engine/http_app.py
+++ b/src/weirscale/standins/engine/http_app.py
@@ -35,6 +35,7 @@
     start_response,
 )
 from weirscale.standins.engine.attempt import Attempt
+from weirscale.standins.engine.chunk_faults import EARLY_END
 from weirscale.standins.engine.in_process import InProcessEngine
 from weirscale.standins.engine.stream_encoder import StreamEncoder, whole_answer
 
@@ -101,6 +102,8 @@
                 await send_part(send, encoder.encode(item.ok_value))
                 continue
             failure = item.err_value
+            if failure is EARLY_END:
+                break
             if failure.kind is EngineFailureKind.BROKEN:
                 return  # The server closes a connection whose answer is not complete.
             await send_part(send, encoder.encode_failure(failure))
--- a/src/weirscale/standins/engine/model.py
+++ b/src/weirscale/standins/engine/model.py
@@ -114,8 +114,7 @@
         self._roll_report(now_s)
         self._forget_old(now_s)
         self._drop_expired(now_s)
-        if self.pending_load is None:
-            self._admit(now_s)
+        self._admit(now_s)
         self._step = self.batch.next_step()
         return self._step.duration_s if self._step else None
 
--- /dev/null
+++ b/src/weirscale/standins/kept_kv/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a store of kept KV cache."""
--- /dev/null
+++ b/src/weirscale/standins/kept_kv/in_process.py
@@ -0,0 +1,92 @@
+"""Bounded store of KV blocks, keyed by chained block hash.
+
+The chain's seed covers tenant, model, weight version and adapter, so a block is never read across
+any of them.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from weirscale.domain.identifiers import BlockHash
+from weirscale.standins.faults import FaultSwitch, StoreFaults
+
+NO_FAULTS = StoreFaults()
+
+
+class KeptKvSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What a stand-in store is like.
+
+    Attributes:
+        name: The store's name.
+        num_total_blocks: Blocks that fit; the least recently used one leaves first.
+        call_latency_s: Fixed time of a call.
+        block_transfer_s: Time of one block, either way.
+    """
+
+    name: str
+    num_total_blocks: int = 100_000
+    call_latency_s: float = 0.002
+    block_transfer_s: float = 0.00016
+
+
+class InProcessKeptKvStore:
+    """A store in the caller's own process; a `BlockStore` for stand-in engines."""
+
+    def __init__(self, settings: KeptKvSettings) -> None:
+        self.settings = settings
+        self.faults: FaultSwitch[StoreFaults] = FaultSwitch(NO_FAULTS)
+        self._blocks: OrderedDict[BlockHash, None] = OrderedDict()
+        self.num_imported_blocks = 0
+        self.num_exported_blocks = 0
+
+    @property
+    def num_blocks(self) -> int:
+        """Blocks held."""
+        return len(self._blocks)
+
+    async def import_blocks(self, block_hashes: Sequence[BlockHash]) -> Result[int, str]:
+        """Read a chain of blocks; answers how many leading ones were there."""
+        num_found = self._num_leading(block_hashes)
+        failure = await self._call(num_found)
+        if failure is not None:
+            return Err(failure)
+        for block_hash in block_hashes[:num_found]:
+            if block_hash in self._blocks:
+                self._blocks.move_to_end(block_hash)
+        self.num_imported_blocks += num_found
+        return Ok(num_found)
+
+    async def export_blocks(self, block_hashes: Sequence[BlockHash]) -> Result[None, str]:
+        """Keep a chain of blocks; those already held cost no transfer."""
+        missing = [item for item in block_hashes if item not in self._blocks]
+        failure = await self._call(len(missing))
+        if failure is not None:
+            return Err(failure)
+        # Deep blocks are written first, so that they are evicted before those they depend on.
+        for block_hash in reversed(block_hashes):
+            self._blocks[block_hash] = None
+            self._blocks.move_to_end(block_hash)
+        while len(self._blocks) > self.settings.num_total_blocks:
+            self._blocks.popitem(last=False)
+        self.num_exported_blocks += len(missing)
+        return Ok(None)
+
+    def _num_leading(self, block_hashes: Sequence[BlockHash]) -> int:
+        for index, block_hash in enumerate(block_hashes):
+            if block_hash not in self._blocks:
+                return index
+        return len(block_hashes)
+
+    async def _call(self, num_blocks: int) -> str | None:
+        faults = self.faults.strike()
+        if faults.is_dead:
+            return "the kept-KV store is down; compute the prefix"
+        if faults.is_stalled:
+            await anyio.sleep_forever()
+        transfer_s = num_blocks * self.settings.block_transfer_s
+        await anyio.sleep(self.settings.call_latency_s + transfer_s + faults.delay_s)
+        return None
--- /dev/null
+++ b/src/weirscale/standins/weight_store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's weight store."""
