Roll with leases of the key-value service under its faults

Cause: planners were tried with leases given by hand only. Change: rows with the product's own lease task: outage, lost answers, a holder cut off.

--- a/features/placement_rollout.feature
+++ b/features/placement_rollout.feature
@@ -28,6 +28,32 @@
       | the planner is replaced again and again        | 2     | 2    | 100     | 6       | done             |
       | two planners both believe to hold the lease    | 2     | 2    | 150     | 6       | done             |
 
+  Scenario Outline: Planners with leases of the key-value service roll under its faults
+    Given 6 engines serve v1, 2 must stay ready and 2 may load at once
+    And the planner's lease comes from the key-value service
+    When v2 is declared and <fault>
+    Then after 100 seconds 6 engines serve v2 and the rollout is done
+    And never more than 2 engines loaded at once
+    And no engine carried out a token below an earlier one
+    And no token named two orders
+    And no planner gave an order without its lease
+
+    Examples:
+      | fault                                            |
+      | nothing fails                                    |
+      | the key-value service is down for a while        |
+      | answers of the key-value service are lost        |
+      | the holder is cut off from the key-value service |
+
+  Scenario: The lease of a holder that is cut off goes to another planner
+    Given 6 engines serve v1, 2 must stay ready and 1 may load at once
+    And the planner's lease comes from the key-value service
+    When v2 is declared and the holder is cut off from the key-value service
+    Then after 100 seconds 6 engines serve v2 and the rollout is done
+    And never more than 1 engines loaded at once
+    And the other planner held the lease at the end of the cut
+    And no planner gave an order without its lease
+
   Scenario: An order that certainly was not given holds no slot
     Given 6 engines serve v1, 2 must stay ready and 1 may load at once
     When v2 is declared and an engine refuses orders for a while
--- a/features/steps/placement_rollout_steps.py
+++ b/features/steps/placement_rollout_steps.py
@@ -94,6 +94,18 @@
         lease.held = True
 
 
+async def cut_holder_off(rollout):
+    """The holder loses the key-value service for longer than its lease lives, with loads running."""
+    await rollout.wait_for_loading()
+    client = next(
+        client for client, lease in zip(rollout.clients, rollout.leases, strict=True) if lease.held
+    )
+    client.is_cut_off = True
+    await anyio.sleep(OUTAGE_S)
+    rollout.holders_after_cut = [lease.held for lease in rollout.leases]
+    client.is_cut_off = False
+
+
 async def delete_record(rollout):
     await rollout.wait_for_loading()
     model = rollout.store.model
@@ -117,6 +129,7 @@
     "the planner is replaced again and again": replace_planner,
     "two planners both believe to hold the lease": two_holders,
     "the placement record is deleted": delete_record,
+    "the holder is cut off from the key-value service": cut_holder_off,
 }
 
 HALF_WAY = 3
@@ -129,7 +142,7 @@
 
     async def main():
         model = rolling_model(min_ready_engines=context.floor, max_concurrent_loads=context.most)
-        rollout = Rollout(6, model, num_planners=2)
+        rollout = Rollout(6, model, num_planners=2, fenced=context.fenced)
         async with rollout.running(), anyio.create_task_group() as tasks:
             tasks.start_soon(context.fault, rollout)
             rollout.declare_version("v2")
@@ -148,6 +161,7 @@
 def step_engines_serve(context, count, floor, most):
     context.floor = floor
     context.most = most
+    context.fenced = False
 
 
 @when("v2 is declared and {moment} {version:w} is declared")
@@ -211,6 +225,18 @@
     assert [lease.num_orders_without for lease in context.rollout.leases] == [0, 0]
 
 
+@given("the planner's lease comes from the key-value service")
+def step_fenced(context):
+    context.fenced = True
+
+
+@then("the other planner held the lease at the end of the cut")
+def step_other_holder(context):
+    rollout = context.rollout
+    assert sorted(rollout.holders_after_cut) == [False, True], rollout.holders_after_cut
+    assert all(lease.num_orders > 0 for lease in rollout.leases)
+
+
 @then("no load counted as failed")
 def step_no_failed_loads(context):
     assert all(not progress.failures for progress in context.rollout.progress)
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -2,6 +2,7 @@
 
 from contextlib import asynccontextmanager
 from random import Random
+from types import SimpleNamespace
 
 import anyio
 import msgspec
@@ -9,6 +10,9 @@
 from result import Err, Ok
 
 from weirscale.domain.configuration.model import Model
+from weirscale.domain.duties.assignment import Duty, DutyKind
+from weirscale.domain.identifiers import NodeId
+from weirscale.node.duties.lease_task import DutyLeaseTask
 from weirscale.node.event_log import SilentEventLog
 from weirscale.node.placement.task import PlacementTask
 from weirscale.ports.engine import EngineFailure, EngineFailureKind, GenerateCall, LoadModel
@@ -17,6 +21,7 @@
 from weirscale.standins.key_value.in_process import InProcessKeyValue
 from weirscale.standins.key_value.server import KeyValueServer
 
+DUTY = Duty(DutyKind.PLACEMENT_PLANNER)
 SAMPLE_INTERVAL_S = 0.25
 LOAD_S = 5.0
 LONG_ANSWER_TOKENS = 750
@@ -141,25 +146,47 @@
     )
 
 
+class FencedLease:
+    """A lease from the key-value service, by the product's own lease task."""
+
+    def __init__(self, index, key_value):
+        duties = SimpleNamespace(is_own=lambda duty, count: True)
+        own_id = NodeId(f"node-{index}", 1)
+        self.task = DutyLeaseTask(DUTY, own_id, key_value, duties, Random(index))
+        self.num_orders = 0
+        self.num_orders_without = 0
+
+    @property
+    def held(self):
+        return self.task.is_held()
+
+    def is_held(self):
+        return self.task.is_held()
+
+
 class Rollout(Fleet):
     """A fleet with planners; `samples` hold loading, ready and lost engines over time."""
 
-    def __init__(self, num_engines, model, num_planners=1, **engine_fields):
+    def __init__(self, num_engines, model, num_planners=1, fenced=False, **engine_fields):
         self.weights = WeightStore()
         deployment = declare(num_engines, models=(model,), **engine_fields)
         super().__init__(deployment)
         self.model = model
         self.store = KeyValueServer(Random(2))
-        self.leases = [Lease(index == 0) for index in range(num_planners)]
+        self.clients = [InProcessKeyValue(self.store, timeout_s=60.0) for _ in range(num_planners)]
+        self.leases = [
+            FencedLease(index, client) if fenced else Lease(index == 0)
+            for index, client in enumerate(self.clients)
+        ]
         self.planners = [
             PlacementTask(
                 self.configuration,
                 PlannerDirectory(self.directory, lease, lag_s),
-                InProcessKeyValue(self.store, timeout_s=60.0),
+                client,
                 lease,
                 SilentEventLog(),
             )
-            for lease, lag_s in zip(self.leases, PLANNER_LAG_S, strict=False)
+            for lease, client, lag_s in zip(self.leases, self.clients, PLANNER_LAG_S, strict=False)
         ]
         self.samples = []
 
@@ -170,6 +197,9 @@
     @asynccontextmanager
     async def running(self):
         async with super().running(), anyio.create_task_group() as tasks:
+            for lease in self.leases:
+                if isinstance(lease, FencedLease):
+                    tasks.start_soon(lease.task.run)
             await anyio.sleep(3.0)
             for number, engine in enumerate(self.engines.values()):
                 assert (await engine.start(long_call(number))).is_ok()
