Split the etcd adapter and the validation into smaller modules

Change: JSON bodies in ports.etcd_json, the collector of errors in domain.configuration.checker. Conclusion: no change of behaviour.

--- a/src/weirscale/domain/configuration/validate.py
+++ b/src/weirscale/domain/configuration/validate.py
@@ -1,21 +1,17 @@
 """Rules over several fields of a configuration file."""
 
-import ipaddress
 import math
 import re
-from collections.abc import Callable, Iterable, Mapping
-from typing import Protocol
+from collections.abc import Callable, Mapping
 
 import msgspec
 
+from weirscale.domain.configuration.checker import DeploymentChecker
 from weirscale.domain.configuration.errors import ConfigurationError
 from weirscale.domain.configuration.model import Deployment, EngineRole, Service
 
 FILE_FORMAT = 1
-NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-"""Names go into keys, paths and logs, so they need no quoting there."""
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
-MAX_PORT = 65535
 HTTP_METHODS = frozenset({"*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
 MAY_BE_ZERO = frozenset(
@@ -34,11 +30,6 @@
 """Numbers that may be zero; all others must be above it."""
 
 
-class _Named(Protocol):
-    @property
-    def name(self) -> str: ...
-
-
 def validate_deployment(
     deployment: Deployment, lines: Mapping[str, int]
 ) -> tuple[ConfigurationError, ...]:
@@ -51,82 +42,20 @@
     Returns:
         Every error, in the order of the file; empty when the deployment may be applied.
     """
-    checker = _Checker(deployment, lines)
+    checker = DeploymentChecker(deployment, lines)
     for rule in _RULES:
         rule(checker)
     return tuple(sorted(checker.errors, key=lambda error: (error.line, error.path)))
 
 
-class _Checker:
-    """The deployment, what it declares by name, and the errors found so far."""
-
-    def __init__(self, deployment: Deployment, lines: Mapping[str, int]) -> None:
-        self.deployment = deployment
-        self.lines = lines
-        self.errors: list[ConfigurationError] = []
-        self.zones = {zone for region in deployment.regions for zone in region.zones}
-        self.models = {model.name for model in deployment.models}
-
-    def fail(self, path: str, message: str, remedy: str) -> None:
-        """Record an error at the line of the field, or of the nearest field that has one."""
-        known = path
-        while known and known not in self.lines:
-            cut = max(known.rfind("."), known.rfind("["))
-            known = known[:cut] if cut > 0 else ""
-        self.errors.append(ConfigurationError(self.lines.get(known, 0), path, message, remedy))
-
-    def unique(self, values: Iterable[tuple[str, str]], what: str) -> None:
-        """Report each (path, value) whose value has been seen before."""
-        first_path: dict[str, str] = {}
-        for path, value in values:
-            if value in first_path:
-                message = f"{what} `{value}` is taken by {first_path[value]}"
-                self.fail(path, message, f"give each its own {what}")
-            else:
-                first_path[value] = path
-
-    def named(self, path: str, items: Iterable[_Named]) -> None:
-        """Check the names of a list of items: well-formed and unique."""
-        names = [(f"{path}[{index}].name", item.name) for index, item in enumerate(items)]
-        self.unique(names, "name")
-        for name_path, name in names:
-            self.name(name_path, name)
-
-    def name(self, path: str, name: str) -> None:
-        """Check that a name has the allowed shape."""
-        if not NAME_PATTERN.fullmatch(name):
-            remedy = (
-                "use letters, digits, `.`, `_` and `-`, 63 at most, the first a letter or digit"
-            )
-            self.fail(path, f"`{name}` is not a name", remedy)
-
-    def zone(self, path: str, zone: str) -> None:
-        """Check that a zone is declared."""
-        if zone not in self.zones:
-            remedy = f"use one of: {', '.join(sorted(self.zones))}"
-            self.fail(path, f"unknown zone `{zone}`", remedy)
-
-    def address(self, path: str, address: str) -> None:
-        """Check that an address is IP:port."""
-        host, _, port = address.rpartition(":")
-        try:
-            ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-            is_valid = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
-        except ValueError:
-            is_valid = False
-        if not is_valid:
-            remedy = "write an IP number and a port, such as 10.0.0.7:8000"
-            self.fail(path, f"`{address}` is not an address", remedy)
-
-
-def _check_format(checker: _Checker) -> None:
+def _check_format(checker: DeploymentChecker) -> None:
     if checker.deployment.format != FILE_FORMAT:
         message = f"format {checker.deployment.format} is not known"
         checker.fail("format", message, f"write `format: {FILE_FORMAT}`")
     checker.name("name", checker.deployment.name)
 
 
-def _check_regions(checker: _Checker) -> None:
+def _check_regions(checker: DeploymentChecker) -> None:
     regions = checker.deployment.regions
     if not regions:
         checker.fail("regions", "no region", "declare at least one region with a zone")
@@ -144,7 +73,7 @@
             checker.fail(f"regions[{index}].zones", "no zone", "list the region's zones")
 
 
-def _check_models(checker: _Checker) -> None:
+def _check_models(checker: DeploymentChecker) -> None:
     deployment = checker.deployment
     checker.named("models", deployment.models)
     for index, model in enumerate(deployment.models):
@@ -160,7 +89,7 @@
         checker.unique(adapters, "adapter")
 
 
-def _check_engines(checker: _Checker) -> None:
+def _check_engines(checker: DeploymentChecker) -> None:
     engines = checker.deployment.engines
     checker.named("engines", engines)
     for index, engine in enumerate(engines):
@@ -172,7 +101,7 @@
             checker.fail(f"{path}.model", f"unknown model `{engine.model}`", remedy)
 
 
-def _check_roles(checker: _Checker) -> None:
+def _check_roles(checker: DeploymentChecker) -> None:
     for index, model in enumerate(checker.deployment.models):
         roles = {engine.role for engine in checker.deployment.engines if engine.model == model.name}
         if EngineRole.BOTH in roles or not roles:
@@ -184,7 +113,7 @@
                 checker.fail(f"models[{index}].name", message, remedy)
 
 
-def _check_services(checker: _Checker) -> None:
+def _check_services(checker: DeploymentChecker) -> None:
     services = checker.deployment.services
     checker.named("services", services)
     backends = [
@@ -201,7 +130,7 @@
         _check_routes(checker, f"services[{index}]", service)
 
 
-def _check_routes(checker: _Checker, path: str, service: Service) -> None:
+def _check_routes(checker: DeploymentChecker, path: str, service: Service) -> None:
     if not service.backends:
         checker.fail(f"{path}.backends", "no back end", "list the service's processes")
     if not service.routes:
@@ -223,7 +152,7 @@
                 break
 
 
-def _check_tenants(checker: _Checker) -> None:
+def _check_tenants(checker: DeploymentChecker) -> None:
     tenants = checker.deployment.tenants
     checker.named("tenants", tenants)
     digests = [
@@ -241,14 +170,14 @@
             checker.fail(f"tenants[{index}].api_key_sha256", "no API key", "list a digest")
 
 
-def _check_kept_kv_stores(checker: _Checker) -> None:
+def _check_kept_kv_stores(checker: DeploymentChecker) -> None:
     checker.named("kept_kv_stores", checker.deployment.kept_kv_stores)
     for index, store in enumerate(checker.deployment.kept_kv_stores):
         checker.zone(f"kept_kv_stores[{index}].zone", store.zone)
         checker.address(f"kept_kv_stores[{index}].address", store.address)
 
 
-def _check_addresses_unique(checker: _Checker) -> None:
+def _check_addresses_unique(checker: DeploymentChecker) -> None:
     deployment = checker.deployment
     used = [(f"engines[{i}].address", e.address) for i, e in enumerate(deployment.engines)]
     used += [
@@ -261,17 +190,17 @@
     checker.unique(used, "address")
 
 
-def _check_claims(checker: _Checker) -> None:
+def _check_claims(checker: DeploymentChecker) -> None:
     if checker.deployment.claims.num_holders % 2 == 0:
         message = "an even number of holders has no better quorum than one fewer"
         checker.fail("claims.num_holders", message, "use 1, 3 or 5")
 
 
-def _check_numbers(checker: _Checker) -> None:
+def _check_numbers(checker: DeploymentChecker) -> None:
     _check_numbers_of(checker, checker.deployment, "")
 
 
-def _check_numbers_of(checker: _Checker, value: object, path: str) -> None:
+def _check_numbers_of(checker: DeploymentChecker, value: object, path: str) -> None:
     """Walk all fields: numbers are finite and positive, or not negative where that is allowed."""
     if isinstance(value, msgspec.Struct):
         for field in value.__struct_fields__:
@@ -288,7 +217,7 @@
             checker.fail(path, f"{value} is out of range", f"write a finite number, {wanted}")
 
 
-_RULES: tuple[Callable[[_Checker], None], ...] = (
+_RULES: tuple[Callable[[DeploymentChecker], None], ...] = (
     _check_format,
     _check_regions,
     _check_models,
--- a/src/weirscale/ports/key_value_etcd.py
+++ b/src/weirscale/ports/key_value_etcd.py
@@ -4,7 +4,6 @@
 provably did not take it on. Reads change nothing, so a failed read is UNREACHABLE.
 """
 
-import base64
 import math
 from collections.abc import AsyncGenerator, AsyncIterator, Callable, Sequence
 from contextlib import AbstractAsyncContextManager, aclosing, asynccontextmanager
@@ -14,14 +13,14 @@
 import msgspec
 from result import Err, Ok, Result
 
+from weirscale.ports import etcd_json
+from weirscale.ports.etcd_json import Body
 from weirscale.ports.key_value import (
-    KeyValue,
     KeyValueFailure,
     KeyValueFailureKind,
     ReadAnswer,
     SwapAnswer,
     WatchEvent,
-    prefix_end,
 )
 
 DEFAULT_TIMEOUT_S = 3.0
@@ -37,7 +36,6 @@
 """What decoding raises on an answer that is not the gateway's."""
 
 AnswerT = TypeVar("AnswerT")
-Body = dict[str, Any]
 Watch = AsyncIterator[Result[WatchEvent, KeyValueFailure]]
 
 
@@ -71,18 +69,20 @@
 
     async def read(self, prefix: str) -> Result[ReadAnswer, KeyValueFailure]:
         """Read every key with a prefix, linearizably."""
-        return await self._post("/v3/kv/range", _range_of(prefix), _read_answer, is_write=False)
+        return await self._post(
+            "/v3/kv/range", etcd_json.prefix_range(prefix), etcd_json.read_answer, is_write=False
+        )
 
     async def compare_and_swap(
         self, key: str, expected_mod_revision: int, value: bytes | None, lease_id: int = 0
     ) -> Result[SwapAnswer, KeyValueFailure]:
         """Write or delete a key in one transaction that compares its revision."""
-        name = _encode(key.encode())
+        name = etcd_json.encode_bytes(key.encode())
         read_back = {"request_range": {"key": name}}
         if value is None:
             change: Body = {"request_delete_range": {"key": name}}
         else:
-            put = {"key": name, "value": _encode(value), "lease": str(lease_id)}
+            put = {"key": name, "value": etcd_json.encode_bytes(value), "lease": str(lease_id)}
             change = {"request_put": put}
         body = {
             "compare": [
@@ -96,17 +96,17 @@
             "success": [change, read_back],
             "failure": [read_back],
         }
-        return await self._post("/v3/kv/txn", body, _swap_answer, is_write=True)
+        return await self._post("/v3/kv/txn", body, etcd_json.swap_answer, is_write=True)
 
     async def grant_lease(self, time_to_live_s: float) -> Result[int, KeyValueFailure]:
         """Make a lease of whole seconds, rounded up."""
         body = {"TTL": str(math.ceil(time_to_live_s))}
-        return await self._post("/v3/lease/grant", body, _lease_id, is_write=True)
+        return await self._post("/v3/lease/grant", body, etcd_json.lease_id, is_write=True)
 
     async def keep_lease_alive(self, lease_id: int) -> Result[float, KeyValueFailure]:
         """Renew a lease once."""
         body = {"ID": str(lease_id)}
-        answer = await self._post("/v3/lease/keepalive", body, _lives_s, is_write=True)
+        answer = await self._post("/v3/lease/keepalive", body, etcd_json.lives_s, is_write=True)
         if isinstance(answer, Ok) and answer.ok_value <= 0:
             return Err(KeyValueFailure(KeyValueFailureKind.LEASE_LOST, "grant a new lease"))
         return answer
@@ -128,7 +128,7 @@
     async def _events(
         self, prefix: str, start_revision: int
     ) -> AsyncGenerator[Result[WatchEvent, KeyValueFailure], None]:
-        wanted = {**_range_of(prefix), "start_revision": str(start_revision)}
+        wanted = {**etcd_json.prefix_range(prefix), "start_revision": str(start_revision)}
         url = self._url("/v3/watch")
         try:
             async with self._client.stream(
@@ -172,48 +172,6 @@
         self._current = (self._current + 1) % len(self._addresses)
 
 
-def _range_of(prefix: str) -> Body:
-    start = prefix.encode()
-    return {"key": _encode(start), "range_end": _encode(prefix_end(start))}
-
-
-def _encode(value: bytes) -> str:
-    return base64.b64encode(value).decode()
-
-
-def _revision(body: Body) -> int:
-    return int(body["header"]["revision"])
-
-
-def _read_answer(body: Body) -> ReadAnswer:
-    return ReadAnswer(_revision(body), tuple(_key_value(found) for found in body.get("kvs", [])))
-
-
-def _lease_id(body: Body) -> int:
-    return int(body["ID"])
-
-
-def _lives_s(body: Body) -> float:
-    """Return the time to live; the gateway leaves it out when the lease is gone."""
-    return float(body["result"].get("TTL", 0))
-
-
-def _key_value(body: Body) -> KeyValue:
-    return KeyValue(
-        key=base64.b64decode(body["key"]).decode(),
-        value=base64.b64decode(body.get("value", "")),
-        create_revision=int(body["create_revision"]),
-        mod_revision=int(body["mod_revision"]),
-        lease_id=int(body.get("lease", 0)),
-    )
-
-
-def _swap_answer(body: Body) -> SwapAnswer:
-    found = body["responses"][-1]["response_range"].get("kvs", [])
-    current = _key_value(found[0]) if found else None
-    return SwapAnswer(bool(body.get("succeeded", False)), _revision(body), current)
-
-
 def _answer_of(
     response: httpx.Response, parse: Callable[[Body], AnswerT], is_write: bool
 ) -> Result[AnswerT, KeyValueFailure]:
@@ -274,7 +232,7 @@
         return [Err(KeyValueFailure(KeyValueFailureKind.COMPACTED, detail))]
     if result.get("canceled"):
         return [Err(_unreachable(EOFError("the service cancelled the watch")))]
-    return [Ok(_watch_event(event)) for event in result.get("events", [])]
+    return [Ok(etcd_json.watch_event(event)) for event in result.get("events", [])]
 
 
 def _stream_failure(error: Body) -> KeyValueFailure:
@@ -282,11 +240,3 @@
     if "too many requests" in message:
         return KeyValueFailure(KeyValueFailureKind.RATE_LIMITED, message)
     return KeyValueFailure(KeyValueFailureKind.UNREACHABLE, f"{message}: watch again")
-
-
-def _watch_event(event: Body) -> WatchEvent:
-    stored = event["kv"]
-    key = base64.b64decode(stored["key"]).decode()
-    revision = int(stored["mod_revision"])
-    value = None if event.get("type") == "DELETE" else _key_value(stored)
-    return WatchEvent(key, value, revision)
