Bound a node's probes whatever the number of engines

Cause: each node asked every engine each second; at 1,700 engines that is 1,700 probes a second. Change: at most 10 probes a second over all engines, the first round spread; a request waits for the first report of its own model's engines. Rollout tests generate in fewer steps. Conclusion: probing is bounded; engines far away are known late.

--- a/features/backends_directory.feature
+++ b/features/backends_directory.feature
@@ -84,3 +84,14 @@
     When its home node reports for engine 1 every second from 10 s to 30 s
     Then engine 1 was asked every second before, not once from 12 s to 30 s, and again from 34 s
     And the other engines were asked all the time
+
+  Scenario Outline: A node bounds its probes whatever the number of engines
+    Given a configuration of <engines> engines
+    When the node has run for 60 s
+    Then each engine was asked within 1 s of the start
+    And the node asked between <least> and <most> times a second from 20 s on
+
+    Examples:
+      | engines | least | most |
+      | 3       | 2.5   | 3.5  |
+      | 100     | 8     | 12   |
--- a/features/placement_rollout.feature
+++ b/features/placement_rollout.feature
@@ -18,7 +18,7 @@
       | an engine crashes while it loads               | 2     | 2    | 75      | 6       | done             |
       | an engine crashes while it serves              | 4     | 3    | 75      | 6       | done             |
       | an engine cannot be reached for a while        | 2     | 2    | 75      | 6       | done             |
-      | an engine refuses orders for a while           | 4     | 3    | 75      | 6       | done             |
+      | an engine refuses orders for a while           | 4     | 3    | 100     | 6       | done             |
       | an engine leaves while it loads                | 4     | 3    | 75      | 5       | short_of_engines |
       | an engine leaves while it serves               | 4     | 3    | 100     | 5       | short_of_engines |
       | every load of v2 fails                         | 4     | 3    | 100     | 0       | stopped          |
--- a/features/steps/backends_directory_steps.py
+++ b/features/steps/backends_directory_steps.py
@@ -242,9 +242,9 @@
     context.scripts.append(take_down)
 
 
-@given("a configuration of 3 engines")
-def step_three_engines(context):
-    context.deployment = declare(3)
+@given("a configuration of {count:d} engines")
+def step_some_engines(context, count):
+    context.deployment = declare(count)
 
 
 @when("an engine that answers one more request for 20 s leaves the configuration and another joins")
@@ -308,8 +308,9 @@
     assert (context.report.incarnation, context.report.weight_version) == (run, version)
 
 
-@when("its home node reports for engine 1 every second from 10 s to 30 s")
-def step_home_reports(context):
+def run_with_probes_noted(context, script):
+    """Run a fleet with a script and keep who was asked for its load, and when."""
+
     async def main():
         fleet = Fleet(context.deployment)
         for name, engine in fleet.engines.items():
@@ -320,17 +321,43 @@
             return await load()
 
         async with fleet.running():
-            await anyio.sleep(10.0)
-            for _ in range(21):
-                report = fleet.engines[ENGINE].model.load_report(anyio.current_time())
-                fleet.directory.note_load_report(report, 0.5)
-                await anyio.sleep(1.0)
-            await anyio.sleep_until(44.0)
+            await script(fleet)
 
     context.asked = []
     run_in_virtual_time(main)
 
 
+@when("its home node reports for engine 1 every second from 10 s to 30 s")
+def step_home_reports(context):
+    async def report(fleet):
+        await anyio.sleep(10.0)
+        for _ in range(21):
+            load = fleet.engines[ENGINE].model.load_report(anyio.current_time())
+            fleet.directory.note_load_report(load, 0.5)
+            await anyio.sleep(1.0)
+        await anyio.sleep_until(44.0)
+
+    run_with_probes_noted(context, report)
+
+
+@when("the node has run for {duration_s:d} s")
+def step_node_has_run(context, duration_s):
+    run_with_probes_noted(context, lambda fleet: anyio.sleep(duration_s))
+
+
+@then("each engine was asked within 1 s of the start")
+def step_asked_at_start(context):
+    assert {name for name, at_s in context.asked if at_s <= 1.0} == {
+        engine.name for engine in context.deployment.engines
+    }
+
+
+@then("the node asked between {least:g} and {most:g} times a second from 20 s on")
+def step_probe_rate(context, least, most):
+    rate = sum(at_s >= 20.0 for _, at_s in context.asked) / 40.0
+    assert least <= rate <= most, rate
+
+
 def num_asked(context, engine, start_s, end_s):
     return sum(name == engine and start_s <= at_s < end_s for name, at_s in context.asked)
 
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -24,8 +24,9 @@
 DUTY = Duty(DutyKind.PLACEMENT_PLANNER)
 SAMPLE_INTERVAL_S = 0.25
 LOAD_S = 5.0
-LONG_ANSWER_TOKENS = 750
-"""About 3 s of generating: loads must wait for it."""
+LONG_ANSWER_TOKENS = 30
+STEP_S = 0.1
+"""About 3 s of generating in few steps: loads must wait for it."""
 
 PLANNER_LAG_S = (0.0, 3.0)
 """How late each planner sees the engines; planners that see the same would decide the same."""
@@ -191,7 +192,9 @@
         self.samples = []
 
     def add_engine(self, engine):
-        settings = EngineSettings(name=engine.name, model=engine.model, weight_version="v1")
+        settings = EngineSettings(
+            name=engine.name, model=engine.model, weight_version="v1", step_fixed_s=STEP_S
+        )
         self.engines[engine.name] = RecordedEngine(settings, Random(3), self.weights)
 
     @asynccontextmanager
--- a/src/weirscale/node/backends/probes.py
+++ b/src/weirscale/node/backends/probes.py
@@ -25,6 +25,9 @@
     Attributes:
         polls_engines: Whether this node asks engines itself at all.
         load_interval_s: Time between two load reports of one engine.
+        max_probes_per_s: Probes of this node over all engines; with more engines than it allows,
+            each is asked less often. Engines whose home nodes report for them do not count.
+        first_probes_per_s: Engines asked a second after the start, to learn of them quickly.
         load_timeout_s: Longest wait for one.
         home_report_s: An engine whose home node passed on a report younger than this is not asked;
             a few times the interval of such reports.
@@ -36,6 +39,8 @@
 
     polls_engines: bool = True
     load_interval_s: float = 1.0
+    max_probes_per_s: float = 10.0
+    first_probes_per_s: float = 200.0
     load_timeout_s: float = 1.0
     home_report_s: float = 3.0
     machines_interval_s: float = 1.0
@@ -61,10 +66,12 @@
 ) -> None:
     """Ask one engine for its load, at once and then at intervals, until the scope is cancelled."""
     with scope:
+        num_engines = len(directory.snapshot().engines)
+        await anyio.sleep(random.random() * num_engines / rules.first_probes_per_s)
         while True:
             if not _has_home_report(directory, engine, rules):
                 await _probe(directory, engine, port, rules)
-            await anyio.sleep(_jittered(rules.load_interval_s, rules, random))
+            await anyio.sleep(_jittered(_interval_s(directory, rules), rules, random))
 
 
 async def poll_machines(
@@ -93,6 +100,15 @@
         directory.post(ProbeFailed(engine, f"no answer within {rules.load_timeout_s} s"))
 
 
+def _interval_s(directory: SnapshotSource, rules: ProbeRules) -> float:
+    """Return the time between two probes of an engine, longer when this node asks many."""
+    latest_s = anyio.current_time() - rules.home_report_s
+    num_asked = sum(
+        facts.home_reported_at_s <= latest_s for facts in directory.snapshot().engines.values()
+    )
+    return max(rules.load_interval_s, num_asked / rules.max_probes_per_s)
+
+
 def _has_home_report(directory: SnapshotSource, engine: EngineName, rules: ProbeRules) -> bool:
     """Whether the engine's home node reports for it, so that this node need not ask."""
     facts = directory.snapshot().engines.get(engine)
--- a/src/weirscale/node/routing/engine_router.py
+++ b/src/weirscale/node/routing/engine_router.py
@@ -179,12 +179,14 @@
         return result
 
     def _is_starting(self, request: GenerationRequest) -> bool:
-        """Whether no engine of the model has ever been heard of."""
+        """Whether none of the engines declared for the model has ever been heard of."""
         snapshot = self._directory.snapshot()
         if not snapshot.revision:
             return True
-        is_declared = request.model in snapshot.declared_models
-        return is_declared and not any(facts.num_reports for facts in snapshot.engines.values())
+        declared = [
+            facts for facts in snapshot.engines.values() if facts.engine.model == request.model
+        ]
+        return bool(declared) and not any(facts.num_reports for facts in declared)
 
     async def _sweep_at_intervals(self) -> None:
         while True:
