Name the flag and the operator port as the command line does

Measured: behave features/configuration_commands.feature features/configuration_apply.feature: 37 scenarios pass. Conclusion: a node's operator port has to serve STATUS_PATH.

--- a/features/configuration_commands.feature
+++ b/features/configuration_commands.feature
@@ -18,7 +18,7 @@
       | plan tsehay                | 0    | planned against revision 0                   |
       | apply tsehay               | 0    | accepted: revision 2                         |
       | apply tsehay               | 0    | was in place already: revision 2             |
-      | apply startgrid            | 4    | apply with --made-from 2                     |
+      | apply startgrid            | 4    | apply with --made_from=2                     |
       | plan startgrid             | 0    | - engines qalam-1                            |
       | apply startgrid made_from=2 | 0   | accepted: revision 3                         |
       | apply tsehay made_from=2   | 4    | changed since, from revision 2               |
--- a/src/weirscale/cli/configuration.py
+++ b/src/weirscale/cli/configuration.py
@@ -25,13 +25,11 @@
     plan_deployment,
 )
 from weirscale.node.configuration.outcome import Accepted, ApplyOutcome, Refused
-from weirscale.node.configuration.status import FleetConfigurationStatus
+from weirscale.node.configuration.status import STATUS_PATH, FleetConfigurationStatus
 
 if TYPE_CHECKING:
     from weirscale.ports.key_value_etcd import EtcdKeyValue
 
-STATUS_PATH = "/operator/configuration"
-"""Path on a node's caller port that answers with a `FleetConfigurationStatus` as JSON."""
 STATUS_POLL_S = 0.5
 STATUS_TIMEOUT_S = 10.0
 
@@ -108,7 +106,7 @@
     """Tell whether a revision is in force on all nodes, and which nodes lag and why.
 
     Args:
-        node: host:port where any node listens for callers.
+        node: host:port where any node listens for operators.
         revision: The revision; 0 for the highest that any node has heard of.
         wait_s: Ask again until it is in force or this time has passed.
     """
--- a/src/weirscale/node/configuration/apply.py
+++ b/src/weirscale/node/configuration/apply.py
@@ -168,7 +168,7 @@
         if self._made_from is None and stored is not None:
             return Refused(
                 f"revision {current.revision} is declared and the file names no revision",
-                f"look at `weirscale plan`, then apply with --made-from {current.revision}",
+                f"look at `weirscale plan`, then apply with --made_from={current.revision}",
                 current.revision,
             )
         if (self._made_from or NO_REVISION) != current.revision:
@@ -215,7 +215,7 @@
         return Refused(
             f"the file was made from revision {made_from}, the store is at {current.revision}",
             "take the changes since into the file, look at `weirscale plan`, "
-            f"then apply with --made-from {current.revision}",
+            f"then apply with --made_from={current.revision}",
             current.revision,
             since,
         )
--- a/src/weirscale/node/configuration/status.py
+++ b/src/weirscale/node/configuration/status.py
@@ -15,6 +15,8 @@
 from weirscale.node.configuration.spread import ConfigurationSpread
 from weirscale.node.interfaces import MembershipView, Peer, PeerLink, PeerState
 
+STATUS_PATH = "/operator/configuration"
+"""Path on a node's operator port that answers with a `FleetConfigurationStatus` as JSON."""
 NUM_QUERIES_AT_ONCE = 32
 QUERY_TIMEOUT_S = 2.0
 
