--- a/features/steps/limits_shares_steps.py
+++ b/features/steps/limits_shares_steps.py
@@ -132,7 +132,7 @@
 def step_cut(context):
     fleet = make_fleet(context)
     fleet.arrivals_per_s = dict.fromkeys(range(3), 20.0)
-    fleet.run(5.0)
+    fleet.run(10.0)
     assert fleet.most_slots == SLOTS  # the zone has borrowed the others' parts
     fleet.cut_zones = {"a"}
     fleet.arrivals_per_s = dict.fromkeys(range(9), 10.0)
--- a/src/weirscale/domain/limits/exchange.py
+++ b/src/weirscale/domain/limits/exchange.py
@@ -21,18 +21,21 @@
 from weirscale.domain.limits.share_pool import SharePool, ZoneShare
 from weirscale.messages.limits import LimitDemand, LimitGrant, TenantDemand
 
-NUM_SHARDS = 4
+NUM_SHARDS = 8
 """Homes of a zone: spreads the work, while a node's demands still fit a few datagrams."""
-REGULAR_INTERVAL_S = 1.0
-"""How often a node renews its demands; half of the slots' lease."""
+REGULAR_INTERVAL_S = 2.0
+"""How often a node renews its demands; below half of the slots' lease."""
+RENEW_INTERVAL_S = 4.0
+"""How often a home renews the slots that it borrowed; three times within their lease."""
 URGENT_INTERVAL_S = 0.05
 """Least time between demands for waiting requests; above a round trip within a zone."""
 BORROW_INTERVAL_S = 0.25
-"""Least time between two demands to other zones; above a round trip between regions."""
+"""How often a home looks whether its pools run short."""
 BORROW_FANOUT = 3
 """Homes of other zones asked at once."""
 MAX_ITEMS = 30
 """Tenants in one datagram: at most 28 bytes each, below the largest cast."""
+NO_LACK = (0, 0, 0)
 UNLIMITED = UnlimitedAllowance()
 
 
@@ -96,6 +99,7 @@
         self._regular_at_s = float("-inf")
         self._urgent_at_s = float("-inf")
         self._borrowed_at_s = float("-inf")
+        self._renewed_at_s = float("-inf")
 
     def set_members(self, members: Iterable[Member], now_s: float) -> None:
         """Learn who is live; homes move with it, and a new home's pools start anew."""
@@ -185,7 +189,9 @@
         elif waiting and now_s - self._urgent_at_s >= URGENT_INTERVAL_S:
             self._urgent_at_s = now_s
             short = [
-                holding for holding in self._holdings.values() if holding.tenant.name in waiting
+                holding
+                for holding in self._holdings.values()
+                if holding.tenant.name in waiting and holding.is_ask_due(now_s)
             ]
             outgoing += self._ask(short, waiting, now_s)
         if now_s - self._borrowed_at_s >= BORROW_INTERVAL_S and self._pools:
@@ -263,25 +269,33 @@
     def _borrow(self, now_s: float) -> list[Outgoing]:
         """As a home: ask some other zones for what is lacking, and renew borrowed slots."""
         items: dict[NodeAddress, list[TenantDemand]] = {}
-        for digest, pool in self._pools.items():
-            lack = pool.unmet(now_s)
-            others = [
+        is_renewal = now_s - self._renewed_at_s >= RENEW_INTERVAL_S
+        if is_renewal:
+            self._renewed_at_s = now_s
+        others = [
+            [
                 home
-                for (zone, shard), home in self._homes.items()
-                if shard == digest % NUM_SHARDS and zone != self._own.zone
+                for (zone, of), home in self._homes.items()
+                if of == shard and zone != self._own.zone
             ]
-            asked = self._random.sample(others, min(BORROW_FANOUT, len(others)))
-            share = pool.wants_from(max(1, len(asked)), now_s)
+            for shard in range(NUM_SHARDS)
+        ]
+        asked = [self._random.sample(homes, min(BORROW_FANOUT, len(homes))) for homes in others]
+        for digest, pool in self._pools.items():
+            shard = digest % NUM_SHARDS
+            is_short = pool.is_borrowing_due(now_s)
+            if not is_short and not is_renewal:
+                continue
+            few = asked[shard][: max(pool.unmet(now_s))] if is_short else []
+            lack = pool.wants_from(len(few), now_s) if few else NO_LACK
             keeps = pool.needs_borrowed_slots(now_s)
-            for home in others:
+            for home in others[shard]:
                 held = pool.borrowed_from(home, now_s)
-                is_asked = home in asked and any(lack)
-                if not held and not is_asked:
-                    continue
-                more = share if is_asked else (0, 0, 0)
-                wanted = (held if keeps else 0) + more[2]
-                demand = TenantDemand(digest, more[0], more[1], held, wanted)
-                items.setdefault(home, []).append(demand)
+                more = lack if home in few else NO_LACK
+                if any(more) or (held and is_renewal):
+                    wanted = (held if keeps else 0) + more[2]
+                    demand = TenantDemand(digest, more[0], more[1], held, wanted)
+                    items.setdefault(home, []).append(demand)
         return self._demands(items, is_home=True, now_s=now_s)
 
     def _demands(
--- a/src/weirscale/domain/limits/node_fairness.py
+++ b/src/weirscale/domain/limits/node_fairness.py
@@ -2,8 +2,8 @@
 
 from weirscale.domain.identifiers import NodeAddress
 
-LACKING_S = 0.3
-"""How long a node that went short counts as waiting; a few of its demand intervals."""
+LACKING_S = 1.0
+"""How long a node that went short counts as waiting; above its longest demand interval."""
 SLACK = 2
 """Tokens by which a node may be ahead of the one that has had least."""
 NO_BOUND = 2**31
--- a/src/weirscale/domain/limits/share_holding.py
+++ b/src/weirscale/domain/limits/share_holding.py
@@ -7,8 +7,12 @@
 
 MIN_RATE_PER_S = 1e-3
 """Least rate used in an estimate of a wait."""
-PREFETCH_S = 1.0
+PREFETCH_S = 2.0
 """Tokens are fetched ahead for this much of the recent arrivals, so that few requests wait."""
+MIN_ASK_WAIT_S = 0.05
+"""Least time between demands for a waiting request; above a round trip within a zone."""
+MAX_ASK_WAIT_S = 0.8
+"""While the home has nothing to give, the time between demands grows up to this."""
 ARRIVAL_SMOOTHING = 0.3
 """Weight of the newest interval in the arrival rate."""
 
@@ -37,6 +41,8 @@
         self._arrivals_per_s = 0.0
         self._prompt_tokens_per_request = 0.0
         self._measured_at_s = now_s
+        self._ask_at_s = now_s
+        self._ask_wait_s = MIN_ASK_WAIT_S
 
     def slots(self, now_s: float) -> int:
         """Slots that may be used now."""
@@ -106,17 +112,25 @@
             self._num_prompt_tokens -= self._num_old_prompt_tokens
         self._num_old_requests = self._num_requests
         self._num_old_prompt_tokens = self._num_prompt_tokens
-        rate_per_s = self._num_arrived / elapsed_s
+        rate_per_s = self._num_arrived / max(elapsed_s, PREFETCH_S)
         self._arrivals_per_s += ARRIVAL_SMOOTHING * (rate_per_s - self._arrivals_per_s)
         self._num_arrived = 0
         self._measured_at_s = now_s
 
+    def is_ask_due(self, now_s: float) -> bool:
+        """Whether to ask again for waiting requests; each time in vain doubles the wait."""
+        if now_s < self._ask_at_s:
+            return False
+        self._ask_at_s = now_s + self._ask_wait_s
+        self._ask_wait_s = min(MAX_ASK_WAIT_S, 2 * self._ask_wait_s)
+        return True
+
     def demand(
         self, num_waiting: int, num_waiting_prompt_tokens: int, now_s: float
     ) -> TenantDemand | None:
         """What to ask the home for; None when nothing is held, used or wanted."""
         tenant = self.tenant
-        ahead = int(self._arrivals_per_s * PREFETCH_S + 0.5)
+        ahead = int(self._arrivals_per_s * PREFETCH_S)
         requests = tokens = held = wanted = 0
         if tenant.requests_per_s is not None:
             requests = max(0, num_waiting + ahead - self._num_requests)
@@ -132,6 +146,9 @@
 
     def take(self, granted: TenantGrant, asked_at_s: float) -> None:
         """Add what the home gave in answer to the latest demand, sent at `asked_at_s`."""
+        if granted.num_requests or granted.num_prompt_tokens or granted.slots > self._slots:
+            self._ask_wait_s = MIN_ASK_WAIT_S
+            self._ask_at_s = asked_at_s + MIN_ASK_WAIT_S
         self._num_requests += granted.num_requests
         self._num_prompt_tokens += granted.num_prompt_tokens
         self._slots = granted.slots
--- a/src/weirscale/domain/limits/share_pool.py
+++ b/src/weirscale/domain/limits/share_pool.py
@@ -18,14 +18,18 @@
 from weirscale.domain.limits.token_bucket import TokenBucket
 from weirscale.messages.limits import TenantDemand, TenantGrant
 
-NODE_LEASE_S = 2.0
+NODE_LEASE_S = 5.0
 """How long a node may use slots without a new grant."""
-HOME_LEASE_S = 6.0
+HOME_LEASE_S = 15.0
 """How long a home may use another zone's slots without a new grant; covers its nodes' leases."""
 DEMAND_MEMORY_S = 2.0
 """How long an unmet demand counts when slots are divided."""
 TAKEOVER_SHARE = 0.5
 """Part of the zone's limits that a new home gives before the leases of its predecessor end."""
+MIN_BORROW_WAIT_S = 0.25
+"""Least time between two demands to other zones; above a round trip between regions."""
+MAX_BORROW_WAIT_S = 4.0
+"""While other zones have nothing to spare, the time between demands grows up to this."""
 BORROWED_TOKENS_LIFE_S = 2.0
 """How long tokens from other zones are kept; then they are void."""
 
@@ -50,6 +54,14 @@
     wanted: int
 
 
+class _Lack(msgspec.Struct, frozen=True):
+    """Tokens that a node asked for and did not get."""
+
+    num_requests: int
+    num_prompt_tokens: int
+    at_s: float
+
+
 class SharePool:
     """The zone's part of one tenant's limits.
 
@@ -72,9 +84,9 @@
         self._borrowed_requests = 0
         self._borrowed_prompt_tokens = 0
         self._borrowed_at_s = now_s
-        self._unmet_requests = 0
-        self._unmet_prompt_tokens = 0
-        self._unmet_at_s = float("-inf")
+        self._lacking: dict[NodeAddress, _Lack] = {}
+        self._borrow_wait_s = MIN_BORROW_WAIT_S
+        self._borrow_at_s = now_s
         self._make_limits(tenant, share, now_s)
 
     def _make_limits(self, tenant: Tenant, share: ZoneShare, now_s: float) -> None:
@@ -101,7 +113,7 @@
         else:
             num_requests = self._give_requests(source, demand.num_requests, now_s)
             num_prompt_tokens = self._give_prompt_tokens(demand.num_prompt_tokens, now_s)
-            self._note_unmet(demand, num_requests, num_prompt_tokens, now_s)
+            self._note_unmet(source, demand, num_requests, num_prompt_tokens, now_s)
         slots = self._lend(source, is_home, demand, now_s)
         return TenantGrant(
             demand.tenant, num_requests, num_prompt_tokens, slots, self._expected_rate()
@@ -114,9 +126,10 @@
         if self._slots is not None:
             wanted = sum(loan.wanted for loan in self._loans.values())
             slots = max(0, min(wanted, self._limit_slots()) - self._owned_slots(now_s))
-        if now_s - self._unmet_at_s > DEMAND_MEMORY_S:
-            return 0, 0, slots
-        return self._unmet_requests, self._unmet_prompt_tokens, slots
+        lacking = self._lacking.values()
+        requests = sum(lack.num_requests for lack in lacking) - self._borrowed_requests
+        tokens = sum(lack.num_prompt_tokens for lack in lacking) - self._borrowed_prompt_tokens
+        return max(0, requests), max(0, tokens), slots
 
     def borrowed_from(self, home: NodeAddress, now_s: float) -> int:
         """Slots of another zone that this one's nodes may still use, returned ones included."""
@@ -126,6 +139,14 @@
             default=0,
         )
 
+    def is_borrowing_due(self, now_s: float) -> bool:
+        """Whether to ask other zones now; each time without a gift doubles the wait to the next."""
+        if now_s < self._borrow_at_s or not any(self.unmet(now_s)):
+            return False
+        self._borrow_at_s = now_s + self._borrow_wait_s
+        self._borrow_wait_s = min(MAX_BORROW_WAIT_S, 2 * self._borrow_wait_s)
+        return True
+
     def wants_from(self, num_homes: int, now_s: float) -> tuple[int, int, int]:
         """What to ask each of `num_homes` other homes for beyond what it lends already."""
         return tuple(math.ceil(lack / num_homes) for lack in self.unmet(now_s))  # type: ignore[return-value]
@@ -144,9 +165,10 @@
         self._borrowed_requests += granted.num_requests
         self._borrowed_prompt_tokens += granted.num_prompt_tokens
         self._borrowed_at_s = now_s
-        self._unmet_requests = max(0, self._unmet_requests - granted.num_requests)
-        self._unmet_prompt_tokens = max(0, self._unmet_prompt_tokens - granted.num_prompt_tokens)
         before = self.borrowed_from(home, now_s)
+        if granted.num_requests or granted.num_prompt_tokens or granted.slots > before:
+            self._borrow_wait_s = MIN_BORROW_WAIT_S
+            self._borrow_at_s = min(self._borrow_at_s, now_s + MIN_BORROW_WAIT_S)
         if before > granted.slots:
             self._returned_slots[home] = _Loan(before, now_s + NODE_LEASE_S, 0)
         expires_at_s = asked_at_s + HOME_LEASE_S
@@ -224,25 +246,26 @@
 
     def _spare(self, bucket: TokenBucket | None, wanted: int, now_s: float) -> int:
         """Give to another zone only while this zone's own nodes lack nothing."""
-        is_short = now_s - self._unmet_at_s <= DEMAND_MEMORY_S and self._unmet_requests > 0
-        if bucket is None or is_short:
+        if bucket is None or self._lacking:
             return 0
         given = min(wanted, math.floor(bucket.available(now_s)))
         bucket.take(given, now_s)
         return given
 
     def _note_unmet(
-        self, demand: TenantDemand, num_requests: int, num_prompt_tokens: int, now_s: float
+        self,
+        source: NodeAddress,
+        demand: TenantDemand,
+        num_requests: int,
+        num_prompt_tokens: int,
+        now_s: float,
     ) -> None:
         lacking_requests = demand.num_requests - num_requests if self._requests else 0
         lacking_tokens = demand.num_prompt_tokens - num_prompt_tokens if self._prompt_tokens else 0
-        if now_s - self._unmet_at_s > DEMAND_MEMORY_S:
-            self._unmet_requests = 0
-            self._unmet_prompt_tokens = 0
         if lacking_requests > 0 or lacking_tokens > 0:
-            self._unmet_requests = max(self._unmet_requests, lacking_requests)
-            self._unmet_prompt_tokens = max(self._unmet_prompt_tokens, lacking_tokens)
-            self._unmet_at_s = now_s
+            self._lacking[source] = _Lack(lacking_requests, lacking_tokens, now_s)
+        else:
+            self._lacking.pop(source, None)
 
     def _expected_rate(self) -> float:
         """Rate that one node may expect; optimistic, since other zones may lend theirs."""
@@ -253,6 +276,10 @@
     def _drop_expired(self, now_s: float) -> None:
         for source in [key for key, loan in self._loans.items() if loan.expires_at_s <= now_s]:
             del self._loans[source]
+        for source in [
+            key for key, lack in self._lacking.items() if now_s - lack.at_s > DEMAND_MEMORY_S
+        ]:
+            del self._lacking[source]
         if now_s - self._borrowed_at_s > BORROWED_TOKENS_LIFE_S:
             self._borrowed_requests = 0
             self._borrowed_prompt_tokens = 0
--- a/src/weirscale/node/claims/change.py
+++ b/src/weirscale/node/claims/change.py
@@ -56,9 +56,12 @@
     return cbor2.dumps(msgspec.to_builtins(record, builtin_types=(bytes,)))
 
 
-def decode_record(value: bytes) -> GroupEpoch:
-    """Read the stored form."""
-    return msgspec.convert(cbor2.loads(value), GroupEpoch, builtin_types=(bytes,))
+def decode_record(value: bytes) -> GroupEpoch | None:
+    """Read the stored form; None for what is not a record."""
+    try:
+        return msgspec.convert(cbor2.loads(value), GroupEpoch, builtin_types=(bytes,))
+    except (cbor2.CBORDecodeError, msgspec.ValidationError):
+        return None
 
 
 async def read_records(store: KeyValuePort) -> dict[int, StoredRecord] | None:
@@ -66,19 +69,24 @@
     answer = await store.read(RECORD_PREFIX)
     if isinstance(answer, Err):
         return None
-    records = [(decode_record(each.value), each.mod_revision) for each in answer.ok_value.values]
-    return {record.group: StoredRecord(record, revision) for record, revision in records}
+    decoded = [(decode_record(each.value), each.mod_revision) for each in answer.ok_value.values]
+    return {
+        record.group: StoredRecord(record, revision)
+        for record, revision in decoded
+        if record is not None
+    }
 
 
 async def read_record(store: KeyValuePort, group: int) -> StoredRecord | None:
-    """Read one group's record; None when the store does not answer."""
+    """Read one group's record; None when the store does not answer or holds something else."""
     answer = await store.read(record_key(group))
     if isinstance(answer, Err):
         return None
     if not answer.ok_value.values:
         return StoredRecord(None, 0)
     value = answer.ok_value.values[0]
-    return StoredRecord(decode_record(value.value), value.mod_revision)
+    record = decode_record(value.value)
+    return StoredRecord(record, value.mod_revision) if record is not None else None
 
 
 class _Collected(msgspec.Struct, frozen=True):
--- a/src/weirscale/node/claims/keeper.py
+++ b/src/weirscale/node/claims/keeper.py
@@ -7,13 +7,12 @@
 import anyio
 import xxhash
 
-from weirscale.domain.claims.authority import LOST_AFTER_S, HolderAuthority
+from weirscale.domain.claims.authority import HolderAuthority
+from weirscale.domain.claims.loss import LossWatch
 from weirscale.domain.claims.model import NUM_GROUPS, GroupEpoch, Holder
 from weirscale.domain.claims.planning import (
     LiveNode,
     choose_holders,
-    is_lost_whole,
-    lost_holders,
     plan_change,
     planner_of,
 )
@@ -23,6 +22,7 @@
 from weirscale.node.claims.change import EpochChange, StoredRecord, read_record, read_records
 from weirscale.node.claims.peers import ClaimPeers
 from weirscale.node.claims.registry import HolderRegistry
+from weirscale.node.event_log import EventLog, SilentEventLog
 from weirscale.node.interfaces import ConfigurationView, MembershipView
 from weirscale.ports.key_value import KeyValuePort
 
@@ -34,6 +34,8 @@
 """A node waits this long after its start before it makes missing groups: others may join."""
 FULL_CHECK_S = 30.0
 """All groups are looked at this often even when membership stands still."""
+LOST_CHECK_S = 5.0
+"""All groups are looked at this often while one seems to have lost its quorum for good."""
 CONFIRM_S = 8.0
 """How often a holder asks other zones for newer epochs; three tries within AUTHORITY_S."""
 SEALED_TOO_LONG_S = 3.0
@@ -76,7 +78,9 @@
         store: KeyValuePort,
         authority: HolderAuthority,
         random: Random,
+        events: EventLog | None = None,
     ) -> None:
+        self._events = events or SilentEventLog()
         self._registry = registry
         self._peers = peers
         self._membership = membership
@@ -90,7 +94,7 @@
         self._checked_at_s = float("-inf")
         self._confirmed_at_s = float("-inf")
         self._store_read_at_s = float("-inf")
-        self._lost_since_s: dict[tuple[int, int], float] = {}
+        self._loss = LossWatch()
 
     async def run(self) -> None:
         """Keep going until cancelled."""
@@ -178,7 +182,9 @@
                 continue
             if planner_of(group, nodes) != self._membership.self_id:
                 continue
-            if self._needs_change(group, record, nodes):
+            if self._needs_change(group, record, nodes) and self._loss.can_change(
+                record, nodes, *self._zones_now()
+            ):
                 await self._tend(group, nodes, is_stuck=False)
         if has_settled:
             self._checked_at_s = now_s
@@ -189,8 +195,10 @@
             self._seen_version = version
             self._version_since_s = now_s
         is_unchecked = self._checked_at_s < self._version_since_s + SETTLE_S
-        is_pending = bool(self._lost_since_s) or self._registry.epochs.num_unknown() > 0
-        return is_unchecked or is_pending or now_s - self._checked_at_s >= FULL_CHECK_S
+        if is_unchecked or self._registry.epochs.num_unknown() > 0:
+            return True
+        interval_s = LOST_CHECK_S if self._loss.has_lost_groups else FULL_CHECK_S
+        return now_s - self._checked_at_s >= interval_s
 
     def _needs_change(
         self, group: int, record: GroupEpoch | None, nodes: tuple[LiveNode, ...]
@@ -207,19 +215,14 @@
             is_stuck = False
         if not is_stuck and not self._needs_change(group, stored.record, nodes):
             return
-        may_follow_loss = self._may_follow_loss(stored.record, nodes)
-        if stored.record is not None and not may_follow_loss:
-            num_lost = len(lost_holders(stored.record, nodes))
-            if is_lost_whole(stored.record, num_lost):
-                return
-        await self._change(group, stored, nodes, may_follow_loss)
+        if self._loss.can_change(stored.record, nodes, *self._zones_now()):
+            await self._change(group, stored, nodes)
 
     async def _change(
         self,
         group: int,
         stored: StoredRecord,
         nodes: tuple[LiveNode, ...],
-        may_follow_loss: bool,
     ) -> None:
         rules = claim_rules(self._configuration)
         epoch = stored.record.epoch + 1 if stored.record is not None else 1
@@ -230,47 +233,40 @@
             self._attempt_name(),
         )
         change = EpochChange(
-            self._peers, self._store, stored, record, rules.retention_s, may_follow_loss
+            self._peers,
+            self._store,
+            stored,
+            record,
+            rules.retention_s,
+            self._loss.may_follow_loss(stored.record, nodes, *self._zones_now()),
         )
-        self._registry.epochs.adopt(await change.run())
+        in_force = await change.run()
+        self._registry.epochs.adopt(in_force)
+        self._tell(record, in_force)
+
+    def _tell(self, wanted: GroupEpoch, in_force: GroupEpoch | None) -> None:
+        """Log what became of a change of epoch."""
+        is_ours = in_force is not None and in_force.attempt == wanted.attempt
+        self._events.event(
+            "claim_epoch_changed" if is_ours else "claim_epoch_not_changed",
+            group=wanted.group,
+            epoch=wanted.epoch,
+            holders=",".join(holder.node.name for holder in wanted.holders),
+            follows_loss=in_force.follows_loss if in_force is not None else False,
+            reason="done"
+            if is_ours
+            else "another change won"
+            if in_force
+            else "no quorum or store",
+        )
+
+    def _zones_now(self) -> tuple[frozenset[ZoneName], float]:
+        return declared_zones(self._configuration), anyio.current_time()
 
     def _attempt_name(self) -> bytes:
         digest = node_digest(self._membership.self_id)
         return digest.to_bytes(8, "big") + next(self._attempts).to_bytes(4, "big")
 
-    def _may_follow_loss(self, record: GroupEpoch | None, nodes: tuple[LiveNode, ...]) -> bool:
-        """Whether the holders may be declared lost: gone long enough, or known to have restarted.
-
-        More than half of the zones must be in sight, so that holders on the far side of a cut
-        hear fewer than half and stop by themselves.
-        """
-        if record is None:
-            return False
-        lost = lost_holders(record, nodes)
-        name = (record.group, record.epoch)
-        if not is_lost_whole(record, len(lost)):
-            self._lost_since_s.pop(name, None)
-            return False
-        now_s = anyio.current_time()
-        since_s = self._lost_since_s.setdefault(name, now_s)
-        if not self._sees_most_zones(nodes):
-            return False
-        if now_s - since_s < LOST_AFTER_S and not _have_restarted(lost, nodes):
-            return False
-        del self._lost_since_s[name]
-        return True
-
-    def _sees_most_zones(self, nodes: tuple[LiveNode, ...]) -> bool:
-        zones = declared_zones(self._configuration)
-        seen = {node.holder.zone for node in nodes} & zones
-        return 2 * len(seen) > len(zones)
-
-
-def _have_restarted(lost: tuple[Holder, ...], nodes: tuple[LiveNode, ...]) -> bool:
-    """Whether a later run of every lost node is live, so that the run that held is over."""
-    latest = {node.holder.node.name: node.holder.node.incarnation for node in nodes}
-    return all(latest.get(holder.node.name, -1) > holder.node.incarnation for holder in lost)
-
 
 def authority_check(
     authority: HolderAuthority, configuration: ConfigurationView
--- a/src/weirscale/node/claims/ledger.py
+++ b/src/weirscale/node/claims/ledger.py
@@ -41,6 +41,7 @@
 from weirscale.node.claims.keeper import ClaimKeeper, authority_check, node_digest
 from weirscale.node.claims.peers import ClaimPeers
 from weirscale.node.claims.registry import HolderRegistry
+from weirscale.node.event_log import EventLog
 from weirscale.node.interfaces import (
     Claim,
     ClaimState,
@@ -93,6 +94,7 @@
         store: Keeps the groups' epochs.
         zone: This node's zone.
         random: Parts racing callers and spreads load.
+        events: Where changes of epoch are told.
     """
 
     def __init__(
@@ -103,17 +105,18 @@
         store: KeyValuePort,
         zone: ZoneName,
         random: Random,
+        events: EventLog | None = None,
     ) -> None:
         authority = HolderAuthority(zone)
-        self._peers = ClaimPeers(link, membership)
         self.registry = HolderRegistry(
             membership.self_id,
             link,
             authority_check(authority, configuration),
             lambda: authority.note_store_read(anyio.current_time()),
         )
+        self._peers = ClaimPeers(link, membership, self.registry.answer)
         self._keeper = ClaimKeeper(
-            self.registry, self._peers, membership, configuration, store, authority, random
+            self.registry, self._peers, membership, configuration, store, authority, random, events
         )
         self._random = random
         self._digest = node_digest(membership.self_id)
@@ -129,6 +132,10 @@
             finally:
                 self._tasks = None
 
+    def num_held_groups(self) -> int:
+        """Groups that this node holds; a node that leaves waits until there are none."""
+        return self.registry.num_holders()
+
     async def claim(
         self,
         tenant: TenantName,
--- a/src/weirscale/node/claims/peers.py
+++ b/src/weirscale/node/claims/peers.py
@@ -1,5 +1,6 @@
 """Calls to claim holders, on other nodes or on this one."""
 
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import msgspec
@@ -16,13 +17,20 @@
     """Typed calls over the peer link.
 
     Args:
-        link: Carries the calls, to this node itself too.
+        link: Carries the calls to other nodes.
         membership: Who is live.
+        answer_here: Answers a message on this node, as a call from elsewhere would be answered.
     """
 
-    def __init__(self, link: PeerLink, membership: MembershipView) -> None:
+    def __init__(
+        self,
+        link: PeerLink,
+        membership: MembershipView,
+        answer_here: Callable[[msgspec.Struct], Awaitable[msgspec.Struct]],
+    ) -> None:
         self._link = link
         self._membership = membership
+        self._answer_here = answer_here
 
     async def ask(
         self,
@@ -32,6 +40,9 @@
         timeout_s: float,
     ) -> ReplyT | None:
         """Call a node and return its reply; None when none of the right type came in time."""
+        if holder.node == self._membership.self_id:
+            reply = await self._answer_here(message)
+            return reply if isinstance(reply, reply_type) else None
         answer = await self._link.call(holder.address, message, timeout_s)
         if isinstance(answer, Err) or not isinstance(answer.ok_value, reply_type):
             return None
--- a/src/weirscale/node/claims/registry.py
+++ b/src/weirscale/node/claims/registry.py
@@ -3,9 +3,11 @@
 Every handler runs without waiting, so each call sees and leaves a whole state.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
+import msgspec
 
 from weirscale.domain.claims.holder import ClaimHolder, HolderPhase
 from weirscale.domain.claims.model import ClaimVote, CopiedClaim, GroupEpoch, Vote
@@ -35,6 +37,9 @@
 """Epochs prepared and not yet in force that a node keeps at most; the oldest is dropped."""
 
 
+CallHandler = Callable[[Any], Awaitable[msgspec.Struct]]
+
+
 class _Prepared:
     """Claims received so far for an epoch to come."""
 
@@ -68,17 +73,25 @@
         self._holders: dict[int, ClaimHolder] = {}
         self._prepared: dict[tuple[int, bytes], _Prepared] = {}
         self._sealed_at_s: dict[int, float] = {}
+        self._handlers: dict[type[msgspec.Struct], CallHandler] = {
+            ClaimOffer: self.offer,
+            ClaimWithdraw: self.withdraw,
+            ClaimComplete: self.complete,
+            ClaimSeal: self.seal,
+            ClaimCopy: self.copy,
+            ClaimPrepare: self.prepare,
+            ClaimAnnounce: self.announce,
+            ClaimEpochsQuery: self.newer_epochs,
+        }
         self._serve(link)
 
+    async def answer(self, message: msgspec.Struct) -> msgspec.Struct:
+        """Answer any of the ledger's calls."""
+        return await self._handlers[type(message)](message)
+
     def _serve(self, link: PeerLink) -> None:
-        link.on_call(ClaimOffer, self.offer)  # type: ignore[arg-type]
-        link.on_call(ClaimWithdraw, self.withdraw)  # type: ignore[arg-type]
-        link.on_call(ClaimComplete, self.complete)  # type: ignore[arg-type]
-        link.on_call(ClaimSeal, self.seal)  # type: ignore[arg-type]
-        link.on_call(ClaimCopy, self.copy)  # type: ignore[arg-type]
-        link.on_call(ClaimPrepare, self.prepare)  # type: ignore[arg-type]
-        link.on_call(ClaimAnnounce, self.announce)  # type: ignore[arg-type]
-        link.on_call(ClaimEpochsQuery, self.newer_epochs)  # type: ignore[arg-type]
+        for message_type, handler in self._handlers.items():
+            link.on_call(message_type, handler)
         link.on_cast(ClaimAnnounce, lambda _, message: self._announced(message))
 
     def num_holders(self) -> int:
--- a/src/weirscale/node/limits/fleet.py
+++ b/src/weirscale/node/limits/fleet.py
@@ -5,22 +5,17 @@
 import anyio
 import msgspec
 
-from weirscale.domain.configuration.model import Tenant
-from weirscale.domain.identifiers import ConfigurationRevision, NodeAddress, RequestId, ZoneName
+from weirscale.domain.identifiers import ConfigurationRevision, NodeAddress, ZoneName
 from weirscale.domain.limits.exchange import Member, Outgoing, ShareExchange
+from weirscale.domain.limits.fair_queue import WaitingRequest
 from weirscale.messages.limits import LimitDemand, LimitGrant
 from weirscale.node.interfaces import ConfigurationView, MembershipView, PeerLink
-from weirscale.node.limits.task import MIN_RUNNING, AdmissionTask, Decision, node_capacity
+from weirscale.node.limits.task import MIN_RUNNING, AdmissionTask, node_capacity
 
 FLEET_POLL_S = 0.25
 """How often a node without messages looks at what it owes its peers."""
 
 
-class _Arrived(msgspec.Struct, frozen=True):
-    tenant: Tenant
-    num_prompt_tokens: int
-
-
 class _DemandCame(msgspec.Struct, frozen=True):
     source: NodeAddress
     demand: LimitDemand
@@ -64,17 +59,9 @@
         link.on_cast(LimitDemand, self._demand_came)
         link.on_cast(LimitGrant, self._grant_came)
 
-    async def admit(
-        self,
-        tenant: Tenant,
-        request_id: RequestId,
-        num_prompt_tokens: int,
-        priority: int,
-        deadline_s: float,
-    ) -> Decision:
-        """Wait for a permit; refused at once when the wait would miss the deadline."""
-        self.mailbox.post(_Arrived(tenant, num_prompt_tokens))
-        return await super().admit(tenant, request_id, num_prompt_tokens, priority, deadline_s)
+    def note_arrival(self, request: WaitingRequest, now_s: float) -> None:
+        """Count the request, so that its tenant's tokens are fetched ahead."""
+        self._exchange.note_arrival(request.tenant, request.num_prompt_tokens, now_s)
 
     async def exchange_shares(self) -> None:
         """Send what is due to homes and borrowers."""
@@ -94,8 +81,6 @@
         """Carry out one message."""
         now_s = anyio.current_time()
         match message:
-            case _Arrived(tenant=tenant, num_prompt_tokens=num_prompt_tokens):
-                self._exchange.note_arrival(tenant, num_prompt_tokens, now_s)
             case _DemandCame(source=source, demand=demand):
                 answer = self._exchange.take_demand(source, demand, now_s)
                 if answer is not None:
--- a/src/weirscale/node/limits/task.py
+++ b/src/weirscale/node/limits/task.py
@@ -149,7 +149,11 @@
             case _Reshape(max_running=max_running):
                 self.queue.max_running = max_running
 
+    def note_arrival(self, request: WaitingRequest, now_s: float) -> None:
+        """Learn that a request came; a process that stands alone has no use for it."""
+
     def _offer(self, message: _Admit, request: WaitingRequest, now_s: float) -> None:
+        self.note_arrival(request, now_s)
         refusal = self.queue.offer(request, now_s)
         if refusal is not None:
             message.reply.set(Err(refusal))
