Strike the busiest engines, report refusals by code, fix the virtual wall clock

Change: faults of engines take those with most work; refusals by code in report, page and matrix; nodes get a virtual wall clock.

--- a/src/weirscale/experiments/faults/injector.py
+++ b/src/weirscale/experiments/faults/injector.py
@@ -13,6 +13,7 @@
 from weirscale.experiments.faults.world import World
 from weirscale.experiments.history.records import BackendChange, BackendChanged, NodeChange
 from weirscale.ports.machines import Machine
+from weirscale.standins.engine.in_process import InProcessEngine
 from weirscale.standins.faults import EngineFaults, ServiceFaults
 
 FIRST_KEY = b"\x00"
@@ -80,7 +81,7 @@
         await self._actions[fault.kind](fault)
 
     async def _engine_crash(self, fault: PlannedFault) -> None:
-        self._world.platform.engines[EngineName(self._engine(fault))].crash()
+        self._world.platform.engines[self._engine(fault)].crash()
 
     async def _event_loss(self, fault: PlannedFault) -> None:
         engines = self._world.platform.engines.values()
@@ -178,7 +179,7 @@
 
     async def _leaving_backend(self, fault: PlannedFault) -> None:
         platform = self._world.platform
-        names = [self._engine(fault)]
+        names: list[str] = [self._engine(fault)]
         if platform.services:
             names.append(self._random.choice(sorted(platform.services)))
         for name in names:
@@ -240,8 +241,13 @@
         version = WeightVersion(f"next-{self._num_versions}")
         await self._world.operator.change(lambda deployment: _with_version(deployment, version))
 
-    def _engine(self, fault: PlannedFault) -> str:
-        return fault.target or self._random.choice(sorted(self._world.platform.engines))
+    def _engine(self, fault: PlannedFault) -> EngineName:
+        return EngineName(fault.target) if fault.target else self._busiest_engines()[0]
+
+    def _busiest_engines(self) -> list[EngineName]:
+        """Return the engines, those with most work first: a fault of an idle one shows little."""
+        engines = self._world.platform.engines
+        return sorted(engines, key=lambda name: _num_requests(engines[name]), reverse=True)
 
     def _node(self) -> NodeName:
         return self._random.choice([place.name for place in self._world.fleet.places])
@@ -250,6 +256,12 @@
         return ZoneName(fault.target or self._random.choice(self._world.platform.zones))
 
 
+def _num_requests(engine: InProcessEngine) -> tuple[int, int]:
+    """Return what an engine has to do now, then what it has done so far, as sort keys."""
+    batch = engine.model.batch
+    return len(batch.running) + batch.num_waiting, engine.model.ledger.num_started
+
+
 def _with_first_tenant_weight(deployment: Deployment, weight: float) -> Deployment:
     first, *others = deployment.tenants
     changed: Tenant = msgspec.structs.replace(first, weight=weight)
--- a/src/weirscale/experiments/report/figures.py
+++ b/src/weirscale/experiments/report/figures.py
@@ -1,6 +1,7 @@
 """Figures of one run, worked out from its history."""
 
 import itertools
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from typing import Any
 
@@ -15,6 +16,7 @@
     ChunkReceived,
     EngineRun,
     GenerationSent,
+    RefusalReceived,
     ServiceAnswered,
 )
 from weirscale.experiments.history.verdict import RequestCounts, Verdict
@@ -58,6 +60,7 @@
         seed: The seed.
         duration_s: Time in which callers sent.
         requests: What became of the requests.
+        refusals: Refusals by their code.
         prefix_hit_rate: Cached share of the prompt tokens of all runs on engines.
         ttft_seconds: Time to first token, from the intended send time.
         service_seconds: Time to a service's answer, from the intended send time.
@@ -78,6 +81,7 @@
     seed: int
     duration_s: float
     requests: RequestCounts
+    refusals: dict[str, int]
     prefix_hit_rate: float | None
     ttft_seconds: Percentiles
     service_seconds: Percentiles
@@ -211,6 +215,7 @@
         seed=identity.seed,
         duration_s=identity.duration_s,
         requests=verdict.counts,
+        refusals=dict(Counter(one.code.value for one in history.of_type(RefusalReceived))),
         prefix_hit_rate=prefix_hit_rate(history),
         ttft_seconds=percentiles(time_s for _, time_s in first_token_times_s(history)),
         service_seconds=percentiles(service_times_s(history)),
--- a/src/weirscale/experiments/report/page.py
+++ b/src/weirscale/experiments/report/page.py
@@ -58,7 +58,8 @@
 
 def _request_rows(figures: Figures) -> list[tuple[str, str]]:
     counts = msgspec.structs.asdict(figures.requests)
-    return [(name.replace("_", " "), str(count)) for name, count in counts.items()]
+    rows = [(name.replace("_", " "), str(count)) for name, count in counts.items()]
+    return rows + [(f"refused: {code}", str(n)) for code, n in figures.refusals.items()]
 
 
 def _effect_rows(figures: Figures) -> list[tuple[str, str]]:
--- a/src/weirscale/experiments/run/fleet.py
+++ b/src/weirscale/experiments/run/fleet.py
@@ -6,7 +6,6 @@
 
 from weirscale.domain.identifiers import (
     ConfigurationRevision,
-    Incarnation,
     NodeAddress,
     NodeName,
     ZoneName,
@@ -84,14 +83,14 @@
         process = NodeProcess(self.failures)
         member.endpoint = endpoint
         member.process = process
-        incarnation = Incarnation(member.num_starts)
+        run_number = member.num_starts
 
         def make(tasks: TaskGroup) -> FleetNode:
             setup = NodeSetup(
                 name=place.name,
                 zone=place.zone,
                 address=place.address,
-                incarnation=incarnation,
+                run_number=run_number,
                 life=process.life,
                 tasks=tasks,
             )
@@ -108,10 +107,6 @@
         assert endpoint is not None
         return endpoint
 
-    def num_starts(self, name: NodeName) -> int:
-        """Return how often a node was started; this is its incarnation."""
-        return self._members[name].num_starts
-
     def is_running(self, name: NodeName) -> bool:
         """Whether a node runs, paused or not."""
         process = self._members[name].process
--- a/src/weirscale/experiments/run/main.py
+++ b/src/weirscale/experiments/run/main.py
@@ -125,6 +125,8 @@
     requests = figures.requests
     names = [name for name in requests.__struct_fields__ if getattr(requests, name)]
     show(" ".join(f"{name}={getattr(requests, name)}" for name in names))
+    if figures.refusals:
+        show("refusals: " + " ".join(f"{code}={n}" for code, n in figures.refusals.items()))
     ttft = figures.ttft_seconds
     show(
         f"prefix_hit_rate={_shown(figures.prefix_hit_rate)} "
--- a/src/weirscale/experiments/run/node_factory.py
+++ b/src/weirscale/experiments/run/node_factory.py
@@ -2,8 +2,10 @@
 
 from random import Random
 
+import anyio
+
 from weirscale.domain.configuration.model import Engine, ServiceBackend
-from weirscale.domain.identifiers import NodeId
+from weirscale.domain.identifiers import Incarnation, NodeId
 from weirscale.experiments.run.fleet import Fleet
 from weirscale.experiments.run.gates import GatedEngine, GatedMachines, GatedService
 from weirscale.experiments.run.links import Path
@@ -21,6 +23,14 @@
 
 PEER_KEYS = (PeerKey(key_id=1, secret=b"virtual-fleet-peer-key"),)
 
+FIRST_EPOCH_MS = 1_800_000_000_000
+"""Wall clock at the beginning of each run, so that runs do not depend on the day."""
+
+
+def epoch_ms() -> int:
+    """Return the virtual wall clock."""
+    return FIRST_EPOCH_MS + int(anyio.current_time() * 1000)
+
 
 class ProductNodes:
     """Makes nodes; one factory for a whole run.
@@ -50,7 +60,7 @@
     def make(self, setup: NodeSetup) -> FleetNode:
         """Make the node of one run."""
         identity = NodeIdentity(
-            node=NodeId(setup.name, setup.incarnation),
+            node=NodeId(setup.name, Incarnation(epoch_ms() + setup.run_number)),
             zone=setup.zone,
             address=setup.address,
             seeds=tuple(place.address for place in self._fleet.places),
@@ -87,4 +97,5 @@
             machines=GatedMachines(machines, life, path_to(setup.zone)),
             make_engine_port=engine_port,
             make_service_port=service_port,
+            epoch_ms=epoch_ms,
         )
--- a/src/weirscale/experiments/run/node_process.py
+++ b/src/weirscale/experiments/run/node_process.py
@@ -7,7 +7,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from weirscale.domain.identifiers import Incarnation, NodeAddress, NodeName, ZoneName
+from weirscale.domain.identifiers import NodeAddress, NodeName, ZoneName
 from weirscale.experiments.run.exchange import Exchange, HttpRequest, Message
 from weirscale.experiments.run.life import ProcessKilled, ProcessLife
 from weirscale.node.interfaces import ConfigurationView
@@ -49,7 +49,7 @@
         name: The node's name.
         zone: Its zone.
         address: Its peer address.
-        incarnation: Number of this run.
+        run_number: Counts the runs of this node from 1.
         life: Its process.
         tasks: Its process's task group.
     """
@@ -57,7 +57,7 @@
     name: NodeName
     zone: ZoneName
     address: NodeAddress
-    incarnation: Incarnation
+    run_number: int
     life: ProcessLife
     tasks: TaskGroup
 
--- a/src/weirscale/experiments/soak/matrix.py
+++ b/src/weirscale/experiments/soak/matrix.py
@@ -39,6 +39,7 @@
         requests: What became of the requests.
         rules_broken: Rules broken, with how often.
         num_internal_errors: Exceptions raised in nodes.
+        refusals: Refusals by their code.
         effects: What the faults visibly did.
         ttft_p99_s: 99th percentile of the time to first token.
     """
@@ -49,6 +50,7 @@
     requests: RequestCounts
     rules_broken: dict[str, int]
     num_internal_errors: int
+    refusals: dict[str, int]
     effects: Effects
     ttft_p99_s: float | None
 
@@ -115,6 +117,7 @@
         requests=figures.requests,
         rules_broken=rules_broken,
         num_internal_errors=figures.num_internal_errors,
+        refusals=figures.refusals,
         effects=figures.effects,
         ttft_p99_s=figures.ttft_seconds.p99,
     )
@@ -178,8 +181,8 @@
     lines = [
         f"## {title}: {num_ok} of {len(cells)} ok\n",
         "| deployment | faults | result | sent | answered | not run | failed | p99 TTFT "
-        "| traces of the faults | command |",
-        "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | --- | --- |",
+        "| refusals | traces of the faults | command |",
+        "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | --- | --- | --- |",
     ]
     lines.extend(_line(cell) for cell in cells)
     return "\n".join(lines) + "\n"
@@ -202,6 +205,7 @@
         str(requests.refused_not_run),
         str(requests.failed),
         ttft,
+        ", ".join(f"{code} {count}" for code, count in cell.refusals.items()) or "–",
         describe(cell.effects),
         command,
     )
