Send notes of sends between nodes and fence them by engine runs

Change: a task with a byte budget sends and takes in notes; the policy forgets what was sent to an earlier run; waste gets dearer by the lower median queue. Conclusion: a node has to pass the task's noted sends and tell to the policy.

--- /dev/null
+++ b/features/steps/home_notes_steps.py
@@ -0,0 +1,89 @@
+from types import SimpleNamespace
+
+import anyio
+import msgspec
+from behave import given, then, when
+from features.steps.choice_baselines_steps import make_request
+from features.support.home_fleet import MemoryLink, Random
+from features.support.virtual_time import run_in_virtual_time
+
+from weirscale.domain.identifiers import NodeAddress
+from weirscale.node.home.notes_task import SendNotesTask
+from weirscale.node.home.rules import HomeRules
+
+ENGINE = "qalam-0"
+
+
+@given("{count:d} nodes that tell one another of sends with {budget:d} bytes a second")
+def step_nodes(context, count, budget):
+    context.num_nodes = count
+    context.rules = HomeRules(note_bytes_per_s=float(budget))
+
+
+@when("one sends {count:d} prompts of {blocks:d} blocks that miss {missing:d} tokens")
+def step_send(context, count, blocks, missing):
+    context.requests = [make_request(seed, num_blocks=blocks) for seed in range(count)]
+
+    async def main():
+        network = SimpleNamespace(nodes={}, random=Random(1), loss=0.0)
+        for number in range(context.num_nodes):
+            address = NodeAddress("10.0.0.1", number)
+            link = MemoryLink(network, address)
+            others = [NodeAddress("10.0.0.1", each) for each in range(context.num_nodes)]
+            others.remove(address)
+            notes = SendNotesTask(link, lambda others=others: others, context.rules)
+            network.nodes[address] = SimpleNamespace(link=link, notes=notes)
+        tasks_of = [node.notes for node in network.nodes.values()]
+        async with anyio.create_task_group() as tasks:
+            for notes in tasks_of:
+                tasks.start_soon(notes.run)
+            for request in context.requests:
+                tasks_of[0].tell(request, ENGINE, missing)
+            await anyio.sleep(0.1)
+            context.now_s = anyio.current_time()
+            tasks.cancel_scope.cancel()
+        return tasks_of
+
+    context.sender, *context.others = run_in_virtual_time(main)
+
+
+def matched(notes, request, now_s):
+    match = notes.noted.match(request.block_hashes, now_s).get(ENGINE)
+    return match.num_blocks if match else 0
+
+
+@then("the others have noted {noted:d} sends and {unsent:d} were not told")
+def step_noted(context, noted, unsent):
+    for notes in context.others:
+        found = [matched(notes, request, context.now_s) == 2000 for request in context.requests]
+        assert sum(found) == noted, found
+    assert not any(matched(context.sender, each, context.now_s) for each in context.requests)
+    assert context.sender.num_unsent == unsent
+
+
+@then("the others match a prompt that shares {shared:d} blocks between {least:d} and {most:d} deep")
+def step_shares(context, shared, least, most):
+    other = make_request(99, num_blocks=2000).block_hashes
+    chain = context.requests[0].block_hashes[:shared] + other[shared:]
+    request = msgspec.structs.replace(context.requests[0], block_hashes=chain)
+    for notes in context.others:
+        assert least <= matched(notes, request, context.now_s) <= most
+
+
+@then("the others match the same prompt {depth:d} deep")
+def step_same(context, depth):
+    for notes in context.others:
+        assert matched(notes, context.requests[0], context.now_s) == depth
+
+
+@then("the others count {tokens:d} tokens on its way to the engine")
+def step_tokens(context, tokens):
+    for notes in context.others:
+        assert notes.noted.num_tokens_since(ENGINE, context.now_s - 1.0) == tokens
+        assert notes.noted.num_tokens_since(ENGINE, context.now_s) == 0
+
+
+@then("after {seconds:d} seconds they match nothing")
+def step_expired(context, seconds):
+    for notes in context.others:
+        assert matched(notes, context.requests[0], context.now_s + seconds) == 0
--- a/src/weirscale/domain/choice/belief_trust.py
+++ b/src/weirscale/domain/choice/belief_trust.py
@@ -7,8 +7,8 @@
 MAX_OPEN_PREDICTIONS = 4096
 """Predictions kept until their requests finish; oldest dropped first."""
 
-LEARNING_RATE = 0.1
-"""Weight of the latest outcome: some ten requests change the trust in an engine."""
+LEARNING_RATE = 0.05
+"""Weight of the latest outcome: some twenty requests change the trust in an engine."""
 
 MIN_TRUST = 0.2
 """Beliefs never count for nothing, or an engine could not regain trust."""
@@ -43,3 +43,7 @@
         trust = self.trust(engine)
         self._trust[engine] = max(trust + LEARNING_RATE * (share - trust), MIN_TRUST)
         return share
+
+    def forget(self, engine: EngineName) -> None:
+        """Start again with an engine that came back anew."""
+        self._trust.pop(engine, None)
--- a/src/weirscale/domain/choice/estimate.py
+++ b/src/weirscale/domain/choice/estimate.py
@@ -1,7 +1,7 @@
 """The estimate that the prefix-aware policy minimises: time to first token plus weighted waste."""
 
 from collections.abc import Mapping, Sequence
-from statistics import median
+from statistics import median_low
 
 import msgspec
 
@@ -135,10 +135,10 @@
 
 
 def _congestion(request: ChoiceRequest, candidates: Sequence[EngineCandidate]) -> float:
-    """Return the median queue of the candidates, in multiples of computing the whole prompt.
+    """Return the lower median queue of the candidates, in multiples of the prompt.
 
     The median, because one long queue among short ones calls for another engine, not for more
     affinity.
     """
     queues = [each.num_waiting_prefill_tokens for each in candidates]
-    return median(queues) / max(request.num_prompt_tokens, 1)
+    return median_low(queues) / max(request.num_prompt_tokens, 1)
--- a/src/weirscale/domain/choice/prefix_aware.py
+++ b/src/weirscale/domain/choice/prefix_aware.py
@@ -3,15 +3,16 @@
 Beliefs about caches are late and sampled, and load reports lag. Three things keep many nodes from
 spoiling each other's choices without talking:
 
-- a prefix that nobody is believed to hold goes to its rendezvous engine, so first askers at
-  different nodes meet at one engine and wait for one prefill;
+- nodes tell one another of sends that make an engine compute, so first askers at different nodes
+  meet at one engine and wait for one prefill; without such notes a prefix that nobody is believed
+  to hold is drawn to its rendezvous engine;
 - engines without a match are considered only if rendezvous or chance proposes them, so nodes do
   not all pick the one engine that looked idle in the last report;
 - among estimates that differ by less than their error, the choice is random.
 """
 
 import math
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from heapq import nlargest, nsmallest
 from random import Random
 
@@ -20,6 +21,7 @@
 from weirscale.domain.choice.belief_trust import BeliefTrust
 from weirscale.domain.choice.beliefs import CacheBeliefs
 from weirscale.domain.choice.eligible import eligible_candidates
+from weirscale.domain.choice.engine_runs import EngineRuns
 from weirscale.domain.choice.estimate import NO_BELIEF, PromptBelief, cost_model
 from weirscale.domain.choice.noted_sends import NotedSends
 from weirscale.domain.choice.policy import (
@@ -51,7 +53,8 @@
 the tail is mostly the caller's own, and prompts of one page share the key."""
 
 AFFINITY_TRUST = 0.5
-"""Chance that another node has just sent the same cold prefix to its rendezvous engine."""
+"""Chance that another node has just sent the same cold prefix to its rendezvous engine; counted
+only where other nodes tell nothing of their sends."""
 
 TIE_S = 0.004
 """Estimates closer than this, for each second of the load report's age, count as equal."""
@@ -64,6 +67,10 @@
 """Below this share of predicted tokens, own recent sends to the engine are forgotten."""
 
 
+TellSend = Callable[[ChoiceRequest, EngineName, int], None]
+"""Takes the request, the engine and the prompt tokens that the engine has to compute."""
+
+
 class PrefixAware:
     """Chooses by estimated cost.
 
@@ -71,6 +78,7 @@
         beliefs: What is believed of engines' caches.
         objective: The deployment's weights.
         noted: What other nodes tell of their sends, or None without notes.
+        tell: Tells other nodes of a send and the prompt tokens that it makes the engine compute.
     """
 
     def __init__(
@@ -78,8 +86,11 @@
         beliefs: CacheBeliefs,
         objective: RoutingObjective,
         noted: NotedSends | None = None,
+        tell: TellSend | None = None,
     ) -> None:
         self._beliefs = beliefs
+        self._tell = tell
+        self._runs = EngineRuns()
         self._noted = noted
         self._objective = objective
         self._recent = RecentSends()
@@ -100,12 +111,17 @@
         eligible = eligible_candidates(request, candidates)
         if not eligible:
             return None
+        for engine in self._runs.note(candidates, now_s):
+            self._recent.forget(engine)
+            self._trust.forget(engine)
         beliefs = self._prompt_beliefs(request, now_s)
         ranked = self._ranked(request, eligible, random)
         proposals = self._proposals(eligible, ranked, beliefs, random)
         proposals = [self._with_noted_load(each, now_s) for each in proposals]
         model = cost_model(request, self._objective, proposals, beliefs)
-        expected = self._with_affinity(request, ranked[0].engine, beliefs)
+        expected = beliefs
+        if self._noted is None:
+            expected = self._with_affinity(request, ranked[0].engine, beliefs)
         estimates = [
             model.estimate(each, expected.get(each.engine, NO_BELIEF)) for each in proposals
         ]
@@ -124,7 +140,11 @@
         )
 
     def note_sent(self, request: ChoiceRequest, engine: EngineName, now_s: float) -> None:
-        """Count the prompt as cached there from now on."""
+        """Count the prompt as cached there from now on, and tell other nodes."""
+        if self._tell is not None:
+            belief = self._prompt_beliefs(request, now_s).get(engine, NO_BELIEF)
+            num_cached_tokens = int(belief.num_matched_blocks * request.tokens_per_block)
+            self._tell(request, engine, max(request.num_prompt_tokens - num_cached_tokens, 0))
         self._recent.note_sent(request.block_hashes, engine, now_s)
 
     def note_finished(
@@ -158,7 +178,8 @@
         if self._noted is None:
             return
         for engine, match in self._noted.match(block_hashes, now_s).items():
-            yield engine, match.num_blocks
+            if not self._runs.is_new(engine, now_s):
+                yield engine, match.num_blocks
 
     def _with_noted_load(self, candidate: EngineCandidate, now_s: float) -> EngineCandidate:
         """Add to a candidate's queue what other nodes sent since its load report."""
--- a/src/weirscale/experiments/choice/fleet.py
+++ b/src/weirscale/experiments/choice/fleet.py
@@ -13,6 +13,7 @@
 from weirscale.domain.configuration.model import EngineRole
 from weirscale.domain.identifiers import BlockHash, EngineName, RequestId, TenantName, ZoneName
 from weirscale.domain.prefix.cache_view import CacheView
+from weirscale.domain.prefix.note_budget import NOTE_OVERHEAD_BYTES
 from weirscale.experiments.choice.arrivals import Arrival
 from weirscale.experiments.choice.engine import (
     FIRST_INCARNATION,
@@ -26,9 +27,6 @@
 from weirscale.node.routing.load_estimate import LoadEstimate
 
 EVENT_BATCH_INTERVAL_S = 0.1
-NOTE_OVERHEAD_BYTES = 80
-"""Encoded size of a note without keys, with its signature."""
-
 LOCAL_DELAY_S = 0.0002
 """One-way delay within a zone."""
 
--- a/src/weirscale/messages/digest.py
+++ b/src/weirscale/messages/digest.py
@@ -160,3 +160,17 @@
     is_home: bool
     digests: tuple[CacheDigest, ...] = ()
     full: FullDigest | None = None
+
+
+class SendNote(msgspec.Struct, frozen=True, array_like=True, tag="send_note"):
+    """Tells other nodes of a prompt that makes an engine compute.
+
+    Attributes:
+        engine: Where it was sent.
+        num_missing_tokens: Prompt tokens that the engine has to compute.
+        keys: Packed keys of the prompt's blocks at the ladder of depths.
+    """
+
+    engine: EngineName
+    num_missing_tokens: int
+    keys: bytes
--- a/src/weirscale/node/home/rules.py
+++ b/src/weirscale/node/home/rules.py
@@ -13,6 +13,8 @@
         load_timeout_s: Longest wait for one.
         digest_bytes_per_s: Budget for digests of all engines of a home, to all receivers together.
         max_view_keys: Keys of one zone's engines in a receiver's view; at some 115 bytes each.
+        note_bytes_per_s: Budget for notes of sends, to all receivers together.
+        min_noted_tokens: Sends that make an engine compute less are not told.
         dumps_per_s: Dumps that a node asks for at most, over all its engines.
         burst_dumps: Dumps that it may ask for at once.
         dump_jitter_s: A dump waits at random up to this, so that a herd of restarted nodes does
@@ -32,6 +34,8 @@
     load_timeout_s: float = 1.0
     digest_bytes_per_s: float = 3000.0
     max_view_keys: int = 100_000
+    note_bytes_per_s: float = 3000.0
+    min_noted_tokens: int = 512
     dumps_per_s: float = 1.0
     burst_dumps: int = 2
     dump_jitter_s: float = 1.0
