Test missed digests, given up refinements and unheard homes

Cause: trial mutations of the code survived the tests. Change: more fault rows for the publisher and for homes.

--- a/features/home_engines.feature
+++ b/features/home_engines.feature
@@ -6,6 +6,7 @@
     Then every node's view equals every engine's cache
     And every engine was dumped between <least> and <most> times
     And every node has heard of every engine's load
+    And every engine is followed by one node
 
     Examples:
       | fault                | loss | least | most |
@@ -28,6 +29,12 @@
     And all engines go down for 12 seconds
     Then no view believes any block
 
+  Scenario: Blocks of an engine whose home cannot be heard are soon not believed
+    Given 4 home nodes and 2 scripted engines whose casts are lost at a rate of 0
+    When the engines change for 20 seconds while there is "nothing"
+    And no digest arrives for 13 seconds
+    Then only homes believe any block
+
   Scenario: A herd of restarts does not flood engines with dumps
     Given 4 home nodes and 40 scripted engines whose casts are lost at a rate of 0
     When all is quiet for 60 seconds
--- a/features/steps/home_engines_steps.py
+++ b/features/steps/home_engines_steps.py
@@ -45,6 +45,29 @@
     context.actions.append(act)
 
 
+@when("no digest arrives for {seconds:d} seconds")
+def step_cut(context, seconds):
+    async def act(fleet, tasks):
+        fleet.loss = 1.0
+        await anyio.sleep(seconds)
+
+    context.actions.append(act)
+
+
+@then("only homes believe any block")
+def step_only_homes(context):
+    fleet = run(context)
+    for node in fleet.nodes.values():
+        for engine in fleet.engines:
+            is_home = engine.name in node.homes.engines
+            assert bool(believed(node, engine)) == is_home, (node.self_id, engine.name)
+
+
+@then("every engine is followed by one node")
+def step_followers(context):
+    assert [engine.num_followers for engine in context.result.engines] == [1, 1]
+
+
 @when("one node dies and {seconds:d} seconds pass")
 def step_die(context, seconds):
     async def act(fleet, tasks):
@@ -66,6 +89,8 @@
                 tasks.start_soon(node.run)
             for action in context.actions:
                 await action(fleet, tasks)
+            for engine in fleet.engines:
+                engine.note_followers()
             tasks.cancel_scope.cancel()
         return fleet
 
--- a/features/steps/prefix_publisher_steps.py
+++ b/features/steps/prefix_publisher_steps.py
@@ -70,10 +70,23 @@
     raise AssertionError("no refinement was started")
 
 
-@when("all blocks are removed in one batch")
-def step_remove_all(context):
-    apply(context, BlockRemoved(tuple(context.blocks)))
-    context.blocks = []
+@when("{count:d} blocks are removed in one batch")
+def step_remove(context, count):
+    apply(context, BlockRemoved(tuple(context.blocks[:count])))
+    context.blocks = context.blocks[count:]
+
+
+@when("a receiver asks after digest {offset:d} of stream {stream:d}")
+def step_ask(context, offset, stream):
+    after_sequence = max(context.digests[-1].sequence + offset, 0)
+    context.reply = context.publisher.answer(DigestRequest("e1", stream, after_sequence))
+
+
+@then("it is answered with {digests:d} digests and {full:d} full one")
+def step_answered(context, digests, full):
+    assert context.reply.is_home
+    assert len(context.reply.digests) == digests, len(context.reply.digests)
+    assert (context.reply.full is not None) == bool(full)
 
 
 @when("the view is lost and asks for everything")
--- a/features/support/home_fleet.py
+++ b/features/support/home_fleet.py
@@ -35,6 +35,7 @@
     def __init__(self, name):
         self.name, self.incarnation, self.is_down = name, 1, False
         self.held, self.log, self.window = set(), [], 1000
+        self._followers = 0
         self.lost = set()
         self.dumped_at_s = []
         self._changed = anyio.Event()
@@ -65,7 +66,15 @@
 
     @asynccontextmanager
     async def cache_events(self, incarnation, after_sequence):
-        yield self._events(incarnation, after_sequence)
+        self._followers += 1
+        try:
+            yield self._events(incarnation, after_sequence)
+        finally:
+            self._followers -= 1
+
+    def note_followers(self):
+        """Remember how many follow now: later all are cancelled."""
+        self.num_followers = self._followers
 
     async def _events(self, incarnation, after_sequence):
         run = self.incarnation
