Join membership, prefix-aware choice, homes, fleet limits and explain into the node

Cause: the node ran with a fixed list of peers and a baseline policy. Joining them showed two faults: casts of several tasks at one moment raised BusyResourceError (a socket allows one sender), which ended all tasks of the node, and the shielded server kept the process alive without them. Ruled out: limits and claims, whose tasks had ended, not hung. Change: the peer network's sending task owns the socket; a cancelled caller server stops. Conclusion: the whole path runs with all parts but placement.

--- /dev/null
+++ b/features/steps/peers_sockets_steps.py
@@ -0,0 +1,45 @@
+import socket
+
+import anyio
+from behave import given, then, when
+
+from weirscale.domain.identifiers import NodeAddress
+from weirscale.ports.peers_network import UdpHttpPeerNetwork
+
+FAIL_AFTER_S = 10.0
+
+
+@given("a UDP and HTTP network on a loopback port")
+def step_network(context):
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        context.address = NodeAddress("127.0.0.1", probe.getsockname()[1])
+
+
+@when("{count:d} tasks cast to it at the same moment")
+def step_cast_together(context, count):
+    context.payloads = set()
+
+    async def receive(network):
+        async for datagram in network.datagrams():
+            context.payloads.add(datagram.payload)
+            if len(context.payloads) == count:
+                return
+
+    async def main():
+        network = UdpHttpPeerNetwork(context.address)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(network.run)
+            async with anyio.create_task_group() as casting:
+                for number in range(count):
+                    casting.start_soon(network.cast, context.address, b"%d" % number)
+            with anyio.fail_after(FAIL_AFTER_S):
+                await receive(network)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+@then("it receives {count:d} different datagrams")
+def step_received(context, count):
+    assert len(context.payloads) == count, context.payloads
--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -4,6 +4,7 @@
 in-memory network.
 """
 
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
 from random import Random
@@ -13,8 +14,13 @@
 from anyio.abc import TaskStatus
 from result import Result
 
-from weirscale.domain.choice.least_outstanding import LeastOutstanding
-from weirscale.domain.configuration.model import Deployment, Engine, RetryRules, ServiceBackend
+from weirscale.domain.choice.prefix_aware import PrefixAware
+from weirscale.domain.configuration.model import (
+    Engine,
+    RetryRules,
+    RoutingObjective,
+    ServiceBackend,
+)
 from weirscale.domain.identifiers import ConfigurationRevision, NodeAddress, NodeId, ZoneName
 from weirscale.domain.prefix.chain_cache import ChainCache
 from weirscale.domain.request.model import (
@@ -36,21 +42,30 @@
 from weirscale.node.execution.canceller import EngineCanceller
 from weirscale.node.execution.generation import GenerationExecutor
 from weirscale.node.execution.service import ServiceExecutor
-from weirscale.node.interfaces import Peer, PeerState
-from weirscale.node.limits.local import LocalAllowances
-from weirscale.node.limits.task import AdmissionTask, node_capacity
+from weirscale.node.home.home_task import HomeTask
+from weirscale.node.home.rules import HomeRules
+from weirscale.node.home.view_task import CacheViewTask
+from weirscale.node.limits.fleet import FleetAdmissionTask
 from weirscale.node.link_delays import LinkDelays
+from weirscale.node.membership.task import MembershipTask
 from weirscale.node.peers.link import AuthenticatedPeerLink
 from weirscale.node.routing.decisions import DecisionLog
 from weirscale.node.routing.engine_router import EngineRouter
+from weirscale.node.routing.explain import Explainer
 from weirscale.node.routing.service_router import ServiceRouter
-from weirscale.node.static_membership import StaticMembership
 from weirscale.ports.engine import EnginePort
 from weirscale.ports.key_value import KeyValuePort
 from weirscale.ports.machines import MachineListPort
 from weirscale.ports.peers import PeerNetwork
 from weirscale.ports.service import ServicePort
 
+NANOSECONDS_PER_MS = 1_000_000
+_NO_REVISION = ConfigurationRevision(0)
+
+
+def _wall_clock_ms() -> int:
+    return time.time_ns() // NANOSECONDS_PER_MS
+
 
 class NodeIdentity(msgspec.Struct, frozen=True):
     """Who a node is.
@@ -77,6 +92,7 @@
         machines: The platform's machine list, or None.
         make_engine_port: Makes the port of a declared engine.
         make_service_port: Makes the port of a declared service back end.
+        epoch_ms: Milliseconds since the epoch, never falling from one run to the next.
     """
 
     network: PeerNetwork
@@ -84,6 +100,7 @@
     machines: MachineListPort | None
     make_engine_port: Callable[[Engine], EnginePort]
     make_service_port: Callable[[ServiceBackend], ServicePort]
+    epoch_ms: Callable[[], int] = _wall_clock_ms
 
 
 class Node:
@@ -106,16 +123,22 @@
         event_log: EventLog,
     ) -> None:
         self.identity = identity
-        membership = StaticMembership(identity.node, _listed_peers(identity))
-        policy = LeastOutstanding()
         self._event_log = event_log
         self.link = AuthenticatedPeerLink(
             ports.network, identity.node, identity.address, keys, random
         )
+        self.membership = MembershipTask(
+            self.link,
+            identity.node,
+            identity.address,
+            identity.zone,
+            identity.seeds,
+            random,
+            machines=ports.machines,
+        )
         self.configuration = ConfigurationTask(
-            ports.key_value, self.link, membership, identity.zone, random, event_log
+            ports.key_value, self.link, self.membership, identity.zone, random, event_log
         )
-        self._membership = membership
         self.directory = BackendDirectory(
             self.configuration,
             ports.make_engine_port,
@@ -124,21 +147,51 @@
             random,
         )
         self.decisions = DecisionLog(identity.node.name)
-        link_delays = LinkDelays(self.configuration, identity.zone)
+        self.explainer = Explainer(self.decisions, self.link, self.membership)
+        self.ledger = QuorumClaimLedger(
+            self.link, self.membership, self.configuration, ports.key_value, identity.zone, random
+        )
+        self.admission = FleetAdmissionTask(
+            self.link,
+            self.membership,
+            self.configuration,
+            identity.address,
+            identity.zone,
+            random,
+        )
+        self._build_homes(ports, random)
+        self._build_routing(random)
+        self._build_execution(anyio.current_time())
+
+    def _build_homes(self, ports: NodePorts, random: Random) -> None:
+        """Tasks that follow engines' caches and receive digests of the others."""
+        rules = HomeRules()
+        self.cache_view = CacheViewTask(self.link, self.directory, rules)
+        self.homes = HomeTask(
+            self.membership,
+            self.configuration,
+            self.directory,
+            self.directory,
+            self.link,
+            self.cache_view.take_own,
+            ports.epoch_ms,
+            rules,
+            random,
+        )
+
+    def _build_routing(self, random: Random) -> None:
+        """Tasks that choose back ends."""
+        zone = self.identity.zone
+        self._policy = PrefixAware(self.cache_view.view, RoutingObjective())
         self.engine_router = EngineRouter(
             self.directory,
-            policy,
+            self._policy,
             self.decisions,
-            link_delays.delay_s,
+            LinkDelays(self.configuration, zone).delay_s,
             random,
             ChainCache().chain,
         )
-        self.service_router = ServiceRouter(self.directory, identity.zone, random)
-        self.ledger = QuorumClaimLedger(
-            self.link, membership, self.configuration, ports.key_value, identity.zone, random
-        )
-        self.admission = AdmissionTask(node_capacity(_NO_DEPLOYMENT, 1), LocalAllowances())
-        self._build_execution(anyio.current_time())
+        self.service_router = ServiceRouter(self.directory, zone, random)
 
     def _build_execution(self, now_s: float) -> None:
         budget = RetryBudget(now_s)
@@ -181,11 +234,14 @@
         async with anyio.create_task_group() as tasks:
             for task in (
                 self.link.run,
+                self.membership.run,
                 self.configuration.run,
                 self.directory.run,
                 self.engine_router.run,
                 self.service_router.run,
                 self.ledger.run,
+                self.homes.run,
+                self.cache_view.run,
                 self.admission.run,
                 self._canceller.run,
                 self._follow_configuration,
@@ -201,11 +257,13 @@
         """
         self._event_log.event("drain_began", running=self.drain_state.num_running)
         self.drain_state.begin()
+        self.membership.leave()
         in_force = self.configuration.current()
         timeout_s = in_force.deployment.drain_timeout_s if in_force else 0.0
         with anyio.move_on_after(timeout_s) as limit:
             await self.drain_state.wait_idle()
             await self._canceller.wait_idle()
+        await self.membership.depart()
         self._event_log.event("drain_ended", left_over=self.drain_state.num_running)
         return not limit.cancelled_caught
 
@@ -214,19 +272,10 @@
         return in_force.deployment.retry if in_force is not None else RetryRules()
 
     async def _follow_configuration(self) -> None:
-        """Fit the number of permits to each new configuration."""
-        in_force = await self.configuration.changed_after(_FIRST_REVISION)
+        """Hand each new configuration's routing weights to the policy."""
+        revision = _NO_REVISION
         while True:
-            num_nodes = len(self._membership.peers())
-            self.admission.reshape(node_capacity(in_force.deployment, num_nodes))
-            in_force = await self.configuration.changed_after(in_force.revision)
-
-
-_FIRST_REVISION = ConfigurationRevision(0)
-_NO_DEPLOYMENT = Deployment(
-    format=1, name="none", regions=(), models=(), engines=(), tenants=(), services=()
-)
-
-
-def _listed_peers(identity: NodeIdentity) -> tuple[Peer, ...]:
-    return (Peer(identity.node, identity.address, identity.zone, PeerState.ALIVE),)
+            in_force = await self.configuration.changed_after(revision)
+            revision = in_force.revision
+            self._policy.set_objective(in_force.deployment.routing)
+            self._event_log.event("configuration_in_force", revision=revision)
--- a/src/weirscale/node/caller_server.py
+++ b/src/weirscale/node/caller_server.py
@@ -31,9 +31,10 @@
 
 
 async def serve_callers(app: AsgiApp, listener: socket.socket, stop: anyio.Event) -> None:
-    """Serve until `stop` is set; the listener is closed at the end.
+    """Serve until `stop` is set or the task is cancelled; the listener is closed at the end.
 
-    hypercorn's in-process API is used: its own command starts worker processes.
+    hypercorn's in-process API is used: its own command starts worker processes. It does not clean
+    up when it is cancelled, so it runs shielded, and cancellation becomes a stop.
     """
     from hypercorn.asyncio import serve
     from hypercorn.config import Config
@@ -45,5 +46,14 @@
     config.backlog = LISTEN_BACKLOG
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.graceful_timeout = FINISH_TIMEOUT_S
-    with anyio.CancelScope(shield=True):
-        await serve(app, config, shutdown_trigger=stop.wait)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_stop_when_cancelled, stop)
+        with anyio.CancelScope(shield=True):
+            await serve(app, config, shutdown_trigger=stop.wait)
+
+
+async def _stop_when_cancelled(stop: anyio.Event) -> None:
+    try:
+        await stop.wait()
+    finally:
+        stop.set()
--- a/src/weirscale/ports/peers_network.py
+++ b/src/weirscale/ports/peers_network.py
@@ -11,7 +11,9 @@
 import anyio
 import anyio.lowlevel
 import httpx
+import msgspec
 from anyio.abc import TaskStatus, UDPSocket
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 from result import Err, Ok, Result
 
 from weirscale.domain.identifiers import NodeAddress
@@ -29,12 +31,20 @@
 STOP_S = 0.5
 """Calls in progress may still end in this time when the node stops."""
 
+MAX_OUTBOX = 1024
+"""Datagrams that wait to be sent; more are dropped, as a full socket buffer would."""
+
 CONTENT_TYPE = "application/cbor"
 
 AsgiReceive = Callable[[], Awaitable[Any]]
 AsgiSend = Callable[[Any], Awaitable[None]]
 
 
+class _Outgoing(msgspec.Struct, frozen=True):
+    destination: NodeAddress
+    payload: bytes
+
+
 class UdpHttpPeerNetwork:
     """Implements `PeerNetwork`; `run` must be started before use.
 
@@ -48,6 +58,9 @@
         self._socket: UDPSocket | None = None
         self._client: httpx.AsyncClient | None = None
         self._started = anyio.Event()
+        streams = anyio.create_memory_object_stream[_Outgoing](MAX_OUTBOX)
+        self._outbox: MemoryObjectSendStream[_Outgoing] = streams[0]
+        self._outgoing: MemoryObjectReceiveStream[_Outgoing] = streams[1]
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Hold the sockets until cancelled; `started` once casts and calls can be made."""
@@ -64,16 +77,16 @@
             self._client = client
             self._started.set()
             task_status.started()
-            await self._serve(listener)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._send_datagrams, udp_socket)
+                await self._serve(listener)
 
     async def cast(self, destination: NodeAddress, payload: bytes) -> None:
-        """Send one datagram; a failure to send counts as a loss."""
-        if self._socket is None:
-            return
+        """Leave one datagram for the sending task; a full outbox counts as a loss."""
         try:
-            await self._socket.sendto(payload, destination.host, destination.port)
-        except (OSError, anyio.ClosedResourceError, anyio.BrokenResourceError):
-            return
+            self._outbox.send_nowait(_Outgoing(destination, payload))
+        except anyio.WouldBlock:
+            await anyio.lowlevel.checkpoint()
 
     async def datagrams(self) -> AsyncIterator[Datagram]:
         """Iterate over arriving casts."""
@@ -117,6 +130,17 @@
         """Set the handler of arriving calls."""
         self._handler = handler
 
+    async def _send_datagrams(self, udp_socket: UDPSocket) -> None:
+        """Send what tasks leave: a socket allows one sender at a time."""
+        while True:
+            datagram = await self._outgoing.receive()
+            destination = datagram.destination
+            try:
+                await udp_socket.sendto(datagram.payload, destination.host, destination.port)
+            except (OSError, anyio.ClosedResourceError, anyio.BrokenResourceError):
+                # A failure to send is a loss, as on the network.
+                continue
+
     async def _serve(self, listener: socket.socket) -> None:
         shutdown = anyio.Event()
         async with anyio.create_task_group() as tasks:
