--- a/features/engine_behaviour.feature
+++ b/features/engine_behaviour.feature
@@ -44,6 +44,23 @@
     When 2 engines are ordered to load version "v2" 1 s after one another
     Then each is done after 3 s and serves "v2"
 
+  Scenario: Reads of the weight store begin at its rate limit
+    Given a weight store that lets one read begin in 5 s
+    When 3 engines are ordered to load version "v2" at once
+    Then the reads begin 0, 5 and 10 s after the orders
+
+  Scenario Outline: The stores answer the same over HTTP as in process
+    Given a kept-KV store and a weight store behind "<port>" with the fault "<fault>"
+    When a chain is exported and imported and weights are read
+    Then the stores answer "<blocks>" blocks and weights "<weights>"
+
+    Examples:
+      | port       | fault   | blocks | weights |
+      | in-process | none    | 5      | read    |
+      | HTTP       | none    | 5      | read    |
+      | in-process | is_dead | failed | failed  |
+      | HTTP       | is_dead | failed | failed  |
+
   Scenario: Blocks of prompts that are prefilled in one step keep their own parents
     Given a stand-in engine with room for two prompts
     When two tenants send a prompt at once
--- a/features/steps/engine_behaviour_steps.py
+++ b/features/steps/engine_behaviour_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from features.support.engine_calls import collect, make_call
 from features.support.virtual_time import run_in_virtual_time
-from result import Ok
+from result import Err, Ok
 
 from weirscale.domain.prefix.chain import chain_seed, extend_chain
 from weirscale.ports.engine import EngineOrder, LoadModel
@@ -13,7 +13,9 @@
 from weirscale.standins.engine.in_process import InProcessEngine
 from weirscale.standins.engine.settings import EngineSettings
 from weirscale.standins.faults import StoreFaults
+from weirscale.standins.kept_kv.http_app import HttpKeptKvStore, serve_kept_kv
 from weirscale.standins.kept_kv.in_process import InProcessKeptKvStore, KeptKvSettings
+from weirscale.standins.weight_store.http_app import HttpWeightStore, serve_weight_store
 from weirscale.standins.weight_store.in_process import InProcessWeightStore, WeightStoreSettings
 
 PROMPT = b"twenty bytes of text" * 1000
@@ -129,7 +131,62 @@
 @given("a weight store of {rate:d} MB/s and engines with weights of {size:d} MB")
 def step_weight_store(context, rate, size):
     assert size * 1_000_000 == SETTINGS.weight_bytes
-    context.rate = rate * 1_000_000.0
+    context.store_settings = WeightStoreSettings(bytes_per_s=rate * 1_000_000.0)
+
+
+@given("a weight store that lets one read begin in {interval_s:d} s")
+def step_rate_limit(context, interval_s):
+    context.store_settings = WeightStoreSettings(min_start_interval_s=interval_s)
+
+
+@then("the reads begin 0, 5 and 10 s after the orders")
+def step_starts(context):
+    starts = [round(start_s, 3) for start_s in context.starts]
+    assert starts == [0, 5, 10], starts
+
+
+@given('a kept-KV store and a weight store behind "{port}" with the fault "{fault}"')
+def step_both_stores(context, port, fault):
+    context.kind = port
+    context.faults = StoreFaults() if fault == "none" else StoreFaults(**{fault: True})
+
+
+async def use_stores(kind, faults):
+    kept = InProcessKeptKvStore(KeptKvSettings(name="mezgeb"))
+    weights = InProcessWeightStore(WeightStoreSettings())
+    async with anyio.create_task_group() as tasks:
+        if kind == "HTTP":
+            kept_server = await tasks.start(serve_kept_kv, kept)
+            weight_server = await tasks.start(serve_weight_store, weights)
+            kept_port = HttpKeptKvStore(kept_server.address)
+            weight_port = HttpWeightStore(weight_server.address)
+        else:
+            kept_port, weight_port = kept, weights
+        await kept_port.export_blocks([1, 2, 3, 4, 5])
+        kept.faults.set(faults)
+        weights.faults.set(faults)
+        blocks = await kept_port.import_blocks([1, 2, 3, 4, 5, 6, 7])
+        read = await weight_port.fetch("runner-1", LoadModel("qalam", "v2"), 1000)
+        if kind == "HTTP":
+            await kept_port.aclose()
+            await weight_port.aclose()
+        tasks.cancel_scope.cancel()
+    return blocks, read
+
+
+@when("a chain is exported and imported and weights are read")
+def step_use_stores(context):
+    run = anyio.run if context.kind == "HTTP" else run_in_virtual_time
+    context.blocks, context.read = run(use_stores, context.kind, context.faults)
+
+
+@then('the stores answer "{blocks}" blocks and weights "{weights}"')
+def step_store_answers(context, blocks, weights):
+    if blocks == "failed":
+        assert isinstance(context.blocks, Err), context.blocks
+    else:
+        assert context.blocks == Ok(int(blocks)), context.blocks
+    assert isinstance(context.read, Ok) == (weights == "read"), context.read
 
 
 @when('{count:d} engines are ordered to load version "{version}" at once')
@@ -144,7 +201,7 @@
 
 def load_on_engines(context, count, version, gap_s):
     async def main():
-        store = InProcessWeightStore(WeightStoreSettings(bytes_per_s=context.rate), {"damaged"})
+        store = InProcessWeightStore(context.store_settings, {"damaged"})
         engines = [InProcessEngine(SETTINGS, Random(1), weight_source=store) for _ in range(count)]
         async with anyio.create_task_group() as tasks:
             for engine in engines:
@@ -152,7 +209,9 @@
             for engine in engines:
                 await anyio.sleep(gap_s)
                 assert await engine.order(EngineOrder(1, LoadModel("qalam", version))) == Ok(None)
+            ordered_s = anyio.current_time()
             await anyio.sleep(60)
+            context.starts = [load.started_at_s - ordered_s for load in store.loads]
             context.durations = [load.finished_at_s - load.started_at_s for load in store.loads]
             context.reports = [(await engine.load()).ok_value for engine in engines]
             tasks.cancel_scope.cancel()
--- a/src/weirscale/ports/engine_http.py
+++ b/src/weirscale/ports/engine_http.py
@@ -1,5 +1,6 @@
 """Engine port over HTTP: the OpenAI-shaped interface with the extensions of `engine_wire`."""
 
+from collections import deque
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing, asynccontextmanager
 from typing import TypeVar
@@ -21,16 +22,11 @@
     GenerateCall,
 )
 from weirscale.ports.engine_stream import SseParser
-
-CONNECT_TIMEOUT_S = 1.0
-"""Engines stand in the same region: a connection takes milliseconds or does not come."""
+from weirscale.ports.http_client import CONNECT_TIMEOUT_S, new_client, was_never_sent
 
 CONTROL_TIMEOUT_S = 2.0
 """Limit of calls other than generation."""
 
-KEEP_ALIVE_S = 4.0
-"""Below the usual 5 s of servers, so that a request seldom meets a connection being closed."""
-
 MAX_CONNECTIONS = 1024
 """Far above the concurrency that is declared for one engine."""
 
@@ -63,16 +59,9 @@
         self.address = address
         self._connect_timeout_s = connect_timeout_s
         self._control_timeout_s = control_timeout_s
-        self._client = httpx.AsyncClient(
-            base_url=f"http://{address}",
-            timeout=httpx.Timeout(control_timeout_s, connect=connect_timeout_s),
-            limits=httpx.Limits(
-                max_connections=MAX_CONNECTIONS,
-                max_keepalive_connections=MAX_CONNECTIONS,
-                keepalive_expiry=KEEP_ALIVE_S,
-            ),
-            headers={"accept-encoding": "identity"},
-            trust_env=False,
+        self._root = f"http://{address}"
+        self._client = new_client(
+            MAX_CONNECTIONS, httpx.Timeout(control_timeout_s, connect=connect_timeout_s)
         )
 
     async def aclose(self) -> None:
@@ -84,7 +73,7 @@
         """Start one attempt and stream its chunks."""
         request = self._client.build_request(
             "POST",
-            call.path,
+            self._root + call.path,
             content=encode_body(call),
             headers=_generate_headers(call),
             timeout=self._stream_timeout(call.time_left_s),
@@ -100,7 +89,7 @@
         """Stream the chunks of an attempt again from a sequence."""
         request = self._client.build_request(
             "GET",
-            _attempt_path(request_id, attempt),
+            self._root + _attempt_path(request_id, attempt),
             params={"from_sequence": from_sequence},
             timeout=self._stream_timeout(None),
         )
@@ -127,7 +116,7 @@
             params["incarnation"] = incarnation
         timeout = self._stream_timeout(None)
         request = self._client.build_request(
-            "GET", wire.EVENTS_PATH, params=params, timeout=timeout
+            "GET", self._root + wire.EVENTS_PATH, params=params, timeout=timeout
         )
         opened = await self._open(request)
         if isinstance(opened, Err):
@@ -165,10 +154,9 @@
         response = opened.ok_value
         body = response.aiter_raw()
         try:
-            async with aclosing(_chunks(body, parser)) as chunks:
-                yield chunks
-                if parser.is_finished:
-                    await _drain(body)
+            yield _ResponseChunks(body, parser)
+            if parser.is_finished:
+                await _drain(body)
         finally:
             await response.aclose()
 
@@ -195,7 +183,7 @@
     ) -> Result[bytes, EngineFailure]:
         try:
             with anyio.fail_after(self._control_timeout_s):
-                response = await self._client.request(method, path, content=body)
+                response = await self._client.request(method, self._root + path, content=body)
         except httpx.HTTPError as error:
             return Err(failure_of_error(error))
         except TimeoutError:
@@ -230,7 +218,7 @@
 def failure_of_error(error: httpx.HTTPError) -> EngineFailure:
     """Return the failure that a client's error stands for; unknown ones may have run."""
     detail = f"{type(error).__name__}: {error}"
-    if isinstance(error, httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout):
+    if was_never_sent(error):
         return EngineFailure(EngineFailureKind.UNREACHABLE, detail)
     if isinstance(error, httpx.TimeoutException):
         return EngineFailure(EngineFailureKind.TIMED_OUT, detail)
@@ -269,19 +257,55 @@
         return Err(EngineFailure(EngineFailureKind.CORRUPT, str(error)))
 
 
-async def _chunks(
-    body: AsyncIterator[bytes], parser: SseParser
-) -> AsyncGenerator[ChunkOrFailure, None]:
-    try:
-        async for data in body:
-            for item in parser.feed(data):
-                yield item
-            if parser.is_finished:
-                return
-    except httpx.HTTPError as error:
-        yield Err(failure_of_error(error))
-        return
-    yield parser.end()
+class _ResponseChunks:
+    """Chunks of one response; what one read brings is kept until it is asked for."""
+
+    def __init__(self, body: AsyncIterator[bytes], parser: SseParser) -> None:
+        self._body = body
+        self._parser = parser
+        self._ready: deque[ChunkOrFailure] = deque()
+        self._failure: ChunkOrFailure | None = None
+        self._is_over = False
+
+    @property
+    def num_ready(self) -> int:
+        """Chunks that are handed out without waiting; a failure does not count."""
+        return len(self._ready)
+
+    def __aiter__(self) -> AsyncIterator[ChunkOrFailure]:
+        return self
+
+    async def __anext__(self) -> ChunkOrFailure:
+        ready = self._ready
+        while not ready:
+            if self._failure is not None:
+                failure, self._failure = self._failure, None
+                return failure
+            if self._is_over:
+                raise StopAsyncIteration
+            await self._read()
+        return ready.popleft()
+
+    async def _read(self) -> None:
+        try:
+            data = await anext(self._body)
+        except StopAsyncIteration:
+            self._take(self._parser.end())
+            return
+        except httpx.HTTPError as error:
+            self._take(Err(failure_of_error(error)))
+            self._is_over = True
+            return
+        for item in self._parser.feed(data):
+            self._take(item)
+        self._is_over = self._parser.is_finished
+
+    def _take(self, item: ChunkOrFailure) -> None:
+        if isinstance(item, Ok):
+            self._ready.append(item)
+        else:
+            self._failure = item
+        self._is_over = self._parser.is_finished
 
 
 async def _drain(body: AsyncIterator[bytes]) -> None:
--- /dev/null
+++ b/src/weirscale/ports/http_client.py
@@ -0,0 +1,29 @@
+"""What the HTTP adapters share: the client of one back end and the reading of its errors."""
+
+import httpx
+
+CONNECT_TIMEOUT_S = 1.0
+"""Back ends stand in the same region: a connection takes milliseconds or does not come."""
+
+KEEP_ALIVE_S = 4.0
+"""Below the usual 5 s of servers, so that a request seldom meets a connection being closed."""
+
+
+def new_client(max_connections: int, timeout: httpx.Timeout) -> httpx.AsyncClient:
+    """Return the client of one back end; no connection is opened yet."""
+    limits = httpx.Limits(
+        max_connections=max_connections,
+        max_keepalive_connections=max_connections,
+        keepalive_expiry=KEEP_ALIVE_S,
+    )
+    return httpx.AsyncClient(
+        timeout=timeout,
+        limits=limits,
+        headers={"accept-encoding": "identity"},
+        trust_env=False,
+    )
+
+
+def was_never_sent(error: httpx.HTTPError) -> bool:
+    """Whether a client's error proves that the request was not sent."""
+    return isinstance(error, httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout)
--- a/src/weirscale/ports/service_http.py
+++ b/src/weirscale/ports/service_http.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from weirscale.domain.request.model import ServiceRequest, ServiceResponse
+from weirscale.ports.http_client import CONNECT_TIMEOUT_S, new_client, was_never_sent
 from weirscale.ports.service import ServiceFailure, ServiceFailureKind
 from weirscale.ports.service_headers import (
     CONNECTION_HEADERS,
@@ -12,12 +13,6 @@
     request_headers,
 )
 
-CONNECT_TIMEOUT_S = 1.0
-"""Back ends stand in the same region: a connection takes milliseconds or does not come."""
-
-KEEP_ALIVE_S = 4.0
-"""Below the usual 5 s of servers, so that a request seldom meets a connection being closed."""
-
 MAX_CONNECTIONS = 256
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Larger answers are refused: they are held in memory whole."""
@@ -43,14 +38,7 @@
         self.address = address
         self._connect_timeout_s = connect_timeout_s
         self._max_answer_bytes = max_answer_bytes
-        self._client = httpx.AsyncClient(
-            limits=httpx.Limits(
-                max_connections=MAX_CONNECTIONS,
-                max_keepalive_connections=MAX_CONNECTIONS,
-                keepalive_expiry=KEEP_ALIVE_S,
-            ),
-            trust_env=False,
-        )
+        self._client = new_client(MAX_CONNECTIONS, httpx.Timeout(None))
 
     async def aclose(self) -> None:
         """Close every connection."""
@@ -112,7 +100,7 @@
 def failure_of_error(error: httpx.HTTPError) -> ServiceFailure:
     """Return the failure that a client's error stands for; unknown ones may have run."""
     detail = f"{type(error).__name__}: {error}"
-    if isinstance(error, httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout):
+    if was_never_sent(error):
         return ServiceFailure(ServiceFailureKind.UNREACHABLE, detail)
     if isinstance(error, httpx.TimeoutException):
         return ServiceFailure(ServiceFailureKind.TIMED_OUT, detail)
