--- a/features/routing_choice.feature
+++ b/features/routing_choice.feature
@@ -49,6 +49,16 @@
     Then the policy was asked for each version apart, with hashes of that version
     And the cheaper of its two choices was taken
 
+  Scenario Outline: An engine that the policy never prefers is tried all the same
+    Given a node with 3 engines that take 64 requests each
+    When the engine preferred least has failed and 20 requests a second come that are <kind>
+    Then it has got <trials> after 10 s
+
+    Examples:
+      | kind                      | trials    |
+      | repeatable                | one trial |
+      | not repeatable            | no trial  |
+
   Scenario: A caller that goes away while it waits for the choice leaves no trace
     Given a node with 3 engines that take 64 requests each
     When 30 callers go away while their choice is made
--- a/features/steps/routing_choice_steps.py
+++ b/features/steps/routing_choice_steps.py
@@ -18,6 +18,7 @@
 
 from weirscale.domain.choice.policy import CandidateEstimate, Choice
 from weirscale.domain.prefix.chain import chain_seed, extend_chain
+from weirscale.node.backends.observations import EngineAttemptEnded
 from weirscale.node.interfaces import AttemptOutcome
 from weirscale.node.routing.decisions import DecisionLog
 from weirscale.node.routing.explain import Explainer
@@ -262,6 +263,31 @@
     assert context.counts == {"qalam-2": 30}, context.counts
 
 
+@when("the engine preferred least has failed and 20 requests a second come that are {kind}")
+def step_failed_least(context, kind):
+    fleet = Fleet(context.deployment, policy=AskedPolicy())
+    broken = EngineFailure(EngineFailureKind.BROKEN, "reset")
+
+    async def run():
+        for _ in range(3):
+            fleet.directory.post(EngineAttemptEnded("qalam-0", "10.0.0.0:8000", 1, broken))
+        context.engines = []
+        for number in range(200):
+            request = make_request(number, repeatable=kind == "repeatable")
+            chosen = await fleet.router.choose(request, 0, NOBODY, None)
+            context.engines.append(chosen.ok_value.choice.engine)
+            await anyio.sleep(0.05)
+            fleet.router.report(outcome(request, chosen))
+
+    in_fleet(fleet, run)
+
+
+@then("it has got {trials} after 10 s")
+def step_trials(context, trials):
+    num_trials = context.engines.count("qalam-0")
+    assert num_trials == {"one trial": 1, "no trial": 0}[trials], num_trials
+
+
 @when("{count:d} callers go away while their choice is made")
 def step_callers_leave(context, count):
     fleet = Fleet(context.deployment, seed=5)
--- a/src/weirscale/node/routing/candidates.py
+++ b/src/weirscale/node/routing/candidates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from random import Random
+from typing import NamedTuple
 
 import msgspec
 
@@ -12,7 +13,6 @@
 from weirscale.domain.health.rules import HealthRules
 from weirscale.domain.identifiers import EngineName, WeightVersion, ZoneName
 from weirscale.domain.request.model import GenerationRequest
-from weirscale.messages.cache import LoadReport
 from weirscale.node.backends.facts import DirectorySnapshot, EngineFacts
 from weirscale.node.routing.load_estimate import LoadEstimate
 
@@ -20,8 +20,8 @@
 """Admission weight of an engine that is held back in no way."""
 
 
-class GroupKey(msgspec.Struct, frozen=True):
-    """Engines of one group see a prompt as the same block hashes."""
+class GroupKey(NamedTuple):
+    """Engines of one group see a prompt as the same block hashes; a tuple, since it is a key."""
 
     weight_version: WeightVersion
     block_size_bytes: int
@@ -47,6 +47,11 @@
         """Candidates of all groups."""
         return sum(len(group) for group in self.groups.values())
 
+    def add(self, block_size_bytes: int, candidate: EngineCandidate) -> None:
+        """Add a candidate to the group that its block hashes belong to."""
+        key = GroupKey(candidate.weight_version, block_size_bytes)
+        self.groups.setdefault(key, []).append(candidate)
+
     def expect_room_after(self, delay_s: float) -> None:
         """Take note of a time after which an engine may take work; the earliest counts."""
         if self.retry_after_s is None or delay_s < self.retry_after_s:
@@ -118,58 +123,63 @@
         """Return the engines that may take an attempt.
 
         Engines that return after failures are weighed only for a share of the attempts, so every
-        policy brings them back slowly. Where nothing else is left they are weighed always.
+        policy brings them back slowly; where nothing else is left they are weighed always. A trial
+        is the only candidate of its attempt, else a policy that prefers others would never end it;
+        it is made with requests that may be repeated.
         """
         names = snapshot.engines_of.get(request.model, ())
         members = [snapshot.engines[name] for name in names]
         weights = admission_weights(members, self._health_rules, now_s)
         found = CandidateSet({})
-        held_back: list[tuple[GroupKey, EngineCandidate]] = []
+        held_back: list[tuple[int, EngineCandidate]] = []
         for facts, weight in zip(members, weights, strict=True):
-            report = facts.report
-            if report is None or not _is_fit(facts, report, request, excluded, required_version):
-                found.num_held_out += 1
-                continue
-            if weight == 0.0:
+            if not _is_fit(facts, request, excluded, required_version):
                 found.num_held_out += 1
-                if facts.circuit.is_open and not facts.leaving.is_leaving_at(now_s):
-                    found.expect_room_after(facts.circuit.open_until_s - now_s)
                 continue
             estimate = self._estimates.of(facts)
-            num_outstanding = estimate.num_outstanding()
-            if not _has_room(facts, estimate, num_outstanding, now_s, found):
+            candidate = self._candidate(facts, estimate, weight, now_s, found)
+            if candidate is None:
                 found.num_held_out += 1
-                continue
-            candidate = self._candidate(facts, report, estimate, num_outstanding, weight, now_s)
-            key = GroupKey(candidate.weight_version, facts.engine.block_size_bytes)
-            if weight < FULL_WEIGHT and not self._is_drawn(facts, estimate, weight, now_s):
-                held_back.append((key, candidate))
-                continue
-            found.groups.setdefault(key, []).append(candidate)
-        if not found.groups:
-            for key, candidate in held_back:
-                found.groups.setdefault(key, []).append(candidate)
-        else:
+            elif weight >= FULL_WEIGHT:
+                found.add(facts.engine.block_size_bytes, candidate)
+            elif self._is_drawn(facts, estimate, weight, now_s):
+                if request.repeatable and _is_on_trial(facts, now_s):
+                    return _only(facts, candidate, len(members))
+                found.add(facts.engine.block_size_bytes, candidate)
+            else:
+                held_back.append((facts.engine.block_size_bytes, candidate))
+        if found.groups:
             found.num_held_out += len(held_back)
+        else:
+            for block_size_bytes, candidate in held_back:
+                found.add(block_size_bytes, candidate)
         return found
 
     def _is_drawn(
         self, facts: EngineFacts, estimate: LoadEstimate, weight: float, now_s: float
     ) -> bool:
-        is_trial = state_at(facts.circuit, now_s) is CircuitState.HALF_OPEN
-        if is_trial and estimate.num_own_outstanding > 0:
+        if _is_on_trial(facts, now_s) and estimate.num_own_outstanding > 0:
             return False
         return self._random.random() < weight
 
     def _candidate(
         self,
         facts: EngineFacts,
-        report: LoadReport,
         estimate: LoadEstimate,
-        num_outstanding: int,
         weight: float,
         now_s: float,
-    ) -> EngineCandidate:
+        found: CandidateSet,
+    ) -> EngineCandidate | None:
+        """Return a candidate, None for an engine that is held out or full."""
+        report = facts.report
+        if report is None or report.weight_version is None:
+            return None
+        if weight == 0.0:
+            _expect_trial(facts, now_s, found)
+            return None
+        num_outstanding = estimate.num_outstanding()
+        if not _has_room(facts, estimate, num_outstanding, now_s, found):
+            return None
         engine = facts.engine
         tokens_per_s = engine.prefill_tokens_per_s
         return EngineCandidate(
@@ -177,7 +187,7 @@
             zone=engine.zone,
             role=engine.role,
             incarnation=report.incarnation,
-            weight_version=report.weight_version or WeightVersion(""),
+            weight_version=report.weight_version,
             link_delay_s=self._link_delay_s(engine.zone),
             num_outstanding=num_outstanding,
             num_waiting_prefill_tokens=estimate.num_waiting_prefill_tokens(now_s, tokens_per_s),
@@ -190,17 +200,34 @@
         )
 
 
+def _is_on_trial(facts: EngineFacts, now_s: float) -> bool:
+    return state_at(facts.circuit, now_s) is CircuitState.HALF_OPEN
+
+
+def _only(facts: EngineFacts, candidate: EngineCandidate, num_members: int) -> CandidateSet:
+    """Return a set with one candidate, for a trial."""
+    found = CandidateSet({}, num_held_out=num_members - 1)
+    found.add(facts.engine.block_size_bytes, candidate)
+    return found
+
+
+def _expect_trial(facts: EngineFacts, now_s: float, found: CandidateSet) -> None:
+    """Take note of when an engine that is held out will be tried."""
+    if facts.circuit.is_open and not facts.leaving.is_leaving_at(now_s):
+        found.expect_room_after(facts.circuit.open_until_s - now_s)
+
+
 def _is_fit(
     facts: EngineFacts,
-    report: LoadReport,
     request: GenerationRequest,
     excluded: frozenset[EngineName],
     required_version: WeightVersion | None,
 ) -> bool:
     """Whether an engine could serve the request at all."""
-    if facts.engine.name in excluded or facts.void_since_s is not None:
+    report = facts.report
+    if report is None or facts.engine.name in excluded or facts.void_since_s is not None:
         return False
-    if facts.engine.role is EngineRole.PREFILL or report.weight_version is None:
+    if facts.engine.role is EngineRole.PREFILL:
         return False
     if required_version is not None and report.weight_version != required_version:
         return False
