Record crashes of engines

Cause: a crash showed only if the engine was chosen again later. Change: a record and a trace of each crash; it ends no leaving. Measured: behave of three features: 108 scenarios passed. Conclusion: the rows of the matrix show what struck.

--- a/features/experiment_virtual_runs.feature
+++ b/features/experiment_virtual_runs.feature
@@ -31,7 +31,7 @@
 
     Examples:
       | deployment | fault            | trace                      |
-      | tsehay     | engine_crash     | an engine on its next run  |
+      | tsehay     | engine_crash     | a crash of an engine in use |
       | startgrid  | crossed_answers  | attempts after the first   |
       | startgrid  | planned_stop     | a node stopped and started |
       | tsehay     | racing_operators | files of both operators    |
--- a/features/history_rules.feature
+++ b/features/history_rules.feature
@@ -51,6 +51,7 @@
       | down node refuses the connection           | none                      |
       | leaving back end gets work at once         | none                      |
       | leaving back end gets work late            | leaving_gets_no_work      |
+      | crashed back end that leaves gets work late | leaving_gets_no_work     |
       | returned back end gets work                | none                      |
       | planned stop finishes a stream             | none                      |
       | planned stop cuts a stream                 | planned_stop_cuts_nothing |
--- a/features/steps/experiment_virtual_runs_steps.py
+++ b/features/steps/experiment_virtual_runs_steps.py
@@ -9,6 +9,8 @@
 from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
 from weirscale.experiments.faults.schedule import random_schedule
 from weirscale.experiments.history.records import (
+    BackendChange,
+    BackendChanged,
     ConfigurationAccepted,
     EngineRun,
     NodeChange,
@@ -140,7 +142,11 @@
     changes = [changed.change for changed in history.of_type(NodeChanged)]
     runs = history.of_type(EngineRun)
     shown = {
-        "an engine on its next run": any(run.incarnation > 1 for run in runs),
+        "a crash of an engine in use": any(
+            changed.change is BackendChange.CRASHED
+            and any(run.engine == changed.backend and run.at_s < changed.at_s for run in runs)
+            for changed in history.of_type(BackendChanged)
+        ),
         "attempts after the first": any(run.attempt > 0 for run in runs),
         "a node stopped and started": NodeChange.STOPPED in changes
         and changes.index(NodeChange.STOPPED) < len(changes) - 1
--- a/features/support/history_cases.py
+++ b/features/support/history_cases.py
@@ -254,6 +254,9 @@
     ],
     "leaving back end gets work at once": leaving_engine(-2.0),
     "leaving back end gets work late": leaving_engine(-4.0),
+    "crashed back end that leaves gets work late": leaving_engine(
+        -4.0, change(RETURNED, change=BackendChange.CRASHED)
+    ),
     "returned back end gets work": leaving_engine(-4.0, RETURNED),
     "planned stop finishes a stream": [*DRAINS, *PLAIN],
     "planned stop cuts a stream": [*DRAINS, *UNANSWERED, BROKE],
--- a/src/weirscale/experiments/faults/injector.py
+++ b/src/weirscale/experiments/faults/injector.py
@@ -81,7 +81,11 @@
         await self._actions[fault.kind](fault)
 
     async def _engine_crash(self, fault: PlannedFault) -> None:
-        self._world.platform.engines[self._engine(fault)].crash()
+        self._crash(self._engine(fault))
+
+    def _crash(self, name: EngineName) -> None:
+        self._world.platform.engines[name].crash()
+        self._note_backend(name, BackendChange.CRASHED)
 
     async def _event_loss(self, fault: PlannedFault) -> None:
         engines = self._world.platform.engines.values()
@@ -197,15 +201,17 @@
         machine = Machine(host=platform.addresses()[name], is_leaving=is_leaving)
         platform.machines.put(machine, anyio.current_time())
         change = BackendChange.LEAVING if is_leaving else BackendChange.RETURNED
-        self._world.recorder.add(
-            BackendChanged(at_s=self._world.recorder.now(), backend=name, change=change)
-        )
+        self._note_backend(name, change)
+
+    def _note_backend(self, name: str, change: BackendChange) -> None:
+        recorder = self._world.recorder
+        recorder.add(BackendChanged(at_s=recorder.now(), backend=name, change=change))
 
     def _set_away(self, name: str, is_away: bool) -> None:
         platform = self._world.platform
         engine = platform.engines.get(EngineName(name))
         if engine is not None and is_away:
-            engine.crash()
+            self._crash(EngineName(name))
         if engine is not None:
             engine.faults.set(EngineFaults(refuse_connections=is_away))
         service = platform.services.get(BackendName(name))
--- a/src/weirscale/experiments/history/fleet_rules.py
+++ b/src/weirscale/experiments/history/fleet_rules.py
@@ -117,7 +117,7 @@
         if isinstance(record, BackendChanged):
             if record.change is BackendChange.LEAVING:
                 leaving_since.setdefault(record.backend, record.at_s)
-            else:
+            elif record.change is BackendChange.RETURNED:
                 leaving_since.pop(record.backend, None)
         elif isinstance(record, EngineRun | ServiceRun):
             backend = record.engine if isinstance(record, EngineRun) else record.backend
--- a/src/weirscale/experiments/history/records.py
+++ b/src/weirscale/experiments/history/records.py
@@ -230,6 +230,8 @@
     """It was put on the list of leaving machines, or said so itself."""
     RETURNED = "returned"
     """It takes work again."""
+    CRASHED = "crashed"
+    """It lost everything and starts anew."""
 
 
 class BackendChanged(Record, frozen=True, tag="backend_changed"):
--- a/src/weirscale/experiments/report/effects.py
+++ b/src/weirscale/experiments/report/effects.py
@@ -18,6 +18,7 @@
     """Traces of faults in a history.
 
     Attributes:
+        num_engine_crashes: Crashes of engines.
         num_engine_restarts: Engine runs after the first that served requests.
         num_attempts_after_first: Attempts on engines after a request's first.
         num_weight_versions_served: Weight versions that served requests.
@@ -30,6 +31,7 @@
         num_configurations_accepted: Configurations that the store accepted.
     """
 
+    num_engine_crashes: int
     num_engine_restarts: int
     num_attempts_after_first: int
     num_weight_versions_served: int
@@ -49,6 +51,7 @@
     changes = [changed.change for changed in history.of_type(NodeChanged)]
     backend_changes = [changed.change for changed in history.of_type(BackendChanged)]
     return Effects(
+        num_engine_crashes=backend_changes.count(BackendChange.CRASHED),
         num_engine_restarts=len(engine_runs) - len({run.engine for run in runs}),
         num_attempts_after_first=sum(run.attempt > 0 for run in runs),
         num_weight_versions_served=len({(run.model, run.weight_version) for run in runs}),
