Deal feature files to four behave processes

Cause: one process took two minutes for 815 scenarios. Change: run_checks runs behave in four processes over disjoint feature files. Conclusion: the verdict is the sum over files; nothing is shared between them.

--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 STATIC_CHECKS = (
@@ -18,6 +19,11 @@
 KNOWN_RED_FILE = Path("KNOWN-RED.txt")
 MAX_KNOWN_RED = 3
 KNOWN_RED_FIELDS = 3
+NUM_WORKERS = 4
+"""behave processes at once; few enough for a small machine."""
+
+BEHAVE_ENDED = (0, 1)
+"""Exit codes of behave that ran to its end: all passed, or some failed."""
 
 
 def run_static_check(name: str, command: tuple[str, ...]) -> bool:
@@ -38,23 +44,49 @@
     return {line.split(",", 1)[0].strip() for line in lines}
 
 
-def run_behave() -> tuple[list[str], list[str], bool]:
-    """Run every scenario; return passed names, other names and whether behave itself ran well."""
-    with tempfile.TemporaryDirectory() as folder:
-        report = Path(folder) / "behave.json"
-        command = [sys.executable, "-m", "behave", "--format", "json", "--outfile", str(report)]
-        command += ["--format", "progress"]
-        outcome = subprocess.run([*command, "features"], check=False)
-        features = json.loads(report.read_text() or "[]") if report.exists() else []
+def run_features(files: list[str], report: Path) -> tuple[str, bool]:
+    """Run behave on some feature files; return its output and whether it ended properly."""
+    command = [sys.executable, "-m", "behave", "--format", "json", "--outfile", str(report)]
+    command += ["--format", "progress", *files]
+    outcome = subprocess.run(
+        command, check=False, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+    )
+    return outcome.stdout, outcome.returncode in BEHAVE_ENDED and report.exists()
+
+
+def read_report(report: Path) -> tuple[list[str], list[str]]:
+    """Return the names of passed and of all other scenarios."""
     passed: list[str] = []
     others: list[str] = []
-    for feature in features:
+    for feature in json.loads(report.read_text() or "[]"):
         for element in feature.get("elements", []):
-            if element["type"] == "background":
-                continue
-            names = passed if element["status"] == "passed" else others
-            names.append(element["name"])
-    ran_well = outcome.returncode == 0 or bool(others)
+            if element["type"] != "background":
+                names = passed if element["status"] == "passed" else others
+                names.append(element["name"])
+    return passed, others
+
+
+def run_behave() -> tuple[list[str], list[str], bool]:
+    """Run every scenario; return passed names, other names and whether behave itself ran well.
+
+    Feature files share nothing, so they are dealt to a few processes, long ones first.
+    """
+    files = sorted(Path("features").glob("*.feature"), key=lambda file: -file.stat().st_size)
+    shares = [[str(file) for file in files[start::NUM_WORKERS]] for start in range(NUM_WORKERS)]
+    passed: list[str] = []
+    others: list[str] = []
+    ran_well = True
+    with tempfile.TemporaryDirectory() as folder, ThreadPoolExecutor(NUM_WORKERS) as pool:
+        reports = [Path(folder) / f"{number}.json" for number in range(NUM_WORKERS)]
+        for report, (output, ended) in zip(
+            reports, pool.map(run_features, shares, reports), strict=True
+        ):
+            print(output, flush=True)
+            ran_well = ran_well and ended
+            if ended:
+                names = read_report(report)
+                passed += names[0]
+                others += names[1]
     return passed, others, ran_well and bool(passed)
 
 
