--- a/src/weirscale/experiments/run/experiment.py
+++ b/src/weirscale/experiments/run/experiment.py
@@ -19,6 +19,8 @@
 from weirscale.experiments.workload.shape import PRESETS, Burst, WorkloadShape
 
 FILE_FORMAT = 1
+POLICIES = ("default",)
+"""Policies that nodes can be assembled with; the baselines run in `experiments.choice`."""
 HOT_SHIFT_FACTOR = 2.0
 """The rate's multiple while a sudden shift of the hot set lasts."""
 
@@ -200,6 +202,9 @@
 
     if experiment.format != FILE_FORMAT:
         fail("format", f"format {experiment.format} is not known", f"write `format: {FILE_FORMAT}`")
+    if experiment.policy not in POLICIES:
+        message = f"unknown policy `{experiment.policy}`"
+        fail("policy", message, f"use one of: {', '.join(POLICIES)}")
     if experiment.workload.preset not in PRESETS:
         message = f"unknown preset `{experiment.workload.preset}`"
         fail("workload.preset", message, f"use one of: {', '.join(PRESETS)}")
--- a/src/weirscale/experiments/run/virtual.py
+++ b/src/weirscale/experiments/run/virtual.py
@@ -139,6 +139,7 @@
             right_answer,
             self._loaded.deployment.engines[0].block_size_bytes,
             Bounds(leaving_s=lag_s + LEAVING_BOUND_S + MEASURING_SLACK_S),
+            is_kv_kept=platform.has_imported_kv,
         )
         identity = identity_of(self._loaded, self.seed)
         node_seconds = len(fleet.places) * anyio.current_time()
