Decide on imports from stores of kept KV cache

Cause: importing a prefix can beat computing it, but a slow or dead store must cost little. Change: beliefs of what is kept, a plan for each candidate, trust learned from cached tokens. Conclusion: the node has to pass the declared stores to the policy.

--- a/src/weirscale/domain/choice/belief_trust.py
+++ b/src/weirscale/domain/choice/belief_trust.py
@@ -47,3 +47,7 @@
     def forget(self, engine: EngineName) -> None:
         """Start again with an engine that came back anew."""
         self._trust.pop(engine, None)
+
+    def forget_prediction(self, request_id: RequestId) -> None:
+        """Learn nothing from a request's outcome."""
+        self._predictions.pop(request_id, None)
--- a/src/weirscale/domain/choice/estimate.py
+++ b/src/weirscale/domain/choice/estimate.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from weirscale.domain.choice.eligible import MIN_ADMISSION_WEIGHT, relative_load
+from weirscale.domain.choice.kept_kv import ImportPlan
 from weirscale.domain.choice.policy import CandidateEstimate, ChoiceRequest, EngineCandidate
 from weirscale.domain.configuration.model import RoutingObjective
 from weirscale.domain.identifiers import EngineName
@@ -111,6 +112,18 @@
         return waste_s
 
 
+def with_import(estimate: CandidateEstimate, plan: ImportPlan | None) -> CandidateEstimate:
+    """Return the estimate when a part of the prompt is imported instead of computed."""
+    if plan is None:
+        return estimate
+    return msgspec.structs.replace(
+        estimate,
+        cost=estimate.cost - plan.gain_s,
+        prefill_s=max(estimate.prefill_s - plan.gain_s - plan.import_s, 0.0),
+        import_s=plan.import_s,
+    )
+
+
 def cost_model(
     request: ChoiceRequest,
     objective: RoutingObjective,
--- a/src/weirscale/domain/choice/prefix_aware.py
+++ b/src/weirscale/domain/choice/prefix_aware.py
@@ -22,7 +22,8 @@
 from weirscale.domain.choice.beliefs import CacheBeliefs
 from weirscale.domain.choice.eligible import eligible_candidates
 from weirscale.domain.choice.engine_runs import EngineRuns
-from weirscale.domain.choice.estimate import NO_BELIEF, PromptBelief, cost_model
+from weirscale.domain.choice.estimate import NO_BELIEF, PromptBelief, cost_model, with_import
+from weirscale.domain.choice.kept_kv import ImportPlan, KeptKvBeliefs
 from weirscale.domain.choice.noted_sends import NotedSends
 from weirscale.domain.choice.policy import (
     CandidateEstimate,
@@ -78,6 +79,7 @@
         beliefs: What is believed of engines' caches.
         objective: The deployment's weights.
         noted: What other nodes tell of their sends, or None without notes.
+        kept_kv: What stores of kept KV cache are believed to keep, or None without stores.
         tell: Tells other nodes of a send and the prompt tokens that it makes the engine compute.
     """
 
@@ -87,7 +89,9 @@
         objective: RoutingObjective,
         noted: NotedSends | None = None,
         tell: TellSend | None = None,
+        kept_kv: KeptKvBeliefs | None = None,
     ) -> None:
+        self._kept_kv = kept_kv or KeptKvBeliefs()
         self._beliefs = beliefs
         self._tell = tell
         self._runs = EngineRuns()
@@ -119,11 +123,16 @@
         proposals = self._proposals(eligible, ranked, beliefs, random)
         proposals = [self._with_noted_load(each, now_s) for each in proposals]
         model = cost_model(request, self._objective, proposals, beliefs)
+        imports = self._imports(request, proposals, beliefs, now_s)
         expected = beliefs
-        if self._noted is None:
+        if self._noted is None and not imports:
             expected = self._with_affinity(request, ranked[0].engine, beliefs)
         estimates = [
-            model.estimate(each, expected.get(each.engine, NO_BELIEF)) for each in proposals
+            with_import(
+                model.estimate(each, expected.get(each.engine, NO_BELIEF)),
+                imports.get(each.engine),
+            )
+            for each in proposals
         ]
         estimates.sort(key=_cost)
         chosen = _among_ties(estimates, proposals, random)
@@ -132,11 +141,16 @@
         self._trust.note_predicted(
             request.request_id, num_promised_blocks * request.tokens_per_block
         )
+        plan = imports.get(chosen.engine)
+        if plan is not None:
+            self._kept_kv.note_planned(request, plan, int(num_matched_blocks), now_s)
         return Choice(
             engine=chosen.engine,
             estimates=tuple(estimates[:MAX_REPORTED_ESTIMATES]),
             num_matched_blocks=int(num_matched_blocks),
-            estimated_ttft_s=chosen.queue_s + chosen.prefill_s + chosen.link_s,
+            estimated_ttft_s=chosen.queue_s + chosen.prefill_s + chosen.link_s + chosen.import_s,
+            import_from=plan.store if plan is not None else None,
+            import_block_hash=plan.block_hash if plan is not None else None,
         )
 
     def note_sent(self, request: ChoiceRequest, engine: EngineName, now_s: float) -> None:
@@ -151,6 +165,11 @@
         self, request: ChoiceRequest, engine: EngineName, num_cached_tokens: int, now_s: float
     ) -> None:
         """Compare the belief with what was real."""
+        self._kept_kv.note_served(request.block_hashes)
+        if self._kept_kv.note_finished(request.request_id, num_cached_tokens):
+            # The cached tokens tell of the store as much as of the engine.
+            self._trust.forget_prediction(request.request_id)
+            return
         share = self._trust.note_real(request.request_id, engine, num_cached_tokens)
         if share is not None and share < FAILED_BELIEF_SHARE:
             self._recent.forget(engine)
@@ -170,6 +189,27 @@
                 beliefs[engine] = PromptBelief(num_blocks, 0.0)
         return beliefs
 
+    def _imports(
+        self,
+        request: ChoiceRequest,
+        proposals: list[EngineCandidate],
+        beliefs: Mapping[EngineName, PromptBelief],
+        now_s: float,
+    ) -> dict[EngineName, ImportPlan]:
+        """Return the candidates for which an import beats computing."""
+        num_kept_blocks = self._kept_kv.kept_depth(request.block_hashes)
+        if num_kept_blocks == 0:
+            return {}
+        plans: dict[EngineName, ImportPlan] = {}
+        for each in proposals:
+            num_matched_blocks = int(beliefs.get(each.engine, NO_BELIEF).num_matched_blocks)
+            plan = self._kept_kv.plan(
+                request, each, num_matched_blocks, num_kept_blocks, self._objective, now_s
+            )
+            if plan is not None:
+                plans[each.engine] = plan
+        return plans
+
     def _recent_matches(
         self, block_hashes: Sequence[BlockHash], now_s: float
     ) -> Iterator[tuple[EngineName, int]]:
--- a/src/weirscale/experiments/choice/main.py
+++ b/src/weirscale/experiments/choice/main.py
@@ -26,6 +26,7 @@
 """Requests of the first seconds fill empty caches and are not counted."""
 
 ORACLE = "oracle"
+PREFIX_AWARE = "prefix_aware"
 
 POLICIES: dict[str, MakePolicy] = {
     "random": lambda shape, known: RandomChoice(),
@@ -34,7 +35,7 @@
         num_root_blocks=shape.sections[0].num_tokens // shape.tokens_per_block
     ),
     "approximate_tree": lambda shape, known: ApproximateTree(),
-    "prefix_aware": lambda shape, known: PrefixAware(known.view, shape.objective, known.noted),
+    PREFIX_AWARE: lambda shape, known: PrefixAware(known.view, shape.objective, known.noted),
     "prefix_aware_silent": lambda shape, known: PrefixAware(known.view, shape.objective),
     ORACLE: lambda shape, known: OraclePolicy(
         ExactBeliefs({name: engine.leading_soon for name, engine in known.engines.items()}),
@@ -77,6 +78,7 @@
     duration_s: float = DEFAULT_DURATION_S,
     faults: KnowledgeFaults | None = None,
     policies: Sequence[str] = tuple(POLICIES),
+    load: float = 1.0,
 ) -> list[PolicyResult]:
     """Run policies on a deployment's workload.
 
@@ -86,11 +88,13 @@
         duration_s: Virtual time of arrivals.
         faults: How late and lossy knowledge is; the defaults are a 2 s lag and 5 % lost batches.
         policies: Names of the policies to run.
+        load: Multiple of the shape's rate of arrivals.
 
     Returns:
         One result for each policy.
     """
-    shape = SHAPES[shape_name]
+    declared = SHAPES[shape_name]
+    shape = msgspec.structs.replace(declared, requests_per_s=load * declared.requests_per_s)
     return [
         run_policy(shape, name, seed, duration_s, faults or KnowledgeFaults()) for name in policies
     ]
@@ -106,7 +110,8 @@
     served = [each for each in fleet.run(arrivals) if each.at_s >= WARM_UP_S]
     num_digest_bytes = sum(home.num_digest_bytes for home in fleet.homes)
     num_nodes = shape.num_zones * shape.nodes_per_zone
-    note_bytes_per_s = fleet.num_note_bytes / num_nodes / duration_s
+    num_note_bytes = fleet.num_note_bytes if policy == PREFIX_AWARE else 0
+    note_bytes_per_s = num_note_bytes / num_nodes / duration_s
     return _result(policy, served, num_digest_bytes / duration_s, note_bytes_per_s, started_s)
 
 
