--- a/features/steps/experiment_files_steps.py
+++ b/features/steps/experiment_files_steps.py
@@ -22,8 +22,8 @@
     read_answer,
 )
 from weirscale.experiments.run.exchange import HttpRequest
-from weirscale.experiments.run.experiment import check_experiment, workload_shape
 from weirscale.experiments.run.http_exchange import HttpExchange
+from weirscale.experiments.run.load import check_experiment, workload_shape
 from weirscale.standins.engine.answer import expected_text
 
 FILE = """format: 1
--- a/features/steps/experiment_virtual_runs_steps.py
+++ b/features/steps/experiment_virtual_runs_steps.py
@@ -16,8 +16,9 @@
     NodeChange,
     NodeChanged,
 )
-from weirscale.experiments.run.experiment import Experiment, WorkloadChoice, with_shape
+from weirscale.experiments.run.experiment import Experiment, WorkloadChoice
 from weirscale.experiments.run.life import ProcessKilled, ProcessLife
+from weirscale.experiments.run.load import with_shape
 from weirscale.experiments.run.virtual import VirtualRun, run_in_virtual_time
 from weirscale.experiments.soak.experiments import PRESET_OF, read_deployment
 
--- a/src/weirscale/experiments/run/main.py
+++ b/src/weirscale/experiments/run/main.py
@@ -11,12 +11,8 @@
 from weirscale.experiments.faults.kinds import FaultKind
 from weirscale.experiments.faults.schedule import overlapping
 from weirscale.experiments.report.files import write_report
-from weirscale.experiments.run.experiment import (
-    LoadedExperiment,
-    Mode,
-    load_experiment,
-    with_shape,
-)
+from weirscale.experiments.run.experiment import Mode
+from weirscale.experiments.run.load import LoadedExperiment, load_experiment, with_shape
 from weirscale.experiments.run.real import RealRun, run_against_processes
 from weirscale.experiments.run.virtual import Progress, RunOutcome, VirtualRun, run_in_virtual_time
 
--- a/src/weirscale/experiments/run/real.py
+++ b/src/weirscale/experiments/run/real.py
@@ -21,8 +21,9 @@
 from weirscale.experiments.report.figures import ControlCost, work_out
 from weirscale.experiments.run.callers import Callers
 from weirscale.experiments.run.exchange import Connect, HttpRequest
-from weirscale.experiments.run.experiment import LoadedExperiment, RealNode, RealStandIn
+from weirscale.experiments.run.experiment import RealNode, RealStandIn
 from weirscale.experiments.run.http_exchange import HttpExchange
+from weirscale.experiments.run.load import LoadedExperiment
 from weirscale.experiments.run.platform import engine_run, service_run
 from weirscale.experiments.run.recorder import Recorder
 from weirscale.experiments.run.virtual import RunOutcome, identity_of, plan_of, right_answer
--- a/src/weirscale/experiments/run/virtual.py
+++ b/src/weirscale/experiments/run/virtual.py
@@ -16,9 +16,9 @@
 from weirscale.experiments.memory_network import LinkQuality, MemoryNetwork
 from weirscale.experiments.report.figures import ControlCost, Figures, RunIdentity, work_out
 from weirscale.experiments.run.callers import Callers
-from weirscale.experiments.run.experiment import LoadedExperiment
 from weirscale.experiments.run.fleet import Fleet
 from weirscale.experiments.run.links import ZONE_DELAY_S
+from weirscale.experiments.run.load import LoadedExperiment
 from weirscale.experiments.run.node_factory import ProductNodes
 from weirscale.experiments.run.node_process import NodeFactory
 from weirscale.experiments.run.operator import Operator
--- a/src/weirscale/experiments/soak/experiments.py
+++ b/src/weirscale/experiments/soak/experiments.py
@@ -8,12 +8,8 @@
 from weirscale.domain.configuration.parse import check_deployment
 from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
 from weirscale.experiments.faults.schedule import overlapping, random_schedule
-from weirscale.experiments.run.experiment import (
-    Experiment,
-    LoadedExperiment,
-    WorkloadChoice,
-    with_shape,
-)
+from weirscale.experiments.run.experiment import Experiment, WorkloadChoice
+from weirscale.experiments.run.load import LoadedExperiment, with_shape
 
 SOAK_DURATION_S = 40.0
 MAX_FAULTS = 6
--- a/src/weirscale/experiments/soak/matrix.py
+++ b/src/weirscale/experiments/soak/matrix.py
@@ -160,7 +160,7 @@
 
     weirscale experiment matrix --results=/tmp/single.jsonl
     weirscale experiment matrix --results=/tmp/pairs.jsonl --pairs
-    weirscale experiment matrix-page /tmp/single.jsonl /tmp/pairs.jsonl
+    python -m weirscale.experiments.soak.matrix /tmp/single.jsonl /tmp/pairs.jsonl
 
 Both shipped deployments have one region, so `region_cut` takes the platform (store and machine
 list) from all its zones, while they still see one another.
@@ -210,3 +210,7 @@
         command,
     )
     return f"| {' | '.join(fields)} |"
+
+
+if __name__ == "__main__":
+    sys.exit(render(*sys.argv[1:]))
