Send chunks that arrived together in one part

Cause: a node that is behind sent each token by itself, while a bare relay passes on what one read brought. Conclusion: helps only a node that is behind; the cost of a chunk itself is still to be cut.

--- a/src/weirscale/node/callers/generation_route.py
+++ b/src/weirscale/node/callers/generation_route.py
@@ -1,16 +1,22 @@
 """Serves `/v1/chat/completions` and `/v1/completions`."""
 
 import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import anyio
-from result import Err, Result
+from result import Err, Ok, Result
 
 from weirscale.domain.configuration.model import Tenant
 from weirscale.domain.prefix.chain import BYTES_PER_TOKEN
 from weirscale.domain.request.model import GenerationRequest, TokenChunk
 from weirscale.domain.request.refusal import Refusal
-from weirscale.node.callers.asgi import EVENT_STREAM_TYPE, JSON_TYPE, HeaderList, send_whole
+from weirscale.node.callers.asgi import (
+    EVENT_STREAM_TYPE,
+    JSON_TYPE,
+    HeaderList,
+    Message,
+    send_whole,
+)
 from weirscale.node.callers.body import read_body
 from weirscale.node.callers.call import Call
 from weirscale.node.callers.caller_headers import parse_caller_headers
@@ -25,10 +31,11 @@
 from weirscale.node.callers.errors import REQUEST_ID_HEADER, error_body
 from weirscale.node.callers.generation_input import decode_object, parse_generation
 from weirscale.node.callers.metrics import CallerMetrics
-from weirscale.node.execution.generation import ChunkOrRefusal, GenerationExecutor
+from weirscale.node.execution.generation import ChunkOrRefusal, GenerationExecutor, GenerationRun
 from weirscale.node.interfaces import Admission, ConfigurationInForce
 
-Chunks = AsyncIterator[ChunkOrRefusal]
+MAX_EVENTS_OF_PART = 32
+"""Events that leave together at most, so that a caller far behind still gets small parts."""
 
 
 class GenerationRoute:
@@ -97,7 +104,7 @@
         finally:
             self._admission.release(permit.ok_value)
 
-    async def _answer(self, call: Call, request: GenerationRequest, chunks: Chunks) -> None:
+    async def _answer(self, call: Call, request: GenerationRequest, chunks: GenerationRun) -> None:
         first = await anext(chunks)
         if isinstance(first, Err):
             await call.refuse(first.err_value)
@@ -110,7 +117,7 @@
             await self._answer_whole(call, request, first.ok_value, chunks)
 
     async def _answer_streamed(
-        self, call: Call, request: GenerationRequest, first: TokenChunk, chunks: Chunks
+        self, call: Call, request: GenerationRequest, first: TokenChunk, chunks: GenerationRun
     ) -> None:
         encoder = EventEncoder(request, int(self._wall_clock()))
         send = call.send
@@ -118,29 +125,31 @@
         headers.append((b"cache-control", b"no-cache"))
         call.note_response_started(200)
         await send({"type": "http.response.start", "status": 200, "headers": headers})
-        chunk = first
-        while chunk.finish_reason is None:
+        result: ChunkOrRefusal = Ok(first)
+        events: list[bytes] = []
+        while isinstance(result, Ok):
+            chunk = result.ok_value
             call.num_tokens += chunk.num_tokens
-            event = encoder.text_event(chunk.text)
-            await send({"type": "http.response.body", "body": event, "more_body": True})
+            if chunk.finish_reason is not None:
+                usage = usage_of(chunk, call.num_tokens)
+                events.append(encoder.last_event(chunk.text, chunk.finish_reason, usage))
+                events.append(DONE_EVENT)
+                break
+            events.append(encoder.text_event(chunk.text))
+            # Events leave together only if the next one is here already.
+            if not chunks.num_ready or len(events) == MAX_EVENTS_OF_PART:
+                await send(_part(events, more=True))
+                events.clear()
             result = await anext(chunks)
-            if isinstance(result, Err):
-                await self._end_broken(call, result.err_value)
-                return
-            chunk = result.ok_value
-        call.num_tokens += chunk.num_tokens
-        usage = usage_of(chunk, call.num_tokens)
-        end = encoder.last_event(chunk.text, chunk.finish_reason, usage) + DONE_EVENT
-        await send({"type": "http.response.body", "body": end, "more_body": False})
-        self._note_answered(call, chunk)
-
-    async def _end_broken(self, call: Call, refusal: Refusal) -> None:
-        call.note_refused(refusal)
-        event = error_event(error_body(refusal, call.request_id))
-        await call.send({"type": "http.response.body", "body": event, "more_body": False})
+        if isinstance(result, Err):
+            call.note_refused(result.err_value)
+            events.append(error_event(error_body(result.err_value, call.request_id)))
+        await send(_part(events, more=False))
+        if isinstance(result, Ok):
+            self._note_answered(call, result.ok_value)
 
     async def _answer_whole(
-        self, call: Call, request: GenerationRequest, first: TokenChunk, chunks: Chunks
+        self, call: Call, request: GenerationRequest, first: TokenChunk, chunks: GenerationRun
     ) -> None:
         texts: list[str] = []
         chunk = first
@@ -173,3 +182,7 @@
         (REQUEST_ID_HEADER, call.request_id.encode()),
         (b"x-run-status", b"ran"),
     ]
+
+
+def _part(events: list[bytes], more: bool) -> Message:
+    return {"type": "http.response.body", "body": b"".join(events), "more_body": more}
--- a/src/weirscale/node/execution/attempt.py
+++ b/src/weirscale/node/execution/attempt.py
@@ -18,6 +18,7 @@
     EngineFailure,
     EngineFailureKind,
     GenerateCall,
+    num_ready_chunks,
 )
 
 CLOSE_TIMEOUT_S = 1.0
@@ -89,6 +90,11 @@
         """Whether this attempt delivered the last chunk."""
         return self.last_chunk is not None and self.last_chunk.finish_reason is not None
 
+    @property
+    def num_ready(self) -> int:
+        """Chunks that have arrived and not been taken; some may yet be dropped."""
+        return num_ready_chunks(self._chunks) if self._chunks is not None else 0
+
     @property
     def may_have_run(self) -> bool:
         """Whether the engine may have done work for it."""
@@ -101,7 +107,11 @@
     async def next(self, give_up_at_s: float) -> Result[TokenChunk, AttemptFailure]:
         """Wait for the next chunk that passes the check, or for the attempt's failure."""
         while True:
-            item = await self._pull(give_up_at_s)
+            chunks = self._chunks
+            if chunks is not None and num_ready_chunks(chunks):
+                item = await anext(chunks)
+            else:
+                item = await self._pull(give_up_at_s)
             if isinstance(item, Err):
                 return self._fail(item.err_value)
             chunk = item.ok_value
--- a/src/weirscale/node/execution/generation.py
+++ b/src/weirscale/node/execution/generation.py
@@ -91,21 +91,21 @@
         self.counts = GenerationCounts()
 
     @asynccontextmanager
-    async def run(self, request: GenerationRequest) -> AsyncIterator[AsyncIterator[ChunkOrRefusal]]:
+    async def run(self, request: GenerationRequest) -> AsyncIterator["GenerationRun"]:
         """Run a request; leaving the context stops whatever still runs for it.
 
         The iterator yields Ok chunks, each once and in order, and ends after the one with a
         finish reason; or it ends with one Err. Nothing is read ahead of the consumer.
         """
-        run = _GenerationRun(self, request)
+        run = GenerationRun(self, request)
         try:
             yield run
         finally:
             await run.close()
 
 
-class _GenerationRun:
-    """One request's state; used by one task."""
+class GenerationRun:
+    """One request's answer: an iterator of chunks; used by one task."""
 
     def __init__(self, executor: GenerationExecutor, request: GenerationRequest) -> None:
         self._executor = executor
@@ -136,13 +136,21 @@
         while True:
             attempt = self._attempt
             assert attempt is not None
-            result = await self._next_of(attempt)
+            if attempt.last_chunk is not None:
+                result = await attempt.next(self._request.deadline_s)
+            else:
+                result = await self._first_of(attempt)
             if isinstance(result, Ok):
                 return self._pass(result.ok_value)
             refusal = await self._recover(result.err_value)
             if refusal is not None:
                 return self._end(refusal)
 
+    @property
+    def num_ready(self) -> int:
+        """Chunks that have arrived and not been taken: the consumer is behind."""
+        return self._attempt.num_ready if self._attempt is not None else 0
+
     async def close(self) -> None:
         """Stop the current attempt and settle the claim."""
         self._is_over = True
@@ -226,9 +234,7 @@
 
     # --- passing chunks ---
 
-    async def _next_of(self, attempt: Attempt) -> Result[TokenChunk, AttemptFailure]:
-        if attempt.last_chunk is not None:
-            return await attempt.next(self._request.deadline_s)
+    async def _first_of(self, attempt: Attempt) -> Result[TokenChunk, AttemptFailure]:
         hedge_after_s = self._rules.hedge_after_s
         if hedge_after_s is None or not self._request.repeatable or self._num_attempts > 1:
             return await attempt.next(self._attempt_give_up_at_s)
--- a/src/weirscale/ports/engine.py
+++ b/src/weirscale/ports/engine.py
@@ -162,6 +162,15 @@
 ChunkOrFailure = Result[TokenChunk, EngineFailure]
 
 
+def num_ready_chunks(chunks: AsyncIterator[ChunkOrFailure]) -> int:
+    """Return how many chunks an iterator hands out without waiting.
+
+    Iterators that know have an attribute `num_ready`; of others nothing is known, so 0.
+    """
+    num_ready: int = getattr(chunks, "num_ready", 0)
+    return num_ready
+
+
 class EnginePort(Protocol):
     """What a node can ask of one engine."""
 
