Give operators a port and commands: explain, members, rollout, drain, stand-in

Cause: operators could not ask a running node anything. Change: an application on a loopback port of its own; commands for it, for stand-ins, experiments and soak.

--- /dev/null
+++ b/features/operator_commands.feature
@@ -0,0 +1,41 @@
+Feature: The command line and the operators' port
+  Scenario Outline: A bad command is one line that names the remedy
+    When weirscale is called with "<arguments>"
+    Then it exits with 2 after one line about "<about>"
+
+    Examples:
+      | arguments                      | about                  |
+      | launch                         | see `weirscale --help` |
+      | check                          | required argument      |
+      | node --colour=red              | see `weirscale --help` |
+      | node --zone=bole-hall          | peer_keys              |
+      | node --settings=no-such.yaml   | check the path         |
+      | stand_in teapot --settings=x   | use one of             |
+      | stand_in engine --settings=x   | settings file          |
+
+  Scenario: Help is printed without running anything
+    When weirscale is called with "--help"
+    Then it exits with 0 and prints the commands
+
+  Scenario Outline: The operators' port answers
+    Given an operators' application of a node that decided request "r-1"
+    When an operator sends <method> <path>
+    Then the operator gets status <status> and "<text>"
+
+    Examples:
+      | method | path                                | status | text               |
+      | GET    | /operator/explain/r-1               | 200    | "request_id":"r-1" |
+      | GET    | /operator/explain/r-1?format=text   | 200    | request r-1        |
+      | GET    | /operator/explain/r-2               | 404    | no live node       |
+      | GET    | /operator/members                   | 200    | node-1             |
+      | GET    | /operator/rollout                   | 200    | []                 |
+      | POST   | /operator/drain                     | 202    | draining           |
+      | GET    | /operator/drain                     | 404    | is not served      |
+      | GET    | /operator/other                     | 404    | docs/operators     |
+
+  Scenario: Only a posted drain begins the planned stop
+    Given an operators' application of a node that decided request "r-1"
+    When an operator sends GET /operator/drain
+    Then the planned stop has not begun
+    When an operator sends POST /operator/drain
+    Then the planned stop has begun
--- a/src/weirscale/cli/main.py
+++ b/src/weirscale/cli/main.py
@@ -8,7 +8,7 @@
 
 from result import Err
 
-from weirscale.cli.exit_codes import EXIT_FAILED, EXIT_USAGE
+from weirscale.cli.exit_codes import EXIT_DONE, EXIT_FAILED, EXIT_USAGE
 
 Run = Callable[[], int]
 
@@ -28,6 +28,38 @@
     return command._run()
 
 
+class ExperimentCommands:
+    """Experiments: run one, compare reports, the fault matrix."""
+
+    def run(
+        self,
+        file: str,
+        seed: int | None = None,
+        report: str | None = None,
+        faults: str | Sequence[str] | None = None,
+    ) -> Command:
+        """Run an experiment file; writes report.json and a page into the REPORT folder."""
+        from weirscale.experiments.run import main as run_main
+
+        return Command(lambda: run_main.run(str(file), seed, report, faults))
+
+    def compare(self, *directories: str) -> Command:
+        """Print reports side by side, as ratios to the first."""
+        from weirscale.experiments.report import compare as compare_reports
+
+        return Command(lambda: compare_reports.compare(*directories))
+
+    def matrix(self, results: str, pairs: bool = False, seed: int = 1) -> Command:
+        """Run every fault (with PAIRS: every pair) on both deployments into a results file."""
+        from weirscale.experiments.soak import matrix as fault_matrix
+
+        return Command(lambda: fault_matrix.run(results, pairs, seed=seed))
+
+    def choice(self, deployment: str = "tsehay", seed: int = 1) -> Command:
+        """Compare the policies of engine choice on one deployment, in virtual time."""
+        return Command(lambda: _compare_choices(deployment, seed))
+
+
 class Commands:
     """Router for language-model traffic with long shared prompts.
 
@@ -35,6 +67,9 @@
     6 unreachable, 7 not in force everywhere.
     """
 
+    def __init__(self) -> None:
+        self.experiment = ExperimentCommands()
+
     def node(
         self,
         settings: str | None = None,
@@ -91,6 +126,42 @@
 
         return Command(lambda: configuration.status(str(node), revision, wait_s))
 
+    def explain(self, request_id: str, node: str, json: bool = False) -> Command:
+        """Print what was weighed and decided for a request; any node's operator address will do."""
+        from weirscale.cli import operators
+
+        return Command(lambda: operators.explain(str(request_id), str(node), json))
+
+    def members(self, node: str) -> Command:
+        """Print the nodes that a node believes alive."""
+        from weirscale.cli import operators
+
+        return Command(lambda: operators.members(str(node)))
+
+    def rollout(self, node: str) -> Command:
+        """Print the progress of rollouts."""
+        from weirscale.cli import operators
+
+        return Command(lambda: operators.rollout(str(node)))
+
+    def drain(self, node: str) -> Command:
+        """Start the planned stop of a node, as SIGTERM does."""
+        from weirscale.cli import operators
+
+        return Command(lambda: operators.drain(str(node)))
+
+    def stand_in(self, kind: str, settings: str) -> Command:
+        """Run a stand-in: engine, service, key-value or machines."""
+        from weirscale.cli import stand_in
+
+        return Command(lambda: stand_in.run(str(kind), Path(settings)))
+
+    def soak(self, seeds: int = 200, first_seed: int = 1) -> Command:
+        """Run many seeds of random faults in virtual time; prints how to repeat a failing one."""
+        from weirscale.experiments.soak import main as soak_main
+
+        return Command(lambda: soak_main.run(seeds, first_seed))
+
     def demo(
         self,
         file: str = "deployments/tsehay.yaml",
@@ -114,6 +185,17 @@
     return tuple(str(part) for part in given)
 
 
+def _compare_choices(deployment: str, seed: int) -> int:
+    from weirscale.experiments.choice.main import format_results, run
+    from weirscale.experiments.choice.shape import SHAPES
+
+    if deployment not in SHAPES:
+        _print_error(f"no deployment {deployment!r}; use one of {', '.join(SHAPES)}")
+        return EXIT_USAGE
+    print(format_results(deployment, run(deployment, seed)))
+    return EXIT_DONE
+
+
 def _run_node(settings_file: str | None, overrides: dict[str, object]) -> int:
     from weirscale.node.program import run_node
     from weirscale.node.settings import load_settings
--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -32,6 +32,7 @@
 from weirscale.domain.request.refusal import Refusal
 from weirscale.domain.request.retry_budget import RetryBudget
 from weirscale.messages.envelope import KeyRing
+from weirscale.messages.placement import RolloutProgress
 from weirscale.node.backends.directory import BackendDirectory
 from weirscale.node.callers.app import CallerApp
 from weirscale.node.callers.drain import Drain
@@ -48,6 +49,7 @@
 from weirscale.node.limits.fleet import FleetAdmissionTask
 from weirscale.node.link_delays import LinkDelays
 from weirscale.node.membership.task import MembershipTask
+from weirscale.node.operators.app import OperatorApp
 from weirscale.node.peers.link import AuthenticatedPeerLink
 from weirscale.node.routing.decisions import DecisionLog
 from weirscale.node.routing.engine_router import EngineRouter
@@ -219,6 +221,12 @@
             self.metrics,
         )
 
+    def operator_app(self, begin_drain: Callable[[], None]) -> OperatorApp:
+        """Return the operators' application; `begin_drain` starts the planned stop."""
+        return OperatorApp(
+            self.configuration, self.membership, self.explainer, self._rollout, begin_drain
+        )
+
     def generate(
         self, request: GenerationRequest
     ) -> AbstractAsyncContextManager[AsyncIterator[Result[TokenChunk, Refusal]]]:
@@ -267,6 +275,9 @@
         self._event_log.event("drain_ended", left_over=self.drain_state.num_running)
         return not limit.cancelled_caught
 
+    def _rollout(self) -> tuple[RolloutProgress, ...]:
+        return ()
+
     def _retry_rules(self) -> RetryRules:
         in_force = self.configuration.current()
         return in_force.deployment.retry if in_force is not None else RetryRules()
--- /dev/null
+++ b/src/weirscale/node/operators/app.py
@@ -0,0 +1,120 @@
+"""The operators' ASGI application: configuration, members, rollouts, explanations, drain.
+
+Read-only but for `POST /operator/drain`. Operators change the system by deployment files alone.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from weirscale.domain.identifiers import RequestId
+from weirscale.messages.placement import RolloutProgress
+from weirscale.node.callers.asgi import JSON_TYPE, Receive, Scope, Send, send_whole
+from weirscale.node.configuration.status import STATUS_PATH
+from weirscale.node.configuration.task import ConfigurationTask
+from weirscale.node.interfaces import MembershipView, Peer
+from weirscale.node.routing.explain import Explainer
+from weirscale.node.routing.explain_text import render_json, render_text
+
+EXPLAIN_PREFIX = "/operator/explain/"
+MEMBERS_PATH = "/operator/members"
+ROLLOUT_PATH = "/operator/rollout"
+DRAIN_PATH = "/operator/drain"
+TEXT_QUERY = b"format=text"
+TEXT_TYPE = b"text/plain; charset=utf-8"
+
+OK = 200
+ACCEPTED = 202
+NOT_FOUND = 404
+
+
+class OperatorProblem(msgspec.Struct, frozen=True):
+    """Body of an answer that is not what was asked for."""
+
+    message: str
+    remedy: str
+
+
+class MemberList(msgspec.Struct, frozen=True):
+    """Body of `/operator/members`."""
+
+    node: str
+    members: tuple[Peer, ...]
+
+
+class OperatorApp:
+    """Answers operators.
+
+    Args:
+        configuration: Knows how far a revision has come.
+        membership: The live nodes.
+        explainer: Finds what was decided for a request.
+        rollout: Progress of the models, from the node that plans.
+        begin_drain: Starts the planned stop of this node.
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationTask,
+        membership: MembershipView,
+        explainer: Explainer,
+        rollout: Callable[[], tuple[RolloutProgress, ...]],
+        begin_drain: Callable[[], None],
+    ) -> None:
+        self._configuration = configuration
+        self._membership = membership
+        self._explainer = explainer
+        self._rollout = rollout
+        self._begin_drain = begin_drain
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _acknowledge_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._serve(scope["method"], scope["path"], scope["query_string"], send)
+
+    async def _serve(self, method: str, path: str, query: bytes, send: Send) -> None:
+        if method == "POST" and path == DRAIN_PATH:
+            self._begin_drain()
+            await _send_json(send, ACCEPTED, {"draining": True})
+        elif method == "GET" and path == STATUS_PATH:
+            await _send_json(send, OK, await self._configuration.fleet_status())
+        elif method == "GET" and path == MEMBERS_PATH:
+            own_name = self._membership.self_id.name
+            await _send_json(send, OK, MemberList(own_name, self._membership.peers()))
+        elif method == "GET" and path == ROLLOUT_PATH:
+            await _send_json(send, OK, self._rollout())
+        elif method == "GET" and path.startswith(EXPLAIN_PREFIX):
+            request_id = RequestId(path.removeprefix(EXPLAIN_PREFIX))
+            await self._explain(request_id, TEXT_QUERY in query, send)
+        else:
+            problem = OperatorProblem(f"{method} {path} is not served here", "see docs/operators")
+            await _send_json(send, NOT_FOUND, problem)
+
+    async def _explain(self, request_id: RequestId, as_text: bool, send: Send) -> None:
+        record = await self._explainer.explain(request_id)
+        if record is None:
+            problem = OperatorProblem(
+                f"no live node remembers request {request_id!r}",
+                "each node keeps its latest decisions only; ask sooner, or check the id",
+            )
+            await _send_json(send, NOT_FOUND, problem)
+        elif as_text:
+            body = render_text(record).encode() + b"\n"
+            await send_whole(send, OK, [(b"content-type", TEXT_TYPE)], body)
+        else:
+            body = render_json(record).encode()
+            await send_whole(send, OK, [(b"content-type", JSON_TYPE)], body)
+
+
+async def _send_json(send: Send, status: int, value: object) -> None:
+    await send_whole(send, status, [(b"content-type", JSON_TYPE)], msgspec.json.encode(value))
+
+
+async def _acknowledge_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- a/src/weirscale/node/program.py
+++ b/src/weirscale/node/program.py
@@ -24,6 +24,9 @@
 
 MILLISECONDS_PER_S = 1000
 
+OPERATOR_HOST = "127.0.0.1"
+"""Operators' questions are answered on loopback only: the port has no authentication."""
+
 EXIT_DRAINED = 0
 EXIT_CUT = 4
 """The drain ran out of time and cut requests."""
@@ -64,6 +67,8 @@
         self.stopped = anyio.Event()
         self._listener = open_listener(settings.host, settings.caller_port)
         self.caller_port: int = self._listener.getsockname()[1]
+        self._operator_listener = open_listener(OPERATOR_HOST, settings.operator_port)
+        self.operator_port: int = self._operator_listener.getsockname()[1]
         self.event_log = EliotEventLog(node=settings.name, zone=settings.zone)
         self.network = UdpHttpPeerNetwork(NodeAddress(settings.host, settings.peer_port))
         self.identity = NodeIdentity(
@@ -102,7 +107,11 @@
             await tasks.start(self.network.run)
             await tasks.start(self.node.run)
             tasks.start_soon(serve_callers, self.node.caller_app, self._listener, served)
-            self.event_log.event("node_started", callers=self.caller_port)
+            operators = self.node.operator_app(stop.set)
+            tasks.start_soon(serve_callers, operators, self._operator_listener, served)
+            self.event_log.event(
+                "node_started", callers=self.caller_port, operators=self.operator_port
+            )
             await stop.wait()
             was_clean = await self.node.drain()
             served.set()
