Refuse requests that arrive while a stand-in's server stops

Cause: a request that began between the cut and the closing of its connection could stall and hold the server open; an exit was seen to hang once, not reproduced since. Change: an interrupted app cuts later requests too.

--- a/src/weirscale/standins/asgi_server.py
+++ b/src/weirscale/standins/asgi_server.py
@@ -128,12 +128,15 @@
     def __init__(self, app: AsgiApp) -> None:
         self._app = app
         self._open: set[anyio.CancelScope] = set()
+        self._is_interrupted = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request, until it is cut."""
         if scope["type"] != "http":
             await self._app(scope, receive, send)
             return
+        if self._is_interrupted:
+            return
         with anyio.CancelScope() as cancel_scope:
             self._open.add(cancel_scope)
             try:
@@ -142,7 +145,8 @@
                 self._open.discard(cancel_scope)
 
     def interrupt(self) -> None:
-        """Cut every open request; the server closes connections whose answer is not complete."""
+        """Cut every open request and each that still comes: the server closes its connection."""
+        self._is_interrupted = True
         for cancel_scope in list(self._open):
             cancel_scope.cancel()
 
