--- a/features/steps/backends_directory_steps.py
+++ b/features/steps/backends_directory_steps.py
@@ -3,9 +3,9 @@
 import anyio
 import msgspec
 from behave import given, then, when
+
 from features.support.backend_fleet import Fleet, declare, declare_engine, make_request
 from features.support.virtual_time import run_in_virtual_time
-
 from weirscale.messages.cache import LoadReport
 from weirscale.node.interfaces import AttemptOutcome
 from weirscale.ports.engine import EngineFailure, EngineFailureKind
--- a/features/steps/choice_kept_kv_steps.py
+++ b/features/steps/choice_kept_kv_steps.py
@@ -1,6 +1,7 @@
 from random import Random
 
 from behave import given, then, when
+
 from features.steps.choice_baselines_steps import (
     NOW_S,
     TOKENS_PER_BLOCK,
@@ -8,7 +9,6 @@
     make_request,
 )
 from features.steps.choice_prefix_aware_steps import FixedBeliefs
-
 from weirscale.domain.choice.beliefs import PrefixMatch
 from weirscale.domain.choice.kept_kv import KeptKvBeliefs
 from weirscale.domain.choice.prefix_aware import PrefixAware
--- a/features/steps/claims_faults_steps.py
+++ b/features/steps/claims_faults_steps.py
@@ -1,8 +1,8 @@
 import anyio
 from behave import given, then, when
+
 from features.support.claims_fleet import RETENTION_S, Faults, run_fleet
 from features.support.virtual_time import run_in_virtual_time
-
 from weirscale.domain.claims.model import claim_key, group_of
 from weirscale.messages.claims import ClaimPrepare
 from weirscale.node.interfaces import PeerState
--- a/features/steps/claims_model_check_steps.py
+++ b/features/steps/claims_model_check_steps.py
@@ -1,4 +1,5 @@
 from behave import then, when
+
 from features.support.claims_model_check import Explorer
 
 
--- a/features/steps/configuration_apply_steps.py
+++ b/features/steps/configuration_apply_steps.py
@@ -4,9 +4,9 @@
 import anyio
 import anyio.lowlevel
 from behave import given, then, when
+
 from features.support.deployments import small_deployment
 from features.support.virtual_time import run_in_virtual_time
-
 from weirscale.domain.configuration.encode import decode_stored
 from weirscale.node.configuration.apply import CONFIGURATION_KEY, Applier
 from weirscale.node.configuration.outcome import Accepted, Refused
--- a/features/steps/configuration_commands_steps.py
+++ b/features/steps/configuration_commands_steps.py
@@ -8,9 +8,9 @@
 import msgspec
 from anyio.from_thread import start_blocking_portal
 from behave import given, then, when
+
 from features.support.deployments import DEPLOYMENTS
 from features.support.loopback import served
-
 from weirscale.cli import configuration as commands
 from weirscale.node.configuration.status import (
     STATUS_PATH,
--- a/features/steps/configuration_difference_steps.py
+++ b/features/steps/configuration_difference_steps.py
@@ -3,11 +3,11 @@
 import cbor2
 import msgspec
 from behave import given, then, when
-from features.support.deployments import text_of
 from hypothesis import given as generated
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from features.support.deployments import text_of
 from weirscale.domain.configuration.difference import (
     apply_delta,
     canonical,
--- a/features/steps/configuration_file_steps.py
+++ b/features/steps/configuration_file_steps.py
@@ -1,6 +1,6 @@
 from behave import then, when
-from features.support.deployments import text_of
 
+from features.support.deployments import text_of
 from weirscale.domain.configuration.parse import check_deployment
 
 TEXTS = {
--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -1,12 +1,13 @@
 import anyio
 import msgspec
 from behave import given, then, when
+
 from features.support.deployments import small_deployment
 from features.support.virtual_time import run_in_virtual_time
-
 from weirscale.domain.configuration.difference import canonical
 from weirscale.experiments.configuration.deployments import large_deployment
 from weirscale.experiments.configuration.fleet import run_configuration_fleet as run_fleet
+from weirscale.experiments.configuration.soak import run_soak
 from weirscale.experiments.memory_network import LinkQuality
 from weirscale.messages.configuration import ConfigurationReply
 from weirscale.node.configuration.holder import MAX_KEPT_REVISIONS, ConfigurationHolder
@@ -120,6 +121,23 @@
     return run_in_virtual_time(run_fleet, script, *context.size, 1, deployment)
 
 
+@when("fleets run for two minutes under all faults at once, for seeds 1 to 4")
+def step_soak(context):
+    context.soaks = [run_soak(seed, duration_s=120.0) for seed in range(1, 5)]
+
+
+@then("no answer to an operator was untrue and no node went back or had what was not accepted")
+def step_soak_sound(context):
+    assert not any(result.violations for result in context.soaks), context.soaks
+
+
+@then("a last change was in force within {within:d} s, and the runs were not trivial")
+def step_soak_lively(context, within):
+    assert all(result.in_force_s <= within for result in context.soaks), context.soaks
+    assert all(result.num_accepted >= 5 for result in context.soaks), context.soaks
+    assert all(result.num_refused >= 1 and result.num_restarts >= 8 for result in context.soaks)
+
+
 async def time_restart(fleet, peers):
     """Restart a node with the store down; returns the wait and the revision that it got."""
     names = list(fleet.nodes)
--- a/features/steps/engine_behaviour_steps.py
+++ b/features/steps/engine_behaviour_steps.py
@@ -3,10 +3,10 @@
 import anyio
 import msgspec
 from behave import given, then, when
-from features.support.engine_calls import collect, make_call
-from features.support.virtual_time import run_in_virtual_time
 from result import Err, Ok
 
+from features.support.engine_calls import collect, make_call
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.prefix.chain import chain_seed, extend_chain
 from weirscale.ports.engine import EngineOrder, LoadModel
 from weirscale.standins.engine.answer import expected_text
--- a/features/steps/engine_contract_steps.py
+++ b/features/steps/engine_contract_steps.py
@@ -3,10 +3,10 @@
 import anyio
 import msgspec
 from behave import given, then, when
-from features.support.engine_calls import PROMPT, collect, make_call, wait_until_closed
-from features.support.virtual_time import run_in_virtual_time
 from result import Err, Ok
 
+from features.support.engine_calls import PROMPT, collect, make_call, wait_until_closed
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.identifiers import Incarnation
 from weirscale.messages.cache import AllBlocksCleared, BlockRemoved, BlockStored
 from weirscale.ports.engine import (
--- a/features/steps/experiment_files_steps.py
+++ b/features/steps/experiment_files_steps.py
@@ -4,10 +4,10 @@
 import httpx
 import msgspec
 from behave import given, then, when
-from features.support.history_cases import BLOCK_SIZE_BYTES, CAPTION, CASES, change, history_case
-from features.support.virtual_time import run_in_virtual_time
 from result import Err, Ok
 
+from features.support.history_cases import BLOCK_SIZE_BYTES, CAPTION, CASES, change, history_case
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
 from weirscale.experiments.history.history import History
 from weirscale.experiments.history.verdict import judge
--- a/features/steps/experiment_virtual_runs_steps.py
+++ b/features/steps/experiment_virtual_runs_steps.py
@@ -3,9 +3,9 @@
 
 import anyio
 from behave import given, then, when
+
 from features.support.scripted_nodes import ScriptedNode
 from features.support.virtual_time import run_in_virtual_time as run_on_mock_clock
-
 from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
 from weirscale.experiments.faults.schedule import random_schedule
 from weirscale.experiments.history.records import (
--- a/features/steps/history_rules_steps.py
+++ b/features/steps/history_rules_steps.py
@@ -1,6 +1,6 @@
 from behave import given, then, when
-from features.support.history_cases import history_case
 
+from features.support.history_cases import history_case
 from weirscale.experiments.history.verdict import CHECKERS, count_requests, judge
 
 
--- a/features/steps/home_engines_steps.py
+++ b/features/steps/home_engines_steps.py
@@ -2,9 +2,9 @@
 
 import anyio
 from behave import given, then, when
+
 from features.support.home_fleet import ZONES, HomeFleet, PeerState
 from features.support.virtual_time import run_in_virtual_time
-
 from weirscale.domain.prefix.sampling import block_key
 from weirscale.messages.cache import AllBlocksCleared, BlockRemoved, BlockStored
 
--- a/features/steps/home_notes_steps.py
+++ b/features/steps/home_notes_steps.py
@@ -3,10 +3,10 @@
 import anyio
 import msgspec
 from behave import given, then, when
+
 from features.steps.choice_baselines_steps import make_request
 from features.support.home_fleet import MemoryLink, Random
 from features.support.virtual_time import run_in_virtual_time
-
 from weirscale.domain.identifiers import NodeAddress
 from weirscale.node.home.notes_task import SendNotesTask
 from weirscale.node.home.rules import HomeRules
--- a/features/steps/key_value_contract_steps.py
+++ b/features/steps/key_value_contract_steps.py
@@ -4,10 +4,10 @@
 import anyio
 import httpx
 from behave import then, when
-from features.support.loopback import served
-from features.support.virtual_time import run_in_virtual_time
 from result import Err, Ok
 
+from features.support.loopback import served
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.ports.key_value_etcd import EtcdKeyValue
 from weirscale.standins.key_value.app import KeyValueApp
 from weirscale.standins.key_value.in_process import InProcessKeyValue
--- a/features/steps/key_value_history_steps.py
+++ b/features/steps/key_value_history_steps.py
@@ -4,9 +4,9 @@
 import anyio
 import msgspec
 from behave import then, when
-from features.support.virtual_time import run_in_virtual_time
 from result import Err
 
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.experiments.linearizability import Operation, find_linearization
 from weirscale.ports.key_value import KeyValueFailureKind
 from weirscale.standins.key_value.in_process import InProcessKeyValue
--- a/features/steps/limits_admission_steps.py
+++ b/features/steps/limits_admission_steps.py
@@ -1,7 +1,7 @@
 import anyio
 from behave import given, then, when
-from features.support.virtual_time import run_in_virtual_time
 
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import Tenant
 from weirscale.domain.request.model import RunStatus
 from weirscale.node.limits.local import LocalAllowances
--- a/features/steps/limits_shares_steps.py
+++ b/features/steps/limits_shares_steps.py
@@ -3,10 +3,10 @@
 
 import anyio
 from behave import given, then, when
+
 from features.support.claims_fleet import Faults, Link
 from features.support.limits_fleet import SharingFleet, limited_tenant
 from features.support.virtual_time import run_in_virtual_time
-
 from weirscale.domain.configuration.model import Deployment, Region
 from weirscale.domain.identifiers import NodeAddress, NodeId
 from weirscale.domain.limits.exchange import Member
--- a/features/steps/machines_contract_steps.py
+++ b/features/steps/machines_contract_steps.py
@@ -1,10 +1,10 @@
 import anyio
 import httpx
 from behave import then, when
-from features.support.loopback import served
-from features.support.virtual_time import run_in_virtual_time
 from result import Err
 
+from features.support.loopback import served
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.ports.machines import Machine
 from weirscale.ports.machines_http import HttpMachineList
 from weirscale.standins.machines.app import MachineListApp
--- a/features/steps/membership_faults_steps.py
+++ b/features/steps/membership_faults_steps.py
@@ -2,10 +2,10 @@
 
 import anyio
 from behave import given, then, when
-from features.support.virtual_time import run_in_virtual_time
 from msgspec.structs import replace
 from result import Ok
 
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.identifiers import NodeAddress, NodeId
 from weirscale.domain.membership.beliefs import MemberBeliefs
 from weirscale.domain.membership.rules import MembershipRules
--- a/features/steps/path_bad_input_steps.py
+++ b/features/steps/path_bad_input_steps.py
@@ -4,14 +4,14 @@
 import json
 
 from behave import given, then, when
-from features.support.path_asgi import CallerScript, call_app
-from features.support.path_engine import FULL_ANSWER, ScriptedEngine
-from features.support.path_node import API_KEY, MODEL, PathNode, ScriptedBackend, generation_body
-from features.support.virtual_time import run_in_virtual_time
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from features.support.path_asgi import CallerScript, call_app
+from features.support.path_engine import FULL_ANSWER, ScriptedEngine
+from features.support.path_node import API_KEY, MODEL, PathNode, ScriptedBackend, generation_body
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import CallerLimits
 from weirscale.node.callers.json_depth import is_deeper_than
 
--- a/features/steps/path_faults_steps.py
+++ b/features/steps/path_faults_steps.py
@@ -2,11 +2,11 @@
 
 import anyio
 from behave import given, then, when
+
 from features.support.path_asgi import CallerScript, call_app, call_with_canceller
 from features.support.path_engine import FULL_ANSWER, Fault, ScriptedEngine, ScriptedFault, Step
 from features.support.path_node import PathNode, generation_body
 from features.support.virtual_time import run_in_virtual_time
-
 from weirscale.domain.configuration.model import RetryRules
 
 REQUEST_ID = "caption-1"
@@ -71,6 +71,11 @@
     prepare(context, lambda: [ScriptedEngine("runner-1"), ScriptedEngine("runner-2")])
 
 
+@given("an engine whose chunks arrive together")
+def step_together(context):
+    prepare(context, lambda: [ScriptedEngine("runner-1", arrives_together=True)])
+
+
 @given("the healthy engine serves other weights")
 def step_other_weights(context):
     context.versions = {"runner-2": "v2"}
@@ -102,6 +107,11 @@
     ask(context, True, leaves_after_s=after)
 
 
+@when("a caller that needs {delay:d} seconds for each piece asks for a caption")
+def step_slow_whole(context, delay):
+    ask(context, True, read_delay_s=delay)
+
+
 @when("an at-most-once caption is asked for twice with one key")
 def step_ask_twice(context):
     node = new_node(context)
@@ -145,6 +155,18 @@
         assert node.engines[0].cancelled == [(REQUEST_ID, 0)], node.engines[0].cancelled
 
 
+@then("the first engine was not asked to resume")
+def step_not_resumed(context):
+    assert context.calls[0][0].engines[0].num_resumes == 0
+
+
+@then("the streamed caption came in {parts:d} parts with {events:d} events")
+def step_parts(context, parts, events):
+    answer = context.calls[0][1]
+    assert len(answer.parts) == parts, answer.parts
+    assert len(answer.events) == events, answer.events
+
+
 @then("at most {num:d} chunks were taken from the engine")
 def step_pulled(context, num):
     assert 0 < context.node.engines[0].num_pulled <= num, context.node.engines[0].num_pulled
--- a/features/steps/peers_link_steps.py
+++ b/features/steps/peers_link_steps.py
@@ -5,12 +5,12 @@
 import cbor2
 import msgspec
 from behave import given, then, when
-from features.support.virtual_time import run_in_virtual_time
 from hypothesis import given as generated
 from hypothesis import settings
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.identifiers import NodeAddress, NodeId
 from weirscale.experiments.memory_network import LinkQuality, MemoryNetwork
 from weirscale.messages.codec import CodecFailure, MessageCodec
--- a/features/steps/placement_rollout_steps.py
+++ b/features/steps/placement_rollout_steps.py
@@ -1,8 +1,8 @@
 import anyio
 from behave import given, then, when
+
 from features.support.rollout_fleet import Rollout, rolling_model
 from features.support.virtual_time import run_in_virtual_time
-
 from weirscale.domain.configuration.model import EngineRole
 from weirscale.messages.placement import FailedLoad
 from weirscale.standins.faults import EngineFaults
--- a/features/steps/placement_settling_steps.py
+++ b/features/steps/placement_settling_steps.py
@@ -1,9 +1,9 @@
 import anyio
 from behave import given, then, when
+
 from features.support.backend_fleet import MODEL
 from features.support.rollout_fleet import Rollout, rolling_model
 from features.support.virtual_time import run_in_virtual_time
-
 from weirscale.domain.configuration.model import EngineRole
 from weirscale.domain.placement.model import DesiredEngine, EngineObservation
 from weirscale.domain.placement.settle import settle_loads
--- a/features/steps/routing_choice_steps.py
+++ b/features/steps/routing_choice_steps.py
@@ -5,6 +5,8 @@
 import anyio
 import msgspec
 from behave import given, then, when
+from result import Ok
+
 from features.support.backend_fleet import (
     MODEL,
     ZONES,
@@ -14,8 +16,6 @@
     make_request,
 )
 from features.support.virtual_time import run_in_virtual_time
-from result import Ok
-
 from weirscale.domain.choice.policy import CandidateEstimate, Choice
 from weirscale.domain.prefix.chain import chain_seed, extend_chain
 from weirscale.node.backends.observations import EngineAttemptEnded
--- a/features/steps/service_contract_steps.py
+++ b/features/steps/service_contract_steps.py
@@ -1,10 +1,10 @@
 import anyio
 import msgspec
 from behave import given, then, when
-from features.support.engine_calls import wait_until_closed
-from features.support.virtual_time import run_in_virtual_time
 from result import Ok
 
+from features.support.engine_calls import wait_until_closed
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.request.model import ServiceRequest
 from weirscale.ports.service_http import MAX_ANSWER_BYTES, HttpService
 from weirscale.standins.faults import ServiceFaults
--- a/features/support/path_asgi.py
+++ b/features/support/path_asgi.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+
 from features.support.path_node import API_KEY
 
 
--- a/features/support/path_engine.py
+++ b/features/support/path_engine.py
@@ -59,6 +59,22 @@
     num_times: int = 1
 
 
+@dataclass
+class ArrivedChunks:
+    """Chunks that one read has brought."""
+
+    chunks: list
+
+    @property
+    def num_ready(self):
+        return len(self.chunks)
+
+    async def __anext__(self):
+        if not self.chunks:
+            raise StopAsyncIteration
+        return self.chunks.pop(0)
+
+
 @dataclass
 class ScriptedEngine:
     """An EnginePort; `script` faults happen in order, each to one stream."""
@@ -72,6 +88,7 @@
     calls: list = field(default_factory=list)
     num_resumes: int = 0
     num_pulled: int = 0
+    arrives_together: bool = False
 
     def runs_of(self, request_id):
         return sum(1 for key in self.runs if key[0] == request_id)
@@ -85,6 +102,9 @@
             yield self._one(early)
             return
         self.runs[(call.request_id, call.attempt)] = True
+        if self.arrives_together:
+            yield ArrivedChunks([Ok(self._chunk(call.request_id, i)) for i in range(NUM_CHUNKS)])
+            return
         yield self._stream(call.request_id, call.attempt, call.continue_sequence, fault)
 
     @asynccontextmanager
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -6,9 +6,9 @@
 
 import anyio
 import msgspec
-from features.support.backend_fleet import MODEL, Fleet, declare
 from result import Err, Ok
 
+from features.support.backend_fleet import MODEL, Fleet, declare
 from weirscale.domain.configuration.model import Model
 from weirscale.domain.duties.assignment import Duty, DutyKind
 from weirscale.domain.identifiers import NodeId
