Remember sends for three to six seconds

Cause: with eviction within seconds, sends remembered for eight were believed too long. Change: shorter generations of recent sends.

--- a/features/home_notes.feature
+++ b/features/home_notes.feature
@@ -16,4 +16,4 @@
     Then the others match a prompt that shares 1000 blocks between 800 and 1000 deep
     And the others match the same prompt 2000 deep
     And the others count 4000 tokens on its way to the engine
-    And after 10 seconds they match nothing
+    And after 7 seconds they match nothing
--- a/src/weirscale/domain/choice/recent_sends.py
+++ b/src/weirscale/domain/choice/recent_sends.py
@@ -11,7 +11,7 @@
 from weirscale.domain.prefix.engine_masks import EngineMasks
 from weirscale.domain.prefix.sampling import block_key
 
-GENERATION_S = 4.0
+GENERATION_S = 3.0
 """A send is remembered for one to two generations: the lag of events and digests together."""
 
 BLOCK_STEP = 8
