Part the claim ledger's modules and spread the homes of limits

Cause: the ledger module had grown, replies were read through generators that may stay unclosed, and one node of a zone could be home for most shards. Change: group calls and replies of their own; a plan is just whether holders must change; shards of a zone go to different nodes.

--- a/src/weirscale/domain/claims/planning.py
+++ b/src/weirscale/domain/claims/planning.py
@@ -21,18 +21,6 @@
     may_hold: bool
 
 
-class HolderPlan(msgspec.Struct, frozen=True):
-    """A change of holders.
-
-    Attributes:
-        holders: The members of the next epoch.
-        is_urgent: Whether a present holder is lost, so that the change should not wait.
-    """
-
-    holders: tuple[Holder, ...]
-    is_urgent: bool
-
-
 def rank(group: int, node: NodeId) -> int:
     """Rendezvous score of a node for a group; the highest is first."""
     return xxhash.xxh3_64_intdigest(node.name.encode(), group + 1)
@@ -61,18 +49,14 @@
     return tuple(sorted(chosen, key=lambda each: each.node))
 
 
-def plan_change(
+def needs_change(
     group: int, record: GroupEpoch | None, nodes: Sequence[LiveNode], num_holders: int
-) -> HolderPlan | None:
-    """Plan the next epoch of a group; None when the present one should stay."""
+) -> bool:
+    """Whether the group should have other holders than it has."""
     holders = choose_holders(group, record, nodes, num_holders)
-    if not holders:
-        return None
-    if record is None:
-        return HolderPlan(holders, is_urgent=True)
-    if {holder.node for holder in holders} == {holder.node for holder in record.holders}:
-        return None
-    return HolderPlan(holders, is_urgent=len(lost_holders(record, nodes)) > 0)
+    if not holders or record is None:
+        return bool(holders)
+    return {holder.node for holder in holders} != {holder.node for holder in record.holders}
 
 
 def lost_holders(record: GroupEpoch, nodes: Sequence[LiveNode]) -> tuple[Holder, ...]:
--- a/src/weirscale/domain/limits/exchange.py
+++ b/src/weirscale/domain/limits/exchange.py
@@ -109,9 +109,9 @@
             by_zone.setdefault(member.zone, []).append(member.address)
         by_zone.setdefault(self._own.zone, [self._own.address])
         self._homes = {
-            (zone, shard): max(addresses, key=lambda address: _score(address, shard))
+            (zone, shard): home
             for zone, addresses in by_zone.items()
-            for shard in range(NUM_SHARDS)
+            for shard, home in enumerate(choose_homes(addresses))
         }
         for shard in range(NUM_SHARDS):
             is_home = self._homes[self._own.zone, shard] == self._own.address
@@ -313,5 +313,18 @@
         return outgoing
 
 
+def choose_homes(addresses: list[NodeAddress]) -> list[NodeAddress]:
+    """The home of each shard: the highest score among nodes that have the fewest shards yet."""
+    num_shards = dict.fromkeys(addresses, 0)
+    homes = []
+    for shard in range(NUM_SHARDS):
+        least = min(num_shards.values())
+        free = [address for address in addresses if num_shards[address] == least]
+        home = max(free, key=lambda address: _score(address, shard))
+        num_shards[home] += 1
+        homes.append(home)
+    return homes
+
+
 def _score(address: NodeAddress, shard: int) -> int:
     return xxhash.xxh3_64_intdigest(f"{address.host}:{address.port}".encode(), shard + 1)
--- a/src/weirscale/node/claims/keeper.py
+++ b/src/weirscale/node/claims/keeper.py
@@ -13,7 +13,7 @@
 from weirscale.domain.claims.planning import (
     LiveNode,
     choose_holders,
-    plan_change,
+    needs_change,
     planner_of,
 )
 from weirscale.domain.configuration.model import ClaimRules
@@ -204,7 +204,7 @@
         self, group: int, record: GroupEpoch | None, nodes: tuple[LiveNode, ...]
     ) -> bool:
         num_holders = claim_rules(self._configuration).num_holders
-        return plan_change(group, record, nodes, num_holders) is not None
+        return needs_change(group, record, nodes, num_holders)
 
     async def _tend(self, group: int, nodes: tuple[LiveNode, ...], is_stuck: bool) -> None:
         """Read the group's record anew and carry it to its next epoch if that is still due."""
--- a/src/weirscale/node/claims/ledger.py
+++ b/src/weirscale/node/claims/ledger.py
@@ -1,20 +1,16 @@
 """The claim ledger of a node: coordinates claims with the holders of a key's group."""
 
 import itertools
-from collections.abc import AsyncIterator
 from random import Random
-from typing import TypeVar
 
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
 from weirscale.domain.claims.authority import HolderAuthority
 from weirscale.domain.claims.model import (
     ClaimKey,
     GroupEpoch,
-    Holder,
     claim_key,
     group_of,
     make_claimant,
@@ -26,7 +22,6 @@
 from weirscale.domain.request.model import ServiceResponse
 from weirscale.domain.request.refusal import Refusal
 from weirscale.messages.claims import (
-    ClaimAck,
     ClaimComplete,
     ClaimOffer,
     ClaimOfferReply,
@@ -38,6 +33,7 @@
     stored_answer,
 )
 from weirscale.node.claims.granted import GrantedClaim
+from weirscale.node.claims.group_calls import GroupCalls
 from weirscale.node.claims.keeper import ClaimKeeper, authority_check, node_digest
 from weirscale.node.claims.peers import ClaimPeers
 from weirscale.node.claims.registry import HolderRegistry
@@ -51,18 +47,10 @@
 )
 from weirscale.ports.key_value import KeyValuePort
 
-ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
-
 CLAIM_BUDGET_S = 3.0
 """Longest time for a claim with all its rounds, within the caller's deadline."""
 OFFER_TIMEOUT_S = 0.8
 """For one offer: several round trips between the most distant regions."""
-SETTLE_TIMEOUT_S = 0.8
-"""For one completion or withdrawal."""
-SETTLE_ATTEMPTS = 6
-"""Tries to settle a claim with a quorum; in all longer than a change of epoch takes."""
-SETTLE_RETRY_S = 0.25
-"""First wait between two tries; doubles."""
 SPLIT_RETRY_S = 0.03
 """Longest first wait after a split vote; doubles, and is drawn at random to part the callers."""
 RECORD_WAIT_S = 0.2
@@ -114,23 +102,23 @@
             authority_check(authority, configuration),
             lambda: authority.note_store_read(anyio.current_time()),
         )
-        self._peers = ClaimPeers(link, membership, self.registry.answer)
+        peers = ClaimPeers(link, membership, self.registry.answer)
+        self._calls = GroupCalls(peers, self.registry.epochs)
         self._keeper = ClaimKeeper(
-            self.registry, self._peers, membership, configuration, store, authority, random, events
+            self.registry, peers, membership, configuration, store, authority, random, events
         )
         self._random = random
         self._digest = node_digest(membership.self_id)
         self._numbers = itertools.count(1)
-        self._tasks: TaskGroup | None = None
 
     async def run(self) -> None:
         """Tend the groups and carry out what outlives a request, until cancelled."""
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
+            self._calls.run_in(tasks)
             try:
                 await self._keeper.run()
             finally:
-                self._tasks = None
+                self._calls.run_in(None)
 
     def num_held_groups(self) -> int:
         """Groups that this node holds; a node that leaves waits until there are none."""
@@ -154,9 +142,9 @@
             with anyio.move_on_after(max(0.0, budget_s)):
                 return await self._claim(attempt, request_id)
         except anyio.get_cancelled_exc_class():
-            self._settle_later(attempt, self._withdrawal(attempt))
+            self._calls.settle_later(attempt.group, self._withdrawal(attempt))
             raise
-        self._settle_later(attempt, self._withdrawal(attempt))
+        self._calls.settle_later(attempt.group, self._withdrawal(attempt))
         return Err(claim_unavailable("the holders did not agree in time"))
 
     async def complete(self, claim: Claim, answer: ServiceResponse | None) -> None:
@@ -172,16 +160,16 @@
             attempt.fingerprint,
             stored_answer(answer),
         )
-        if not await self._settle_once(attempt.group, message):
-            self._settle_later(attempt, message)
+        if not await self._calls.settle_once(attempt.group, message):
+            self._calls.settle_later(attempt.group, message)
 
     async def release(self, claim: Claim) -> None:
         """Give a claim back after the request provably did not run."""
         if not isinstance(claim, GrantedClaim) or claim.state is not ClaimState.GRANTED:
             return
         attempt = _attempt_of(claim)
-        if not await self._settle_once(attempt.group, self._withdrawal(attempt)):
-            self._settle_later(attempt, self._withdrawal(attempt))
+        if not await self._calls.settle_once(attempt.group, self._withdrawal(attempt)):
+            self._calls.settle_later(attempt.group, self._withdrawal(attempt))
 
     async def _claim(self, attempt: _Attempt, request_id: RequestId) -> Result[Claim, Refusal]:
         split_wait_s = SPLIT_RETRY_S
@@ -195,7 +183,7 @@
                 await self._wait_for_newer(record)
                 continue
             if outcome.state is not RoundState.GRANTED:
-                self._settle_later(attempt, self._withdrawal(attempt))
+                self._calls.settle_later(attempt.group, self._withdrawal(attempt))
             if outcome.state is not RoundState.SPLIT:
                 return self._answer(attempt, outcome)
             await anyio.sleep(self._random.uniform(0.0, split_wait_s))
@@ -235,7 +223,7 @@
             record.group, record.epoch, attempt.key, attempt.claimant, attempt.fingerprint
         )
         claim_round = ClaimRound(record)
-        replies = self._ask_all(record, message, ClaimOfferReply, OFFER_TIMEOUT_S)
+        replies = self._calls.ask_all(record, message, ClaimOfferReply, OFFER_TIMEOUT_S)
         async for index, reply in replies:
             if reply is not None:
                 self.registry.epochs.adopt(reply.record)
@@ -245,31 +233,6 @@
                 return outcome
         return RoundOutcome(RoundState.UNAVAILABLE)
 
-    async def _ask_all(
-        self,
-        record: GroupEpoch,
-        message: msgspec.Struct,
-        reply_type: type[ReplyT],
-        timeout_s: float,
-    ) -> AsyncIterator[tuple[int, ReplyT | None]]:
-        """Ask all holders and yield their replies as they come, None for each that gives none.
-
-        The calls go on when the reader stops early, so that the slower holders hear too.
-        """
-        num_holders = len(record.holders)
-        send, receive = anyio.create_memory_object_stream[tuple[int, ReplyT | None]](num_holders)
-
-        async def ask(index: int, holder: Holder) -> None:
-            reply = await self._peers.ask(holder, message, reply_type, timeout_s)
-            send.send_nowait((index, reply))
-
-        if self._tasks is None:
-            return
-        for index, holder in enumerate(record.holders):
-            self._tasks.start_soon(ask, index, holder)
-        for _ in range(num_holders):
-            yield await receive.receive()
-
     async def _wait_for_newer(self, record: GroupEpoch) -> None:
         """A holder has moved on: learn the next epoch, or give its change a moment."""
         if self.registry.epochs.newer_than(record.group, record.epoch) is not None:
@@ -278,35 +241,6 @@
         if self.registry.epochs.newer_than(record.group, record.epoch) is None:
             await anyio.sleep(RECORD_WAIT_S)
 
-    def _settle_later(self, attempt: _Attempt, message: ClaimComplete | ClaimWithdraw) -> None:
-        """Keep trying in the background; what is never settled stays in progress."""
-        if self._tasks is not None:
-            self._tasks.start_soon(self._settle, attempt.group, message)
-
-    async def _settle(self, group: int, message: ClaimComplete | ClaimWithdraw) -> None:
-        wait_s = SETTLE_RETRY_S
-        for _ in range(SETTLE_ATTEMPTS):
-            if await self._settle_once(group, message):
-                return
-            await anyio.sleep(wait_s)
-            wait_s *= 2
-
-    async def _settle_once(self, group: int, message: ClaimComplete | ClaimWithdraw) -> bool:
-        """Tell all holders; True when a quorum of the epoch now in force did it."""
-        record = self.registry.epochs.record(group)
-        if record is None:
-            return False
-        current = msgspec.structs.replace(message, epoch=record.epoch)
-        num_done = 0
-        replies = self._ask_all(record, current, ClaimAck, SETTLE_TIMEOUT_S)
-        async for _, ack in replies:
-            if ack is not None:
-                self.registry.epochs.adopt(ack.record)
-                num_done += ack.is_done
-            if num_done >= record.quorum:
-                return True
-        return False
-
     def _claimant(self, request_id: RequestId) -> bytes:
         return make_claimant(self._digest, next(self._numbers), request_id)
 
