Run the placement planner under its lease in every node

Cause: nothing reconciled engines with the declared models. Change: each node competes for the planner's duty and plans while it holds the lease; a drain releases it.

--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -21,6 +21,7 @@
     RoutingObjective,
     ServiceBackend,
 )
+from weirscale.domain.duties.assignment import Duty, DutyKind
 from weirscale.domain.identifiers import ConfigurationRevision, NodeAddress, NodeId, ZoneName
 from weirscale.domain.prefix.chain_cache import ChainCache
 from weirscale.domain.request.model import (
@@ -32,13 +33,14 @@
 from weirscale.domain.request.refusal import Refusal
 from weirscale.domain.request.retry_budget import RetryBudget
 from weirscale.messages.envelope import KeyRing
-from weirscale.messages.placement import RolloutProgress
 from weirscale.node.backends.directory import BackendDirectory
 from weirscale.node.callers.app import CallerApp
 from weirscale.node.callers.drain import Drain
 from weirscale.node.callers.metrics import CallerMetrics
 from weirscale.node.claims.ledger import QuorumClaimLedger
 from weirscale.node.configuration.task import ConfigurationTask
+from weirscale.node.duties.lease_task import DutyLeaseTask
+from weirscale.node.duties.view import DutyView
 from weirscale.node.event_log import EventLog
 from weirscale.node.execution.canceller import EngineCanceller
 from weirscale.node.execution.generation import GenerationExecutor
@@ -51,6 +53,7 @@
 from weirscale.node.membership.task import MembershipTask
 from weirscale.node.operators.app import OperatorApp
 from weirscale.node.peers.link import AuthenticatedPeerLink
+from weirscale.node.placement.task import PlacementTask
 from weirscale.node.routing.decisions import DecisionLog
 from weirscale.node.routing.engine_router import EngineRouter
 from weirscale.node.routing.explain import Explainer
@@ -61,6 +64,7 @@
 from weirscale.ports.peers import PeerNetwork
 from weirscale.ports.service import ServicePort
 
+RELEASE_TIMEOUT_S = 1.0
 NANOSECONDS_PER_MS = 1_000_000
 _NO_REVISION = ConfigurationRevision(0)
 
@@ -163,8 +167,26 @@
         )
         self._build_homes(ports, random)
         self._build_routing(random)
+        self._build_placement(ports, random)
         self._build_execution(anyio.current_time())
 
+    def _build_placement(self, ports: NodePorts, random: Random) -> None:
+        """Tasks that hold the planner's lease and plan while it is held."""
+        self._planner_lease = DutyLeaseTask(
+            Duty(DutyKind.PLACEMENT_PLANNER),
+            self.identity.node,
+            ports.key_value,
+            DutyView(self.membership),
+            random,
+        )
+        self.placement = PlacementTask(
+            self.configuration,
+            self.directory,
+            ports.key_value,
+            self._planner_lease,
+            self._event_log,
+        )
+
     def _build_homes(self, ports: NodePorts, random: Random) -> None:
         """Tasks that follow engines' caches and receive digests of the others."""
         rules = HomeRules()
@@ -224,7 +246,11 @@
     def operator_app(self, begin_drain: Callable[[], None]) -> OperatorApp:
         """Return the operators' application; `begin_drain` starts the planned stop."""
         return OperatorApp(
-            self.configuration, self.membership, self.explainer, self._rollout, begin_drain
+            self.configuration,
+            self.membership,
+            self.explainer,
+            self.placement.progress,
+            begin_drain,
         )
 
     def generate(
@@ -250,6 +276,8 @@
                 self.ledger.run,
                 self.homes.run,
                 self.cache_view.run,
+                self._planner_lease.run,
+                self.placement.run,
                 self.admission.run,
                 self._canceller.run,
                 self._follow_configuration,
@@ -271,12 +299,15 @@
         with anyio.move_on_after(timeout_s) as limit:
             await self.drain_state.wait_idle()
             await self._canceller.wait_idle()
+        await self._release_duties()
         await self.membership.depart()
         self._event_log.event("drain_ended", left_over=self.drain_state.num_running)
         return not limit.cancelled_caught
 
-    def _rollout(self) -> tuple[RolloutProgress, ...]:
-        return ()
+    async def _release_duties(self) -> None:
+        """Let another node take over at once; bounded, since leases run out by themselves."""
+        with anyio.move_on_after(RELEASE_TIMEOUT_S):
+            await self._planner_lease.release()
 
     def _retry_rules(self) -> RetryRules:
         in_force = self.configuration.current()
