--- a/features/support/claims_model_check.py
+++ b/features/support/claims_model_check.py
@@ -63,13 +63,27 @@
     return (*values[:index], value, *values[index + 1 :])
 
 
-@cache
-def order(slot):
-    return repr(slot)
+SLOTS, SLOT_NUMBERS = [], {}
+
+
+def number_of(slot):
+    """A small number for a slot: worlds of numbers are hashed fast."""
+    if slot not in SLOT_NUMBERS:
+        SLOT_NUMBERS[slot] = len(SLOTS)
+        SLOTS.append(slot)
+    return SLOT_NUMBERS[slot]
+
+
+def pack(slots):
+    return tuple(sorted(number_of(slot) for slot in slots))
+
+
+def unpack(numbers):
+    return [SLOTS[number] for number in numbers]
 
 
-def put_slot(slots, index, slot):
-    return tuple(sorted(put(slots, index, slot), key=order))
+def put_slot(numbers, index, slot):
+    return tuple(sorted(put(numbers, index, number_of(slot))))
 
 
 def thaw(state):
@@ -127,10 +141,11 @@
     def __init__(self, broken_rule=None):
         self.broken_rule = broken_rule
         self.num_states = 0
+        self._delivered = {}
 
     def search(self):
         """The first history (list of steps) that runs the key twice, or None."""
-        start = World((Slot(HolderState(1, HolderPhase.ACTIVE)),) * 3)
+        start = World(pack([Slot(HolderState(1, HolderPhase.ACTIVE))] * 3))
         parents = {start: None}
         frontier = deque([start])
         while frontier:
@@ -163,7 +178,7 @@
             yield from self._deliveries(world, caller, name, "vote")
             if status in (GAVE_UP, RELEASED):
                 yield from self._deliveries(world, caller, name, "withdraw")
-            num_votes = sum(caller in slot.voted_for for slot in getattr(world, name))
+            num_votes = sum(caller in slot.voted_for for slot in unpack(getattr(world, name)))
             if status == ASKING and is_granted(num_votes):
                 yield f"grant to {caller} in {name}", self._settled(world, caller, GRANTED)
         if status == ASKING and caller == 0:  # one caller that withdraws is enough: they are alike
@@ -176,8 +191,9 @@
         """A caller's end: its votes do not count any more."""
 
         def forget(slots):
-            cleared = (slot._replace(voted_for=slot.voted_for - {caller}) for slot in slots)
-            return tuple(sorted(cleared, key=order))
+            return pack(
+                slot._replace(voted_for=slot.voted_for - {caller}) for slot in unpack(slots)
+            )
 
         return world._replace(
             first=forget(world.first),
@@ -191,16 +207,27 @@
         slots = getattr(world, name)
         if name == "second" and world.store_epoch == 1:
             return
-        for index, slot in enumerate(slots):
-            if slot.state is None:
-                continue
-            epoch = 1 if name == "first" else 2
-            state, vote = self._apply(slot.state, operation, caller, epoch)
-            voted_for = slot.voted_for
-            if vote is Vote.ACCEPTED and world.status[caller] == ASKING:
-                voted_for = voted_for | {caller}
-            following = put_slot(slots, index, slot._replace(state=state, voted_for=voted_for))
-            yield f"{operation} of {caller} in {name}", world._replace(**{name: following})
+        is_asking = world.status[caller] == ASKING
+        for index, number in enumerate(slots):
+            key = (number, operation, caller, name, is_asking)
+            if key not in self._delivered:
+                self._delivered[key] = self._deliver(*key)
+            changed = self._delivered[key]
+            if changed != number:
+                following = tuple(sorted(put(slots, index, changed)))
+                yield f"{operation} of {caller} in {name}", world._replace(**{name: following})
+
+    def _deliver(self, number, operation, caller, name, is_asking):
+        """The number of a slot after a message has been delivered there."""
+        slot = SLOTS[number]
+        if slot.state is None:
+            return number
+        epoch = 1 if name == "first" else 2
+        state, vote = self._apply(slot.state, operation, caller, epoch)
+        voted_for = slot.voted_for
+        if vote is Vote.ACCEPTED and is_asking:
+            voted_for = voted_for | {caller}
+        return number_of(slot._replace(state=state, voted_for=voted_for))
 
     def _apply(self, state, operation, caller, epoch):
         if self.broken_rule == "a sealed holder votes" and state.phase is HolderPhase.SEALED:
@@ -212,19 +239,19 @@
         return apply(state, operation, caller, epoch)
 
     def _change_steps(self, world):
-        for index, slot in enumerate(world.first):
+        for index, slot in enumerate(unpack(world.first)):
             if slot.state is not None and world.num_restarts == 0:
                 yield "restart", self._restarted(world, index)
             if slot.state is not None and not slot.copied and not world.second:
                 yield "seal and copy", self._copied(world, index, slot)
-        copies = tuple(slot.copied for slot in world.first if slot.copied)
+        copies = tuple(slot.copied for slot in unpack(world.first) if slot.copied)
         needed = 1 if self.broken_rule == "one holder's claims are enough" else 2
         if not world.second and len(copies) >= needed:
             yield "prepare", self._prepared(world, copies)
         if world.second and world.store_epoch == 1:
             yield "swap", world._replace(store_epoch=2)
         if world.store_epoch == 2:
-            for index, slot in enumerate(world.second):
+            for index, slot in enumerate(unpack(world.second)):
                 state, _ = apply(slot.state, "activate", 0, 2)
                 following = put_slot(world.second, index, slot._replace(state=state))
                 yield "activate", world._replace(second=following)
@@ -233,7 +260,7 @@
         state = None
         if self.broken_rule == "a restarted holder answers":
             state = HolderState(1, HolderPhase.ACTIVE)
-        slot = world.first[index]._replace(state=state)
+        slot = SLOTS[world.first[index]]._replace(state=state)
         return world._replace(first=put_slot(world.first, index, slot), num_restarts=1)
 
     def _copied(self, world, index, slot):
@@ -247,6 +274,6 @@
         entry = merged_entry(copies)
         if self.broken_rule == "an ambiguous copy names one claimant" and entry is not None:
             entry = (EntryState.OFFERED, entry[1][-1:], PRINT, NOW_S)
-        first = tuple(sorted((slot._replace(copied=()) for slot in world.first), key=order))
-        second = (Slot(HolderState(2, HolderPhase.PREPARING, entry)),) * 3
+        first = pack(slot._replace(copied=()) for slot in unpack(world.first))
+        second = pack([Slot(HolderState(2, HolderPhase.PREPARING, entry))] * 3)
         return world._replace(first=first, second=second)
