Assign duties and fence them by leases

Cause: work that few nodes do for all must have one effective holder, also when a holder was paused past its lease. Change: rendezvous assignment with zones, pure lease protocol, token fence, task holding a lease, exhaustive exploration of the protocol with two nodes.

--- /dev/null
+++ b/features/support/lease_model.py
@@ -0,0 +1,319 @@
+"""Exhaustive exploration of the lease protocol: two nodes, one duty, one receiver of orders.
+
+All interleavings, without a bound on time or on faults: requests are applied, delayed past their
+time-out or lost, answers are lost or late, nodes pause anywhere (by taking no step while time goes
+on), an order arrives late. The space is finite because a world is kept relative to the present:
+times count from now (what is long past is equal), lease ids and revisions are ranks. The nodes run
+the product's own `next_operation` and `after_answer`.
+
+One node's orders may be in flight, the other's arrive at once: staleness concerns pairs.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+from msgspec.structs import replace
+
+from weirscale.domain.duties.assignment import Duty, DutyKind
+from weirscale.domain.duties.fence import TokenFence
+from weirscale.domain.duties.lease import (
+    NEVER_S,
+    CallFailed,
+    DutyKey,
+    KeyAnswer,
+    LeaseGranted,
+    LeaseLost,
+    LeaseOperation,
+    LeasePhase,
+    LeaseRenewed,
+    LeaseRules,
+    LeaseState,
+    after_answer,
+    next_operation,
+)
+
+TIME_TO_LIVE = 2
+RULES = LeaseRules(time_to_live_s=TIME_TO_LIVE, margin_s=0, renew_interval_s=1, retry_interval_s=1)
+NODES = (0, 1)
+DUTY = Duty(DutyKind.PLACEMENT_PLANNER)
+
+
+MUTATING = (LeaseOperation.TAKE_KEY, LeaseOperation.KEEP_ALIVE)
+"""Operations that matter when they arrive late: a late grant is a lease that nobody knows."""
+
+
+class Store(NamedTuple):
+    revision: int = 1
+    next_lease_id: int = 1
+    leases: tuple = ()  # pairs of lease id and time left
+    key: DutyKey | None = None
+
+
+class Call(NamedTuple):
+    operation: LeaseOperation
+    lease_id: int
+    sent_at: int = 0  # zero or less
+    answer: object = None
+
+
+class World(NamedTuple):
+    store: Store = Store()
+    states: tuple = (LeaseState(), LeaseState())
+    calls: tuple = (None, None)
+    late_calls: tuple = (None, None)
+    order: int = 0  # token of the first node's order in flight
+    highest_token: int = 0  # of the second node's orders
+
+
+class Broken(Exception):
+    """A property does not hold."""
+
+
+class LeaseModel:
+    """The rules as built, or with one of them broken."""
+
+    def __init__(
+        self, broken_rule=None, nodes_with_late_calls=NODES, has_orders=True, lossy_nodes=NODES
+    ):
+        self.broken_rule = broken_rule
+        self.nodes_with_late_calls = nodes_with_late_calls
+        self.has_orders = has_orders
+        self.lossy_nodes = lossy_nodes
+        self.num_held = self.num_handed_over = self.num_refused = 0
+
+    def explore(self):
+        """Visit every reachable world; returns their number, raises `Broken`."""
+        start = canonical(World())
+        seen = {start}
+        queue = deque([start])
+        while queue:
+            world = queue.popleft()
+            for successor in map(canonical, self.successors(world)):
+                if successor not in seen:
+                    self.check(successor)
+                    seen.add(successor)
+                    queue.append(successor)
+        return len(seen)
+
+    def check(self, world):
+        for node in NODES:
+            if not world.states[node].is_held(0):
+                continue
+            self.num_held += 1
+            key = world.store.key
+            if key is None or key.holder != holder_name(node):
+                raise Broken("a node believes that it holds a duty that it does not hold")
+        first, second = (state.token for state in world.states)
+        self.num_handed_over += bool(first and second)
+        if first and first == second:
+            raise Broken("two nodes have one token")
+
+    def successors(self, world):
+        yield one_second_later(world)
+        for node in NODES:
+            yield from self.call_steps(world, node)
+            if world.late_calls[node] is not None:
+                store, _ = apply(world.store, world.late_calls[node], node)
+                yield world._replace(store=store, late_calls=put(world.late_calls, node, None))
+        if self.has_orders:
+            yield from self.order_steps(world)
+
+    def call_steps(self, world, node):
+        state, call = world.states[node], world.calls[node]
+        if call is None:
+            operation = next_operation(state, 0)
+            if operation is not None:
+                call = Call(operation, state.lease_id)
+                if operation is LeaseOperation.READ_KEY:
+                    # Changes nothing, so sending and applying it are one step.
+                    call = call._replace(answer=KeyAnswer(world.store.key))
+                yield world._replace(calls=put(world.calls, node, call))
+            return
+        if call.answer is not None:
+            yield self.answered(world, node, call.answer)
+            if call.operation is LeaseOperation.READ_KEY and node in self.lossy_nodes:
+                yield self.answered(world, node, CallFailed())
+            return
+        store, answer = apply(world.store, call, node)
+        applied = world._replace(store=store)
+        yield applied._replace(calls=put(world.calls, node, call._replace(answer=answer)))
+        if node not in self.lossy_nodes:
+            return
+        yield self.answered(applied, node, CallFailed())
+        if call.operation in MUTATING and node in self.nodes_with_late_calls:
+            late = call._replace(sent_at=0)
+            world = world._replace(late_calls=put(world.late_calls, node, late))
+        yield self.answered(world, node, CallFailed())
+
+    def may_act(self, state):
+        if self.broken_rule == "no check at the point of use":
+            return state.token != 0
+        return state.is_held(0)
+
+    def order_steps(self, world):
+        sender, other = world.states
+        if world.order == 0 and self.may_act(sender):
+            self.check_sender(world, 0)
+            yield world._replace(order=sender.token)
+        if world.order:
+            yield self.late_order_arrives(world._replace(order=0), world.order)
+        if self.may_act(other):
+            self.check_sender(world, 1)
+            yield world._replace(highest_token=other.token)
+
+    def check_sender(self, world, node):
+        key = world.store.key
+        if key is None or key.holder != holder_name(node):
+            raise Broken("an order is sent by a node that does not hold the duty")
+
+    def late_order_arrives(self, world, token):
+        is_admitted = fence_after(world.highest_token).admit(DUTY, token)
+        if self.broken_rule == "the receiver does not fence":
+            is_admitted = True
+        if is_admitted and token < world.highest_token:
+            raise Broken("an order of an earlier holder takes effect after a later one's")
+        self.num_refused += not is_admitted
+        return world
+
+    def answered(self, world, node, answer):
+        state, call = world.states[node], world.calls[node]
+        sent_at = call.sent_at
+        if self.broken_rule == "validity counts from the answer":
+            sent_at = 0
+        next_state = after_answer(state, answer, sent_at, 0, RULES)
+        if self.broken_rule == "the token never changes" and next_state.token:
+            next_state = replace(next_state, token=1)
+        is_lost_taking = call.operation is LeaseOperation.TAKE_KEY and answer == CallFailed()
+        if self.broken_rule == "a lost answer counts as success" and is_lost_taking:
+            next_state = replace(state, phase=LeasePhase.HOLD, token=world.store.revision + 1)
+        if self.broken_rule == "a lost lease is not dropped" and answer == LeaseLost():
+            next_state = after_answer(state, LeaseRenewed(TIME_TO_LIVE), sent_at, 0, RULES)
+        return world._replace(
+            states=put(world.states, node, next_state), calls=put(world.calls, node, None)
+        )
+
+
+def one_second_later(world):
+    """Let time go on by one: everything relative to now moves into the past."""
+    store = world.store
+    leases = tuple((each, left - 1) for each, left in store.leases if left > 1)
+    if store.key is not None and store.key.lease_id not in dict(leases):
+        store = store._replace(key=None)
+    states = tuple(
+        replace(
+            state,
+            not_before_s=state.not_before_s - 1,
+            valid_until_s=state.valid_until_s - 1,
+        )
+        for state in world.states
+    )
+    calls = tuple(
+        call and call._replace(sent_at=max(call.sent_at - 1, -TIME_TO_LIVE)) for call in world.calls
+    )
+    return world._replace(store=store._replace(leases=leases), states=states, calls=calls)
+
+
+def canonical(world):
+    """Rename lease ids and revisions to ranks, and make all times past equal."""
+    leases, tokens = Ranks(), Ranks()
+    store = world.store
+    calls = [call for call in world.calls + world.late_calls if call is not None]
+    keys = [call.answer.key for call in calls if isinstance(call.answer, KeyAnswer)]
+    keys = [key for key in [store.key, *keys] if key is not None]
+    leases.add(state.lease_id for state in world.states)
+    leases.add(call.lease_id for call in calls)
+    leases.add(key.lease_id for key in keys)
+    leases.add(c.answer.lease_id for c in calls if isinstance(c.answer, LeaseGranted))
+    tokens.add(state.token for state in world.states)
+    tokens.add(key.create_revision for key in keys)
+    tokens.add((world.order, world.highest_token))
+
+    def renamed_key(key):
+        if key is None:
+            return None
+        return DutyKey(leases.of(key.lease_id), tokens.of(key.create_revision), key.holder)
+
+    def renamed_call(call):
+        if call is None:
+            return None
+        answer = call.answer
+        if isinstance(answer, KeyAnswer):
+            answer = KeyAnswer(renamed_key(answer.key))
+        if isinstance(answer, LeaseGranted):
+            answer = LeaseGranted(leases.of(answer.lease_id))
+        return call._replace(lease_id=leases.of(call.lease_id), answer=answer)
+
+    def renamed_state(state):
+        return LeaseState(
+            phase=state.phase,
+            lease_id=leases.of(state.lease_id),
+            valid_until_s=state.valid_until_s if state.valid_until_s > 0 else NEVER_S,
+            token=tokens.of(state.token),
+            not_before_s=state.not_before_s if state.not_before_s > 0 else NEVER_S,
+        )
+
+    known = tuple((leases.of(each), left) for each, left in store.leases if each in leases)
+    return World(
+        store=Store(tokens.highest(), leases.highest() + 1, known, renamed_key(store.key)),
+        states=tuple(map(renamed_state, world.states)),
+        calls=tuple(map(renamed_call, world.calls)),
+        late_calls=tuple(map(renamed_call, world.late_calls)),
+        order=tokens.of(world.order),
+        highest_token=tokens.of(world.highest_token),
+    )
+
+
+class Ranks:
+    """Numbers in use, renamed 1, 2, ... in their order; 0 stands for none."""
+
+    def __init__(self):
+        self._numbers = {0}
+        self._ranks = None
+
+    def __contains__(self, number):
+        return number in self._numbers
+
+    def add(self, numbers):
+        self._numbers.update(numbers)
+
+    def of(self, number):
+        if self._ranks is None:
+            self._ranks = {each: rank for rank, each in enumerate(sorted(self._numbers))}
+        return self._ranks[number]
+
+    def highest(self):
+        return len(self._numbers) - 1
+
+
+def put(pair, index, value):
+    return (value, pair[1]) if index == 0 else (pair[0], value)
+
+
+def fence_after(token):
+    fence = TokenFence()
+    fence.admit(DUTY, token)
+    return fence
+
+
+def holder_name(node):
+    return bytes((node,))
+
+
+def apply(store, call, node):
+    """Carry out a call as the key-value service does."""
+    leases = dict(store.leases)
+    if call.operation is LeaseOperation.GRANT_LEASE:
+        lease_id = store.next_lease_id
+        leases[lease_id] = TIME_TO_LIVE
+        granted = store._replace(leases=tuple(leases.items()), next_lease_id=lease_id + 1)
+        return granted, LeaseGranted(lease_id)
+    if call.lease_id not in leases:
+        return store, LeaseLost()
+    if call.operation is LeaseOperation.KEEP_ALIVE:
+        leases[call.lease_id] = TIME_TO_LIVE
+        return store._replace(leases=tuple(leases.items())), LeaseRenewed(TIME_TO_LIVE)
+    if store.key is not None:
+        return store, KeyAnswer(store.key)
+    revision = store.revision + 1
+    key = DutyKey(call.lease_id, revision, holder_name(node))
+    return store._replace(key=key, revision=revision), KeyAnswer(key)
--- /dev/null
+++ b/src/weirscale/node/duties/lease_task.py
@@ -0,0 +1,173 @@
+"""Holds a fenced lease on one duty while this node is among the best for it."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import anyio
+import msgspec
+from result import Err
+
+from weirscale.domain.duties.assignment import Duty
+from weirscale.domain.duties.lease import (
+    CallFailed,
+    DutyKey,
+    KeyAnswer,
+    LeaseAnswer,
+    LeaseGranted,
+    LeaseLost,
+    LeaseOperation,
+    LeaseRenewed,
+    LeaseRules,
+    LeaseState,
+    after_answer,
+    after_release,
+    next_operation,
+)
+from weirscale.domain.identifiers import NodeId
+from weirscale.node.duties.view import DutyView
+from weirscale.ports.key_value import (
+    KeyValue,
+    KeyValueFailure,
+    KeyValueFailureKind,
+    KeyValuePort,
+)
+
+KEY_PREFIX = "weirscale/duties/"
+
+NUM_LEASE_CANDIDATES = 3
+"""Nodes that try to take a duty: enough that one is live, few enough to spare the service."""
+
+CALL_TIMEOUT_S = 3.0
+"""A call that takes longer counts as failed; several fit into a time to live."""
+
+MAX_BACKOFF = 8
+"""Failed calls in a row multiply the wait by up to this, so an outage ends without a rush."""
+
+POLL_INTERVAL_S = 0.25
+"""How often the task looks whether an operation is due."""
+
+
+class DutyLeaseTask:
+    """Takes and keeps the lease; `run` must be running.
+
+    Args:
+        duty: What the lease is on.
+        own_id: This node, written as the key's value.
+        key_value: The service.
+        duties: Tells whether this node is among the candidates.
+        random: Spreads retries.
+        rules: Durations.
+        sleep: Replaced by experiments that freeze nodes.
+    """
+
+    def __init__(
+        self,
+        duty: Duty,
+        own_id: NodeId,
+        key_value: KeyValuePort,
+        duties: DutyView,
+        random: Random,
+        rules: LeaseRules | None = None,
+        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+    ) -> None:
+        self.duty = duty
+        self.state = LeaseState()
+        self._own_name = own_id.name.encode()
+        self._key = KEY_PREFIX + duty.key
+        self._key_value = key_value
+        self._duties = duties
+        self._random = random
+        self._rules = rules or LeaseRules()
+        self._sleep = sleep
+        self._num_failures = 0
+        self._is_released = False
+
+    def is_held(self) -> bool:
+        """Whether this node certainly holds the duty now, by its own clock; ask before each use."""
+        return self.state.is_held(anyio.current_time())
+
+    def token(self) -> int | None:
+        """Return the fencing token to send along, None unless the duty is held now."""
+        return self.state.token if self.is_held() else None
+
+    async def run(self) -> None:
+        """Take and keep the lease until cancelled or released."""
+        while not self._is_released:
+            operation = next_operation(self.state, anyio.current_time())
+            if operation is not None and self._may_go_on():
+                await self._step(operation)
+            else:
+                await self._sleep(POLL_INTERVAL_S)
+
+    async def release(self) -> None:
+        """Give the duty up for good; best effort towards the service, at once on this node."""
+        lease_id = self.state.lease_id
+        self._is_released = True
+        self.state = after_release(anyio.current_time(), self._rules)
+        if lease_id:
+            with anyio.move_on_after(CALL_TIMEOUT_S):
+                await self._key_value.revoke_lease(lease_id)
+
+    def _may_go_on(self) -> bool:
+        """A holder keeps its lease whatever its rank: moving a duty costs more than keeping it."""
+        return bool(self.state.token) or self._duties.is_own(self.duty, NUM_LEASE_CANDIDATES)
+
+    async def _step(self, operation: LeaseOperation) -> None:
+        state = self.state
+        sent_at_s = anyio.current_time()
+        answer = await self._ask(operation, state.lease_id)
+        if self._is_released or self.state is not state:
+            return
+        now_s = anyio.current_time()
+        next_state = after_answer(state, answer, sent_at_s, now_s, self._rules)
+        self._num_failures = self._num_failures + 1 if isinstance(answer, CallFailed) else 0
+        self.state = self._spread(next_state, now_s)
+
+    def _spread(self, state: LeaseState, now_s: float) -> LeaseState:
+        """Stretch the wait after failures, at random; a held lease is renewed without delay."""
+        if self._num_failures == 0 or state.is_held(now_s):
+            return state
+        factor = min(MAX_BACKOFF, 2 ** min(self._num_failures, 16))
+        wait_s = self._rules.retry_interval_s * factor * (0.5 + self._random.random() / 2)
+        later_s = max(state.not_before_s, now_s + wait_s)
+        return msgspec.structs.replace(state, not_before_s=later_s)
+
+    async def _ask(self, operation: LeaseOperation, lease_id: int) -> LeaseAnswer:
+        with anyio.move_on_after(CALL_TIMEOUT_S):
+            return await self._call(operation, lease_id)
+        return CallFailed()
+
+    async def _call(self, operation: LeaseOperation, lease_id: int) -> LeaseAnswer:
+        store = self._key_value
+        if operation is LeaseOperation.GRANT_LEASE:
+            granted = await store.grant_lease(self._rules.time_to_live_s)
+            if isinstance(granted, Err):
+                return _failed(granted.err_value)
+            return LeaseGranted(granted.ok_value)
+        if operation is LeaseOperation.KEEP_ALIVE:
+            renewed = await store.keep_lease_alive(lease_id)
+            if isinstance(renewed, Err):
+                return _failed(renewed.err_value)
+            return LeaseRenewed(renewed.ok_value)
+        if operation is LeaseOperation.TAKE_KEY:
+            swapped = await store.compare_and_swap(self._key, 0, self._own_name, lease_id)
+            if isinstance(swapped, Err):
+                return _failed(swapped.err_value)
+            return KeyAnswer(_duty_key(swapped.ok_value.current))
+        read = await store.read(self._key)
+        if isinstance(read, Err):
+            return _failed(read.err_value)
+        found = (item for item in read.ok_value.values if item.key == self._key)
+        return KeyAnswer(_duty_key(next(found, None)))
+
+
+def _duty_key(stored: KeyValue | None) -> DutyKey | None:
+    if stored is None:
+        return None
+    return DutyKey(stored.lease_id, stored.create_revision, stored.value)
+
+
+def _failed(failure: KeyValueFailure) -> LeaseAnswer:
+    if failure.kind is KeyValueFailureKind.LEASE_LOST:
+        return LeaseLost()
+    return CallFailed(failure.retry_after_s or 0.0)
--- /dev/null
+++ b/src/weirscale/node/duties/view.py
@@ -0,0 +1,47 @@
+"""Duties as they follow from a node's current membership."""
+
+from weirscale.domain.duties.assignment import (
+    Duty,
+    DutyCandidate,
+    engine_home,
+    holders,
+    holders_across_zones,
+)
+from weirscale.domain.identifiers import EngineName, NodeId, ZoneName
+from weirscale.node.interfaces import MembershipView, PeerState
+
+
+class DutyView:
+    """Answers who holds a duty; candidates are worked out once for each membership version."""
+
+    def __init__(self, membership: MembershipView) -> None:
+        self._membership = membership
+        self._version = -1
+        self._candidates: tuple[DutyCandidate, ...] = ()
+
+    def candidates(self) -> tuple[DutyCandidate, ...]:
+        """Return all live nodes."""
+        version = self._membership.version()
+        if version != self._version:
+            self._candidates = tuple(
+                DutyCandidate(peer.node, peer.zone, peer.state is PeerState.LEAVING)
+                for peer in self._membership.peers()
+            )
+            self._version = version
+        return self._candidates
+
+    def holders(self, duty: Duty, count: int, zone: ZoneName | None = None) -> tuple[NodeId, ...]:
+        """Return the best nodes for a duty."""
+        return holders(duty, self.candidates(), count, zone)
+
+    def holders_across_zones(self, duty: Duty, count: int) -> tuple[NodeId, ...]:
+        """Return the best nodes for a duty in distinct zones."""
+        return holders_across_zones(duty, self.candidates(), count)
+
+    def engine_home(self, engine: EngineName, zone: ZoneName) -> NodeId | None:
+        """Return the home node of an engine."""
+        return engine_home(engine, zone, self.candidates())
+
+    def is_own(self, duty: Duty, count: int, zone: ZoneName | None = None) -> bool:
+        """Whether this node is among the best for a duty."""
+        return self._membership.self_id in self.holders(duty, count, zone)
