Watch for stalled streams with one task instead of a deadline a chunk

Cause: a cancel scope with a deadline around each pull cost more than all other work on a chunk. Change: after its first chunk a stream is pulled in one scope; its task writes down since when it waits, and one task of the node cancels scopes that wait too long. A chunk that comes while the scope is being cancelled is left to the resumed stream. Routes hand a sink to the run.

--- a/features/path_faults.feature
+++ b/features/path_faults.feature
@@ -152,6 +152,20 @@
     When a caller that needs 10 seconds for each piece has read 2 pieces
     Then at most 2 chunks were taken from the engine
 
+  Scenario: A slow caller is not taken for a stalled engine
+    Given two healthy engines
+    When a caller that needs 5 seconds for each piece asks for a caption
+    Then each caption ends as "complete"
+    And the first engine was not asked to resume
+    And the history of the request path is clean
+
+  Scenario: Chunks that have arrived together leave together, each as an event of its own
+    Given an engine whose chunks arrive together
+    When a repeatable caption is asked for, streamed and whole
+    Then each caption ends as "complete"
+    And the streamed caption came in 1 parts with 7 events
+    And the history of the request path is clean
+
   Scenario: A key of an at-most-once caption that has run is refused as run
     Given two healthy engines
     When an at-most-once caption is asked for twice with one key
--- a/src/weirscale/node/callers/generation_route.py
+++ b/src/weirscale/node/callers/generation_route.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 import anyio
-from result import Err, Ok, Result
+from result import Err, Result
 
 from weirscale.domain.configuration.model import Tenant
 from weirscale.domain.prefix.chain import BYTES_PER_TOKEN
@@ -31,7 +31,7 @@
 from weirscale.node.callers.errors import REQUEST_ID_HEADER, error_body
 from weirscale.node.callers.generation_input import decode_object, parse_generation
 from weirscale.node.callers.metrics import CallerMetrics
-from weirscale.node.execution.generation import ChunkOrRefusal, GenerationExecutor, GenerationRun
+from weirscale.node.execution.generation import GenerationExecutor, GenerationRun
 from weirscale.node.interfaces import Admission, ConfigurationInForce
 
 MAX_EVENTS_OF_PART = 32
@@ -125,49 +125,57 @@
         headers.append((b"cache-control", b"no-cache"))
         call.note_response_started(200)
         await send({"type": "http.response.start", "status": 200, "headers": headers})
-        result: ChunkOrRefusal = Ok(first)
         events: list[bytes] = []
-        while isinstance(result, Ok):
-            chunk = result.ok_value
+        last = first
+
+        async def pass_on(chunk: TokenChunk) -> None:
+            nonlocal last
+            last = chunk
             call.num_tokens += chunk.num_tokens
             if chunk.finish_reason is not None:
-                usage = usage_of(chunk, call.num_tokens)
-                events.append(encoder.last_event(chunk.text, chunk.finish_reason, usage))
-                events.append(DONE_EVENT)
-                break
+                return
             events.append(encoder.text_event(chunk.text))
             # Events leave together only if the next one is here already.
             if not chunks.num_ready or len(events) == MAX_EVENTS_OF_PART:
-                await send(_part(events, more=True))
+                part = _part(events, more=True)
                 events.clear()
-            result = await anext(chunks)
-        if isinstance(result, Err):
-            call.note_refused(result.err_value)
-            events.append(error_event(error_body(result.err_value, call.request_id)))
+                await send(part)
+
+        await pass_on(first)
+        refusal = await chunks.deliver(pass_on)
+        if refusal is not None:
+            call.note_refused(refusal)
+            events.append(error_event(error_body(refusal, call.request_id)))
+            await send(_part(events, more=False))
+            return
+        usage = usage_of(last, call.num_tokens)
+        events.append(encoder.last_event(last.text, last.finish_reason or "", usage))
+        events.append(DONE_EVENT)
         await send(_part(events, more=False))
-        if isinstance(result, Ok):
-            self._note_answered(call, result.ok_value)
+        self._note_answered(call, last)
 
     async def _answer_whole(
         self, call: Call, request: GenerationRequest, first: TokenChunk, chunks: GenerationRun
     ) -> None:
         texts: list[str] = []
-        chunk = first
-        while True:
+        last = first
+
+        async def keep(chunk: TokenChunk) -> None:
+            nonlocal last
+            last = chunk
             texts.append(chunk.text)
             call.num_tokens += chunk.num_tokens
-            if chunk.finish_reason is not None:
-                break
-            result = await anext(chunks)
-            if isinstance(result, Err):
-                await call.refuse(result.err_value)
-                return
-            chunk = result.ok_value
-        usage = usage_of(chunk, call.num_tokens)
-        body = whole_answer(request, "".join(texts), chunk, usage, int(self._wall_clock()))
+
+        await keep(first)
+        refusal = await chunks.deliver(keep)
+        if refusal is not None:
+            await call.refuse(refusal)
+            return
+        usage = usage_of(last, call.num_tokens)
+        body = whole_answer(request, "".join(texts), last, usage, int(self._wall_clock()))
         call.note_response_started(200)
         await send_whole(call.send, 200, _headers(call, JSON_TYPE), body)
-        self._note_answered(call, chunk)
+        self._note_answered(call, last)
 
     def _note_answered(self, call: Call, last: TokenChunk) -> None:
         call.num_prompt_tokens = last.num_prompt_tokens
--- a/src/weirscale/node/execution/attempt.py
+++ b/src/weirscale/node/execution/attempt.py
@@ -1,6 +1,6 @@
 """One attempt of a generation on one engine: its stream, its resumes, its outcome."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 
 import anyio
@@ -12,6 +12,7 @@
 from weirscale.domain.request.retry_policy import CHUNK_STALL_S, FailureClass
 from weirscale.domain.request.stream import ChunkVerdict, StreamCheck
 from weirscale.node.execution.canceller import EngineCanceller
+from weirscale.node.execution.stall_watch import StallWatch, WatchedPull
 from weirscale.node.interfaces import AttemptOutcome, ChosenEngine, EngineRouting
 from weirscale.ports.engine import (
     ChunkOrFailure,
@@ -49,6 +50,10 @@
     return FailureClass.NOT_RUN
 
 
+ChunkSink = Callable[[TokenChunk], Awaitable[None]]
+"""Takes a chunk that passed the check; may wait for a slow caller."""
+
+
 class AttemptFailure(msgspec.Struct, frozen=True):
     """A failed attempt; `failure_class` tells what may follow."""
 
@@ -112,18 +117,73 @@
                 item = await anext(chunks)
             else:
                 item = await self._pull(give_up_at_s)
-            if isinstance(item, Err):
-                return self._fail(item.err_value)
-            chunk = item.ok_value
-            verdict = self.check.check(chunk)
-            if verdict is ChunkVerdict.PASS:
-                self._note_passed(chunk)
-                return Ok(chunk)
-            if verdict is ChunkVerdict.REPEATED:
-                self.num_repeated += 1
-                continue
-            detail = f"{verdict.value} chunk {chunk.sequence} of {chunk.request_id}"
-            return self._fail(EngineFailure(EngineFailureKind.CORRUPT, detail))
+            taken = self._take(item)
+            if isinstance(taken, Err):
+                return taken
+            if taken.ok_value is not None:
+                return Ok(taken.ok_value)
+
+    def _take(self, item: ChunkOrFailure) -> Result[TokenChunk | None, AttemptFailure]:
+        """Check what the engine sent; Ok(None) for a chunk that is dropped as repeated."""
+        if isinstance(item, Err):
+            return self._fail(item.err_value)
+        chunk = item.ok_value
+        verdict = self.check.check(chunk)
+        if verdict is ChunkVerdict.PASS:
+            self._note_passed(chunk)
+            return Ok(chunk)
+        if verdict is ChunkVerdict.REPEATED:
+            self.num_repeated += 1
+            return Ok(None)
+        detail = f"{verdict.value} chunk {chunk.sequence} of {chunk.request_id}"
+        return self._fail(EngineFailure(EngineFailureKind.CORRUPT, detail))
+
+    async def stream(
+        self, sink: ChunkSink, watch: StallWatch, give_up_at_s: float
+    ) -> AttemptFailure | None:
+        """Hand all further chunks to a sink; None when the last one has been handed over.
+
+        Like `next` for each chunk, but stalls are seen by the watch, which costs less.
+        """
+        chunks = self._chunks
+        if chunks is None:
+            return await self._reopen(sink, give_up_at_s)
+        with anyio.CancelScope() as scope:
+            pull = WatchedPull(scope, give_up_at_s)
+            watch.add(pull)
+            try:
+                return await self._stream_watched(chunks, sink, pull)
+            finally:
+                watch.remove(pull)
+        return self._fail(_TIMED_OUT).err_value
+
+    async def _reopen(self, sink: ChunkSink, give_up_at_s: float) -> AttemptFailure | None:
+        result = await self.next(give_up_at_s)
+        if isinstance(result, Err):
+            return result.err_value
+        await sink(result.ok_value)
+        return None
+
+    async def _stream_watched(
+        self, chunks: AsyncIterator[ChunkOrFailure], sink: ChunkSink, pull: WatchedPull
+    ) -> AttemptFailure | None:
+        while not self.is_complete:
+            pull.waiting_since_s = anyio.current_time()
+            try:
+                item = await anext(chunks)
+            except StopAsyncIteration:
+                item = Err(_ENDED_EARLY)
+            pull.waiting_since_s = None
+            if pull.scope.cancel_called:
+                # Too late: nothing may be handed over while the scope is cancelled. The chunk
+                # has not been checked in, so a resumed stream brings it again.
+                item = Err(_TIMED_OUT)
+            taken = self._take(item)
+            if isinstance(taken, Err):
+                return taken.err_value
+            if taken.ok_value is not None:
+                await sink(taken.ok_value)
+        return None
 
     async def resume(self) -> None:
         """Go on with the same work on the same engine; the next `next` opens the stream."""
--- a/src/weirscale/node/execution/canceller.py
+++ b/src/weirscale/node/execution/canceller.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from weirscale.domain.identifiers import RequestId
+from weirscale.node.execution.stall_watch import StallWatch
 from weirscale.node.mailbox import Mailbox
 from weirscale.ports.engine import EnginePort
 
@@ -25,6 +26,8 @@
 class EngineCanceller:
     """A task that tells engines to stop the work of attempts nobody waits for.
 
+    Runs the watch over stalled streams, too, whose attempts it is then asked to cancel.
+
     `post` never waits, so it is safe while the request's own task is being cancelled.
     """
 
@@ -33,6 +36,7 @@
         self._num_pending = 0
         self._idle_waiters: deque[anyio.Event] = deque()
         self.num_dropped = 0
+        self.stall_watch = StallWatch()
 
     def post(self, port: EnginePort, request_id: RequestId, attempt: int) -> None:
         """Have an attempt's work stopped soon."""
@@ -44,6 +48,7 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.stall_watch.run)
             for _ in range(NUM_WORKERS):
                 tasks.start_soon(self._work)
 
--- a/src/weirscale/node/execution/generation.py
+++ b/src/weirscale/node/execution/generation.py
@@ -25,7 +25,7 @@
 )
 from weirscale.domain.request.stream import StreamCheck
 from weirscale.node.event_log import EventLog
-from weirscale.node.execution.attempt import Attempt, AttemptFailure, generate_call
+from weirscale.node.execution.attempt import Attempt, AttemptFailure, ChunkSink, generate_call
 from weirscale.node.execution.canceller import EngineCanceller
 from weirscale.node.execution.claims import fingerprint, settle_claim, take_claim
 from weirscale.node.execution.hedge import race_first_chunk
@@ -146,6 +146,35 @@
             if refusal is not None:
                 return self._end(refusal)
 
+    async def deliver(self, sink: ChunkSink) -> Refusal | None:
+        """Hand the rest of the answer to a sink, instead of iterating.
+
+        Args:
+            sink: Called with each chunk in turn, after the first one has been taken by `anext`.
+
+        Returns:
+            None once the last chunk has been handed over, else why there are no more.
+        """
+        while not self._is_over:
+            attempt = self._attempt
+            if attempt is None or attempt.last_chunk is None:
+                result = await anext(self)
+                if isinstance(result, Err):
+                    return result.err_value
+                await sink(result.ok_value)
+                continue
+            refusal = await self._deliver_attempt(attempt, sink)
+            if refusal is not None:
+                self._is_over = True
+                return refusal
+        return None
+
+    async def _deliver_attempt(self, attempt: Attempt, sink: ChunkSink) -> Refusal | None:
+        watch = self._executor.canceller.stall_watch
+        failed = await attempt.stream(sink, watch, self._request.deadline_s)
+        self._is_over = attempt.is_complete
+        return None if failed is None else await self._recover(failed)
+
     @property
     def num_ready(self) -> int:
         """Chunks that have arrived and not been taken: the consumer is behind."""
