--- a/features/operator_commands.feature
+++ b/features/operator_commands.feature
@@ -28,7 +28,7 @@
       | GET    | /operator/explain/r-1?format=text   | 200    | request r-1        |
       | GET    | /operator/explain/r-2               | 404    | no live node       |
       | GET    | /operator/members                   | 200    | node-1             |
-      | GET    | /operator/rollout                   | 200    | []                 |
+      | GET    | /operator/rollout                   | 200    | node-2             |
       | POST   | /operator/drain                     | 202    | draining           |
       | GET    | /operator/drain                     | 404    | is not served      |
       | GET    | /operator/other                     | 404    | docs/operators     |
--- a/features/steps/operator_commands_steps.py
+++ b/features/steps/operator_commands_steps.py
@@ -65,7 +65,7 @@
         None,
         FixedMembership(),
         FixedExplainer(request_id),
-        lambda: (),
+        FixedPlacement(),
         lambda: context.drains.append(True),
     )
 
--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -53,6 +53,7 @@
 from weirscale.node.membership.task import MembershipTask
 from weirscale.node.operators.app import OperatorApp
 from weirscale.node.peers.link import AuthenticatedPeerLink
+from weirscale.node.placement.status import PlacementStatus
 from weirscale.node.placement.task import PlacementTask
 from weirscale.node.routing.decisions import DecisionLog
 from weirscale.node.routing.engine_router import EngineRouter
@@ -151,6 +152,7 @@
             ports.make_service_port,
             ports.machines,
             random,
+            events=event_log,
         )
         self.decisions = DecisionLog(identity.node.name)
         self.explainer = Explainer(self.decisions, self.link, self.membership)
@@ -186,6 +188,7 @@
             self._planner_lease,
             self._event_log,
         )
+        self.placement_status = PlacementStatus(self.placement, self.link, self.membership)
 
     def _build_homes(self, ports: NodePorts, random: Random) -> None:
         """Tasks that follow engines' caches and receive digests of the others."""
@@ -249,7 +252,7 @@
             self.configuration,
             self.membership,
             self.explainer,
-            self.placement.progress,
+            self.placement_status,
             begin_drain,
         )
 
--- a/src/weirscale/node/operators/app.py
+++ b/src/weirscale/node/operators/app.py
@@ -8,11 +8,11 @@
 import msgspec
 
 from weirscale.domain.identifiers import RequestId
-from weirscale.messages.placement import RolloutProgress
 from weirscale.node.callers.asgi import JSON_TYPE, Receive, Scope, Send, send_whole
 from weirscale.node.configuration.status import STATUS_PATH
 from weirscale.node.configuration.task import ConfigurationTask
 from weirscale.node.interfaces import MembershipView, Peer
+from weirscale.node.placement.status import PlacementStatus
 from weirscale.node.routing.explain import Explainer
 from weirscale.node.routing.explain_text import render_json, render_text
 
@@ -26,6 +26,7 @@
 OK = 200
 ACCEPTED = 202
 NOT_FOUND = 404
+UNAVAILABLE = 503
 
 
 class OperatorProblem(msgspec.Struct, frozen=True):
@@ -49,7 +50,7 @@
         configuration: Knows how far a revision has come.
         membership: The live nodes.
         explainer: Finds what was decided for a request.
-        rollout: Progress of the models, from the node that plans.
+        placement: Finds the progress of rollouts, on the node that plans.
         begin_drain: Starts the planned stop of this node.
     """
 
@@ -58,13 +59,13 @@
         configuration: ConfigurationTask,
         membership: MembershipView,
         explainer: Explainer,
-        rollout: Callable[[], tuple[RolloutProgress, ...]],
+        placement: PlacementStatus,
         begin_drain: Callable[[], None],
     ) -> None:
         self._configuration = configuration
         self._membership = membership
         self._explainer = explainer
-        self._rollout = rollout
+        self._placement = placement
         self._begin_drain = begin_drain
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -84,7 +85,7 @@
             own_name = self._membership.self_id.name
             await _send_json(send, OK, MemberList(own_name, self._membership.peers()))
         elif method == "GET" and path == ROLLOUT_PATH:
-            await _send_json(send, OK, self._rollout())
+            await self._send_rollout(send)
         elif method == "GET" and path.startswith(EXPLAIN_PREFIX):
             request_id = RequestId(path.removeprefix(EXPLAIN_PREFIX))
             await self._explain(request_id, TEXT_QUERY in query, send)
@@ -92,6 +93,17 @@
             problem = OperatorProblem(f"{method} {path} is not served here", "see docs/operators")
             await _send_json(send, NOT_FOUND, problem)
 
+    async def _send_rollout(self, send: Send) -> None:
+        status = await self._placement.of_planner()
+        if status is None:
+            problem = OperatorProblem(
+                "no live node plans now",
+                "engines stay as they are; check that the key-value service answers",
+            )
+            await _send_json(send, UNAVAILABLE, problem)
+        else:
+            await _send_json(send, OK, status)
+
     async def _explain(self, request_id: RequestId, as_text: bool, send: Send) -> None:
         record = await self._explainer.explain(request_id)
         if record is None:
--- a/src/weirscale/node/placement/status.py
+++ b/src/weirscale/node/placement/status.py
@@ -2,23 +2,42 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import NodeName
 from weirscale.messages.placement import PlacementStatusReply, PlacementStatusRequest
-from weirscale.node.interfaces import PeerLink
+from weirscale.node.interfaces import MembershipView, PeerLink
+from weirscale.node.peers.asking import first_answer
 from weirscale.node.placement.task import PlacementTask
 
+STATUS_TIMEOUT_S = 2.0
+
 
 class PlacementStatus:
     """Serves `PlacementStatusRequest` on this node."""
 
-    def __init__(self, node: NodeName, task: PlacementTask, link: PeerLink) -> None:
-        self._node = node
+    def __init__(self, task: PlacementTask, link: PeerLink, membership: MembershipView) -> None:
         self._task = task
+        self._link = link
+        self._membership = membership
         link.on_call(PlacementStatusRequest, self._answer)
 
     def current(self) -> PlacementStatusReply:
         """Return what this node knows."""
-        return PlacementStatusReply(self._node, self._task.is_planner(), self._task.progress())
+        return PlacementStatusReply(
+            self._membership.self_id.name, self._task.is_planner(), self._task.progress()
+        )
+
+    async def of_planner(self) -> PlacementStatusReply | None:
+        """Return what the node that plans knows; None if no live node says that it plans."""
+        own = self.current()
+        if own.is_planner:
+            return own
+        own_id = self._membership.self_id
+        peers = [peer for peer in self._membership.peers() if peer.node != own_id]
+        question = PlacementStatusRequest()
+        return await first_answer(self._link, peers, question, STATUS_TIMEOUT_S, _from_planner)
 
     async def _answer(self, message: msgspec.Struct) -> PlacementStatusReply:
         return self.current()
+
+
+def _from_planner(reply: msgspec.Struct) -> PlacementStatusReply | None:
+    return reply if isinstance(reply, PlacementStatusReply) and reply.is_planner else None
