Mend the operators' feature after the change of its application

Change: the fake planner status. Measured: behave features/operator_commands.feature: 9 errors -> 17 scenarios passed.

--- a/features/steps/operator_commands_steps.py
+++ b/features/steps/operator_commands_steps.py
@@ -8,6 +8,7 @@
 from weirscale.cli.main import main
 from weirscale.domain.identifiers import NodeAddress, NodeId
 from weirscale.messages.explain import DecisionRecord
+from weirscale.messages.placement import PlacementStatusReply
 from weirscale.node.interfaces import Peer, PeerState
 from weirscale.node.operators.app import OperatorApp
 
@@ -58,6 +59,11 @@
         return self._record if request_id == self._record.request_id else None
 
 
+class FixedPlacement:
+    async def of_planner(self):
+        return PlacementStatusReply("node-2", True, ())
+
+
 @given('an operators\' application of a node that decided request "{request_id}"')
 def step_application(context, request_id):
     context.drains = []
