--- a/features/home_notes.feature
+++ b/features/home_notes.feature
@@ -15,5 +15,5 @@
     When one sends 1 prompts of 2000 blocks that miss 4000 tokens
     Then the others match a prompt that shares 1000 blocks between 800 and 1000 deep
     And the others match the same prompt 2000 deep
-    And the others count 4000 tokens on its way to the engine
+    And the others count 4000 tokens at the engine, 2000 after 0.25 seconds
     And after 7 seconds they match nothing
--- a/src/weirscale/domain/choice/noted_sends.py
+++ b/src/weirscale/domain/choice/noted_sends.py
@@ -51,11 +51,22 @@
                 matches[engine] = PrefixMatch(num_blocks=num_blocks, age_s=0.0)
         return matches
 
-    def num_tokens_since(self, engine: EngineName, since_s: float) -> int:
-        """Return the prompt tokens that others sent to an engine after a time."""
-        total = 0
-        for sent_at_s, num_tokens in reversed(self._tokens.get(engine, ())):
+    def num_waiting_tokens(
+        self, engine: EngineName, since_s: float, tokens_per_s: float, now_s: float
+    ) -> int:
+        """Return the prompt tokens of others' sends that still wait at an engine.
+
+        Args:
+            engine: The engine.
+            since_s: Earlier sends are in its load report already.
+            tokens_per_s: Its prefill speed.
+            now_s: Time.
+        """
+        num_waiting = 0.0
+        at_s = since_s
+        for sent_at_s, num_tokens in self._tokens.get(engine, ()):
             if sent_at_s <= since_s:
-                break
-            total += num_tokens
-        return total
+                continue
+            num_waiting = max(num_waiting - (sent_at_s - at_s) * tokens_per_s, 0.0) + num_tokens
+            at_s = sent_at_s
+        return int(max(num_waiting - (now_s - at_s) * tokens_per_s, 0.0))
--- a/src/weirscale/domain/choice/prefix_aware.py
+++ b/src/weirscale/domain/choice/prefix_aware.py
@@ -226,7 +226,9 @@
         if self._noted is None:
             return candidate
         reported_at_s = now_s - candidate.report_age_s
-        num_tokens = self._noted.num_tokens_since(candidate.engine, reported_at_s)
+        num_tokens = self._noted.num_waiting_tokens(
+            candidate.engine, reported_at_s, candidate.prefill_tokens_per_s, now_s
+        )
         if num_tokens == 0:
             return candidate
         num_waiting = candidate.num_waiting_prefill_tokens + num_tokens
