Check that the parts of a limit sum to it exactly

A burst smaller than twice the zones was exceeded with credits. Change: a property over limits, zones and fleet sizes; no credit unless the burst covers zones too.

--- a/features/limits_shares.feature
+++ b/features/limits_shares.feature
@@ -35,6 +35,11 @@
       | 9 slots  | 0   |
       | 40 slots | 12  |
 
+  Scenario: The parts of all nodes and zones together are the whole limit
+    When limits, zones and sizes of fleet are drawn and every zone gives all it has
+    Then the slots given and owned are exactly the limit
+    And the requests given and on credit are at most the burst, or one for each zone
+
   Scenario Outline: After a pause no more than one burst of <burst> comes at once
     Given 3 zones of 3 nodes that share <limit>
     When all nodes are idle for 10 seconds and flooded for 2 seconds
--- a/features/steps/limits_shares_steps.py
+++ b/features/steps/limits_shares_steps.py
@@ -3,6 +3,9 @@
 
 import anyio
 from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from features.support.claims_fleet import Faults, Link
 from features.support.limits_fleet import SharingFleet, limited_tenant
@@ -10,6 +13,13 @@
 from weirscale.domain.configuration.model import Deployment, Region
 from weirscale.domain.identifiers import NodeAddress, NodeId
 from weirscale.domain.limits.exchange import Member
+from weirscale.domain.limits.share_pool import (
+    SharePool,
+    ZoneShare,
+    standing_requests,
+    standing_slots,
+)
+from weirscale.messages.limits import TenantDemand
 from weirscale.node.interfaces import ConfigurationInForce, Peer, PeerState
 from weirscale.node.limits.fleet import FleetAdmissionTask
 
@@ -101,6 +111,41 @@
     assert limit - gap <= max(context.most_slots) <= limit, context.most_slots
 
 
+@when("limits, zones and sizes of fleet are drawn and every zone gives all it has")
+def step_parts(context):
+    context.parts = []
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=300)
+    @for_all(st.integers(1, 5000), st.integers(1, 5000), st.integers(1, 18), st.integers(1, 512))
+    def draw(burst, limit, num_zones, max_nodes):
+        tenant = limited_tenant(
+            requests_per_s=RATE_PER_S, burst_requests=burst, max_concurrent_requests=limit
+        )
+        demand = TenantDemand(1, 10**6, 0, 0, 10**6)
+        shares = [ZoneShare(index, num_zones, max_nodes) for index in range(num_zones)]
+        pools = [SharePool(tenant, share, 0.0) for share in shares]
+        source = NodeAddress("10.0.0.1", 1)
+        grants = [pool.grant(source, False, demand, 10_000.0) for pool in pools]
+        requests = sum(grant.num_requests for grant in grants)
+        slots = sum(grant.slots for grant in grants)
+        requests += standing_requests(tenant, shares[0]) * max_nodes
+        slots += standing_slots(tenant, shares[0]) * max_nodes
+        context.parts.append((requests, max(burst, num_zones), slots, limit))
+
+    draw()
+
+
+@then("the slots given and owned are exactly the limit")
+def step_all_slots(context):
+    assert len(context.parts) >= 300
+    assert all(slots == limit for _, _, slots, limit in context.parts)
+
+
+@then("the requests given and on credit are at most the burst, or one for each zone")
+def step_all_requests(context):
+    assert all(requests <= burst for requests, burst, _, _ in context.parts)
+
+
 @when("all nodes are idle for 10 seconds and flooded for 2 seconds")
 def step_flood_after_pause(context):
     fleet = make_fleet(context)
--- a/src/weirscale/domain/limits/share_pool.py
+++ b/src/weirscale/domain/limits/share_pool.py
@@ -58,7 +58,7 @@
 
     Together they take at most half of the burst; the zones' pools have the rest.
     """
-    return 1 if tenant.burst_requests >= 2 * share.max_nodes else 0
+    return 1 if tenant.burst_requests >= 2 * max(share.max_nodes, share.num_zones) else 0
 
 
 def standing_slots(tenant: Tenant, share: ZoneShare) -> int:
