Leave starts without any source of the configuration out of the restart rule

Change: outages of the store are recorded; a start that is cut off, or alone while the store is down, has no window; one beside others still has. Conclusion: the rule asks for what is possible.

--- a/features/history_rules.feature
+++ b/features/history_rules.feature
@@ -45,6 +45,10 @@
       | status read run twice                      | none                      |
       | restarted node answers                     | none                      |
       | restarted node has no configuration        | serves_after_restart      |
+      | restarted node cut off has no configuration | none                     |
+      | node restarted alone with the store down   | none                      |
+      | node restarted beside others with the store down | serves_after_restart |
+      | node restarted alone after the store came back | serves_after_restart |
       | restarted node refuses the connection      | serves_after_restart      |
       | restarted node sees no back end            | serves_after_restart      |
       | no node sees a back end                    | none                      |
--- a/features/support/history_cases.py
+++ b/features/support/history_cases.py
@@ -23,6 +23,7 @@
     ServiceAnswered,
     ServiceRun,
     ServiceSent,
+    StoreChanged,
 )
 from weirscale.standins.engine.answer import expected_text
 
@@ -134,9 +135,9 @@
     return [NodeChanged(at_s=at_s, node=node, change=NodeChange(name)) for at_s, name in changes]
 
 
-def restarted_node(ending, others_answer=True):
+def restarted_node(ending, *more, others_answer=True):
     """The caption is sent through a node that crashed, came back at once and then ends it so."""
-    changes = node_changes((-9.0, "started"), (-5.0, "crashed"), (-4.0, "started"))
+    changes = [*more, *node_changes((-9.0, "started"), (-5.0, "crashed"), (-4.0, "started"))]
     order = ORDER_RECORDS if others_answer else []
     return [*changes, CAPTION, ending, *order]
 
@@ -168,6 +169,8 @@
 NO_BACKEND = refusal(RefusalCode.NO_BACKEND, RunStatus.NOT_RUN)
 NOT_RUN = refusal(RefusalCode.OVERLOADED, RunStatus.NOT_RUN)
 STREAM_BROKEN = refusal(RefusalCode.STREAM_BROKEN, RunStatus.UNKNOWN)
+NOT_CONFIGURED = refusal(RefusalCode.NOT_CONFIGURED, RunStatus.NOT_RUN)
+STORE_DOWN = StoreChanged(at_s=-6.0, is_up=False)
 WITHOUT_KEY = [change(ORDER, idempotency_key=None), ORDER_ANSWERED, *CAPTION_RECORDS]
 READ = change(ORDER, repeatable=True, idempotency_key=None)
 OTHER_CHUNK = change(CHUNKS[1], chunk_request_id="other")
@@ -241,8 +244,16 @@
     "same key of two tenants": second_order(does_run=True, tenant="kirkos-school"),
     "status read run twice": [*CAPTION_RECORDS, READ, ORDER_RUN, ORDER_RUN, ORDER_ANSWERED],
     "restarted node answers": restarted_node(refusal(RefusalCode.OVERLOADED, RunStatus.NOT_RUN)),
-    "restarted node has no configuration": restarted_node(
-        refusal(RefusalCode.NOT_CONFIGURED, RunStatus.NOT_RUN)
+    "restarted node has no configuration": restarted_node(NOT_CONFIGURED),
+    "restarted node cut off has no configuration": restarted_node(
+        NOT_CONFIGURED, *node_changes((-4.5, "cut_off"))
+    ),
+    "node restarted alone with the store down": restarted_node(NOT_CONFIGURED, STORE_DOWN),
+    "node restarted beside others with the store down": restarted_node(
+        NOT_CONFIGURED, STORE_DOWN, *node_changes((-9.0, "started"), node="kirkos-1")
+    ),
+    "node restarted alone after the store came back": restarted_node(
+        NOT_CONFIGURED, STORE_DOWN, change(STORE_DOWN, at_s=-4.5, is_up=True)
     ),
     "restarted node refuses the connection": restarted_node(NOT_CONNECTED),
     "restarted node sees no back end": restarted_node(NO_BACKEND),
--- a/src/weirscale/experiments/faults/injector.py
+++ b/src/weirscale/experiments/faults/injector.py
@@ -11,7 +11,12 @@
 from weirscale.domain.identifiers import BackendName, EngineName, NodeName, WeightVersion, ZoneName
 from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
 from weirscale.experiments.faults.world import World
-from weirscale.experiments.history.records import BackendChange, BackendChanged, NodeChange
+from weirscale.experiments.history.records import (
+    BackendChange,
+    BackendChanged,
+    NodeChange,
+    StoreChanged,
+)
 from weirscale.ports.machines import Machine
 from weirscale.standins.engine.in_process import InProcessEngine
 from weirscale.standins.faults import EngineFaults, ServiceFaults
@@ -53,6 +58,7 @@
         self._world = world
         self._random = random
         self._num_versions = 0
+        self._num_outages = 0
         self._actions: dict[FaultKind, Callable[[PlannedFault], Awaitable[None]]] = {
             FaultKind.ENGINE_CRASH: self._engine_crash,
             FaultKind.EVENT_LOSS: self._event_loss,
@@ -107,11 +113,21 @@
 
     async def _store_down(self, fault: PlannedFault) -> None:
         store = self._world.platform.store
+        self._num_outages += 1
         store.faults.is_down = True
         store.cut_watches()
+        self._note_store(is_up=False)
         await anyio.sleep(fault.lasts_s)
+        self._num_outages -= 1
+        if self._num_outages:
+            return
         store.faults.is_down = False
         store.notify()
+        self._note_store(is_up=True)
+
+    def _note_store(self, is_up: bool) -> None:
+        recorder = self._world.recorder
+        recorder.add(StoreChanged(at_s=recorder.now(), is_up=is_up))
 
     async def _store_slow(self, fault: PlannedFault) -> None:
         faults = self._world.platform.store.faults
--- a/src/weirscale/experiments/history/records.py
+++ b/src/weirscale/experiments/history/records.py
@@ -241,6 +241,12 @@
     change: BackendChange
 
 
+class StoreChanged(Record, frozen=True, tag="store_changed"):
+    """The key-value service went down or came back."""
+
+    is_up: bool
+
+
 class ConfigurationAccepted(Record, frozen=True, tag="configuration_accepted"):
     """The store accepted a configuration."""
 
@@ -269,6 +275,7 @@
     | OrderTaken
     | NodeChanged
     | BackendChanged
+    | StoreChanged
     | ConfigurationAccepted
     | ConfigurationTaken
 )
