Spread load reports within a byte budget

Cause: at the size to design for, a report of each engine each second to each node of a zone is 15 KB a second. Change: a home spreads reports less often the more receivers there are. Measured: behave features/home_*.feature: 22 scenarios pass; 26 nodes hear each report every 2 s, 4 nodes every second. Conclusion: at that size a report comes every 7 s; to be weighed against aggregates for each zone.

--- a/features/home_engines.feature
+++ b/features/home_engines.feature
@@ -35,6 +35,16 @@
     And no digest arrives for 13 seconds
     Then only homes believe any block
 
+  Scenario Outline: Load reports are spread within their byte budget
+    Given <nodes> home nodes and 2 scripted engines whose casts are lost at a rate of 0
+    When all is quiet for 60 seconds
+    Then each other node heard of each engine's load between <least> and <most> times
+
+    Examples:
+      | nodes | least | most |
+      | 4     | 55    | 62   |
+      | 26    | 28    | 31   |
+
   Scenario: A herd of restarts does not flood engines with dumps
     Given 4 home nodes and 40 scripted engines whose casts are lost at a rate of 0
     When all is quiet for 60 seconds
--- a/features/steps/home_engines_steps.py
+++ b/features/steps/home_engines_steps.py
@@ -1,3 +1,4 @@
+from collections import Counter
 from random import Random
 
 import anyio
@@ -172,6 +173,15 @@
         assert all(each.num_waiting_prefill_tokens == 700 for each in heard.values())
 
 
+@then("each other node heard of each engine's load between {least:d} and {most:d} times")
+def step_load_counts(context, least, most):
+    fleet = run(context)
+    for node in fleet.nodes.values():
+        heard = Counter(report.engine for report in node.observations.reports)
+        counts = [heard[each.name] for each in fleet.engines if each.name not in node.homes.engines]
+        assert all(least <= count <= most for count in counts), counts
+
+
 @then("no view believes any block")
 def step_none_believed(context):
     fleet = run(context)
--- a/src/weirscale/node/home/engine_home.py
+++ b/src/weirscale/node/home/engine_home.py
@@ -1,5 +1,6 @@
 """The home of one engine: follows its events and load, keeps its index, publishes digests."""
 
+import math
 from collections.abc import Callable, Sequence
 from random import Random
 
@@ -23,6 +24,9 @@
 from weirscale.node.interfaces import BackendObservations, PeerLink
 from weirscale.ports.engine import EngineFailure, EngineFailureKind, EnginePort
 
+LOAD_DIGEST_BYTES = 160
+"""Encoded size of a load report to other nodes, with its signature."""
+
 REPLAY_PAUSE_S = 0.05
 """Pause before a replay is asked for, so that a replay that keeps failing cannot spin."""
 
@@ -45,6 +49,7 @@
         stream: Name of the digest stream; higher than that of any earlier home.
         digest_bytes_per_s: Budget for this engine's digests, over all receivers.
         max_digest_keys: Keys of this engine that receivers are made to remember at most.
+        load_bytes_per_s: Budget for this engine's load reports, over all receivers.
         receivers: The other nodes that hear of the engine.
         take_own: Gives digests to this node's own view.
         link: Sends to other nodes.
@@ -61,6 +66,7 @@
         stream: int,
         digest_bytes_per_s: float,
         max_digest_keys: int,
+        load_bytes_per_s: float,
         receivers: GetReceivers,
         take_own: TakeOwnDigest,
         link: PeerLink,
@@ -71,6 +77,8 @@
     ) -> None:
         self._engine = engine
         self._port = port
+        self._load_bytes_per_s = load_bytes_per_s
+        self._load_spread_at_s = -math.inf
         self._receivers = receivers
         self._take_own = take_own
         self._link = link
@@ -193,6 +201,13 @@
         if report.weight_version is not None:
             self.index.note_run(report.incarnation, report.weight_version)
         self._observations.note_load_report(report, age_s)
+        receivers = self._receivers()
+        now_s = anyio.current_time()
+        # With many receivers reports are spread less often than they are read.
+        interval_s = LOAD_DIGEST_BYTES * len(receivers) / self._load_bytes_per_s
+        if now_s - self._load_spread_at_s < interval_s:
+            return
+        self._load_spread_at_s = now_s
         digest = LoadDigest(
             engine=report.engine,
             incarnation=report.incarnation,
@@ -200,5 +215,5 @@
             weight_version=report.weight_version,
             load=LoadSummary.of(report, age_s),
         )
-        for address in self._receivers():
+        for address in receivers:
             await self._link.cast(address, digest)
--- a/src/weirscale/node/home/home_task.py
+++ b/src/weirscale/node/home/home_task.py
@@ -116,6 +116,7 @@
             port=facts.port,
             stream=self._epoch_ms(),
             digest_bytes_per_s=self._rules.digest_bytes_per_s / num_engines,
+            load_bytes_per_s=self._rules.load_bytes_per_s / num_engines,
             max_digest_keys=self._max_digest_keys(facts),
             receivers=lambda: self._receivers(facts),
             take_own=self._take_own,
--- a/src/weirscale/node/home/rules.py
+++ b/src/weirscale/node/home/rules.py
@@ -13,6 +13,7 @@
         load_timeout_s: Longest wait for one.
         digest_bytes_per_s: Budget for digests of all engines of a home, to all receivers together.
         max_view_keys: Keys of one zone's engines in a receiver's view; at some 115 bytes each.
+        load_bytes_per_s: Budget for load reports of all engines of a home to other nodes.
         note_bytes_per_s: Budget for notes of sends, to all receivers together.
         min_noted_tokens: Sends that make an engine compute less are not told.
         dumps_per_s: Dumps that a node asks for at most, over all its engines.
@@ -34,6 +35,7 @@
     load_timeout_s: float = 1.0
     digest_bytes_per_s: float = 3000.0
     max_view_keys: int = 100_000
+    load_bytes_per_s: float = 2000.0
     note_bytes_per_s: float = 3000.0
     min_noted_tokens: int = 0
     dumps_per_s: float = 1.0
