Let a leaving node hand its claim groups over

Cause: a node that stops at once after its last request leaves its groups with two holders; several such stops in a row could lose a majority. Change: QuorumClaimLedger.hand_over waits until others hold them; leaving nodes are no homes of limits. Conclusion: drain should call hand_over after the node shows as leaving.

--- a/features/claims_faults.feature
+++ b/features/claims_faults.feature
@@ -52,3 +52,9 @@
     When two zones are cut off together with the store for 60 seconds
     Then no node in the cut zones grants a key
     And the nodes outside have gone on granting wherever they have a quorum
+
+  Scenario: Nodes that hand over before they stop leave every claim behind
+    Given claim holders on 5 nodes in 3 zones
+    When 20 keys have run and then all nodes are replaced, each after it has handed over
+    Then every key is answered as completed by the new nodes
+    And no new key was refused meanwhile
--- a/features/steps/claims_faults_steps.py
+++ b/features/steps/claims_faults_steps.py
@@ -220,3 +220,34 @@
 def step_outside(context):
     assert context.outside == context.expected, context.outside
     assert "granted" in context.expected
+
+
+@when("20 keys have run and then all nodes are replaced, each after it has handed over")
+def step_replace_all(context):
+    async def scenario(fleet):
+        for number in range(20):
+            await fleet.request(number % 5, f"key-{number}")
+        for number in range(5):
+            leaving = fleet.nodes[number]
+            leaving.state = PeerState.LEAVING
+            fleet.start(number + 5, leaving.zone, incarnation=1)
+            async with anyio.create_task_group() as tasks:
+                for caller in range(4):
+                    tasks.start_soon(fleet.request, number + 5, f"new-{number}-{caller}")
+                assert await leaving.ledger.hand_over(15.0)
+            fleet.stop(number)
+        context.told = [await fleet.request(5, f"key-{number}") for number in range(20)]
+        context.runs = fleet.runs
+
+    context.run(scenario)
+
+
+@then("every key is answered as completed by the new nodes")
+def step_all_completed(context):
+    assert set(context.told) == {"completed"}, context.told
+
+
+@then("no new key was refused meanwhile")
+def step_none_refused(context):
+    assert set(context.runs.values()) == {1}
+    assert len(context.runs) == 40, context.runs
--- a/src/weirscale/node/claims/ledger.py
+++ b/src/weirscale/node/claims/ledger.py
@@ -51,6 +51,8 @@
 """Longest time for a claim with all its rounds, within the caller's deadline."""
 OFFER_TIMEOUT_S = 0.8
 """For one offer: several round trips between the most distant regions."""
+HAND_OVER_POLL_S = 0.1
+"""How often a leaving node looks whether its groups are gone."""
 SPLIT_RETRY_S = 0.03
 """Longest first wait after a split vote; doubles, and is drawn at random to part the callers."""
 RECORD_WAIT_S = 0.2
@@ -121,9 +123,21 @@
                 self._calls.run_in(None)
 
     def num_held_groups(self) -> int:
-        """Groups that this node holds; a node that leaves waits until there are none."""
+        """Groups that this node holds."""
         return self.registry.num_holders()
 
+    async def hand_over(self, timeout_s: float) -> bool:
+        """Wait until other nodes hold this node's groups; membership must show it as leaving.
+
+        Returns:
+            False if it still holds some after the time, as the last node of a fleet does.
+        """
+        for _ in range(int(timeout_s / HAND_OVER_POLL_S)):
+            if self.num_held_groups() == 0:
+                return True
+            await anyio.sleep(HAND_OVER_POLL_S)
+        return self.num_held_groups() == 0
+
     async def claim(
         self,
         tenant: TenantName,
--- a/src/weirscale/node/limits/fleet.py
+++ b/src/weirscale/node/limits/fleet.py
@@ -9,7 +9,7 @@
 from weirscale.domain.limits.exchange import Member, Outgoing, ShareExchange
 from weirscale.domain.limits.fair_queue import WaitingRequest
 from weirscale.messages.limits import LimitDemand, LimitGrant
-from weirscale.node.interfaces import ConfigurationView, MembershipView, PeerLink
+from weirscale.node.interfaces import ConfigurationView, MembershipView, PeerLink, PeerState
 from weirscale.node.limits.task import MIN_RUNNING, AdmissionTask, node_capacity
 
 FLEET_POLL_S = 0.25
@@ -111,7 +111,9 @@
             zones = [zone for region in deployment.regions for zone in region.zones]
             self._exchange.set_limits(deployment.tenants, zones, now_s)
         if version != self._members_version:
-            self._exchange.set_members([Member(peer.address, peer.zone) for peer in peers], now_s)
+            staying = [peer for peer in peers if peer.state is not PeerState.LEAVING]
+            members = [Member(peer.address, peer.zone) for peer in staying]
+            self._exchange.set_members(members, now_s)
         if in_force is not None:
             self.queue.max_running = node_capacity(in_force.deployment, len(peers))
         self._members_version, self._revision = version, revision
