Part the modules of shared limits

Change: homes and parts of limits have modules of their own. Measured: behave features/limits_shares.feature features/limits_admission.feature: 28 scenarios passed. Conclusion: no change of behaviour.

--- a/bench/claims_and_limits.py
+++ b/bench/claims_and_limits.py
@@ -29,8 +29,9 @@
     TenantName,
     ZoneName,
 )
-from weirscale.domain.limits.exchange import Member, Outgoing, ShareExchange
+from weirscale.domain.limits.exchange import Outgoing, ShareExchange
 from weirscale.domain.limits.fair_queue import Waiting
+from weirscale.domain.limits.homes import Member
 from weirscale.messages.codec import MessageCodec
 from weirscale.messages.limits import LimitDemand, LimitGrant
 from weirscale.node.claims.ledger import QuorumClaimLedger
--- a/features/steps/limits_shares_steps.py
+++ b/features/steps/limits_shares_steps.py
@@ -12,13 +12,9 @@
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import Deployment, Region
 from weirscale.domain.identifiers import NodeAddress, NodeId
-from weirscale.domain.limits.exchange import Member
-from weirscale.domain.limits.share_pool import (
-    SharePool,
-    ZoneShare,
-    standing_requests,
-    standing_slots,
-)
+from weirscale.domain.limits.homes import Member
+from weirscale.domain.limits.share_pool import SharePool
+from weirscale.domain.limits.zone_share import ZoneShare, standing_requests, standing_slots
 from weirscale.messages.limits import TenantDemand
 from weirscale.node.interfaces import ConfigurationInForce, Peer, PeerState
 from weirscale.node.limits.fleet import FleetAdmissionTask
--- a/features/support/limits_fleet.py
+++ b/features/support/limits_fleet.py
@@ -6,8 +6,9 @@
 
 from weirscale.domain.configuration.model import Tenant
 from weirscale.domain.identifiers import NodeAddress
-from weirscale.domain.limits.exchange import Member, ShareExchange
+from weirscale.domain.limits.exchange import ShareExchange
 from weirscale.domain.limits.fair_queue import Waiting
+from weirscale.domain.limits.homes import Member
 
 STEP_S = 0.02
 SOME_NODE_S = 0.002
--- a/src/weirscale/domain/limits/exchange.py
+++ b/src/weirscale/domain/limits/exchange.py
@@ -11,23 +11,17 @@
 from random import Random
 
 import msgspec
-import xxhash
 
 from weirscale.domain.configuration.model import Tenant
 from weirscale.domain.identifiers import NodeAddress, TenantName, ZoneName
 from weirscale.domain.limits.allowance import TenantAllowance, UnlimitedAllowance
 from weirscale.domain.limits.fair_queue import NOTHING, Waiting
+from weirscale.domain.limits.homes import NUM_SHARDS, Member, choose_homes, tenant_digest
 from weirscale.domain.limits.share_holding import ShareHolding
-from weirscale.domain.limits.share_pool import (
-    SharePool,
-    ZoneShare,
-    standing_requests,
-    standing_slots,
-)
+from weirscale.domain.limits.share_pool import SharePool
+from weirscale.domain.limits.zone_share import ZoneShare, standing_requests, standing_slots
 from weirscale.messages.limits import LimitDemand, LimitGrant, TenantDemand
 
-NUM_SHARDS = 8
-"""Homes of a zone: spreads the work, while a node's demands still fit a few datagrams."""
 REGULAR_INTERVAL_S = 2.0
 """How often a node renews its demands; below half of the slots' lease."""
 RENEW_INTERVAL_S = 4.0
@@ -46,13 +40,6 @@
 UNLIMITED = UnlimitedAllowance()
 
 
-class Member(msgspec.Struct, frozen=True):
-    """A live node."""
-
-    address: NodeAddress
-    zone: ZoneName
-
-
 class Outgoing(msgspec.Struct, frozen=True):
     """A cast to send."""
 
@@ -67,11 +54,6 @@
     sent_at_s: float
 
 
-def tenant_digest(name: TenantName) -> int:
-    """32-bit digest of a tenant's name."""
-    return xxhash.xxh32_intdigest(name.encode())
-
-
 def is_limited(tenant: Tenant) -> bool:
     """Whether the tenant has any limit."""
     return not (
@@ -341,20 +323,3 @@
                 message = LimitDemand(self._run, sequence, is_home, page)
                 outgoing.append(Outgoing(home, message))
         return outgoing
-
-
-def choose_homes(addresses: list[NodeAddress]) -> list[NodeAddress]:
-    """The home of each shard: the highest score among nodes that have the fewest shards yet."""
-    num_shards = dict.fromkeys(addresses, 0)
-    homes = []
-    for shard in range(NUM_SHARDS):
-        least = min(num_shards.values())
-        free = [address for address in addresses if num_shards[address] == least]
-        home = max(free, key=lambda address: _score(address, shard))
-        num_shards[home] += 1
-        homes.append(home)
-    return homes
-
-
-def _score(address: NodeAddress, shard: int) -> int:
-    return xxhash.xxh3_64_intdigest(f"{address.host}:{address.port}".encode(), shard + 1)
--- a/src/weirscale/domain/limits/share_pool.py
+++ b/src/weirscale/domain/limits/share_pool.py
@@ -16,6 +16,12 @@
 from weirscale.domain.limits.allowance import PROMPT_BURST_S
 from weirscale.domain.limits.node_fairness import NodeFairness
 from weirscale.domain.limits.token_bucket import TokenBucket
+from weirscale.domain.limits.zone_share import (
+    ZoneShare,
+    part_of,
+    standing_requests,
+    standing_slots,
+)
 from weirscale.messages.limits import TenantDemand, TenantGrant
 
 NODE_LEASE_S = 5.0
@@ -34,39 +40,6 @@
 """How long tokens from other zones are kept; then they are void."""
 
 
-def part_of(limit: int, index: int, num_parts: int) -> int:
-    """Size of one of `num_parts` whole parts that sum to the limit."""
-    return (index + 1) * limit // num_parts - index * limit // num_parts
-
-
-class ZoneShare(msgspec.Struct, frozen=True):
-    """Which part of every limit a zone owns: part `index` of `num_zones` declared zones.
-
-    Attributes:
-        index: The zone's place among the zones.
-        num_zones: Declared zones.
-        max_nodes: Bound on the nodes of the fleet, each of which may own a standing part.
-    """
-
-    index: int
-    num_zones: int
-    max_nodes: int = 1
-
-
-def standing_requests(tenant: Tenant, share: ZoneShare) -> int:
-    """Requests that each node may start before it has asked: 1 where the burst has room for it.
-
-    Together they take at most half of the burst; the zones' pools have the rest.
-    """
-    return 1 if tenant.burst_requests >= 2 * max(share.max_nodes, share.num_zones) else 0
-
-
-def standing_slots(tenant: Tenant, share: ZoneShare) -> int:
-    """Slots that each node owns: 1 where the limit has room for it, at most half in all."""
-    limit = tenant.max_concurrent_requests
-    return 1 if limit is not None and limit >= 2 * share.max_nodes else 0
-
-
 class _Loan(msgspec.Struct, frozen=True):
     """Slots lent to a node or to another zone's home."""
 
--- a/src/weirscale/node/limits/fleet.py
+++ b/src/weirscale/node/limits/fleet.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from weirscale.domain.identifiers import ConfigurationRevision, NodeAddress, ZoneName
-from weirscale.domain.limits.exchange import Member, Outgoing, ShareExchange
+from weirscale.domain.limits.exchange import Outgoing, ShareExchange
 from weirscale.domain.limits.fair_queue import WaitingRequest
+from weirscale.domain.limits.homes import Member
 from weirscale.messages.limits import LimitDemand, LimitGrant
 from weirscale.node.interfaces import ConfigurationView, MembershipView, PeerLink, PeerState
 from weirscale.node.limits.task import MIN_RUNNING, AdmissionTask, node_capacity
