Run the table of single faults with one seed

Cause: the area's features took 18 s on a busy machine, of which the table 7 s. Measured: behave on features/configuration_*, key_value_* and machines_*: 207 scenarios pass. Conclusion: same scenarios and bounds, one run of each row.

--- a/features/configuration_spread.feature
+++ b/features/configuration_spread.feature
@@ -1,6 +1,6 @@
 Feature: A configuration comes into force on every node and never goes back
 
-  Scenario Outline: A fleet under faults, for seeds 1 and 2
+  Scenario Outline: A fleet under one fault
     Given a fleet of <nodes> nodes in <zones> zones
     When 6 changes are applied over a minute under "<faults>"
     Then every change accepted is in force on every node within <within> s
--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -12,7 +12,7 @@
 from weirscale.messages.configuration import ConfigurationReply
 from weirscale.node.configuration.holder import MAX_KEPT_REVISIONS, ConfigurationHolder
 
-SEEDS = (1, 2)
+SEEDS = (1,)
 QUIET_S = 60
 SETTLE_S = 5
 NUM_CHANGES = 6
