Look at claim groups only when membership has settled

Cause: each change of membership made every node rank all nodes for all groups several times, and a store that is down was waited for once for each group. Change: one pass after membership has settled; missing groups alone before; a pass ends when the store does not answer.

--- a/src/weirscale/node/claims/keeper.py
+++ b/src/weirscale/node/claims/keeper.py
@@ -169,36 +169,50 @@
     async def _tend_groups(self) -> None:
         """Change the holders of groups that need it and that are this node's to plan."""
         now_s = anyio.current_time()
-        nodes = self._peers.nodes()
         sealed = self._registry.groups_sealed_before(now_s - SEALED_TOO_LONG_S)
+        has_settled = self._has_settled(now_s)
+        due = self._groups_due(has_settled, now_s)
+        if not sealed and not due:
+            return
+        nodes = self._peers.nodes()
         for group in sealed:
             await self._tend(group, nodes, is_stuck=True)
-        if not self._is_check_due(now_s):
-            return
-        has_settled = now_s - self._version_since_s >= SETTLE_S
-        for group in range(NUM_GROUPS):
-            record = self._registry.epochs.record(group)
-            if record is not None and not has_settled:
-                continue
-            if planner_of(group, nodes) != self._membership.self_id:
-                continue
-            if self._needs_change(group, record, nodes) and self._loss.can_change(
-                record, nodes, *self._zones_now()
-            ):
-                await self._tend(group, nodes, is_stuck=False)
-        if has_settled:
+        for group in due:
+            if self._is_mine_to_change(group, nodes):
+                is_store_up = await self._tend(group, nodes, is_stuck=False)
+                if not is_store_up:
+                    break  # the others would wait for the store too; the next check tries again
+        if has_settled and due:
             self._checked_at_s = now_s
 
-    def _is_check_due(self, now_s: float) -> bool:
+    def _has_settled(self, now_s: float) -> bool:
+        """Whether membership has stood still for long enough."""
         version = self._membership.version()
         if version != self._seen_version:
             self._seen_version = version
             self._version_since_s = now_s
+        return now_s - self._version_since_s >= SETTLE_S
+
+    def _groups_due(self, has_settled: bool, now_s: float) -> list[int]:
+        """Groups to look at: missing ones at once, all others when membership has settled."""
+        epochs = self._registry.epochs
+        if not has_settled:
+            if epochs.num_unknown() == 0:
+                return []
+            return [group for group in range(NUM_GROUPS) if epochs.record(group) is None]
         is_unchecked = self._checked_at_s < self._version_since_s + SETTLE_S
-        if is_unchecked or self._registry.epochs.num_unknown() > 0:
-            return True
         interval_s = LOST_CHECK_S if self._loss.has_lost_groups else FULL_CHECK_S
-        return now_s - self._checked_at_s >= interval_s
+        is_due = is_unchecked or now_s - self._checked_at_s >= interval_s
+        return list(range(NUM_GROUPS)) if is_due or epochs.num_unknown() else []
+
+    def _is_mine_to_change(self, group: int, nodes: tuple[LiveNode, ...]) -> bool:
+        """Whether this node plans the group, it needs a change, and one is possible."""
+        if planner_of(group, nodes) != self._membership.self_id:
+            return False
+        record = self._registry.epochs.record(group)
+        if not self._needs_change(group, record, nodes):
+            return False
+        return self._loss.can_change(record, nodes, *self._zones_now())
 
     def _needs_change(
         self, group: int, record: GroupEpoch | None, nodes: tuple[LiveNode, ...]
@@ -206,17 +220,21 @@
         num_holders = claim_rules(self._configuration).num_holders
         return needs_change(group, record, nodes, num_holders)
 
-    async def _tend(self, group: int, nodes: tuple[LiveNode, ...], is_stuck: bool) -> None:
-        """Read the group's record anew and carry it to its next epoch if that is still due."""
+    async def _tend(self, group: int, nodes: tuple[LiveNode, ...], is_stuck: bool) -> bool:
+        """Read the group's record anew and carry it to its next epoch if that is still due.
+
+        Returns:
+            False if the store does not answer.
+        """
         stored = await read_record(self._store, group)
         if stored is None:
-            return
+            return False
         if self._registry.epochs.adopt(stored.record):
             is_stuck = False
-        if not is_stuck and not self._needs_change(group, stored.record, nodes):
-            return
-        if self._loss.can_change(stored.record, nodes, *self._zones_now()):
+        is_due = is_stuck or self._needs_change(group, stored.record, nodes)
+        if is_due and self._loss.can_change(stored.record, nodes, *self._zones_now()):
             await self._change(group, stored, nodes)
+        return True
 
     async def _change(
         self,
