--- a/features/prefix_chain.feature
+++ b/features/prefix_chain.feature
@@ -15,3 +15,12 @@
       | bole-school   | other | v1      | none    |
       | bole-school   | qalam | v2      | none    |
       | bole-school   | qalam | v1      | amharic |
+
+  Scenario: A chain read from the cache equals the one hashed, within bounded memory
+    Then cached chains equal hashed ones for any nested prompts, block sizes and seeds
+    And a chain cache of 20000 bytes stays within them after 4 MB of prompts
+
+  Scenario: A chain cache does not hash a prompt twice
+    Given a prompt of 1000000 bytes in a chain cache
+    When the prompt is extended by 5000 bytes and asked for again
+    Then fewer than 400 blocks are hashed
--- a/src/weirscale/domain/prefix/digest_publisher.py
+++ b/src/weirscale/domain/prefix/digest_publisher.py
@@ -45,7 +45,7 @@
 """A refinement that would take longer than this is not started."""
 
 DEFAULT_MAX_KEYS = 8192
-"""Keys of one engine in a receiver's table, of some 115 bytes each."""
+"""Keys of one engine in a receiver's table, of some 118 bytes each."""
 
 RATE_SMOOTHING_S = 5.0
 """Time constant of the change rate."""
--- a/src/weirscale/node/home/rules.py
+++ b/src/weirscale/node/home/rules.py
@@ -12,7 +12,7 @@
         load_interval_s: Time between load reports.
         load_timeout_s: Longest wait for one.
         digest_bytes_per_s: Budget for digests of all engines of a home, to all receivers together.
-        max_view_keys: Keys of one zone's engines in a receiver's view; at some 115 bytes each.
+        max_view_keys: Keys of one zone's engines in a receiver's view; at some 118 bytes each.
         load_bytes_per_s: Budget for load reports of all engines of a home to other nodes.
         note_bytes_per_s: Budget for notes of sends, to all receivers together.
         min_noted_tokens: Sends that make an engine compute less are not told.
