Read chunks from engines without a timer for each read

Cause: a finite read time limit makes the HTTP client set and cancel a timer for each chunk; a sampled profile of the comparison showed it as the largest difference to the relay. Change: after the headers the read limit is lifted; whoever pulls limits its own waiting.

--- a/src/weirscale/ports/engine.py
+++ b/src/weirscale/ports/engine.py
@@ -180,7 +180,8 @@
         """Start one attempt and stream its chunks.
 
         The iterator yields Ok chunks, then ends after the chunk with a finish reason, or yields
-        one Err and ends. Leaving the context early closes the connection; it does not cancel.
+        one Err and ends. Waiting for a chunk may have no limit but the puller's own. Leaving the
+        context early closes the connection; it does not cancel.
         """
         ...
 
--- a/src/weirscale/ports/engine_http.py
+++ b/src/weirscale/ports/engine_http.py
@@ -152,6 +152,9 @@
             yield _only_chunk(opened)
             return
         response = opened.ok_value
+        # A time limit on each read would cost a timer for each chunk, more than all other work on
+        # it. Whoever pulls the chunks limits its own waiting; the engine knows the time left.
+        request.extensions["timeout"]["read"] = None
         body = response.aiter_raw()
         try:
             yield _ResponseChunks(body, parser)
