Serve every application through one module, and hand claims over on a drain

Change: ports/asgi.py and ports/http_server.py serve all; the drain releases the planner's lease and hands claim groups over, and the ledger logs its events. Conclusion: one place decides how servers stop.

--- a/bench/bare_relay.py
+++ b/bench/bare_relay.py
@@ -8,12 +8,15 @@
 import httpx
 
 from bench.setup import ServerAddress, announce
-from weirscale.node.caller_server import open_listener, serve_callers
+from weirscale.ports.http_server import open_listener, serve_asgi
 
 Message = MutableMapping[str, Any]
 LOOPBACK = "127.0.0.1"
 PASSED_HEADERS = (b"content-type", b"x-request-id")
 
+FINISH_TIMEOUT_S = 1.0
+"""How long open requests may go on after the end of a bench."""
+
 
 class BareRelay:
     """Passes every request on to one engine and its answer back, piece by piece."""
@@ -81,7 +84,7 @@
     """Serve until killed."""
     listener = open_listener(LOOPBACK, 0)
     announce(ServerAddress(f"{LOOPBACK}:{listener.getsockname()[1]}"))
-    await serve_callers(BareRelay(engine_address), listener, anyio.Event())
+    await serve_asgi(BareRelay(engine_address), listener, anyio.Event(), FINISH_TIMEOUT_S)
 
 
 if __name__ == "__main__":
--- a/bench/platform_process.py
+++ b/bench/platform_process.py
@@ -7,9 +7,9 @@
 
 from bench.setup import MODEL, VERSION, PlatformAddresses, announce, deployment
 from weirscale.domain.identifiers import EngineName
-from weirscale.node.caller_server import open_listener, serve_callers
 from weirscale.node.configuration.apply import Applier
 from weirscale.node.configuration.outcome import Accepted
+from weirscale.ports.http_server import open_listener, serve_asgi
 from weirscale.standins.engine.server import EngineServer, serve_engine
 from weirscale.standins.engine.settings import EngineSettings
 from weirscale.standins.key_value.app import KeyValueApp
@@ -31,6 +31,9 @@
 )
 """Prefill costs next to nothing, so that the first byte shows the path's own time."""
 
+FINISH_TIMEOUT_S = 1.0
+"""How long open requests may go on after the end of a bench."""
+
 
 async def main() -> None:
     """Serve until killed."""
@@ -39,7 +42,8 @@
     key_value_address = f"{LOOPBACK}:{listener.getsockname()[1]}"
     async with anyio.create_task_group() as tasks:
         served: EngineServer = await tasks.start(serve_engine, SETTINGS)
-        tasks.start_soon(serve_callers, KeyValueApp(store), listener, anyio.Event())
+        stop = anyio.Event()
+        tasks.start_soon(serve_asgi, KeyValueApp(store), listener, stop, FINISH_TIMEOUT_S)
         applier = Applier(
             InProcessKeyValue(store), deployment(served.address), None, "bench", Random(2)
         )
--- a/features/support/loopback.py
+++ b/features/support/loopback.py
@@ -4,13 +4,14 @@
 
 import anyio
 
-from weirscale.standins.asgi_server import LOOPBACK, open_listener, port_of, serve_listener
+from weirscale.ports.http_server import open_listener, port_of
+from weirscale.standins.asgi_server import LOOPBACK, serve_listener
 
 
 @asynccontextmanager
 async def served(app):
     """Serve an app on a free port and yield its address; for asyncio only."""
-    listener = open_listener()
+    listener = open_listener(LOOPBACK, 0)
     address = f"{LOOPBACK}:{port_of(listener)}"
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
--- a/features/support/scripted_nodes.py
+++ b/features/support/scripted_nodes.py
@@ -6,8 +6,8 @@
 
 from weirscale.domain.prefix.prompt import prompt_bytes
 from weirscale.domain.request.model import ServiceRequest
-from weirscale.node.callers.asgi import send_whole
 from weirscale.node.interfaces import ConfigurationInForce
+from weirscale.ports.asgi import send_whole
 from weirscale.standins.engine.answer import CHARACTERS_PER_TOKEN, expected_text
 
 TOKENS_PER_CHUNK = 4
--- a/src/weirscale/cli/stand_in.py
+++ b/src/weirscale/cli/stand_in.py
@@ -12,7 +12,8 @@
 from ruamel.yaml.error import YAMLError
 
 from weirscale.cli.exit_codes import EXIT_DONE, EXIT_USAGE
-from weirscale.standins.asgi_server import AsgiApp, OutageServer
+from weirscale.ports.asgi import AsgiApp
+from weirscale.standins.asgi_server import OutageServer
 from weirscale.standins.engine.server import serve_engine
 from weirscale.standins.engine.settings import EngineSettings
 from weirscale.standins.key_value.app import KeyValueApp
--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -66,6 +66,9 @@
 from weirscale.ports.service import ServicePort
 
 RELEASE_TIMEOUT_S = 1.0
+HAND_OVER_TIMEOUT_S = 10.0
+"""Claim groups get new holders before this one goes, so that a rolling restart loses no claim."""
+
 NANOSECONDS_PER_MS = 1_000_000
 _NO_REVISION = ConfigurationRevision(0)
 
@@ -157,7 +160,13 @@
         self.decisions = DecisionLog(identity.node.name)
         self.explainer = Explainer(self.decisions, self.link, self.membership)
         self.ledger = QuorumClaimLedger(
-            self.link, self.membership, self.configuration, ports.key_value, identity.zone, random
+            self.link,
+            self.membership,
+            self.configuration,
+            ports.key_value,
+            identity.zone,
+            random,
+            events=event_log,
         )
         self.admission = FleetAdmissionTask(
             self.link,
@@ -311,6 +320,7 @@
         """Let another node take over at once; bounded, since leases run out by themselves."""
         with anyio.move_on_after(RELEASE_TIMEOUT_S):
             await self._planner_lease.release()
+        await self.ledger.hand_over(HAND_OVER_TIMEOUT_S)
 
     def _retry_rules(self) -> RetryRules:
         in_force = self.configuration.current()
--- a/src/weirscale/node/callers/app.py
+++ b/src/weirscale/node/callers/app.py
@@ -10,15 +10,6 @@
 from weirscale.domain.request import refusals
 from weirscale.domain.request.model import RunStatus
 from weirscale.domain.request.refusal import Refusal
-from weirscale.node.callers.asgi import (
-    JSON_TYPE,
-    Receive,
-    Scope,
-    Send,
-    decode_headers,
-    headers_size_bytes,
-    send_whole,
-)
 from weirscale.node.callers.authentication import TenantIndex
 from weirscale.node.callers.body import CallerGoneError
 from weirscale.node.callers.call import Call
@@ -36,6 +27,16 @@
 from weirscale.node.execution.generation import GenerationExecutor
 from weirscale.node.execution.service import ServiceExecutor
 from weirscale.node.interfaces import Admission, ConfigurationInForce, ConfigurationView
+from weirscale.ports.asgi import (
+    JSON_TYPE,
+    Receive,
+    Scope,
+    Send,
+    answer_lifespan,
+    decode_headers,
+    headers_size_bytes,
+    send_whole,
+)
 
 MODELS_PATH = "/v1/models"
 HEALTH_PATH = "/healthz"
@@ -82,7 +83,7 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await answer_lifespan(receive, send)
         elif scope["type"] == "http":
             await self._serve_http(scope, receive, send)
         elif scope["type"] == "websocket":
@@ -220,11 +221,3 @@
     call.note_response_started(200)
     await send_whole(call.send, 200, [(b"content-type", JSON_TYPE)], body)
     call.note_answered()
-
-
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
--- a/src/weirscale/node/callers/body.py
+++ b/src/weirscale/node/callers/body.py
@@ -6,7 +6,7 @@
 from weirscale.domain.configuration.model import CallerLimits
 from weirscale.domain.request import refusals
 from weirscale.domain.request.refusal import Refusal
-from weirscale.node.callers.asgi import Receive
+from weirscale.ports.asgi import Receive
 
 
 class CallerGoneError(Exception):
--- a/src/weirscale/node/callers/call.py
+++ b/src/weirscale/node/callers/call.py
@@ -3,9 +3,9 @@
 from weirscale.domain.identifiers import RequestId
 from weirscale.domain.request.model import RunStatus
 from weirscale.domain.request.refusal import Refusal
-from weirscale.node.callers.asgi import Receive, Scope, Send
 from weirscale.node.callers.errors import send_refusal
 from weirscale.node.callers.metrics import ABANDONED_CODE, OK_CODE
+from weirscale.ports.asgi import Receive, Scope, Send
 
 
 class Call:
--- a/src/weirscale/node/callers/disconnect.py
+++ b/src/weirscale/node/callers/disconnect.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from weirscale.node.callers.asgi import Receive
+from weirscale.ports.asgi import Receive
 
 
 @asynccontextmanager
--- a/src/weirscale/node/callers/errors.py
+++ b/src/weirscale/node/callers/errors.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from weirscale.domain.request.refusal import Refusal
-from weirscale.node.callers.asgi import JSON_TYPE, HeaderList, Send, send_whole
+from weirscale.ports.asgi import JSON_TYPE, HeaderList, Send, send_whole
 
 RUN_STATUS_HEADER = b"x-run-status"
 REQUEST_ID_HEADER = b"x-request-id"
--- a/src/weirscale/node/callers/generation_route.py
+++ b/src/weirscale/node/callers/generation_route.py
@@ -10,13 +10,6 @@
 from weirscale.domain.prefix.chain import BYTES_PER_TOKEN
 from weirscale.domain.request.model import GenerationRequest, TokenChunk
 from weirscale.domain.request.refusal import Refusal
-from weirscale.node.callers.asgi import (
-    EVENT_STREAM_TYPE,
-    JSON_TYPE,
-    HeaderList,
-    Message,
-    send_whole,
-)
 from weirscale.node.callers.body import read_body
 from weirscale.node.callers.call import Call
 from weirscale.node.callers.caller_headers import parse_caller_headers
@@ -33,6 +26,7 @@
 from weirscale.node.callers.metrics import CallerMetrics
 from weirscale.node.execution.generation import GenerationExecutor, GenerationRun
 from weirscale.node.interfaces import Admission, ConfigurationInForce
+from weirscale.ports.asgi import EVENT_STREAM_TYPE, JSON_TYPE, HeaderList, Message, send_whole
 
 MAX_EVENTS_OF_PART = 32
 """Events that leave together at most, so that a caller far behind still gets small parts."""
--- a/src/weirscale/node/callers/service_route.py
+++ b/src/weirscale/node/callers/service_route.py
@@ -8,7 +8,6 @@
 from weirscale.domain.request import refusals
 from weirscale.domain.request.model import ServiceRequest, ServiceResponse
 from weirscale.domain.request.refusal import Refusal
-from weirscale.node.callers.asgi import HeaderList, send_whole
 from weirscale.node.callers.body import read_body
 from weirscale.node.callers.call import Call
 from weirscale.node.callers.caller_headers import parse_caller_headers
@@ -16,6 +15,7 @@
 from weirscale.node.callers.errors import REQUEST_ID_HEADER, RUN_STATUS_HEADER
 from weirscale.node.execution.service import ServiceExecutor
 from weirscale.node.interfaces import Admission, ConfigurationInForce
+from weirscale.ports.asgi import HeaderList, send_whole
 
 SERVICES_PREFIX = "/services/"
 ANY_METHOD = "*"
--- a/src/weirscale/node/operators/app.py
+++ b/src/weirscale/node/operators/app.py
@@ -8,13 +8,21 @@
 import msgspec
 
 from weirscale.domain.identifiers import RequestId
-from weirscale.node.callers.asgi import JSON_TYPE, Receive, Scope, Send, send_whole
 from weirscale.node.configuration.status import STATUS_PATH
 from weirscale.node.configuration.task import ConfigurationTask
 from weirscale.node.interfaces import MembershipView, Peer
 from weirscale.node.placement.status import PlacementStatus
 from weirscale.node.routing.explain import Explainer
 from weirscale.node.routing.explain_text import render_json, render_text
+from weirscale.ports.asgi import (
+    JSON_TYPE,
+    Receive,
+    Scope,
+    Send,
+    answer_lifespan,
+    send_json,
+    send_whole,
+)
 
 EXPLAIN_PREFIX = "/operator/explain/"
 MEMBERS_PATH = "/operator/members"
@@ -71,19 +79,19 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one ASGI connection."""
         if scope["type"] == "lifespan":
-            await _acknowledge_lifespan(receive, send)
+            await answer_lifespan(receive, send)
         elif scope["type"] == "http":
             await self._serve(scope["method"], scope["path"], scope["query_string"], send)
 
     async def _serve(self, method: str, path: str, query: bytes, send: Send) -> None:
         if method == "POST" and path == DRAIN_PATH:
             self._begin_drain()
-            await _send_json(send, ACCEPTED, {"draining": True})
+            await send_json(send, ACCEPTED, {"draining": True})
         elif method == "GET" and path == STATUS_PATH:
-            await _send_json(send, OK, await self._configuration.fleet_status())
+            await send_json(send, OK, await self._configuration.fleet_status())
         elif method == "GET" and path == MEMBERS_PATH:
             own_name = self._membership.self_id.name
-            await _send_json(send, OK, MemberList(own_name, self._membership.peers()))
+            await send_json(send, OK, MemberList(own_name, self._membership.peers()))
         elif method == "GET" and path == ROLLOUT_PATH:
             await self._send_rollout(send)
         elif method == "GET" and path.startswith(EXPLAIN_PREFIX):
@@ -91,7 +99,7 @@
             await self._explain(request_id, TEXT_QUERY in query, send)
         else:
             problem = OperatorProblem(f"{method} {path} is not served here", "see docs/operators")
-            await _send_json(send, NOT_FOUND, problem)
+            await send_json(send, NOT_FOUND, problem)
 
     async def _send_rollout(self, send: Send) -> None:
         status = await self._placement.of_planner()
@@ -100,9 +108,9 @@
                 "no live node plans now",
                 "engines stay as they are; check that the key-value service answers",
             )
-            await _send_json(send, UNAVAILABLE, problem)
+            await send_json(send, UNAVAILABLE, problem)
         else:
-            await _send_json(send, OK, status)
+            await send_json(send, OK, status)
 
     async def _explain(self, request_id: RequestId, as_text: bool, send: Send) -> None:
         record = await self._explainer.explain(request_id)
@@ -111,22 +119,10 @@
                 f"no live node remembers request {request_id!r}",
                 "each node keeps its latest decisions only; ask sooner, or check the id",
             )
-            await _send_json(send, NOT_FOUND, problem)
+            await send_json(send, NOT_FOUND, problem)
         elif as_text:
             body = render_text(record).encode() + b"\n"
             await send_whole(send, OK, [(b"content-type", TEXT_TYPE)], body)
         else:
             body = render_json(record).encode()
             await send_whole(send, OK, [(b"content-type", JSON_TYPE)], body)
-
-
-async def _send_json(send: Send, status: int, value: object) -> None:
-    await send_whole(send, status, [(b"content-type", JSON_TYPE)], msgspec.json.encode(value))
-
-
-async def _acknowledge_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
--- a/src/weirscale/node/program.py
+++ b/src/weirscale/node/program.py
@@ -11,11 +11,11 @@
 from weirscale.domain.identifiers import Incarnation, NodeAddress, NodeId
 from weirscale.messages.envelope import KeyRing, PeerKey
 from weirscale.node.assembly import Node, NodeIdentity, NodePorts
-from weirscale.node.caller_server import open_listener, serve_callers
 from weirscale.node.event_log import EliotEventLog, start_line_log
 from weirscale.node.settings import NodeSettings, parse_address
 from weirscale.ports.engine import EnginePort
 from weirscale.ports.engine_http import HttpEngine
+from weirscale.ports.http_server import open_listener, port_of, serve_asgi
 from weirscale.ports.key_value_etcd import EtcdKeyValue
 from weirscale.ports.machines_http import HttpMachineList
 from weirscale.ports.peers_network import UdpHttpPeerNetwork
@@ -27,6 +27,9 @@
 OPERATOR_HOST = "127.0.0.1"
 """Operators' questions are answered on loopback only: the port has no authentication."""
 
+FINISH_TIMEOUT_S = 5.0
+"""After a drain no request runs; idle connections get this long to close."""
+
 EXIT_DRAINED = 0
 EXIT_CUT = 4
 """The drain ran out of time and cut requests."""
@@ -66,9 +69,9 @@
         self._random = random
         self.stopped = anyio.Event()
         self._listener = open_listener(settings.host, settings.caller_port)
-        self.caller_port: int = self._listener.getsockname()[1]
+        self.caller_port = port_of(self._listener)
         self._operator_listener = open_listener(OPERATOR_HOST, settings.operator_port)
-        self.operator_port: int = self._operator_listener.getsockname()[1]
+        self.operator_port = port_of(self._operator_listener)
         self.event_log = EliotEventLog(node=settings.name, zone=settings.zone)
         self.network = UdpHttpPeerNetwork(NodeAddress(settings.host, settings.peer_port))
         self.identity = NodeIdentity(
@@ -106,9 +109,11 @@
         async with anyio.create_task_group() as tasks:
             await tasks.start(self.network.run)
             await tasks.start(self.node.run)
-            tasks.start_soon(serve_callers, self.node.caller_app, self._listener, served)
+            callers = self.node.caller_app
+            tasks.start_soon(serve_asgi, callers, self._listener, served, FINISH_TIMEOUT_S)
             operators = self.node.operator_app(stop.set)
-            tasks.start_soon(serve_callers, operators, self._operator_listener, served)
+            listener = self._operator_listener
+            tasks.start_soon(serve_asgi, operators, listener, served, FINISH_TIMEOUT_S)
             self.event_log.event(
                 "node_started", callers=self.caller_port, operators=self.operator_port
             )
--- a/src/weirscale/node/caller_server.py
+++ b/src/weirscale/ports/http_server.py
@@ -1,20 +1,18 @@
-"""Serves the callers' ASGI application with hypercorn inside this process."""
+"""Serves an ASGI application with hypercorn inside this process.
+
+hypercorn's in-process API is used: its own command starts worker processes.
+"""
 
 import socket
-from collections.abc import Awaitable, Callable
-from typing import Any
 
 import anyio
 
+from weirscale.ports.asgi import AsgiApp
+
 LISTEN_BACKLOG = 1024
 KEEP_ALIVE_S = 75.0
 """Longer than clients keep idle connections, so that the client closes them."""
 
-FINISH_TIMEOUT_S = 5.0
-"""After a drain no request runs; idle connections get this long to close."""
-
-AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
-
 
 def open_listener(host: str, port: int) -> socket.socket:
     """Bind a TCP port (0: any free one) and listen, so that its number is known at once.
@@ -27,14 +25,29 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, port))
     listener.listen(LISTEN_BACKLOG)
+    listener.setblocking(False)
     return listener
 
 
-async def serve_callers(app: AsgiApp, listener: socket.socket, stop: anyio.Event) -> None:
+def port_of(listener: socket.socket) -> int:
+    """Return the port that a listener is bound to."""
+    port: int = listener.getsockname()[1]
+    return port
+
+
+async def serve_asgi(
+    app: AsgiApp, listener: socket.socket, stop: anyio.Event, finish_timeout_s: float
+) -> None:
     """Serve until `stop` is set or the task is cancelled; the listener is closed at the end.
 
-    hypercorn's in-process API is used: its own command starts worker processes. It does not clean
-    up when it is cancelled, so it runs shielded, and cancellation becomes a stop.
+    hypercorn does not clean up when it is cancelled, so it runs shielded, and cancellation becomes
+    a stop.
+
+    Args:
+        app: The application.
+        listener: A listening socket; owned by the server from here on.
+        stop: Ends the serving.
+        finish_timeout_s: How long open requests and connections may go on after the stop.
     """
     from hypercorn.asyncio import serve
     from hypercorn.config import Config
@@ -45,7 +58,7 @@
     config.errorlog = None
     config.backlog = LISTEN_BACKLOG
     config.keep_alive_timeout = KEEP_ALIVE_S
-    config.graceful_timeout = FINISH_TIMEOUT_S
+    config.graceful_timeout = finish_timeout_s
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_stop_when_cancelled, stop)
         with anyio.CancelScope(shield=True):
--- a/src/weirscale/ports/peers_network.py
+++ b/src/weirscale/ports/peers_network.py
@@ -4,9 +4,7 @@
 in the process and sent by httpx.
 """
 
-import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any
+from collections.abc import AsyncIterator
 
 import anyio
 import anyio.lowlevel
@@ -17,6 +15,8 @@
 from result import Err, Ok, Result
 
 from weirscale.domain.identifiers import NodeAddress
+from weirscale.ports.asgi import Receive, Scope, Send, answer_lifespan, read_body, send_whole
+from weirscale.ports.http_server import open_listener, serve_asgi
 from weirscale.ports.peers import CallHandler, Datagram, PeerFailure
 
 CALL_PATH = "/peer"
@@ -35,9 +35,7 @@
 """Datagrams that wait to be sent; more are dropped, as a full socket buffer would."""
 
 CONTENT_TYPE = "application/cbor"
-
-AsgiReceive = Callable[[], Awaitable[Any]]
-AsgiSend = Callable[[Any], Awaitable[None]]
+CONTENT_HEADER = (b"content-type", CONTENT_TYPE.encode())
 
 
 class _Outgoing(msgspec.Struct, frozen=True):
@@ -71,7 +69,7 @@
             local_host=self._listen.host, local_port=self._listen.port
         )
         # Listening before `started`, so that no early call is refused.
-        listener = _listen(self._listen)
+        listener = open_listener(self._listen.host, self._listen.port)
         async with udp_socket, httpx.AsyncClient(limits=limits, trust_env=False) as client:
             self._socket = udp_socket
             self._client = client
@@ -79,7 +77,7 @@
             task_status.started()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._send_datagrams, udp_socket)
-                await self._serve(listener)
+                await serve_asgi(self._application, listener, anyio.Event(), STOP_S)
 
     async def cast(self, destination: NodeAddress, payload: bytes) -> None:
         """Leave one datagram for the sending task; a full outbox counts as a loss."""
@@ -141,82 +139,16 @@
                 # A failure to send is a loss, as on the network.
                 continue
 
-    async def _serve(self, listener: socket.socket) -> None:
-        shutdown = anyio.Event()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._serve_until, listener, shutdown)
-            try:
-                await anyio.sleep_forever()
-            finally:
-                shutdown.set()
-
-    async def _serve_until(self, listener: socket.socket, shutdown: anyio.Event) -> None:
-        from hypercorn.asyncio import serve
-        from hypercorn.config import Config
-
-        config = Config()
-        config.bind = [f"fd://{listener.detach()}"]
-        config.accesslog = None
-        config.errorlog = None
-        config.graceful_timeout = STOP_S
-        # The server ends by its own trigger: cancelling it midway leaves connections open.
-        with anyio.CancelScope(shield=True):
-            application: Any = self._application
-            await serve(application, config, shutdown_trigger=shutdown.wait)
-
-    async def _application(
-        self, scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend
-    ) -> None:
+    async def _application(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
-            await _acknowledge_lifespan(receive, send)
+            await answer_lifespan(receive, send)
             return
         if scope["type"] != "http":
             return
-        body = await _read_body(receive)
+        body = await read_body(receive, MAX_CALL_BYTES)
         if scope["path"] != CALL_PATH or self._handler is None:
-            await _respond(send, 404, b"")
+            await send_whole(send, 404, [CONTENT_HEADER], b"")
         elif body is None:
-            await _respond(send, 413, b"")
+            await send_whole(send, 413, [CONTENT_HEADER], b"")
         else:
-            await _respond(send, 200, await self._handler(body))
-
-
-def _listen(address: NodeAddress) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((address.host, address.port))
-    listener.listen(LISTEN_BACKLOG)
-    listener.setblocking(False)
-    return listener
-
-
-async def _acknowledge_lifespan(receive: AsgiReceive, send: AsgiSend) -> None:
-    while True:
-        event = await receive()
-        await send({"type": event["type"] + ".complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
-
-
-async def _read_body(receive: AsgiReceive) -> bytes | None:
-    """Read a request's body; None when it is too large or the caller went away."""
-    parts: list[bytes] = []
-    num_bytes = 0
-    while True:
-        event = await receive()
-        if event["type"] != "http.request":
-            return None
-        part = event.get("body", b"")
-        num_bytes += len(part)
-        if num_bytes > MAX_CALL_BYTES:
-            return None
-        parts.append(part)
-        if not event.get("more_body", False):
-            return b"".join(parts)
-
-
-async def _respond(send: AsgiSend, status: int, body: bytes) -> None:
-    headers = [(b"content-type", CONTENT_TYPE.encode())]
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-    await send({"type": "http.response.body", "body": body})
+            await send_whole(send, 200, [CONTENT_HEADER], await self._handler(body))
--- a/src/weirscale/standins/admin.py
+++ b/src/weirscale/standins/admin.py
@@ -8,14 +8,8 @@
 
 import msgspec
 
-from weirscale.standins.asgi_server import (
-    Receive,
-    Scope,
-    Send,
-    answer_lifespan,
-    read_body,
-    send_json,
-)
+from weirscale.ports.asgi import Receive, Scope, Send, answer_lifespan, read_body, send_json
+from weirscale.standins.asgi_server import MAX_BODY_BYTES
 from weirscale.standins.faults import FaultsT, FaultSwitch
 
 OK = 200
@@ -59,7 +53,7 @@
                 await send_json(send, NOT_FOUND, {"error": "no such path"})
 
     async def _set_faults(self, receive: Receive, send: Send) -> None:
-        body = await read_body(receive)
+        body = await read_body(receive, MAX_BODY_BYTES)
         if body is None:
             return
         try:
--- a/src/weirscale/standins/engine/http_app.py
+++ b/src/weirscale/standins/engine/http_app.py
@@ -15,25 +15,25 @@
 )
 from weirscale.domain.prefix.prompt import prompt_bytes
 from weirscale.ports import engine_wire as wire
-from weirscale.ports.engine import (
-    ChunkOrFailure,
-    EngineFailure,
-    EngineFailureKind,
-    EngineOrder,
-    GenerateCall,
-)
-from weirscale.standins.asgi_server import (
-    NO_CONTENT,
+from weirscale.ports.asgi import (
     Receive,
     Scope,
     Send,
     answer_lifespan,
-    headers_of,
+    decode_headers,
     read_body,
     send_json,
     send_part,
     start_response,
 )
+from weirscale.ports.engine import (
+    ChunkOrFailure,
+    EngineFailure,
+    EngineFailureKind,
+    EngineOrder,
+    GenerateCall,
+)
+from weirscale.standins.asgi_server import MAX_BODY_BYTES
 from weirscale.standins.engine.attempt import Attempt
 from weirscale.standins.engine.chunk_faults import EARLY_END
 from weirscale.standins.engine.in_process import InProcessEngine
@@ -41,6 +41,7 @@
 
 DEFAULT_TIME_LEFT_S = 600.0
 SSE_HEADERS = ((b"content-type", b"text/event-stream"), (b"cache-control", b"no-cache"))
+NO_CONTENT = 204
 NDJSON_HEADERS = ((b"content-type", b"application/x-ndjson"),)
 OK = 200
 BAD_GATEWAY = 502
@@ -73,10 +74,10 @@
             await send_failure(send, _not_found("no such path"))
 
     async def _generate(self, path: str, scope: Scope, receive: Receive, send: Send) -> None:
-        body = await read_body(receive)
+        body = await read_body(receive, MAX_BODY_BYTES)
         if body is None:
             return
-        parsed = parse_call(path, headers_of(scope), body)
+        parsed = parse_call(path, decode_headers(scope["headers"]), body)
         if isinstance(parsed, Err):
             await send_failure(send, parsed.err_value)
             return
@@ -169,7 +170,7 @@
                     await send_part(send, msgspec.json.encode(body) + b"\n", is_last=True)
 
     async def _order(self, receive: Receive, send: Send) -> None:
-        body = await read_body(receive)
+        body = await read_body(receive, MAX_BODY_BYTES)
         if body is None:
             return
         try:
--- a/src/weirscale/standins/key_value/app.py
+++ b/src/weirscale/standins/key_value/app.py
@@ -13,7 +13,7 @@
 import anyio
 import msgspec
 
-from weirscale.standins.asgi_server import (
+from weirscale.ports.asgi import (
     JSON_HEADERS,
     Receive,
     Scope,
@@ -24,6 +24,7 @@
     send_part,
     start_response,
 )
+from weirscale.standins.asgi_server import MAX_BODY_BYTES
 from weirscale.standins.key_value.model import (
     Change,
     CompactedError,
@@ -261,7 +262,7 @@
 
 
 async def _read_object(receive: Receive) -> Body:
-    content = await read_body(receive)
+    content = await read_body(receive, MAX_BODY_BYTES)
     if content is None:
         raise _BadRequestError("no whole body came")
     try:
--- a/src/weirscale/standins/machines/app.py
+++ b/src/weirscale/standins/machines/app.py
@@ -9,8 +9,7 @@
 import anyio
 import msgspec
 
-from weirscale.ports.machines import Machine
-from weirscale.standins.asgi_server import (
+from weirscale.ports.asgi import (
     JSON_HEADERS,
     Receive,
     Scope,
@@ -20,6 +19,8 @@
     send_part,
     start_response,
 )
+from weirscale.ports.machines import Machine
+from weirscale.standins.asgi_server import MAX_BODY_BYTES
 from weirscale.standins.machines.model import MachineListFaults, MachineListModel
 
 
@@ -43,7 +44,7 @@
         if scope["type"] == "lifespan":
             await answer_lifespan(receive, send)
             return
-        body = await read_body(receive) or b""
+        body = await read_body(receive, MAX_BODY_BYTES) or b""
         try:
             status, answer = await self._answer(scope["method"], scope["path"], body)
         except msgspec.MsgspecError as error:
--- a/src/weirscale/standins/service/http_app.py
+++ b/src/weirscale/standins/service/http_app.py
@@ -4,18 +4,18 @@
 import msgspec
 from anyio.abc import TaskStatus
 
-from weirscale.standins.admin import AdminApp
-from weirscale.standins.asgi_server import (
-    OutageServer,
+from weirscale.ports.asgi import (
     Receive,
     Scope,
     Send,
     answer_lifespan,
-    headers_of,
+    decode_headers,
     read_body,
     send_part,
     start_response,
 )
+from weirscale.standins.admin import AdminApp
+from weirscale.standins.asgi_server import MAX_BODY_BYTES, OutageServer
 from weirscale.standins.faults import ServiceFaults
 from weirscale.standins.service.in_process import InProcessService
 from weirscale.standins.service.model import OK, ServiceSettings
@@ -34,13 +34,15 @@
             return
         if scope["type"] != "http":
             return
-        body = await read_body(receive)
+        body = await read_body(receive, MAX_BODY_BYTES)
         if body is None:
             return
         path = scope["raw_path"].decode("latin-1")
         query = scope["query_string"].decode("latin-1")
         target = f"{path}?{query}" if query else path
-        answer = await self._service.handle(scope["method"], target, headers_of(scope), body)
+        answer = await self._service.handle(
+            scope["method"], target, decode_headers(scope["headers"]), body
+        )
         if answer is None:
             await break_connection(send)
             return
--- a/src/weirscale/standins/weight_store/http_app.py
+++ b/src/weirscale/standins/weight_store/http_app.py
@@ -10,18 +10,11 @@
 from result import Err, Ok, Result
 
 from weirscale.domain.identifiers import EngineName
+from weirscale.ports.asgi import Receive, Scope, Send, answer_lifespan, read_body, send_json
 from weirscale.ports.engine import LoadModel
 from weirscale.ports.http_client import CONNECT_TIMEOUT_S, new_client
 from weirscale.standins.admin import AdminApp
-from weirscale.standins.asgi_server import (
-    OutageServer,
-    Receive,
-    Scope,
-    Send,
-    answer_lifespan,
-    read_body,
-    send_json,
-)
+from weirscale.standins.asgi_server import MAX_BODY_BYTES, OutageServer
 from weirscale.standins.faults import StoreFaults
 from weirscale.standins.weight_store.in_process import InProcessWeightStore, WeightStoreSettings
 
@@ -53,7 +46,7 @@
         if scope["type"] == "lifespan":
             await answer_lifespan(receive, send)
             return
-        body = await read_body(receive)
+        body = await read_body(receive, MAX_BODY_BYTES)
         if body is None:
             return
         try:
