Share the scope of digests and notes

Cause: digests and notes go to the same nodes; the rule stood in the home alone. Change: one function for both; a test of large regions. Conclusion: none.

--- a/features/home_engines.feature
+++ b/features/home_engines.feature
@@ -45,6 +45,11 @@
       | 4     | 55    | 62   |
       | 26    | 28    | 31   |
 
+  Scenario: In a large region only the engine's zone hears of it
+    Given 40 home nodes and 2 scripted engines whose casts are lost at a rate of 0
+    When all is quiet for 10 seconds
+    Then exactly the nodes of an engine's zone have heard of its load
+
   Scenario: A herd of restarts does not flood engines with dumps
     Given 4 home nodes and 40 scripted engines whose casts are lost at a rate of 0
     When all is quiet for 60 seconds
--- a/features/steps/home_engines_steps.py
+++ b/features/steps/home_engines_steps.py
@@ -182,6 +182,14 @@
         assert all(least <= count <= most for count in counts), counts
 
 
+@then("exactly the nodes of an engine's zone have heard of its load")
+def step_zone_only(context):
+    fleet = run(context)
+    for node in fleet.nodes.values():
+        heard = {report.engine for report in node.observations.reports}
+        assert heard == {f"qalam-{ZONES.index(node.zone)}"}, heard
+
+
 @then("no view believes any block")
 def step_none_believed(context):
     fleet = run(context)
--- a/src/weirscale/node/home/home_task.py
+++ b/src/weirscale/node/home/home_task.py
@@ -11,7 +11,7 @@
 from weirscale.messages.digest import CacheDigest, DigestReply, DigestRequest
 from weirscale.node.backends.facts import EngineFacts, SnapshotSource
 from weirscale.node.home.engine_home import EngineHome
-from weirscale.node.home.homes import digest_receivers, home_of
+from weirscale.node.home.homes import home_of, receivers_in_scope
 from weirscale.node.home.rate import RateGate
 from weirscale.node.home.rules import HomeRules
 from weirscale.node.interfaces import (
@@ -142,9 +142,4 @@
             await home.run()
 
     def _receivers(self, facts: EngineFacts) -> Sequence[NodeAddress]:
-        in_force = self._configuration.current()
-        if in_force is None:
-            return ()
-        peers = digest_receivers(facts.engine, self._membership.peers(), in_force.deployment)
-        self_id = self._membership.self_id
-        return [peer.address for peer in peers if peer.node != self_id]
+        return receivers_in_scope(facts.engine.zone, self._membership, self._configuration)
--- a/src/weirscale/node/home/homes.py
+++ b/src/weirscale/node/home/homes.py
@@ -4,8 +4,8 @@
 
 from weirscale.domain.choice.rendezvous import rendezvous_score
 from weirscale.domain.configuration.model import Deployment, Engine
-from weirscale.domain.identifiers import EngineName, ZoneName
-from weirscale.node.interfaces import Peer, PeerState
+from weirscale.domain.identifiers import EngineName, NodeAddress, ZoneName
+from weirscale.node.interfaces import ConfigurationView, MembershipView, Peer, PeerState
 
 MAX_SCOPE_NODES = 32
 """With more nodes in a region, digests go to the engine's zone only: their bytes grow with the
@@ -33,13 +33,21 @@
     return int(rendezvous_score(0, engine) * 2**64)
 
 
-def digest_receivers(engine: Engine, peers: Sequence[Peer], deployment: Deployment) -> list[Peer]:
-    """Return the nodes that hear of an engine's cache: its region, or its zone in a large one."""
-    zones = _region_zones(engine.zone, deployment)
-    region = [peer for peer in peers if peer.zone in zones]
-    if len(region) <= MAX_SCOPE_NODES:
-        return region
-    return [peer for peer in region if peer.zone == engine.zone]
+def receivers_in_scope(
+    zone: ZoneName, membership: MembershipView, configuration: ConfigurationView
+) -> list[NodeAddress]:
+    """Return the other nodes that choose among a zone's engines.
+
+    They are the nodes of the zone's region, or of the zone alone in a large region.
+    """
+    in_force = configuration.current()
+    if in_force is None:
+        return []
+    zones = _region_zones(zone, in_force.deployment)
+    region = [peer for peer in membership.peers() if peer.zone in zones]
+    if len(region) > MAX_SCOPE_NODES:
+        region = [peer for peer in region if peer.zone == zone]
+    return [peer.address for peer in region if peer.node != membership.self_id]
 
 
 def _region_zones(zone: ZoneName, deployment: Deployment) -> frozenset[ZoneName]:
