Learn from the engine that a request was really sent to

Cause: where a choice is made in several groups, the last group's prediction replaced the others'. Change: predictions and imports are remembered by request and engine. Measured: behave features/choice_*.feature features/prefix_*.feature features/home_*.feature: 138 scenarios pass in 6.5 s.

--- a/src/weirscale/domain/choice/belief_trust.py
+++ b/src/weirscale/domain/choice/belief_trust.py
@@ -21,22 +21,22 @@
     """Compares predicted with real cached tokens, engine by engine."""
 
     def __init__(self) -> None:
-        self._predictions: OrderedDict[RequestId, float] = OrderedDict()
+        self._predictions: OrderedDict[tuple[RequestId, EngineName], float] = OrderedDict()
         self._trust: dict[EngineName, float] = {}
 
     def trust(self, engine: EngineName) -> float:
         """Return the share of predicted cached tokens that proved real, 1 when nothing is known."""
         return self._trust.get(engine, 1.0)
 
-    def note_predicted(self, request_id: RequestId, num_tokens: float) -> None:
+    def note_predicted(self, request_id: RequestId, engine: EngineName, num_tokens: float) -> None:
         """Remember what the belief promised, before it was scaled by trust."""
-        self._predictions[request_id] = num_tokens
+        self._predictions[(request_id, engine)] = num_tokens
         while len(self._predictions) > MAX_OPEN_PREDICTIONS:
             self._predictions.popitem(last=False)
 
     def note_real(self, request_id: RequestId, engine: EngineName, num_tokens: int) -> float | None:
         """Learn what was real; returns the share that came true, None without a prediction."""
-        predicted = self._predictions.pop(request_id, None)
+        predicted = self._predictions.pop((request_id, engine), None)
         if predicted is None or predicted < MIN_PREDICTED_TOKENS:
             return None
         share = min(num_tokens / predicted, 1.0)
@@ -48,6 +48,6 @@
         """Start again with an engine that came back anew."""
         self._trust.pop(engine, None)
 
-    def forget_prediction(self, request_id: RequestId) -> None:
+    def forget_prediction(self, request_id: RequestId, engine: EngineName) -> None:
         """Learn nothing from a request's outcome."""
-        self._predictions.pop(request_id, None)
+        self._predictions.pop((request_id, engine), None)
--- a/src/weirscale/domain/choice/kept_kv.py
+++ b/src/weirscale/domain/choice/kept_kv.py
@@ -15,7 +15,7 @@
 from weirscale.domain.choice.policy import ChoiceRequest, EngineCandidate
 from weirscale.domain.choice.recent_sends import keys_at, ladder_depths
 from weirscale.domain.configuration.model import KeptKvStore, RoutingObjective
-from weirscale.domain.identifiers import BlockHash, RequestId
+from weirscale.domain.identifiers import BlockHash, EngineName, RequestId
 
 MAX_KEPT_KEYS = 20_000
 """Keys of served prompts remembered, some 3 MB; the least recently served are dropped."""
@@ -74,7 +74,7 @@
     def __init__(self, stores: Sequence[KeptKvStore] = ()) -> None:
         self._stores: dict[str, _Store] = {}
         self._kept: OrderedDict[int, None] = OrderedDict()
-        self._open: OrderedDict[RequestId, _OpenImport] = OrderedDict()
+        self._open: OrderedDict[tuple[RequestId, EngineName], _OpenImport] = OrderedDict()
         self.set_stores(stores)
 
     def set_stores(self, stores: Sequence[KeptKvStore]) -> None:
@@ -152,12 +152,17 @@
         return best
 
     def note_planned(
-        self, request: ChoiceRequest, plan: ImportPlan, num_matched_blocks: int, now_s: float
+        self,
+        request: ChoiceRequest,
+        engine: EngineName,
+        plan: ImportPlan,
+        num_matched_blocks: int,
+        now_s: float,
     ) -> None:
         """Remember an import whose outcome is to be learned."""
         self._stores[plan.store].tried_at_s = now_s
         tokens_per_block = request.tokens_per_block
-        self._open[request.request_id] = _OpenImport(
+        self._open[(request.request_id, engine)] = _OpenImport(
             plan.store,
             num_matched_blocks * tokens_per_block,
             plan.num_imported_blocks * tokens_per_block,
@@ -165,9 +170,11 @@
         while len(self._open) > MAX_OPEN_IMPORTS:
             self._open.popitem(last=False)
 
-    def note_finished(self, request_id: RequestId, num_cached_tokens: int) -> bool:
+    def note_finished(
+        self, request_id: RequestId, engine: EngineName, num_cached_tokens: int
+    ) -> bool:
         """Learn from an answer; True if the request was to import."""
-        planned = self._open.pop(request_id, None)
+        planned = self._open.pop((request_id, engine), None)
         if planned is None:
             return False
         store = self._stores.get(planned.store)
--- a/src/weirscale/domain/choice/prefix_aware.py
+++ b/src/weirscale/domain/choice/prefix_aware.py
@@ -139,11 +139,11 @@
         num_matched_blocks = beliefs.get(chosen.engine, NO_BELIEF).num_matched_blocks
         num_promised_blocks = num_matched_blocks / self._trust.trust(chosen.engine)
         self._trust.note_predicted(
-            request.request_id, num_promised_blocks * request.tokens_per_block
+            request.request_id, chosen.engine, num_promised_blocks * request.tokens_per_block
         )
         plan = imports.get(chosen.engine)
         if plan is not None:
-            self._kept_kv.note_planned(request, plan, int(num_matched_blocks), now_s)
+            self._kept_kv.note_planned(request, chosen.engine, plan, int(num_matched_blocks), now_s)
         return Choice(
             engine=chosen.engine,
             estimates=tuple(estimates[:MAX_REPORTED_ESTIMATES]),
@@ -166,9 +166,9 @@
     ) -> None:
         """Compare the belief with what was real."""
         self._kept_kv.note_served(request.block_hashes)
-        if self._kept_kv.note_finished(request.request_id, num_cached_tokens):
+        if self._kept_kv.note_finished(request.request_id, engine, num_cached_tokens):
             # The cached tokens tell of the store as much as of the engine.
-            self._trust.forget_prediction(request.request_id)
+            self._trust.forget_prediction(request.request_id, engine)
             return
         share = self._trust.note_real(request.request_id, engine, num_cached_tokens)
         if share is not None and share < FAILED_BELIEF_SHARE:
