Give counts a module and new attempts one function

Change: counts move to a module of their own; one function numbers and builds attempts. Measured: features/path_*.feature: 172 passed. Conclusion: no change of behaviour.

--- a/src/weirscale/node/execution/generation.py
+++ b/src/weirscale/node/execution/generation.py
@@ -4,7 +4,6 @@
 from contextlib import asynccontextmanager
 
 import anyio
-import msgspec
 from result import Err, Ok, Result
 
 from weirscale.domain.configuration.model import RetryRules
@@ -28,6 +27,7 @@
 from weirscale.node.execution.attempt import Attempt, AttemptFailure, ChunkSink, generate_call
 from weirscale.node.execution.canceller import EngineCanceller
 from weirscale.node.execution.claims import fingerprint, settle_claim, take_claim
+from weirscale.node.execution.counts import GenerationCounts
 from weirscale.node.execution.hedge import race_first_chunk
 from weirscale.node.interfaces import ChosenEngine, Claim, ClaimLedger, ClaimState, EngineRouting
 
@@ -37,30 +37,6 @@
 """Pause before an engine that failed this request is tried again for want of another."""
 
 
-class GenerationCounts(msgspec.Struct):
-    """What the executor counts, for metrics; only ever grows.
-
-    Attributes:
-        num_attempts: Attempts started.
-        num_resumes: Streams resumed on the same engine.
-        num_continued: Attempts that continued an answer on another engine.
-        num_retries: Attempts after the first, before any chunk.
-        num_hedges: Second attempts beside a slow first one.
-        num_hedge_wins: Hedges whose chunk came first.
-        num_repeated_chunks: Chunks dropped as repeated.
-        num_budget_refusals: Retries or hedges that the budget refused.
-    """
-
-    num_attempts: int = 0
-    num_resumes: int = 0
-    num_continued: int = 0
-    num_retries: int = 0
-    num_hedges: int = 0
-    num_hedge_wins: int = 0
-    num_repeated_chunks: int = 0
-    num_budget_refusals: int = 0
-
-
 class GenerationExecutor:
     """Runs generation requests on the engines that routing chooses.
 
@@ -248,13 +224,17 @@
         if isinstance(choice, Err):
             return choice
         chosen = choice.ok_value
+        self._set_patience(chosen, anyio.current_time())
+        return Ok(self._new_attempt(chosen, check))
+
+    def _new_attempt(self, chosen: ChosenEngine, check: StreamCheck) -> Attempt:
         now_s = anyio.current_time()
-        time_left_s = request.deadline_s - now_s
-        call = generate_call(request, number, chosen, check, time_left_s)
+        number = self._num_attempts
         self._num_attempts += 1
         self._executor.counts.num_attempts += 1
-        self._set_patience(chosen, now_s)
-        return Ok(Attempt(call, request, chosen, check, now_s))
+        time_left_s = self._request.deadline_s - now_s
+        call = generate_call(self._request, number, chosen, check, time_left_s)
+        return Attempt(call, self._request, chosen, check, now_s)
 
     def _set_patience(self, chosen: ChosenEngine, now_s: float) -> None:
         time_left_s = self._request.deadline_s - now_s
@@ -283,19 +263,13 @@
         if not self._may_try_another():
             return None
         excluded = self._excluded | {first.chosen.choice.engine}
-        check = StreamCheck(self._request.request_id)
         number = self._num_attempts
         choice = await self._executor.routing.choose(self._request, number, excluded, None)
         if isinstance(choice, Err):
             return None
-        chosen = choice.ok_value
-        now_s = anyio.current_time()
-        time_left_s = self._request.deadline_s - now_s
-        self._num_attempts += 1
-        self._executor.counts.num_attempts += 1
         self._executor.counts.num_hedges += 1
-        call = generate_call(self._request, number, chosen, check, time_left_s)
-        self._hedge = Attempt(call, self._request, chosen, check, now_s)
+        check = StreamCheck(self._request.request_id)
+        self._hedge = self._new_attempt(choice.ok_value, check)
         return self._hedge
 
     def _pass(self, chunk: TokenChunk) -> ChunkOrRefusal:
