--- a/features/steps/workload_plan_steps.py
+++ b/features/steps/workload_plan_steps.py
@@ -6,7 +6,7 @@
 from weirscale.domain.prefix.prompt import prompt_bytes
 from weirscale.experiments.workload.items import GenerationItem, ServiceItem
 from weirscale.experiments.workload.plan import PlanSetting, make_plan
-from weirscale.experiments.workload.prompts import num_shared_bytes, request_body
+from weirscale.experiments.workload.prompts import request_body
 from weirscale.experiments.workload.sampling import ArrivalRate, arrival_times
 from weirscale.experiments.workload.shape import PRESETS, Burst
 
@@ -64,7 +64,8 @@
             assert prompt[:num_bytes] == other_prompt[:num_bytes]
             is_whole = len(shared) == len(item.parts.sections)
             assert is_whole or prompt[: num_bytes + 64] != other_prompt[: num_bytes + 64]
-    assert all(num_shared_bytes(item.parts) < len(prompt) for item, prompt in pairs)
+    for item, prompt in pairs:
+        assert sum(size for _, size in item.parts.sections) < len(prompt)
 
 
 @when("the workload plan is counted by tenant and section")
--- a/src/weirscale/experiments/run/fleet.py
+++ b/src/weirscale/experiments/run/fleet.py
@@ -45,7 +45,6 @@
     Attributes:
         places: All nodes, sorted by name.
         failures: Exceptions raised in nodes: faults of the product.
-        num_changes: Starts and ends of nodes so far.
         num_peer_bytes: Bytes that nodes have sent to one another.
     """
 
@@ -58,7 +57,6 @@
         recorder: Recorder,
     ) -> None:
         self.failures: list[Exception] = []
-        self.num_changes = 0
         self.num_peer_bytes = 0
         self._tasks = tasks
         self._network = network
@@ -198,7 +196,6 @@
             member.endpoint.thaw()
 
     def _record(self, name: NodeName, change: NodeChange) -> None:
-        self.num_changes += 1
         self._recorder.add(NodeChanged(at_s=self._recorder.now(), node=name, change=change))
 
     async def _watch_configuration(self, name: NodeName, node: FleetNode) -> None:
--- a/src/weirscale/experiments/workload/prompts.py
+++ b/src/weirscale/experiments/workload/prompts.py
@@ -2,7 +2,7 @@
 
 import functools
 
-from weirscale.experiments.workload.items import GenerationItem, PromptParts
+from weirscale.experiments.workload.items import GenerationItem
 
 NUM_CACHED_SECTIONS = 2048
 """Section texts kept; at a few kilobytes each, some ten megabytes at most."""
@@ -28,8 +28,3 @@
         "max_tokens": item.max_tokens,
         "stream": True,
     }
-
-
-def num_shared_bytes(parts: PromptParts) -> int:
-    """Return the bytes of a prompt's shared sections."""
-    return sum(num_bytes for _, num_bytes in parts.sections)
