Let tenants' prompts begin alike where an experiment says so

Cause: prompts of different tenants never coincided, so a cache shared by tenants could not show. Conclusion: the rule on cache entries is exercised between tenants.

--- a/features/steps/workload_plan_steps.py
+++ b/features/steps/workload_plan_steps.py
@@ -1,6 +1,7 @@
 from collections import Counter
 from random import Random
 
+import msgspec
 from behave import given, then, when
 
 from weirscale.domain.prefix.prompt import prompt_bytes
@@ -23,6 +24,27 @@
     context.generations = [item for item in context.plan if isinstance(item, GenerationItem)]
 
 
+@given(
+    'the "{shape}" workload with {common:d} common bytes planned for {duration:d} s with seed {seed:d}'
+)
+def step_plan_common(context, shape, common, duration, seed):
+    context.shape = msgspec.structs.replace(PRESETS[shape], common_bytes=common)
+    context.plan = make_plan(context.shape, SETTING, duration, seed)
+    context.generations = [item for item in context.plan if isinstance(item, GenerationItem)]
+
+
+@then("prompts of different tenants share exactly {common:d} bytes after the role")
+def step_common(context, common):
+    head = PROMPT_HEAD_BYTES + common
+    pairs = list(zip(context.generations, context.prompts, strict=True))
+    assert len({item.tenant for item, _ in pairs}) > 3
+    for item, prompt in pairs:
+        for other_item, other_prompt in pairs:
+            if item.tenant != other_item.tenant:
+                assert prompt[:head] == other_prompt[:head]
+                assert prompt[: head + 64] != other_prompt[: head + 64]
+
+
 @when("it is planned again with seed {seed:d}")
 def step_plan_again(context, seed):
     context.other_plan = make_plan(context.shape, SETTING, DURATION_S, seed)
--- a/features/workload_plan.feature
+++ b/features/workload_plan.feature
@@ -55,3 +55,8 @@
       | shape    |
       | yearbook |
       | racing   |
+
+  Scenario: All tenants' prompts begin alike where the workload says so
+    Given the "yearbook" workload with 2048 common bytes planned for 60 s with seed 7
+    When the prompts of the workload plan are made
+    Then prompts of different tenants share exactly 2048 bytes after the role
--- a/src/weirscale/experiments/run/experiment.py
+++ b/src/weirscale/experiments/run/experiment.py
@@ -70,6 +70,7 @@
         preset: `yearbook` or `racing`.
         requests_per_s: Mean arrival rate, or None for the preset's.
         bursts: Times of higher rate.
+        common_bytes: Bytes at the head of all tenants' prompts that are the same.
         leave_share: Share of callers that leave, or None for the preset's.
         slow_share: Share of slow readers, or None for the preset's.
     """
@@ -77,6 +78,7 @@
     preset: str
     requests_per_s: float | None = None
     bursts: tuple[Burst, ...] = ()
+    common_bytes: int = 0
     leave_share: float | None = None
     slow_share: float | None = None
 
--- a/src/weirscale/experiments/run/load.py
+++ b/src/weirscale/experiments/run/load.py
@@ -156,6 +156,7 @@
     )
     return msgspec.structs.replace(
         preset,
+        common_bytes=choice.common_bytes,
         requests_per_s=_or_preset(choice.requests_per_s, preset.requests_per_s),
         leave_share=_or_preset(choice.leave_share, preset.leave_share),
         slow_share=_or_preset(choice.slow_share, preset.slow_share),
--- a/src/weirscale/experiments/soak/experiments.py
+++ b/src/weirscale/experiments/soak/experiments.py
@@ -12,6 +12,8 @@
 from weirscale.experiments.run.load import LoadedExperiment, with_shape
 
 SOAK_DURATION_S = 40.0
+SOAK_COMMON_BYTES = 2048
+"""Tenants' prompts begin alike, so that a cache shared between tenants would show."""
 MAX_FAULTS = 6
 MATRIX_DURATION_S = 45.0
 PRESET_OF = {"tsehay": "yearbook", "startgrid": "racing"}
@@ -39,7 +41,7 @@
     """Return the experiment that a seed determines: faults of any kind at any moments."""
     random = Random(f"soak-{seed}")
     faults = random_schedule(SOAK_DURATION_S, random.randint(1, MAX_FAULTS), random)
-    return _experiment(f"soak-{seed}", deployment, SOAK_DURATION_S, faults)
+    return _experiment(f"soak-{seed}", deployment, SOAK_DURATION_S, faults, SOAK_COMMON_BYTES)
 
 
 def matrix_experiment(deployment: Deployment, kinds: Sequence[FaultKind]) -> LoadedExperiment:
@@ -49,13 +51,17 @@
 
 
 def _experiment(
-    name: str, deployment: Deployment, duration_s: float, faults: tuple[PlannedFault, ...]
+    name: str,
+    deployment: Deployment,
+    duration_s: float,
+    faults: tuple[PlannedFault, ...],
+    common_bytes: int = 0,
 ) -> LoadedExperiment:
     experiment = Experiment(
         format=1,
         name=name,
         deployment=deployment.name,
-        workload=WorkloadChoice(preset=PRESET_OF[deployment.name]),
+        workload=WorkloadChoice(PRESET_OF[deployment.name], common_bytes=common_bytes),
         duration_s=duration_s,
         faults=faults,
     )
--- a/src/weirscale/experiments/workload/plan.py
+++ b/src/weirscale/experiments/workload/plan.py
@@ -18,6 +18,8 @@
 
 NUM_NODE_CHOICES = 1 << 16
 """Node indexes are drawn below this and taken modulo the number of nodes."""
+COMMON_SECTION = "common"
+"""Name of the section that all tenants share."""
 MIN_LEAVE_S = 0.02
 MAX_LEAVE_S = 1.5
 """Callers that leave do so between these times after sending."""
@@ -140,6 +142,8 @@
         epoch = self._epoch(time_s)
         path = str(tenant)
         sections: list[tuple[str, int]] = []
+        if self._shape.common_bytes:
+            sections.append((COMMON_SECTION, self._shape.common_bytes))
         for depth, level in enumerate(self._shape.levels):
             order = self._popularity_order(epoch, path, depth)
             child = order[self._level_ranks[depth].draw(self._random)]
--- a/src/weirscale/experiments/workload/shape.py
+++ b/src/weirscale/experiments/workload/shape.py
@@ -62,6 +62,8 @@
         model: The model asked for.
         levels: Nested prefixes, outermost first.
         service: Requests to the service.
+        common_bytes: Bytes at the head of every prompt that are the same for all tenants; a cache
+            that tenants shared would serve them from one another's blocks.
         requests_per_s: Mean arrival rate, before day shape and bursts.
         day_length_s: Length of one day of the day shape.
         day_swing: How far the rate swings around its mean, 0 to below 1.
@@ -86,6 +88,7 @@
     model: ModelName
     levels: tuple[Level, ...]
     service: ServiceMix
+    common_bytes: int = 0
     requests_per_s: float = 8.0
     day_length_s: float = 600.0
     day_swing: float = 0.4
