--- a/src/weirscale/experiments/run/fleet.py
+++ b/src/weirscale/experiments/run/fleet.py
@@ -110,6 +110,11 @@
         process = self._members[name].process
         return process is not None and process.accepts
 
+    def num_exchanges(self, name: NodeName) -> int:
+        """Return how many exchanges with callers a node has open."""
+        process = self._members[name].process
+        return process.num_exchanges if process is not None else 0
+
     def crash(self, name: NodeName) -> None:
         """Kill a node; does nothing if it does not run."""
         if not self.is_running(name):
--- a/src/weirscale/experiments/run/node_process.py
+++ b/src/weirscale/experiments/run/node_process.py
@@ -88,6 +88,11 @@
         """Whether a connection can be made: a paused process still has its listening socket."""
         return self._tasks is not None and not self.life.is_killed
 
+    @property
+    def num_exchanges(self) -> int:
+        """Exchanges that have not ended."""
+        return len(self._exchanges)
+
     async def run(self, make_node: Callable[[TaskGroup], FleetNode]) -> None:
         """Run until killed or stopped; never raises."""
         try:
