Run deployments as real processes under failures

Cause: the emulator's records come from virtual time; signals, sockets and separate processes were tried by hand only.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SEEDS ?= 200
 
-.PHONY: demo test bench soak scale format clean
+.PHONY: demo test bench soak scale real format clean
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -27,6 +27,10 @@
 scale: $(STAMP)
 	$(VENV)/bin/weirscale scale
 
+real: $(STAMP)
+	$(PYTHON) -m bench.real_fleet tsehay --report=reports/real-tsehay
+	$(PYTHON) -m bench.real_fleet startgrid --report=reports/real-startgrid
+
 format: $(STAMP)
 	$(VENV)/bin/ruff format src features bench scripts
 	$(VENV)/bin/ruff check --fix src features bench scripts
