Tell other nodes of sends, and import kept KV where that beats computing

Cause: notes of sends and the kept-KV beliefs were built but not wired, so two nodes could prefill one prefix at the same time. Change: SendNotesTask and KeptKvBeliefs join the policy; stores follow the configuration.

--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AbstractAsyncContextManager
 from random import Random
 
@@ -14,6 +14,7 @@
 from anyio.abc import TaskStatus
 from result import Result
 
+from weirscale.domain.choice.kept_kv import KeptKvBeliefs
 from weirscale.domain.choice.prefix_aware import PrefixAware
 from weirscale.domain.configuration.model import (
     Engine,
@@ -46,6 +47,8 @@
 from weirscale.node.execution.generation import GenerationExecutor
 from weirscale.node.execution.service import ServiceExecutor
 from weirscale.node.home.home_task import HomeTask
+from weirscale.node.home.homes import receivers_in_scope
+from weirscale.node.home.notes_task import SendNotesTask
 from weirscale.node.home.rules import HomeRules
 from weirscale.node.home.view_task import CacheViewTask
 from weirscale.node.limits.fleet import FleetAdmissionTask
@@ -214,11 +217,22 @@
             rules,
             random,
         )
+        self.notes = SendNotesTask(self.link, self._note_receivers, rules)
+
+    def _note_receivers(self) -> Sequence[NodeAddress]:
+        return receivers_in_scope(self.identity.zone, self.membership, self.configuration)
 
     def _build_routing(self, random: Random) -> None:
         """Tasks that choose back ends."""
         zone = self.identity.zone
-        self._policy = PrefixAware(self.cache_view.view, RoutingObjective())
+        self._kept_kv = KeptKvBeliefs()
+        self._policy = PrefixAware(
+            self.cache_view.view,
+            RoutingObjective(),
+            self.notes.noted,
+            self.notes.tell,
+            self._kept_kv,
+        )
         self.engine_router = EngineRouter(
             self.directory,
             self._policy,
@@ -288,6 +302,7 @@
                 self.ledger.run,
                 self.homes.run,
                 self.cache_view.run,
+                self.notes.run,
                 self._planner_lease.run,
                 self.placement.run,
                 self.admission.run,
@@ -327,10 +342,11 @@
         return in_force.deployment.retry if in_force is not None else RetryRules()
 
     async def _follow_configuration(self) -> None:
-        """Hand each new configuration's routing weights to the policy."""
+        """Hand each new configuration's weights and stores to the policy."""
         revision = _NO_REVISION
         while True:
             in_force = await self.configuration.changed_after(revision)
             revision = in_force.revision
             self._policy.set_objective(in_force.deployment.routing)
+            self._kept_kv.set_stores(in_force.deployment.kept_kv_stores)
             self._event_log.event("configuration_in_force", revision=revision)
