Fence orders by run, learn failed loads at once, restore after a stop

Cause: an order that outlived its sender's lease could act on an engine's next run; a planner learnt of failed loads by time alone and repeated role orders when it took over; a stuck load freed its slot while its engine might still read weights; a stopped rollout left failed engines without weights. Change: EngineOrder.expected_incarnation, checked by the engine before its fence; LoadReport.role, loading_token and failed_load_token (defaults, also in LoadSummary); a load given up keeps its slot until a report proves its end or three load_timeout_s have passed; the record keeps the version each model served last, and engines left without weights go back to it unless the model says otherwise (restores_failed_engines). A crash or a newer load stops the stand-in's reading of weights. Replaced checks: the stuck load's scenario now bounds loads at 2 instead of 3; the settling row at 300 s is 'given up' (failed and slot held); '4 engines still serve v1' holds where engines are left, and 6 where they are restored.

--- a/features/placement_rollout.feature
+++ b/features/placement_rollout.feature
@@ -70,23 +70,67 @@
     Given 6 engines serve v1, 2 must stay ready and 2 may load at once
     When v2 is declared and one load is stuck
     Then after 150 seconds 6 engines serve v2 and the rollout is done
-    And never more than 3 engines loaded at once
+    And never more than 2 engines loaded at once
+    And never more than 2 engines read weights at once
     And the progress names 1 failed loads
 
+  Scenario: A stuck load in the only slot holds it for a bounded time
+    Given 6 engines serve v1, 2 must stay ready and 1 may load at once
+    When v2 is declared and one load is stuck
+    Then after 85 seconds 0 engines serve v2 and the rollout is rolling
+    And never more than 1 engines read weights at once
+    And the progress names 1 stuck loads
+
+  Scenario: A rollout goes on after a stuck load in its only slot
+    Given 6 engines serve v1, 2 must stay ready and 1 may load at once
+    When v2 is declared and one load is stuck
+    Then after 200 seconds 6 engines serve v2 and the rollout is done
+    And the progress names 1 failed loads
+    And the progress names 0 stuck loads
+
   Scenario: A stuck load gives way at once to another version
     Given 6 engines serve v1, 2 must stay ready and 2 may load at once
     When v2 is declared and while the first load is stuck v1 is declared
     Then after 30 seconds 6 engines serve v1 and the rollout is done
 
-  Scenario: A new version that fails costs no more engines than allowed
+  Scenario Outline: A new version that fails costs no more engines than allowed
     Given 6 engines serve v1, 4 must stay ready and 2 may load at once
-    When v2 is declared and every load of v2 fails
+    And engines that fail to load are <treatment> when the rollout has stopped
+    When v2 is declared and <fault>
     Then after 100 seconds 0 engines serve v2 and the rollout is stopped
-    And 4 engines still serve v1
+    And <ready> engines still serve v1
+    And never fewer than 4 engines were ready, those lost to the fault aside
+    And never more than 2 engines loaded at once
     And 2 loads of v2 were ordered
-    And the progress names 2 failed loads
+    And <back> loads of v1 were ordered
+    And the progress names <failed> failed loads
     And the progress names a remedy
 
+    Examples:
+      | treatment | fault                                                           | ready | back | failed |
+      | left      | every load of v2 fails                                          | 4     | 0    | 2      |
+      | restored  | every load of v2 fails                                          | 6     | 2    | 2      |
+      | restored  | every load of any version fails                                 | 4     | 2    | 4      |
+      | restored  | every load of v2 fails and an engine crashes while it goes back | 6     | 2    | 3      |
+
+  Scenario: A failed load is known by the engine's word, not by its time
+    Given 6 engines serve v1, 4 must stay ready and 2 may load at once
+    When v2 is declared and every load of v2 fails
+    Then after 25 seconds 0 engines serve v2 and the rollout is stopped
+
+  Scenario Outline: An order that arrives late is for one run only
+    When the order of a decision for v2 arrives late and <fault> before
+    Then the late order is <answer> and the engine serves <version>
+
+    Examples:
+      | fault               | answer           | version |
+      | nothing fails       | accepted         | v2      |
+      | the engine restarts | refused_mismatch | v1      |
+
+  Scenario: A planner that takes over orders no role again
+    When the planner is replaced once all engines have their role
+    Then each engine was ordered to its role once
+
   Scenario Outline: Declaring another version changes a running rollout
     Given 6 engines serve v1, 4 must stay ready and 2 may load at once
     When v2 is declared and <moment> <version> is declared
--- a/features/placement_settling.feature
+++ b/features/placement_settling.feature
@@ -15,7 +15,53 @@
       | 10  | 3   | v2      | 7     | no      | failed   |
       | 10  | 2   | none    | 6     | yes     | failed   |
       | 299 | 2   | none    | 6     | no      | loading  |
-      | 300 | 2   | none    | 6     | no      | failed   |
+      | 300 | 2   | none    | 6     | no      | given up |
+
+  Scenario Outline: What an engine says of loads decides at once
+    Given a load of v2 with token 7 on run 2 that is 10 s old and may take 300 s
+    When the engine reports run <run> without weights, loading <loading> and failed <failed>
+    Then the load is <outcome>
+
+    Examples:
+      | run | loading | failed | outcome |
+      | 2   | 0       | 0      | loading |
+      | 2   | 7       | 0      | loading |
+      | 2   | 7       | 6      | loading |
+      | 2   | 0       | 6      | loading |
+      | 2   | 0       | 7      | failed  |
+      | 3   | 0       | 0      | failed  |
+      | 1   | 0       | 7      | loading |
+
+  Scenario Outline: A load that was given up holds its slot until it has certainly ended
+    Given a load of v2 with token 7 on run 2 that is <age> s old and may take 300 s
+    And it was given up before
+    When the engine reports run <run> without weights, loading <loading> and failed <failed>
+    Then the load is <outcome>
+
+    Examples:
+      | age | run | loading | failed | outcome |
+      | 350 | 2   | 7       | 0      | held    |
+      | 350 | 2   | 0       | 0      | held    |
+      | 350 | 2   | 0       | 7      | freed   |
+      | 350 | 2   | 8       | 0      | freed   |
+      | 350 | 3   | 0       | 0      | freed   |
+      | 899 | 2   | 7       | 0      | held    |
+      | 900 | 2   | 7       | 0      | freed   |
+
+  Scenario Outline: The version that a model served last
+    Given 6 engines of which 4 must stay ready, and <before> was served last
+    When the engines serve <serving> while v2 is the declared version
+    Then the version served last is <after>
+
+    Examples:
+      | before  | serving           | after   |
+      | nothing | v1 v1 v1 v1 v1 v1 | v1      |
+      | nothing | v1 v1 v1 v2 - -   | v1      |
+      | nothing | - - - - - -       | nothing |
+      | v1      | v2 v2 v2 v1 v1 v1 | v1      |
+      | v1      | v2 v2 v2 - - -    | v1      |
+      | v1      | v2 v2 v2 v2 v1 v1 | v2      |
+      | v1      | - - - - - -       | v1      |
 
   Scenario: A planner whose record was changed by another gives no order
     Given two planners that have both read the placement record and both hold the lease
--- a/features/steps/placement_rollout_steps.py
+++ b/features/steps/placement_rollout_steps.py
@@ -1,10 +1,11 @@
 import anyio
 from behave import given, then, when
 
-from features.support.rollout_fleet import Rollout, rolling_model
+from features.support.rollout_fleet import SAMPLE_INTERVAL_S, RecordedEngine, Rollout, rolling_model
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import EngineRole
 from weirscale.messages.placement import FailedLoad
+from weirscale.ports.engine import ChangeRole, LoadModel
 from weirscale.standins.faults import EngineFaults
 
 SLOW_FACTOR = 2.0
@@ -69,6 +70,18 @@
     rollout.store.faults.is_down = False
 
 
+async def every_load_fails(rollout):
+    """Also going back fails: no weights can be read at all."""
+    rollout.weights.failing_versions |= {"v1", "v2"}
+
+
+async def crash_while_restored(rollout):
+    rollout.weights.failing_versions.add("v2")
+    while not rollout.num_orders(LoadModel, weight_version="v1"):  # noqa: ASYNC110
+        await anyio.sleep(SAMPLE_INTERVAL_S)
+    (await rollout.wait_for_loading()).crash()
+
+
 async def lose_store_answers(rollout):
     rollout.store.faults.num_answers_to_lose = 4
 
@@ -123,6 +136,8 @@
     "an engine leaves while it loads": leave_loading,
     "an engine leaves while it serves": leave_serving,
     "every load of v2 fails": new_version_fails,
+    "every load of any version fails": every_load_fails,
+    "every load of v2 fails and an engine crashes while it goes back": crash_while_restored,
     "the key-value service is down for a while": store_is_down,
     "answers of the key-value service are lost": lose_store_answers,
     "the planner is paused past its lease and wakes": pause_planner,
@@ -141,7 +156,8 @@
     """Run the rollout that the steps before describe, once, and return it."""
 
     async def main():
-        model = rolling_model(min_ready_engines=context.floor, max_concurrent_loads=context.most)
+        bounds = {"min_ready_engines": context.floor, "max_concurrent_loads": context.most}
+        model = rolling_model(**bounds, **context.fields)
         rollout = Rollout(6, model, num_planners=2, fenced=context.fenced)
         async with rollout.running(), anyio.create_task_group() as tasks:
             tasks.start_soon(context.fault, rollout)
@@ -162,6 +178,7 @@
     context.floor = floor
     context.most = most
     context.fenced = False
+    context.fields = {}
 
 
 @when("v2 is declared and {moment} {version:w} is declared")
@@ -252,9 +269,19 @@
     assert context.rollout.counts["v1"] == count
 
 
-@then("{count:d} loads of v2 were ordered")
-def step_loads_ordered(context, count):
-    assert context.rollout.num_loads_of("v2") == count
+@then("{count:d} loads of {version} were ordered")
+def step_loads_ordered(context, count, version):
+    assert context.rollout.num_orders(LoadModel, weight_version=version) == count
+
+
+@then("never more than {count:d} engines read weights at once")
+def step_most_reading(context, count):
+    assert context.rollout.weights.most_reading <= count, context.rollout.weights.most_reading
+
+
+@given("engines that fail to load are {treatment} when the rollout has stopped")
+def step_restoring(context, treatment):
+    context.fields = {"restores_failed_engines": {"restored": True, "left": False}[treatment]}
 
 
 @then("the progress names {count:d} failed loads")
@@ -264,6 +291,12 @@
     assert all(isinstance(failure, FailedLoad) and failure.reason for failure in progress.failures)
 
 
+@then("the progress names {count:d} stuck loads")
+def step_progress_stuck(context, count):
+    (progress,) = context.rollout.progress
+    assert len(progress.stuck) == count
+
+
 @then("the progress names a remedy")
 def step_progress_remedy(context):
     (progress,) = context.rollout.progress
@@ -316,3 +349,50 @@
 
     states = run_in_virtual_time(main)
     assert states == [({adapter}, role)] * context.num_engines, states
+
+
+@when("the planner is replaced once all engines have their role")
+def step_replace_after_roles(context):
+    async def main():
+        rollout = Rollout(3, rolling_model(), num_planners=2, role=EngineRole.DECODE)
+        async with rollout.running():
+            await anyio.sleep(30.0)
+            rollout.leases[0].held, rollout.leases[1].held = False, True
+            await anyio.sleep(30.0)
+        return rollout
+
+    context.rollout = run_in_virtual_time(main)
+
+
+@then("each engine was ordered to its role once")
+def step_roles_once(context):
+    assert [engine.model.role for engine in context.rollout.engines.values()] == ["decode"] * 3
+    assert context.rollout.num_orders(ChangeRole) == 3
+
+
+@when("the order of a decision for v2 arrives late and {fault} before")
+def step_late_order(context, fault):
+    """Keep the planner's order back, and give it to the engine later."""
+
+    async def main():
+        rollout = Rollout(6, rolling_model(min_ready_engines=2, max_concurrent_loads=1))
+        async with super(Rollout, rollout).running():
+            await anyio.sleep(5.0)
+            rollout.declare_version("v2")
+            sent = rollout.hold_orders()
+            await rollout.planners[0].run_round()
+            ((engine, order),) = sent
+            if fault == "the engine restarts":
+                engine.crash()
+                await anyio.sleep(engine.settings.restart_s)
+            context.answer = await super(RecordedEngine, engine).order(order)
+            await anyio.sleep(10.0)
+        return engine.model.weight_version
+
+    context.version = run_in_virtual_time(main)
+
+
+@then("the late order is {answer} and the engine serves {version}")
+def step_late_answer(context, answer, version):
+    kind = None if context.answer.is_ok() else context.answer.err_value.kind.value
+    assert (kind or "accepted", context.version) == (answer, version), (kind, context.version)
--- a/features/steps/placement_settling_steps.py
+++ b/features/steps/placement_settling_steps.py
@@ -2,36 +2,30 @@
 from behave import given, then, when
 
 from features.support.backend_fleet import MODEL
-from features.support.rollout_fleet import Rollout, rolling_model
+from features.support.rollout_fleet import Rollout, observed, rolling_model
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import EngineRole
-from weirscale.domain.placement.model import DesiredEngine, EngineObservation
+from weirscale.domain.placement.model import DesiredEngine
+from weirscale.domain.placement.served import served_versions
 from weirscale.domain.placement.settle import settle_loads
-from weirscale.messages.placement import LoadInProgress, PlacementRecord
+from weirscale.messages.placement import LoadInProgress, PlacementRecord, ServedVersion
 
 
 @given("a load of v2 with token 7 on run 2 that is {age:d} s old and may take 300 s")
 def step_load(context, age):
     context.age_s = age
+    context.load = LoadInProgress("qalam-1", 2, MODEL, "v2", 7)
 
 
-@when("the engine reports run {run:d}, version {version}, token {token:d} and leaving {leaving}")
-def step_settle(context, run, version, token, leaving):
-    load = LoadInProgress("qalam-1", 2, MODEL, "v2", 7)
-    serves = version != "none"
-    seen = EngineObservation(
-        engine="qalam-1",
-        incarnation=run,
-        model=MODEL if serves else None,
-        weight_version=version if serves else None,
-        adapters=frozenset(),
-        num_running=0,
-        order_token=token,
-        is_up=True,
-        is_leaving=leaving == "yes",
-    )
+@given("it was given up before")
+def step_given_up(context):
+    context.load = LoadInProgress("qalam-1", 2, MODEL, "v2", 7, is_given_up=True)
+
+
+def settle(context, version, **fields):
+    seen = observed("qalam-1", version, **fields)
     context.settlement = settle_loads(
-        PlacementRecord(8, (load,)),
+        PlacementRecord(8, (context.load,)),
         {MODEL: rolling_model(weight_version="v2", load_timeout_s=300.0)},
         {"qalam-1": DesiredEngine("qalam-1", MODEL, "v2", (), EngineRole.BOTH)},
         {"qalam-1": seen},
@@ -39,16 +33,60 @@
     )
 
 
+@when("the engine reports run {run:d}, version {version}, token {token:d} and leaving {leaving}")
+def step_settle(context, run, version, token, leaving):
+    served = None if version == "none" else version
+    is_leaving = leaving == "yes"
+    settle(context, served, incarnation=run, order_token=token, is_leaving=is_leaving)
+
+
+@when("the engine reports run {run:d} without weights, loading {loading:d} and failed {failed:d}")
+def step_settle_words(context, run, loading, failed):
+    tokens = {"loading_token": loading, "failed_load_token": failed}
+    settle(context, None, incarnation=run, **tokens)
+
+
+OUTCOMES = {
+    "finished": (1, 0, 0, 0),
+    "failed": (0, 1, 0, 0),
+    "loading": (0, 0, 1, 0),
+    "given up": (0, 1, 1, 0),
+    "held": (0, 0, 1, 0),
+    "freed": (0, 0, 0, 1),
+}
+"""Loads that finished, failed, hold a slot and have been freed of it."""
+
+
 @then("the load is {outcome}")
 def step_load_outcome(context, outcome):
     settlement = context.settlement
-    counts = {
-        "finished": len(settlement.finished),
-        "failed": len(settlement.failed),
-        "loading": len(settlement.record.loads),
-    }
-    assert counts == {name: int(name == outcome) for name in counts}, counts
+    held = settlement.record.loads
+    groups = (settlement.finished, settlement.failed, held, settlement.freed)
+    assert tuple(map(len, groups)) == OUTCOMES[outcome], groups
     assert settlement.record.failures == settlement.failed
+    assert all(load.is_given_up == (outcome in ("given up", "held")) for load in held)
+
+
+@given("6 engines of which 4 must stay ready, and {version} was served last")
+def step_served_before(context, version):
+    served = () if version == "nothing" else (ServedVersion(MODEL, version),)
+    context.record = PlacementRecord(served=served)
+
+
+@when("the engines serve {versions} while v2 is the declared version")
+def step_versions(context, versions):
+    model = rolling_model(weight_version="v2")
+    seen = [
+        observed(f"qalam-{index}", None if version == "-" else version)
+        for index, version in enumerate(versions.split())
+    ]
+    context.served = served_versions(context.record, {MODEL: model}, seen)
+
+
+@then("the version served last is {version}")
+def step_served_after(context, version):
+    expected = () if version == "nothing" else (ServedVersion(MODEL, version),)
+    assert context.served == expected, context.served
 
 
 @given("two planners that have both read the placement record and both hold the lease")
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -12,10 +12,11 @@
 from weirscale.domain.configuration.model import Model
 from weirscale.domain.duties.assignment import Duty, DutyKind
 from weirscale.domain.identifiers import NodeId
+from weirscale.domain.placement.model import EngineObservation
 from weirscale.node.duties.lease_task import DutyLeaseTask
 from weirscale.node.event_log import SilentEventLog
 from weirscale.node.placement.task import PlacementTask
-from weirscale.ports.engine import EngineFailure, EngineFailureKind, GenerateCall, LoadModel
+from weirscale.ports.engine import EngineFailure, EngineFailureKind, GenerateCall
 from weirscale.standins.engine.in_process import InProcessEngine
 from weirscale.standins.engine.settings import EngineSettings
 from weirscale.standins.key_value.in_process import InProcessKeyValue
@@ -40,14 +41,18 @@
         self.failing_versions = set()
         self.num_to_stick = 0
         self.num_reading = 0
+        self.most_reading = 0
 
     async def fetch(self, engine, load, num_bytes):
         self.num_reading += 1
-        if self.num_to_stick:
-            self.num_to_stick -= 1
-            await anyio.sleep_forever()
-        await anyio.sleep(self.load_s * self.num_reading)
-        self.num_reading -= 1
+        self.most_reading = max(self.most_reading, self.num_reading)
+        try:
+            if self.num_to_stick:
+                self.num_to_stick -= 1
+                await anyio.sleep_forever()
+            await anyio.sleep(self.load_s * self.num_reading)
+        finally:
+            self.num_reading -= 1
         return Err("no such version") if load.weight_version in self.failing_versions else Ok(None)
 
 
@@ -223,6 +228,21 @@
             for engine in self.engines.values()
         )
 
+    def hold_orders(self):
+        """Keep orders from the engines from now on; returns the list that they are put in."""
+        held = []
+
+        def holding(engine):
+            async def order(order):
+                held.append((engine, order))
+                return Err(EngineFailure(EngineFailureKind.TIMED_OUT, "no answer"))
+
+            return order
+
+        for engine in self.engines.values():
+            engine.order = holding(engine)
+        return held
+
     def loading(self):
         return [engine for engine in self.engines.values() if engine.is_loading]
 
@@ -277,14 +297,27 @@
             for record in engine.model.ledger.records()
         ]
 
-    def num_loads_of(self, version):
-        return sum(
-            isinstance(action, LoadModel) and action.weight_version == version
+    def num_orders(self, kind, **fields):
+        """Count the accepted orders of a kind whose action has the given fields."""
+        actions = [
+            action
             for engine in self.engines.values()
             for _, _, action in engine.accepted_tokens
+            if isinstance(action, kind)
+        ]
+        return sum(
+            all(getattr(each, name) == value for name, value in fields.items()) for each in actions
         )
 
 
+def observed(engine, version, **fields):
+    """Return what is seen of an engine that serves a version, or has no weights for None."""
+    defaults = {"incarnation": 1, "adapters": frozenset(), "num_running": 0, "order_token": 0}
+    defaults |= {"is_up": True, "is_leaving": False}
+    model = MODEL if version is not None else None
+    return EngineObservation(engine, model=model, weight_version=version, **(defaults | fields))
+
+
 def rolling_model(**fields):
     defaults = {"weight_version": "v1", "min_ready_engines": 4, "max_concurrent_loads": 2}
     defaults |= {"load_timeout_s": 30.0, "max_failed_loads": 2}
--- a/src/weirscale/domain/configuration/model.py
+++ b/src/weirscale/domain/configuration/model.py
@@ -51,6 +51,8 @@
         max_concurrent_loads: Engines that may load it at once, over the fleet.
         load_timeout_s: A load that takes longer has failed.
         max_failed_loads: Failed loads of a version after which its rollout stops.
+        restores_failed_engines: Whether engines that a stopped rollout left without weights load
+            the version that the model served before.
     """
 
     name: ModelName
@@ -60,6 +62,7 @@
     max_concurrent_loads: int = 1
     load_timeout_s: float = 300.0
     max_failed_loads: int = 2
+    restores_failed_engines: bool = True
 
 
 class Engine(Declared, frozen=True):
--- a/src/weirscale/domain/placement/model.py
+++ b/src/weirscale/domain/placement/model.py
@@ -42,6 +42,9 @@
         order_token: Token of the last order carried out.
         is_up: Whether it has reported lately.
         is_leaving: Whether it is about to stop.
+        role: The role that it serves, None if it does not say.
+        loading_token: Token of the load that it is carrying out, 0 while none.
+        failed_load_token: Token of the last load that failed in this run, 0 if none has.
     """
 
     engine: EngineName
@@ -53,6 +56,9 @@
     order_token: int
     is_up: bool
     is_leaving: bool
+    role: EngineRole | None = None
+    loading_token: int = 0
+    failed_load_token: int = 0
 
     @property
     def is_ready(self) -> bool:
--- a/src/weirscale/domain/placement/plan.py
+++ b/src/weirscale/domain/placement/plan.py
@@ -7,6 +7,7 @@
 from weirscale.domain.configuration.model import Model
 from weirscale.domain.identifiers import EngineName, ModelName
 from weirscale.domain.placement.model import DesiredEngine, EngineObservation, PlacementRules
+from weirscale.domain.placement.served import served_version
 from weirscale.messages.placement import LoadInProgress, PlacementRecord
 
 MAX_UNPROVEN_LOADS = 1
@@ -37,6 +38,7 @@
         self, observations: Iterable[EngineObservation], loads: Iterable[LoadInProgress]
     ) -> None:
         loading = {load.engine for load in loads}
+        self.trying: dict[ModelName, int] = {}
         self.ready: dict[ModelName, int] = {}
         self.loading: dict[ModelName, int] = {}
         self.num_loads = 0
@@ -44,11 +46,14 @@
             if seen.is_ready and seen.model is not None and seen.engine not in loading:
                 self.ready[seen.model] = self.ready.get(seen.model, 0) + 1
         for load in loads:
-            self.add_load(load.model)
+            self.add_load(load)
 
-    def add_load(self, model: ModelName) -> None:
-        self.loading[model] = self.loading.get(model, 0) + 1
+    def add_load(self, load: LoadInProgress) -> None:
+        """Count a load; one that was given up holds its slot, but tells nothing any more."""
+        self.loading[load.model] = self.loading.get(load.model, 0) + 1
         self.num_loads += 1
+        if not load.is_given_up:
+            self.trying[load.model] = self.trying.get(load.model, 0) + 1
 
 
 def needs_load(wanted: DesiredEngine, seen: EngineObservation) -> bool:
@@ -65,7 +70,9 @@
 def num_failures(record: PlacementRecord, model: Model) -> int:
     """Count the failed loads of a model's declared version."""
     return sum(
-        failure.model == model.name and failure.weight_version == model.weight_version
+        failure.model == model.name
+        and failure.weight_version == model.weight_version
+        and not failure.is_restoring
         for failure in record.failures
     )
 
@@ -79,27 +86,31 @@
 ) -> LoadPlan:
     """Choose the loads to order now.
 
-    Loads that are no longer wanted are replaced first; they keep their slots. Engines whose load of
-    the version has failed come last, so that another engine tells whether the version is at fault;
-    before them engines without weights (loading them takes no capacity away), then the least busy.
+    Loads that are no longer wanted are replaced first; they keep their slots. Of a model whose
+    rollout has stopped, only engines without weights load: the version served before. Engines whose
+    load of the version has failed come last, so that another engine tells whether the version is at
+    fault; before them engines without weights (loading them takes no capacity away), then the least
+    busy.
     """
     token = _first_token(record, observations.values())
+    due = _due(record, desired, observations)
+    superseded = _superseded(record, models, desired, observations, due)
     replacing = [
-        _load(wanted, seen, token + index)
-        for index, (wanted, seen) in enumerate(_superseded(record, models, desired, observations))
+        _load(wanted, seen, token + index) for index, (wanted, seen) in enumerate(superseded)
     ]
     loads = [*_without(record.loads, replacing), *replacing]
     token += len(replacing)
     counts = _Counts(observations.values(), loads)
     planned: list[LoadInProgress] = []
     waiting: set[ModelName] = set()
-    for wanted, seen in _due(record, desired, observations):
-        model = models[wanted.model]
-        if is_stopped(record, model):
-            continue
-        if not _has_slot(model, counts, rules):
+    for declared, seen in due:
+        model = models[declared.model]
+        is_going_back = is_stopped(record, model)
+        wanted = _served_before(record, model, declared, seen) if is_going_back else declared
+        if wanted is None or not _has_slot(model, counts, rules):
             continue
-        is_risky = seen.model is not None or num_failures(record, model) > 0
+        has_doubt = seen.model is not None or num_failures(record, model) > 0
+        is_risky = has_doubt and not is_going_back
         if is_risky and not _is_proven(wanted, observations, counts):
             continue
         if not _keeps_floor(seen, models, counts):
@@ -107,7 +118,7 @@
             continue
         planned.append(_load(wanted, seen, token))
         token += 1
-        counts.add_load(wanted.model)
+        counts.add_load(planned[-1])
         if seen.is_ready and seen.model is not None:
             counts.ready[seen.model] -= 1
     return LoadPlan(
@@ -141,12 +152,19 @@
     models: Mapping[ModelName, Model],
     desired: Mapping[EngineName, DesiredEngine],
     observations: Mapping[EngineName, EngineObservation],
+    due: Iterable[tuple[DesiredEngine, EngineObservation]],
 ) -> list[tuple[DesiredEngine, EngineObservation]]:
-    """Return engines that load what the configuration does not want any more.
+    """Return engines that need another order in the slot of the load that they have.
 
-    Such an engine needs a newer order even if it still reports the wanted version: it may be
-    finishing its requests before it begins the load.
+    Those that load what is wanted no more need it even if they still report the wanted version:
+    they may be finishing their requests before they begin the load. Loads that were given up are
+    ordered again when no engine is left on which the version has not failed.
     """
+    failed = {(failure.engine, failure.weight_version) for failure in record.failures}
+    untried = {
+        wanted.model for wanted, _ in due if (wanted.engine, wanted.weight_version) not in failed
+    }
+    running = {load.model for load in record.loads if not load.is_given_up}
     pairs: list[tuple[DesiredEngine, EngineObservation]] = []
     for load in record.loads:
         wanted = desired.get(load.engine)
@@ -154,11 +172,32 @@
         if wanted is None or seen is None or not _takes_orders(seen):
             continue
         is_wanted = (load.model, load.weight_version) == (wanted.model, wanted.weight_version)
-        if not is_wanted and not is_stopped(record, models[wanted.model]):
+        model = models[wanted.model]
+        if is_stopped(record, model):
+            before = _served_before(record, model, wanted, seen) if load.is_given_up else None
+            if before is not None:
+                pairs.append((before, seen))
+        elif not is_wanted or (load.is_given_up and wanted.model not in untried | running):
             pairs.append((wanted, seen))
     return pairs
 
 
+def _served_before(
+    record: PlacementRecord, model: Model, declared: DesiredEngine, seen: EngineObservation
+) -> DesiredEngine | None:
+    """Return what an engine that a stopped rollout left without weights loads instead."""
+    version = served_version(record, model.name)
+    if seen.model is not None or version is None or not model.restores_failed_engines:
+        return None
+    has_failed = any(
+        failure.engine == declared.engine and failure.weight_version == version
+        for failure in record.failures
+    )
+    if version == model.weight_version or has_failed:
+        return None
+    return msgspec.structs.replace(declared, weight_version=version)
+
+
 def _due(
     record: PlacementRecord,
     desired: Mapping[EngineName, DesiredEngine],
@@ -207,7 +246,7 @@
     counts: _Counts,
 ) -> bool:
     """Whether the version may be loaded on one engine more: it serves somewhere, or none loads."""
-    if counts.loading.get(wanted.model, 0) < MAX_UNPROVEN_LOADS:
+    if counts.trying.get(wanted.model, 0) < MAX_UNPROVEN_LOADS:
         return True
     return any(other.is_ready and not needs_load(wanted, other) for other in observations.values())
 
--- a/src/weirscale/domain/placement/progress.py
+++ b/src/weirscale/domain/placement/progress.py
@@ -40,6 +40,9 @@
     num_ready = sum(seen.model == model.name for _, seen in ready)
     num_current = sum(_is_current(each, seen) for each, seen in ready)
     loading = tuple(load.engine for load in record.loads if load.model == model.name)
+    stuck = tuple(
+        load.engine for load in record.loads if load.model == model.name and load.is_given_up
+    )
     failures = tuple(failure for failure in record.failures if failure.model == model.name)
     if num_current == len(wanted):
         state = RolloutState.DONE
@@ -58,6 +61,7 @@
         num_ready=num_ready,
         num_current=num_current,
         loading=loading,
+        stuck=stuck,
         failures=failures,
         state=state.value,
         remedy=_REMEDIES[state],
--- a/src/weirscale/domain/placement/small_orders.py
+++ b/src/weirscale/domain/placement/small_orders.py
@@ -29,7 +29,7 @@
 
 
 class KnownRole(msgspec.Struct, frozen=True):
-    """A role that a run of an engine has accepted; reports do not tell roles."""
+    """A role that a run of an engine has accepted; for engines whose reports tell no role."""
 
     incarnation: Incarnation
     role: EngineRole
@@ -67,8 +67,15 @@
     for adapter in sorted(seen.adapters):
         if adapter not in wanted.adapters:
             return AdapterChange(wanted.engine, adapter, is_load=False)
-    is_known = known is not None and known.incarnation == seen.incarnation
-    role = known.role if known is not None and is_known else EngineRole.BOTH
-    if role is not wanted.role:
+    if _role_now(seen, known) is not wanted.role:
         return RoleChange(wanted.engine, wanted.role)
     return None
+
+
+def _role_now(seen: EngineObservation, known: KnownRole | None) -> EngineRole:
+    """Return the role that an engine says or has accepted; a new run serves both phases."""
+    if seen.role is not None:
+        return seen.role
+    if known is not None and known.incarnation == seen.incarnation:
+        return known.role
+    return EngineRole.BOTH
--- a/src/weirscale/messages/cache.py
+++ b/src/weirscale/messages/cache.py
@@ -93,6 +93,9 @@
         num_total_blocks: Most blocks that fit.
         is_leaving: Whether the engine is about to stop.
         order_token: Fencing token of the last order carried out, 0 before any.
+        role: The role that it serves, or None if it does not say.
+        loading_token: Token of the load that it has accepted and not ended, 0 while none.
+        failed_load_token: Token of the last load that failed in this run, 0 if none has.
     """
 
     engine: EngineName
@@ -107,3 +110,6 @@
     num_total_blocks: int
     is_leaving: bool
     order_token: int
+    role: str | None = None
+    loading_token: int = 0
+    failed_load_token: int = 0
--- a/src/weirscale/messages/digest.py
+++ b/src/weirscale/messages/digest.py
@@ -49,6 +49,9 @@
     is_leaving: bool
     order_token: int
     age_s: float
+    role: str | None = None
+    loading_token: int = 0
+    failed_load_token: int = 0
 
     @staticmethod
     def of(report: LoadReport, age_s: float) -> "LoadSummary":
@@ -63,6 +66,9 @@
             is_leaving=report.is_leaving,
             order_token=report.order_token,
             age_s=round(age_s, 2),
+            role=report.role,
+            loading_token=report.loading_token,
+            failed_load_token=report.failed_load_token,
         )
 
     def report(
@@ -86,6 +92,9 @@
             num_total_blocks=self.num_total_blocks,
             is_leaving=self.is_leaving,
             order_token=self.order_token,
+            role=self.role,
+            loading_token=self.loading_token,
+            failed_load_token=self.failed_load_token,
         )
 
 
--- a/src/weirscale/messages/placement.py
+++ b/src/weirscale/messages/placement.py
@@ -20,6 +20,8 @@
         model: The model to load.
         weight_version: The version to load.
         token: Fencing token of the order.
+        is_given_up: Whether it has failed by taking too long. It keeps its slot, because the
+            engine may still be reading weights, until a report shows that it is not.
     """
 
     engine: EngineName
@@ -27,6 +29,7 @@
     model: ModelName
     weight_version: WeightVersion
     token: int
+    is_given_up: bool = False
 
 
 class FailedLoad(msgspec.Struct, frozen=True):
@@ -37,12 +40,22 @@
         model: The model.
         weight_version: The version.
         reason: What happened, for status.
+        is_restoring: Whether it was to bring the version before back after the rollout stopped;
+            such a failure does not count against that version.
     """
 
     engine: EngineName
     model: ModelName
     weight_version: WeightVersion
     reason: str
+    is_restoring: bool = False
+
+
+class ServedVersion(msgspec.Struct, frozen=True):
+    """The version that a model served last, before any that is being rolled out."""
+
+    model: ModelName
+    weight_version: WeightVersion
 
 
 class PlacementRecord(msgspec.Struct, frozen=True, tag="placement_record"):
@@ -52,11 +65,14 @@
         next_token: Fencing token of the next order; never given twice.
         loads: Loads in progress over the whole fleet.
         failures: Failed loads of declared versions.
+        served: The version that each model served last; engines that a stopped rollout left
+            without weights go back to it.
     """
 
     next_token: int = 1
     loads: tuple[LoadInProgress, ...] = ()
     failures: tuple[FailedLoad, ...] = ()
+    served: tuple[ServedVersion, ...] = ()
 
 
 class RolloutProgress(msgspec.Struct, frozen=True, tag="rollout_progress"):
@@ -68,7 +84,8 @@
         num_engines: Engines declared for it.
         num_ready: Those that serve the model at any version.
         num_current: Those that serve the declared version with all adapters.
-        loading: Engines that are loading it now.
+        loading: Engines that are loading it now, at any version.
+        stuck: Those of them whose load was given up but may still read weights.
         failures: Failed loads of the declared version.
         state: One of `RolloutState`'s values.
         remedy: What an operator can do; empty where nothing is needed.
@@ -80,6 +97,7 @@
     num_ready: int
     num_current: int
     loading: tuple[EngineName, ...]
+    stuck: tuple[EngineName, ...]
     failures: tuple[FailedLoad, ...]
     state: str
     remedy: str
--- a/src/weirscale/node/placement/observing.py
+++ b/src/weirscale/node/placement/observing.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Mapping
 
+from weirscale.domain.configuration.model import EngineRole
 from weirscale.domain.health.circuit import CircuitState, state_at
 from weirscale.domain.identifiers import EngineName
 from weirscale.domain.placement.model import EngineObservation, PlacementRules
 from weirscale.node.backends.facts import DirectorySnapshot, EngineFacts
 
+_ROLES: Mapping[str, EngineRole] = {role.value: role for role in EngineRole}
+
 
 def observe_engines(
     snapshot: DirectorySnapshot, rules: PlacementRules, now_s: float
@@ -40,4 +43,12 @@
         order_token=report.order_token,
         is_up=is_fresh and state_at(facts.circuit, now_s) is CircuitState.CLOSED,
         is_leaving=facts.leaving.is_leaving_at(now_s),
+        role=known_role(report.role),
+        loading_token=report.loading_token,
+        failed_load_token=report.failed_load_token,
     )
+
+
+def known_role(name: str | None) -> EngineRole | None:
+    """Return the role that an engine names; None if it names none or one not known here."""
+    return _ROLES.get(name) if name is not None else None
--- a/src/weirscale/node/placement/orders.py
+++ b/src/weirscale/node/placement/orders.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Ok, Result
 
-from weirscale.domain.identifiers import EngineName
+from weirscale.domain.identifiers import EngineName, Incarnation
 from weirscale.domain.placement.small_orders import AdapterChange, SmallChange
 from weirscale.messages.placement import LoadInProgress
 from weirscale.ports.engine import (
@@ -47,17 +47,19 @@
 def order_of_load(load: LoadInProgress) -> FencedOrder:
     """Return the order that starts a load; always the same for the same load."""
     action = LoadModel(load.model, load.weight_version)
-    return FencedOrder(load.engine, EngineOrder(load.token, action))
+    return FencedOrder(load.engine, EngineOrder(load.token, action, load.incarnation))
 
 
-def order_of_change(change: SmallChange, token: int) -> FencedOrder:
-    """Return the order of an adapter or role change."""
+def order_of_change(
+    change: SmallChange, token: int, incarnation: Incarnation | None
+) -> FencedOrder:
+    """Return the order of an adapter or role change for one run of the engine."""
     action: OrderAction
     if isinstance(change, AdapterChange):
         action = LoadAdapter(change.adapter) if change.is_load else UnloadAdapter(change.adapter)
     else:
         action = ChangeRole(change.role.value)
-    return FencedOrder(change.engine, EngineOrder(token, action))
+    return FencedOrder(change.engine, EngineOrder(token, action, incarnation))
 
 
 async def give_order(port: EnginePort, order: EngineOrder) -> OrderAnswer:
--- a/src/weirscale/node/placement/task.py
+++ b/src/weirscale/node/placement/task.py
@@ -232,6 +232,8 @@
                 version=failure.weight_version,
                 reason=failure.reason,
             )
+        for load in settlement.freed:
+            self._events.event("load_slot_freed", engine=load.engine, token=load.token)
         for load in plan.ordered:
             self._events.event(
                 "load_ordered", engine=load.engine, version=load.weight_version, token=load.token
@@ -246,11 +248,12 @@
     ) -> None:
         async with anyio.create_task_group() as tasks:
             for load in record.loads:
-                if load.token not in self._accepted:
+                if load.token not in self._accepted and not load.is_given_up:
                     tasks.start_soon(self._give_load, order_of_load(load))
             for index, change in enumerate(changes):
-                order = order_of_change(change, first_change_token + index)
-                tasks.start_soon(self._give_change, order, change, observations[change.engine])
+                seen = observations[change.engine]
+                order = order_of_change(change, first_change_token + index, seen.incarnation)
+                tasks.start_soon(self._give_change, order, change, seen)
 
     async def _give_load(self, fenced: FencedOrder) -> None:
         """Give the order of a load; it loses its slot only if the engine cannot be loading."""
--- a/src/weirscale/ports/engine.py
+++ b/src/weirscale/ports/engine.py
@@ -153,10 +153,14 @@
     Attributes:
         token: Fencing token; grows with each order over the deployment's life.
         action: What to do.
+        expected_incarnation: The run that the order is for, or None for any; another run answers
+            REFUSED_MISMATCH and does nothing, so that an order which arrives after a restart, when
+            the tokens seen are forgotten, has no effect.
     """
 
     token: int
     action: OrderAction
+    expected_incarnation: Incarnation | None = None
 
 
 ChunkOrFailure = Result[TokenChunk, EngineFailure]
--- a/src/weirscale/standins/engine/in_process.py
+++ b/src/weirscale/standins/engine/in_process.py
@@ -71,6 +71,7 @@
         self._block_stores = block_stores or {}
         self._wake = anyio.Event()
         self._loading: LoadModel | None = None
+        self._reading: anyio.CancelScope | None = None
         self._down_until_s = 0.0
         self._crash_listeners: list[anyio.Event] = []
 
@@ -100,15 +101,25 @@
         if load is None or load is self._loading:
             return
         self._loading = load
+        self._stop_reading()
+        self._reading = anyio.CancelScope()
         self.model.begin_load(load, anyio.current_time())
-        tasks.start_soon(self._load, load)
+        tasks.start_soon(self._load, load, self._reading)
 
-    async def _load(self, load: LoadModel) -> None:
+    def _stop_reading(self) -> None:
+        if self._reading is not None:
+            self._reading.cancel()
+
+    async def _load(self, load: LoadModel, scope: anyio.CancelScope) -> None:
+        """Read weights until another load or a crash stops the reading."""
         succeeded = not self.faults.current.fail_weight_loads
-        if self._weight_source is not None:
-            size = self.settings.weight_bytes
-            fetched = await self._weight_source.fetch(self.settings.name, load, size)
-            succeeded = succeeded and isinstance(fetched, Ok)
+        with scope:
+            if self._weight_source is not None:
+                size = self.settings.weight_bytes
+                fetched = await self._weight_source.fetch(self.settings.name, load, size)
+                succeeded = succeeded and isinstance(fetched, Ok)
+        if scope.cancelled_caught:
+            return
         self.model.finish_load(load, succeeded, anyio.current_time())
         self._wake.set()
 
@@ -124,6 +135,7 @@
         """Lose everything; the engine answers again, empty, after `restart_s`."""
         now_s = anyio.current_time()
         self._down_until_s = now_s + self.settings.restart_s
+        self._stop_reading()
         self.model.crash(incarnation or Incarnation(self.model.incarnation + 1), now_s)
         self._wake.set()
         listeners, self._crash_listeners = self._crash_listeners, []
--- a/src/weirscale/standins/engine/model.py
+++ b/src/weirscale/standins/engine/model.py
@@ -67,6 +67,7 @@
         self.pending_load: LoadModel | None = None
         self._fence = OrderFence()
         self._pending_load_token = 0
+        self._failed_load_token = 0
         self._order_token = 0
         self._attempts: dict[AttemptKey, Attempt] = {}
         self._finished: OrderedDict[AttemptKey, Attempt] = OrderedDict()
@@ -141,6 +142,9 @@
     def order(self, order: EngineOrder, now_s: float) -> Result[None, EngineFailure]:
         """Accept a fenced order; a load begins when running requests have finished."""
         self._roll_report(now_s)
+        if order.expected_incarnation not in (None, self.incarnation):
+            detail = f"incarnation is {self.incarnation}; decide anew from its load report"
+            return Err(EngineFailure(EngineFailureKind.REFUSED_MISMATCH, detail))
         checked = self._fence.check(order)
         if isinstance(checked, Err):
             return checked
@@ -171,6 +175,8 @@
             self.model = load.model
             self.weight_version = load.weight_version
             self._order_token = max(self._order_token, self._pending_load_token)
+        else:
+            self._failed_load_token = self._pending_load_token
 
     def block_hashes(self, call: GenerateCall) -> list[BlockHash]:
         """Return the chain of a call's prompt under the weights loaded now."""
@@ -373,4 +379,7 @@
             num_total_blocks=self.settings.num_total_blocks,
             is_leaving=self.is_leaving,
             order_token=self._order_token,
+            role=self.role,
+            loading_token=self._pending_load_token if self.pending_load is not None else 0,
+            failed_load_token=self._failed_load_token,
         )
