--- a/src/weirscale/experiments/scale/main.py
+++ b/src/weirscale/experiments/scale/main.py
@@ -5,11 +5,14 @@
 import anyio
 
 from weirscale.experiments.scale.loopback import LoopbackCost, LoopbackPlan, measure_loopback
-from weirscale.experiments.scale.measure import FleetCost, measure_fleet
+from weirscale.experiments.scale.measure import NUM_CRASHES, FleetCost, measure_fleet
 from weirscale.experiments.virtual_time import run_in_virtual_time
 
+EXIT_USAGE = 2
 DEFAULT_SIZES = (50, 100, 200, 400)
 DEFAULT_FIRST_PORT = 21_000
+MIN_NODES = 2 * NUM_CRASHES
+"""With fewer, the crashes of a measurement would take all seeds, and no node could join."""
 
 
 def run(sizes: Sequence[int] = DEFAULT_SIZES, seed: int = 1, drop_percent: float = 0.0) -> int:
@@ -21,8 +24,11 @@
         drop_percent: Datagrams lost, in per cent.
 
     Returns:
-        0 if all nodes always agreed in time, else 1.
+        0 if all nodes always agreed in time, 1 if not, 2 for sizes that are too small.
     """
+    if min(sizes) < MIN_NODES:
+        print(f"sizes: {min(sizes)} is too small; give at least {MIN_NODES} nodes")
+        return EXIT_USAGE
     costs: list[FleetCost] = []
     print("nodes bytes/s messages/s cpu_% kB/node crash_s(max) join_s(max) disagreements")
     for size in sizes:
