Let the demonstration use the experiments' callers and checkers

Cause: the demonstration had its own HTTP callers, verdicts and count of doubled work beside those of the experiments. Change: its own callers are gone; callers, history, checkers and figures are the shared ones. Conclusion: one set of callers; the demonstration checks every rule instead of three.

--- a/src/weirscale/experiments/demo/embedded.py
+++ b/src/weirscale/experiments/demo/embedded.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import anyio
+import httpx
 import msgspec
 from anyio.abc import TaskGroup
 
@@ -16,6 +17,10 @@
     ServiceBackend,
 )
 from weirscale.domain.identifiers import BackendName, ConfigurationRevision, NodeName, ZoneName
+from weirscale.experiments.history.records import AnyRecord
+from weirscale.experiments.run.exchange import Connect, HttpRequest
+from weirscale.experiments.run.http_exchange import HttpExchange
+from weirscale.experiments.run.platform import engine_run, service_run
 from weirscale.node.configuration.apply import Applier
 from weirscale.node.configuration.outcome import Accepted
 from weirscale.node.program import NodeProgram
@@ -56,10 +61,24 @@
     services: list[InProcessService]
     nodes: list[NodeProgram]
 
-    def caller_address(self, zone: ZoneName) -> str:
-        """Return host:port of the node of a zone."""
+    def reach(self, client: httpx.AsyncClient, zone: ZoneName) -> tuple[NodeName, Connect]:
+        """Return the node of a zone, and how to connect to it."""
         node = next(node for node in self.nodes if node.identity.zone == zone)
-        return f"{LOOPBACK}:{node.caller_port}"
+        address = f"{LOOPBACK}:{node.caller_port}"
+
+        def connect(request: HttpRequest) -> HttpExchange:
+            return HttpExchange(client, address, request)
+
+        return NodeName(node.identity.node.name), connect
+
+    def run_records(self) -> list[AnyRecord]:
+        """Return what engines and services ran, as records of a history."""
+        records: list[AnyRecord] = []
+        for engine in self.engines:
+            records.extend(map(engine_run, engine.model.ledger.records()))
+        for service in self.services:
+            records.extend(map(service_run, service.model.runs()))
+        return records
 
 
 async def start_embedded(
--- a/src/weirscale/experiments/demo/main.py
+++ b/src/weirscale/experiments/demo/main.py
@@ -1,10 +1,10 @@
 """The demonstration: a deployment at its declared size, a few hundred requests, a table."""
 
-from collections import Counter
 from pathlib import Path
 from random import Random
 
 import anyio
+import httpx
 import msgspec
 from result import Err
 from rich.console import Console
@@ -12,10 +12,15 @@
 
 from weirscale.domain.configuration.model import Deployment
 from weirscale.domain.configuration.parse import check_deployment
-from weirscale.experiments.demo.callers import CallerResult, CallerVerdict, DemoCallers
+from weirscale.domain.identifiers import NodeName, ZoneName
 from weirscale.experiments.demo.embedded import EmbeddedDeployment, start_embedded
-from weirscale.experiments.report.figures import percentiles
-from weirscale.experiments.workload.items import ServiceItem
+from weirscale.experiments.history.history import History
+from weirscale.experiments.history.verdict import judge
+from weirscale.experiments.report.figures import ControlCost, Figures, RunIdentity, work_out
+from weirscale.experiments.run.callers import Callers
+from weirscale.experiments.run.exchange import Connect
+from weirscale.experiments.run.recorder import Recorder
+from weirscale.experiments.run.virtual import right_answer
 from weirscale.experiments.workload.plan import PlanSetting, make_plan
 from weirscale.experiments.workload.shape import PRESETS, WorkloadShape
 
@@ -25,58 +30,62 @@
 MILLISECONDS_PER_S = 1000
 EXIT_CLEAN = 0
 EXIT_VIOLATED = 1
+MAX_SHOWN_VIOLATIONS = 10
 
 
 async def _run(
     deployment: Deployment, shape: WorkloadShape, duration_s: float, seed: int
-) -> tuple[EmbeddedDeployment, list[CallerResult]]:
+) -> Figures:
     zones = tuple(zone for region in deployment.regions for zone in region.zones)
     setting = PlanSetting(tuple(tenant.name for tenant in deployment.tenants), zones)
     plan = make_plan(shape, setting, duration_s, seed)
+    recorder = Recorder(anyio.current_time)
     stop = anyio.Event()
-    async with anyio.create_task_group() as tasks:
+    limits = httpx.Limits(max_connections=None)
+    async with (
+        httpx.AsyncClient(limits=limits, timeout=None, trust_env=False) as client,
+        anyio.create_task_group() as tasks,
+    ):
         embedded = await start_embedded(deployment, tasks, stop, Random(seed))
-        callers = DemoCallers(embedded)
-        await callers.send_all(plan)
+
+        def reach(zone: ZoneName, _index: int) -> tuple[NodeName, Connect]:
+            return embedded.reach(client, zone)
+
+        await Callers(reach, recorder).send_all(plan)
         stop.set()
         for node in embedded.nodes:
             await node.stopped.wait()
         tasks.cancel_scope.cancel()
-    return embedded, callers.results
-
-
-def count_doubled(embedded: EmbeddedDeployment, results: list[CallerResult]) -> int:
-    """Count idempotency keys and unrepeatable requests that ran more than once."""
-    unrepeatable = {
-        result.item.request_id
-        for result in results
-        if isinstance(result.item, ServiceItem) and not result.item.repeatable
-    }
-    runs = [run for service in embedded.services for run in service.model.runs()]
-    by_key = Counter(run.idempotency_key for run in runs if run.idempotency_key)
-    by_request = Counter(run.request_id for run in runs if run.request_id in unrepeatable)
-    doubled = [*by_key.values(), *by_request.values()]
-    return sum(1 for num_runs in doubled if num_runs > 1)
-
-
-def _table(name: str, embedded: EmbeddedDeployment, results: list[CallerResult]) -> Table:
-    verdicts = Counter(result.verdict for result in results)
-    refusals = Counter(
-        result.detail for result in results if result.verdict is CallerVerdict.REFUSED
+    identity = RunIdentity(deployment.name, deployment.name, "default", seed, duration_s)
+    return _figures(embedded, recorder, identity)
+
+
+def _figures(embedded: EmbeddedDeployment, recorder: Recorder, identity: RunIdentity) -> Figures:
+    """Judge what callers and stand-ins recorded."""
+    history = History(
+        [*recorder.records, *embedded.run_records()],
+        right_answer,
+        embedded.deployment.engines[0].block_size_bytes,
     )
-    num_prompt_tokens = sum(result.num_prompt_tokens for result in results)
-    num_cached_tokens = sum(result.num_cached_tokens for result in results)
-    ttft = percentiles(result.ttft_s for result in results if result.ttft_s is not None)
-    table = Table(title=f"{name}: {len(results)} requests, {len(embedded.nodes)} nodes")
+    return work_out(history, judge(history), identity, ControlCost())
+
+
+def _table(name: str, num_nodes: int, figures: Figures) -> Table:
+    requests = figures.requests
+    refusals = " ".join(f"{code}={number}" for code, number in figures.refusals.items())
+    ttft = figures.ttft_seconds
+    hit_rate = figures.prefix_hit_rate
+    table = Table(title=f"{name}: {requests.sent} requests, {num_nodes} nodes")
     table.add_column("figure")
     table.add_column("value", justify="right")
     rows = (
-        ("answered once", str(verdicts[CallerVerdict.ANSWERED])),
-        ("refused", f"{verdicts[CallerVerdict.REFUSED]} {dict(refusals) or ''}"),
-        ("lost", str(verdicts[CallerVerdict.LOST])),
-        ("wrong or crossed", str(verdicts[CallerVerdict.WRONG])),
-        ("doubled", str(count_doubled(embedded, results))),
-        ("prefix hit rate", f"{num_cached_tokens / max(1, num_prompt_tokens):.3f}"),
+        ("answered once", str(requests.answered_once)),
+        ("refused as not run", f"{requests.refused_not_run} {refusals}".strip()),
+        ("failed", str(requests.failed)),
+        ("lost", str(requests.lost)),
+        ("crossed or truncated", str(requests.crossed + requests.truncated)),
+        ("doubled", str(requests.doubled)),
+        ("prefix hit rate", "none" if hit_rate is None else f"{hit_rate:.3f}"),
         ("time to first token p50", _milliseconds(ttft.p50)),
         ("time to first token p95", _milliseconds(ttft.p95)),
         ("time to first token p99", _milliseconds(ttft.p99)),
@@ -100,7 +109,7 @@
     """Run the demonstration and print its table.
 
     Returns:
-        Exit code: 0 if nothing was lost, wrong or doubled.
+        Exit code: 0 if every rule held and no request failed.
     """
     console = Console()
     checked = check_deployment(deployment_file.read_text())
@@ -110,15 +119,13 @@
     deployment = checked.ok_value
     shape = _shape(preset, requests_per_s)
     options = {"use_uvloop": True}
-    embedded, results = anyio.run(
-        _run, deployment, shape, duration_s, seed, backend_options=options
-    )
-    console.print(_table(deployment.name, embedded, results))
-    bad = {CallerVerdict.LOST, CallerVerdict.WRONG}
-    problems = [result for result in results if result.verdict in bad]
-    for result in problems[:10]:
-        console.print(f"{result.item.request_id}: {result.verdict.value}: {result.detail}")
-    is_clean = not problems and count_doubled(embedded, results) == 0
+    figures = anyio.run(_run, deployment, shape, duration_s, seed, backend_options=options)
+    num_nodes = sum(len(region.zones) for region in deployment.regions)
+    console.print(_table(deployment.name, num_nodes, figures))
+    for violation in figures.violations[:MAX_SHOWN_VIOLATIONS]:
+        requests = " ".join(violation.request_ids)
+        console.print(f"{violation.rule}: {violation.detail} {requests}")
+    is_clean = not figures.violations and not figures.requests.failed
     return EXIT_CLEAN if is_clean else EXIT_VIOLATED
 
 
