Hand feature files to idle workers and run the static checks beside them

Cause: files were dealt to four behave processes by size, which says little about time (membership_faults takes 16 s, prefix_view 0.01 s), each behave paid its imports again, and the three static checks ran first and alone. Change: a queue of single files, the ten slow ones first, served by four worker processes that keep their imports and clear the step registry before each file; the static checks run in one further thread. One line for a file that passed, all of behave's output for any other. A worker that dies, or a step file that does not load, counts as failed as before. The last line is unchanged, with the same counts.

--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -4,11 +4,16 @@
 KNOWN-RED.txt lists (one line each: test, cause, issue) is printed but not counted as failed.
 """
 
+import contextlib
+import io
 import json
+import multiprocessing
 import subprocess
 import sys
 import tempfile
-from concurrent.futures import ThreadPoolExecutor
+import time
+from concurrent.futures import Future, ProcessPoolExecutor, ThreadPoolExecutor, as_completed
+from dataclasses import dataclass
 from pathlib import Path
 
 STATIC_CHECKS = (
@@ -22,15 +27,56 @@
 NUM_WORKERS = 4
 """behave processes at once; few enough for a small machine."""
 
+SLOW_FEATURES = (
+    "membership_faults",
+    "duties_lease",
+    "backends_directory",
+    "configuration_spread",
+    "claims_faults",
+    "experiment_virtual_runs",
+    "limits_shares",
+    "choice_comparison",
+    "claims_model_check",
+    "home_engines",
+)
+"""Files that take longest, begun first so that no worker is left with one at the end."""
+
 BEHAVE_ENDED = (0, 1)
 """Exit codes of behave that ran to its end: all passed, or some failed."""
 
 
-def run_static_check(name: str, command: tuple[str, ...]) -> bool:
-    """Run one tool from this interpreter's environment; True if it is clean."""
-    outcome = subprocess.run([sys.executable, "-m", *command], check=False)
-    print(f"{name}: {'passed' if outcome.returncode == 0 else 'FAILED'}", flush=True)
-    return outcome.returncode == 0
+@dataclass(frozen=True)
+class FeatureRun:
+    """What behave made of one feature file.
+
+    Attributes:
+        file: The feature file.
+        output: Everything that behave printed.
+        passed: Names of the scenarios that passed.
+        others: Names of all other scenarios.
+        ended: Whether behave ran to its end.
+        duration_s: Time that it took.
+    """
+
+    file: str
+    output: str
+    passed: list[str]
+    others: list[str]
+    ended: bool
+    duration_s: float
+
+
+def run_static_check(name: str, command: tuple[str, ...]) -> tuple[bool, str]:
+    """Run one tool from this interpreter's environment; True if it is clean, and what to print."""
+    outcome = subprocess.run(
+        [sys.executable, "-m", *command],
+        check=False,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    is_clean = outcome.returncode == 0
+    return is_clean, f"{outcome.stdout}{name}: {'passed' if is_clean else 'FAILED'}"
 
 
 def known_red() -> set[str]:
@@ -44,14 +90,24 @@
     return {line.split(",", 1)[0].strip() for line in lines}
 
 
-def run_features(files: list[str], report: Path) -> tuple[str, bool]:
-    """Run behave on some feature files; return its output and whether it ended properly."""
-    command = [sys.executable, "-m", "behave", "--format", "json", "--outfile", str(report)]
-    command += ["--format", "progress", *files]
-    outcome = subprocess.run(
-        command, check=False, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
-    )
-    return outcome.stdout, outcome.returncode in BEHAVE_ENDED and report.exists()
+def run_feature(file: str) -> FeatureRun:
+    """Run behave on one feature file, in a worker that keeps its imports for the next one."""
+    # The import takes long, and only workers need it.
+    from behave.__main__ import main as behave_main
+    from behave.step_registry import registry
+
+    began_s = time.monotonic()
+    # Steps that the worker's last run loaded would be taken for doubles of this run's.
+    registry.clear()  # type: ignore[no-untyped-call]
+    with tempfile.TemporaryDirectory() as folder, contextlib.redirect_stdout(io.StringIO()) as text:
+        report = Path(folder) / "report.json"
+        command = ["--format", "json", "--outfile", str(report), "--format", "progress", file]
+        with contextlib.redirect_stderr(text):
+            exit_code = behave_main(command)  # type: ignore[no-untyped-call]
+        ended = exit_code in BEHAVE_ENDED and report.exists()
+        passed, others = read_report(report) if ended else ([], [])
+    duration_s = time.monotonic() - began_s
+    return FeatureRun(file, text.getvalue(), passed, others, ended, duration_s)
 
 
 def read_report(report: Path) -> tuple[list[str], list[str]]:
@@ -66,35 +122,60 @@
     return passed, others
 
 
-def run_behave() -> tuple[list[str], list[str], bool]:
-    """Run every scenario; return passed names, other names and whether behave itself ran well.
+def feature_files() -> list[str]:
+    """Return all feature files, the slow ones first, then the large ones."""
+
+    def rank(file: Path) -> tuple[bool, int, int]:
+        is_slow = file.stem in SLOW_FEATURES
+        return not is_slow, SLOW_FEATURES.index(file.stem) if is_slow else 0, -file.stat().st_size
+
+    return [str(file) for file in sorted(Path("features").glob("*.feature"), key=rank)]
+
+
+def outcome_of(run: Future[FeatureRun], file: str) -> FeatureRun:
+    """Return a finished run; one that raised, or whose process died, did not end."""
+    error = run.exception()
+    if error is None:
+        return run.result()
+    return FeatureRun(file, f"{type(error).__name__}: {error}", [], [], False, 0.0)
+
 
-    Feature files share nothing, so they are dealt to a few processes, long ones first.
+def describe(run: FeatureRun) -> str:
+    """Return one line for a file that passed; of any other, all that behave printed."""
+    num_others = len(run.others)
+    line = f"{run.file}: {len(run.passed)} passed, {num_others} not, in {run.duration_s:.1f} s"
+    if not run.ended:
+        line += " (behave did not run to its end)"
+    return line if run.ended and not run.others else f"{run.output}\n{line}"
+
+
+def run_behave() -> list[FeatureRun]:
+    """Run every scenario.
+
+    Feature files share nothing: each goes to the next worker that is idle. Workers are new
+    processes, so that the threads of this one are not copied into them.
     """
-    files = sorted(Path("features").glob("*.feature"), key=lambda file: -file.stat().st_size)
-    shares = [[str(file) for file in files[start::NUM_WORKERS]] for start in range(NUM_WORKERS)]
-    passed: list[str] = []
-    others: list[str] = []
-    ran_well = True
-    with tempfile.TemporaryDirectory() as folder, ThreadPoolExecutor(NUM_WORKERS) as pool:
-        reports = [Path(folder) / f"{number}.json" for number in range(NUM_WORKERS)]
-        for report, (output, ended) in zip(
-            reports, pool.map(run_features, shares, reports), strict=True
-        ):
-            print(output, flush=True)
-            ran_well = ran_well and ended
-            if ended:
-                names = read_report(report)
-                passed += names[0]
-                others += names[1]
-    return passed, others, ran_well and bool(passed)
+    spawn = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(NUM_WORKERS, mp_context=spawn) as pool:
+        files = {pool.submit(run_feature, file): file for file in feature_files()}
+        runs = []
+        for future in as_completed(files):
+            runs.append(outcome_of(future, files[future]))
+            print(describe(runs[-1]), flush=True)
+    return runs
 
 
 def main() -> int:
     """Run everything and print the closing line."""
-    results = [run_static_check(name, command) for name, command in STATIC_CHECKS]
-    passed, others, ran_well = run_behave()
-    results.append(ran_well)
+    with ThreadPoolExecutor(1) as background:
+        checks = [background.submit(run_static_check, *check) for check in STATIC_CHECKS]
+        runs = run_behave()
+        results = [check.result()[0] for check in checks]
+        for check in checks:
+            print(check.result()[1])
+    passed = [name for run in runs for name in run.passed]
+    others = [name for run in runs for name in run.others]
+    results.append(bool(passed) and all(run.ended for run in runs))
     expected = known_red()
     failed = [name for name in others if name not in expected]
     for name in others:
