--- a/src/weirscale/ports/http_server.py
+++ b/src/weirscale/ports/http_server.py
@@ -4,14 +4,54 @@
 """
 
 import socket
+from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 
 from weirscale.ports.asgi import AsgiApp
 
+if TYPE_CHECKING:
+    from hypercorn.config import Config
+
 LISTEN_BACKLOG = 1024
 KEEP_ALIVE_S = 75.0
-"""Longer than clients keep idle connections, so that the client closes them."""
+"""Longer than clients keep idle connections, so that the client closes them. Also the longest that
+the headers of a request may take: the server has no other limit for them."""
+
+SILENCE_S = 3660.0
+"""A minute more than the longest deadline of a caller. The only limit for a client that opens
+HTTP/2 and then sends nothing: the server counts such a connection as busy."""
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Request line and headers that may wait for their end, in HTTP/1.1 and HTTP/2; chunk headers of a
+body as well. Twice the default limit of callers' headers, so that the usual excess is answered by
+the application, with a remedy; beyond it the answer is a bare 431."""
+
+MAX_STREAMS_OF_CONNECTION = 128
+"""HTTP/2 streams that one connection may have open; more end the connection. A stream holds at
+most `MAX_QUEUED_MESSAGES` parts of its body."""
+
+MAX_FRAME_BYTES = 16 * 1024
+"""Largest HTTP/2 frame accepted: the smallest value that the protocol allows."""
+
+MAX_QUEUED_MESSAGES = 10
+"""Parts of a body, each of one read, that wait for the application; reading pauses meanwhile."""
+
+
+class ConnectionLimits(msgspec.Struct, frozen=True):
+    """How long connections may be unused.
+
+    Attributes:
+        keep_alive_s: Time without a whole request head while nothing else runs.
+        silence_s: Time without a byte from the client, also while it waits for an answer.
+    """
+
+    keep_alive_s: float = KEEP_ALIVE_S
+    silence_s: float = SILENCE_S
+
+
+DEFAULT_LIMITS = ConnectionLimits()
 
 
 def open_listener(host: str, port: int) -> socket.socket:
@@ -36,7 +76,11 @@
 
 
 async def serve_asgi(
-    app: AsgiApp, listener: socket.socket, stop: anyio.Event, finish_timeout_s: float
+    app: AsgiApp,
+    listener: socket.socket,
+    stop: anyio.Event,
+    finish_timeout_s: float,
+    limits: ConnectionLimits = DEFAULT_LIMITS,
 ) -> None:
     """Serve until `stop` is set or the task is cancelled; the listener is closed at the end.
 
@@ -48,8 +92,20 @@
         listener: A listening socket; owned by the server from here on.
         stop: Ends the serving.
         finish_timeout_s: How long open requests and connections may go on after the stop.
+        limits: How long connections may be unused.
     """
     from hypercorn.asyncio import serve
+
+    config = _configuration(listener, finish_timeout_s, limits)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_stop_when_cancelled, stop)
+        with anyio.CancelScope(shield=True):
+            await serve(app, config, shutdown_trigger=stop.wait)
+
+
+def _configuration(
+    listener: socket.socket, finish_timeout_s: float, limits: ConnectionLimits
+) -> "Config":
     from hypercorn.config import Config
 
     config = Config()
@@ -57,12 +113,16 @@
     config.accesslog = None
     config.errorlog = None
     config.backlog = LISTEN_BACKLOG
-    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_timeout = limits.keep_alive_s
+    # Bodies have a shorter limit in the application, which can answer.
+    config.read_timeout = limits.silence_s  # type: ignore[assignment]  # passed on as it is
     config.graceful_timeout = finish_timeout_s
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_stop_when_cancelled, stop)
-        with anyio.CancelScope(shield=True):
-            await serve(app, config, shutdown_trigger=stop.wait)
+    config.h11_max_incomplete_size = MAX_HEAD_BYTES
+    config.h2_max_header_list_size = MAX_HEAD_BYTES
+    config.h2_max_concurrent_streams = MAX_STREAMS_OF_CONNECTION
+    config.h2_max_inbound_frame_size = MAX_FRAME_BYTES
+    config.max_app_queue_size = MAX_QUEUED_MESSAGES
+    return config
 
 
 async def _stop_when_cancelled(stop: anyio.Event) -> None:
