Rank nodes and engines by one rendezvous hash

Cause: rendezvous hashing stood in six places with four ways to seed it. Change: domain/rendezvous.py has the weight, the score and the key of a text; choice, homes, duties, claims, limits and zone readers use it. Measured: choice, home, duties, claims, limits and configuration_spread features: 162 scenarios pass, as before.

--- a/src/weirscale/domain/choice/prefix_aware.py
+++ b/src/weirscale/domain/choice/prefix_aware.py
@@ -32,9 +32,9 @@
     EngineCandidate,
 )
 from weirscale.domain.choice.recent_sends import RecentSends
-from weirscale.domain.choice.rendezvous import rendezvous_score
 from weirscale.domain.configuration.model import RoutingObjective
 from weirscale.domain.identifiers import BlockHash, EngineName
+from weirscale.domain.rendezvous import rendezvous_score
 
 NUM_RANKED_PROPOSALS = 3
 """Engines that rendezvous proposes for a prefix; the later ones take over when it is hot."""
--- a/src/weirscale/domain/choice/rendezvous_bounded.py
+++ b/src/weirscale/domain/choice/rendezvous_bounded.py
@@ -6,8 +6,8 @@
 
 from weirscale.domain.choice.eligible import eligible_candidates
 from weirscale.domain.choice.policy import Choice, ChoiceRequest, EngineCandidate
-from weirscale.domain.choice.rendezvous import rendezvous_score
 from weirscale.domain.choice.stateless import StatelessPolicy
+from weirscale.domain.rendezvous import rendezvous_score
 
 DEFAULT_LOAD_BOUND = 1.25
 """An engine takes at most this multiple of the mean load, as in published bounded-load hashing."""
--- a/src/weirscale/domain/claims/planning.py
+++ b/src/weirscale/domain/claims/planning.py
@@ -3,10 +3,10 @@
 from collections.abc import Sequence
 
 import msgspec
-import xxhash
 
 from weirscale.domain.claims.model import GroupEpoch, Holder
 from weirscale.domain.identifiers import NodeId, ZoneName
+from weirscale.domain.rendezvous import rendezvous_weight
 
 
 class LiveNode(msgspec.Struct, frozen=True):
@@ -23,7 +23,7 @@
 
 def rank(group: int, node: NodeId) -> int:
     """Rendezvous score of a node for a group; the highest is first."""
-    return xxhash.xxh3_64_intdigest(node.name.encode(), group + 1)
+    return rendezvous_weight(node.name, group + 1)
 
 
 def planner_of(group: int, nodes: Sequence[LiveNode]) -> NodeId | None:
--- a/src/weirscale/domain/duties/assignment.py
+++ b/src/weirscale/domain/duties/assignment.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable
 
 import msgspec
-import xxhash
 
 from weirscale.domain.identifiers import EngineName, NodeId, ZoneName
+from weirscale.domain.rendezvous import rendezvous_key, rendezvous_weight
 
 
 class DutyKind(enum.Enum):
@@ -65,7 +65,11 @@
         zone: Only nodes of this zone, or None for all.
     """
     wanted = [each for each in candidates if zone is None or each.zone == zone]
-    return sorted(wanted, key=lambda each: (each.is_leaving, -_weight(duty, each), each.node))
+    key = rendezvous_key(duty.key)
+    return sorted(
+        wanted,
+        key=lambda each: (each.is_leaving, -rendezvous_weight(each.node.name, key), each.node),
+    )
 
 
 def holders(
@@ -98,7 +102,3 @@
     everywhere = tuple(candidates)
     best = holders(duty, everywhere, 1, zone) or holders(duty, everywhere, 1)
     return best[0] if best else None
-
-
-def _weight(duty: Duty, candidate: DutyCandidate) -> int:
-    return xxhash.xxh3_64_intdigest(f"{duty.key}\x1f{candidate.node.name}".encode())
--- a/src/weirscale/domain/limits/homes.py
+++ b/src/weirscale/domain/limits/homes.py
@@ -4,6 +4,7 @@
 import xxhash
 
 from weirscale.domain.identifiers import NodeAddress, TenantName, ZoneName
+from weirscale.domain.rendezvous import rendezvous_weight
 
 NUM_SHARDS = 8
 """Homes of a zone: spreads the work, while a node's demands still fit a few datagrams."""
@@ -35,4 +36,4 @@
 
 
 def _score(address: NodeAddress, shard: int) -> int:
-    return xxhash.xxh3_64_intdigest(f"{address.host}:{address.port}".encode(), shard + 1)
+    return rendezvous_weight(f"{address.host}:{address.port}", shard + 1)
--- a/src/weirscale/node/configuration/reader.py
+++ b/src/weirscale/node/configuration/reader.py
@@ -4,12 +4,12 @@
 from random import Random
 
 import anyio
-import xxhash
 from result import Err
 
 from weirscale.domain.configuration.encode import decode_stored
 from weirscale.domain.configuration.model import Deployment
 from weirscale.domain.identifiers import ConfigurationRevision, NodeId, ZoneName
+from weirscale.domain.rendezvous import rendezvous_key, rendezvous_weight
 from weirscale.node.configuration.apply import CONFIGURATION_KEY, find_configuration
 from weirscale.node.configuration.backoff import Backoff
 from weirscale.node.event_log import EventLog
@@ -34,7 +34,7 @@
 MAX_START_WAIT_S = 1.0
 """A node that starts knows no other yet and would take itself for a reader. It first waits this
 long to join, so that a herd of starts does not meet the store."""
-RENDEZVOUS_SEED = b"configuration reader "
+READER_KEY = rendezvous_key("configuration reader")
 """Keeps this duty's choice of nodes apart from that of other duties."""
 
 Offer = Callable[[ConfigurationRevision, Deployment, str], Awaitable[None]]
@@ -47,7 +47,7 @@
 ) -> tuple[NodeId, ...]:
     """Choose a zone's readers by rendezvous hashing over its live nodes."""
     live = [peer for peer in peers if peer.zone == zone and peer.state is PeerState.ALIVE]
-    live.sort(key=lambda peer: xxhash.xxh3_64_intdigest(RENDEZVOUS_SEED + peer.node.name.encode()))
+    live.sort(key=lambda peer: rendezvous_weight(peer.node.name, READER_KEY), reverse=True)
     return tuple(peer.node for peer in live[:num_readers])
 
 
--- a/src/weirscale/node/home/homes.py
+++ b/src/weirscale/node/home/homes.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Sequence
 
-from weirscale.domain.choice.rendezvous import rendezvous_score
 from weirscale.domain.configuration.model import Deployment, Engine
-from weirscale.domain.identifiers import EngineName, NodeAddress, ZoneName
+from weirscale.domain.identifiers import NodeAddress, ZoneName
+from weirscale.domain.rendezvous import rendezvous_key, rendezvous_weight
 from weirscale.node.interfaces import ConfigurationView, MembershipView, Peer, PeerState
 
 MAX_SCOPE_NODES = 32
@@ -23,16 +23,11 @@
     key = rendezvous_key(engine.name)
     return max(
         near or staying,
-        key=lambda peer: rendezvous_score(key, EngineName(peer.node.name)),
+        key=lambda peer: rendezvous_weight(peer.node.name, key),
         default=None,
     )
 
 
-def rendezvous_key(engine: EngineName) -> int:
-    """Return a 64-bit key for an engine's name."""
-    return int(rendezvous_score(0, engine) * 2**64)
-
-
 def receivers_in_scope(
     zone: ZoneName, membership: MembershipView, configuration: ConfigurationView
 ) -> list[NodeAddress]:
