Drain a run that a later run of the same name supersedes

Cause: a superseded run went on serving while the others no longer counted it. Change: the program looks at membership once a second and drains. Conclusion: a doubled name shows in the log with its remedy.

--- a/src/weirscale/node/program.py
+++ b/src/weirscale/node/program.py
@@ -30,6 +30,8 @@
 FINISH_TIMEOUT_S = 5.0
 """After a drain no request runs; idle connections get this long to close."""
 
+SUPERSEDED_POLL_S = 1.0
+
 EXIT_DRAINED = 0
 EXIT_CUT = 4
 """The drain ran out of time and cut requests."""
@@ -117,6 +119,7 @@
             self.event_log.event(
                 "node_started", callers=self.caller_port, operators=self.operator_port
             )
+            tasks.start_soon(self._stop_when_superseded, stop)
             await stop.wait()
             was_clean = await self.node.drain()
             served.set()
@@ -125,6 +128,15 @@
         self.stopped.set()
         return was_clean
 
+    async def _stop_when_superseded(self, stop: anyio.Event) -> None:
+        """Drain this run once a later run of the same name is a member."""
+        while not self.node.membership.is_superseded:
+            await anyio.sleep(SUPERSEDED_POLL_S)
+        self.event_log.event(
+            "node_superseded", remedy="give each node a name of its own, or stop the earlier run"
+        )
+        stop.set()
+
 
 def _addresses(texts: tuple[str, ...]) -> tuple[NodeAddress, ...]:
     parsed = (parse_address(text) for text in texts)
