--- a/src/weirscale/experiments/faults/injector.py
+++ b/src/weirscale/experiments/faults/injector.py
@@ -60,6 +60,7 @@
         self._random = random
         self._num_versions = 0
         self._num_outages = 0
+        self._num_region_cuts = 0
         self._actions: dict[FaultKind, Callable[[PlannedFault], Awaitable[None]]] = {
             FaultKind.ENGINE_CRASH: self._engine_crash,
             FaultKind.EVENT_LOSS: self._event_loss,
@@ -181,17 +182,25 @@
         self._world.cut_zones.discard(zone)
         self._world.platform.links.rejoin(zone)
         self._world.apply_cuts()
-        self._note_zone(zone, NodeChange.REJOINED)
+        if self._num_region_cuts:
+            self._world.platform.links.cut_platform(zone)
+        else:
+            self._note_zone(zone, NodeChange.REJOINED)
 
     async def _region_cut(self, fault: PlannedFault) -> None:
         zones = self._world.platform.zones
+        self._num_region_cuts += 1
         for zone in zones:
             self._world.platform.links.cut_platform(zone)
             self._note_zone(zone, NodeChange.CUT_OFF)
         await anyio.sleep(fault.lasts_s)
+        self._num_region_cuts -= 1
+        if self._num_region_cuts:
+            return
         for zone in zones:
             self._world.platform.links.rejoin_platform(zone)
-            self._note_zone(zone, NodeChange.REJOINED)
+            if zone not in self._world.cut_zones:
+                self._note_zone(zone, NodeChange.REJOINED)
 
     def _note_zone(self, zone: ZoneName, change: NodeChange) -> None:
         for place in self._world.fleet.places:
--- a/src/weirscale/experiments/run/main.py
+++ b/src/weirscale/experiments/run/main.py
@@ -88,7 +88,8 @@
     if unknown:
         return Err(f"unknown fault {unknown[0]!r}; use {', '.join(known)}")
     planned = overlapping([known[name] for name in names])
-    experiment = msgspec.structs.replace(loaded.experiment, faults=planned)
+    name = "+".join([loaded.experiment.name, *names])
+    experiment = msgspec.structs.replace(loaded.experiment, name=name, faults=planned)
     return Ok(with_shape(experiment, loaded.deployment))
 
 
