--- a/features/routing_choice.feature
+++ b/features/routing_choice.feature
@@ -1,8 +1,7 @@
 Feature: Routing tasks choose back ends and explain it
   Scenario Outline: Refusals are honest
     Given a node with 3 engines that take 2 requests each
-    When <situation>
-    Then the next request is refused as <code>, not run, with a retry between <least> and <most> s
+    Then if <situation>, the next request is refused as <code>, not run, with a retry between <least> and <most> s
 
     Examples:
       | situation                                        | code           | least | most |
--- a/features/steps/claims_faults_steps.py
+++ b/features/steps/claims_faults_steps.py
@@ -1,6 +1,7 @@
 import anyio
-from behave import given, then, when
+from behave import given, then
 
+from features.support.async_steps import async_when
 from features.support.claims_fleet import RETENTION_S, Faults, run_fleet
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.claims.model import claim_key, group_of
@@ -60,24 +61,24 @@
 @given("claim holders on {num_nodes:d} nodes in {num_zones:d} zones")
 def step_fleet(context, num_nodes, num_zones):
     context.shape = (num_nodes, tuple("abcdefgh"[:num_zones]))
-    context.run = lambda scenario: run_fleet(run_in_virtual_time, scenario, *context.shape)
 
 
-@when("30 keys are claimed by 3 racing callers each while {fault}")
-def step_race(context, fault):
-    async def scenario(fleet):
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(bring_about, fleet, fault)
-            for number in range(30):
-                for caller in range(3):
-                    tasks.start_soon(call_repeatedly, fleet, f"key-{number}", number + caller)
-        await anyio.sleep(15.0)
-        context.num_run = len(fleet.runs)
-        context.ran_before = dict(fleet.runs)
-        context.late = [await fleet.request(0, key) for key in context.ran_before]
-        context.runs = fleet.runs
+def on_fleet(context, scenario):
+    run_fleet(run_in_virtual_time, scenario, *context.shape)
+
 
-    context.run(scenario)
+@async_when("30 keys are claimed by 3 racing callers each while {fault}", on_fleet)
+async def step_race(context, fleet, fault):
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(bring_about, fleet, fault)
+        for number in range(30):
+            for caller in range(3):
+                tasks.start_soon(call_repeatedly, fleet, f"key-{number}", number + caller)
+    await anyio.sleep(15.0)
+    context.num_run = len(fleet.runs)
+    context.ran_before = dict(fleet.runs)
+    context.late = [await fleet.request(0, key) for key in context.ran_before]
+    context.runs = fleet.runs
 
 
 @then("no key has run more than once")
@@ -97,16 +98,14 @@
     assert "completed" in told
 
 
-@when(
-    'a first request with a key ends as "{first}" and a second comes with "{body}" through another node'
+@async_when(
+    'a first request with a key ends as "{first}" and a second comes with "{body}" through another node',
+    on_fleet,
 )
-def step_two_requests(context, first, body):
-    async def scenario(fleet):
-        await fleet.request(0, "key", first)
-        content = b"body" if body == "same body" else b"other"
-        return await fleet.request(1, "key", body=content)
-
-    context.second = context.run(scenario)
+async def step_two_requests(context, fleet, first, body):
+    await fleet.request(0, "key", first)
+    content = b"body" if body == "same body" else b"other"
+    context.second = await fleet.request(1, "key", body=content)
 
 
 @then('the second is told "{second}"')
@@ -114,22 +113,19 @@
     assert context.second == second, context.second
 
 
-@when("a key has run and then all nodes restart at once")
-def step_total_loss(context):
-    async def scenario(fleet):
-        await fleet.request(0, "old")
-        for number in range(5):
-            fleet.restart(number)
-        await anyio.sleep(60.0)
-        context.num_ready = fleet.num_ready_groups()
-        context.soon = [await fleet.request(1, "old"), await fleet.request(1, "new")]
-        await anyio.sleep(RETENTION_S - 65.0)
-        context.later = [await fleet.request(1, "old"), await fleet.request(1, "new")]
-        await anyio.sleep(200.0)
-        context.after = await fleet.request(1, "newer")
-        context.runs = fleet.runs
-
-    context.run(scenario)
+@async_when("a key has run and then all nodes restart at once", on_fleet)
+async def step_total_loss(context, fleet):
+    await fleet.request(0, "old")
+    for number in range(5):
+        fleet.restart(number)
+    await anyio.sleep(60.0)
+    context.num_ready = fleet.num_ready_groups()
+    context.soon = [await fleet.request(1, "old"), await fleet.request(1, "new")]
+    await anyio.sleep(RETENTION_S - 65.0)
+    context.later = [await fleet.request(1, "old"), await fleet.request(1, "new")]
+    await anyio.sleep(200.0)
+    context.after = await fleet.request(1, "newer")
+    context.runs = fleet.runs
 
 
 @then("the key and new keys are refused as not run until the retention has passed")
@@ -144,23 +140,20 @@
     assert context.runs == {"old": 1, "newer": 1}
 
 
-@when("the store goes down after the holders were sealed for a change")
-def step_store_fails_in_change(context):
-    async def scenario(fleet):
-        await fleet.request(0, "key")
-        group = group_of(claim_key("school", "key"))
-        record = fleet.nodes[0].ledger.registry.epochs.record(group)
-        fall_on_prepare(fleet, group)
-        fleet.stop(record.holders[0].address.port)
-        await anyio.sleep(12.0)
-        live = next(iter(fleet.nodes))
-        context.in_outage = await fleet.request(live, "key")
-        fleet.server.faults.is_down = False
-        await anyio.sleep(40.0)
-        context.after = await fleet.request(live, "key")
-        context.runs = fleet.runs
-
-    context.run(scenario)
+@async_when("the store goes down after the holders were sealed for a change", on_fleet)
+async def step_store_fails_in_change(context, fleet):
+    await fleet.request(0, "key")
+    group = group_of(claim_key("school", "key"))
+    record = fleet.nodes[0].ledger.registry.epochs.record(group)
+    fall_on_prepare(fleet, group)
+    fleet.stop(record.holders[0].address.port)
+    await anyio.sleep(12.0)
+    live = next(iter(fleet.nodes))
+    context.in_outage = await fleet.request(live, "key")
+    fleet.server.faults.is_down = False
+    await anyio.sleep(40.0)
+    context.after = await fleet.request(live, "key")
+    context.runs = fleet.runs
 
 
 def fall_on_prepare(fleet, group):
@@ -187,28 +180,25 @@
     assert context.runs == {"key": 1}
 
 
-@when("two zones are cut off together with the store for 60 seconds")
-def step_isolated(context):
-    async def scenario(fleet):
-        epochs = fleet.nodes[2].ledger.registry.epochs
-        held_outside = {
-            number: sum(
-                holder.zone not in ("a", "b")
-                for holder in epochs.record(group_of(claim_key("school", f"out-{number}"))).holders
-            )
-            for number in range(20)
-        }
-        context.expected = [
-            "granted" if held_outside[number] >= 2 else "claim_unavailable" for number in range(20)
-        ]
-        fleet.cut("a", "b")
-        for number in (0, 1):
-            fleet.nodes[number].store.is_cut_off = True
-        await anyio.sleep(60.0)
-        context.inside = [await fleet.request(number % 2, f"in-{number}") for number in range(20)]
-        context.outside = [await fleet.request(2, f"out-{number}") for number in range(20)]
-
-    context.run(scenario)
+@async_when("two zones are cut off together with the store for 60 seconds", on_fleet)
+async def step_isolated(context, fleet):
+    epochs = fleet.nodes[2].ledger.registry.epochs
+    held_outside = {
+        number: sum(
+            holder.zone not in ("a", "b")
+            for holder in epochs.record(group_of(claim_key("school", f"out-{number}"))).holders
+        )
+        for number in range(20)
+    }
+    context.expected = [
+        "granted" if held_outside[number] >= 2 else "claim_unavailable" for number in range(20)
+    ]
+    fleet.cut("a", "b")
+    for number in (0, 1):
+        fleet.nodes[number].store.is_cut_off = True
+    await anyio.sleep(60.0)
+    context.inside = [await fleet.request(number % 2, f"in-{number}") for number in range(20)]
+    context.outside = [await fleet.request(2, f"out-{number}") for number in range(20)]
 
 
 @then("no node in the cut zones grants a key")
@@ -222,24 +212,23 @@
     assert "granted" in context.expected
 
 
-@when("20 keys have run and then all nodes are replaced, each after it has handed over")
-def step_replace_all(context):
-    async def scenario(fleet):
-        for number in range(20):
-            await fleet.request(number % 5, f"key-{number}")
-        for number in range(5):
-            leaving = fleet.nodes[number]
-            leaving.state = PeerState.LEAVING
-            fleet.start(number + 5, leaving.zone, incarnation=1)
-            async with anyio.create_task_group() as tasks:
-                for caller in range(4):
-                    tasks.start_soon(fleet.request, number + 5, f"new-{number}-{caller}")
-                assert await leaving.ledger.hand_over(15.0)
-            fleet.stop(number)
-        context.told = [await fleet.request(5, f"key-{number}") for number in range(20)]
-        context.runs = fleet.runs
-
-    context.run(scenario)
+@async_when(
+    "20 keys have run and then all nodes are replaced, each after it has handed over", on_fleet
+)
+async def step_replace_all(context, fleet):
+    for number in range(20):
+        await fleet.request(number % 5, f"key-{number}")
+    for number in range(5):
+        leaving = fleet.nodes[number]
+        leaving.state = PeerState.LEAVING
+        fleet.start(number + 5, leaving.zone, incarnation=1)
+        async with anyio.create_task_group() as tasks:
+            for caller in range(4):
+                tasks.start_soon(fleet.request, number + 5, f"new-{number}-{caller}")
+            assert await leaving.ledger.hand_over(15.0)
+        fleet.stop(number)
+    context.told = [await fleet.request(5, f"key-{number}") for number in range(20)]
+    context.runs = fleet.runs
 
 
 @then("every key is answered as completed by the new nodes")
--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -1,7 +1,10 @@
+from functools import partial
+
 import anyio
 import msgspec
 from behave import given, then, when
 
+from features.support.async_steps import async_when
 from features.support.deployments import small_deployment
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.difference import canonical
@@ -19,45 +22,48 @@
 CHANGE_PERIOD_S = 8.0
 
 
-async def repeat(period_s, action):
+STORE_FAULTS = {
+    "a store slowed to a second a call": {"delay_s": 1.0},
+    "a store limited to 5 calls a second": {"requests_per_s": 5.0, "burst_requests": 2},
+    "half of the store's answers lost": {"lost_answer_probability": 0.5},
+}
+LINKS = {
+    "a fifth of casts and calls lost": LinkQuality(drop_rate=0.2),
+    "slow and reordering links": LinkQuality(delay_s=0.15, jitter_s=0.3, duplicate_rate=0.2),
+}
+PERIODS_S = {
+    "outages of the store": 7.0,
+    "watches cut every second": 1.0,
+    "restarts of a third of the nodes": 15.0,
+}
+
+
+async def repeat_fault(fleet, faults):
+    nodes = list(fleet.nodes)
     while True:
-        await anyio.sleep(period_s)
-        action()
+        await anyio.sleep(PERIODS_S[faults])
+        if faults == "outages of the store":
+            fleet.server.faults.is_down = not fleet.server.faults.is_down
+            fleet.server.notify()
+        elif faults == "watches cut every second":
+            fleet.server.cut_watches()
+        else:
+            for name in fleet.random.sample(nodes, len(nodes) // 3):
+                fleet.restart(name)
 
 
 def start_faults(fleet, faults, tasks):
     """Put the faults that a row names in force."""
-    store, seeded = fleet.server.faults, fleet.random
-    nodes = list(fleet.nodes)
-
-    def flap():
-        store.is_down = not store.is_down
-        fleet.server.notify()
-
-    def restart_some():
-        for name in seeded.sample(nodes, len(nodes) // 3):
-            fleet.restart(name)
-
-    if faults == "a fifth of casts and calls lost":
-        fleet.network.set_default_quality(LinkQuality(drop_rate=0.2))
-    elif faults == "slow and reordering links":
-        slow = LinkQuality(delay_s=0.15, jitter_s=0.3, duplicate_rate=0.2)
-        fleet.network.set_default_quality(slow)
-    elif faults == "a store slowed to a second a call":
-        store.delay_s = 1.0
-    elif faults == "a store limited to 5 calls a second":
-        store.requests_per_s, store.burst_requests = 5.0, 2
-    elif faults == "half of the store's answers lost":
-        store.lost_answer_probability = 0.5
-    elif faults == "outages of the store":
-        tasks.start_soon(repeat, 7.0, flap)
-    elif faults == "watches cut every second":
-        tasks.start_soon(repeat, 1.0, fleet.server.cut_watches)
-    elif faults == "restarts of a third of the nodes":
-        tasks.start_soon(repeat, 15.0, restart_some)
+    if faults in STORE_FAULTS:
+        for field, value in STORE_FAULTS[faults].items():
+            setattr(fleet.server.faults, field, value)
+    elif faults in LINKS:
+        fleet.network.set_default_quality(LINKS[faults])
+    elif faults in PERIODS_S:
+        tasks.start_soon(repeat_fault, fleet, faults)
     elif faults == "half of the nodes cut off from the store":
-        for name in nodes[::2]:
-            fleet.nodes[name].port.is_cut_off = True
+        for node in list(fleet.nodes.values())[::2]:
+            node.port.is_cut_off = True
     else:
         assert faults == "no fault"
 
@@ -88,9 +94,7 @@
 
 @when('6 changes are applied over a minute under "{faults}"')
 def step_changes(context, faults):
-    async def script(fleet):
-        return await change_under_faults(fleet, faults)
-
+    script = partial(change_under_faults, faults=faults)
     context.runs = [run_in_virtual_time(run_fleet, script, *context.size, seed) for seed in SEEDS]
 
 
@@ -116,9 +120,9 @@
     context.size = (nodes, zones)
 
 
-def run_in_force(context, script, deployment=None):
+def in_force(context, script, deployment=None):
     deployment = deployment or small_deployment("first")
-    return run_in_virtual_time(run_fleet, script, *context.size, 1, deployment)
+    run_in_virtual_time(run_fleet, script, *context.size, 1, deployment)
 
 
 @when("fleets run for two minutes under all faults at once, for seeds 1 and 2")
@@ -138,7 +142,8 @@
     assert all(result.num_refused >= 1 and result.num_restarts >= 8 for result in context.soaks)
 
 
-async def time_restart(fleet, peers):
+@async_when("the store goes down and one node restarts with {peers}", in_force)
+async def time_restart(context, fleet, peers):
     """Restart a node with the store down; returns the wait and the revision that it got."""
     names = list(fleet.nodes)
     if peers == "one of three peers behind":
@@ -162,15 +167,11 @@
     start_s = anyio.current_time()
     with anyio.move_on_after(30):
         await node.task.changed_after(0)
-    return anyio.current_time() - start_s, node.task.current().revision, max(fleet.accepted)
-
-
-@when("the store goes down and one node restarts with {peers}")
-def step_restart(context, peers):
-    async def script(fleet):
-        return await time_restart(fleet, peers)
-
-    context.restarted = run_in_force(context, script)
+    context.restarted = (
+        anyio.current_time() - start_s,
+        node.task.current().revision,
+        max(fleet.accepted),
+    )
 
 
 @then("the node has the highest configuration of them within {within:g} s")
@@ -179,7 +180,8 @@
     assert revision == highest and waited_s <= within, context.restarted
 
 
-async def restart_all(fleet):
+@async_when("all nodes restart with the store down and it returns after a minute", in_force)
+async def restart_all(context, fleet):
     """Restart all nodes with the store down for long."""
     fleet.server.faults.is_down = True
     fleet.server.notify()
@@ -193,12 +195,7 @@
     num_readers = sum(node.task._reader.is_reader for node in fleet.nodes.values())
     num_early = sum(bool(node.history) for node in fleet.nodes.values())
     fleet.server.faults.is_down = False
-    return num_early, rate, num_readers, await fleet.wait_until_in_force(2)
-
-
-@when("all nodes restart with the store down and it returns after a minute")
-def step_restart_all(context):
-    context.herd = run_in_force(context, restart_all)
+    context.herd = num_early, rate, num_readers, await fleet.wait_until_in_force(2)
 
 
 @then("no node acts on any configuration before, and all have it within {within:d} s after")
@@ -216,18 +213,14 @@
     )
 
 
-async def restart_all_with_store(fleet):
+@async_when("all nodes restart at once with the store up", in_force)
+async def restart_all_with_store(context, fleet):
     num_calls = fleet.server.num_calls
     for name in list(fleet.nodes):
         fleet.restart(name)
     delay_s = await fleet.wait_until_in_force(2)
     await anyio.sleep(5)
-    return delay_s, fleet.server.num_calls - num_calls
-
-
-@when("all nodes restart at once with the store up")
-def step_restart_all_up(context):
-    context.herd = run_in_force(context, restart_all_with_store)
+    context.herd = delay_s, fleet.server.num_calls - num_calls
 
 
 @then("all have the configuration within {within:g} s after {calls:d} calls of the store at most")
@@ -236,7 +229,8 @@
     assert delay_s <= within and 0 < num_calls <= calls, context.herd
 
 
-async def cut_zone(fleet):
+@async_when("zone-0 is cut off, a change is applied, and the cut heals after 60 s", in_force)
+async def cut_zone(context, fleet):
     cut = [node for node in fleet.nodes.values() if node.zone == "zone-0"]
     others = {node.address for node in fleet.nodes.values() if node not in cut}
     fleet.network.cut_both_ways({node.address for node in cut}, others)
@@ -248,12 +242,7 @@
     during = {node.revision for node in cut}
     fleet.network.heal()
     delay_s = await fleet.wait_until_in_force(outcome.revision)
-    return during, delay_s
-
-
-@when("zone-0 is cut off, a change is applied, and the cut heals after 60 s")
-def step_cut(context):
-    context.cut = run_in_force(context, cut_zone)
+    context.cut = during, delay_s
 
 
 @then(
@@ -264,7 +253,8 @@
     assert during == {2} and delay_s <= within, context.cut
 
 
-async def lag_two(fleet):
+@async_when("one node is paused and one cannot fetch while a change is applied", in_force)
+async def lag_two(context, fleet):
     names = list(fleet.nodes)
     fleet.nodes[names[7]].endpoint.freeze()
     # Casts still reach this one, its calls do not get out.
@@ -276,18 +266,13 @@
     lagging.task._spread._fetch_from = fail_fetch
     await fleet.apply(small_deployment("second"))
     await anyio.sleep(10)
-    return await fleet.nodes[names[0]].task.fleet_status()
+    context.status = await fleet.nodes[names[0]].task.fleet_status()
 
 
 async def fail_fetch(source, have_revision):
     return "fetch failed on purpose"
 
 
-@when("one node is paused and one cannot fetch while a change is applied")
-def step_lag(context):
-    context.status = run_in_force(context, lag_two)
-
-
 @then('status names just these two, with "{first}" and "{second}"')
 def step_status(context, first, second):
     lagging = context.status.lagging(context.status.revision)
@@ -297,7 +282,12 @@
     assert len(context.status.nodes) == 9 and context.status.revision == 3
 
 
-async def count_bytes(fleet):
+def with_large_deployment(context, script):
+    in_force(context, script, large_deployment())
+
+
+@async_when("a minute passes without a change", with_large_deployment)
+async def count_bytes(context, fleet):
     """Return bytes a second without changes, and bytes a change, of the node that sent most."""
     nodes = list(fleet.nodes.values())
     # Fetches that were under way when the last node had the first configuration end first.
@@ -313,12 +303,7 @@
     duration_s = anyio.current_time() - start_s
     each = [(n.num_bytes_sent() - before[n.name] - idle[n.name] * duration_s) / 8 for n in nodes]
     assert all(node.revision == max(fleet.accepted) for node in nodes)
-    return max(idle.values()), max(each)
-
-
-@when("a minute passes without a change")
-def step_hour(context):
-    context.cost = run_in_force(context, count_bytes, large_deployment())
+    context.cost = max(idle.values()), max(each)
 
 
 @then("each node has sent at most {rate:d} bytes a second for the configuration")
--- a/features/steps/engine_behaviour_steps.py
+++ b/features/steps/engine_behaviour_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from result import Err, Ok
 
+from features.support.async_steps import async_when
 from features.support.engine_calls import collect, make_call
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.prefix.chain import chain_seed, extend_chain
@@ -49,6 +50,10 @@
     return run_in_virtual_time(main)
 
 
+def on_engine(context, scenario):
+    run_with_engine(context.engine, scenario)
+
+
 async def last_chunk(engine, call):
     return (await collect(engine.generate(call)))[-1].ok_value
 
@@ -235,20 +240,17 @@
     context.engine = InProcessEngine(settings, Random(1))
 
 
-@when("two tenants send a prompt at once")
-def step_two_tenants(context):
-    async def scenario(engine):
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(last_chunk, engine, make_call(prompt=b"short"))
-            # The step of the short prompt takes longer than this: the two join the next one.
-            await anyio.sleep(0.001)
-            for tenant in TENANTS:
-                call = make_call(request_id=tenant, prompt=PROMPT, cache_salt=tenant)
-                tasks.start_soon(last_chunk, engine, call)
-        async with engine.cache_events(None, 0) as batches:
-            return (await anext(batches)).ok_value
-
-    context.batch = run_with_engine(context.engine, scenario)
+@async_when("two tenants send a prompt at once", on_engine)
+async def step_two_tenants(context, engine):
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(last_chunk, engine, make_call(prompt=b"short"))
+        # The step of the short prompt takes longer than this: the two join the next one.
+        await anyio.sleep(0.001)
+        for tenant in TENANTS:
+            call = make_call(request_id=tenant, prompt=PROMPT, cache_salt=tenant)
+            tasks.start_soon(last_chunk, engine, call)
+    async with engine.cache_events(None, 0) as batches:
+        context.batch = (await anext(batches)).ok_value
 
 
 @then("every stored event continues the chain of one tenant")
@@ -295,24 +297,21 @@
     assert [item.err_value.kind.value for item in context.expired] == ["timed_out"]
 
 
-@when("a new version is ordered while a request runs and another waits")
-def step_order_while_running(context):
-    async def scenario(engine):
-        answers = {}
-
-        async def keep(request_id):
-            answers[request_id] = await collect(engine.generate(make_call(request_id=request_id)))
+@async_when("a new version is ordered while a request runs and another waits", on_engine)
+async def step_order_while_running(context, engine):
+    answers = {}
 
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(keep, "running")
-            await anyio.sleep(0.001)
-            tasks.start_soon(keep, "waiting")
-            await anyio.sleep(0.001)
-            await engine.order(LOAD_V2)
-        await anyio.sleep(1)
-        return answers
+    async def keep(request_id):
+        answers[request_id] = await collect(engine.generate(make_call(request_id=request_id)))
 
-    context.answers = run_with_engine(context.engine, scenario)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(keep, "running")
+        await anyio.sleep(0.001)
+        tasks.start_soon(keep, "waiting")
+        await anyio.sleep(0.001)
+        await engine.order(LOAD_V2)
+    await anyio.sleep(1)
+    context.answers = answers
 
 
 @then('the running one is complete on "{version}" and the waiting one is refused unrun')
--- a/features/steps/key_value_contract_steps.py
+++ b/features/steps/key_value_contract_steps.py
@@ -6,6 +6,7 @@
 from behave import then, when
 from result import Err, Ok
 
+from features.support.http_exchange import broken_exchange
 from features.support.loopback import served
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.ports.key_value_etcd import EtcdKeyValue
@@ -46,6 +47,9 @@
         (await self.write(0, b"one", lease=lease)).unwrap()
         return lease
 
+    async def presence(self):
+        return "there" if (await self.port.read("a")).unwrap().values else "gone"
+
 
 def shown(result):
     """Render a failure or an outcome of a swap."""
@@ -86,35 +90,38 @@
     return " ".join(seen)
 
 
-async def read_nothing(bench):
-    answer = (await bench.port.read("a")).unwrap()
-    return f"{len(answer.values) or 'no'} keys at revision {answer.revision}"
+STEPS = {}
 
 
-async def creation(bench):
-    return shown(await bench.write(0, b"one"))
+def contract_step(name):
+    """Register a step of the contract under the name that the table gives it."""
+    return lambda function: STEPS.setdefault(name, function)
 
 
-async def creation_twice(bench):
-    await bench.write(0, b"one")
-    return shown(await bench.write(0, b"two"))
-
+def define_writes(name, *swaps):
+    """Register a step that swaps key a, each time from a revision to a value."""
 
-async def swap_right(bench):
-    await bench.write(0, b"one")
-    return shown(await bench.write(2, b"two"))
+    @contract_step(name)
+    async def write_in_turn(bench):
+        for revision, value in swaps:
+            answer = await bench.write(revision, value)
+        return shown(answer)
 
 
-async def swap_old(bench):
-    await swap_right(bench)
-    return shown(await bench.write(2, b"three"))
+define_writes("creation", (0, b"one"))
+define_writes("creation twice", (0, b"one"), (0, b"two"))
+define_writes("swap from the right revision", (0, b"one"), (2, b"two"))
+define_writes("swap from an old revision", (0, b"one"), (2, b"two"), (2, b"three"))
+define_writes("deletion", (0, b"one"), (2, None))
 
 
-async def deletion(bench):
-    await bench.write(0, b"one")
-    return shown(await bench.write(2, None))
+@contract_step("read of nothing")
+async def read_nothing(bench):
+    answer = (await bench.port.read("a")).unwrap()
+    return f"{len(answer.values) or 'no'} keys at revision {answer.revision}"
 
 
+@contract_step("read by prefix")
 async def read_by_prefix(bench):
     for key, value in (("a/2", b"y"), ("b", b"z"), ("a/1", b"x")):
         await bench.write(0, value, key)
@@ -123,6 +130,7 @@
     return f"{' '.join(pairs)} at revision {answer.revision}"
 
 
+@contract_step("bytes of any value")
 async def any_bytes(bench):
     value = bytes(range(256))
     await bench.write(0, value)
@@ -130,27 +138,32 @@
     return f"{len(kept)} bytes kept" if kept == value else "other bytes"
 
 
+@contract_step("lease kept alive")
 async def lease_alive(bench):
     lease = await bench.leased()
     bench.advance(7)
     lives_s = (await bench.port.keep_lease_alive(lease)).unwrap()
     bench.advance(8)
-    found = (await bench.port.read("a")).unwrap().values
-    return f"{lives_s:.0f} s, key {'there' if found else 'gone'} after 15 s"
+    return f"{lives_s:.0f} s, key {await bench.presence()} after 15 s"
 
 
-async def lost_lease(bench, lease):
+@contract_step("lease run out")
+async def lease_run_out(bench):
+    lease = await bench.leased()
+    bench.advance(10)
     kept = await bench.port.keep_lease_alive(lease)
-    found = (await bench.port.read("a")).unwrap().values
-    return f"{shown(kept)}, key {'there' if found else 'gone'}"
+    return f"{shown(kept)}, key {await bench.presence()}"
 
 
-async def lease_run_out(bench):
+@contract_step("lease revoked")
+async def lease_revoked(bench):
     lease = await bench.leased()
-    bench.advance(10)
-    return await lost_lease(bench, lease)
+    (await bench.port.revoke_lease(lease)).unwrap()
+    kept = await bench.port.keep_lease_alive(lease)
+    return f"{shown(kept)}, key {await bench.presence()}"
 
 
+@contract_step("write under a lost lease")
 async def write_lost_lease(bench):
     lease = await bench.leased()
     bench.advance(10)
@@ -158,116 +171,82 @@
     return f"{written}, key {'gone' if held(bench) == 'a absent' else 'there'}"
 
 
-async def lease_revoked(bench):
-    lease = await bench.leased()
-    (await bench.port.revoke_lease(lease)).unwrap()
-    return await lost_lease(bench, lease)
-
-
+@contract_step("watch from a past revision")
 async def watch_past(bench):
-    await swap_right(bench)
+    await STEPS["swap from the right revision"](bench)
     await bench.write(0, b"other", "b")
     await bench.write(3, None)
     seen = await watched(bench, 2, 3)
     return seen.replace("@5", "@4")
 
 
+@contract_step("watch sees a lease run out")
 async def watch_lease(bench):
     await bench.leased()
     return await watched(bench, 2, 2, lambda: bench.advance(10))
 
 
-async def write_down(bench):
-    bench.faults.is_down = True
-    return f"{shown(await bench.write(0, b'one'))}, {held(bench)}"
+@contract_step("watch cut")
+async def watch_cut(bench):
+    await bench.write(0, b"one")
+    return await watched(bench, 2, 9, bench.server.cut_watches)
 
 
-async def read_down(bench):
-    bench.faults.is_down = True
-    return f"{shown(await bench.port.read('a'))}, {held(bench)}"
+@contract_step("watch from a compacted revision")
+async def watch_compacted(bench):
+    await STEPS["swap from the right revision"](bench)
+    bench.model.compact(2)
+    return await watched(bench, 2, 9)
 
 
-async def write_lost(bench):
+@contract_step("lost answer settled by the same swap")
+async def lost_settled(bench):
     bench.faults.num_answers_to_lose = 1
-    return f"{shown(await bench.write(0, b'one'))}, {held(bench)}"
+    lost = await bench.write(0, b"one")
+    assert isinstance(lost, Err), lost
+    return shown(await bench.write(0, b"one"))
 
 
-async def read_lost(bench):
-    bench.faults.num_answers_to_lose = 1
-    return f"{shown(await bench.port.read('a'))}, {held(bench)}"
+async def fall(bench):
+    bench.faults.is_down = True
 
 
-async def lost_settled(bench):
-    await write_lost(bench)
-    return shown(await bench.write(0, b"one"))
+async def lose_answer(bench):
+    bench.faults.num_answers_to_lose = 1
 
 
-async def rate_limited(bench):
+async def use_up_rate(bench):
     bench.faults.requests_per_s, bench.faults.burst_requests = 2.0, 1
     (await bench.port.read("a")).unwrap()
-    return f"{shown(await bench.write(0, b'one'))}, {held(bench)}"
-
-
-async def watch_cut(bench):
-    await bench.write(0, b"one")
-    return await watched(bench, 2, 9, bench.server.cut_watches)
-
-
-async def watch_down(bench):
-    bench.faults.is_down = True
-    return await watched(bench, 2, 9)
 
 
-async def watch_rate_limited(bench):
-    bench.faults.requests_per_s, bench.faults.burst_requests = 2.0, 1
-    (await bench.port.read("a")).unwrap()
-    return await watched(bench, 2, 9)
+def define_calls_under(suffix, bring_about, calls):
+    """Register a step for each call, made once a fault is in force."""
 
+    def define(call):
+        @contract_step(f"{call} {suffix}")
+        async def call_under_fault(bench):
+            await bring_about(bench)
+            if call == "watch":
+                return await watched(bench, 2, 9)
+            result = bench.write(0, b"one") if call == "write" else bench.port.read("a")
+            return f"{shown(await result)}, {held(bench)}"
 
-async def watch_compacted(bench):
-    await swap_right(bench)
-    bench.model.compact(2)
-    return await watched(bench, 2, 9)
+    for call in calls:
+        define(call)
 
 
-STEPS = {
-    "read of nothing": read_nothing,
-    "creation": creation,
-    "creation twice": creation_twice,
-    "swap from the right revision": swap_right,
-    "swap from an old revision": swap_old,
-    "deletion": deletion,
-    "read by prefix": read_by_prefix,
-    "bytes of any value": any_bytes,
-    "lease kept alive": lease_alive,
-    "lease run out": lease_run_out,
-    "write under a lost lease": write_lost_lease,
-    "lease revoked": lease_revoked,
-    "watch from a past revision": watch_past,
-    "watch sees a lease run out": watch_lease,
-    "write while down": write_down,
-    "read while down": read_down,
-    "write with a lost answer": write_lost,
-    "read with a lost answer": read_lost,
-    "lost answer settled by the same swap": lost_settled,
-    "write over the rate limit": rate_limited,
-    "watch cut": watch_cut,
-    "watch while down": watch_down,
-    "watch over the rate limit": watch_rate_limited,
-    "watch from a compacted revision": watch_compacted,
-}
+define_calls_under("while down", fall, ("write", "read", "watch"))
+define_calls_under("with a lost answer", lose_answer, ("write", "read"))
+define_calls_under("over the rate limit", use_up_rate, ("write", "watch"))
 
 
-def run_in_process(step):
-    async def main():
+def run_contract_step(step, adapter):
+    async def in_process():
         server = KeyValueServer(random.Random(1), Clock())
         return await step(Bench(InProcessKeyValue(server), server))
 
-    return run_in_virtual_time(main)
-
-
-def run_over_http(step):
-    async def main():
+    async def over_http():
         server = KeyValueServer(random.Random(1), Clock())
         async with served(KeyValueApp(server)) as address:
             port = EtcdKeyValue([address])
@@ -276,13 +255,12 @@
             finally:
                 await port.aclose()
 
-    return anyio.run(main)
+    return anyio.run(over_http) if adapter == "HTTP" else run_in_virtual_time(in_process)
 
 
 @when('the key-value contract\'s "{step}" runs over the {adapter} adapter')
 def step_contract(context, step, adapter):
-    run = {"in-process": run_in_process, "HTTP": run_over_http}[adapter]
-    context.outcome = run(STEPS[step])
+    context.outcome = run_contract_step(STEPS[step], adapter)
 
 
 @then('the key-value step ends with "{outcome}"')
@@ -290,40 +268,28 @@
     assert context.outcome == outcome, context.outcome
 
 
-def answering(event):
-    """Return an httpx handler for an event of a broken exchange."""
-    raised = {
-        "a refused connection": httpx.ConnectError,
-        "a connection timeout": httpx.ConnectTimeout,
-        "a reset while reading": httpx.ReadError,
-        "a reset while writing": httpx.WriteError,
-        "an answer timeout": httpx.ReadTimeout,
-    }
-    answers = {
-        "status 500": (500, b"oops"),
-        "status 503, timed out": (503, b'{"message": "etcdserver: request timed out"}'),
-        "status 503, no leader": (503, b'{"message": "etcdserver: no leader"}'),
-        "status 429": (429, b"{}"),
-        "a body that is not JSON": (200, b"<html>"),
-        "a JSON body of a stranger": (
-            200,
-            b'{"kvs": 7, "responses": [], "result": {"events": [{}]}}',
-        ),
-    }
-
-    def handle(request):
-        if event in raised:
-            raise raised[event]("broken", request=request)
-        status, body = answers[event]
-        return httpx.Response(status, content=body)
-
-    return handle
+RAISED = {
+    "a refused connection": httpx.ConnectError,
+    "a connection timeout": httpx.ConnectTimeout,
+    "a reset while reading": httpx.ReadError,
+    "a reset while writing": httpx.WriteError,
+    "an answer timeout": httpx.ReadTimeout,
+}
+ANSWERS = {
+    "status 500": (500, b"oops"),
+    "status 503, timed out": (503, b'{"message": "etcdserver: request timed out"}'),
+    "status 503, no leader": (503, b'{"message": "etcdserver: no leader"}'),
+    "status 429": (429, b"{}"),
+    "a body that is not JSON": (200, b"<html>"),
+    "a JSON body of a stranger": (200, b'{"kvs": 7, "responses": [], "result": {"events": [{}]}}'),
+}
 
 
 @when('the etcd adapter\'s exchange ends in "{event}"')
 def step_broken_exchange(context, event):
     async def main():
-        port = EtcdKeyValue(["127.0.0.1:1"], transport=httpx.MockTransport(answering(event)))
+        transport = broken_exchange(RAISED.get(event), ANSWERS.get(event))
+        port = EtcdKeyValue(["127.0.0.1:1"], transport=transport)
         write = await port.compare_and_swap("a", 0, b"x")
         read = await port.read("a")
         async with port.watch("a", 1) as events:
--- a/features/steps/limits_admission_steps.py
+++ b/features/steps/limits_admission_steps.py
@@ -1,6 +1,7 @@
 import anyio
 from behave import given, then, when
 
+from features.support.async_steps import async_when
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import Tenant
 from weirscale.domain.request.model import RunStatus
@@ -59,19 +60,17 @@
     context.num_permits, context.hold_s = num_permits, hold_s
 
 
-@when(
-    'tenant "a" with priority {priority_a:d} and weight {weight_a:g} competes with "b" of priority {priority_b:d} and weight {weight_b:g} for 30 seconds'
+@async_when(
+    'tenant "a" with priority {priority_a:d} and weight {weight_a:g} competes with "b" of priority {priority_b:d} and weight {weight_b:g} for 30 seconds',
+    run_load,
 )
-def step_compete(context, priority_a, weight_a, priority_b, weight_b):
-    async def scenario(load):
-        first = Tenant("a", (), priority_a, weight_a)
-        second = Tenant("b", (), priority_b, weight_b)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(load.flood, first, 15, 30.0)
-            tasks.start_soon(load.flood, second, 15, 30.0)
-        return load.num_admitted
-
-    context.admitted = run_load(context, scenario)
+async def step_compete(context, load, priority_a, weight_a, priority_b, weight_b):
+    first = Tenant("a", (), priority_a, weight_a)
+    second = Tenant("b", (), priority_b, weight_b)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(load.flood, first, 15, 30.0)
+        tasks.start_soon(load.flood, second, 15, 30.0)
+    context.admitted = load.num_admitted
 
 
 @then('tenant "a" gets between {least:g} and {most:g} times as many permits as "b"')
@@ -80,19 +79,16 @@
     assert least <= ratio <= most, context.admitted
 
 
-@when("one request of priority 10 waits behind a steady flood of priority 1")
-def step_starving(context):
-    async def scenario(load):
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(load.flood, Tenant("a", (), 1), 20, 100.0)
-            await anyio.sleep(1.0)
-            begin_s = anyio.current_time()
-            await load.call(Tenant("b", (), 10))
-            waited_s = anyio.current_time() - begin_s
-            tasks.cancel_scope.cancel()
-        return waited_s
-
-    context.waited_s = run_load(context, scenario)
+@async_when("one request of priority 10 waits behind a steady flood of priority 1", run_load)
+async def step_starving(context, load):
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(load.flood, Tenant("a", (), 1), 20, 100.0)
+        await anyio.sleep(1.0)
+        begin_s = anyio.current_time()
+        await load.call(Tenant("b", (), 10))
+        waited_s = anyio.current_time() - begin_s
+        tasks.cancel_scope.cancel()
+    context.waited_s = waited_s
 
 
 @then("it is admitted within {limit_s:g} seconds")
@@ -152,27 +148,27 @@
     assert abs(context.answered_after_s - after_s) < 0.05, context.answered_after_s
 
 
-@when("callers leave while waiting and just as they are admitted, and a permit is released twice")
-def step_leave(context):
-    async def scenario(load):
-        tenant = Tenant("a", ())
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(load.call, tenant)
-            await anyio.sleep(0.05)
-            with anyio.move_on_after(0.01):
-                await load.call(tenant)
-            with anyio.move_on_after(0.04):  # the permit comes back at this very moment
-                await load.call(tenant)
-        permit = await load.call(tenant)
-        load.task.release(permit)
-        begin_s = anyio.current_time()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(load.call, tenant)
-            tasks.start_soon(load.call, tenant)
-        context.took_s = anyio.current_time() - begin_s
-        context.most_running = load.most_running
-
-    run_load(context, scenario)
+@async_when(
+    "callers leave while waiting and just as they are admitted, and a permit is released twice",
+    run_load,
+)
+async def step_leave(context, load):
+    tenant = Tenant("a", ())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(load.call, tenant)
+        await anyio.sleep(0.05)
+        with anyio.move_on_after(0.01):
+            await load.call(tenant)
+        with anyio.move_on_after(0.04):  # the permit comes back at this very moment
+            await load.call(tenant)
+    permit = await load.call(tenant)
+    load.task.release(permit)
+    begin_s = anyio.current_time()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(load.call, tenant)
+        tasks.start_soon(load.call, tenant)
+    context.took_s = anyio.current_time() - begin_s
+    context.most_running = load.most_running
 
 
 @then("the next two callers run one after the other")
--- a/features/steps/limits_shares_steps.py
+++ b/features/steps/limits_shares_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from features.support.claims_fleet import Faults, Link
+from features.support.claims_fleet import LinkFleet
 from features.support.limits_fleet import SharingFleet, limited_tenant
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import Deployment, Region
@@ -219,17 +219,6 @@
     assert context.slots == count, context.slots
 
 
-class LinkFleet:
-    """What `Link` needs, and a membership that sees all nodes."""
-
-    def __init__(self, tasks):
-        self.tasks, self.faults, self.random = tasks, Faults(), random.Random(1)
-        self.links, self.num_bytes = {}, 0
-
-    def reach(self, source, destination):
-        return self.links.get(destination)
-
-
 @given("3 nodes with admission tasks that share 20 requests/s")
 def step_admission_fleet(context):
     tenant = limited_tenant(**LIMITS["20 requests/s"])
@@ -244,7 +233,7 @@
         fleet = LinkFleet(tasks)
         admissions = []
         for peer in peers:
-            link = fleet.links[peer.address] = Link(fleet, peer.address)
+            link = fleet.start(peer.address)
             view = SimpleNamespace(self_id=peer.node, peers=lambda: peers, version=lambda: 1)
             configuration = SimpleNamespace(current=lambda: in_force)
             admission = FleetAdmissionTask(
--- a/features/steps/machines_contract_steps.py
+++ b/features/steps/machines_contract_steps.py
@@ -3,6 +3,7 @@
 from behave import then, when
 from result import Err
 
+from features.support.http_exchange import broken_exchange
 from features.support.loopback import served
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.ports.machines import Machine
@@ -13,6 +14,12 @@
 
 CHANGED_AT_S = 100.0
 REMOVED_AT_S = 200.0
+RAISED = {"a refused connection": httpx.ConnectError, "an answer timeout": httpx.ReadTimeout}
+ANSWERS = {
+    "status 500": (500, b'{"machines": []}'),
+    "a body that is no JSON": (200, b"["),
+    "a list of numbers": (200, b'{"machines": [1]}'),
+}
 
 
 def changed_model():
@@ -66,20 +73,8 @@
 
 @when('the machine list\'s exchange ends in "{event}"')
 def step_broken(context, event):
-    raised = {"a refused connection": httpx.ConnectError, "an answer timeout": httpx.ReadTimeout}
-    answers = {
-        "status 500": (500, b'{"machines": []}'),
-        "a body that is no JSON": (200, b"["),
-        "a list of numbers": (200, b'{"machines": [1]}'),
-    }
-
-    def handle(request):
-        if event in raised:
-            raise raised[event]("broken", request=request)
-        status, body = answers[event]
-        return httpx.Response(status, content=body)
-
-    port = HttpMachineList("127.0.0.1:1", transport=httpx.MockTransport(handle))
+    transport = broken_exchange(RAISED.get(event), ANSWERS.get(event))
+    port = HttpMachineList("127.0.0.1:1", transport=transport)
     context.machine_list = shown(anyio.run(port.machines))
 
 
--- a/features/steps/peers_link_steps.py
+++ b/features/steps/peers_link_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from features.support.async_steps import async_when
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.identifiers import NodeAddress, NodeId
 from weirscale.experiments.memory_network import LinkQuality, MemoryNetwork
@@ -94,6 +95,10 @@
         return node
 
 
+def on_pair(context, script):
+    context.pair.run(lambda: script(context.pair))
+
+
 @given("two linked nodes")
 def step_two_nodes(context):
     context.pair = Pair()
@@ -105,16 +110,11 @@
     context.pair = Pair(FAULTS[fault])
 
 
-@when('node A casts "{cast}" and calls "{call}" to node B')
-def step_cast_and_call(context, cast, call):
-    pair = context.pair
-
-    async def script():
-        await pair.a.link.cast(ADDRESS_B, Note(cast))
-        context.reply = await pair.a.link.call(ADDRESS_B, Question(call), 1.0)
-        await anyio.sleep(1)
-
-    pair.run(script)
+@async_when('node A casts "{cast}" and calls "{call}" to node B', on_pair)
+async def step_cast_and_call(context, pair, cast, call):
+    await pair.a.link.cast(ADDRESS_B, Note(cast))
+    context.reply = await pair.a.link.call(ADDRESS_B, Question(call), 1.0)
+    await anyio.sleep(1)
 
 
 @then('node B has received the cast "{text}" from node A')
@@ -171,19 +171,12 @@
     return makers[name]()
 
 
-@when("a stranger sends to node B {datagram}")
-def step_stranger_sends(context, datagram):
-    pair = context.pair
-
-    async def script():
-        await context.prepare()
-        pair.b.link.traffic.num_rejected.clear()
-        pair.network.inject(
-            NodeAddress("10.9.9.9", 9), ADDRESS_B, hostile_datagram(context, datagram)
-        )
-        await anyio.sleep(1)
-
-    pair.run(script)
+@async_when("a stranger sends to node B {datagram}", on_pair)
+async def step_stranger_sends(context, pair, datagram):
+    await context.prepare()
+    pair.b.link.traffic.num_rejected.clear()
+    pair.network.inject(NodeAddress("10.9.9.9", 9), ADDRESS_B, hostile_datagram(context, datagram))
+    await anyio.sleep(1)
 
 
 @then('node B has received only the cast "{text}"')
@@ -198,21 +191,18 @@
     )
 
 
-@when("node B restarts and a stranger plays the whole record to it while node A is gone")
-def step_replay_after_restart(context):
-    pair = context.pair
-
-    async def script():
-        await context.prepare()
-        assert pair.b.casts, "the record must hold a delivered cast"
-        record = [data for to, data in pair.network.recorded if to == ADDRESS_B]
-        pair.network.detach(ADDRESS_A)
-        pair.b = pair.start(NodeId("b", 200), ADDRESS_B)
-        for data in record * 2:
-            pair.network.inject(ADDRESS_A, ADDRESS_B, data)
-            await anyio.sleep(0.1)
-
-    pair.run(script)
+@async_when(
+    "node B restarts and a stranger plays the whole record to it while node A is gone", on_pair
+)
+async def step_replay_after_restart(context, pair):
+    await context.prepare()
+    assert pair.b.casts, "the record must hold a delivered cast"
+    record = [data for to, data in pair.network.recorded if to == ADDRESS_B]
+    pair.network.detach(ADDRESS_A)
+    pair.b = pair.start(NodeId("b", 200), ADDRESS_B)
+    for data in record * 2:
+        pair.network.inject(ADDRESS_A, ADDRESS_B, data)
+        await anyio.sleep(0.1)
 
 
 @then("node B has received no cast")
@@ -220,25 +210,20 @@
     assert context.pair.b.casts == [], context.pair.b.casts
 
 
-@when('node A calls "{text}" to node B and the call arrives twice')
-def step_call_twice(context, text):
-    pair = context.pair
-
-    async def script():
-        endpoint = pair.network.attach(NodeAddress("10.0.0.3", 1), "zone")
-        calls = []
-        handler = pair.network._endpoints[ADDRESS_B].handler
-
-        async def spy(request):
-            calls.append(request)
-            return await handler(request)
+@async_when('node A calls "{text}" to node B and the call arrives twice', on_pair)
+async def step_call_twice(context, pair, text):
+    endpoint = pair.network.attach(NodeAddress("10.0.0.3", 1), "zone")
+    calls = []
+    handler = pair.network._endpoints[ADDRESS_B].handler
 
-        pair.network._endpoints[ADDRESS_B].handler = spy
-        assert isinstance(await pair.a.link.call(ADDRESS_B, Question(text), 1.0), Ok)
-        for request in tuple(calls):
-            await endpoint.call(ADDRESS_B, request, 1.0)
+    async def spy(request):
+        calls.append(request)
+        return await handler(request)
 
-    pair.run(script)
+    pair.network._endpoints[ADDRESS_B].handler = spy
+    assert isinstance(await pair.a.link.call(ADDRESS_B, Question(text), 1.0), Ok)
+    for request in tuple(calls):
+        await endpoint.call(ADDRESS_B, request, 1.0)
 
 
 @then("node B has run the call {count:d} time")
@@ -246,16 +231,11 @@
     assert context.pair.b.num_calls == count, context.pair.b.num_calls
 
 
-@when("node A casts {count:d} messages at once to node B")
-def step_busy_sender(context, count):
-    pair = context.pair
-
-    async def script():
-        for number in range(count):
-            await pair.a.link.cast(ADDRESS_B, Note(str(number)))
-        await anyio.sleep(1)
-
-    pair.run(script)
+@async_when("node A casts {count:d} messages at once to node B", on_pair)
+async def step_busy_sender(context, pair, count):
+    for number in range(count):
+        await pair.a.link.cast(ADDRESS_B, Note(str(number)))
+    await anyio.sleep(1)
 
 
 @then("node B has sent at most {limit:d} challenges")
@@ -264,9 +244,10 @@
     assert 1 <= num_challenges <= limit, num_challenges
 
 
-@when("the keys go from old to new on one node at a time, with a cast each way at each step")
-def step_rotate(context):
-    pair = context.pair
+@async_when(
+    "the keys go from old to new on one node at a time, with a cast each way at each step", on_pair
+)
+async def step_rotate(context, pair):
     context.num_steps = 0
 
     async def exchange():
@@ -275,19 +256,13 @@
         await pair.b.link.cast(ADDRESS_A, Note(str(context.num_steps)))
         await anyio.sleep(1)
 
-    async def script():
-        await exchange()
-        for keys in ((OLD_KEY, NEW_KEY), (NEW_KEY, OLD_KEY), (NEW_KEY,)):
-            for node in (pair.a, pair.b):
-                node.keys.replace(keys)
-                await exchange()
-        old = EnvelopeSealer(KeyRing((OLD_KEY,)), NodeId("late", 1), ADDRESS_A)
-        payload = MessageCodec().encode(Note("late"))
-        data = old.seal(EnvelopeKind.CAST, payload, address_binding(ADDRESS_B))
-        pair.network.inject(ADDRESS_A, ADDRESS_B, data)
-        await anyio.sleep(1)
-
-    pair.run(script)
+    await exchange()
+    for keys in ((OLD_KEY, NEW_KEY), (NEW_KEY, OLD_KEY), (NEW_KEY,)):
+        for node in (pair.a, pair.b):
+            node.keys.replace(keys)
+            await exchange()
+    pair.network.inject(ADDRESS_A, ADDRESS_B, sealed(OLD_KEY, MessageCodec().encode(Note("late"))))
+    await anyio.sleep(1)
 
 
 @then("every cast has arrived")
@@ -303,17 +278,12 @@
     assert rejected == {"unknown_key": 1}, rejected
 
 
-@when("node A casts {count:d} numbered messages to node B")
-def step_numbered(context, count):
-    pair = context.pair
-
-    async def script():
-        for number in range(count):
-            await pair.a.link.cast(ADDRESS_B, Note(str(number)))
-            await anyio.sleep(0.01 if number else 5.0)
-        await anyio.sleep(10)
-
-    pair.run(script)
+@async_when("node A casts {count:d} numbered messages to node B", on_pair)
+async def step_numbered(context, pair, count):
+    for number in range(count):
+        await pair.a.link.cast(ADDRESS_B, Note(str(number)))
+        await anyio.sleep(0.01 if number else 5.0)
+    await anyio.sleep(10)
 
 
 @then("node B has received each at most once and at least {least:d} of them")
--- a/features/steps/routing_choice_steps.py
+++ b/features/steps/routing_choice_steps.py
@@ -1,11 +1,11 @@
 import json
+import re
 from collections import Counter
 from types import SimpleNamespace
 
 import anyio
 import msgspec
 from behave import given, then, when
-from result import Ok
 
 from features.support.backend_fleet import (
     MODEL,
@@ -15,11 +15,13 @@
     declare_service,
     make_request,
 )
+from features.support.claims_fleet import LinkFleet
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.choice.policy import CandidateEstimate, Choice
+from weirscale.domain.identifiers import NodeAddress, NodeId
 from weirscale.domain.prefix.chain import chain_seed, extend_chain
 from weirscale.node.backends.observations import EngineAttemptEnded
-from weirscale.node.interfaces import AttemptOutcome
+from weirscale.node.interfaces import AttemptOutcome, Peer, PeerState
 from weirscale.node.routing.decisions import DecisionLog
 from weirscale.node.routing.explain import Explainer
 from weirscale.node.routing.explain_text import render_json, render_text
@@ -44,97 +46,84 @@
     return run_in_virtual_time(main)
 
 
-def outcome(request, chosen, failure=None, duration_s=1.0, num_cached_tokens=40):
-    engine = chosen.ok_value.choice.engine
-    return AttemptOutcome(request, 0, engine, 1, failure, 100, num_cached_tokens, 0.25, duration_s)
-
-
-@given("a node with {count:d} engines that take {most:d} requests each")
-def step_node(context, count, most):
-    context.deployment = declare(count, max_concurrent_requests=most)
+def choose(fleet, request, excluded=NOBODY, required_version=None):
+    return fleet.router.choose(request, 0, excluded, required_version)
 
 
-@when("every engine is full and answers take {duration_s:g} s")
-def step_all_full(context, duration_s):
-    async def situation(fleet):
-        for number in range(3):
-            request = make_request(number)
-            chosen = await fleet.router.choose(request, 0, NOBODY, None)
-            fleet.router.report(outcome(request, chosen, duration_s=duration_s))
-        for number in range(3, 9):
-            assert (await fleet.router.choose(make_request(number), 0, NOBODY, None)).is_ok()
+async def choose_and_report(fleet, number, **outcome):
+    """Choose for a request and report its attempt, by default as one that ended well."""
+    request = make_request(number)
+    chosen = await choose(fleet, request)
+    fleet.router.report(outcome_of(request, chosen, **outcome))
 
-    context.situation, context.call = situation, {}
-
-
-@when("every engine refused as busy for {pause_s:g} s")
-def step_all_busy(context, pause_s):
-    async def situation(fleet):
-        busy = EngineFailure(EngineFailureKind.REFUSED_BUSY, "full", pause_s)
-        for number in range(3):
-            request = make_request(number)
-            chosen = await fleet.router.choose(request, 0, NOBODY, None)
-            fleet.router.report(outcome(request, chosen, busy))
-            await anyio.sleep(0.01)
-
-    context.situation, context.call = situation, {}
-
-
-async def nothing(fleet):
-    pass
 
+def outcome_of(request, chosen, failure=None, duration_s=1.0):
+    engine = chosen.ok_value.choice.engine
+    return AttemptOutcome(request, 0, engine, 1, failure, 100, 40, 0.25, duration_s)
 
-@when("every engine is excluded")
-def step_all_excluded(context):
-    context.situation = nothing
-    context.call = {"excluded": frozenset(each.name for each in context.deployment.engines)}
 
+@given("a node with {count:d} engines that take {most:d} requests each")
+def step_node(context, count, most):
+    context.deployment = declare(count, max_concurrent_requests=most)
 
-@when("no engine has the adapter")
-def step_no_adapter(context):
-    context.situation, context.call = nothing, {"adapter": "amharic"}
 
+ALL_NAMES = frozenset(f"qalam-{index}" for index in range(3))
+CALLS = {
+    "every engine is excluded": {"excluded": ALL_NAMES},
+    "no engine has the adapter": {"adapter": "amharic"},
+    "no engine has the version of a continued answer": {"required_version": "v0"},
+    "the model is not declared": {"model": "other"},
+}
 
-@when("no engine has the version of a continued answer")
-def step_no_version(context):
-    context.situation, context.call = nothing, {"required_version": "v0"}
 
+async def fill_all(fleet, duration_s):
+    for number in range(3):
+        await choose_and_report(fleet, number, duration_s=duration_s)
+    for number in range(3, 9):
+        assert (await choose(fleet, make_request(number))).is_ok()
 
-@when("every engine is leaving")
-def step_all_leaving(context):
-    async def situation(fleet):
-        for engine in fleet.engines.values():
-            engine.leave()
-        await anyio.sleep(SETTLE_S)
 
-    context.situation, context.call = situation, {}
+async def refuse_all(fleet, pause_s):
+    busy = EngineFailure(EngineFailureKind.REFUSED_BUSY, "full", pause_s)
+    for number in range(3):
+        await choose_and_report(fleet, number, failure=busy)
+        await anyio.sleep(0.01)
 
 
-@when("the model is not declared")
-def step_unknown_model(context):
-    context.situation, context.call = nothing, {"model": "other"}
+async def leave_all(fleet):
+    for engine in fleet.engines.values():
+        engine.leave()
+    await anyio.sleep(SETTLE_S)
 
 
-@when("no configuration ever came")
-def step_no_configuration(context):
-    context.deployment = None
-    context.situation, context.call = nothing, {}
+async def bring_about(fleet, situation):
+    """Bring a situation of the table about; returns what the next request asks for."""
+    duration_s = re.search(r" (\d+) s$", situation)
+    if situation.startswith("every engine is full"):
+        await fill_all(fleet, float(duration_s[1]))
+    elif situation.startswith("every engine refused as busy"):
+        await refuse_all(fleet, float(duration_s[1]))
+    elif situation == "every engine is leaving":
+        await leave_all(fleet)
+    else:
+        return dict(CALLS[situation])
+    return {}
 
 
 @then(
-    "the next request is refused as {code}, not run, with a retry between {least:g} and {most:g} s"
+    "if {situation}, the next request is refused as {code}, not run, with a retry between"
+    " {least:g} and {most:g} s"
 )
-def step_refused(context, code, least, most):
-    fleet = Fleet(context.deployment or declare(3))
-    if context.deployment is None:
+def step_refused(context, situation, code, least, most):
+    fleet = Fleet(context.deployment)
+    has_configuration = situation != "no configuration ever came"
+    if not has_configuration:
         fleet.configuration.changed_after = lambda revision: anyio.sleep_forever()
 
     async def ask():
-        await context.situation(fleet)
-        call = dict(context.call)
-        excluded = call.pop("excluded", NOBODY)
-        required_version = call.pop("required_version", None)
-        return await fleet.router.choose(make_request(99, **call), 0, excluded, required_version)
+        call = await bring_about(fleet, situation) if has_configuration else {}
+        options = {key: call.pop(key) for key in ("excluded", "required_version") if key in call}
+        return await choose(fleet, make_request(99, **call), **options)
 
     refusal = in_fleet(fleet, ask).err_value
     assert (refusal.code.value, refusal.run_status.value) == (code, "not_run"), refusal
@@ -149,7 +138,7 @@
         for engine in fleet.engines.values():
             engine.faults.set(EngineFaults(load_report_delay_s=early_s))
         async with fleet.running():
-            chosen = await fleet.router.choose(make_request(), 0, NOBODY, None)
+            chosen = await choose(fleet, make_request())
             return chosen, anyio.current_time()
 
     context.chosen, context.waited_s = run_in_virtual_time(main)
@@ -161,9 +150,7 @@
 
 
 async def choose_many(fleet, count):
-    chosen = [
-        await fleet.router.choose(make_request(number), 0, NOBODY, None) for number in range(count)
-    ]
+    chosen = [await choose(fleet, make_request(number)) for number in range(count)]
     return Counter(each.ok_value.choice.engine for each in chosen)
 
 
@@ -274,10 +261,10 @@
         context.engines = []
         for number in range(200):
             request = make_request(number, repeatable=kind == "repeatable")
-            chosen = await fleet.router.choose(request, 0, NOBODY, None)
+            chosen = await choose(fleet, request)
             context.engines.append(chosen.ok_value.choice.engine)
             await anyio.sleep(0.05)
-            fleet.router.report(outcome(request, chosen))
+            fleet.router.report(outcome_of(request, chosen))
 
     in_fleet(fleet, run)
 
@@ -296,8 +283,8 @@
     )
 
     async def ask_engine(request):
-        chosen = await fleet.router.choose(request, 0, NOBODY, None)
-        fleet.router.report(outcome(request, chosen))
+        chosen = await choose(fleet, request)
+        fleet.router.report(outcome_of(request, chosen))
 
     async def ask_service():
         chosen = await fleet.services.choose("matemia", NOBODY)
@@ -379,33 +366,17 @@
     assert ("matemia-0" in context.chosen) == (share == "some"), Counter(context.chosen)
 
 
-class DirectLink:
-    """Calls between nodes of one test, without a network."""
-
-    def __init__(self, handlers, address):
-        self._handlers = handlers
-        self._address = address
-
-    def on_call(self, message_type, handler):
-        self._handlers[self._address] = handler
-
-    async def call(self, destination, message, timeout_s):
-        return Ok(await self._handlers[destination](message))
-
-
 @given("three nodes that each remember {count:d} requests")
 def step_three_nodes(context, count):
     context.logs = [DecisionLog(f"node-{index}", count) for index in range(3)]
-    handlers = {}
-    peers = [SimpleNamespace(node=SimpleNamespace(name=f"node-{i}"), address=i) for i in range(3)]
-    context.explainers = [
-        Explainer(
-            log,
-            DirectLink(handlers, index),
-            SimpleNamespace(self_id=peers[index].node, peers=lambda: tuple(peers)),
-        )
-        for index, log in enumerate(context.logs)
-    ]
+    fleet, context.explainers = LinkFleet(), []
+    peers = tuple(
+        Peer(NodeId(f"node-{index}", 1), NodeAddress("10.0.0.1", index), "zone", PeerState.ALIVE)
+        for index in range(3)
+    )
+    for peer, log in zip(peers, context.logs, strict=True):
+        view = SimpleNamespace(self_id=peer.node, peers=lambda: peers)
+        context.explainers.append(Explainer(log, fleet.start(peer.address), view))
 
 
 @when("{count:d} requests have been served by the first node")
@@ -415,9 +386,7 @@
 
     async def serve():
         for number in range(count):
-            request = make_request(number)
-            chosen = await fleet.router.choose(request, 0, NOBODY, None)
-            fleet.router.report(outcome(request, chosen))
+            await choose_and_report(fleet, number)
         await anyio.sleep(1.0)
 
     in_fleet(fleet, serve)
@@ -425,10 +394,7 @@
 
 
 def explain(context, request_id):
-    async def main():
-        return await context.explainers[2].explain(request_id)
-
-    return run_in_virtual_time(main)
+    return run_in_virtual_time(context.explainers[2].explain, request_id)
 
 
 @then("the third node explains the last one with its outcome, as text and as JSON")
--- a/features/support/claims_fleet.py
+++ b/features/support/claims_fleet.py
@@ -110,6 +110,21 @@
             await target.call_handlers[type(message)](message)
 
 
+class LinkFleet:
+    """Links that all reach each other without faults; `tasks` is needed for casts only."""
+
+    def __init__(self, tasks=None):
+        self.tasks, self.faults, self.random = tasks, Faults(), random.Random(1)
+        self.links, self.num_bytes = {}, 0
+
+    def start(self, address):
+        self.links[address] = Link(self, address)
+        return self.links[address]
+
+    def reach(self, source, destination):
+        return self.links.get(destination)
+
+
 class Membership:
     """A view that holds every running node that this one can reach."""
 
