Probe all engines from one task; measure one real node in a fleet

Cause: a node kept a sleeping task for each of 1,700 declared engines and counted all engines at each wake. Change: one task keeps the times of all engines and counts them once a second; bench.control_cost runs one real node process beside the nodes of its zone and a fleet of membership alone. Conclusion: probing costs state by engine, not tasks by engine.

--- /dev/null
+++ b/bench/control_cost.py
@@ -0,0 +1,97 @@
+"""Measures what one real node process costs in a fleet on loopback.
+
+`python -m bench.control_cost` starts a few processes: the key-value stand-in, the other nodes of
+one zone (whole, in one process), the rest of the fleet (membership alone) and the measured node.
+"""
+
+import subprocess
+import sys
+import time
+from typing import IO
+
+import msgspec
+
+from bench.control_setup import FleetPlan, NodeFigures, NodeRole
+from bench.setup import READY_PREFIX, ServerAddress
+from weirscale.experiments.scale.fleet import NODES_PER_ZONE
+
+SIZES = ((22, 6), (22, 1700), (400, 1700))
+"""Nodes and declared engines of each measurement."""
+
+NUM_BLOCKS = 2000
+NUM_MEMBERS_A_PROCESS = 189
+SETTLE_S = 25.0
+QUIET_S = 30.0
+MEMBERS_S = 300.0
+WAIT_S = 10.0
+
+
+def _start(
+    role: NodeRole, plan: FleetPlan, first: int = 0, count: int = 0
+) -> "subprocess.Popen[str]":
+    arguments = [role.value, msgspec.json.encode(plan).decode(), str(first), str(count)]
+    return subprocess.Popen(
+        [sys.executable, "-m", "bench.control_process", *arguments],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+def _announced(process: "subprocess.Popen[str]") -> str:
+    """Return the next announcement of a process."""
+    output: IO[str] | None = process.stdout
+    assert output is not None
+    for line in output:
+        if line.startswith(READY_PREFIX):
+            return line.removeprefix(READY_PREFIX)
+    raise SystemExit("a process of the measurement ended early")
+
+
+def measure(num_nodes: int, num_engines: int) -> NodeFigures:
+    """Run one fleet and return what its one real node cost."""
+    plan = FleetPlan(num_nodes, num_engines, NUM_BLOCKS, SETTLE_S, QUIET_S, MEMBERS_S)
+    started: list[subprocess.Popen[str]] = []
+    try:
+        platform = _start(NodeRole.PLATFORM, plan)
+        started.append(platform)
+        address = msgspec.json.decode(_announced(platform), type=ServerAddress).address
+        plan = msgspec.structs.replace(plan, key_value=address)
+        started.append(_start(NodeRole.WHOLE, plan, 0, NODES_PER_ZONE - 1))
+        _announced(started[-1])
+        for first in range(NODES_PER_ZONE, num_nodes, NUM_MEMBERS_A_PROCESS):
+            count = min(NUM_MEMBERS_A_PROCESS, num_nodes - first)
+            started.append(_start(NodeRole.MEMBERS, plan, first, count))
+        time.sleep(WAIT_S)
+        node = _start(NodeRole.WHOLE, plan, NODES_PER_ZONE - 1, 1)
+        started.append(node)
+        _announced(node)
+        return msgspec.json.decode(_announced(node), type=NodeFigures)
+    finally:
+        for process in reversed(started):
+            process.kill()
+            process.wait()
+
+
+def main() -> None:
+    """Print a line for each size."""
+    for num_nodes, num_engines in SIZES:
+        figures = measure(num_nodes, num_engines)
+        by_type = figures.bytes_per_s_by_type
+        print(
+            f"nodes={num_nodes} engines={num_engines} peers={figures.num_peers} "
+            f"homes={figures.num_homes} resident_MB={figures.resident_bytes / 1e6:.1f} "
+            f"after_imports_MB={figures.resident_at_start / 1e6:.1f} "
+            f"cpu_%={100 * figures.cpu_share:.2f} "
+            f"peer_bytes_per_s={sum(by_type.values()):.0f} "
+            f"polls_per_s={figures.load_polls_per_s:.1f}"
+        )
+        print(
+            "  "
+            + " ".join(f"{tag}={rate:.0f}" for tag, rate in sorted(by_type.items()) if rate >= 1)
+        )
+        sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/weirscale/node/backends/directory.py
+++ b/src/weirscale/node/backends/directory.py
@@ -8,7 +8,6 @@
 from random import Random
 
 import anyio
-from anyio.abc import TaskGroup
 
 from weirscale.domain.configuration.model import Engine, ServiceBackend
 from weirscale.domain.health.rules import HealthRules
@@ -26,7 +25,7 @@
     ServiceAttemptEnded,
 )
 from weirscale.node.backends.port_table import ClosablePort
-from weirscale.node.backends.probes import ProbeRules, poll_engine, poll_machines
+from weirscale.node.backends.probes import EngineProbes, ProbeRules, poll_machines
 from weirscale.node.backends.state import DirectoryState
 from weirscale.node.event_log import EventLog, SilentEventLog
 from weirscale.node.interfaces import ConfigurationView
@@ -78,7 +77,7 @@
             events or SilentEventLog(),
         )
         self._changed = anyio.Event()
-        self._probe_scopes: dict[tuple[EngineName, str], anyio.CancelScope] = {}
+        self._probes = EngineProbes(self, self._probe_rules, random)
         self.num_dropped_observations = 0
 
     def snapshot(self) -> DirectorySnapshot:
@@ -108,12 +107,14 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follow_configuration)
             tasks.start_soon(self._close_retired_ports)
+            if self._probe_rules.polls_engines:
+                tasks.start_soon(self._probes.run)
             if self._machines is not None:
                 tasks.start_soon(
                     poll_machines, self, self._machines, self._probe_rules, self._random
                 )
             while True:
-                self._handle(await self._mailbox.receive(), tasks)
+                self._handle(await self._mailbox.receive())
 
     async def _follow_configuration(self) -> None:
         revision = ConfigurationRevision(0)
@@ -129,11 +130,11 @@
                 if isinstance(port, ClosablePort):
                     await port.aclose()
 
-    def _handle(self, message: Observation, tasks: TaskGroup) -> None:
+    def _handle(self, message: Observation) -> None:
         before = self._state.snapshot
         self._learn(message, anyio.current_time())
         if isinstance(message, ConfigurationChanged):
-            self._sync_probes(tasks)
+            self._sync_probes()
         if self._state.snapshot is not before:
             self._changed.set()
             self._changed = anyio.Event()
@@ -156,25 +157,9 @@
             case ServiceAttemptEnded():
                 state.learn_service_attempt(message, now_s)
 
-    def _sync_probes(self, tasks: TaskGroup) -> None:
-        """Start and stop probe loops so that each declared engine has one."""
-        if not self._probe_rules.polls_engines:
-            return
-        wanted = {
-            (facts.engine.name, facts.engine.address): facts
-            for facts in self._state.snapshot.engines.values()
-        }
-        for key in self._probe_scopes.keys() - wanted.keys():
-            self._probe_scopes.pop(key).cancel()
-        for key in sorted(wanted.keys() - self._probe_scopes.keys()):
-            scope = anyio.CancelScope()
-            self._probe_scopes[key] = scope
-            tasks.start_soon(
-                poll_engine,
-                self,
-                wanted[key].engine.name,
-                wanted[key].port,
-                scope,
-                self._probe_rules,
-                self._random,
-            )
+    def _sync_probes(self) -> None:
+        """Have each declared engine asked, at the address declared now."""
+        engines = self._state.snapshot.engines.values()
+        self._probes.follow(
+            {(facts.engine.name, facts.engine.address): facts.port for facts in engines}
+        )
--- a/src/weirscale/node/backends/probes.py
+++ b/src/weirscale/node/backends/probes.py
@@ -1,5 +1,8 @@
 """Loops that ask engines and the machine list how things are."""
 
+import heapq
+import math
+from collections.abc import Mapping
 from random import Random
 from typing import Protocol
 
@@ -18,6 +21,12 @@
 from weirscale.ports.engine import EnginePort
 from weirscale.ports.machines import MachineListPort
 
+ProbeKey = tuple[EngineName, str]
+"""An engine at an address."""
+
+COUNT_INTERVAL_S = 1.0
+"""How often the engines to ask are counted anew; the count takes a tenth of a millisecond."""
+
 
 class ProbeRules(msgspec.Struct, frozen=True):
     """How often to ask.
@@ -56,22 +65,95 @@
         ...
 
 
-async def poll_engine(
-    directory: ProbedDirectory,
-    engine: EngineName,
-    port: EnginePort,
-    scope: anyio.CancelScope,
-    rules: ProbeRules,
-    random: Random,
-) -> None:
-    """Ask one engine for its load, at once and then at intervals, until the scope is cancelled."""
-    with scope:
-        num_engines = len(directory.snapshot().engines)
-        await anyio.sleep(random.random() * num_engines / rules.first_probes_per_s)
-        while True:
-            if not _has_home_report(directory, engine, rules):
-                await _probe(directory, engine, port, rules)
-            await anyio.sleep(_jittered(_interval_s(directory, rules), rules, random))
+class EngineProbes:
+    """Asks every declared engine for its load, at once and then at intervals.
+
+    One task keeps the times of all engines: a sleeping task for each would cost a node several
+    megabytes at the size to design for.
+
+    Args:
+        directory: Tells of engines and takes in what they answer.
+        rules: How often to ask.
+        random: For jitter.
+    """
+
+    def __init__(self, directory: ProbedDirectory, rules: ProbeRules, random: Random) -> None:
+        self._directory = directory
+        self._rules = rules
+        self._random = random
+        self._ports: dict[ProbeKey, EnginePort] = {}
+        self._due: list[tuple[float, ProbeKey]] = []
+        self._due_at_s: dict[ProbeKey, float] = {}
+        self._asking: dict[ProbeKey, anyio.CancelScope] = {}
+        self._changed = anyio.Event()
+        self._interval_s = rules.load_interval_s
+        self._interval_until_s = -math.inf
+
+    def follow(self, ports: Mapping[ProbeKey, EnginePort]) -> None:
+        """Ask these engines from now on, and no others."""
+        now_s = anyio.current_time()
+        for key in self._ports.keys() - ports.keys():
+            self._due_at_s.pop(key, None)
+            scope = self._asking.pop(key, None)
+            if scope is not None:
+                scope.cancel()
+        for key in sorted(ports.keys() - self._ports.keys()):
+            first_s = self._random.random() * len(ports) / self._rules.first_probes_per_s
+            self._wait_until(key, now_s + first_s)
+        self._ports = dict(ports)
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._changed = anyio.Event()
+                for key in self._take_due(anyio.current_time()):
+                    tasks.start_soon(self._ask, key)
+                next_s = self._due[0][0] if self._due else math.inf
+                with anyio.move_on_at(next_s):
+                    await self._changed.wait()
+
+    def _take_due(self, now_s: float) -> list[ProbeKey]:
+        """Take the engines whose time has come; those that a home reports for wait again."""
+        taken: list[ProbeKey] = []
+        while self._due and self._due[0][0] <= now_s:
+            due_at_s, key = heapq.heappop(self._due)
+            if self._due_at_s.get(key) != due_at_s:
+                # Of an engine that was dropped, and perhaps declared again since.
+                continue
+            if _has_home_report(self._directory, key[0], self._rules):
+                self._wait_again(key, now_s)
+            else:
+                taken.append(key)
+        return taken
+
+    async def _ask(self, key: ProbeKey) -> None:
+        port = self._ports.get(key)
+        if port is None:
+            return
+        with anyio.CancelScope() as scope:
+            self._asking[key] = scope
+            await _probe(self._directory, key[0], port, self._rules)
+        if self._asking.get(key) is scope:
+            del self._asking[key]
+            self._wait_again(key, anyio.current_time())
+            self._changed.set()
+
+    def _wait_again(self, key: ProbeKey, now_s: float) -> None:
+        interval_s = _jittered(self._interval(now_s), self._rules, self._random)
+        self._wait_until(key, now_s + interval_s)
+
+    def _wait_until(self, key: ProbeKey, due_at_s: float) -> None:
+        self._due_at_s[key] = due_at_s
+        heapq.heappush(self._due, (due_at_s, key))
+
+    def _interval(self, now_s: float) -> float:
+        """Return the time between two probes of an engine; engines are counted once a second."""
+        if now_s >= self._interval_until_s:
+            self._interval_s = _interval_s(self._directory, self._rules)
+            self._interval_until_s = now_s + COUNT_INTERVAL_S
+        return self._interval_s
 
 
 async def poll_machines(
