Wait for a superseding run in the membership task

Cause: the linter rejects the poll in the program. Change: MembershipTask.wait_superseded. Conclusion: behaviour as before.

--- a/src/weirscale/node/membership/task.py
+++ b/src/weirscale/node/membership/task.py
@@ -32,6 +32,7 @@
 """The list itself lags by seconds; asking more often tells nothing new."""
 
 MAX_CONCURRENT_SYNCS = 4
+SUPERSEDED_POLL_S = 1.0
 
 _PEER_STATES = {
     MemberState.ALIVE: PeerState.ALIVE,
@@ -124,6 +125,11 @@
         while not self.protocol.has_joined:
             await self._sleep(self._rules.tick_s)
 
+    async def wait_superseded(self) -> None:
+        """Wait until a later run with this node's name is a member."""
+        while not self.is_superseded:
+            await self._sleep(SUPERSEDED_POLL_S)
+
     def leave(self) -> None:
         """Announce that this node is about to stop; call it when draining begins."""
         self.protocol.leave(anyio.current_time())
--- a/src/weirscale/node/program.py
+++ b/src/weirscale/node/program.py
@@ -30,8 +30,6 @@
 FINISH_TIMEOUT_S = 5.0
 """After a drain no request runs; idle connections get this long to close."""
 
-SUPERSEDED_POLL_S = 1.0
-
 EXIT_DRAINED = 0
 EXIT_CUT = 4
 """The drain ran out of time and cut requests."""
@@ -130,8 +128,7 @@
 
     async def _stop_when_superseded(self, stop: anyio.Event) -> None:
         """Drain this run once a later run of the same name is a member."""
-        while not self.node.membership.is_superseded:
-            await anyio.sleep(SUPERSEDED_POLL_S)
+        await self.node.membership.wait_superseded()
         self.event_log.event(
             "node_superseded", remedy="give each node a name of its own, or stop the earlier run"
         )
