Let the planner hear of engines beyond its zone

Cause: a planner needed reports below 10 s of all engines, but a node hears only of its own zone's engines and asked the others itself, 10 a second: 170 s a round at 1,700 engines. Change: while a node plans, it asks one node of each zone that it does not hear of every 5 s; any node of the zone answers from what it has heard anyway, and an unchanged answer is one byte an engine. Engines with loads in progress are asked directly. A state is trusted for 30 s. An engine that took no order counts as down for 10 s, so it does not hold up the others. Every rule broken on purpose made a scenario of features/placement_states.feature fail.

--- /dev/null
+++ b/bench/placement_states.py
@@ -0,0 +1,323 @@
+"""Traffic of a planner over many zones, in virtual time: `python -m bench.placement_states`.
+
+Real planners, states servers and authenticated links over an in-memory network; engines, membership
+and the digests by which a zone hears of its engines are hollow: each node hears of its own zone's
+engines every `SPREAD_INTERVAL_S`, as homes spread load reports at this size.
+"""
+
+import math
+from collections import Counter
+from functools import partial
+from random import Random
+from typing import Any
+
+import anyio
+import msgspec
+from result import Ok, Result
+
+from weirscale.domain.configuration.model import Deployment, Engine, Model, Region
+from weirscale.domain.identifiers import (
+    ConfigurationRevision,
+    EngineName,
+    Incarnation,
+    ModelName,
+    NodeAddress,
+    NodeId,
+    NodeName,
+    RegionName,
+    WeightVersion,
+    ZoneName,
+)
+from weirscale.experiments.memory_network import MemoryNetwork
+from weirscale.experiments.virtual_time import run_in_virtual_time
+from weirscale.messages.cache import LoadReport
+from weirscale.messages.envelope import KeyRing, PeerKey
+from weirscale.node.backends.facts import EMPTY_SNAPSHOT, DirectorySnapshot, EngineFacts
+from weirscale.node.event_log import SilentEventLog
+from weirscale.node.interfaces import ConfigurationInForce, Peer, PeerState
+from weirscale.node.peers.link import AuthenticatedPeerLink
+from weirscale.node.placement.fleet_states import FleetStates
+from weirscale.node.placement.states_server import EngineStatesServer
+from weirscale.node.placement.task import PlacementTask
+from weirscale.ports.engine import EngineFailure, EngineOrder, LoadModel
+from weirscale.standins.key_value.in_process import InProcessKeyValue
+from weirscale.standins.key_value.server import KeyValueServer
+
+SPREAD_INTERVAL_S = 7.0
+"""Time between reports of one engine to its zone with 94 engines, 22 nodes and 2 kB/s a home."""
+
+LOAD_S = 60.0
+MEASURED_S = 120.0
+SETTLE_S = 20.0
+MODEL = ModelName("paddock-lm")
+KEYS = KeyRing((PeerKey(1, b"0123456789abcdef"),))
+HTTP_HEADER_BYTES = 250
+"""Headers of a call and its reply together, over a connection that is kept."""
+
+
+class HollowEngine:
+    """An engine that loads and reports; `history` holds its reports since each change."""
+
+    def __init__(self, name: EngineName, load_s: float) -> None:
+        self.name = name
+        self.load_s = load_s
+        self.hung_at_s = math.inf
+        self.fence = 0
+        self.orders: list[tuple[float, EngineOrder]] = []
+        self.num_probes = 0
+        self.history: list[tuple[float, LoadReport]] = []
+        first = LoadReport(
+            name, Incarnation(1), MODEL, WeightVersion("v1"), (), 9, 3, 9000, 60000, 65536, False, 0
+        )
+        self._change(msgspec.structs.replace(first, role="both"))
+
+    @property
+    def report(self) -> LoadReport:
+        """The report now."""
+        return self.history[-1][1]
+
+    def _change(self, report: LoadReport) -> None:
+        self.history.append((anyio.current_time(), report))
+
+    def report_at(self, at_s: float) -> LoadReport:
+        """Return the report as of a time."""
+        earlier = [report for since_s, report in self.history if since_s <= at_s]
+        return earlier[-1] if earlier else self.history[0][1]
+
+    def hang(self) -> None:
+        """Answer nothing any more."""
+        self.hung_at_s = anyio.current_time()
+
+    async def _answer(self) -> None:
+        """Wait as a caller does: for ever once the engine hangs."""
+        if self.hung_at_s < math.inf:
+            await anyio.sleep_forever()
+        await anyio.lowlevel.checkpoint()
+
+    async def load(self) -> Result[LoadReport, EngineFailure]:
+        """Answer a probe."""
+        self.num_probes += 1
+        await self._answer()
+        return Ok(self.report)
+
+    async def order(self, order: EngineOrder) -> Result[None, EngineFailure]:
+        """Take an order; a load begins at once and ends when `finish_due` is called late enough."""
+        self.orders.append((anyio.current_time(), order))
+        await self._answer()
+        if isinstance(order.action, LoadModel) and order.token > self.fence:
+            self.fence = order.token
+            loading = {"model": None, "weight_version": None, "loading_token": order.token}
+            self._change(msgspec.structs.replace(self.report, **loading))
+        return Ok(None)
+
+    def finish_due(self) -> None:
+        """End a load whose time has come."""
+        since_s, report = self.history[-1]
+        if not report.loading_token or anyio.current_time() - since_s < self.load_s:
+            return
+        action = self.orders[-1][1].action
+        assert isinstance(action, LoadModel)
+        loaded = {
+            "model": action.model,
+            "weight_version": action.weight_version,
+            "order_token": report.loading_token,
+            "loading_token": 0,
+        }
+        self._change(msgspec.structs.replace(report, **loaded))
+
+
+class HollowNode:
+    """A node: its link, what it hears of its zone, and a planner that plans while `held`."""
+
+    def __init__(self, fleet: "StatesFleet", peer: Peer, random: Random) -> None:
+        self.self_id = peer.node
+        self.peer = peer
+        self.held = False
+        self._fleet = fleet
+        endpoint = fleet.network.attach(peer.address, peer.zone)
+        self.link = AuthenticatedPeerLink(endpoint, peer.node, peer.address, KEYS, random)
+        self.server = EngineStatesServer(self, self.link)
+        self.states = FleetStates(self, self, self.link, self)
+        self.planner = PlacementTask(
+            fleet, self, fleet.key_value, self, SilentEventLog(), states=self.states
+        )
+
+    def is_held(self) -> bool:
+        """Whether this node plans."""
+        return self.held
+
+    def peers(self) -> tuple[Peer, ...]:
+        """Return all live nodes."""
+        return self._fleet.peers
+
+    def version(self) -> int:
+        """Return the version of membership."""
+        return self._fleet.membership_version
+
+    def snapshot(self) -> DirectorySnapshot:
+        """Return what this node has heard of its own zone's engines."""
+        return self._fleet.snapshot(self.peer.zone, self.held)
+
+    def num_bytes(self) -> Counter[str]:
+        """Return the bytes of calls, sent and received, HTTP headers included."""
+        traffic = self.link.traffic
+        sent = traffic.sent.values()
+        received = traffic.received.values()
+        headers = HTTP_HEADER_BYTES * sum(count.num_messages for count in sent)
+        return Counter(
+            sent=sum(count.num_bytes for count in sent) + headers,
+            received=sum(count.num_bytes for count in received) + headers,
+        )
+
+
+class StatesFleet:
+    """Zones of nodes and engines; also the configuration in force."""
+
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        num_zones: int,
+        num_nodes: int,
+        num_engines: int,
+        load_s: float = LOAD_S,
+        **model_fields: Any,
+    ) -> None:
+        random = Random(7)
+        self.network = MemoryNetwork(tasks, random)
+        self.key_value = InProcessKeyValue(KeyValueServer(Random(2)))
+        self.zones = [ZoneName(f"hall-{index:02}") for index in range(num_zones)]
+        self.engines = {
+            name: HollowEngine(name, load_s)
+            for name in (EngineName(f"runner-{index:04}") for index in range(num_engines))
+        }
+        self.peers = tuple(
+            Peer(
+                NodeId(NodeName(f"node-{index:03}"), Incarnation(1)),
+                NodeAddress(f"10.0.{index // 250}.{index % 250 + 1}", 7000),
+                self.zones[index % num_zones],
+                PeerState.ALIVE,
+            )
+            for index in range(num_nodes)
+        )
+        self.membership_version = 1
+        self._adopted: set[ZoneName] = set()
+        self._declare(Model(MODEL, WeightVersion("v1"), **model_fields))
+        self.nodes = [HollowNode(self, peer, random) for peer in self.peers]
+        for node in self.nodes:
+            tasks.start_soon(node.link.run)
+            tasks.start_soon(node.states.run)
+            tasks.start_soon(node.planner.run)
+        tasks.start_soon(self._run_engines)
+
+    def _declare(self, model: Model) -> None:
+        engines = tuple(
+            Engine(name, self.zones[index % len(self.zones)], f"10.1.0.1:{index + 1}", MODEL)
+            for index, name in enumerate(self.engines)
+        )
+        regions = (Region(RegionName("be-central"), tuple(self.zones)),)
+        deployment = Deployment(1, "bench", regions, (model,), engines, ())
+        self._in_force = ConfigurationInForce(ConfigurationRevision(1), deployment)
+        self.model = model
+
+    def current(self) -> ConfigurationInForce:
+        """Return the configuration in force."""
+        return self._in_force
+
+    async def changed_after(self, revision: ConfigurationRevision) -> ConfigurationInForce:
+        """Wait for ever: the planner asks for the configuration each round."""
+        await anyio.sleep_forever()
+        return self._in_force
+
+    def declare_version(self, version: str) -> None:
+        """Declare another weight version."""
+        weight_version = WeightVersion(version)
+        self._declare(msgspec.structs.replace(self.model, weight_version=weight_version))
+
+    def zone_of(self, name: EngineName) -> ZoneName:
+        """Return an engine's zone."""
+        return next(each.zone for each in self._in_force.deployment.engines if each.name == name)
+
+    def engines_in(self, zone: ZoneName) -> list[HollowEngine]:
+        """Return a zone's engines."""
+        declared = self._in_force.deployment.engines
+        return [self.engines[each.name] for each in declared if each.zone == zone]
+
+    def nodes_in(self, zone: ZoneName) -> list[HollowNode]:
+        """Return a zone's nodes."""
+        return [node for node in self.nodes if node.peer.zone == zone]
+
+    def adopt_zone(self, zone: ZoneName) -> None:
+        """Have every remaining node hear of a zone that has no node left, as homes of it do."""
+        self._adopted.add(zone)
+
+    def remove_node(self, node: HollowNode) -> None:
+        """Crash a node; membership knows it at once."""
+        self.network.detach(node.peer.address)
+        self.peers = tuple(peer for peer in self.peers if peer.node != node.self_id)
+        self.membership_version += 1
+
+    def count_at(self, version: str) -> int:
+        """Count the engines that serve a version."""
+        return sum(engine.report.weight_version == version for engine in self.engines.values())
+
+    def snapshot(self, zone: ZoneName, is_planner: bool) -> DirectorySnapshot:
+        """Return the directory of a zone's node: every declared engine, heard of or not."""
+        now_s = anyio.current_time()
+        heard_s = math.floor(now_s / SPREAD_INTERVAL_S) * SPREAD_INTERVAL_S
+        facts = {}
+        for declared in self._in_force.deployment.engines:
+            engine: Any = self.engines[declared.name]
+            is_near = declared.zone == zone or (declared.zone in self._adopted and not is_planner)
+            if is_near:
+                at_s = min(heard_s, engine.hung_at_s)
+                facts[declared.name] = EngineFacts(declared, engine, engine.report_at(at_s), at_s)
+            else:
+                facts[declared.name] = EngineFacts(declared, engine)
+        return msgspec.structs.replace(EMPTY_SNAPSHOT, engines=facts)
+
+    async def _run_engines(self) -> None:
+        while True:
+            for engine in self.engines.values():
+                engine.finish_due()
+            await anyio.sleep(1.0)
+
+
+async def measure(num_zones: int, num_nodes: int, num_engines: int, is_rolling: bool) -> str:
+    """Return the traffic of a planner and of the nodes asked, at rest or while it rolls."""
+    async with anyio.create_task_group() as tasks:
+        fleet = StatesFleet(tasks, num_zones, num_nodes, num_engines, max_concurrent_loads=4)
+        planner = fleet.nodes[0]
+        planner.held = True
+        await anyio.sleep(SETTLE_S)
+        num_heard = len(planner.states.heard()) + len(fleet.engines_in(planner.peer.zone))
+        before = {node.self_id: node.num_bytes() for node in fleet.nodes}
+        if is_rolling:
+            fleet.declare_version("v2")
+        probes_before = sum(engine.num_probes for engine in fleet.engines.values())
+        await anyio.sleep(MEASURED_S)
+        rates = {
+            node.self_id: (node.num_bytes() - before[node.self_id]).total() / MEASURED_S
+            for node in fleet.nodes
+        }
+        num_probes = sum(each.num_probes for each in fleet.engines.values()) - probes_before
+        others = [rate for node, rate in rates.items() if node != planner.self_id]
+        tasks.cancel_scope.cancel()
+    return (
+        f"{num_nodes} nodes, {num_zones} zones, {num_engines} engines, "
+        f"{'rolling' if is_rolling else 'at rest'}: "
+        f"engines known after {SETTLE_S:g} s {num_heard}; "
+        f"planner {rates[planner.self_id] / 1e3:.2f} kB/s, "
+        f"busiest other node {max(others) / 1e3:.2f} kB/s; "
+        f"{num_probes / MEASURED_S:.2f} engine probes/s"
+    )
+
+
+def main() -> None:
+    """Print every figure."""
+    for sizes in ((4, 16, 68), (9, 100, 425), (18, 400, 1700)):
+        for is_rolling in (False, True):
+            print(run_in_virtual_time(partial(measure, *sizes, is_rolling)))
+
+
+if __name__ == "__main__":
+    main()
--- a/features/steps/placement_rollout_steps.py
+++ b/features/steps/placement_rollout_steps.py
@@ -46,6 +46,10 @@
     rollout.engines["qalam-0"].refuses_orders = False
 
 
+async def refuse_orders_for_ever(rollout):
+    rollout.engines["qalam-0"].refuses_orders = True
+
+
 async def one_stuck_load(rollout):
     rollout.weights.num_to_stick = 1
 
@@ -132,6 +136,7 @@
     "an engine crashes while it serves": crash_serving,
     "an engine cannot be reached for a while": cut_engine_off,
     "an engine refuses orders for a while": refuse_orders,
+    "an engine refuses orders for ever": refuse_orders_for_ever,
     "one load is stuck": one_stuck_load,
     "an engine leaves while it loads": leave_loading,
     "an engine leaves while it serves": leave_serving,
--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -56,6 +56,8 @@
 from weirscale.node.membership.task import MembershipTask
 from weirscale.node.operators.app import OperatorApp
 from weirscale.node.peers.link import AuthenticatedPeerLink
+from weirscale.node.placement.fleet_states import FleetStates
+from weirscale.node.placement.states_server import EngineStatesServer
 from weirscale.node.placement.status import PlacementStatus
 from weirscale.node.placement.task import PlacementTask
 from weirscale.node.routing.decisions import DecisionLog
@@ -193,12 +195,17 @@
             DutyView(self.membership),
             random,
         )
+        self._engine_states_server = EngineStatesServer(self.directory, self.link)
+        self._fleet_states = FleetStates(
+            self.directory, self.membership, self.link, self._planner_lease
+        )
         self.placement = PlacementTask(
             self.configuration,
             self.directory,
             ports.key_value,
             self._planner_lease,
             self._event_log,
+            states=self._fleet_states,
         )
         self.placement_status = PlacementStatus(self.placement, self.link, self.membership)
 
@@ -304,6 +311,7 @@
                 self.cache_view.run,
                 self.notes.run,
                 self._planner_lease.run,
+                self._fleet_states.run,
                 self.placement.run,
                 self.admission.run,
                 self._canceller.run,
--- a/src/weirscale/node/placement/task.py
+++ b/src/weirscale/node/placement/task.py
@@ -31,6 +31,7 @@
 from weirscale.node.backends.facts import SnapshotSource
 from weirscale.node.event_log import EventLog
 from weirscale.node.interfaces import ConfigurationView
+from weirscale.node.placement.fleet_states import NoStates, StatesSource
 from weirscale.node.placement.observing import observe_engines
 from weirscale.node.placement.orders import (
     FencedOrder,
@@ -73,6 +74,7 @@
         lease: Tells whether this node may act.
         events: Where to tell what happened.
         rules: Bounds that the configuration does not declare.
+        states: What other nodes tell of engines.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         lease: PlannerLease,
         events: EventLog,
         rules: PlacementRules | None = None,
+        states: StatesSource | None = None,
     ) -> None:
         self._configuration = configuration
         self._directory = directory
@@ -90,6 +93,8 @@
         self._lease = lease
         self._events = events
         self._rules = rules or PlacementRules()
+        self._states = states or NoStates()
+        self._unreached_at_s: dict[EngineName, float] = {}
         self._stored: StoredRecord | None = None
         self._known_since_s: dict[int, float] = {}
         self._accepted: set[int] = set()
@@ -135,6 +140,7 @@
         self._token_jump = 0
         self._known_roles.clear()
         self._given.clear()
+        self._unreached_at_s.clear()
         self._progress = ()
 
     async def _read_record(self) -> StoredRecord | None:
@@ -150,7 +156,7 @@
         now_s = anyio.current_time()
         models = declared_models(deployment)
         desired = desired_engines(deployment)
-        observations = observe_engines(self._directory.snapshot(), self._rules, now_s)
+        observations = self._observations(now_s)
         recorded = self._without_dropped(stored.record)
         ages_s = self._load_ages_s(recorded, now_s)
         settlement = settle_loads(recorded, models, desired, observations, ages_s)
@@ -168,8 +174,20 @@
         )
         self._known_since_s.update({load.token: now_s for load in plan.ordered})
         self._never_sent.update(load.token for load in plan.ordered)
+        self._states.watch(load.engine for load in record.loads)
         await self._give_orders(record, changes, plan.next_token, observations)
 
+    def _observations(self, now_s: float) -> Mapping[EngineName, EngineObservation]:
+        """Return what is seen of engines; those that took no order lately count as down."""
+        heard = self._states.heard()
+        seen = observe_engines(self._directory.snapshot(), heard, self._rules, now_s)
+        since_s = now_s - self._rules.order_pause_s
+        unreached = {name for name, at_s in self._unreached_at_s.items() if at_s > since_s}
+        return {
+            name: msgspec.structs.replace(each, is_up=False) if name in unreached else each
+            for name, each in seen.items()
+        }
+
     def _without_dropped(self, record: PlacementRecord) -> PlacementRecord:
         """Return the record without the loads whose orders were certainly not carried out."""
         loads = tuple(load for load in record.loads if load.token not in self._dropped)
@@ -268,6 +286,7 @@
             self._token_jump = TOKEN_JUMP
         elif token in self._never_sent:
             self._dropped.add(token)
+            self._unreached_at_s[fenced.engine] = anyio.current_time()
 
     async def _give_change(
         self, fenced: FencedOrder, change: SmallChange, seen: EngineObservation
