--- a/src/weirscale/experiments/soak/matrix.py
+++ b/src/weirscale/experiments/soak/matrix.py
@@ -166,6 +166,8 @@
 Both shipped deployments have one region, so `region_cut` takes the platform (store and machine
 list) from all its zones, while they still see one another.
 
+Faults of engines strike the busiest ones; where a row has few traces, the fleet had room to spare.
+
 `herd_restart` takes a majority of the holders of claims at once, and with it the claims. Until the
 retention of claims is over, an hour as shipped, a key may have run before: keyed changes are
 refused as not run (`claim_unavailable`). `duplicate_request` is the answer to an impatient repeat
