--- a/features/steps/choice_baselines_steps.py
+++ b/features/steps/choice_baselines_steps.py
@@ -7,10 +7,10 @@
 from weirscale.domain.choice.policy import ChoiceRequest, EngineCandidate
 from weirscale.domain.choice.prefix_aware import PrefixAware
 from weirscale.domain.choice.random_choice import RandomChoice
-from weirscale.domain.rendezvous import rendezvous_score
 from weirscale.domain.choice.rendezvous_bounded import RendezvousBounded
 from weirscale.domain.configuration.model import EngineRole, RoutingObjective
 from weirscale.domain.prefix.cache_view import CacheView
+from weirscale.domain.rendezvous import rendezvous_score
 
 NUM_BLOCKS = 20
 TOKENS_PER_BLOCK = 16.0
