End requests within their deadline, and tell in one line what happened to them

Attempts, recovery and history have modules of their own; /metrics shows attempts, failures by kind and next step, resumes, continuations and hedges; the request's line has backend, attempts, resumes, hedges and causes. Conclusion: whatever holds a request up, it ends in time and its line tells why.

--- /dev/null
+++ b/features/steps/path_in_time_steps.py
@@ -0,0 +1,211 @@
+"""Steps of `path_in_time.feature`."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+from behave import given, then, when
+
+from features.support.path_asgi import CallerScript, call_app, call_with_canceller
+from features.support.path_engine import Fault, ScriptedEngine, ScriptedFault, Step
+from features.support.path_node import PathNode, ScriptedBackend, generation_body
+from features.support.virtual_time import run_in_virtual_time
+from weirscale.domain.configuration.model import RetryRules
+from weirscale.domain.request.retry_policy import NextStep
+from weirscale.node.event_log import render_line
+from weirscale.node.execution.history import RequestHistory
+from weirscale.ports.service import ServiceFailureKind
+
+EACH_TIME = 1000
+HEDGE_AFTER_S = 0.2
+NEVER_S = 10_000.0
+TOLERANCE_S = 0.15
+CAPTION = CallerScript(body_parts=[generation_body()])
+AT_MOST_ONCE = {"x-repeatable": "false"}
+KEY = {"idempotency-key": "k1"}
+KINDS = {
+    "a caption": {},
+    "an at-most-once caption": AT_MOST_ONCE,
+    "a caption with a key": AT_MOST_ONCE | KEY,
+    "an order": {},
+    "an order with a key": KEY,
+}
+FAULTS = {
+    "kills at connect": ScriptedFault(Step.CONNECT, Fault.KILL),
+    "resets at mid-stream": ScriptedFault(Step.MID_STREAM, Fault.RESET),
+    "kills at mid-stream": ScriptedFault(Step.MID_STREAM, Fault.KILL),
+    "stalls at headers": ScriptedFault(Step.HEADERS, Fault.STALL),
+}
+SERVICE_FAILURES = {
+    "is unreachable": ServiceFailureKind.UNREACHABLE,
+    "is broken": ServiceFailureKind.BROKEN,
+}
+
+
+async def never(*_):
+    await anyio.sleep_forever()
+
+
+class SlowToClose(ScriptedEngine):
+    """An engine whose connections take long to close."""
+
+    @asynccontextmanager
+    async def generate(self, call):
+        async with super().generate(call) as chunks:
+            try:
+                yield chunks
+            finally:
+                await anyio.sleep(NEVER_S)
+
+
+def healthy_node():
+    return PathNode([ScriptedEngine("runner-1")], [ScriptedBackend("press-1")])
+
+
+@given("a request path whose choice of engines never answers")
+def step_no_engines(context):
+    context.node = healthy_node()
+    context.node.routing.choose = never
+
+
+@given("a request path whose choice of back ends never answers")
+def step_no_backends(context):
+    context.node = healthy_node()
+    context.node.service_routing.choose = never
+
+
+@given("a request path whose ledger of claims never answers")
+def step_no_ledger(context):
+    context.node = healthy_node()
+    context.node.ledger.claim = never
+
+
+@given("a request path whose engines reject it and close slowly")
+def step_slow_close(context):
+    fault = ScriptedFault(Step.CONNECT, Fault.INVALID, EACH_TIME)
+    context.node = PathNode([SlowToClose("runner-1", [fault])])
+
+
+@given("a request path with one engine")
+def step_one_engine(context):
+    context.node = healthy_node()
+
+
+@given("a request path whose engine breaks each time")
+def step_breaks(context):
+    fault = ScriptedFault(Step.HEADERS, Fault.RESET, EACH_TIME)
+    context.node = PathNode([ScriptedEngine("runner-1", [fault])])
+
+
+@given("a request path whose first back end {failure} and whose second is healthy")
+def step_first_fails(context, failure):
+    fault = FAULTS.get(failure)
+    engines = [ScriptedEngine("runner-1", [fault] if fault else []), ScriptedEngine("runner-2")]
+    failures = [SERVICE_FAILURES[failure]] if failure in SERVICE_FAILURES else []
+    backends = [ScriptedBackend("press-1", failures), ScriptedBackend("press-2")]
+    context.node = PathNode(engines, backends, RetryRules(hedge_after_s=HEDGE_AFTER_S))
+
+
+def send(context, kind, deadline_ms, read_delay_s=0.0):
+    headers = {"x-deadline-ms": str(deadline_ms)} | KINDS[kind]
+    is_order = "order" in kind
+    script = CallerScript(
+        path="/services/matemia/orders" if is_order else CAPTION.path,
+        body_parts=[b"{}"] if is_order else CAPTION.body_parts,
+        headers=headers,
+        read_delay_s=read_delay_s,
+    )
+
+    async def main():
+        started_s = anyio.current_time()
+        if read_delay_s:
+            answer = await call_with_canceller(context.node, script)
+        else:
+            answer = await timed_call(context, script, started_s)
+        context.over_after_s = anyio.current_time() - started_s
+        return answer
+
+    context.answer = run_in_virtual_time(main)
+
+
+async def timed_call(context, script, started_s):
+    """Call and note when the last part of the answer came, which may be before the call ends."""
+
+    async def app(scope, receive, send):
+        async def timed(message):
+            await send(message)
+            context.answered_after_s = anyio.current_time() - started_s
+
+        await context.node.app(scope, receive, timed)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(context.node.canceller.run)
+        answer = await call_app(app, script)
+        tasks.cancel_scope.cancel()
+    return answer
+
+
+@when("{kind} with a deadline of {deadline:d} seconds is sent")
+def step_send(context, kind, deadline):
+    send(context, kind, deadline * 1000)
+
+
+@when("{kind} with a deadline of {deadline:d} ms is sent")
+def step_send_ms(context, kind, deadline):
+    send(context, kind, deadline)
+
+
+@when("{kind} with a deadline of {deadline:d} seconds is sent and its answer is never read")
+def step_send_unread(context, kind, deadline):
+    send(context, kind, deadline * 1000, NEVER_S)
+
+
+def check_refused(context, outcome, after_s):
+    error = context.answer.error
+    assert f"{error['code']} {error['run_status']}" == outcome, error
+    assert 0 <= context.answered_after_s - after_s <= TOLERANCE_S, context.answered_after_s
+
+
+@then('it is refused as "{outcome}" after {after:d} seconds')
+def step_refused(context, outcome, after):
+    check_refused(context, outcome, after)
+
+
+@then('it is refused as "{outcome}" after {after:d} ms')
+def step_refused_ms(context, outcome, after):
+    check_refused(context, outcome, after / 1000)
+
+
+@then("the request is over after {after:d} seconds")
+def step_over(context, after):
+    assert abs(context.over_after_s - after) <= TOLERANCE_S, context.over_after_s
+
+
+@then("nothing of it is left")
+def step_nothing_left(context):
+    node = context.node
+    assert node.admission.num_held == 0 and node.drain.num_running == 0
+    assert node.routing.num_chosen == len(node.routing.outcomes)
+    assert node.service_routing.num_chosen == node.service_routing.num_reported
+
+
+@then('the request\'s line says "{line}"')
+def step_line(context, line):
+    (fields,) = [fields for name, fields in context.node.log.events if name == "request"]
+    rendered = render_line({"message_type": "request"} | fields)
+    assert rendered.endswith(" " + line), rendered
+
+
+@then('the metrics say "{metric}"')
+def step_metric(context, metric):
+    script = CallerScript(method="GET", path="/metrics")
+    answer = run_in_virtual_time(call_app, context.node.app, script)
+    assert metric in answer.body.decode().splitlines(), answer.body.decode()
+
+
+@then('a history of {num:d} failures tells {told:d} of them and "{rest}"')
+def step_history(context, num, told, rest):
+    history = RequestHistory()
+    for number in range(num):
+        history.note_failure(f"runner-{number}", "broken", NextStep.RESUME)
+    *causes, last = history.causes.split(",")
+    assert (len(causes), last) == (told, rest), history.causes
--- a/src/weirscale/node/callers/app.py
+++ b/src/weirscale/node/callers/app.py
@@ -15,6 +15,11 @@
 from weirscale.node.callers.call import Call
 from weirscale.node.callers.caller_headers import new_request_id, request_id_of
 from weirscale.node.callers.drain import Drain
+from weirscale.node.callers.execution_metrics import (
+    GENERATION_KIND,
+    SERVICE_KIND,
+    ExecutionCollector,
+)
 from weirscale.node.callers.generation_input import (
     ADAPTER_SEPARATOR,
     CHAT_PATH,
@@ -79,6 +84,7 @@
         self._tenants = TenantIndex()
         self._generation = GenerationRoute(admission, generation, metrics, wall_clock)
         self._services = ServiceCallRoute(admission, services)
+        metrics.registry.register(ExecutionCollector(generation.counts, services.counts))
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
@@ -172,7 +178,9 @@
 
     def _note_end(self, call: Call) -> None:
         duration_s = anyio.current_time() - call.started_s
-        kind = "service" if call.path.startswith(SERVICES_PREFIX) else "generation"
+        is_service = call.path.startswith(SERVICES_PREFIX)
+        kind = SERVICE_KIND if is_service else GENERATION_KIND
+        history = call.history
         self._metrics.note_end(kind, call.code, call.run_status, duration_s)
         self._event_log.event(
             "request",
@@ -188,6 +196,11 @@
             num_tokens=call.num_tokens,
             num_prompt_tokens=call.num_prompt_tokens,
             num_cached_tokens=call.num_cached_tokens,
+            backend=history.backend or "-",
+            attempts=history.num_attempts,
+            resumes=history.num_resumes,
+            hedges=history.num_hedges,
+            causes=history.causes,
         )
 
 
--- a/src/weirscale/node/callers/call.py
+++ b/src/weirscale/node/callers/call.py
@@ -5,6 +5,7 @@
 from weirscale.domain.request.refusal import Refusal
 from weirscale.node.callers.errors import send_refusal
 from weirscale.node.callers.metrics import ABANDONED_CODE, OK_CODE
+from weirscale.node.execution.history import RequestHistory
 from weirscale.ports.asgi import Receive, Scope, Send
 
 
@@ -24,12 +25,14 @@
         http_status: The status sent, 0 before any.
         ttft_s: Time to the first chunk, None without one.
         has_response_started: Whether the status line is out.
+        history: What happened on back ends; empty until the call is run.
     """
 
     __slots__ = (
         "code",
         "has_response_started",
         "headers",
+        "history",
         "http_status",
         "num_cached_tokens",
         "num_prompt_tokens",
@@ -69,6 +72,7 @@
         self.num_prompt_tokens = 0
         self.num_cached_tokens = 0
         self.has_response_started = False
+        self.history = RequestHistory()
 
     @property
     def method(self) -> str:
--- a/src/weirscale/node/callers/generation_route.py
+++ b/src/weirscale/node/callers/generation_route.py
@@ -20,7 +20,7 @@
     usage_of,
     whole_answer,
 )
-from weirscale.node.callers.disconnect import cancelled_on_disconnect
+from weirscale.node.callers.disconnect import SEND_GRACE_S, cancelled_on_disconnect
 from weirscale.node.callers.errors import REQUEST_ID_HEADER, error_body
 from weirscale.node.callers.generation_input import decode_object, parse_generation
 from weirscale.node.callers.metrics import CallerMetrics
@@ -61,7 +61,7 @@
             await call.refuse(parsed.err_value)
             return
         request = parsed.ok_value
-        async with cancelled_on_disconnect(call.receive):
+        async with cancelled_on_disconnect(call.receive, request.deadline_s + SEND_GRACE_S):
             await self._admit_and_run(call, tenant, request)
 
     async def _parse(
@@ -94,6 +94,7 @@
             return
         try:
             async with self._executor.run(request) as chunks:
+                call.history = chunks.history
                 await self._answer(call, request, chunks)
         finally:
             self._admission.release(permit.ok_value)
--- a/src/weirscale/node/callers/service_route.py
+++ b/src/weirscale/node/callers/service_route.py
@@ -11,7 +11,7 @@
 from weirscale.node.callers.body import read_body
 from weirscale.node.callers.call import Call
 from weirscale.node.callers.caller_headers import parse_caller_headers
-from weirscale.node.callers.disconnect import cancelled_on_disconnect
+from weirscale.node.callers.disconnect import SEND_GRACE_S, cancelled_on_disconnect
 from weirscale.node.callers.errors import REQUEST_ID_HEADER, RUN_STATUS_HEADER
 from weirscale.node.execution.service import ServiceExecutor
 from weirscale.node.interfaces import Admission, ConfigurationInForce
@@ -85,8 +85,9 @@
         if isinstance(parsed, Err):
             await call.refuse(parsed.err_value)
             return
-        async with cancelled_on_disconnect(call.receive):
-            await self._admit_and_run(call, tenant, parsed.ok_value)
+        request = parsed.ok_value
+        async with cancelled_on_disconnect(call.receive, request.deadline_s + SEND_GRACE_S):
+            await self._admit_and_run(call, tenant, request)
 
     async def _parse(
         self, call: Call, tenant: Tenant, in_force: ConfigurationInForce
@@ -128,7 +129,7 @@
             await call.refuse(permit.err_value)
             return
         try:
-            result = await self._executor.run(request)
+            result = await self._executor.run(request, call.history)
         finally:
             self._admission.release(permit.ok_value)
         if isinstance(result, Err):
--- /dev/null
+++ b/src/weirscale/node/execution/attempts.py
@@ -0,0 +1,136 @@
+"""The attempts of one generation request: made on chosen engines in time, ended at once."""
+
+import anyio
+from result import Err, Ok, Result
+
+from weirscale.domain.identifiers import EngineName, WeightVersion
+from weirscale.domain.request import refusals
+from weirscale.domain.request.model import GenerationRequest
+from weirscale.domain.request.refusal import Refusal, RefusalCode
+from weirscale.domain.request.retry_policy import (
+    RunEvidence,
+    first_chunk_patience_s,
+    resume_backoff_s,
+)
+from weirscale.domain.request.stream import StreamCheck
+from weirscale.node.execution.attempt import Attempt, generate_call
+from weirscale.node.execution.canceller import EngineCanceller
+from weirscale.node.execution.counts import GenerationCounts
+from weirscale.node.execution.history import RequestHistory
+from weirscale.node.interfaces import ChosenEngine, EngineRouting
+
+SAME_ENGINE_PAUSE_S = 0.1
+"""Pause before an engine that failed this request is tried again for want of another."""
+
+
+class RequestAttempts:
+    """Makes and ends the attempts of one request; used by the task that runs it.
+
+    Args:
+        request: The request.
+        routing: Chooses engines and learns from outcomes.
+        canceller: Stops abandoned work.
+        counts: The executor's counts.
+
+    Attributes:
+        evidence: What is known about whether the request ran.
+        history: What is told in the log.
+        excluded: Engines that failed this request.
+        required_version: Weights that must serve, once a chunk is out.
+        give_up_at_s: When waiting for the latest attempt's first chunk ends.
+    """
+
+    def __init__(
+        self,
+        request: GenerationRequest,
+        routing: EngineRouting,
+        canceller: EngineCanceller,
+        counts: GenerationCounts,
+    ) -> None:
+        self.evidence = RunEvidence()
+        self.history = RequestHistory()
+        self.excluded: frozenset[EngineName] = frozenset()
+        self.required_version: WeightVersion | None = None
+        self.give_up_at_s = request.deadline_s
+        self._request = request
+        self._routing = routing
+        self._canceller = canceller
+        self._counts = counts
+        self._ended: list[Attempt] = []
+
+    async def start(self, check: StreamCheck) -> Result[Attempt, Refusal]:
+        """Choose an engine and make an attempt; its stream opens with the first pull."""
+        choice = await self._choose(self.excluded)
+        if isinstance(choice, Err) and self.excluded and _is_no_backend(choice.err_value):
+            await self._pause(SAME_ENGINE_PAUSE_S)
+            choice = await self._choose(frozenset())
+        if isinstance(choice, Err):
+            return Err(refusals.with_run_status(choice.err_value, self.evidence.status))
+        self._set_patience(choice.ok_value)
+        return Ok(self._make(choice.ok_value, check))
+
+    async def start_hedge(self, first: Attempt) -> Attempt | None:
+        """Make an attempt beside a slow first one, on another engine; None if there is none."""
+        slow_engine = first.chosen.choice.engine
+        choice = await self._choose(self.excluded | {slow_engine})
+        if isinstance(choice, Err):
+            return None
+        self._counts.num_hedges += 1
+        self.history.note_hedge(slow_engine)
+        return self._make(choice.ok_value, StreamCheck(self._request.request_id))
+
+    async def resume(self, attempt: Attempt) -> None:
+        """Have an attempt's stream opened again by the next pull."""
+        self._counts.num_resumes += 1
+        self.history.num_resumes += 1
+        await self._pause(resume_backoff_s(attempt.num_idle_resumes))
+        await attempt.resume()
+        self._set_patience(attempt.chosen)
+
+    def end(self, attempt: Attempt) -> None:
+        """Report an attempt's outcome and have its work stopped; never waits.
+
+        Its connection is closed by `close`, after the caller has got what there is: closing a
+        broken one may take its time.
+        """
+        self._counts.num_repeated_chunks += attempt.num_repeated
+        if attempt.may_have_run:
+            self.evidence.note_may_have_run()
+        attempt.finish(self._routing, self._canceller, anyio.current_time())
+        self._ended.append(attempt)
+
+    async def close(self) -> None:
+        """Close the connections of ended attempts."""
+        while self._ended:
+            await self._ended.pop().close()
+
+    async def _choose(self, excluded: frozenset[EngineName]) -> Result[ChosenEngine, Refusal]:
+        request = self._request
+        number = self.history.num_attempts
+        with anyio.CancelScope(deadline=request.deadline_s):
+            return await self._routing.choose(request, number, excluded, self.required_version)
+        return Err(refusals.deadline_exceeded(self.evidence.status))
+
+    def _make(self, chosen: ChosenEngine, check: StreamCheck) -> Attempt:
+        now_s = anyio.current_time()
+        number = self.history.num_attempts
+        self.history.note_attempt(chosen.choice.engine)
+        self._counts.num_attempts += 1
+        time_left_s = self._request.deadline_s - now_s
+        call = generate_call(self._request, number, chosen, check, time_left_s)
+        return Attempt(call, self._request, chosen, check, now_s)
+
+    def _set_patience(self, chosen: ChosenEngine) -> None:
+        now_s = anyio.current_time()
+        time_left_s = self._request.deadline_s - now_s
+        patience_s = first_chunk_patience_s(chosen.choice.estimated_ttft_s, time_left_s)
+        self.give_up_at_s = now_s + patience_s
+
+    async def _pause(self, pause_s: float) -> None:
+        """Wait, at most until the deadline."""
+        if pause_s > 0:
+            await anyio.sleep_until(min(anyio.current_time() + pause_s, self._request.deadline_s))
+
+
+def _is_no_backend(refusal: Refusal) -> bool:
+    return refusal.code is RefusalCode.NO_BACKEND
--- a/src/weirscale/node/execution/claims.py
+++ b/src/weirscale/node/execution/claims.py
@@ -13,6 +13,9 @@
 SETTLE_TIMEOUT_S = 2.0
 """Settling is best effort: an unsettled claim stays in progress until its retention ends."""
 
+CLAIM_GRACE_S = 0.1
+"""A ledger ends a claim by itself at the deadline; only one that does not is cut off after this."""
+
 MAX_KEPT_ANSWER_BYTES = 64 * 1024
 """Answers up to this size are kept in the ledger and given to a repeated request."""
 
@@ -35,7 +38,11 @@
     deadline_s: float,
 ) -> Result[Claim, Refusal]:
     """Claim a key for a request; Ok is GRANTED, or COMPLETED with a kept answer."""
-    answer = await ledger.claim(tenant, idempotency_key, request_id, content, deadline_s)
+    # A claim that is cut off may have been granted. It then stays in progress: a repetition is
+    # refused as unknown, which is safe.
+    answer: Result[Claim, Refusal] = Err(refusals.deadline_exceeded(RunStatus.NOT_RUN))
+    with anyio.CancelScope(deadline=deadline_s + CLAIM_GRACE_S):
+        answer = await ledger.claim(tenant, idempotency_key, request_id, content, deadline_s)
     if isinstance(answer, Err):
         return answer
     claim = answer.ok_value
--- a/src/weirscale/node/execution/counts.py
+++ b/src/weirscale/node/execution/counts.py
@@ -2,6 +2,29 @@
 
 import msgspec
 
+from weirscale.domain.request.retry_policy import NextStep
+
+
+class FailureKey(msgspec.Struct, frozen=True):
+    """What failures are counted by.
+
+    Attributes:
+        failure: Kind of the back end's failure.
+        step: What followed.
+    """
+
+    failure: str
+    step: NextStep
+
+
+FailureCounts = dict[FailureKey, int]
+
+
+def count_failure(failures: FailureCounts, failure: str, step: NextStep) -> None:
+    """Count one failed attempt."""
+    key = FailureKey(failure, step)
+    failures[key] = failures.get(key, 0) + 1
+
 
 class GenerationCounts(msgspec.Struct):
     """What the executor counts, for metrics; only ever grows.
@@ -15,6 +38,7 @@
         num_hedge_wins: Hedges whose chunk came first.
         num_repeated_chunks: Chunks dropped as repeated.
         num_budget_refusals: Retries or hedges that the budget refused.
+        failures: Failed attempts and resumes.
     """
 
     num_attempts: int = 0
@@ -25,3 +49,20 @@
     num_hedge_wins: int = 0
     num_repeated_chunks: int = 0
     num_budget_refusals: int = 0
+    failures: FailureCounts = msgspec.field(default_factory=dict)
+
+
+class ServiceCounts(msgspec.Struct):
+    """What the service executor counts, for metrics; only ever grows.
+
+    Attributes:
+        num_attempts: Attempts started.
+        num_retries: Attempts after the first.
+        num_budget_refusals: Retries that the budget refused.
+        failures: Failed attempts.
+    """
+
+    num_attempts: int = 0
+    num_retries: int = 0
+    num_budget_refusals: int = 0
+    failures: FailureCounts = msgspec.field(default_factory=dict)
--- a/src/weirscale/node/execution/generation.py
+++ b/src/weirscale/node/execution/generation.py
@@ -3,39 +3,28 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
-import anyio
 from result import Err, Ok, Result
 
 from weirscale.domain.configuration.model import RetryRules
-from weirscale.domain.identifiers import EngineName, WeightVersion
 from weirscale.domain.request import refusals
 from weirscale.domain.request.model import GenerationRequest, TokenChunk
-from weirscale.domain.request.refusal import Refusal, RefusalCode
+from weirscale.domain.request.refusal import Refusal
 from weirscale.domain.request.retry_budget import RetryBudget
-from weirscale.domain.request.retry_policy import (
-    FailureClass,
-    NextStep,
-    RequestProgress,
-    RunEvidence,
-    final_refusal,
-    first_chunk_patience_s,
-    next_step,
-    resume_backoff_s,
-)
+from weirscale.domain.request.retry_policy import NextStep
 from weirscale.domain.request.stream import StreamCheck
 from weirscale.node.event_log import EventLog
-from weirscale.node.execution.attempt import Attempt, AttemptFailure, ChunkSink, generate_call
+from weirscale.node.execution.attempt import Attempt, AttemptFailure, ChunkSink
+from weirscale.node.execution.attempts import RequestAttempts
 from weirscale.node.execution.canceller import EngineCanceller
 from weirscale.node.execution.claims import fingerprint, settle_claim, take_claim
 from weirscale.node.execution.counts import GenerationCounts
 from weirscale.node.execution.hedge import race_first_chunk
-from weirscale.node.interfaces import ChosenEngine, Claim, ClaimLedger, ClaimState, EngineRouting
+from weirscale.node.execution.history import RequestHistory
+from weirscale.node.execution.recovery import GenerationRecovery
+from weirscale.node.interfaces import Claim, ClaimLedger, ClaimState, EngineRouting
 
 ChunkOrRefusal = Result[TokenChunk, Refusal]
 
-SAME_ENGINE_PAUSE_S = 0.1
-"""Pause before an engine that failed this request is tried again for want of another."""
-
 
 class GenerationExecutor:
     """Runs generation requests on the engines that routing chooses.
@@ -88,13 +77,19 @@
         self._request = request
         self._rules = executor.rules()
         self._check = StreamCheck(request.request_id)
-        self._evidence = RunEvidence()
+        self._attempts = RequestAttempts(
+            request, executor.routing, executor.canceller, executor.counts
+        )
+        self._recovery = GenerationRecovery(
+            request,
+            self._attempts,
+            self._rules,
+            executor.budget,
+            executor.counts,
+            executor.event_log,
+        )
         self._attempt: Attempt | None = None
         self._hedge: Attempt | None = None
-        self._attempt_give_up_at_s = request.deadline_s
-        self._num_attempts = 0
-        self._excluded: frozenset[EngineName] = frozenset()
-        self._required_version: WeightVersion | None = None
         self._claim: Claim | None = None
         self._has_started = False
         self._is_over = False
@@ -156,16 +151,23 @@
         """Chunks that have arrived and not been taken: the consumer is behind."""
         return self._attempt.num_ready if self._attempt is not None else 0
 
+    @property
+    def history(self) -> RequestHistory:
+        """What happened to the request so far."""
+        return self._attempts.history
+
     async def close(self) -> None:
-        """Stop the current attempt and settle the claim."""
+        """Stop what still runs, close its connections and settle the claim."""
         self._is_over = True
-        await self._leave_attempt()
+        self._leave_attempt()
         if self._hedge is not None:
-            await self._retire(self._hedge)
+            self._attempts.end(self._hedge)
+        await self._attempts.close()
         if self._claim is not None and self._executor.ledger is not None:
             claim = self._claim
             self._claim = None
-            await settle_claim(self._executor.ledger, claim, self._evidence.status, None)
+            status = self._attempts.evidence.status
+            await settle_claim(self._executor.ledger, claim, status, None)
 
     async def _start(self) -> Refusal | None:
         self._has_started = True
@@ -180,19 +182,12 @@
         ledger = self._executor.ledger
         if request.repeatable or request.idempotency_key is None or ledger is None:
             return None
-        content = fingerprint(
-            request.path.encode(),
-            request.model.encode(),
-            (request.adapter or "").encode(),
-            str(request.max_tokens).encode(),
-            request.prompt,
-        )
         taken = await take_claim(
             ledger,
             request.tenant,
             request.idempotency_key,
             request.request_id,
-            content,
+            _fingerprint(request),
             request.deadline_s,
         )
         if isinstance(taken, Err):
@@ -204,55 +199,26 @@
         return None
 
     async def _start_attempt(self) -> Refusal | None:
-        """Choose an engine and make the attempt; its stream opens with the first pull."""
-        attempt = await self._make_attempt(self._check, self._excluded)
-        if isinstance(attempt, Err):
-            return refusals.with_run_status(attempt.err_value, self._evidence.status)
-        self._attempt = attempt.ok_value
+        started = await self._attempts.start(self._check)
+        if isinstance(started, Err):
+            return started.err_value
+        self._attempt = started.ok_value
         return None
 
-    async def _make_attempt(
-        self, check: StreamCheck, excluded: frozenset[EngineName]
-    ) -> Result[Attempt, Refusal]:
-        request = self._request
-        routing = self._executor.routing
-        number = self._num_attempts
-        choice = await routing.choose(request, number, excluded, self._required_version)
-        if isinstance(choice, Err) and excluded and _is_no_backend(choice.err_value):
-            await anyio.sleep(SAME_ENGINE_PAUSE_S)
-            choice = await routing.choose(request, number, frozenset(), self._required_version)
-        if isinstance(choice, Err):
-            return choice
-        chosen = choice.ok_value
-        self._set_patience(chosen, anyio.current_time())
-        return Ok(self._new_attempt(chosen, check))
-
-    def _new_attempt(self, chosen: ChosenEngine, check: StreamCheck) -> Attempt:
-        now_s = anyio.current_time()
-        number = self._num_attempts
-        self._num_attempts += 1
-        self._executor.counts.num_attempts += 1
-        time_left_s = self._request.deadline_s - now_s
-        call = generate_call(self._request, number, chosen, check, time_left_s)
-        return Attempt(call, self._request, chosen, check, now_s)
-
-    def _set_patience(self, chosen: ChosenEngine, now_s: float) -> None:
-        time_left_s = self._request.deadline_s - now_s
-        patience_s = first_chunk_patience_s(chosen.choice.estimated_ttft_s, time_left_s)
-        self._attempt_give_up_at_s = now_s + patience_s
-
     # --- passing chunks ---
 
     async def _first_of(self, attempt: Attempt) -> Result[TokenChunk, AttemptFailure]:
+        attempts = self._attempts
         hedge_after_s = self._rules.hedge_after_s
-        if hedge_after_s is None or not self._request.repeatable or self._num_attempts > 1:
-            return await attempt.next(self._attempt_give_up_at_s)
+        is_first = attempts.history.num_attempts == 1
+        if hedge_after_s is None or not self._request.repeatable or not is_first:
+            return await attempt.next(attempts.give_up_at_s)
         race = await race_first_chunk(
-            attempt, self._make_hedge, hedge_after_s, self._attempt_give_up_at_s
+            attempt, self._make_hedge, hedge_after_s, attempts.give_up_at_s
         )
         self._hedge = None
         for loser in race.losers:
-            await self._retire(loser)
+            attempts.end(loser)
         if race.winner is not attempt:
             self._executor.counts.num_hedge_wins += 1
         self._attempt = race.winner
@@ -260,24 +226,17 @@
         return race.result
 
     async def _make_hedge(self, first: Attempt) -> Attempt | None:
-        if not self._may_try_another():
+        if not self._recovery.may_try_another():
             return None
-        excluded = self._excluded | {first.chosen.choice.engine}
-        number = self._num_attempts
-        choice = await self._executor.routing.choose(self._request, number, excluded, None)
-        if isinstance(choice, Err):
-            return None
-        self._executor.counts.num_hedges += 1
-        check = StreamCheck(self._request.request_id)
-        self._hedge = self._new_attempt(choice.ok_value, check)
+        self._hedge = await self._attempts.start_hedge(first)
         return self._hedge
 
     def _pass(self, chunk: TokenChunk) -> ChunkOrRefusal:
         attempt = self._attempt
         assert attempt is not None
-        if self._required_version is None:
-            self._evidence.note_answer()
-            self._required_version = attempt.chosen.weight_version
+        if self._attempts.required_version is None:
+            self._attempts.evidence.note_answer()
+            self._attempts.required_version = attempt.chosen.weight_version
         if chunk.finish_reason is not None:
             self._is_over = True
         return Ok(chunk)
@@ -287,88 +246,33 @@
     async def _recover(self, failed: AttemptFailure) -> Refusal | None:
         attempt = self._attempt
         assert attempt is not None
-        failure_class = failed.failure_class
-        if failure_class not in (FailureClass.NOT_RUN, FailureClass.INVALID):
-            self._evidence.note_may_have_run()
-        time_left_s = self._request.deadline_s - anyio.current_time()
-        step = next_step(failure_class, self._progress(attempt, time_left_s), self._rules)
-        if step is NextStep.ANOTHER and not self._may_try_another():
-            # The budget is spent. A slow engine may still answer; a failed one will not.
-            is_slow = failure_class is FailureClass.STALLED
-            step = NextStep.RESUME if is_slow else NextStep.GIVE_UP
-        self._log_failure(attempt, failed, step)
-        if step is NextStep.RESUME:
-            await self._resume(attempt)
+        decision = self._recovery.decide(attempt, failed, self._check.next_sequence)
+        if decision.step is NextStep.RESUME:
+            await self._attempts.resume(attempt)
             return None
-        await self._leave_attempt()
-        if step is NextStep.GIVE_UP:
-            detail = failed.failure.detail
-            return final_refusal(failure_class, detail, self._evidence, time_left_s)
-        self._excluded |= {attempt.chosen.choice.engine}
-        self._count_another()
+        self._leave_attempt()
+        if decision.refusal is not None:
+            return decision.refusal
+        self._attempts.excluded |= {attempt.chosen.choice.engine}
         return await self._start_attempt()
 
-    def _may_try_another(self) -> bool:
-        if self._executor.budget.try_take(self._rules, anyio.current_time()):
-            return True
-        self._executor.counts.num_budget_refusals += 1
-        return False
-
-    async def _resume(self, attempt: Attempt) -> None:
-        self._executor.counts.num_resumes += 1
-        await anyio.sleep(resume_backoff_s(attempt.num_idle_resumes))
-        await attempt.resume()
-        self._set_patience(attempt.chosen, anyio.current_time())
-
-    def _count_another(self) -> None:
-        if self._check.next_sequence > 0:
-            self._executor.counts.num_continued += 1
-        else:
-            self._executor.counts.num_retries += 1
-
-    def _progress(self, attempt: Attempt, time_left_s: float) -> RequestProgress:
-        return RequestProgress(
-            repeatable=self._request.repeatable,
-            num_attempts=self._num_attempts,
-            num_chunks=self._check.next_sequence,
-            num_idle_resumes=attempt.num_idle_resumes,
-            may_have_run=self._evidence.may_have_run,
-            time_left_s=time_left_s,
-        )
-
-    def _log_failure(self, attempt: Attempt, failed: AttemptFailure, step: NextStep) -> None:
-        self._executor.event_log.event(
-            "attempt_failed",
-            request_id=self._request.request_id,
-            attempt=attempt.call.attempt,
-            engine=attempt.chosen.choice.engine,
-            address=attempt.chosen.address,
-            failure=failed.failure.kind.value,
-            detail=failed.failure.detail,
-            num_chunks=self._check.next_sequence,
-            next=step.value,
-        )
-
     # --- ending ---
 
     def _end(self, refusal: Refusal) -> ChunkOrRefusal:
         self._is_over = True
         return Err(refusal)
 
-    async def _leave_attempt(self) -> None:
-        attempt = self._attempt
+    def _leave_attempt(self) -> None:
+        if self._attempt is not None:
+            self._attempts.end(self._attempt)
         self._attempt = None
-        if attempt is not None:
-            await self._retire(attempt)
-
-    async def _retire(self, attempt: Attempt) -> None:
-        executor = self._executor
-        executor.counts.num_repeated_chunks += attempt.num_repeated
-        if attempt.may_have_run:
-            self._evidence.note_may_have_run()
-        attempt.finish(executor.routing, executor.canceller, anyio.current_time())
-        await attempt.close()
 
 
-def _is_no_backend(refusal: Refusal) -> bool:
-    return refusal.code is RefusalCode.NO_BACKEND
+def _fingerprint(request: GenerationRequest) -> bytes:
+    return fingerprint(
+        request.path.encode(),
+        request.model.encode(),
+        (request.adapter or "").encode(),
+        str(request.max_tokens).encode(),
+        request.prompt,
+    )
--- a/src/weirscale/node/execution/service.py
+++ b/src/weirscale/node/execution/service.py
@@ -22,6 +22,8 @@
 )
 from weirscale.node.event_log import EventLog
 from weirscale.node.execution.claims import fingerprint, settle_claim, take_claim
+from weirscale.node.execution.counts import ServiceCounts, count_failure
+from weirscale.node.execution.history import RequestHistory
 from weirscale.node.interfaces import ChosenBackend, Claim, ClaimLedger, ClaimState, ServiceRouting
 from weirscale.ports.service import ServiceFailure, ServiceFailureKind
 
@@ -55,29 +57,43 @@
         self._rules = rules
         self._event_log = event_log
         self._budget = budget
+        self.counts = ServiceCounts()
 
-    async def run(self, request: ServiceRequest) -> Result[ServiceResponse, Refusal]:
+    async def run(
+        self, request: ServiceRequest, history: RequestHistory | None = None
+    ) -> Result[ServiceResponse, Refusal]:
         """Run a request to its answer.
 
         Any HTTP status of the back end is an Ok answer. A request that may not be repeated goes
         on to its end (within its deadline) even if the caller leaves, so that its claim tells
         the truth.
+
+        Args:
+            request: The request.
+            history: Filled with what happens to it, for the caller's log.
         """
+        history = history or RequestHistory()
         if request.repeatable:
-            return await self._run_attempts(request, RunEvidence())
+            return await self._run_attempts(request, RunEvidence(), history)
         result: Result[ServiceResponse, Refusal] | None = None
         with anyio.CancelScope(shield=True):
-            result = await self._run_once(request)
+            result = await self._run_once(request, history)
         assert result is not None
         return result
 
-    async def _run_once(self, request: ServiceRequest) -> Result[ServiceResponse, Refusal]:
+    async def _run_once(
+        self, request: ServiceRequest, history: RequestHistory
+    ) -> Result[ServiceResponse, Refusal]:
         if request.idempotency_key is None or self._ledger is None:
-            return await self._run_attempts(request, RunEvidence())
-        return await self._run_claimed(request, self._ledger, request.idempotency_key)
+            return await self._run_attempts(request, RunEvidence(), history)
+        return await self._run_claimed(request, self._ledger, request.idempotency_key, history)
 
     async def _run_claimed(
-        self, request: ServiceRequest, ledger: ClaimLedger, idempotency_key: str
+        self,
+        request: ServiceRequest,
+        ledger: ClaimLedger,
+        idempotency_key: str,
+        history: RequestHistory,
     ) -> Result[ServiceResponse, Refusal]:
         content = fingerprint(
             request.service.encode(),
@@ -99,24 +115,25 @@
         if claim.state is ClaimState.COMPLETED:
             return _replay(claim)
         evidence = RunEvidence()
-        result = await self._run_attempts(request, evidence)
+        result = await self._run_attempts(request, evidence, history)
         answer = result.ok_value if isinstance(result, Ok) else None
         await settle_claim(ledger, claim, evidence.status, answer)
         return result
 
     async def _run_attempts(
-        self, request: ServiceRequest, evidence: RunEvidence
+        self, request: ServiceRequest, evidence: RunEvidence, history: RequestHistory
     ) -> Result[ServiceResponse, Refusal]:
         rules = self._rules()
         self._budget.note_first_attempt(rules)
         excluded: frozenset[BackendName] = frozenset()
-        num_attempts = 0
         while True:
-            choice = await self._routing.choose(request.service, excluded)
+            choice = await self._choose(request, excluded, evidence)
             if isinstance(choice, Err):
                 return Err(refusals.with_run_status(choice.err_value, evidence.status))
             chosen = choice.ok_value
-            num_attempts += 1
+            self.counts.num_attempts += 1
+            self.counts.num_retries += history.num_attempts > 0
+            history.note_attempt(chosen.backend)
             answer = await self._call(request, chosen)
             if isinstance(answer, Ok):
                 evidence.note_answer()
@@ -124,12 +141,20 @@
             failure = answer.err_value
             if not failure.provably_not_run:
                 evidence.note_may_have_run()
-            refusal = self._refusal_or_retry(request, failure, evidence, num_attempts, rules)
-            self._log_failure(request, chosen, failure, num_attempts, refusal is None)
+            refusal = self._refusal_or_retry(request, failure, evidence, history, rules)
+            step = NextStep.ANOTHER if refusal is None else NextStep.GIVE_UP
+            self._note_failure(request, chosen, failure, history, step)
             if refusal is not None:
                 return Err(refusal)
             excluded |= {chosen.backend}
 
+    async def _choose(
+        self, request: ServiceRequest, excluded: frozenset[BackendName], evidence: RunEvidence
+    ) -> Result[ChosenBackend, Refusal]:
+        with anyio.CancelScope(deadline=request.deadline_s):
+            return await self._routing.choose(request.service, excluded)
+        return Err(refusals.deadline_exceeded(evidence.status))
+
     async def _call(
         self, request: ServiceRequest, chosen: ChosenBackend
     ) -> Result[ServiceResponse, ServiceFailure]:
@@ -154,14 +179,14 @@
         request: ServiceRequest,
         failure: ServiceFailure,
         evidence: RunEvidence,
-        num_attempts: int,
+        history: RequestHistory,
         rules: RetryRules,
     ) -> Refusal | None:
         """Return the final refusal, or None if another attempt is allowed."""
         now_s = anyio.current_time()
         progress = RequestProgress(
             repeatable=request.repeatable,
-            num_attempts=num_attempts,
+            num_attempts=history.num_attempts,
             num_chunks=0,
             num_idle_resumes=0,
             may_have_run=evidence.may_have_run,
@@ -170,27 +195,31 @@
         # A service call can't be resumed, so an interrupted one counts as forgotten.
         failure_class = FailureClass.NOT_RUN if failure.provably_not_run else FailureClass.FORGOTTEN
         step = next_step(failure_class, progress, rules)
-        if step is NextStep.ANOTHER and self._budget.try_take(rules, now_s):
-            return None
+        if step is NextStep.ANOTHER:
+            if self._budget.try_take(rules, now_s):
+                return None
+            self.counts.num_budget_refusals += 1
         return final_refusal(failure_class, failure.detail, evidence, progress.time_left_s)
 
-    def _log_failure(
+    def _note_failure(
         self,
         request: ServiceRequest,
         chosen: ChosenBackend,
         failure: ServiceFailure,
-        num_attempts: int,
-        is_sent_again: bool,
+        history: RequestHistory,
+        step: NextStep,
     ) -> None:
+        count_failure(self.counts.failures, failure.kind.value, step)
+        history.note_failure(chosen.backend, failure.kind.value, step)
         self._event_log.event(
             "service_attempt_failed",
             request_id=request.request_id,
-            attempt=num_attempts - 1,
+            attempt=history.num_attempts - 1,
             backend=chosen.backend,
             address=chosen.address,
             failure=failure.kind.value,
             detail=failure.detail,
-            next="another" if is_sent_again else "give_up",
+            next=step.value,
         )
 
 
