Run the scale measurement from bench, outside the product

Change: the process pool is bench/scale.py (make scale); the package keeps what one process does. Conclusion: the product starts no process.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(VENV)/bin/weirscale soak --seeds=$(SEEDS)
 
 scale: $(STAMP)
-	$(VENV)/bin/weirscale scale
+	$(PYTHON) -m bench.scale
 
 real: $(STAMP)
 	$(PYTHON) -m bench.real_fleet tsehay --report=reports/real-tsehay
--- a/src/weirscale/cli/main.py
+++ b/src/weirscale/cli/main.py
@@ -162,15 +162,6 @@
 
         return Command(lambda: soak_main.run(seeds, first_seed))
 
-    def scale(
-        self, sizes: Sequence[int] | int = (50, 100, 200, 400), seed: int = 1, goals: bool = True
-    ) -> Command:
-        """Measure hollow fleets in virtual time: a node's cost at several sizes, and the goals."""
-        from weirscale.experiments.control_cost import main as control_cost_main
-
-        wanted = (sizes,) if isinstance(sizes, int) else tuple(int(size) for size in sizes)
-        return Command(lambda: control_cost_main.run(wanted, seed, goals))
-
     def demo(
         self,
         file: str = "deployments/tsehay.yaml",
--- a/src/weirscale/experiments/control_cost/main.py
+++ b/src/weirscale/experiments/control_cost/main.py
@@ -1,9 +1,6 @@
-"""`weirscale scale`: what control costs a node at several sizes, and how fast it is."""
+"""What control costs a node at one size, how fast it is, and how that is printed."""
 
-import time
 from collections.abc import Callable, Sequence
-from concurrent.futures import Future, ProcessPoolExecutor
-from multiprocessing import get_context
 
 import anyio
 
@@ -14,7 +11,6 @@
 from weirscale.experiments.scale.main import fitted_slope
 from weirscale.experiments.virtual_time import run_in_virtual_time
 
-DEFAULT_SIZES = (50, 100, 200, 400)
 DEFAULT_NUM_BLOCKS = 2000
 """Blocks of each engine: one in 35 of the design's 70,000, which cost seconds of processor time
 an engine to read in; digests sample them down to the same bytes."""
@@ -24,9 +20,6 @@
 
 GOAL_NUM_BLOCKS = 100
 QUIET_S = 5.0
-NUM_PROCESSES = 2
-"""Processes that fleets are shared out to; the largest takes minutes of one core."""
-
 MAX_CRASH_S = 5.0
 MAX_JOIN_S = 3.0
 MAX_IN_FORCE_S = 3.0
@@ -34,40 +27,6 @@
 MAX_RESTART_S = 1.0
 
 
-def run(sizes: Sequence[int] = DEFAULT_SIZES, seed: int = 1, goals: bool = True) -> int:
-    """Measure hollow fleets in virtual time; print a row for each size, the slopes and the goals.
-
-    Args:
-        sizes: Numbers of nodes; at least two for slopes.
-        seed: Seeds all chance.
-        goals: Whether to measure the goals too, at the largest size.
-
-    Returns:
-        0 if every fleet was whole at the end and every goal was met, else 1.
-    """
-    started_at_s = time.monotonic()
-    largest = max(sizes)
-    # A new interpreter for each fleet, or the memory of one would hide that of the next.
-    with ProcessPoolExecutor(
-        NUM_PROCESSES, mp_context=get_context("spawn"), max_tasks_per_child=1
-    ) as processes:
-        goal_shape = FleetShape(largest, GOAL_NUM_ENGINES, GOAL_NUM_BLOCKS, seed=seed)
-        shapes = [_shape(size, seed) for size in sorted(sizes, reverse=True)]
-        first = processes.submit(run_rest, shapes[0])
-        goal = processes.submit(run_goals, goal_shape) if goals else None
-        rest = [first, *(processes.submit(run_rest, shape) for shape in shapes[1:])]
-        costs = sorted(_results(rest), key=lambda cost: cost.shape.num_nodes)
-        times = goal.result() if goal else None
-    print(_table(costs))
-    if len(costs) > 1:
-        print(_slopes(costs))
-    if times is not None:
-        print(_goal_lines(times))
-    print(f"wall_s={time.monotonic() - started_at_s:.0f}")
-    are_whole = all(cost.num_unhomed == 0 and cost.num_stale == 0 for cost in costs)
-    return 0 if are_whole and (times is None or not missed_goals(times)) else 1
-
-
 def run_rest(shape: FleetShape) -> NodeCost:
     """Measure one fleet at rest, in this process."""
 
@@ -97,15 +56,12 @@
     return [line for line, met in _verdicts(times) if not met]
 
 
-def _shape(num_nodes: int, seed: int) -> FleetShape:
+def rest_shape(num_nodes: int, seed: int) -> FleetShape:
+    """Return the fleet whose cost at rest is measured."""
     num_engines = round(num_nodes * NUM_ENGINES_PER_NODE)
     return FleetShape(num_nodes, num_engines, DEFAULT_NUM_BLOCKS, QUIET_S, seed)
 
 
-def _results(futures: Sequence[Future[NodeCost]]) -> list[NodeCost]:
-    return [future.result() for future in futures]
-
-
 COLUMNS: dict[str, Callable[[NodeCost], float]] = {
     "sent_B/s": lambda cost: cost.sent_bytes_per_s,
     "received_B/s": lambda cost: cost.received_bytes_per_s,
@@ -120,7 +76,8 @@
 """What is printed and fitted; processor time includes the simulation's own."""
 
 
-def _table(costs: Sequence[NodeCost]) -> str:
+def cost_table(costs: Sequence[NodeCost]) -> str:
+    """Return a row for each fleet, and its bytes by message type."""
     lines = [" ".join(["nodes", "engines", *COLUMNS, "max_sent_B/s", "settled_s", "herd_calls"])]
     for cost in costs:
         values = [f"{value(cost):.4g}" for value in COLUMNS.values()]
@@ -132,7 +89,8 @@
     return "\n".join(lines)
 
 
-def _slopes(costs: Sequence[NodeCost]) -> str:
+def slope_lines(costs: Sequence[NodeCost]) -> str:
+    """Return the fitted line of each column against the number of nodes."""
     lines: list[str] = []
     for name, value in COLUMNS.items():
         points = [(float(cost.shape.num_nodes), value(cost)) for cost in costs]
@@ -158,7 +116,8 @@
     ]
 
 
-def _goal_lines(times: GoalTimes) -> str:
+def goal_lines(times: GoalTimes) -> str:
+    """Return a line for each goal, with its bound."""
     shape = times.shape
     lines = [f"goals at {shape.num_nodes} nodes, {shape.num_engines} engines:"]
     lines += [f"  {line}{'' if met else ' MISSED'}" for line, met in _verdicts(times)]
