Ask engines of other zones rarely until they are needed

Cause: a node asked all engines without a home's report alike, 10 a second: 1,606 engines of other zones at the size to design for, and its own zone's whenever homes reported less often than each 3 s, as they must there. A restarted node asked all 1,700 within 8.5 s. Change: in a deployment of over 100 engines those of other zones are asked once a second in all; only if no engine near is ready for a model are its others asked soon, within the same 10 a second. A home is trusted for 2.5 of its own intervals. Measured: behave features/backends_directory.feature (300 engines, 3 zones, virtual time): 0.6 to 1.4 probes a second go to other zones at rest and 5 to 8 when the own zone refuses; before, all 10 were shared by all engines.

--- a/bench/routing_cost.py
+++ b/bench/routing_cost.py
@@ -38,7 +38,7 @@
 from weirscale.messages.cache import LoadReport
 from weirscale.messages.explain import AttemptRecord
 from weirscale.node.backends.directory import BackendDirectory
-from weirscale.node.backends.probes import ProbeRules
+from weirscale.node.backends.probe_pace import ProbeRules
 from weirscale.node.interfaces import ConfigurationInForce
 from weirscale.node.routing.decisions import DecisionLog
 from weirscale.node.routing.engine_router import EngineRouter
--- a/features/backends_directory.feature
+++ b/features/backends_directory.feature
@@ -79,12 +79,28 @@
     When the machine list names engine 1 as leaving and is then down
     Then engine 1 gets no work in the last 5 s
 
-  Scenario: An engine is asked only while its home node does not report for it
+  Scenario Outline: An engine is asked only while its home node does not report for it
     Given a configuration of 3 engines
-    When its home node reports for engine 1 every second from 10 s to 30 s
-    Then engine 1 was asked every second before, not once from 12 s to 30 s, and again from 34 s
+    When its home node reports for engine 1 every <interval> s from 10 s to <end> s
+    Then engine 1 was asked every second before, not once from <start> s to <end> s, and again from <again> s
     And the other engines were asked all the time
 
+    Examples:
+      | interval | start | end | again |
+      | 1        | 12    | 30  | 34    |
+      | 7        | 18    | 52  | 70    |
+
+  Scenario Outline: In a large deployment a node asks other zones rarely until it needs them
+    Given a node in zone 0 of 300 engines in 3 zones
+    When from 30 s to 90 s <fault>
+    Then before 30 s it asked each engine of its zone within 1 s and 0.6 to 1.4 others a second
+    And from 60 s on it asked <near> to <near_most> times a second in its zone and <far> to <far_most> elsewhere
+
+    Examples:
+      | fault                                      | near | near_most | far | far_most |
+      | nothing fails                              | 8    | 12        | 0.6 | 1.4      |
+      | the engines of its zone refuse connections | 2.5  | 4.5       | 5   | 8        |
+
   Scenario Outline: A node bounds its probes whatever the number of engines
     Given a configuration of <engines> engines
     When the node has run for 60 s
--- a/features/steps/backends_directory_steps.py
+++ b/features/steps/backends_directory_steps.py
@@ -4,7 +4,7 @@
 import msgspec
 from behave import given, then, when
 
-from features.support.backend_fleet import Fleet, declare, declare_engine, make_request
+from features.support.backend_fleet import ZONES, Fleet, declare, declare_engine, make_request
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.messages.cache import LoadReport
 from weirscale.node.interfaces import AttemptOutcome
@@ -312,7 +312,7 @@
     """Run a fleet with a script and keep who was asked for its load, and when."""
 
     async def main():
-        fleet = Fleet(context.deployment)
+        fleet = Fleet(context.deployment, zone=context.zone if "zone" in context else None)
         for name, engine in fleet.engines.items():
             engine.load = lambda name=name, load=engine.load: note_asked(name, load)
 
@@ -327,15 +327,15 @@
     run_in_virtual_time(main)
 
 
-@when("its home node reports for engine 1 every second from 10 s to 30 s")
-def step_home_reports(context):
+@when("its home node reports for engine 1 every {interval_s:d} s from 10 s to {end_s:d} s")
+def step_home_reports(context, interval_s, end_s):
     async def report(fleet):
         await anyio.sleep(10.0)
-        for _ in range(21):
+        while anyio.current_time() <= end_s + 0.5:
             load = fleet.engines[ENGINE].model.load_report(anyio.current_time())
             fleet.directory.note_load_report(load, 0.5)
-            await anyio.sleep(1.0)
-        await anyio.sleep_until(44.0)
+            await anyio.sleep(interval_s)
+        await anyio.sleep_until(end_s + 34.0)
 
     run_with_probes_noted(context, report)
 
@@ -362,12 +362,57 @@
     return sum(name == engine and start_s <= at_s < end_s for name, at_s in context.asked)
 
 
-@then("engine 1 was asked every second before, not once from 12 s to 30 s, and again from 34 s")
-def step_asked_apart(context):
-    counts = [num_asked(context, ENGINE, *span) for span in ((0, 10), (12, 30), (34, 44))]
+@then(
+    "engine 1 was asked every second before, "
+    "not once from {start_s:d} s to {end_s:d} s, and again from {again_s:d} s"
+)
+def step_asked_apart(context, start_s, end_s, again_s):
+    spans = ((0, 10), (start_s, end_s), (again_s, again_s + 10))
+    counts = [num_asked(context, ENGINE, *span) for span in spans]
     assert 8 <= counts[0] <= 12 and counts[1] == 0 and 8 <= counts[2] <= 12, counts
 
 
 @then("the other engines were asked all the time")
 def step_others_asked(context):
     assert all(num_asked(context, f"qalam-{index}", 12, 30) >= 14 for index in (0, 2))
+
+
+@given("a node in zone 0 of {count:d} engines in 3 zones")
+def step_node_in_zone(context, count):
+    context.deployment = declare(count)
+    context.zone = ZONES[0]
+
+
+@when("from 30 s to 90 s {fault}")
+def step_zone_fault(context, fault):
+    async def strike(fleet):
+        zone = {each.name for each in context.deployment.engines if each.zone == ZONES[0]}
+        await anyio.sleep(30.0)
+        for name in zone if fault == "the engines of its zone refuse connections" else ():
+            fleet.engines[name].faults.set(EngineFaults(refuse_connections=True))
+        await anyio.sleep(60.0)
+
+    run_with_probes_noted(context, strike)
+
+
+@then(
+    "from 60 s on it asked {near:g} to {near_most:g} times a second in its zone "
+    "and {far:g} to {far_most:g} elsewhere"
+)
+def step_zone_rates(context, near, near_most, far, far_most):
+    near_names = {each.name for each in context.deployment.engines if each.zone == ZONES[0]}
+    names = [name for name, at_s in context.asked if at_s >= 60.0]
+    num_near = sum(name in near_names for name in names)
+    rates = num_near / 30.0, (len(names) - num_near) / 30.0
+    assert near <= rates[0] <= near_most and far <= rates[1] <= far_most, rates
+
+
+@then(
+    "before 30 s it asked each engine of its zone within 1 s "
+    "and {far:g} to {far_most:g} others a second"
+)
+def step_zone_start(context, far, far_most):
+    near_names = {each.name for each in context.deployment.engines if each.zone == ZONES[0]}
+    assert {name for name, at_s in context.asked if at_s <= 1.0} >= near_names
+    num_far = sum(name not in near_names for name, at_s in context.asked if at_s < 30.0)
+    assert far <= num_far / 30.0 <= far_most, num_far
--- a/features/support/backend_fleet.py
+++ b/features/support/backend_fleet.py
@@ -117,7 +117,7 @@
 class Fleet:
     """One node's tasks and the engines it reaches."""
 
-    def __init__(self, deployment, policy=None, probe_rules=None, seed=1):
+    def __init__(self, deployment, policy=None, probe_rules=None, seed=1, zone=None):
         self.engines = {}
         self.ports_made = []
         self.configuration = FixedConfiguration(deployment)
@@ -130,6 +130,7 @@
             self.machines,
             self.random,
             probe_rules=probe_rules,
+            zone=zone,
         )
         self.decisions = DecisionLog("node-1")
         self.router = EngineRouter(
--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -161,6 +161,7 @@
             ports.machines,
             random,
             events=event_log,
+            zone=identity.zone,
         )
         self.decisions = DecisionLog(identity.node.name)
         self.explainer = Explainer(self.decisions, self.link, self.membership)
--- a/src/weirscale/node/backends/directory.py
+++ b/src/weirscale/node/backends/directory.py
@@ -11,7 +11,7 @@
 
 from weirscale.domain.configuration.model import Engine, ServiceBackend
 from weirscale.domain.health.rules import HealthRules
-from weirscale.domain.identifiers import ConfigurationRevision, EngineName
+from weirscale.domain.identifiers import ConfigurationRevision, EngineName, ZoneName
 from weirscale.messages.cache import LoadReport
 from weirscale.node.backends.facts import DirectorySnapshot
 from weirscale.node.backends.observations import (
@@ -25,7 +25,8 @@
     ServiceAttemptEnded,
 )
 from weirscale.node.backends.port_table import ClosablePort
-from weirscale.node.backends.probes import EngineProbes, ProbeRules, poll_machines
+from weirscale.node.backends.probe_pace import ProbeRules
+from weirscale.node.backends.probes import EngineProbes, poll_machines
 from weirscale.node.backends.state import DirectoryState
 from weirscale.node.event_log import EventLog, SilentEventLog
 from weirscale.node.interfaces import ConfigurationView
@@ -50,6 +51,7 @@
         health_rules: Thresholds of circuits.
         probe_rules: How often to ask engines and the machine list.
         events: Where changes of health are told.
+        zone: This node's own zone; in a large deployment engines of others are asked rarely.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         health_rules: HealthRules | None = None,
         probe_rules: ProbeRules | None = None,
         events: EventLog | None = None,
+        zone: ZoneName | None = None,
     ) -> None:
         self.health_rules = health_rules or HealthRules()
         self._configuration = configuration
@@ -77,7 +80,7 @@
             events or SilentEventLog(),
         )
         self._changed = anyio.Event()
-        self._probes = EngineProbes(self, self._probe_rules, random)
+        self._probes = EngineProbes(self, self._probe_rules, random, zone)
         self.num_dropped_observations = 0
 
     def snapshot(self) -> DirectorySnapshot:
--- a/src/weirscale/node/backends/facts.py
+++ b/src/weirscale/node/backends/facts.py
@@ -33,6 +33,7 @@
         leaving: Whether it leaves.
         num_reports: Load reports taken in; tells a new report from the same one seen again.
         home_reported_at_s: When the engine made the latest report that its home node passed on.
+        home_interval_s: Time between its last two reports, bounded; 0 before two.
         void_since_s: When the engine refused as another run or version than reported; its report
             is void until one differs, or for a few seconds. None while it is good.
         busy_until_s: Until when the engine asked not to be sent work.
@@ -46,6 +47,7 @@
     leaving: Leaving = STAYING
     num_reports: int = 0
     home_reported_at_s: float = float("-inf")
+    home_interval_s: float = 0.0
     void_since_s: float | None = None
     busy_until_s: float = 0.0
 
--- a/src/weirscale/node/backends/probes.py
+++ b/src/weirscale/node/backends/probes.py
@@ -7,10 +7,9 @@
 from typing import Protocol
 
 import anyio
-import msgspec
 from result import Ok
 
-from weirscale.domain.identifiers import EngineName
+from weirscale.domain.identifiers import EngineName, ModelName, ZoneName
 from weirscale.node.backends.facts import SnapshotSource
 from weirscale.node.backends.observations import (
     MachinesListed,
@@ -18,6 +17,12 @@
     ProbeFailed,
     ReportArrived,
 )
+from weirscale.node.backends.probe_pace import (
+    ProbePace,
+    ProbeRules,
+    has_home_report,
+    probe_pace,
+)
 from weirscale.ports.engine import EnginePort
 from weirscale.ports.machines import MachineListPort
 
@@ -28,35 +33,6 @@
 """How often the engines to ask are counted anew; the count takes a tenth of a millisecond."""
 
 
-class ProbeRules(msgspec.Struct, frozen=True):
-    """How often to ask.
-
-    Attributes:
-        polls_engines: Whether this node asks engines itself at all.
-        load_interval_s: Time between two load reports of one engine.
-        max_probes_per_s: Probes of this node over all engines; with more engines than it allows,
-            each is asked less often. Engines whose home nodes report for them do not count.
-        first_probes_per_s: Engines asked a second after the start, to learn of them quickly.
-        load_timeout_s: Longest wait for one.
-        home_report_s: An engine whose home node passed on a report younger than this is not asked;
-            a few times the interval of such reports.
-        machines_interval_s: Time between two reads of the machine list; with the read itself it
-            stays below the 2 s in which a leaving back end must stop getting work.
-        machines_timeout_s: Longest read of the list.
-        jitter: Share by which each interval is lengthened or shortened at random.
-    """
-
-    polls_engines: bool = True
-    load_interval_s: float = 1.0
-    max_probes_per_s: float = 10.0
-    first_probes_per_s: float = 200.0
-    load_timeout_s: float = 1.0
-    home_report_s: float = 3.0
-    machines_interval_s: float = 1.0
-    machines_timeout_s: float = 5.0
-    jitter: float = 0.2
-
-
 class ProbedDirectory(SnapshotSource, Protocol):
     """What the loops need of the directory."""
 
@@ -75,9 +51,16 @@
         directory: Tells of engines and takes in what they answer.
         rules: How often to ask.
         random: For jitter.
+        zone: This node's own zone, None to ask all engines alike.
     """
 
-    def __init__(self, directory: ProbedDirectory, rules: ProbeRules, random: Random) -> None:
+    def __init__(
+        self,
+        directory: ProbedDirectory,
+        rules: ProbeRules,
+        random: Random,
+        zone: ZoneName | None = None,
+    ) -> None:
         self._directory = directory
         self._rules = rules
         self._random = random
@@ -86,8 +69,10 @@
         self._due_at_s: dict[ProbeKey, float] = {}
         self._asking: dict[ProbeKey, anyio.CancelScope] = {}
         self._changed = anyio.Event()
-        self._interval_s = rules.load_interval_s
-        self._interval_until_s = -math.inf
+        self._zone = zone
+        self._started_at_s = math.inf
+        self._pace: ProbePace | None = None
+        self._pace_until_s = -math.inf
 
     def follow(self, ports: Mapping[ProbeKey, EnginePort]) -> None:
         """Ask these engines from now on, and no others."""
@@ -97,9 +82,14 @@
             scope = self._asking.pop(key, None)
             if scope is not None:
                 scope.cancel()
+        self._started_at_s = min(self._started_at_s, now_s)
+        self._pace = self._count(now_s)
+        engines = self._directory.snapshot().engines
         for key in sorted(ports.keys() - self._ports.keys()):
-            first_s = self._random.random() * len(ports) / self._rules.first_probes_per_s
-            self._wait_until(key, now_s + first_s)
+            within_s = self._pace.interval_s(engines[key[0]])
+            if self._pace.is_near(engines[key[0]]):
+                within_s = self._pace.num_near / self._rules.first_probes_per_s
+            self._wait_until(key, now_s + self._random.random() * within_s)
         self._ports = dict(ports)
         self._changed.set()
 
@@ -122,7 +112,8 @@
             if self._due_at_s.get(key) != due_at_s:
                 # Of an engine that was dropped, and perhaps declared again since.
                 continue
-            if _has_home_report(self._directory, key[0], self._rules):
+            facts = self._directory.snapshot().engines.get(key[0])
+            if facts is not None and has_home_report(facts, self._rules, now_s):
                 self._wait_again(key, now_s)
             else:
                 taken.append(key)
@@ -141,19 +132,43 @@
             self._changed.set()
 
     def _wait_again(self, key: ProbeKey, now_s: float) -> None:
-        interval_s = _jittered(self._interval(now_s), self._rules, self._random)
-        self._wait_until(key, now_s + interval_s)
+        facts = self._directory.snapshot().engines.get(key[0])
+        if facts is not None:
+            interval_s = self._pace_at(now_s).interval_s(facts)
+            self._wait_until(key, now_s + _jittered(interval_s, self._rules, self._random))
 
     def _wait_until(self, key: ProbeKey, due_at_s: float) -> None:
         self._due_at_s[key] = due_at_s
         heapq.heappush(self._due, (due_at_s, key))
 
-    def _interval(self, now_s: float) -> float:
-        """Return the time between two probes of an engine; engines are counted once a second."""
-        if now_s >= self._interval_until_s:
-            self._interval_s = _interval_s(self._directory, self._rules)
-            self._interval_until_s = now_s + COUNT_INTERVAL_S
-        return self._interval_s
+    def _pace_at(self, now_s: float) -> ProbePace:
+        """Return the pace; engines are counted once a second."""
+        if self._pace is None or now_s >= self._pace_until_s:
+            before = self._pace
+            self._pace = self._count(now_s)
+            self._pace_until_s = now_s + COUNT_INTERVAL_S
+            if before is not None:
+                self._hasten(self._pace.needed - before.needed, now_s)
+        return self._pace
+
+    def _count(self, now_s: float) -> ProbePace:
+        is_settled = now_s - self._started_at_s >= self._rules.far_grace_s
+        snapshot = self._directory.snapshot()
+        return probe_pace(snapshot, self._zone, self._rules, now_s, is_settled)
+
+    def _hasten(self, models: frozenset[ModelName], now_s: float) -> None:
+        """Ask engines of other zones soon that have become needed."""
+        pace = self._pace
+        if pace is None or not models:
+            return
+        engines = self._directory.snapshot().engines
+        for key in sorted(self._ports.keys() - self._asking.keys()):
+            facts = engines.get(key[0])
+            if facts is None or pace.is_near(facts) or facts.engine.model not in models:
+                continue
+            due_at_s = now_s + self._random.random() * pace.needed_s
+            if due_at_s < self._due_at_s.get(key, math.inf):
+                self._wait_until(key, due_at_s)
 
 
 async def poll_machines(
@@ -182,22 +197,5 @@
         directory.post(ProbeFailed(engine, f"no answer within {rules.load_timeout_s} s"))
 
 
-def _interval_s(directory: SnapshotSource, rules: ProbeRules) -> float:
-    """Return the time between two probes of an engine, longer when this node asks many."""
-    latest_s = anyio.current_time() - rules.home_report_s
-    num_asked = sum(
-        facts.home_reported_at_s <= latest_s for facts in directory.snapshot().engines.values()
-    )
-    return max(rules.load_interval_s, num_asked / rules.max_probes_per_s)
-
-
-def _has_home_report(directory: SnapshotSource, engine: EngineName, rules: ProbeRules) -> bool:
-    """Whether the engine's home node reports for it, so that this node need not ask."""
-    facts = directory.snapshot().engines.get(engine)
-    if facts is None:
-        return False
-    return anyio.current_time() - facts.home_reported_at_s < rules.home_report_s
-
-
 def _jittered(interval_s: float, rules: ProbeRules, random: Random) -> float:
     return interval_s * (1.0 + rules.jitter * (2.0 * random.random() - 1.0))
--- a/src/weirscale/node/backends/state.py
+++ b/src/weirscale/node/backends/state.py
@@ -35,6 +35,9 @@
 from weirscale.ports.machines import Machine
 from weirscale.ports.service import ServicePort
 
+MAX_HOME_INTERVAL_S = 10.0
+"""A longer time between two reports of a home is a gap, not its interval."""
+
 
 class DirectoryState:
     """What is known of back ends; owned by the directory's task.
@@ -98,7 +101,12 @@
             facts, arrived.report, arrived.reported_at_s, now_s, self._rules, self._random
         )
         if not arrived.is_own_probe and after is not facts:
-            after = msgspec.structs.replace(after, home_reported_at_s=arrived.reported_at_s)
+            since_s = arrived.reported_at_s - facts.home_reported_at_s
+            after = msgspec.structs.replace(
+                after,
+                home_reported_at_s=arrived.reported_at_s,
+                home_interval_s=since_s if since_s <= MAX_HOME_INTERVAL_S else 0.0,
+            )
         self._replace_engine(facts, after, now_s)
 
     def learn_probe_failure(self, engine: EngineName, detail: str, now_s: float) -> None:
