--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -1,6 +1,9 @@
 """Time of one planning round without I/O, by engines: `python -m bench.placement_cost`."""
 
 import time
+from typing import Any
+
+import msgspec
 
 from weirscale.domain.configuration.model import Deployment, Engine, Model
 from weirscale.domain.identifiers import (
@@ -15,7 +18,12 @@
 from weirscale.domain.placement.plan import plan_loads
 from weirscale.domain.placement.settle import settle_loads
 from weirscale.domain.placement.small_orders import plan_small_changes
+from weirscale.messages.cache import LoadReport
+from weirscale.messages.engine_states import EngineState
 from weirscale.messages.placement import PlacementRecord
+from weirscale.node.backends.facts import EMPTY_SNAPSHOT, EngineFacts
+from weirscale.node.placement.fleet_states import HeardState
+from weirscale.node.placement.observing import observe_engines
 
 ENGINE_COUNTS = (9, 94, 425, 1700)
 NUM_MODELS = 5
@@ -73,12 +81,38 @@
     return (time.perf_counter() - started_s) / NUM_ROUNDS * 1e3
 
 
+def observe_ms(num_engines: int) -> float:
+    """Return the mean time of observing engines that another node told of, in milliseconds."""
+    engines = declare(num_engines, "v1").engines
+    port: Any = None
+    snapshot = msgspec.structs.replace(
+        EMPTY_SNAPSHOT, engines={each.name: EngineFacts(each, port) for each in engines}
+    )
+    heard = {each.name: HeardState(_state(each), 1.0) for each in engines}
+    started_s = time.perf_counter()
+    for _ in range(NUM_ROUNDS):
+        observe_engines(snapshot, heard, PlacementRules(), 2.0)
+    return (time.perf_counter() - started_s) / NUM_ROUNDS * 1e3
+
+
+def _state(engine: Engine) -> EngineState:
+    version = WeightVersion("v1")
+    report = LoadReport(
+        engine.name, Incarnation(1), engine.model, version, (), 3, 0, 0, 0, 9, False, 0
+    )
+    return EngineState.of(report, is_leaving=False, is_up=True)
+
+
 def main() -> None:
     """Print every figure."""
     for num_engines in ENGINE_COUNTS:
         at_rest = round_ms(num_engines, "v1", "v1")
         rolling = round_ms(num_engines, "v2", "v1")
-        print(f"{num_engines} engines: at rest {at_rest:.2f} ms, rolling {rolling:.2f} ms a round")
+        observing = observe_ms(num_engines)
+        print(
+            f"{num_engines} engines: at rest {at_rest:.2f} ms, rolling {rolling:.2f} ms a round, "
+            f"and {observing:.2f} ms to observe"
+        )
 
 
 if __name__ == "__main__":
