Bound the homes that a node takes over in zones without nodes

Cause: a node that has just started, or is cut off, sees no nodes of other zones and became home of every engine of the deployment: event streams, dumps and load reports of all 1,700. Change: at most 32 engines of zones without nodes have their home on one node. Conclusion: a start or a cut no longer turns a node into the home of the whole deployment.

--- a/features/scale_hollow_fleet.feature
+++ b/features/scale_hollow_fleet.feature
@@ -24,3 +24,8 @@
     Given a hollow fleet of 12 nodes and 12 engines with seed 4
     When its goals are measured
     Then crashes, joins, changes and restarts stay below the bounds of the goals
+
+  Scenario: A node that sees no other takes over few engines of other zones
+    Given a hollow fleet of 1 nodes and 200 engines with seed 5
+    When it runs alone for 5 seconds
+    Then it is home of all engines of its zone and of 32 others
--- a/features/steps/scale_hollow_fleet_steps.py
+++ b/features/steps/scale_hollow_fleet_steps.py
@@ -1,8 +1,12 @@
 """Steps for fleets of whole hollow nodes."""
 
+import anyio
 import msgspec
 from behave import given, then, when
 
+from features.support.virtual_time import run_in_virtual_time
+from weirscale.experiments.control_cost.deployment import NUM_ZONES, design_deployment
+from weirscale.experiments.control_cost.fleet import HollowFleet
 from weirscale.experiments.control_cost.hollow_engine import EVENTS_PER_S
 from weirscale.experiments.control_cost.main import missed_goals, run_goals, run_rest
 from weirscale.experiments.control_cost.measure import FleetShape, NodeCost
@@ -76,3 +80,25 @@
 def step_goals_met(context):
     assert missed_goals(context.times) == []
     assert context.times.in_force_p99_s > 0.0
+
+
+@when("it runs alone for {duration:d} seconds")
+def step_alone(context, duration):
+    shape = context.shape
+
+    async def script():
+        async with anyio.create_task_group() as tasks:
+            fleet = HollowFleet(tasks, shape.seed)
+            await fleet.apply(design_deployment(shape.num_engines, shape.num_blocks))
+            node = fleet.start_node()
+            await anyio.sleep(duration)
+            context.homes = node.node.homes.engines
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(script)
+
+
+@then("it is home of all engines of its zone and of {others:d} others")
+def step_few_homes(context, others):
+    num_near = len(range(0, context.shape.num_engines, NUM_ZONES))
+    assert len(context.homes) == num_near + others, len(context.homes)
--- a/src/weirscale/node/home/home_task.py
+++ b/src/weirscale/node/home/home_task.py
@@ -115,14 +115,21 @@
         peers = self._membership.peers()
         self_id = self._membership.self_id
         staffed = {peer.zone for peer in peers if peer.state is not PeerState.LEAVING}
-        other_zones = staffed - {peer.zone for peer in peers if peer.node == self_id}
+        own_zones = {peer.zone for peer in peers if peer.node == self_id}
+        other_zones = staffed - own_zones
         due: dict[EngineName, EngineFacts] = {}
+        num_far = 0
         for name, facts in self._directory.snapshot().engines.items():
             if facts.engine.zone in other_zones:
                 continue
             home = home_of(facts.engine, peers)
-            if home is not None and home.node == self_id:
-                due[name] = facts
+            if home is None or home.node != self_id:
+                continue
+            is_far = facts.engine.zone not in own_zones
+            if is_far and num_far == self._rules.max_far_homes:
+                continue
+            num_far += is_far
+            due[name] = facts
         return due
 
     def _start(self, tasks: TaskGroup, facts: EngineFacts, num_engines: int) -> None:
--- a/src/weirscale/node/home/rules.py
+++ b/src/weirscale/node/home/rules.py
@@ -8,6 +8,9 @@
 
     Attributes:
         check_interval_s: How often a node looks which engines it is home of.
+        max_far_homes: Engines of zones without nodes that a node is home of at most. A node that
+            has just started, or a zone that is cut off, sees no nodes of other zones and would take
+            over every engine of the deployment; engines beyond this number have no home.
         publish_interval_s: Time between digests of one engine.
         load_interval_s: Time between load reports.
         load_timeout_s: Longest wait for one.
@@ -30,6 +33,7 @@
     """
 
     check_interval_s: float = 0.5
+    max_far_homes: int = 32
     publish_interval_s: float = 1.0
     load_interval_s: float = 1.0
     load_timeout_s: float = 1.0
