Hold a restart against a node only if someone could tell it the configuration

Cause: with the store down, the restart rule took any other node that was up before for a source of the configuration. Change: a source must have taken a configuration in its present run. A node beside one that has it is still held to the rule. Half of the callers of real runs no longer know that a node drains. Conclusion: the rule says what it meant in real time too; it is not weaker where a source exists.

--- a/bench/real_fleet/__main__.py
+++ b/bench/real_fleet/__main__.py
@@ -25,6 +25,7 @@
 from weirscale.experiments.run.virtual import RunOutcome
 
 PROCESSES_FILE = "processes.json"
+EXIT_INTERRUPTED = 130
 EACH = "each"
 LONG_PAUSE = "node_pause:20"
 """Longer than any lease lives."""
@@ -128,4 +129,8 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    try:
+        sys.exit(main())
+    except KeyboardInterrupt:
+        print("interrupted; every process is ended", file=sys.stderr)
+        sys.exit(EXIT_INTERRUPTED)
--- a/bench/real_fleet/fleet.py
+++ b/bench/real_fleet/fleet.py
@@ -193,13 +193,15 @@
         """Return the node that a caller near a zone connects to, and how.
 
         Callers know all nodes' addresses: they try those of their zone first, beginning at an
-        index, then the others. Draining nodes have left the callers' lists but still accept.
+        index, then the others. Half of the callers learn at once that a node drains and try it
+        last; the others go on sending to it until it does not accept.
         """
         near = [one for one in self._members.values() if one.place.zone == zone]
         far = [one for one in self._members.values() if one.place.zone != zone]
         start = index % len(near)
         ordered = near[start:] + near[:start] + far
-        ordered.sort(key=lambda one: one.is_draining)
+        if index // len(near) % 2:
+            ordered.sort(key=lambda one: one.is_draining)
         now_s = self._recorder.now()
         member = next((one for one in ordered if one.accepts(now_s)), ordered[0])
         address = address_of(member.place.caller_port)
--- a/features/history_rules.feature
+++ b/features/history_rules.feature
@@ -50,6 +50,7 @@
       | restarted node cut off has no configuration | none                     |
       | node restarted alone with the store down   | none                      |
       | node restarted beside others with the store down | serves_after_restart |
+      | node restarted beside one that lost its configuration too | none              |
       | node restarted alone after the store came back | serves_after_restart |
       | restarted node refuses the connection      | serves_after_restart      |
       | restarted node sees no back end            | serves_after_restart      |
--- a/features/support/history_cases.py
+++ b/features/support/history_cases.py
@@ -260,7 +260,16 @@
     ),
     "node restarted alone with the store down": restarted_node(NOT_CONFIGURED, STORE_DOWN),
     "node restarted beside others with the store down": restarted_node(
-        NOT_CONFIGURED, STORE_DOWN, *node_changes((-9.0, "started"), node="kirkos-1")
+        NOT_CONFIGURED,
+        STORE_DOWN,
+        *node_changes((-9.0, "started"), node="kirkos-1"),
+        ConfigurationTaken(at_s=-8.0, node="kirkos-1", revision=7),
+    ),
+    "node restarted beside one that lost its configuration too": restarted_node(
+        NOT_CONFIGURED,
+        STORE_DOWN,
+        *node_changes((-9.0, "started"), (-5.0, "crashed"), (-4.1, "started"), node="kirkos-1"),
+        ConfigurationTaken(at_s=-8.0, node="kirkos-1", revision=7),
     ),
     "node restarted alone after the store came back": restarted_node(
         NOT_CONFIGURED, STORE_DOWN, change(STORE_DOWN, at_s=-4.5, is_up=True)
--- a/src/weirscale/experiments/history/configuration_rules.py
+++ b/src/weirscale/experiments/history/configuration_rules.py
@@ -2,7 +2,7 @@
 
 from weirscale.domain.identifiers import ConfigurationRevision, NodeName
 from weirscale.experiments.history.history import History, Violation
-from weirscale.experiments.history.intervals import able_intervals, interval_start
+from weirscale.experiments.history.intervals import able_intervals, interval_start, last_start_s
 from weirscale.experiments.history.records import (
     ConfigurationAccepted,
     ConfigurationTaken,
@@ -50,7 +50,7 @@
                 due_s = max(accepted.at_s, start_s) + history.bounds.configuration_s
                 if due_s > min(stop_s, end_s) or stop_s < accepted.at_s:
                     continue
-                run_began_at_s = _last_start(history, node, start_s)
+                run_began_at_s = last_start_s(history, node, start_s)
                 in_force = any(
                     one.node == node
                     and one.revision >= accepted.revision
@@ -63,16 +63,6 @@
     return violations
 
 
-def _last_start(history: History, node: NodeName, at_s: float) -> float:
-    """Return when the node's run that is up at a time began: what it took before is gone."""
-    starts = [
-        changed.at_s
-        for changed in history.of_type(NodeChanged)
-        if changed.node == node and changed.change is NodeChange.STARTED and changed.at_s <= at_s
-    ]
-    return max(starts, default=float("-inf"))
-
-
 def configuration_delays_s(history: History) -> list[float]:
     """Return the delay of each accepted revision at each node that was able to follow it."""
     delays: list[float] = []
--- a/src/weirscale/experiments/history/fleet_rules.py
+++ b/src/weirscale/experiments/history/fleet_rules.py
@@ -5,10 +5,16 @@
 from weirscale.domain.identifiers import NodeName
 from weirscale.domain.request.refusal import RefusalCode
 from weirscale.experiments.history.history import History, Violation
-from weirscale.experiments.history.intervals import Interval, able_intervals, interval_start
+from weirscale.experiments.history.intervals import (
+    Interval,
+    able_intervals,
+    interval_start,
+    last_start_s,
+)
 from weirscale.experiments.history.records import (
     BackendChange,
     BackendChanged,
+    ConfigurationTaken,
     ConnectionBroke,
     EngineRun,
     GenerationAnswered,
@@ -76,7 +82,7 @@
         if changed.change is not NodeChange.STARTED:
             continue
         until_s = _able_until(able[changed.node], changed.at_s)
-        if until_s is None or not _has_source(changed, able, outages):
+        if until_s is None or not _has_source(history, changed, able, outages):
             continue
         window = _Window(
             started_at_s=changed.at_s,
@@ -103,15 +109,31 @@
 
 
 def _has_source(
-    started: NodeChanged, able: dict[NodeName, list[Interval]], outages: list[Interval]
+    history: History,
+    started: NodeChanged,
+    able: dict[NodeName, list[Interval]],
+    outages: list[Interval],
 ) -> bool:
-    """Whether the store, or another node that was up before, can tell a node the configuration."""
+    """Whether the store, or another node that has it, can tell a node the configuration.
+
+    A node that is up and has none itself, since it started just before, can tell nothing.
+    """
     if not any(down_s <= started.at_s < up_s for down_s, up_s in outages):
         return True
     return any(
-        node != started.node and start_s < started.at_s < end_s
+        node != started.node
+        and interval_start(intervals, started.at_s) is not None
+        and _has_configuration(history, node, started.at_s)
         for node, intervals in able.items()
-        for start_s, end_s in intervals
+    )
+
+
+def _has_configuration(history: History, node: NodeName, at_s: float) -> bool:
+    """Whether a node's run that is up at a time has taken a configuration by then."""
+    began_at_s = last_start_s(history, node, at_s)
+    return any(
+        taken.node == node and began_at_s <= taken.at_s <= at_s
+        for taken in history.of_type(ConfigurationTaken)
     )
 
 
--- a/src/weirscale/experiments/history/intervals.py
+++ b/src/weirscale/experiments/history/intervals.py
@@ -66,3 +66,13 @@
         if start_s <= at_s < end_s:
             return start_s
     return None
+
+
+def last_start_s(history: History, node: NodeName, at_s: float) -> float:
+    """Return when the node's run that is up at a time began: what it took before is gone."""
+    starts = [
+        changed.at_s
+        for changed in history.of_type(NodeChanged)
+        if changed.node == node and changed.change is NodeChange.STARTED and changed.at_s <= at_s
+    ]
+    return max(starts, default=float("-inf"))
