Keep the settings of generated checks in one place

Cause: each check over generated values repeated the settings that make its runs alike, and three steps told the line of an error. Change: for_all runs a check at once on drawn values; one step for an error's line, which now asks in each case that the error is one line. Conclusion: shorter, as strict.

--- a/features/configuration_file.feature
+++ b/features/configuration_file.feature
@@ -51,7 +51,7 @@
 
   Scenario Outline: A digest of an API key is checked
     When the second tenant's digest is <digest>
-    Then the error at its line says "<message>"
+    Then the only error at its line says "<message>"
 
     Examples:
       | digest           | message              |
--- a/features/steps/configuration_commands_steps.py
+++ b/features/steps/configuration_commands_steps.py
@@ -21,7 +21,10 @@
 from weirscale.standins.key_value.server import KeyValueServer
 
 NO_ONE = "127.0.0.1:1"
-FILES = {"a binary file": b"\xff\xfe", "a file of 2 errors": b"format: x\nname: a\nmodels: []\n"}
+FILES = {
+    "a binary file": b"\xff\xfe",
+    "a file of 2 errors": b"format: x\nname: a\nmodels: []\nengines: []\ntenants: []\n",
+}
 
 
 def run_command(function, *arguments, **options):
@@ -50,10 +53,7 @@
         if file == "a missing file":
             path = f"{directory}/none.yaml"
         elif file in FILES:
-            content = FILES[file] + (
-                b"engines: []\ntenants: []\n" if file.endswith("errors") else b""
-            )
-            Path(path := f"{directory}/file.yaml").write_bytes(content)
+            Path(path := f"{directory}/file.yaml").write_bytes(FILES[file])
         context.command = run_command(commands.check, path)
 
 
--- a/features/steps/configuration_difference_steps.py
+++ b/features/steps/configuration_difference_steps.py
@@ -3,11 +3,10 @@
 import cbor2
 import msgspec
 from behave import given, then, when
-from hypothesis import given as generated
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from features.support.deployments import text_of
+from features.support.generated import for_all
 from weirscale.domain.configuration.difference import (
     apply_delta,
     canonical,
@@ -77,8 +76,7 @@
 def step_generated(context):
     context.num_shared = 0
 
-    @settings(derandomize=True, deadline=None, database=None, max_examples=100)
-    @generated(DEPLOYMENTS, DEPLOYMENTS)
+    @for_all(100, DEPLOYMENTS, DEPLOYMENTS)
     def check(before, after):
         delta = decode_delta(encode_delta(delta_between(before, after))).unwrap()
         result = apply_delta(before, delta)
@@ -90,8 +88,6 @@
                 assert engine is old[engine.name]
                 context.num_shared += 1
 
-    check()
-
 
 @then("each result has the later deployment's content and digest, and reuses unchanged items")
 def step_generated_result(context):
--- a/features/steps/configuration_file_steps.py
+++ b/features/steps/configuration_file_steps.py
@@ -99,12 +99,6 @@
     context.errors = check_deployment(text.replace(second, changed)).unwrap_err()
 
 
-@then('the error at its line says "{message}"')
-def step_error_at_line(context, message):
-    (error,) = context.errors
-    assert (error.line, message in error.message) == (context.old_line, True), error
-
-
 @when('every engine has the role "{role}"')
 def step_roles(context, role):
     text = text_of("tsehay").replace("model: qalam", f"model: qalam\n    role: {role}")
@@ -122,8 +116,9 @@
     context.errors = check_deployment(TEXTS[text]).unwrap_err()
 
 
-@then('the only error at line {line:d} says "{message}"')
-def step_text_error(context, line, message):
+@then('the only error at {place} says "{message}"')
+def step_text_error(context, place, message):
     (error,) = context.errors
+    line = context.old_line if place == "its line" else int(place.removeprefix("line "))
     assert (error.line, message in error.message) == (line, True), error
     assert "\n" not in error.one_line("f")
--- a/features/steps/engine_properties_steps.py
+++ b/features/steps/engine_properties_steps.py
@@ -1,9 +1,8 @@
 from behave import then, when
-from hypothesis import given as generated
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from features.support.engine_calls import make_call
+from features.support.generated import for_all
 from weirscale.domain.identifiers import Incarnation
 from weirscale.messages.cache import BlockRemoved, BlockStored
 from weirscale.ports.engine import EngineOrder, LoadModel
@@ -116,8 +115,7 @@
 def step_play(context, count):
     context.num_played = 0
 
-    @settings(max_examples=count, derandomize=True, deadline=None, database=None)
-    @generated(st.lists(CALLS, min_size=20, max_size=60))
+    @for_all(count, st.lists(CALLS, min_size=20, max_size=60))
     def play_all(calls):
         player = Player()
         for call in calls:
@@ -125,8 +123,6 @@
         player.finish()
         context.num_played += 1
 
-    play_all()
-
 
 @then("memory is never exceeded and the published events always lead to the blocks held")
 @then("after the last request no memory is reserved and nothing waits")
--- a/features/steps/limits_shares_steps.py
+++ b/features/steps/limits_shares_steps.py
@@ -3,11 +3,10 @@
 
 import anyio
 from behave import given, then, when
-from hypothesis import given as for_all
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from features.support.claims_fleet import LinkFleet
+from features.support.generated import for_all
 from features.support.limits_fleet import SharingFleet, limited_tenant
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import Deployment, Region
@@ -111,8 +110,9 @@
 def step_parts(context):
     context.parts = []
 
-    @settings(derandomize=True, deadline=None, database=None, max_examples=300)
-    @for_all(st.integers(1, 5000), st.integers(1, 5000), st.integers(1, 18), st.integers(1, 512))
+    limits = st.integers(1, 5000)
+
+    @for_all(300, limits, limits, st.integers(1, 18), st.integers(1, 512))
     def draw(burst, limit, num_zones, max_nodes):
         tenant = limited_tenant(
             requests_per_s=RATE_PER_S, burst_requests=burst, max_concurrent_requests=limit
@@ -128,8 +128,6 @@
         slots += standing_slots(tenant, shares[0]) * max_nodes
         context.parts.append((requests, max(burst, num_zones), slots, limit))
 
-    draw()
-
 
 @then("the slots given and owned are exactly the limit")
 def step_all_slots(context):
--- a/features/steps/peers_link_steps.py
+++ b/features/steps/peers_link_steps.py
@@ -5,12 +5,11 @@
 import cbor2
 import msgspec
 from behave import given, then, when
-from hypothesis import given as generated
-from hypothesis import settings
 from hypothesis import strategies as st
 from result import Err, Ok
 
 from features.support.async_steps import async_when
+from features.support.generated import for_all
 from features.support.loopback import free_address
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.identifiers import NodeAddress, NodeId
@@ -299,19 +298,15 @@
         else:
             assert isinstance(decoded.ok_value, Note)
 
-    @settings(derandomize=True, deadline=None, database=None, max_examples=300)
-    @generated(st.binary(max_size=300))
+    @for_all(300, st.binary(max_size=300))
     def arbitrary(data):
         decode(data)
 
-    @settings(derandomize=True, deadline=None, database=None, max_examples=200)
-    @generated(st.recursive(st.integers() | st.text() | st.binary(), st.lists))
+    @for_all(200, st.recursive(st.integers() | st.text() | st.binary(), st.lists))
     def arbitrary_items(item):
         decode(cbor2.dumps(["test_note", item]))
         decode(cbor2.dumps({"type": item}))
 
-    arbitrary()
-    arbitrary_items()
     decode(b"\x81" * 199)
     decode(b"\x00" * 201)
     decode(cbor2.dumps(["unheard", 1]))
