Check that a tried service back end is not chosen again

Cause: no scenario of routing, services or faults failed when the service router ignored the back ends that a request has tried. Change: one more row of the held-out back ends.

--- a/features/routing_choice.feature
+++ b/features/routing_choice.feature
@@ -80,6 +80,7 @@
       | answers 500 to every request   | some  |
       | crosses an answer              | none  |
       | is listed as leaving           | none  |
+      | was tried by the request       | none  |
 
   Scenario: Any node explains a request that another one served
     Given three nodes that each remember 4 requests
--- a/features/steps/routing_choice_steps.py
+++ b/features/steps/routing_choice_steps.py
@@ -320,12 +320,10 @@
     context.services = Fleet(declare(1, services=(declare_service(count),)))
 
 
-async def choose_services(context, count):
-    chosen = []
-    for _ in range(count):
-        answer = await context.services.services.choose("matemia", NOBODY)
-        chosen.append(answer.ok_value.backend)
-    return chosen
+async def choose_services(context, count, excluded=NOBODY):
+    services = context.services.services
+    chosen = [await services.choose("matemia", excluded) for _ in range(count)]
+    return [each.ok_value.backend for each in chosen]
 
 
 @then("the first {count:d} go to the own zone and every back end gets some")
@@ -348,6 +346,8 @@
     fleet = context.services
 
     async def run():
+        if fault == "was tried by the request":
+            return await choose_services(context, 50, frozenset({"matemia-0"}))
         if fault == "is listed as leaving":
             fleet.machines.machines_now = (Machine("10.0.1.0", True),)
             await anyio.sleep(SETTLE_S)
