Have a node that has just started wait for its configuration before it refuses

Cause: a node listens some 0.1 to 0.4 s before the first configuration arrives from its peers or the store. The routers wait up to 1 s for it, but the callers' application refused with not_configured before it asked them, so their wait never came to pass. Seen in runs against real processes at each restart. Change: the application waits up to the same 1 s for the first configuration. Wrong routes, too large headers and draining are refused at once as before. With no source of a configuration a call is refused after 1 s instead of at once.

--- a/features/path_services.feature
+++ b/features/path_services.feature
@@ -88,6 +88,18 @@
       | draining        | draining not_run       |
       | not configured  | not_configured not_run |
 
+  Scenario Outline: A node that has just started waits a moment for its configuration
+    Given two print shops that need 0 seconds
+    And the node hears its configuration <after> seconds after the order came
+    When an order is sent by POST
+    Then the order ends as "<outcome>" after <runs> runs
+
+    Examples:
+      | after | outcome                | runs |
+      | 0.1   | 201                    | 1    |
+      | 0.9   | 201                    | 1    |
+      | 1.1   | not_configured not_run | 0    |
+
   Scenario: A drain waits for the running order
     Given two print shops that need 5 seconds
     When a drain begins 1 seconds after an order
--- a/features/steps/path_services_steps.py
+++ b/features/steps/path_services_steps.py
@@ -68,6 +68,13 @@
     context.node.configuration.in_force = None
 
 
+@given("the node hears its configuration {after:g} seconds after the order came")
+def step_configured_later(context, after):
+    configuration = context.node.configuration
+    configuration.coming, configuration.in_force = configuration.in_force, None
+    configuration.comes_after_s = after
+
+
 @when("both print shops come back")
 def step_back(context):
     assert all(not shop.script for shop in context.node.backends)
--- a/features/support/path_node.py
+++ b/features/support/path_node.py
@@ -80,11 +80,20 @@
 
 @dataclass
 class FakeConfiguration:
+    """A configuration in force from the start, or from a time of the scenario on."""
+
     in_force: ConfigurationInForce | None
+    coming: ConfigurationInForce | None = None
+    comes_after_s: float = float("inf")
 
     def current(self):
         return self.in_force
 
+    async def changed_after(self, revision):
+        await anyio.sleep(self.comes_after_s)
+        self.in_force = self.coming
+        return self.in_force
+
 
 @dataclass
 class FakeEngineRouting:
--- a/src/weirscale/node/callers/app.py
+++ b/src/weirscale/node/callers/app.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from weirscale.domain.configuration.model import CallerLimits, Deployment
+from weirscale.domain.identifiers import ConfigurationRevision
 from weirscale.domain.request import refusals
 from weirscale.domain.request.model import RunStatus
 from weirscale.domain.request.refusal import Refusal
@@ -32,6 +33,7 @@
 from weirscale.node.execution.generation import GenerationExecutor
 from weirscale.node.execution.service import ServiceExecutor
 from weirscale.node.interfaces import Admission, ConfigurationInForce, ConfigurationView
+from weirscale.node.routing.service_router import FIRST_CONFIGURATION_WAIT_S
 from weirscale.ports.asgi import (
     JSON_TYPE,
     Receive,
@@ -50,6 +52,7 @@
 
 _METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 _DEFAULT_LIMITS = CallerLimits()
+NO_REVISION = ConfigurationRevision(0)
 
 
 class CallerApp:
@@ -116,8 +119,12 @@
     async def _serve_call(self, call: Call) -> None:
         in_force = self._configuration.current()
         refusal = self._refuse_early(call, in_force)
-        if refusal is not None or in_force is None:
-            await call.refuse(refusal or refusals.not_configured())
+        if refusal is not None:
+            await call.refuse(refusal)
+            return
+        in_force = in_force or await self._first_configuration()
+        if in_force is None:
+            await call.refuse(refusals.not_configured())
             return
         tenant = self._tenants.find(in_force, call.headers.get("authorization", ""))
         if tenant is None:
@@ -140,8 +147,15 @@
             return refusal
         if self._drain.is_draining:
             return refusals.draining()
-        if in_force is None:
-            return refusals.not_configured()
+        return None
+
+    async def _first_configuration(self) -> ConfigurationInForce | None:
+        """Wait for the first configuration: a node that starts hears it a moment after it listens.
+
+        The wait is as long as that of the routers, which a call refused here would never reach.
+        """
+        with anyio.move_on_after(FIRST_CONFIGURATION_WAIT_S):
+            return await self._configuration.changed_after(NO_REVISION)
         return None
 
     async def _serve_operations(self, scope: Scope, send: Send) -> bool:
