--- a/bench/real_fleet/faults.py
+++ b/bench/real_fleet/faults.py
@@ -1,6 +1,6 @@
 """Puts failures into effect on a fleet of real processes."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 
 import anyio
@@ -35,6 +35,8 @@
 STORE_REQUESTS_PER_S = 2.0
 OUTAGE_BEFORE_HERD_S = 1.0
 ONE_RACING_OPERATOR = "one_of_racing_operators"
+EVERY_KEY = msgspec.json.encode({"key": b"\x00", "range_end": b"\xff"})
+"""Body of a read of all keys, which the gateway takes in base64."""
 RACE_WEIGHTS = (1.25, 1.75)
 
 
@@ -99,7 +101,18 @@
         await self._fleet.restart(self._node(fault), RESTART_S)
 
     async def _node_pause(self, fault: RealFault) -> None:
-        await self._fleet.pause(self._node(fault), fault.lasts_s)
+        name = fault.target or await self._lease_holder() or self._node(fault)
+        await self._fleet.pause(NodeName(name), fault.lasts_s)
+
+    async def _lease_holder(self) -> NodeName | None:
+        """Return a node whose name stands in a leased key of the store."""
+        url = f"http://{self._layout.key_value.address}/v3/kv/range"
+        response = await self._client.post(url, content=EVERY_KEY, timeout=ADMIN_TIMEOUT_S)
+        if response.is_error:
+            return None
+        names = [place.name for place in self._layout.nodes]
+        holders = lease_holders(response.content, names)
+        return self._random.choice(holders) if holders else None
 
     async def _planned_stop(self, fault: RealFault) -> None:
         name = self._node(fault)
@@ -268,6 +281,24 @@
         return named[0] if named else self._random.choice(self._layout.engines)
 
 
+class _StoredKey(msgspec.Struct, frozen=True):
+    """One key of the store's answer; its value is base64, and `lease` is "0" without one."""
+
+    value: bytes
+    lease: str = "0"
+
+
+class _StoredKeys(msgspec.Struct, frozen=True):
+    kvs: tuple[_StoredKey, ...] = ()
+
+
+def lease_holders(answer: bytes, names: Sequence[NodeName]) -> list[NodeName]:
+    """Return the nodes whose names stand in leased keys of the store's answer."""
+    stored = msgspec.json.decode(answer, type=_StoredKeys).kvs
+    held = [one.value for one in stored if one.lease != "0"]
+    return [name for name in names if any(name.encode() in value for value in held)]
+
+
 def _with_first_weight(deployment: Deployment, weight: float) -> Deployment:
     first, *others = deployment.tenants
     changed = msgspec.structs.replace(first, weight=weight)
--- a/features/real_fleet_parts.feature
+++ b/features/real_fleet_parts.feature
@@ -60,3 +60,11 @@
   Scenario: Traces in a node's log count as internal errors, once each
     When a node's log has the traces "plain, grouped, none"
     Then the internal errors are "ValueError: bad number; TypeError: Missing required argument"
+
+  Scenario: A pause strikes a node that holds a lease
+    When the store answers with these keys
+      | value           | lease |
+      | plan of n1      | 77    |
+      | notes of n2     | 0     |
+      | nothing of note | 78    |
+    Then of the nodes "n1, n2, n3" the lease holders are "n1"
--- a/features/steps/real_fleet_parts_steps.py
+++ b/features/steps/real_fleet_parts_steps.py
@@ -8,6 +8,7 @@
 
 from bench.real_fleet.collect import configurations_taken, internal_errors
 from bench.real_fleet.experiment import PRESETS_DIRECTORY, load, single_fault
+from bench.real_fleet.faults import lease_holders
 from bench.real_fleet.layout import make_layout, node_settings, stand_in_settings
 from bench.real_fleet.operator_commands import parse_apply
 from weirscale.cli.stand_in import StandInFile
@@ -139,3 +140,18 @@
 def step_internal_errors(context, expected):
     shown = "; ".join(str(error) for error in context.errors)
     assert shown == expected, shown
+
+
+@when("the store answers with these keys")
+def step_stored_keys(context):
+    keys = [{"value": row["value"].encode(), "lease": row["lease"]} for row in context.table]
+    for key in keys:
+        if key["lease"] == "0":
+            del key["lease"]
+    context.stored = msgspec.json.encode({"kvs": keys})
+
+
+@then('of the nodes "{names}" the lease holders are "{expected}"')
+def step_lease_holders(context, names, expected):
+    holders = lease_holders(context.stored, names.split(", "))
+    assert ", ".join(holders) == expected, holders
