--- a/features/placement_settling.feature
+++ b/features/placement_settling.feature
@@ -63,6 +63,21 @@
       | v1      | v2 v2 v2 v2 v1 v1 | v2      |
       | v1      | - - - - - -       | v1      |
 
+  Scenario Outline: What an engine loads whose rollout of v2 has stopped
+    Given 6 engines of which 4 must stay ready, and <before> was served last
+    When v2 has failed on two other engines and one that serves <serving> is <treatment>, <failed> having failed on it
+    Then it is ordered to load <ordered>
+
+    Examples:
+      | before  | serving | treatment | failed  | ordered |
+      | v1      | nothing | restored  | v2      | v1      |
+      | v1      | nothing | restored  | nothing | v1      |
+      | v1      | nothing | restored  | v1      | nothing |
+      | v1      | nothing | left      | v2      | nothing |
+      | v1      | v0      | restored  | nothing | nothing |
+      | v2      | nothing | restored  | nothing | nothing |
+      | nothing | nothing | restored  | v2      | nothing |
+
   Scenario: A planner whose record was changed by another gives no order
     Given two planners that have both read the placement record and both hold the lease
     When another version is declared and each plans one round
--- a/features/steps/placement_settling_steps.py
+++ b/features/steps/placement_settling_steps.py
@@ -1,14 +1,16 @@
 import anyio
+import msgspec
 from behave import given, then, when
 
 from features.support.backend_fleet import MODEL
 from features.support.rollout_fleet import Rollout, observed, rolling_model
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import EngineRole
-from weirscale.domain.placement.model import DesiredEngine
+from weirscale.domain.placement.model import DesiredEngine, PlacementRules
+from weirscale.domain.placement.plan import plan_loads
 from weirscale.domain.placement.served import served_versions
 from weirscale.domain.placement.settle import settle_loads
-from weirscale.messages.placement import LoadInProgress, PlacementRecord, ServedVersion
+from weirscale.messages.placement import FailedLoad, LoadInProgress, PlacementRecord, ServedVersion
 
 
 @given("a load of v2 with token 7 on run 2 that is {age:d} s old and may take 300 s")
@@ -89,6 +91,32 @@
     assert context.served == expected, context.served
 
 
+@when(
+    "v2 has failed on two other engines and one that serves {version} is {treatment}, "
+    "{failed} having failed on it"
+)
+def step_plan_stopped(context, version, treatment, failed):
+    bounds = {"min_ready_engines": 0, "restores_failed_engines": treatment == "restored"}
+    model = rolling_model(weight_version="v2", **bounds)
+    failures = [FailedLoad(f"qalam-{index}", MODEL, "v2", "as the test wants") for index in (2, 3)]
+    if failed != "nothing":
+        failures.append(FailedLoad("qalam-1", MODEL, failed, "too", is_restoring=failed == "v1"))
+    seen = observed("qalam-1", None if version == "nothing" else version)
+    plan = plan_loads(
+        msgspec.structs.replace(context.record, failures=tuple(failures)),
+        {MODEL: model},
+        {"qalam-1": DesiredEngine("qalam-1", MODEL, "v2", (), EngineRole.BOTH)},
+        {"qalam-1": seen},
+        PlacementRules(),
+    )
+    context.ordered = [load.weight_version for load in plan.ordered]
+
+
+@then("it is ordered to load {version}")
+def step_ordered(context, version):
+    assert context.ordered == ([] if version == "nothing" else [version]), context.ordered
+
+
 @given("two planners that have both read the placement record and both hold the lease")
 def step_two_planners(context):
     pass
