--- a/features/operator_commands.feature
+++ b/features/operator_commands.feature
@@ -12,6 +12,9 @@
       | node --settings=no-such.yaml   | check the path         |
       | stand_in teapot --settings=x   | use one of             |
       | stand_in engine --settings=x   | settings file          |
+      | experiment run experiments/tsehay.yaml --policy=coin | use default, random |
+      | experiment run experiments/tsehay.yaml --faults=rain | unknown fault |
+      | experiment run no-such.yaml | no-such.yaml |
 
   Scenario: Help is printed without running anything
     When weirscale is called with "--help"
--- a/src/weirscale/cli/main.py
+++ b/src/weirscale/cli/main.py
@@ -37,11 +37,12 @@
         seed: int | None = None,
         report: str | None = None,
         faults: str | Sequence[str] | None = None,
+        policy: str | None = None,
     ) -> Command:
         """Run an experiment file; writes report.json and a page into the REPORT folder."""
         from weirscale.experiments.run import main as run_main
 
-        return Command(lambda: run_main.run(str(file), seed, report, faults))
+        return Command(lambda: run_main.run(str(file), seed, report, faults, policy))
 
     def compare(self, *directories: str) -> Command:
         """Print reports side by side, as ratios to the first."""
--- a/src/weirscale/experiments/report/compare.py
+++ b/src/weirscale/experiments/report/compare.py
@@ -112,7 +112,10 @@
             console.print(f"compare: {found.err_value}", markup=False)
             return EXIT_BAD_ARGUMENT
         reports.append(found.ok_value)
-    table = Table("figure", *(f"{one.name} {one.policy} seed {one.seed}" for one in reports))
+    table = Table()
+    table.add_column("figure", no_wrap=True)
+    for one in reports:
+        table.add_column(f"{one.name} {one.policy} seed {one.seed}")
     for row in compare_figures(reports):
         table.add_row(*_cells(row))
     console.print(table)
--- a/src/weirscale/experiments/run/experiment.py
+++ b/src/weirscale/experiments/run/experiment.py
@@ -5,10 +5,10 @@
 from weirscale.domain.configuration.model import Declared
 from weirscale.domain.identifiers import ZoneName
 from weirscale.experiments.faults.kinds import FaultKind, PlannedFault
+from weirscale.experiments.run.policies import DEFAULT_POLICY
 from weirscale.experiments.workload.shape import Burst
 
 FILE_FORMAT = 1
-POLICIES = ("default",)
 """Policies that nodes can be assembled with; the baselines run in `experiments.choice`."""
 
 
@@ -121,7 +121,7 @@
     name: str
     deployment: str
     workload: WorkloadChoice
-    policy: str = "default"
+    policy: str = DEFAULT_POLICY
     nodes_per_zone: int = 1
     duration_s: float = 60.0
     seed: int = 1
--- a/src/weirscale/experiments/run/load.py
+++ b/src/weirscale/experiments/run/load.py
@@ -16,11 +16,11 @@
 from weirscale.experiments.faults.kinds import FaultKind
 from weirscale.experiments.run.experiment import (
     FILE_FORMAT,
-    POLICIES,
     REAL_FAULTS,
     Experiment,
     Mode,
 )
+from weirscale.experiments.run.policies import POLICIES
 from weirscale.experiments.workload.shape import PRESETS, Burst, WorkloadShape
 
 HOT_SHIFT_FACTOR = 2.0
--- a/src/weirscale/experiments/run/virtual.py
+++ b/src/weirscale/experiments/run/virtual.py
@@ -117,7 +117,8 @@
     def _product_factory(
         self, platform: Platform, fleet: Fleet, recorder: Recorder, random: Random
     ) -> NodeFactory:
-        return ProductNodes(platform, fleet, recorder, random, self._event_log).make
+        policy = self._loaded.experiment.policy
+        return ProductNodes(platform, fleet, recorder, random, self._event_log, policy).make
 
     async def _send_all(self, callers: Callers) -> None:
         plan = plan_of(self._loaded, self.seed)
--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -15,6 +15,7 @@
 from result import Result
 
 from weirscale.domain.choice.kept_kv import KeptKvBeliefs
+from weirscale.domain.choice.policy import ChoicePolicy
 from weirscale.domain.choice.prefix_aware import PrefixAware
 from weirscale.domain.configuration.model import (
     Engine,
@@ -127,6 +128,7 @@
         keys: Shared keys between nodes.
         random: Source of randomness of all its tasks.
         event_log: Where events go.
+        baseline: Chooses engines in place of the prefix-aware policy, for comparisons.
     """
 
     def __init__(
@@ -136,6 +138,7 @@
         keys: KeyRing,
         random: Random,
         event_log: EventLog,
+        baseline: ChoicePolicy | None = None,
     ) -> None:
         self.identity = identity
         self._event_log = event_log
@@ -183,7 +186,7 @@
             random,
         )
         self._build_homes(ports, random)
-        self._build_routing(random)
+        self._build_routing(random, baseline)
         self._build_placement(ports, random)
         self._build_execution(anyio.current_time())
 
@@ -231,7 +234,7 @@
     def _note_receivers(self) -> Sequence[NodeAddress]:
         return receivers_in_scope(self.identity.zone, self.membership, self.configuration)
 
-    def _build_routing(self, random: Random) -> None:
+    def _build_routing(self, random: Random, baseline: ChoicePolicy | None) -> None:
         """Tasks that choose back ends."""
         zone = self.identity.zone
         self._kept_kv = KeptKvBeliefs()
@@ -244,7 +247,7 @@
         )
         self.engine_router = EngineRouter(
             self.directory,
-            self._policy,
+            baseline or self._policy,
             self.decisions,
             LinkDelays(self.configuration, zone).delay_s,
             random,
