Let a process be killed while it drains in virtual runs

Change: NodeProcess.drain ends at once for a killed process, inside task groups too. Conclusion: a fault of the harness, none of the product.

--- a/features/experiment_virtual_runs.feature
+++ b/features/experiment_virtual_runs.feature
@@ -23,6 +23,11 @@
     When it is paused from 3.5 s to 6.5 s and killed at 9.2 s
     Then it has counted at "1 2 3 6.5 7.5 8.5" and never again by 20 s
 
+  Scenario: A process killed while it drains ends its drain and nothing else
+    Given a process whose drain passes its gate each second for 5 s
+    When its drain begins at 1 s and it is killed at 2.5 s
+    Then its drain has ended without an exception by 3.5 s
+
   Scenario Outline: The product's nodes keep every rule under a fault
     Given a virtual run of "<deployment>" with the fault "<fault>"
     When the product's nodes run it in virtual time with seed 5
--- a/features/steps/experiment_virtual_runs_steps.py
+++ b/features/steps/experiment_virtual_runs_steps.py
@@ -19,6 +19,7 @@
 from weirscale.experiments.run.experiment import Experiment, WorkloadChoice
 from weirscale.experiments.run.life import ProcessKilled, ProcessLife
 from weirscale.experiments.run.load import with_shape
+from weirscale.experiments.run.node_process import NodeProcess
 from weirscale.experiments.run.virtual import VirtualRun, run_in_virtual_time
 from weirscale.experiments.soak.experiments import PRESET_OF, read_deployment
 
@@ -118,6 +119,52 @@
     assert context.counted_at == [float(time) for time in times.split()], context.counted_at
 
 
+class SlowlyDrainingNode:
+    def __init__(self, life, num_gates):
+        self._life = life
+        self._num_gates = num_gates
+
+    async def drain(self):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._pass_gates)
+
+    async def _pass_gates(self):
+        for _ in range(self._num_gates):
+            await self._life.guard(lambda: anyio.sleep(1.0))
+
+
+async def drain_and_kill(num_gates, begun_s, killed_s):
+    process = NodeProcess([])
+    process.node = SlowlyDrainingNode(process.life, num_gates)
+    ended_at = []
+
+    async def drain():
+        await anyio.sleep_until(begun_s)
+        await process.drain()
+        ended_at.append(anyio.current_time())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(drain)
+        await anyio.sleep_until(killed_s)
+        process.kill()
+    return ended_at
+
+
+@given("a process whose drain passes its gate each second for {num_gates:d} s")
+def step_slow_drain(context, num_gates):
+    context.num_gates = num_gates
+
+
+@when("its drain begins at {begun:g} s and it is killed at {killed:g} s")
+def step_kill_draining(context, begun, killed):
+    context.ended_at = run_on_mock_clock(drain_and_kill, context.num_gates, begun, killed)
+
+
+@then("its drain has ended without an exception by {by:g} s")
+def step_drain_ended(context, by):
+    assert context.ended_at and context.ended_at[0] <= by, context.ended_at
+
+
 @given('a virtual run of "{name}" with the fault "{fault}"')
 def step_product(context, name, fault):
     faults = (PlannedFault(kind=FaultKind(fault), at_s=FAULT_AT_S, lasts_s=FAULT_LASTS_S),)
--- a/src/weirscale/experiments/run/node_process.py
+++ b/src/weirscale/experiments/run/node_process.py
@@ -116,15 +116,17 @@
     async def drain(self) -> None:
         """Have the node drain, as SIGTERM does: a paused process takes it when it goes on.
 
-        The HTTP server then still sends what the application has handed to it.
+        Returns at once when the process is killed meanwhile. Otherwise the HTTP server still sends
+        what the application has handed to it.
         """
         try:
             await self.life.go_on()
-        except ProcessKilled:
-            return
-        if self.node is not None:
-            await self.node.drain()
-        await anyio.sleep(FLUSH_S)
+            if self.node is not None:
+                await self.node.drain()
+            await anyio.sleep(FLUSH_S)
+        except* ProcessKilled:
+            # `except*` also meets it inside the groups of the node's own task groups.
+            pass
 
     def kill(self) -> None:
         """End the process at once."""
