Share a home's budgets anew when its engines change; measure one zone whole

Cause: each engine's share of the digest and load budgets was fixed when its home started: a node that was home of 36 engines for a moment kept a twelfth of the budget for the 4 it kept, and one that gained engines went above the budget. 400 nodes on loopback never formed on the busy machine. Change: budgets are set for all homes after each change. bench.control_cost runs one zone whole and one node of membership alone in each other zone.

--- a/bench/control_process.py
+++ b/bench/control_process.py
@@ -1,7 +1,7 @@
 """One process of the control-cost measurement: whole nodes, or nodes of membership alone.
 
-The nodes of a zone run whole over loopback sockets before hollow engines; the rest of the fleet
-takes part in membership alone.
+The nodes of a zone run whole over loopback sockets before hollow engines; in each other zone one
+node takes part in membership alone, so that its engines are not taken over.
 """
 
 import gc
@@ -31,13 +31,13 @@
     NodeName,
 )
 from weirscale.experiments.control_cost.deployment import design_deployment, zone_names
-from weirscale.experiments.control_cost.fleet import FLEET_KEY
 from weirscale.experiments.control_cost.hollow_engine import (
     EngineTraffic,
     HollowEngine,
     HollowEnginePort,
 )
-from weirscale.experiments.scale.loopback import LoopbackPlan, measure_loopback
+from weirscale.experiments.scale.fleet import FLEET_KEY, NODES_PER_ZONE
+from weirscale.experiments.scale.loopback import LoopbackNode
 from weirscale.experiments.scale.measure import traffic_by_type
 from weirscale.messages.envelope import KeyRing
 from weirscale.node.assembly import Node, NodeIdentity, NodePorts
@@ -144,11 +144,16 @@
     )
 
 
-async def run_members(plan: FleetPlan, first: int, count: int) -> None:
-    """Run nodes that take part in membership alone."""
+async def run_members(plan: FleetPlan) -> None:
+    """Run one node of membership alone in each zone but the first."""
     seed_port = node_address(plan, 0)[1]
-    loopback = LoopbackPlan(count, seed_port + first, plan.num_nodes, seed_port, plan.members_s)
-    await measure_loopback(loopback)
+    async with anyio.create_task_group() as tasks:
+        for zone_number in range(1, len(zone_names())):
+            node = LoopbackNode(seed_port + zone_number * NODES_PER_ZONE, seed_port)
+            await node.start(tasks)
+        announce(ServerAddress(""))
+        await wait_for_end_of_input()
+        tasks.cancel_scope.cancel()
 
 
 async def main(role: NodeRole, plan: FleetPlan, first: int, count: int) -> None:
@@ -159,7 +164,7 @@
         case NodeRole.WHOLE:
             await run_whole(plan, first, count)
         case NodeRole.MEMBERS:
-            await run_members(plan, first, count)
+            await run_members(plan)
 
 
 if __name__ == "__main__":
--- a/src/weirscale/domain/prefix/digest_publisher.py
+++ b/src/weirscale/domain/prefix/digest_publisher.py
@@ -98,6 +98,10 @@
         """Changes not yet sent."""
         return len(self._backlog) + len(self._refining)
 
+    def set_budget(self, bytes_per_s: float) -> None:
+        """Change the budget, as the publisher's node becomes home of more or fewer engines."""
+        self._bytes_per_s = bytes_per_s
+
     def publish(self, num_receivers: int, now_s: float) -> list[CacheDigest]:
         """Return the digests to send now to every receiver.
 
--- a/src/weirscale/node/home/engine_home.py
+++ b/src/weirscale/node/home/engine_home.py
@@ -92,6 +92,11 @@
         self._dump_backoff_s = 0.0
         self.num_dumps = 0
 
+    def set_budgets(self, digest_bytes_per_s: float, load_bytes_per_s: float) -> None:
+        """Change the budgets, over all receivers together."""
+        self._publisher.set_budget(digest_bytes_per_s)
+        self._load_bytes_per_s = load_bytes_per_s
+
     async def run(self) -> None:
         """Act as home until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/src/weirscale/node/home/home_task.py
+++ b/src/weirscale/node/home/home_task.py
@@ -117,6 +117,10 @@
         for engine, facts in due.items():
             if engine not in self._running:
                 self._start(tasks, facts, len(due))
+        for running in self._running.values():
+            running.home.set_budgets(
+                self._rules.digest_bytes_per_s / len(due), self._rules.load_bytes_per_s / len(due)
+            )
 
     def _due(self) -> dict[EngineName, EngineFacts]:
         peers = self._membership.peers()
