Do not take streams of a paused process for stalled; do less for each chunk

Cause: after a pause of the process over 3 s the watch found every stream waiting too long and had all of them resumed at once. Tests whose part never answers hung instead of failing when broken. Change: a look that comes over a second late gives every stream its patience anew. Reading an engine's chunk takes two calls less, an event that leaves alone is not joined. Conclusion: a paused node goes on where it was.

--- a/features/path_in_time.feature
+++ b/features/path_in_time.feature
@@ -25,6 +25,11 @@
     Then the request is over after 14 seconds
     And nothing of it is left
 
+  Scenario: Streams of a process that was paused are not taken for stalled
+    Given a request path with one engine
+    When a caption is asked for and the process is paused for 10 seconds meanwhile
+    Then each of the captions is whole and none was resumed
+
   Scenario Outline: A resume waits at most until the deadline
     Given a request path whose engine breaks each time
     When an at-most-once caption with a deadline of <deadline> ms is sent
--- a/features/steps/path_in_time_steps.py
+++ b/features/steps/path_in_time_steps.py
@@ -3,10 +3,11 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import trio
 from behave import given, then, when
 
 from features.support.path_asgi import CallerScript, call_app, call_with_canceller
-from features.support.path_engine import Fault, ScriptedEngine, ScriptedFault, Step
+from features.support.path_engine import FULL_ANSWER, Fault, ScriptedEngine, ScriptedFault, Step
 from features.support.path_node import PathNode, ScriptedBackend, generation_body
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import RetryRules
@@ -18,6 +19,8 @@
 EACH_TIME = 1000
 HEDGE_AFTER_S = 0.2
 NEVER_S = 10_000.0
+MID_STREAM_S = 0.17
+NUM_SEEDS = 8
 TOLERANCE_S = 0.15
 CAPTION = CallerScript(body_parts=[generation_body()])
 AT_MOST_ONCE = {"x-repeatable": "false"}
@@ -42,7 +45,8 @@
 
 
 async def never(*_):
-    await anyio.sleep_forever()
+    await anyio.sleep(NEVER_S)
+    raise AssertionError("nobody gave up")
 
 
 class SlowToClose(ScriptedEngine):
@@ -159,6 +163,32 @@
     send(context, kind, deadline * 1000, NEVER_S)
 
 
+@when("a caption is asked for and the process is paused for {pause:d} seconds meanwhile")
+def step_paused(context, pause):
+    """With several seeds: whether the watch or the stream goes on first is the scheduler's choice."""
+
+    async def main(node):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pause_process)
+            return await call_with_canceller(node, CAPTION)
+
+    async def pause_process():
+        await anyio.sleep(MID_STREAM_S)
+        trio.lowlevel.current_clock().jump(pause)
+
+    context.paused = []
+    for seed in range(NUM_SEEDS):
+        node = healthy_node()
+        context.paused.append((node, run_in_virtual_time(main, node, seed=seed)))
+
+
+@then("each of the captions is whole and none was resumed")
+def step_whole(context):
+    for node, answer in context.paused:
+        assert answer.text == FULL_ANSWER and answer.is_complete, answer
+        assert node.engines[0].num_resumes == 0
+
+
 def check_refused(context, outcome, after_s):
     error = context.answer.error
     assert f"{error['code']} {error['run_status']}" == outcome, error
--- a/src/weirscale/node/callers/generation_route.py
+++ b/src/weirscale/node/callers/generation_route.py
@@ -129,8 +129,12 @@
             call.num_tokens += chunk.num_tokens
             if chunk.finish_reason is not None:
                 return
-            events.append(encoder.text_event(chunk.text))
+            event = encoder.text_event(chunk.text)
+            if not is_next_here and not events:
+                await send({"type": "http.response.body", "body": event, "more_body": True})
+                return
             # Events leave together only if the next one is here already.
+            events.append(event)
             if not is_next_here or len(events) == MAX_EVENTS_OF_PART:
                 part = _part(events, more=True)
                 events.clear()
--- a/src/weirscale/node/execution/attempt.py
+++ b/src/weirscale/node/execution/attempt.py
@@ -132,7 +132,7 @@
         verdict = self.check.check(chunk)
         if verdict is ChunkVerdict.PASS:
             self._note_passed(chunk)
-            return Ok(chunk)
+            return item
         if verdict is ChunkVerdict.REPEATED:
             self.num_repeated += 1
             return Ok(None)
--- a/src/weirscale/node/execution/stall_watch.py
+++ b/src/weirscale/node/execution/stall_watch.py
@@ -7,6 +7,10 @@
 SWEEP_INTERVAL_S = 0.25
 """A stall is noticed at most this much before or after its time."""
 
+PAUSE_S = 1.0
+"""A look that comes this long after the one before finds a process that was paused or overloaded:
+what has arrived meanwhile has not been read, so no stream can be called stalled yet."""
+
 
 class WatchedPull:
     """One stream's waiting state; written by its task for each chunk, read by the watch.
@@ -38,6 +42,7 @@
 
     def __init__(self) -> None:
         self.now_s = 0.0
+        self._looked_at_s = 0.0
         self._pulls: set[WatchedPull] = set()
         self._has_pulls = anyio.Event()
 
@@ -62,10 +67,14 @@
             await anyio.sleep(SWEEP_INTERVAL_S)
 
     def _sweep(self, now_s: float) -> None:
+        was_paused = now_s - self._looked_at_s > PAUSE_S
+        self._looked_at_s = now_s
         self.now_s = now_s
         for pull in self._pulls:
             since_s = pull.waiting_since_s
             if since_s is None:
                 continue
-            if now_s >= min(since_s + CHUNK_STALL_S, pull.give_up_at_s):
+            if was_paused:
+                pull.waiting_since_s = now_s
+            elif now_s >= min(since_s + CHUNK_STALL_S, pull.give_up_at_s):
                 pull.scope.cancel()
--- a/src/weirscale/ports/engine_http.py
+++ b/src/weirscale/ports/engine_http.py
@@ -289,28 +289,22 @@
                 return failure
             if self._is_over:
                 raise StopAsyncIteration
-            await self._read()
+            try:
+                data = await anext(self._body)
+            except StopAsyncIteration:
+                self._keep([self._parser.end()])
+            except httpx.HTTPError as error:
+                self._keep([Err(failure_of_error(error))])
+                self._is_over = True
+            else:
+                self._keep(self._parser.feed(data))
         return ready.popleft()
 
-    async def _read(self) -> None:
-        try:
-            data = await anext(self._body)
-        except StopAsyncIteration:
-            self._take(self._parser.end())
-            return
-        except httpx.HTTPError as error:
-            self._take(Err(failure_of_error(error)))
-            self._is_over = True
-            return
-        for item in self._parser.feed(data):
-            self._take(item)
-        self._is_over = self._parser.is_finished
-
-    def _take(self, item: ChunkOrFailure) -> None:
-        if isinstance(item, Ok):
-            self._ready.append(item)
-        else:
-            self._failure = item
+    def _keep(self, items: list[ChunkOrFailure]) -> None:
+        """Keep what a read has brought; a failure is always the last item of its read."""
+        if items and isinstance(items[-1], Err):
+            self._failure = items.pop()
+        self._ready.extend(items)
         self._is_over = self._parser.is_finished
 
 
--- a/src/weirscale/ports/engine_stream.py
+++ b/src/weirscale/ports/engine_stream.py
@@ -14,7 +14,8 @@
 NO_RUN_STATUS = 200
 """Status of a stream that carries an error event."""
 
-_DECODER = msgspec.json.Decoder(wire.StreamEvent)
+_DATA_PREFIX_LENGTH = len(wire.DATA_PREFIX)
+_DECODE = msgspec.json.Decoder(wire.StreamEvent).decode
 
 
 class SseParser:
@@ -38,7 +39,7 @@
         """Return what a piece of the body completes."""
         if b"\r" in data:
             data = data.replace(b"\r", b"")
-        *events, self._rest = (self._rest + data).split(wire.EVENT_END)
+        *events, self._rest = (self._rest + data if self._rest else data).split(wire.EVENT_END)
         if len(self._rest) > MAX_EVENT_BYTES:
             return [self._corrupt(f"an event is longer than {MAX_EVENT_BYTES} bytes")]
         items: list[ChunkOrFailure] = []
@@ -61,11 +62,11 @@
     def _read_event(self, event: bytes) -> ChunkOrFailure | None:
         if not event.startswith(wire.DATA_PREFIX):
             return None if event.startswith(b":") or not event else self._corrupt(repr(event[:80]))
-        payload = event[len(wire.DATA_PREFIX) :]
+        payload = event[_DATA_PREFIX_LENGTH:]
         if payload == wire.END_OF_STREAM:
             return self.end()
         try:
-            decoded = _DECODER.decode(payload)
+            decoded = _DECODE(payload)
         except (msgspec.DecodeError, ValueError) as error:
             return self._corrupt(str(error))
         if decoded.error is not None:
@@ -82,16 +83,17 @@
             return None
         sequence = self._next_sequence if event.sequence is None else event.sequence
         self._next_sequence = sequence + 1
-        chunk = TokenChunk(
-            request_id=self._request_of(event.id),
+        is_own = event.id == self._request_id
+        request_id = self._request_id if is_own else self._request_of(event.id)
+        if choice.finish_reason is None and text:
+            return Ok(TokenChunk(request_id, sequence, text, event.num_tokens))
+        self._last_chunk = TokenChunk(
+            request_id=request_id,
             sequence=sequence,
             text=text or "",
             num_tokens=event.num_tokens if text else 0,
             finish_reason=choice.finish_reason,
         )
-        if choice.finish_reason is None:
-            return Ok(chunk)
-        self._last_chunk = chunk
         return self._finish_with(event.usage) if event.usage is not None else None
 
     def _finish_with(self, usage: wire.Usage | None) -> ChunkOrFailure | None:
@@ -107,8 +109,6 @@
         return Ok(whole)
 
     def _request_of(self, wire_id: str) -> RequestId:
-        if wire_id == self._request_id:
-            return self._request_id
         for prefix in wire.ID_PREFIXES:
             if wire_id == prefix + self._request_id:
                 return self._request_id
