Make an engine's HTTP client on first use

Cause: a node holds a port for each of 1,700 declared engines and calls few of them. Change: the client is made by the first call.

--- a/src/weirscale/ports/engine_http.py
+++ b/src/weirscale/ports/engine_http.py
@@ -60,13 +60,20 @@
         self._connect_timeout_s = connect_timeout_s
         self._control_timeout_s = control_timeout_s
         self._root = f"http://{address}"
-        self._client = new_client(
-            MAX_CONNECTIONS, httpx.Timeout(control_timeout_s, connect=connect_timeout_s)
-        )
+        self._made_client: httpx.AsyncClient | None = None
+
+    @property
+    def _client(self) -> httpx.AsyncClient:
+        """The client, made on first use: a node calls few of the engines that are declared."""
+        if self._made_client is None:
+            timeout = httpx.Timeout(self._control_timeout_s, connect=self._connect_timeout_s)
+            self._made_client = new_client(MAX_CONNECTIONS, timeout)
+        return self._made_client
 
     async def aclose(self) -> None:
         """Close every connection."""
-        await self._client.aclose()
+        if self._made_client is not None:
+            await self._made_client.aclose()
 
     @asynccontextmanager
     async def generate(self, call: GenerateCall) -> AsyncIterator[AsyncIterator[ChunkOrFailure]]:
