Show an engine that takes no order steadily, and run rollouts on home-like reports

Cause: the progress of a model changed between rolling and short_of_engines each time an engine that takes no order was tried; scenarios of rollouts spent half their time on probes of the directory, which other scenarios hold. Change: progress is worked out after the orders, without loads that were not taken; engines that take no orders are named in the remedy. Rollouts in tests hear of engines by reports once a second, as from homes, in place of probes. The scenario of an engine that takes no order now asks for short_of_engines, 20 s long, in place of rolling.

--- a/features/placement_rollout.feature
+++ b/features/placement_rollout.feature
@@ -63,7 +63,8 @@
   Scenario: An engine that takes no order does not hold up the others
     Given 6 engines serve v1, 2 must stay ready and 1 may load at once
     When v2 is declared and an engine refuses orders for ever
-    Then after 150 seconds 5 engines serve v2 and the rollout is rolling
+    Then after 150 seconds 5 engines serve v2 and the rollout is short_of_engines
+    And the rollout was nothing else in the last 20 s
     And no load counted as failed
 
   Scenario: Answers that run when a rollout begins finish on their version
--- a/features/steps/placement_rollout_steps.py
+++ b/features/steps/placement_rollout_steps.py
@@ -155,6 +155,8 @@
 HALF_WAY = 3
 VERSIONS = ("v1", "v2", "v3")
 POLL_S = 0.5
+LAST_S = 20
+"""Seconds at the end of a rollout in which its states are noted."""
 
 
 def rollout_after(context, seconds):
@@ -167,7 +169,12 @@
         async with rollout.running(), anyio.create_task_group() as tasks:
             tasks.start_soon(context.fault, rollout)
             rollout.declare_version("v2")
-            await anyio.sleep(seconds)
+            await anyio.sleep(seconds - LAST_S)
+            rollout.last_states = set()
+            for _ in range(LAST_S):
+                await anyio.sleep(1.0)
+                states = {each.state for task in rollout.planners for each in task.progress()}
+                rollout.last_states |= states
             rollout.progress = {each for task in rollout.planners for each in task.progress()}
             rollout.counts = {version: rollout.count_at(version) for version in VERSIONS}
             tasks.cancel_scope.cancel()
@@ -259,6 +266,12 @@
     assert all(lease.num_orders > 0 for lease in rollout.leases)
 
 
+@then("the rollout was nothing else in the last 20 s")
+def step_steady_state(context):
+    rollout = context.rollout
+    assert rollout.last_states == {each.state for each in rollout.progress}, rollout.last_states
+
+
 @then("no load counted as failed")
 def step_no_failed_loads(context):
     assert all(not progress.failures for progress in context.rollout.progress)
@@ -381,7 +394,7 @@
 
     async def main():
         rollout = Rollout(6, rolling_model(min_ready_engines=2, max_concurrent_loads=1))
-        async with super(Rollout, rollout).running():
+        async with rollout.observing():
             await anyio.sleep(5.0)
             rollout.declare_version("v2")
             sent = rollout.hold_orders()
--- a/features/steps/placement_settling_steps.py
+++ b/features/steps/placement_settling_steps.py
@@ -126,7 +126,7 @@
 def step_one_round_each(context):
     async def main():
         rollout = Rollout(6, rolling_model(min_ready_engines=2), num_planners=2)
-        async with super(Rollout, rollout).running():
+        async with rollout.observing():
             await anyio.sleep(5.0)
             for planner, lease in zip(rollout.planners, rollout.leases, strict=True):
                 lease.held = True
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -13,6 +13,7 @@
 from weirscale.domain.duties.assignment import Duty, DutyKind
 from weirscale.domain.identifiers import NodeId
 from weirscale.domain.placement.model import EngineObservation
+from weirscale.node.backends.probe_pace import ProbeRules
 from weirscale.node.duties.lease_task import DutyLeaseTask
 from weirscale.node.event_log import SilentEventLog
 from weirscale.node.placement.task import PlacementTask
@@ -24,6 +25,7 @@
 
 DUTY = Duty(DutyKind.PLACEMENT_PLANNER)
 SAMPLE_INTERVAL_S = 0.25
+REPORT_INTERVAL_S = 1.0
 LOAD_S = 5.0
 LONG_ANSWER_TOKENS = 30
 STEP_S = 0.1
@@ -176,7 +178,7 @@
     def __init__(self, num_engines, model, num_planners=1, fenced=False, **engine_fields):
         self.weights = WeightStore()
         deployment = declare(num_engines, models=(model,), **engine_fields)
-        super().__init__(deployment)
+        super().__init__(deployment, probe_rules=ProbeRules(polls_engines=False))
         self.model = model
         self.store = KeyValueServer(Random(2))
         self.clients = [InProcessKeyValue(self.store, timeout_s=60.0) for _ in range(num_planners)]
@@ -203,8 +205,16 @@
         self.engines[engine.name] = RecordedEngine(settings, Random(3), self.weights)
 
     @asynccontextmanager
-    async def running(self):
+    async def observing(self):
+        """Run the fleet without its planners."""
         async with super().running(), anyio.create_task_group() as tasks:
+            tasks.start_soon(self.report_loads)
+            yield self
+            tasks.cancel_scope.cancel()
+
+    @asynccontextmanager
+    async def running(self):
+        async with self.observing(), anyio.create_task_group() as tasks:
             for lease in self.leases:
                 if isinstance(lease, FencedLease):
                     tasks.start_soon(lease.task.run)
@@ -217,6 +227,17 @@
             yield self
             tasks.cancel_scope.cancel()
 
+    async def report_loads(self):
+        """Tell the directory of engines as their home would: far fewer events than probes."""
+        while True:
+            for name, engine in self.engines.items():
+                if engine.is_reachable:
+                    report = engine.model.load_report(anyio.current_time())
+                    self.directory.note_load_report(report, 0.0)
+                else:
+                    self.directory.note_unreachable(name, "connection refused")
+            await anyio.sleep(REPORT_INTERVAL_S)
+
     def declare_version(self, version, **fields):
         self.model = msgspec.structs.replace(self.model, weight_version=version, **fields)
         deployment = self.configuration.current().deployment
--- a/src/weirscale/domain/placement/progress.py
+++ b/src/weirscale/domain/placement/progress.py
@@ -18,7 +18,7 @@
         "loads of this version fail: apply the version before, or a mended one under a new name"
     ),
     RolloutState.SHORT_OF_ENGINES: (
-        "engines are down, leaving or unheard of: look at them in status"
+        "engines are down, leaving, unheard of or take no orders: look at them in status"
     ),
 }
 
--- a/src/weirscale/node/placement/task.py
+++ b/src/weirscale/node/placement/task.py
@@ -156,7 +156,10 @@
         now_s = anyio.current_time()
         models = declared_models(deployment)
         desired = desired_engines(deployment)
-        observations = self._observations(now_s)
+        heard = self._states.heard()
+        seen = observe_engines(self._directory.snapshot(), heard, self._rules, now_s)
+        paused_since_s = now_s - self._rules.order_pause_s
+        observations = self._without_unreached(seen, paused_since_s)
         recorded = self._without_dropped(stored.record)
         ages_s = self._load_ages_s(recorded, now_s)
         settlement = settle_loads(recorded, models, desired, observations, ages_s)
@@ -168,20 +171,23 @@
         if not await self._write(stored, record):
             return
         self._tell(settlement, plan)
-        self._progress = tuple(
-            rollout_progress(model, record, desired, observations, plan.waiting_for_floor)
-            for model in models.values()
-        )
         self._known_since_s.update({load.token: now_s for load in plan.ordered})
         self._never_sent.update(load.token for load in plan.ordered)
         self._states.watch(load.engine for load in record.loads)
         await self._give_orders(record, changes, plan.next_token, observations)
+        # After the orders: an engine that is tried again and takes none does not show as loading.
+        taken = tuple(load for load in record.loads if load.token not in self._dropped)
+        settled = msgspec.structs.replace(record, loads=taken)
+        shown = self._without_unreached(seen, paused_since_s)
+        self._progress = tuple(
+            rollout_progress(model, settled, desired, shown, plan.waiting_for_floor)
+            for model in models.values()
+        )
 
-    def _observations(self, now_s: float) -> Mapping[EngineName, EngineObservation]:
-        """Return what is seen of engines; those that took no order lately count as down."""
-        heard = self._states.heard()
-        seen = observe_engines(self._directory.snapshot(), heard, self._rules, now_s)
-        since_s = now_s - self._rules.order_pause_s
+    def _without_unreached(
+        self, seen: Mapping[EngineName, EngineObservation], since_s: float
+    ) -> Mapping[EngineName, EngineObservation]:
+        """Count engines as down that took no order since a time."""
         unreached = {name for name, at_s in self._unreached_at_s.items() if at_s > since_s}
         return {
             name: msgspec.structs.replace(each, is_up=False) if name in unreached else each
@@ -279,6 +285,7 @@
         answer = await self._give(fenced)
         if answer is OrderAnswer.ACCEPTED:
             self._accepted.add(token)
+            self._unreached_at_s.pop(fenced.engine, None)
         elif answer is OrderAnswer.UNKNOWN:
             self._never_sent.discard(token)
         elif answer is OrderAnswer.STALE:
