Log granted claims in the key-value service, as a configuration choice

Cause: when a majority of a group's holders restarts at once, the group's claims are gone, and every unknown key is refused for the retention (an hour as shipped) and a minute. Change: `claims.log_in_store` (off by default) has a grant answered only after its claim is in the group's log, written by group commit with compare-and-swap. A mark under a lease that is never renewed but replaced says that a run votes with the log only; once it can't stand any more, grants go on by quorum alone, and the mark is set again only after the claims made meanwhile are in the log. After the loss, the next epoch checks the marks, fences the log, loads it and serves at once; without the proof, unknown keys are refused as before. A planner changes 4 groups at a time. Conclusion: off it changes nothing; on it trades about 12 s of refusals at the start of an outage of the service for an hour of refusals after a herd restart.

--- /dev/null
+++ b/features/claims_log_faults.feature
@@ -0,0 +1,41 @@
+Feature: Logged claims outlive the restart of all their holders
+  Scenario Outline: All holders restart while <fault>
+    Given 5 nodes in 3 zones that log their claims
+    When callers repeat 20 keys while all nodes restart and <fault>
+    Then no logged key has run more than once
+    And no key that ran before the restart was granted after it
+    And 25 s after the restart new keys are told "<told>"
+
+    Examples:
+      | fault                                          | told              |
+      | the store answers                              | granted           |
+      | the store is slow                              | granted           |
+      | store answers are lost                         | granted           |
+      | the store limits the rate                      | granted           |
+      | the store was down until 15 s before           | granted           |
+      | the store is down for the 4 s of the restart   | granted           |
+      | they restart again 1 s later                   | granted           |
+      | messages are lost and late until 5 s after     | granted           |
+      | the store is down from 40 s before to 5 s after | claim_unavailable |
+
+  Scenario: A store that goes down stops grants for a lease and no longer
+    Given 5 nodes in 3 zones that log their claims
+    When the store goes down for 60 seconds and new keys come every second
+    Then new keys were granted until the store went down and again from 13 s after it
+    And each refusal told to come again within 10 s
+
+  Scenario: A run that another has followed never votes without the log
+    Given 5 nodes in 3 zones that log their claims
+    When the mark of a run is kept by a later run while it still lives, and the store goes down
+    Then the earlier run still demands the log a minute later
+
+  Scenario: Full heads go into segments, old segments are deleted and every claim is loaded
+    Given 5 nodes in 3 zones that log their claims
+    When 500 claims of one group are logged, and as many again after the retention
+    Then the log of the group has every claim of the second half in values below 16 kB
+    And segments of the first half are deleted
+
+  Scenario: A writer of an epoch that is over cannot log
+    Given 5 nodes in 3 zones that log their claims
+    When the log of a group is fenced while a writer has a claim of the epoch before
+    Then the late claim is not logged
--- a/src/weirscale/domain/claims/loss.py
+++ b/src/weirscale/domain/claims/loss.py
@@ -5,7 +5,7 @@
 from weirscale.domain.claims.authority import LOST_AFTER_S
 from weirscale.domain.claims.model import GroupEpoch, Holder
 from weirscale.domain.claims.planning import LiveNode, is_lost_whole, lost_holders
-from weirscale.domain.identifiers import ZoneName
+from weirscale.domain.identifiers import NodeId, ZoneName
 
 
 class LossWatch:
@@ -61,6 +61,13 @@
         return known[1]
 
 
+def ended_holders(record: GroupEpoch, nodes: Sequence[LiveNode]) -> frozenset[NodeId]:
+    """Holders of which a later run of the same node is live, so that the run that held is over."""
+    return frozenset(
+        holder.node for holder in lost_holders(record, nodes) if _have_restarted([holder], nodes)
+    )
+
+
 def _sees_most(zones: frozenset[ZoneName], nodes: Sequence[LiveNode]) -> bool:
     seen = {node.holder.zone for node in nodes} & zones
     return 2 * len(seen) > len(zones)
--- a/src/weirscale/domain/claims/model.py
+++ b/src/weirscale/domain/claims/model.py
@@ -113,6 +113,8 @@
         claimant: Who holds the claim, where another does.
         answer: The kept answer, when COMPLETED.
         wait_s: When UNCERTAIN: time until unknown keys are taken again.
+        needs_log: When ACCEPTED: whether the claim must be in the group's log before the vote
+            counts for a grant.
     """
 
     vote: Vote
@@ -120,6 +122,7 @@
     claimant: bytes = b""
     answer: StoredAnswer | None = None
     wait_s: float = 0.0
+    needs_log: bool = False
 
 
 class Holder(msgspec.Struct, frozen=True, array_like=True):
@@ -141,6 +144,7 @@
             them, so two changes at once never mix.
         follows_loss: Whether the epoch before was lost whole, so that unknown keys are refused
             for a retention window from its start.
+        is_logged: Whether every claim that it began with is in the group's log.
     """
 
     group: int
@@ -148,6 +152,7 @@
     holders: tuple[Holder, ...]
     attempt: bytes
     follows_loss: bool = False
+    is_logged: bool = False
 
     @property
     def quorum(self) -> int:
--- a/src/weirscale/domain/claims/round.py
+++ b/src/weirscale/domain/claims/round.py
@@ -38,12 +38,15 @@
         claimant: Who holds the key, where another does.
         answer: The kept answer, when COMPLETED.
         wait_s: When UNCERTAIN: time until unknown keys are taken again.
+        needs_log: When GRANTED: whether the claim must be logged before the grant is answered,
+            because no quorum voted without the log.
     """
 
     state: RoundState
     claimant: bytes = b""
     answer: StoredAnswer | None = None
     wait_s: float = 0.0
+    needs_log: bool = False
 
 
 class ClaimRound:
@@ -64,7 +67,9 @@
     def outcome(self) -> RoundOutcome | None:
         """The end of the round, or None while it may still go either way."""
         if self._count(Vote.ACCEPTED) >= self._record.quorum:
-            return RoundOutcome(RoundState.GRANTED)
+            num_without_log = self._count(Vote.ACCEPTED, needs_log=False)
+            needs_log = num_without_log < self._record.quorum
+            return RoundOutcome(RoundState.GRANTED, needs_log=needs_log)
         for vote in self._of(Vote.COMPLETED):
             return RoundOutcome(RoundState.COMPLETED, vote.claimant, vote.answer)
         num_pending = len(self._record.holders) - len(self._votes)
@@ -98,5 +103,7 @@
     def _of(self, kind: Vote) -> list[ClaimVote]:
         return [vote for vote in self._votes.values() if vote is not None and vote.vote is kind]
 
-    def _count(self, kind: Vote) -> int:
-        return sum(1 for vote in self._of(kind) if vote.epoch == self._record.epoch)
+    def _count(self, kind: Vote, needs_log: bool | None = None) -> int:
+        """Votes of the epoch asked; with `needs_log` given, only those that say so."""
+        votes = [vote for vote in self._of(kind) if vote.epoch == self._record.epoch]
+        return sum(1 for vote in votes if needs_log is None or vote.needs_log is needs_log)
--- a/src/weirscale/domain/configuration/model.py
+++ b/src/weirscale/domain/configuration/model.py
@@ -200,16 +200,26 @@
     max_tokens: int = 4096
 
 
+MIN_LOG_LEASE_S = 3.0
+"""Renewed three times within it; below, one slow answer of the service would let it lapse."""
+
+
 class ClaimRules(Declared, frozen=True):
     """At-most-once claims for requests with an idempotency key.
 
     Attributes:
         num_holders: Replicas of the ledger, in as many zones as there are.
         retention_s: How long a key is remembered after its claim.
+        log_in_store: Whether grants are logged in the key-value service as well, so that claims
+            outlive the restart of all holders.
+        log_lease_s: How long after the service has stopped answering grants go on without the
+            log; at least MIN_LOG_LEASE_S.
     """
 
     num_holders: int = 3
     retention_s: float = 3600.0
+    log_in_store: bool = False
+    log_lease_s: float = 9.0
 
 
 class Deployment(Declared, frozen=True):
--- a/src/weirscale/domain/configuration/validate.py
+++ b/src/weirscale/domain/configuration/validate.py
@@ -8,7 +8,12 @@
 
 from weirscale.domain.configuration.checker import DeploymentChecker
 from weirscale.domain.configuration.errors import ConfigurationError
-from weirscale.domain.configuration.model import Deployment, EngineRole, Service
+from weirscale.domain.configuration.model import (
+    MIN_LOG_LEASE_S,
+    Deployment,
+    EngineRole,
+    Service,
+)
 
 FILE_FORMAT = 1
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
@@ -194,6 +199,9 @@
     if checker.deployment.claims.num_holders % 2 == 0:
         message = "an even number of holders has no better quorum than one fewer"
         checker.fail("claims.num_holders", message, "use 1, 3 or 5")
+    if checker.deployment.claims.log_lease_s < MIN_LOG_LEASE_S:
+        message = "the lease is too short to be renewed through a slow answer"
+        checker.fail("claims.log_lease_s", message, f"write {MIN_LOG_LEASE_S:g} or more")
 
 
 def _check_numbers(checker: DeploymentChecker) -> None:
--- a/src/weirscale/messages/claims.py
+++ b/src/weirscale/messages/claims.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from weirscale.domain.claims.log import LoggedClaim
 from weirscale.domain.claims.model import (
     ClaimKey,
     ClaimVote,
@@ -48,6 +49,14 @@
     answer: StoredAnswer | None
 
 
+class ClaimLogAppend(msgspec.Struct, frozen=True, tag="claim_log_append", array_like=True):
+    """Call to a holder: put a claim with a quorum of votes into the group's log."""
+
+    group: int
+    epoch: int
+    claim: LoggedClaim
+
+
 class ClaimSeal(msgspec.Struct, frozen=True, tag="claim_seal", array_like=True):
     """Call: stop answering in an epoch, so that its claims can be copied."""
 
--- a/src/weirscale/node/claims/change.py
+++ b/src/weirscale/node/claims/change.py
@@ -15,6 +15,7 @@
 from weirscale.domain.claims.authority import AMNESIA_MARGIN_S
 from weirscale.domain.claims.merge import merge_claims
 from weirscale.domain.claims.model import CopiedClaim, GroupEpoch, Holder
+from weirscale.domain.identifiers import NodeId
 from weirscale.messages.claims import (
     ClaimAck,
     ClaimAnnounce,
@@ -26,8 +27,10 @@
     ClaimSeal,
     ClaimSealed,
 )
+from weirscale.node.claims.log import ClaimLog
 from weirscale.node.claims.peers import ClaimPeers
 from weirscale.node.claims.registry import COPY_PAGE_CLAIMS
+from weirscale.node.claims.store_reads import read_patiently
 from weirscale.ports.key_value import KeyValueFailureKind, KeyValuePort
 
 RECORD_PREFIX = "weirscale/claims/groups/"
@@ -79,7 +82,7 @@
 
 async def read_record(store: KeyValuePort, group: int) -> StoredRecord | None:
     """Read one group's record; None when the store does not answer or holds something else."""
-    answer = await store.read(record_key(group))
+    answer = await read_patiently(store, record_key(group))
     if isinstance(answer, Err):
         return None
     if not answer.ok_value.values:
@@ -107,6 +110,8 @@
         record: The next epoch.
         retention_s: How long claims are kept.
         may_follow_loss: Whether the holders before may be declared lost whole.
+        log: The groups' logs in the key-value service; None when claims are not logged.
+        ended: Holders before whose runs are known to be over.
     """
 
     def __init__(
@@ -117,6 +122,8 @@
         record: GroupEpoch,
         retention_s: float,
         may_follow_loss: bool,
+        log: ClaimLog | None = None,
+        ended: frozenset[NodeId] = frozenset(),
     ) -> None:
         self._peers = peers
         self._store = store
@@ -124,6 +131,8 @@
         self._record = record
         self._retention_s = retention_s
         self._may_follow_loss = may_follow_loss
+        self._log = log
+        self._ended = ended
 
     async def run(self) -> GroupEpoch | None:
         """Make the change; the epoch in force afterwards, or None when it did not come about."""
@@ -156,10 +165,12 @@
     async def _collect(self) -> _Collected | None:
         """Seal the holders before and read their claims; None without a majority of them."""
         before = self._stored.record
-        if before is None:
-            return _Collected(0, (), 0.0)  # no epoch before this one, so no claim either
+        if before is None:  # no epoch before this one, so no claim either
+            await self._carry_log_on((), 0.0)
+            return _Collected(0, (), 0.0)
         copies: list[tuple[CopiedClaim, ...]] = []
         waits_s: list[float] = []
+        sealed_nodes: set[NodeId] = set()
 
         async def collect_from(holder: Holder) -> None:
             sealed = await self._seal(holder, before)
@@ -169,17 +180,54 @@
             if claims is not None:
                 copies.append(claims)
                 waits_s.append(sealed.uncertain_wait_s)
+                sealed_nodes.add(holder.node)
 
         async with anyio.create_task_group() as tasks:
             for holder in before.holders:
                 tasks.start_soon(collect_from, holder)
-        uncertain_wait_s = max(waits_s, default=0.0)
         if len(copies) < before.quorum:
             if not self._may_follow_loss:
                 return None
-            self._record = msgspec.structs.replace(self._record, follows_loss=True)
-            uncertain_wait_s = self._retention_s + AMNESIA_MARGIN_S
-        return _Collected(len(copies), merge_claims(copies), uncertain_wait_s)
+            return await self._collect_after_loss(before, copies, sealed_nodes)
+        claims = merge_claims(copies)
+        uncertain_wait_s = max(waits_s, default=0.0)
+        await self._carry_log_on(claims, uncertain_wait_s)
+        return _Collected(len(copies), claims, uncertain_wait_s)
+
+    async def _carry_log_on(self, claims: tuple[CopiedClaim, ...], uncertain_wait_s: float) -> None:
+        """Put the claims of the epoch to come into its log, and note in its record that they are.
+
+        While unknown keys are refused, claims may have existed that the log lacks.
+        """
+        if self._log is None or uncertain_wait_s > 0:
+            return
+        is_logged = await self._log.carry_on(self._record, claims)
+        self._record = msgspec.structs.replace(self._record, is_logged=is_logged)
+
+    async def _collect_after_loss(
+        self,
+        before: GroupEpoch,
+        copies: list[tuple[CopiedClaim, ...]],
+        sealed_nodes: set[NodeId],
+    ) -> _Collected | None:
+        """Take the claims from the log if it has them all, else refuse unknown keys for a while.
+
+        An epoch whose claims were all in the log refuses no unknown keys, so no such wait is lost
+        with its holders.
+        """
+        logged = None
+        if self._log is not None:
+            loaded = await self._log.load_after_loss(before, self._ended | sealed_nodes)
+            if isinstance(loaded, Err):
+                return None  # the change needs the service anyway; the next try finds out
+            logged = loaded.ok_value
+        is_logged = logged is not None
+        self._record = msgspec.structs.replace(
+            self._record, follows_loss=not is_logged, is_logged=is_logged
+        )
+        claims = merge_claims([*copies, logged or ()])
+        wait_s = 0.0 if is_logged else self._retention_s + AMNESIA_MARGIN_S
+        return _Collected(len(copies), claims, wait_s)
 
     async def _seal(self, holder: Holder, before: GroupEpoch) -> ClaimSealed | None:
         message = ClaimSeal(before.group, before.epoch)
--- a/src/weirscale/node/claims/group_calls.py
+++ b/src/weirscale/node/claims/group_calls.py
@@ -14,6 +14,8 @@
 
 ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
 
+ANY_TIMEOUT_S = 5.0
+"""For a call that waits for the key-value service; the caller's own budget ends it sooner."""
 SETTLE_TIMEOUT_S = 0.8
 """For one completion or withdrawal."""
 SETTLE_ATTEMPTS = 6
@@ -86,6 +88,39 @@
                 self._tasks.start_soon(ask, index, holder)
         return replies
 
+    async def ask_any(
+        self, record: GroupEpoch, first: int, message: msgspec.Struct, next_after_s: float
+    ) -> bool:
+        """Ask the holders in turn, each when the one before failed or is late, until one did it.
+
+        Args:
+            record: The holders.
+            first: Number of the holder to begin with, modulo their number.
+            message: A call that is answered by `ClaimAck`.
+            next_after_s: How long a holder may take before the next is asked as well.
+        """
+        holders = record.holders
+        failed = [anyio.Event() for _ in holders]
+        done: list[bool] = []
+
+        async def ask(turn: int) -> None:
+            if turn:
+                with anyio.move_on_after(turn * next_after_s):
+                    await failed[turn - 1].wait()
+            holder = holders[(first + turn) % len(holders)]
+            ack = await self._peers.ask(holder, message, ClaimAck, ANY_TIMEOUT_S)
+            if ack is not None:
+                self._epochs.adopt(ack.record)
+            if ack is not None and ack.is_done:
+                done.append(True)
+                tasks.cancel_scope.cancel()
+            failed[turn].set()
+
+        async with anyio.create_task_group() as tasks:
+            for turn in range(len(holders)):
+                tasks.start_soon(ask, turn)
+        return bool(done)
+
     def settle_later(self, group: int, message: ClaimComplete | ClaimWithdraw) -> None:
         """Keep trying in the background; what is never settled stays in progress."""
         if self._tasks is not None:
--- a/src/weirscale/node/claims/keeper.py
+++ b/src/weirscale/node/claims/keeper.py
@@ -1,14 +1,14 @@
 """Keeps the claim groups of a fleet held by live nodes, and this node's knowledge of them fresh."""
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 import anyio
 import xxhash
 
 from weirscale.domain.claims.authority import HolderAuthority
-from weirscale.domain.claims.loss import LossWatch
+from weirscale.domain.claims.loss import LossWatch, ended_holders
 from weirscale.domain.claims.model import NUM_GROUPS, GroupEpoch, Holder
 from weirscale.domain.claims.planning import (
     LiveNode,
@@ -20,12 +20,15 @@
 from weirscale.domain.identifiers import NodeId, ZoneName
 from weirscale.messages.claims import ClaimEpochsQuery, ClaimEpochsReply, KnownEpoch
 from weirscale.node.claims.change import EpochChange, StoredRecord, read_record, read_records
+from weirscale.node.claims.log import ClaimLog
 from weirscale.node.claims.peers import ClaimPeers
 from weirscale.node.claims.registry import HolderRegistry
 from weirscale.node.event_log import EventLog, SilentEventLog
 from weirscale.node.interfaces import ConfigurationView, MembershipView
 from weirscale.ports.key_value import KeyValuePort
 
+CONCURRENT_CHANGES = 4
+"""Groups that a node changes at once: a change mostly waits for the store and for holders."""
 TICK_S = 1.0
 """How often the state of the groups is looked at; each look is cheap when nothing changed."""
 SETTLE_S = 3.0
@@ -79,6 +82,7 @@
         authority: HolderAuthority,
         random: Random,
         events: EventLog | None = None,
+        log: ClaimLog | None = None,
     ) -> None:
         self._events = events or SilentEventLog()
         self._registry = registry
@@ -95,6 +99,7 @@
         self._confirmed_at_s = float("-inf")
         self._store_read_at_s = float("-inf")
         self._loss = LossWatch()
+        self._log = log
 
     async def run(self) -> None:
         """Keep going until cancelled."""
@@ -175,16 +180,32 @@
         if not sealed and not due:
             return
         nodes = self._peers.nodes()
-        for group in sealed:
-            await self._tend(group, nodes, is_stuck=True)
-        for group in due:
-            if self._is_mine_to_change(group, nodes):
-                is_store_up = await self._tend(group, nodes, is_stuck=False)
-                if not is_store_up:
-                    break  # the others would wait for the store too; the next check tries again
+        await self._tend_all(sealed, nodes, is_stuck=True)
+        mine = [group for group in due if self._is_mine_to_change(group, nodes)]
+        await self._tend_all(mine, nodes, is_stuck=False)
         if has_settled and due:
             self._checked_at_s = now_s
 
+    async def _tend_all(
+        self, groups: Sequence[int], nodes: tuple[LiveNode, ...], is_stuck: bool
+    ) -> None:
+        """Tend a few groups at a time; stops where the store does not answer.
+
+        The rest would wait for the store too; the next check tries them again.
+        """
+        is_store_up = True
+
+        async def tend(group: int) -> None:
+            nonlocal is_store_up
+            is_store_up = await self._tend(group, nodes, is_stuck) and is_store_up
+
+        for first in range(0, len(groups), CONCURRENT_CHANGES):
+            async with anyio.create_task_group() as tasks:
+                for group in groups[first : first + CONCURRENT_CHANGES]:
+                    tasks.start_soon(tend, group)
+            if not is_store_up:
+                return
+
     def _has_settled(self, now_s: float) -> bool:
         """Whether membership has stood still for long enough."""
         version = self._membership.version()
@@ -257,6 +278,8 @@
             record,
             rules.retention_s,
             self._loss.may_follow_loss(stored.record, nodes, *self._zones_now()),
+            self._log,
+            ended_holders(stored.record, nodes) if stored.record is not None else frozenset(),
         )
         in_force = await change.run()
         self._registry.epochs.adopt(in_force)
--- a/src/weirscale/node/claims/ledger.py
+++ b/src/weirscale/node/claims/ledger.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from weirscale.domain.claims.authority import HolderAuthority
+from weirscale.domain.claims.log import LoggedClaim
 from weirscale.domain.claims.model import (
     ClaimKey,
     GroupEpoch,
@@ -23,6 +24,7 @@
 from weirscale.domain.request.refusal import Refusal
 from weirscale.messages.claims import (
     ClaimComplete,
+    ClaimLogAppend,
     ClaimOffer,
     ClaimOfferReply,
     ClaimWithdraw,
@@ -34,7 +36,13 @@
 )
 from weirscale.node.claims.granted import GrantedClaim
 from weirscale.node.claims.group_calls import GroupCalls
-from weirscale.node.claims.keeper import ClaimKeeper, authority_check, node_digest
+from weirscale.node.claims.keeper import (
+    ClaimKeeper,
+    authority_check,
+    claim_rules,
+    node_digest,
+)
+from weirscale.node.claims.log import ClaimLog
 from weirscale.node.claims.peers import ClaimPeers
 from weirscale.node.claims.registry import HolderRegistry
 from weirscale.node.event_log import EventLog
@@ -49,6 +57,13 @@
 
 CLAIM_BUDGET_S = 3.0
 """Longest time for a claim with all its rounds, within the caller's deadline."""
+LOG_BUDGET_S = 5.0
+"""Added where claims are logged: the service may be slow, and a batch may be under way."""
+NEXT_WRITER_AFTER_S = 1.0
+"""Wait before another holder is asked to write a claim into the log, too."""
+LOG_RETRY_AFTER_S = 5.0
+"""Advice to callers when the service does not answer: about half of a lease."""
+LOG_DETAIL = "the key-value service does not answer, and the group goes on without it in a moment"
 OFFER_TIMEOUT_S = 0.8
 """For one offer: several round trips between the most distant regions."""
 HAND_OVER_POLL_S = 0.1
@@ -98,17 +113,29 @@
         events: EventLog | None = None,
     ) -> None:
         authority = HolderAuthority(zone)
+        self._log = ClaimLog(membership.self_id, store, lambda: claim_rules(configuration))
         self.registry = HolderRegistry(
             membership.self_id,
             link,
             authority_check(authority, configuration),
             lambda: authority.note_store_read(anyio.current_time()),
+            self._log.needs_log,
         )
+        self._log.serve(link, self.registry)
         peers = ClaimPeers(link, membership, self.registry.answer)
         self._calls = GroupCalls(peers, self.registry.epochs)
         self._keeper = ClaimKeeper(
-            self.registry, peers, membership, configuration, store, authority, random, events
+            self.registry,
+            peers,
+            membership,
+            configuration,
+            store,
+            authority,
+            random,
+            events,
+            self._log,
         )
+        self._configuration = configuration
         self._random = random
         self._digest = node_digest(membership.self_id)
         self._numbers = itertools.count(1)
@@ -117,6 +144,7 @@
         """Tend the groups and carry out what outlives a request, until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._calls.run_in(tasks)
+            tasks.start_soon(self._log.run)
             try:
                 await self._keeper.run()
             finally:
@@ -151,7 +179,9 @@
         attempt = _Attempt(
             key, group_of(key), self._claimant(request_id), short_fingerprint(fingerprint)
         )
-        budget_s = min(CLAIM_BUDGET_S, deadline_s - anyio.current_time())
+        rules = claim_rules(self._configuration)
+        longest_s = CLAIM_BUDGET_S + (LOG_BUDGET_S if rules.log_in_store else 0.0)
+        budget_s = min(longest_s, deadline_s - anyio.current_time())
         try:
             with anyio.move_on_after(max(0.0, budget_s)):
                 return await self._claim(attempt, request_id)
@@ -196,6 +226,11 @@
             if outcome.state is RoundState.STALE:
                 await self._wait_for_newer(record)
                 continue
+            if outcome.needs_log and not await self._put_in_log(record, attempt):
+                if self.registry.epochs.newer_than(record.group, record.epoch) is not None:
+                    continue
+                self._calls.settle_later(attempt.group, self._withdrawal(attempt))
+                return Err(claim_unavailable(LOG_DETAIL, LOG_RETRY_AFTER_S))
             if outcome.state is not RoundState.GRANTED:
                 self._calls.settle_later(attempt.group, self._withdrawal(attempt))
             if outcome.state is not RoundState.SPLIT:
@@ -247,6 +282,12 @@
                 return outcome
         return RoundOutcome(RoundState.UNAVAILABLE)
 
+    async def _put_in_log(self, record: GroupEpoch, attempt: _Attempt) -> bool:
+        """Have a holder of the epoch write the claim into the group's log."""
+        claim = LoggedClaim(attempt.key, attempt.claimant, attempt.fingerprint)
+        message = ClaimLogAppend(record.group, record.epoch, claim)
+        return await self._calls.ask_any(record, record.group, message, NEXT_WRITER_AFTER_S)
+
     async def _wait_for_newer(self, record: GroupEpoch) -> None:
         """A holder has moved on: learn the next epoch, or give its change a moment."""
         if self.registry.epochs.newer_than(record.group, record.epoch) is not None:
--- a/src/weirscale/node/claims/registry.py
+++ b/src/weirscale/node/claims/registry.py
@@ -3,7 +3,7 @@
 Every handler runs without waiting, so each call sees and leaves a whole state.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
 import anyio
@@ -57,6 +57,7 @@
         link: Where calls come from.
         may_vote: Whether this node's epochs have been confirmed lately.
         note_activated: Told when an epoch that this node holds came into force.
+        needs_log: Whether a vote given now counts only with the claim in the group's log.
     """
 
     def __init__(
@@ -65,11 +66,13 @@
         link: PeerLink,
         may_vote: Callable[[], bool],
         note_activated: Callable[[], None],
+        needs_log: Callable[[], bool] = lambda: False,
     ) -> None:
         self.epochs = EpochDirectory(self._enter)
         self._self_id = self_id
         self._may_vote = may_vote
         self._note_activated = note_activated
+        self._needs_log = needs_log
         self._holders: dict[int, ClaimHolder] = {}
         self._prepared: dict[tuple[int, bytes], _Prepared] = {}
         self._sealed_at_s: dict[int, float] = {}
@@ -89,6 +92,13 @@
         """Answer any of the ledger's calls."""
         return await self._handlers[type(message)](message)
 
+    def answer_also(
+        self, link: PeerLink, message_type: type[msgspec.Struct], handler: CallHandler
+    ) -> None:
+        """Answer another call, from other nodes and from this one."""
+        self._handlers[message_type] = handler
+        link.on_call(message_type, handler)
+
     def _serve(self, link: PeerLink) -> None:
         for message_type, handler in self._handlers.items():
             link.on_call(message_type, handler)
@@ -106,6 +116,17 @@
         """Claims that this node keeps in all its groups."""
         return sum(holder.num_entries for holder in self._holders.values())
 
+    def is_active(self, group: int, epoch: int) -> bool:
+        """Whether this node answers for an epoch of a group."""
+        holder = self._holders.get(group)
+        return holder is not None and holder.epoch == epoch and holder.phase is HolderPhase.ACTIVE
+
+    def claims(self) -> Iterator[tuple[KnownEpoch, tuple[CopiedClaim, ...]]]:
+        """The claims that this node holds, by group."""
+        for known in self.held():
+            copied = self._holders[known.group].copy_out(anyio.current_time())
+            yield known, copied
+
     def groups_sealed_before(self, time_s: float) -> tuple[int, ...]:
         """Groups sealed here before a time whose next epoch has not come."""
         return tuple(group for group, at_s in self._sealed_at_s.items() if at_s < time_s)
@@ -125,6 +146,8 @@
             message.fingerprint,
             anyio.current_time(),
         )
+        if vote.vote is Vote.ACCEPTED and self._needs_log():
+            vote = msgspec.structs.replace(vote, needs_log=True)
         return ClaimOfferReply(vote, newer)
 
     async def withdraw(self, message: ClaimWithdraw) -> ClaimAck:
--- /dev/null
+++ b/src/weirscale/node/claims/store_reads.py
@@ -0,0 +1,30 @@
+"""Reads of the key-value service that wait out its rate limit for a moment."""
+
+import anyio
+from result import Err, Result
+
+from weirscale.ports.key_value import (
+    KeyValueFailure,
+    KeyValueFailureKind,
+    KeyValuePort,
+    ReadAnswer,
+)
+
+READ_ATTEMPTS = 5
+"""Tries of a read that the service refuses for rate: herds come within seconds."""
+MIN_WAIT_S = 0.1
+MAX_WAIT_S = 1.0
+
+
+async def read_patiently(store: KeyValuePort, prefix: str) -> Result[ReadAnswer, KeyValueFailure]:
+    """Read a prefix, again after a wait where the service refuses for rate."""
+    answer = await store.read(prefix)
+    for _ in range(READ_ATTEMPTS - 1):
+        if not isinstance(answer, Err):
+            return answer
+        if answer.err_value.kind is not KeyValueFailureKind.RATE_LIMITED:
+            return answer
+        wait_s = answer.err_value.retry_after_s or 0.0
+        await anyio.sleep(min(max(wait_s, MIN_WAIT_S), MAX_WAIT_S))
+        answer = await store.read(prefix)
+    return answer
