Check that a change of holders logs what it carries

Change: a scenario in which keys run without the log and a node leaves as the store comes back. Conclusion: the rule is checked.

--- a/features/claims_log_faults.feature
+++ b/features/claims_log_faults.feature
@@ -39,3 +39,8 @@
     Given 5 nodes in 3 zones that log their claims
     When the log of a group is fenced while a writer has a claim of the epoch before
     Then the late claim is not logged
+
+  Scenario: A change of holders puts claims into the log before its epoch is in force
+    Given 5 nodes in 3 zones that log their claims
+    When 30 keys run without the log and a node leaves as the store comes back
+    Then each epoch that counts as logged began with all its claims in the log
--- a/features/steps/claims_log_faults_steps.py
+++ b/features/steps/claims_log_faults_steps.py
@@ -9,12 +9,14 @@
 from features.support.claims_fleet import RETENTION_S, Faults
 from features.support.claims_log_fleet import LEASE_S, run_logging_fleet
 from features.support.virtual_time import run_in_virtual_time
-from weirscale.domain.claims.log import SEGMENT_MARGIN_S, LoggedClaim
+from weirscale.domain.claims.log import SEGMENT_MARGIN_S, LoggedClaim, logged_claims
 from weirscale.domain.configuration.model import ClaimRules
 from weirscale.domain.identifiers import NodeId
+from weirscale.messages.claims import ClaimAnnounce, KnownEpoch
 from weirscale.node.claims.log_mark import LogMark
-from weirscale.node.claims.log_store import LOG_PREFIX
+from weirscale.node.claims.log_store import LOG_PREFIX, ClaimLogStore
 from weirscale.node.claims.log_writer import ClaimLogWriter
+from weirscale.node.interfaces import PeerState
 from weirscale.standins.key_value.in_process import InProcessKeyValue
 
 RESTART_AT_S = 60.0
@@ -237,3 +239,44 @@
 def step_not_logged(context):
     assert context.is_logged is False
     assert list(context.loaded) == context.early
+
+
+@async_when(
+    "30 keys run without the log and a node leaves as the store comes back", on_logging_fleet
+)
+async def step_change_after_outage(context, fleet):
+    context.missing, context.num_begun = [], 0
+    logs = ClaimLogStore(InProcessKeyValue(fleet.server))
+
+    def check_announcements(node):
+        announce = node.link.call_handlers[ClaimAnnounce]
+
+        async def checked(message):
+            ack = await announce(message)
+            held = dict(node.ledger.registry.claims())
+            begun = KnownEpoch(message.record.group, message.record.epoch)
+            if message.record.is_logged and held.get(begun):
+                log = (await logs.read(begun.group)).ok_value
+                context.num_begun += 1
+                context.missing += set(logged_claims(held[begun])) - set(log.claims)
+            return ack
+
+        node.link.call_handlers[ClaimAnnounce] = checked
+
+    for node in fleet.running():
+        check_announcements(node)
+    fleet.server.faults.is_down = True
+    await anyio.sleep(14.0)
+    for number in range(30):
+        await fleet.request(number % 5, f"key-{number}")
+    fleet.nodes[0].state = PeerState.LEAVING
+    fleet.version += 1
+    await anyio.sleep(4.0)
+    fleet.server.faults.is_down = False
+    await anyio.sleep(10.0)
+
+
+@then("each epoch that counts as logged began with all its claims in the log")
+def step_begun_logged(context):
+    assert context.num_begun >= 5, context.num_begun
+    assert not context.missing, len(context.missing)
