Let a restarted node join and ask for its configuration without idle waits

It looked for peers before it had joined, then slept up to 0.3 s; and it tried one seed each 0.5 s, so that one call refused (a counter that the peer counted as taken while it challenged the new run) cost half a second. Change: the first look waits for membership, 20 ms a step and 0.3 s at most; before the first answer two seeds are tried at once (rule num_join_seeds). A joining node asks two seeds for the whole view instead of one.

--- a/features/configuration_spread.feature
+++ b/features/configuration_spread.feature
@@ -36,6 +36,10 @@
       | 9     | one of three peers behind          | 0.5    |
       | 9     | two of three peers paused          | 1.5    |
 
+  Scenario: A node asks for a configuration as soon as it has joined
+    When nodes of 20 seeds join 0.1 s after they start
+    Then each asks a peer for its revision within 0.03 s of joining
+
   Scenario: A whole deployment restarts while the store is down for long, then returns
     Given a fleet of 12 nodes in 4 zones with a configuration in force
     When all nodes restart with the store down and it returns after a minute
--- a/features/membership_faults.feature
+++ b/features/membership_faults.feature
@@ -107,6 +107,16 @@
     Then 50 dead members are remembered
     And none is remembered 101 s later
 
+  Scenario Outline: A node that joins tries several seeds at once
+    Given a node that joins by <seeds> seeds
+    Then it tries <first> different seeds at once, again after 0.5 s, and one after it has joined
+
+    Examples:
+      | seeds | first |
+      | 1     | 1     |
+      | 2     | 2     |
+      | 9     | 2     |
+
   Scenario: A later run of the same name supersedes this one
     Given a hollow fleet of 6 nodes in 1 zones, seed 81, losing 0 % of datagrams
     When a second node with a later incarnation starts under a running node's name elsewhere
--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -1,19 +1,24 @@
 from functools import partial
+from random import Random
 
 import anyio
 import msgspec
 from behave import given, then, when
+from result import Err
 
 from features.support.async_steps import async_when
 from features.support.deployments import small_deployment
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.difference import canonical
+from weirscale.domain.identifiers import NodeAddress, NodeId
 from weirscale.experiments.configuration.deployments import large_deployment
 from weirscale.experiments.configuration.fleet import run_configuration_fleet as run_fleet
 from weirscale.experiments.configuration.soak import run_soak
 from weirscale.experiments.memory_network import LinkQuality
 from weirscale.messages.configuration import ConfigurationReply
 from weirscale.node.configuration.holder import MAX_KEPT_REVISIONS, ConfigurationHolder
+from weirscale.node.configuration.spread import ConfigurationSpread
+from weirscale.node.interfaces import Peer, PeerFailure, PeerState
 
 SEEDS = (1,)
 QUIET_S = 60
@@ -347,3 +352,60 @@
     assert behind.revision == MAX_KEPT_REVISIONS
     assert not ahead.take(behind.revision, behind.current().deployment)
     assert ahead.revision == MAX_KEPT_REVISIONS + 4
+
+
+class JoiningMembership:
+    """Knows one other node from a time on."""
+
+    def __init__(self, joins_at_s):
+        self.joins_at_s = joins_at_s
+        self.self_id = NodeId("n1", 1)
+
+    def peers(self):
+        others = [Peer(NodeId("n2", 1), NodeAddress("10.0.0.2", 1), "z", PeerState.ALIVE)]
+        return tuple(others) if anyio.current_time() >= self.joins_at_s else ()
+
+
+class AskedLink:
+    """Notes when the first call is made; answers none."""
+
+    def __init__(self):
+        self.asked = anyio.Event()
+        self.asked_at_s = None
+
+    def on_cast(self, message_type, handler):
+        pass
+
+    def on_call(self, message_type, handler):
+        pass
+
+    async def cast(self, destination, message):
+        pass
+
+    async def call(self, destination, message, timeout_s):
+        self.asked_at_s = self.asked_at_s or anyio.current_time()
+        self.asked.set()
+        await anyio.sleep(timeout_s)
+        return Err(PeerFailure("no answer", provably_not_sent=False))
+
+
+@when("nodes of {num:d} seeds join {after:g} s after they start")
+def step_nodes_join(context, num, after):
+    async def main(seed):
+        link = AskedLink()
+        joins_at_s = anyio.current_time() + after
+        spread = ConfigurationSpread(
+            ConfigurationHolder(), link, JoiningMembership(joins_at_s), "z", None, Random(seed)
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(spread.run)
+            await link.asked.wait()
+            tasks.cancel_scope.cancel()
+        return link.asked_at_s - joins_at_s
+
+    context.asked_after_s = [run_in_virtual_time(partial(main, seed)) for seed in range(num)]
+
+
+@then("each asks a peer for its revision within {within:g} s of joining")
+def step_asks_soon(context, within):
+    assert max(context.asked_after_s) <= within, context.asked_after_s
--- a/features/steps/membership_faults_steps.py
+++ b/features/steps/membership_faults_steps.py
@@ -7,6 +7,7 @@
 
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.identifiers import NodeAddress, NodeId
+from weirscale.domain.membership.actions import StartSync
 from weirscale.domain.membership.beliefs import MemberBeliefs
 from weirscale.domain.membership.protocol import MembershipProtocol
 from weirscale.domain.membership.rules import MembershipRules
@@ -19,7 +20,7 @@
     PeerKey,
     address_binding,
 )
-from weirscale.messages.membership import Gossip, MemberState, MemberUpdate, Ping
+from weirscale.messages.membership import Gossip, MemberState, MemberUpdate, Ping, SyncReply
 from weirscale.node.interfaces import PeerState
 from weirscale.ports.machines import Machine
 
@@ -423,3 +424,24 @@
 @then("the earlier run notices that it is superseded")
 def step_superseded(context):
     assert context.noticed_s is not None
+
+
+@given("a node that joins by {num:d} seeds")
+def step_joining_node(context, num):
+    seeds = [NodeAddress(f"10.0.1.{host}", 1) for host in range(num)]
+    context.protocol = MembershipProtocol(OWN, seeds, MembershipRules(), random.Random(1), 0.0)
+
+
+@then("it tries {first:d} different seeds at once, again after 0.5 s, and one after it has joined")
+def step_seeds_tried(context, first):
+    def tried(now_s):
+        actions = context.protocol.tick(now_s)
+        return [one.destination for one in actions if isinstance(one, StartSync)]
+
+    for now_s in (0.0, 0.5):
+        seeds = tried(now_s)
+        assert len(set(seeds)) == len(seeds) == first, seeds
+        assert tried(now_s + 0.25) == []
+    seed = NodeAddress("10.0.1.0", 1)
+    context.protocol.take_sync_reply(seed, SyncReply((), ()), 0.8)
+    assert len(tried(1.0)) == 1
--- a/src/weirscale/domain/membership/protocol.py
+++ b/src/weirscale/domain/membership/protocol.py
@@ -274,10 +274,13 @@
         self._next_seed_s = now_s + (
             rules.seed_interval_s if self._has_joined else rules.join_interval_s
         )
-        seed = self._random.choice(self._seeds)
-        if self._has_joined and self._is_member_address(seed):
+        if not self._has_joined:
+            num_tried = min(rules.num_join_seeds, len(self._seeds))
+            actions.extend(map(StartSync, self._random.sample(self._seeds, num_tried)))
             return
-        actions.append(StartSync(seed))
+        seed = self._random.choice(self._seeds)
+        if not self._is_member_address(seed):
+            actions.append(StartSync(seed))
 
     def _is_member_address(self, address: NodeAddress) -> bool:
         return any(member.address == address for member in self.beliefs.table.live())
--- a/src/weirscale/domain/membership/rules.py
+++ b/src/weirscale/domain/membership/rules.py
@@ -28,7 +28,9 @@
         max_health_penalty: Limit of the local health score, which stretches probe timeouts.
         dead_probe_interval_s: How often one dead member is tried again, which heals cuts.
         seed_interval_s: How often a seed that is not in the view is tried.
-        join_interval_s: How often a seed is tried before the first answer.
+        join_interval_s: How often seeds are tried before the first answer.
+        num_join_seeds: Seeds tried at once before the first answer: one that is down or starts
+            itself must not hold up a node that starts.
         sync_quiet_s: A digest may differ this long after a change before views are compared.
         sync_interval_s: Shortest time between comparisons.
         tombstone_s: Dead members are remembered this long.
@@ -54,6 +56,7 @@
     dead_probe_interval_s: float = 5.0
     seed_interval_s: float = 10.0
     join_interval_s: float = 0.5
+    num_join_seeds: int = 2
     sync_quiet_s: float = 2.0
     sync_interval_s: float = 3.0
     tombstone_s: float = 3600.0
--- a/src/weirscale/node/configuration/spread.py
+++ b/src/weirscale/node/configuration/spread.py
@@ -43,6 +43,10 @@
 FIRST_BOOTSTRAP_RETRY_S = 0.3
 MAX_BOOTSTRAP_RETRY_S = 0.4
 """A node without a configuration serves nobody, so it asks a few peers about twice a second."""
+JOIN_POLL_S = 0.02
+JOIN_WAIT_S = 0.3
+"""A node that has just started joins within a few round trips: it looks so often, for so long,
+whether membership knows another node yet."""
 MAX_QUEUED_ANNOUNCEMENTS = 256
 
 
@@ -173,7 +177,7 @@
         """Until a configuration is in force, ask several peers and fetch the highest."""
         backoff = Backoff(self._random, FIRST_BOOTSTRAP_RETRY_S, MAX_BOOTSTRAP_RETRY_S)
         while self._holder.current() is None:
-            others = self._others()
+            others = await self._others_after_join()
             chosen = self._random.sample(others, min(len(others), NUM_BOOTSTRAP_PEERS))
             best = await self._highest_of(chosen)
             if best is not None:
@@ -181,6 +185,13 @@
             if self._holder.current() is None:
                 await self._sleep(backoff.next_s())
 
+    async def _others_after_join(self) -> list[Peer]:
+        """Return the other nodes, after a short wait where none is known yet."""
+        with anyio.move_on_after(JOIN_WAIT_S):
+            while not self._others():
+                await self._sleep(JOIN_POLL_S)
+        return self._others()
+
     async def _highest_of(self, peers: Sequence[Peer]) -> NodeAddress | None:
         """Ask peers for their revisions and return where the highest is."""
         answers: dict[NodeAddress, ConfigurationRevision] = {}
