Begin half of the planned stops of real runs by the command

Cause: the command drain was never used under load; the first HTTP answer was taken for listening, which a wait for the configuration delays. Change: planned_stop draws SIGTERM or weirscale drain; listening is the first accepted connection. A stop by the command has not been run yet.

--- a/bench/real_fleet/faults.py
+++ b/bench/real_fleet/faults.py
@@ -37,6 +37,8 @@
 ONE_RACING_OPERATOR = "one_of_racing_operators"
 EVERY_KEY = msgspec.json.encode({"key": b"\x00", "range_end": b"\xff"})
 """Body of a read of all keys, which the gateway takes in base64."""
+COMMANDED_STOP_SHARE = 0.5
+"""Share of planned stops that the command `drain` begins; SIGTERM begins the others."""
 RACE_WEIGHTS = (1.25, 1.75)
 
 
@@ -116,7 +118,8 @@
 
     async def _planned_stop(self, fault: RealFault) -> None:
         name = self._node(fault)
-        await self._fleet.stop_planned(name)
+        by_command = self._random.random() < COMMANDED_STOP_SHARE
+        await self._fleet.stop_planned(name, by_command)
         await anyio.sleep(RESTART_S)
         if not self._fleet.is_running(name):
             self._fleet.start(name)
--- a/bench/real_fleet/fleet.py
+++ b/bench/real_fleet/fleet.py
@@ -8,7 +8,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from bench.real_fleet.layout import Layout, NodePlace, address_of, node_settings
+from bench.real_fleet.layout import LOOPBACK, Layout, NodePlace, address_of, node_settings
 from bench.real_fleet.processes import ProcessSet, RunningProcess
 from weirscale.domain.identifiers import NodeName, RequestId, ZoneName
 from weirscale.experiments.history.history import Violation
@@ -162,8 +162,8 @@
             member.is_paused = False
             self._record(name, NodeChange.RESUMED)
 
-    async def stop_planned(self, name: NodeName) -> None:
-        """Drain a node by SIGTERM and wait for its end."""
+    async def stop_planned(self, name: NodeName, by_command: bool = False) -> None:
+        """Drain a node, by SIGTERM or by the operators' command, and wait for its end."""
         member = self._members[name]
         process = member.process
         if process is None or not process.is_running or member.is_draining:
@@ -171,18 +171,29 @@
         member.is_draining = True
         member.may_end = True
         self._record(name, NodeChange.DRAIN_BEGAN)
-        process.signal(signal.SIGTERM)
+        if by_command:
+            await self._command_drain(member.place)
+        else:
+            process.signal(signal.SIGTERM)
         with anyio.move_on_after(DRAIN_WAIT_S):
             await process.wait()
         code = process.exit_code
         if code is None:
-            self._violate(DRAIN_IS_CLEAN, f"{name} still ran {DRAIN_WAIT_S} s after SIGTERM")
+            self._violate(
+                DRAIN_IS_CLEAN, f"{name} still ran {DRAIN_WAIT_S} s after its drain began"
+            )
             process.signal(signal.SIGKILL)
             await process.wait()
         elif code:
             self._violate(DRAIN_IS_CLEAN, f"{name} ended its planned stop with exit code {code}")
         self._record(name, NodeChange.STOPPED)
 
+    async def _command_drain(self, place: NodePlace) -> None:
+        address = address_of(place.operator_port)
+        code, output = await self._processes.run("drain", ["drain", f"--node={address}"])
+        if code:
+            self._violate(DRAIN_IS_CLEAN, f"drain of {place.name} ended with {code}: {output}")
+
     async def stop_all(self) -> None:
         """Drain every node at the end of a run."""
         async with anyio.create_task_group() as tasks:
@@ -230,13 +241,11 @@
         answering_after_s: float | None = None
         give_up_at_s = process.started_at_s + PROBING_GIVES_UP_S
         while process.is_running and self._recorder.now() < give_up_at_s:
-            status = await self._ask(member.place)
-            now_s = self._recorder.now()
-            if status is not None and listening_after_s is None:
-                listening_after_s = now_s - process.started_at_s
+            if listening_after_s is None and await is_listening(member.place.caller_port):
+                listening_after_s = self._recorder.now() - process.started_at_s
                 member.is_listening = True
-            if status == OK_STATUS:
-                answering_after_s = now_s - process.started_at_s
+            if listening_after_s is not None and await self._ask(member.place) == OK_STATUS:
+                answering_after_s = self._recorder.now() - process.started_at_s
                 break
             await anyio.sleep(PROBE_INTERVAL_S)
         self.starts.append(
@@ -266,3 +275,13 @@
         except httpx.HTTPError:
             return None
         return response.status_code
+
+
+async def is_listening(port: int) -> bool:
+    """Whether a port of this run accepts connections."""
+    try:
+        stream = await anyio.connect_tcp(LOOPBACK, port)
+    except OSError:
+        return False
+    await stream.aclose()
+    return True
--- a/bench/real_fleet/run.py
+++ b/bench/real_fleet/run.py
@@ -11,7 +11,7 @@
 from bench.real_fleet.collect import configurations_taken, internal_errors, stand_in_records
 from bench.real_fleet.experiment import RealExperiment
 from bench.real_fleet.faults import Injector
-from bench.real_fleet.fleet import NodeStart, RealFleet
+from bench.real_fleet.fleet import NodeStart, RealFleet, is_listening
 from bench.real_fleet.layout import Layout, make_layout, stand_in_settings
 from bench.real_fleet.operator_commands import OperatorCommands
 from bench.real_fleet.ports import PortTaker
@@ -193,10 +193,6 @@
 
 async def _wait_until_listening(port: int) -> None:
     while True:
-        try:
-            stream = await anyio.connect_tcp("127.0.0.1", port)
-        except OSError:
-            await anyio.sleep(READY_POLL_S)
-            continue
-        await stream.aclose()
-        return
+        if await is_listening(port):
+            return
+        await anyio.sleep(READY_POLL_S)
