Let operators bound the writes of the claim log, and measure its cost

Cause: the service limits its rate; a fixed spacing of 50 ms fits the present sizes only. Change: `claims.log_write_interval_s`; the benchmark claims with and without the log, 50 at once.

--- a/bench/claims_and_limits.py
+++ b/bench/claims_and_limits.py
@@ -46,6 +46,7 @@
 """Signature, sender and counter round each message, as counted by `PeerLink.traffic` for casts with
 one tenant less their payload; UDP and IP headers are not counted."""
 NUM_OPERATIONS = 5000
+NUM_CALLERS = 50
 NUM_CLAIMS = 20_000
 FLEET_REQUESTS_PER_S = 3700.0
 NUM_ZONES = 18
@@ -167,11 +168,11 @@
 class FixedView:
     """A membership and a configuration that stand still."""
 
-    def __init__(self, own: Peer, peers: tuple[Peer, ...]) -> None:
+    def __init__(self, own: Peer, peers: tuple[Peer, ...], rules: ClaimRules) -> None:
         self._own = own
         self._peers = peers
         regions = (Region(RegionName("region"), ZONES),)
-        deployment = Deployment(1, "bench", regions, (), (), (), claims=ClaimRules())
+        deployment = Deployment(1, "bench", regions, (), (), (), claims=rules)
         self._in_force = ConfigurationInForce(ConfigurationRevision(1), deployment)
 
     @property
@@ -197,10 +198,26 @@
         return self._in_force
 
 
-async def measure_claims() -> tuple[float, float]:
-    """Processor time (microseconds, all three nodes) and bytes of one claim with its completion."""
+class ClaimCost(msgspec.Struct, frozen=True):
+    """Cost of one claim with its completion.
+
+    Attributes:
+        processor_us: Processor time of all three nodes and the store's stand-in, microseconds.
+        num_bytes: Bytes sent between nodes.
+        num_store_calls: Calls to the key-value service.
+    """
+
+    processor_us: float
+    num_bytes: float
+    num_store_calls: float
+
+
+async def measure_claims(log_in_store: bool) -> ClaimCost:
+    """Claim and complete keys, some at once."""
+    rules = ClaimRules(log_in_store=log_in_store)
+    server = KeyValueServer(Random(1))
     links: dict[NodeAddress, LoopLink] = {}
-    store = InProcessKeyValue(KeyValueServer(Random(1)))
+    store = InProcessKeyValue(server)
     peers = tuple(
         Peer(
             NodeId(NodeName(f"node-{number}"), Incarnation(1)),
@@ -213,28 +230,39 @@
     async with anyio.create_task_group() as tasks:
         ledgers = []
         for peer in peers:
-            view = FixedView(peer, peers)
+            view = FixedView(peer, peers, rules)
             link = LoopLink(links, peer.address)
             ledger = QuorumClaimLedger(link, view, view, store, peer.zone, Random(1))
             tasks.start_soon(ledger.run)
             ledgers.append(ledger)
         while sum(ledger.num_held_groups() for ledger in ledgers) < 3 * 64:  # noqa: ASYNC110
             await anyio.sleep(0.5)
+        await anyio.sleep(rules.log_lease_s)
         link = links[peers[0].address]
-        bytes_before = link.num_bytes
+        bytes_before, calls_before = link.num_bytes, server.num_calls
         begin_s = time.process_time()
-        for number in range(NUM_OPERATIONS):
-            deadline_s = anyio.current_time() + 10.0
-            answer = await ledgers[0].claim(
-                TenantName("school"), f"order-{number}", RequestId("request"), b"body", deadline_s
-            )
-            if isinstance(answer, Err) or answer.ok_value.state is not ClaimState.GRANTED:
-                raise RuntimeError(f"claim {number} was not granted: {answer}")
-            await ledgers[0].complete(answer.ok_value, None)
+        async with anyio.create_task_group() as callers:
+            for caller in range(NUM_CALLERS):
+                callers.start_soon(claim_some, ledgers[0], caller)
         used_s = time.process_time() - begin_s
         num_bytes = link.num_bytes - bytes_before
+        num_calls = server.num_calls - calls_before
         tasks.cancel_scope.cancel()
-    return used_s / NUM_OPERATIONS * 1e6, num_bytes / NUM_OPERATIONS
+    return ClaimCost(
+        used_s / NUM_OPERATIONS * 1e6, num_bytes / NUM_OPERATIONS, num_calls / NUM_OPERATIONS
+    )
+
+
+async def claim_some(ledger: QuorumClaimLedger, caller: int) -> None:
+    """Claim and complete one caller's share of the keys, one after the other."""
+    for number in range(caller, NUM_OPERATIONS, NUM_CALLERS):
+        deadline_s = anyio.current_time() + 60.0
+        answer = await ledger.claim(
+            TenantName("school"), f"order-{number}", RequestId("request"), b"body", deadline_s
+        )
+        if isinstance(answer, Err) or answer.ok_value.state is not ClaimState.GRANTED:
+            raise RuntimeError(f"claim {number} was not granted: {answer}")
+        await ledger.complete(answer.ok_value, None)
 
 
 class ExchangeFleet:
@@ -336,8 +364,13 @@
     print(f"admit and release, limited: {anyio.run(measure_admission, limited):.1f} us")
     vote_us, claim_bytes = measure_holder()
     print(f"vote at a holder: {vote_us:.2f} us; a claim kept: {claim_bytes:.0f} bytes")
-    claim_us, wire_bytes = anyio.run(measure_claims)
-    print(f"claim and completion, all three nodes: {claim_us:.0f} us, {wire_bytes:.0f} bytes sent")
+    for log_in_store in (False, True):
+        cost = anyio.run(measure_claims, log_in_store)
+        print(
+            f"claim and completion, {'logged' if log_in_store else 'not logged'}, all three nodes: "
+            f"{cost.processor_us:.0f} us, {cost.num_bytes:.0f} bytes sent, "
+            f"{cost.num_store_calls:.2f} calls to the key-value service"
+        )
     print("limits: nodes, tenants, burst, slots: bytes/s a node, at the busiest, share of a core")
     for size in SIZES:
         mean, highest, used = measure_exchange(*size)
--- a/features/steps/claims_log_faults_steps.py
+++ b/features/steps/claims_log_faults_steps.py
@@ -182,7 +182,8 @@
 
 async def with_writer(fleet, script):
     """Run a script with a writer on the fleet's store."""
-    writer = ClaimLogWriter(InProcessKeyValue(fleet.server), lambda: RETENTION_S)
+    rules = ClaimRules(retention_s=RETENTION_S)
+    writer = ClaimLogWriter(InProcessKeyValue(fleet.server), lambda: rules)
     async with anyio.create_task_group() as tasks:
         writer.run_in(tasks)
         await script(writer)
--- a/src/weirscale/domain/configuration/model.py
+++ b/src/weirscale/domain/configuration/model.py
@@ -214,12 +214,15 @@
             outlive the restart of all holders.
         log_lease_s: How long after the service has stopped answering grants go on without the
             log; at least MIN_LOG_LEASE_S.
+        log_write_interval_s: Least time between two writes of one node to the log; what comes
+            meanwhile waits and goes into one write.
     """
 
     num_holders: int = 3
     retention_s: float = 3600.0
     log_in_store: bool = False
     log_lease_s: float = 9.0
+    log_write_interval_s: float = 0.05
 
 
 class Deployment(Declared, frozen=True):
--- a/src/weirscale/node/claims/log.py
+++ b/src/weirscale/node/claims/log.py
@@ -32,7 +32,7 @@
         self._store = store
         self._rules = rules
         self._registry: HolderRegistry | None = None
-        self._writer = ClaimLogWriter(store, lambda: rules().retention_s)
+        self._writer = ClaimLogWriter(store, rules)
         self._mark = LogMark(self_id, store, rules, self._log_all, self._num_holders)
 
     def serve(self, link: PeerLink, registry: HolderRegistry) -> None:
--- a/src/weirscale/node/claims/log_writer.py
+++ b/src/weirscale/node/claims/log_writer.py
@@ -15,13 +15,12 @@
     advance,
     append,
 )
+from weirscale.domain.configuration.model import ClaimRules
 from weirscale.node.claims.log_store import EMPTY_HEAD, ClaimLogStore, StoredHead, StoredLog
 from weirscale.ports.key_value import KeyValueFailure, KeyValueFailureKind, KeyValuePort
 
 WRITE_ATTEMPTS = 6
 """Tries of one batch: other writers' swaps and lost answers are met with another try."""
-WRITE_SPACING_S = 0.05
-"""Least time between two batches of one node over all groups: 20 swaps a second at most."""
 MAX_RETRY_AFTER_S = 1.0
 """A batch waits so long at most when the service limits the rate, and then fails."""
 
@@ -41,12 +40,12 @@
 
     Args:
         store: The key-value service.
-        retention_s: How long claims are kept, as configured now.
+        rules: The claim rules in force.
     """
 
-    def __init__(self, store: KeyValuePort, retention_s: Callable[[], float]) -> None:
+    def __init__(self, store: KeyValuePort, rules: Callable[[], ClaimRules]) -> None:
         self._log = ClaimLogStore(store)
-        self._retention_s = retention_s
+        self._rules = rules
         self._tasks: TaskGroup | None = None
         self._heads: dict[int, StoredHead] = {}
         self._waiting: dict[int, list[_Waiting]] = {}
@@ -131,7 +130,7 @@
     async def _wait_turn(self) -> None:
         now_s = anyio.current_time()
         turn_at_s = max(now_s, self._next_write_at_s)
-        self._next_write_at_s = turn_at_s + WRITE_SPACING_S
+        self._next_write_at_s = turn_at_s + self._rules().log_write_interval_s
         await anyio.sleep(turn_at_s - now_s)
 
     async def _write(self, group: int, batch: list[_Waiting]) -> None:
@@ -189,7 +188,7 @@
         if not names:
             return names, None
         seen_at_s = self._segment_seen_at_s[group, names[0]]
-        if now_s - seen_at_s < self._retention_s() + SEGMENT_MARGIN_S:
+        if now_s - seen_at_s < self._rules().retention_s + SEGMENT_MARGIN_S:
             return names, None
         return names[1:], names[0]
 
