--- a/features/claims_log_faults.feature
+++ b/features/claims_log_faults.feature
@@ -25,18 +25,15 @@
     And each refusal told to come again within 10 s
 
   Scenario: A run that another has followed never votes without the log
-    Given 5 nodes in 3 zones that log their claims
     When the mark of a run is kept by a later run while it still lives, and the store goes down
     Then the earlier run still demands the log a minute later
 
   Scenario: Full heads go into segments, old segments are deleted and every claim is loaded
-    Given 5 nodes in 3 zones that log their claims
     When 500 claims of one group are logged, and as many again after the retention
     Then the log of the group has every claim of the second half in values below 16 kB
     And segments of the first half are deleted
 
   Scenario: A writer of an epoch that is over cannot log
-    Given 5 nodes in 3 zones that log their claims
     When the log of a group is fenced while a writer has a claim of the epoch before
     Then the late claim is not logged
 
@@ -44,3 +41,12 @@
     Given 5 nodes in 3 zones that log their claims
     When 30 keys run without the log and a node leaves as the store comes back
     Then each epoch that counts as logged began with all its claims in the log
+
+  Scenario Outline: A lease of <lease_s> s for the claim log is <outcome>
+    When a deployment with a claim log lease of <lease_s> s is checked
+    Then the claim log lease is <outcome>
+
+    Examples:
+      | lease_s | outcome |
+      | 3.0     | taken   |
+      | 2.9     | refused |
--- a/features/steps/claims_log_faults_steps.py
+++ b/features/steps/claims_log_faults_steps.py
@@ -3,14 +3,15 @@
 import random
 
 import anyio
-from behave import given, then
+from behave import given, then, when
 
 from features.support.async_steps import async_when
 from features.support.claims_fleet import RETENTION_S, Faults
 from features.support.claims_log_fleet import LEASE_S, run_logging_fleet
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.claims.log import SEGMENT_MARGIN_S, LoggedClaim, logged_claims
-from weirscale.domain.configuration.model import ClaimRules
+from weirscale.domain.configuration.model import ClaimRules, Deployment
+from weirscale.domain.configuration.validate import validate_deployment
 from weirscale.domain.identifiers import NodeId
 from weirscale.messages.claims import ClaimAnnounce, KnownEpoch
 from weirscale.node.claims.log_mark import LogMark
@@ -18,6 +19,7 @@
 from weirscale.node.claims.log_writer import ClaimLogWriter
 from weirscale.node.interfaces import PeerState
 from weirscale.standins.key_value.in_process import InProcessKeyValue
+from weirscale.standins.key_value.server import KeyValueServer
 
 RESTART_AT_S = 60.0
 SERVED_AFTER_S = 25.0
@@ -136,8 +138,8 @@
 
 
 def lone_store(context, scenario):
-    """Run a scenario on the store of a fleet without its nodes' help."""
-    run_logging_fleet(run_in_virtual_time, scenario, *context.shape)
+    """Run a scenario on a store without nodes."""
+    run_in_virtual_time(lambda: scenario(KeyValueServer(random.Random(1))))
 
 
 async def all_logged():
@@ -148,9 +150,9 @@
     "the mark of a run is kept by a later run while it still lives, and the store goes down",
     lone_store,
 )
-async def step_superseded(context, fleet):
+async def step_superseded(context, server):
     def mark_of(incarnation):
-        store = InProcessKeyValue(fleet.server)
+        store = InProcessKeyValue(server)
         rules = ClaimRules(log_in_store=True, log_lease_s=LEASE_S)
         run = NodeId("lone", incarnation)
         return LogMark(run, store, lambda: rules, all_logged, lambda: 1)
@@ -161,7 +163,7 @@
         await anyio.sleep(5.0)
         tasks.start_soon(later.run)
         await anyio.sleep(10.0)
-        fleet.server.faults.is_down = True
+        server.faults.is_down = True
         await anyio.sleep(60.0)
         context.needs_log = [earlier.needs_log(), later.needs_log()]
         tasks.cancel_scope.cancel()
@@ -180,17 +182,17 @@
     ]
 
 
-async def with_writer(fleet, script):
-    """Run a script with a writer on the fleet's store."""
+async def with_writer(server, script):
+    """Run a script with a writer on a store."""
     rules = ClaimRules(retention_s=RETENTION_S)
-    writer = ClaimLogWriter(InProcessKeyValue(fleet.server), lambda: rules)
+    writer = ClaimLogWriter(InProcessKeyValue(server), lambda: rules)
     async with anyio.create_task_group() as tasks:
         writer.run_in(tasks)
         await script(writer)
 
 
 @async_when("500 claims of one group are logged, and as many again after the retention", lone_store)
-async def step_segments(context, fleet):
+async def step_segments(context, server):
     context.first, context.second = made_claims(1, 500), made_claims(2, 500)
 
     async def script(writer):
@@ -199,10 +201,10 @@
                 assert await writer.append(GROUP, 1, claims[offset : offset + 20])
             await anyio.sleep(RETENTION_S + SEGMENT_MARGIN_S + 1.0)
         context.loaded = (await writer.fence(GROUP, 2)).ok_value
-        read = await InProcessKeyValue(fleet.server).read(f"{LOG_PREFIX}{GROUP:03d}/")
+        read = await InProcessKeyValue(server).read(f"{LOG_PREFIX}{GROUP:03d}/")
         context.sizes = [len(value.value) for value in read.ok_value.values]
 
-    await with_writer(fleet, script)
+    await with_writer(server, script)
 
 
 @then("the log of the group has every claim of the second half in values below 16 kB")
@@ -221,7 +223,7 @@
 @async_when(
     "the log of a group is fenced while a writer has a claim of the epoch before", lone_store
 )
-async def step_fenced(context, fleet):
+async def step_fenced(context, server):
     async def script(writer):
         early, late = made_claims(1, 1), made_claims(2, 1)
         assert await writer.append(GROUP, 1, early)
@@ -229,11 +231,11 @@
         async def fence(planner):
             context.loaded = (await planner.fence(GROUP, 2)).ok_value
 
-        await with_writer(fleet, fence)
+        await with_writer(server, fence)
         context.is_logged = await writer.append(GROUP, 1, late)
         context.early = early
 
-    await with_writer(fleet, script)
+    await with_writer(server, script)
 
 
 @then("the late claim is not logged")
@@ -281,3 +283,15 @@
 def step_begun_logged(context):
     assert context.num_begun >= 5, context.num_begun
     assert not context.missing, len(context.missing)
+
+
+@when("a deployment with a claim log lease of {lease_s:g} s is checked")
+def step_check_lease(context, lease_s):
+    rules = ClaimRules(log_in_store=True, log_lease_s=lease_s)
+    deployment = Deployment(1, "test", (), (), (), (), claims=rules)
+    context.paths = {error.path for error in validate_deployment(deployment, {})}
+
+
+@then("the claim log lease is {outcome}")
+def step_lease_outcome(context, outcome):
+    assert ("claims.log_lease_s" in context.paths) == (outcome == "refused"), context.paths
