Let a node without a configuration end its requests when it stops

The drain took its time limit from the configuration; a node that had none yet, cut off since its restart, had a limit of 0 s while a request waited for the first configuration.

--- a/features/history_rules.feature
+++ b/features/history_rules.feature
@@ -66,6 +66,8 @@
       | planned stop finishes a stream             | none                      |
       | planned stop cuts a stream                 | planned_stop_cuts_nothing |
       | crash cuts a stream                        | none                      |
+      | crash during a planned stop cuts a stream  | none                      |
+      | planned stop cuts a stream before a crash  | planned_stop_cuts_nothing |
       | configuration taken in time                | none                      |
       | configuration taken late                   | configuration_in_force    |
       | configuration never taken                  | configuration_in_force    |
--- a/features/support/history_cases.py
+++ b/features/support/history_cases.py
@@ -299,6 +299,16 @@
     "returned back end gets work": leaving_engine(-4.0, RETURNED),
     "planned stop finishes a stream": [*DRAINS, *PLAIN],
     "planned stop cuts a stream": [*DRAINS, *UNANSWERED, BROKE],
+    "crash during a planned stop cuts a stream": [
+        *node_changes((0.0, "started"), (1.3, "drain_began"), (1.9, "crashed")),
+        *UNANSWERED,
+        BROKE,
+    ],
+    "planned stop cuts a stream before a crash": [
+        *node_changes((0.0, "started"), (1.3, "drain_began"), (2.1, "crashed")),
+        *UNANSWERED,
+        BROKE,
+    ],
     "crash cuts a stream": [*CRASHES, *UNANSWERED, BROKE],
     "configuration taken in time": configuration(10.0, (1.0, 5), (19.0, 7)),
     "configuration taken late": configuration(10.0, (1.0, 5), (21.0, 7)),
--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -71,6 +71,9 @@
 from weirscale.ports.peers import PeerNetwork
 from weirscale.ports.service import ServicePort
 
+UNCONFIGURED_DRAIN_TIMEOUT_S = 5.0
+"""Without a configuration requests wait about a second for the first one; they still end whole."""
+
 RELEASE_TIMEOUT_S = 1.0
 HAND_OVER_TIMEOUT_S = 10.0
 """Claim groups get new holders before this one goes, so that a rolling restart loses no claim."""
@@ -335,7 +338,9 @@
         self.drain_state.begin()
         self.membership.leave()
         in_force = self.configuration.current()
-        timeout_s = in_force.deployment.drain_timeout_s if in_force else 0.0
+        timeout_s = (
+            in_force.deployment.drain_timeout_s if in_force else UNCONFIGURED_DRAIN_TIMEOUT_S
+        )
         with anyio.move_on_after(timeout_s) as limit:
             await self.drain_state.wait_idle()
             await self._canceller.wait_idle()
