Part the node's assembly by job

Change: node_ports.py and planned_stop.py; behaviour as before. Conclusion: the planned stop reads in one place.

--- a/bench/control_process.py
+++ b/bench/control_process.py
@@ -40,10 +40,11 @@
 from weirscale.experiments.scale.loopback import LoopbackNode
 from weirscale.experiments.scale.measure import traffic_by_type
 from weirscale.messages.envelope import KeyRing
-from weirscale.node.assembly import Node, NodeIdentity, NodePorts
+from weirscale.node.assembly import Node
 from weirscale.node.configuration.apply import Applier
 from weirscale.node.configuration.outcome import Accepted
 from weirscale.node.event_log import SilentEventLog
+from weirscale.node.node_ports import NodeIdentity, NodePorts
 from weirscale.node.program import make_service_port
 from weirscale.ports.engine import EnginePort
 from weirscale.ports.engine_http import HttpEngine
--- a/features/steps/node_drain_steps.py
+++ b/features/steps/node_drain_steps.py
@@ -7,8 +7,9 @@
 from weirscale.domain.identifiers import NodeAddress, NodeId
 from weirscale.experiments.memory_network import MemoryNetwork
 from weirscale.messages.envelope import KeyRing, PeerKey
-from weirscale.node.assembly import Node, NodeIdentity, NodePorts
+from weirscale.node.assembly import Node
 from weirscale.node.event_log import SilentEventLog
+from weirscale.node.node_ports import NodeIdentity, NodePorts
 from weirscale.standins.key_value.in_process import InProcessKeyValue
 from weirscale.standins.key_value.server import KeyValueServer
 
--- a/src/weirscale/experiments/control_cost/fleet.py
+++ b/src/weirscale/experiments/control_cost/fleet.py
@@ -24,10 +24,11 @@
 )
 from weirscale.experiments.memory_network import LinkQuality, MemoryNetwork
 from weirscale.messages.envelope import KeyRing, PeerKey
-from weirscale.node.assembly import Node, NodeIdentity, NodePorts
+from weirscale.node.assembly import Node
 from weirscale.node.configuration.apply import CONFIGURATION_KEY, Applier
 from weirscale.node.configuration.outcome import Accepted
 from weirscale.node.event_log import SilentEventLog
+from weirscale.node.node_ports import NodeIdentity, NodePorts
 from weirscale.ports.engine import EnginePort
 from weirscale.ports.service import ServicePort
 from weirscale.standins.key_value.in_process import InProcessKeyValue
--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -4,13 +4,11 @@
 in-memory network.
 """
 
-import time
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AbstractAsyncContextManager
 from random import Random
 
 import anyio
-import msgspec
 from anyio.abc import TaskStatus
 from result import Result
 
@@ -18,13 +16,11 @@
 from weirscale.domain.choice.policy import ChoicePolicy
 from weirscale.domain.choice.prefix_aware import PrefixAware
 from weirscale.domain.configuration.model import (
-    Engine,
     RetryRules,
     RoutingObjective,
-    ServiceBackend,
 )
 from weirscale.domain.duties.assignment import Duty, DutyKind
-from weirscale.domain.identifiers import ConfigurationRevision, NodeAddress, NodeId, ZoneName
+from weirscale.domain.identifiers import ConfigurationRevision, NodeAddress
 from weirscale.domain.prefix.chain_cache import ChainCache
 from weirscale.domain.request.model import (
     GenerationRequest,
@@ -55,73 +51,22 @@
 from weirscale.node.limits.fleet import FleetAdmissionTask
 from weirscale.node.link_delays import LinkDelays
 from weirscale.node.membership.task import MembershipTask
+from weirscale.node.node_ports import NodeIdentity, NodePorts
 from weirscale.node.operators.app import OperatorApp
 from weirscale.node.peers.link import AuthenticatedPeerLink
 from weirscale.node.placement.fleet_states import FleetStates
 from weirscale.node.placement.states_server import EngineStatesServer
 from weirscale.node.placement.status import PlacementStatus
 from weirscale.node.placement.task import PlacementTask
+from weirscale.node.planned_stop import PlannedStop
 from weirscale.node.routing.decisions import DecisionLog
 from weirscale.node.routing.engine_router import EngineRouter
 from weirscale.node.routing.explain import Explainer
 from weirscale.node.routing.service_router import ServiceRouter
-from weirscale.ports.engine import EnginePort
-from weirscale.ports.key_value import KeyValuePort
-from weirscale.ports.machines import MachineListPort
-from weirscale.ports.peers import PeerNetwork
-from weirscale.ports.service import ServicePort
 
-UNCONFIGURED_DRAIN_TIMEOUT_S = 5.0
-"""Without a configuration requests wait about a second for the first one; they still end whole."""
-
-RELEASE_TIMEOUT_S = 1.0
-HAND_OVER_TIMEOUT_S = 10.0
-"""Claim groups get new holders before this one goes, so that a rolling restart loses no claim."""
-
-NANOSECONDS_PER_MS = 1_000_000
 _NO_REVISION = ConfigurationRevision(0)
 
 
-def _wall_clock_ms() -> int:
-    return time.time_ns() // NANOSECONDS_PER_MS
-
-
-class NodeIdentity(msgspec.Struct, frozen=True):
-    """Who a node is.
-
-    Attributes:
-        node: Name and incarnation of this run.
-        zone: Its zone.
-        address: Its peer address, as others reach it.
-        seeds: Peer addresses to join by.
-    """
-
-    node: NodeId
-    zone: ZoneName
-    address: NodeAddress
-    seeds: tuple[NodeAddress, ...] = ()
-
-
-class NodePorts(msgspec.Struct, frozen=True):
-    """Everything outside a node.
-
-    Attributes:
-        network: Reaches other nodes; run by whoever made it.
-        key_value: The platform's key-value service.
-        machines: The platform's machine list, or None.
-        make_engine_port: Makes the port of a declared engine.
-        make_service_port: Makes the port of a declared service back end.
-        epoch_ms: Milliseconds since the epoch, never falling from one run to the next.
-    """
-
-    network: PeerNetwork
-    key_value: KeyValuePort
-    machines: MachineListPort | None
-    make_engine_port: Callable[[Engine], EnginePort]
-    make_service_port: Callable[[ServiceBackend], ServicePort]
-    epoch_ms: Callable[[], int] = _wall_clock_ms
-
-
 class Node:
     """One run of one node.
 
@@ -192,6 +137,7 @@
         self._build_routing(random, baseline)
         self._build_placement(ports, random)
         self._build_execution(anyio.current_time())
+        self._build_planned_stop()
 
     def _build_placement(self, ports: NodePorts, random: Random) -> None:
         """Tasks that hold the planner's lease and plan while it is held."""
@@ -294,6 +240,17 @@
             begin_drain,
         )
 
+    def _build_planned_stop(self) -> None:
+        self._planned_stop = PlannedStop(
+            self.drain_state,
+            self.configuration,
+            self.membership,
+            self._canceller,
+            self._planner_lease,
+            self.ledger,
+            self._event_log,
+        )
+
     def generate(
         self, request: GenerationRequest
     ) -> AbstractAsyncContextManager[AsyncIterator[Result[TokenChunk, Refusal]]]:
@@ -334,26 +291,7 @@
         Returns:
             True if all finished within the configured time.
         """
-        self._event_log.event("drain_began", running=self.drain_state.num_running)
-        self.drain_state.begin()
-        self.membership.leave()
-        in_force = self.configuration.current()
-        timeout_s = (
-            in_force.deployment.drain_timeout_s if in_force else UNCONFIGURED_DRAIN_TIMEOUT_S
-        )
-        with anyio.move_on_after(timeout_s) as limit:
-            await self.drain_state.wait_idle()
-            await self._canceller.wait_idle()
-        await self._release_duties()
-        await self.membership.depart()
-        self._event_log.event("drain_ended", left_over=self.drain_state.num_running)
-        return not limit.cancelled_caught
-
-    async def _release_duties(self) -> None:
-        """Let another node take over at once; bounded, since leases run out by themselves."""
-        with anyio.move_on_after(RELEASE_TIMEOUT_S):
-            await self._planner_lease.release()
-        await self.ledger.hand_over(HAND_OVER_TIMEOUT_S)
+        return await self._planned_stop.run()
 
     def _retry_rules(self) -> RetryRules:
         in_force = self.configuration.current()
