Run every stand-in as a process, and drop what nothing uses

Change: stand_in takes kept-kv and weight-store; an engine's settings file names both; the unused code is gone. Measured: three processes (kept-kv, weight-store, engine): the engine answers and records its run; operator_commands, path_services and engine_contract pass. Reading weights over the network in a process was not tried. Conclusion: a deployment of processes can have every outside system.

--- a/src/weirscale/cli/main.py
+++ b/src/weirscale/cli/main.py
@@ -152,7 +152,7 @@
         return Command(lambda: operators.drain(str(node)))
 
     def stand_in(self, kind: str, settings: str) -> Command:
-        """Run a stand-in: engine, service, key-value or machines."""
+        """Run a stand-in: engine, service, kept-kv, weight-store, key-value or machines."""
         from weirscale.cli import stand_in
 
         return Command(lambda: stand_in.run(str(kind), Path(settings)))
--- a/src/weirscale/cli/stand_in.py
+++ b/src/weirscale/cli/stand_in.py
@@ -14,14 +14,19 @@
 from weirscale.cli.exit_codes import EXIT_DONE, EXIT_USAGE
 from weirscale.ports.asgi import AsgiApp
 from weirscale.standins.asgi_server import OutageServer
+from weirscale.standins.engine.in_process import InProcessEngine
 from weirscale.standins.engine.server import serve_engine
 from weirscale.standins.engine.settings import EngineSettings
+from weirscale.standins.kept_kv.http_app import HttpKeptKvStore, serve_kept_kv
+from weirscale.standins.kept_kv.in_process import KeptKvSettings
 from weirscale.standins.key_value.app import KeyValueApp
 from weirscale.standins.key_value.server import KeyValueServer
 from weirscale.standins.machines.app import MachineListApp
 from weirscale.standins.machines.model import MachineListModel
 from weirscale.standins.service.http_app import serve_service
 from weirscale.standins.service.model import ServiceSettings
+from weirscale.standins.weight_store.http_app import HttpWeightStore, serve_weight_store
+from weirscale.standins.weight_store.in_process import WeightStoreSettings
 
 
 class StandInFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -32,12 +37,20 @@
         admin_port: Port of its admin interface on loopback, where it has one.
         engine: For kind `engine`.
         service: For kind `service`.
+        kept_kv: For kind `kept-kv`.
+        weight_store: For kind `weight-store`.
+        weight_store_address: Where an engine reads weights; None loads them at once.
+        kept_kv_address: The kept-KV store that an engine exports to and imports from, or None.
     """
 
     port: int
     admin_port: int = 0
     engine: EngineSettings | None = None
     service: ServiceSettings | None = None
+    kept_kv: KeptKvSettings | None = None
+    weight_store: WeightStoreSettings | None = None
+    weight_store_address: str | None = None
+    kept_kv_address: str | None = None
 
 
 async def _serve_app(app: AsgiApp, port: int) -> None:
@@ -46,7 +59,14 @@
 
 async def _run_engine(file: StandInFile) -> None:
     assert file.engine is not None
-    await serve_engine(file.engine, port=file.port, admin_port=file.admin_port)
+    weights, kept_kv = file.weight_store_address, file.kept_kv_address
+    engine = InProcessEngine(
+        msgspec.structs.replace(file.engine, export_to=kept_kv),
+        Random(file.engine.name),
+        weight_source=HttpWeightStore(weights) if weights else None,
+        block_stores={kept_kv: HttpKeptKvStore(kept_kv)} if kept_kv else None,
+    )
+    await serve_engine(engine, port=file.port, admin_port=file.admin_port)
 
 
 async def _run_service(file: StandInFile) -> None:
@@ -54,6 +74,16 @@
     await serve_service(file.service, port=file.port, admin_port=file.admin_port)
 
 
+async def _run_kept_kv(file: StandInFile) -> None:
+    assert file.kept_kv is not None
+    await serve_kept_kv(file.kept_kv, port=file.port, admin_port=file.admin_port)
+
+
+async def _run_weight_store(file: StandInFile) -> None:
+    assert file.weight_store is not None
+    await serve_weight_store(file.weight_store, port=file.port, admin_port=file.admin_port)
+
+
 async def _run_key_value(file: StandInFile) -> None:
     await _serve_app(KeyValueApp(KeyValueServer(Random())), file.port)
 
@@ -65,10 +95,18 @@
 KINDS: dict[str, Callable[[StandInFile], Awaitable[None]]] = {
     "engine": _run_engine,
     "service": _run_service,
+    "kept-kv": _run_kept_kv,
+    "weight-store": _run_weight_store,
     "key-value": _run_key_value,
     "machines": _run_machines,
 }
-KINDS_WITH_SETTINGS = frozenset({"engine", "service"})
+SECTION_OF_KIND = {
+    "engine": "engine",
+    "service": "service",
+    "kept-kv": "kept_kv",
+    "weight-store": "weight_store",
+}
+"""Kinds that need a section of the settings file."""
 
 
 def run(kind: str, settings: Path) -> int:
@@ -101,6 +139,7 @@
     except (OSError, UnicodeDecodeError, YAMLError, msgspec.ValidationError) as error:
         reason = " ".join(str(error).split())
         return Err(f"{settings}: {reason}; correct the settings file")
-    if kind in KINDS_WITH_SETTINGS and getattr(file, kind) is None:
-        return Err(f"{settings}: no section {kind!r}; add it")
+    section = SECTION_OF_KIND.get(kind)
+    if section is not None and getattr(file, section) is None:
+        return Err(f"{settings}: no section {section!r}; add it")
     return Ok(file)
--- a/src/weirscale/node/execution/service.py
+++ b/src/weirscale/node/execution/service.py
@@ -9,7 +9,7 @@
 from weirscale.domain.configuration.model import RetryRules
 from weirscale.domain.identifiers import BackendName
 from weirscale.domain.request import refusals
-from weirscale.domain.request.model import RunStatus, ServiceRequest, ServiceResponse
+from weirscale.domain.request.model import ServiceRequest, ServiceResponse
 from weirscale.domain.request.refusal import Refusal
 from weirscale.domain.request.retry_budget import RetryBudget
 from weirscale.domain.request.retry_policy import (
@@ -229,8 +229,3 @@
         return Err(refusals.duplicate_completed(claim.holder_request_id))
     headers = {**answer.headers, REPLAYED_HEADER: "true"}
     return Ok(msgspec.structs.replace(answer, headers=headers))
-
-
-def run_status_of(result: Result[ServiceResponse, Refusal]) -> RunStatus:
-    """Tell whether a service request ran, for logs."""
-    return result.err_value.run_status if isinstance(result, Err) else RunStatus.RAN
--- a/src/weirscale/ports/engine_wire.py
+++ b/src/weirscale/ports/engine_wire.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import WeightVersion
 from weirscale.ports.engine import EngineFailure, EngineFailureKind
 
 REQUEST_ID_HEADER = "x-request-id"
@@ -126,14 +125,6 @@
     kv_transfer_params: KvTransfer | None = None
 
 
-class ModelIdentity(msgspec.Struct):
-    """What `/v1/models` says in addition to OpenAI's fields."""
-
-    id: str
-    weight_version: WeightVersion
-    object: str = "model"
-
-
 STATUS_OF_FAILURE = {
     EngineFailureKind.REFUSED_INVALID: 400,
     EngineFailureKind.NOT_FOUND: 404,
