Say each refusal in one place

Cause: not_configured, unknown_model and unknown_service stood in routing and in the request package, with other words. Change: routing uses those of domain/request/refusals.py. Conclusion: callers read the same words whoever refuses.

--- a/src/weirscale/node/routing/engine_router.py
+++ b/src/weirscale/node/routing/engine_router.py
@@ -18,6 +18,7 @@
 from weirscale.domain.prefix.chain import BYTES_PER_TOKEN, chain_seed, extend_chain
 from weirscale.domain.request.model import GenerationRequest
 from weirscale.domain.request.refusal import Refusal
+from weirscale.domain.request.refusals import not_configured, unknown_model
 from weirscale.node.backends.directory import BackendDirectory
 from weirscale.node.backends.facts import DirectorySnapshot
 from weirscale.node.backends.observations import EngineAttemptEnded, EngineAttemptStarted
@@ -38,9 +39,7 @@
 from weirscale.node.routing.refusals import (
     all_full,
     no_backend,
-    not_configured,
     router_overloaded,
-    unknown_model,
 )
 
 FIRST_REPORT_WAIT_S = 1.0
--- a/src/weirscale/node/routing/refusals.py
+++ b/src/weirscale/node/routing/refusals.py
@@ -1,4 +1,4 @@
-"""Refusals of routing: nothing was sent, so each says truthfully that the request did not run."""
+"""Refusals of routing alone; nothing was sent, so each says that the request did not run."""
 
 from weirscale.domain.request.model import RunStatus
 from weirscale.domain.request.refusal import Refusal, RefusalCode
@@ -20,40 +20,6 @@
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, estimate_s))
 
 
-def not_configured() -> Refusal:
-    """No configuration has arrived yet."""
-    return Refusal(
-        code=RefusalCode.NOT_CONFIGURED,
-        http_status=503,
-        run_status=RunStatus.NOT_RUN,
-        message="this node has no configuration yet",
-        remedy="try again, or another node",
-        retry_after_s=DEFAULT_RETRY_AFTER_S,
-    )
-
-
-def unknown_model(model: str) -> Refusal:
-    """The configuration does not declare the model."""
-    return Refusal(
-        code=RefusalCode.UNKNOWN_MODEL,
-        http_status=404,
-        run_status=RunStatus.NOT_RUN,
-        message=f"model {model!r} is not served here",
-        remedy="ask for one of the models that /v1/models lists",
-    )
-
-
-def unknown_service(service: str) -> Refusal:
-    """The configuration does not declare the service."""
-    return Refusal(
-        code=RefusalCode.UNKNOWN_SERVICE,
-        http_status=404,
-        run_status=RunStatus.NOT_RUN,
-        message=f"service {service!r} is not served here",
-        remedy="check the service's name in the path",
-    )
-
-
 def no_backend(what: str, retry_after_s: float | None) -> Refusal:
     """Every back end is down, leaving, excluded or not ready."""
     return Refusal(
--- a/src/weirscale/node/routing/service_router.py
+++ b/src/weirscale/node/routing/service_router.py
@@ -11,6 +11,7 @@
 from weirscale.domain.health.pool import admission_weights
 from weirscale.domain.identifiers import BackendName, ServiceName, ZoneName
 from weirscale.domain.request.refusal import Refusal
+from weirscale.domain.request.refusals import not_configured, unknown_service
 from weirscale.node.backends.directory import BackendDirectory
 from weirscale.node.backends.facts import DirectorySnapshot, ServiceBackendFacts
 from weirscale.node.backends.observations import ServiceAttemptEnded
@@ -18,9 +19,7 @@
 from weirscale.node.mailbox import Mailbox, Reply
 from weirscale.node.routing.refusals import (
     no_backend,
-    not_configured,
     router_overloaded,
-    unknown_service,
 )
 from weirscale.ports.service import ServiceFailure
 
