Explore both claim protocols by one search

Cause: the breadth-first search and its history stood twice, in claims_model_check and claims_log_model. Change: features/support/exploration.py serves both; states, invariants and broken rules as before. Conclusion: the lease model's search returns no history and raises on a violation; it stays apart.

--- a/features/support/claims_log_model.py
+++ b/features/support/claims_log_model.py
@@ -7,10 +7,10 @@
 `claims_model_check` (late copies of messages, changes without a loss) is left out here.
 """
 
-from collections import deque
 from functools import cache
 from typing import NamedTuple
 
+from features.support.exploration import explore
 from weirscale.domain.claims.holder import ClaimHolder, HolderPhase
 from weirscale.domain.claims.log import (
     LoggedClaim,
@@ -165,27 +165,15 @@
     def search(self):
         """The first history (list of steps) that runs the key twice, or None."""
         start = World((number_of(Slot()),) * 3)
-        parents = {start: None}
-        frontier = deque([start])
-        while frontier:
-            world = frontier.popleft()
-            if world.status.count(GRANTED) > 1:
-                return self._history(parents, world)
-            self.num_loaded += world.next_claimants is not None
-            for step, following in self._steps(world):
-                if following not in parents:
-                    parents[following] = (world, step)
-                    frontier.append(following)
-        self.num_states = len(parents)
-        return None
-
-    @staticmethod
-    def _history(parents, world):
-        steps = []
-        while parents[world] is not None:
-            world, step = parents[world]
-            steps.append(step)
-        return steps[::-1]
+        history, num_states = explore(start, self._steps, self._is_violated)
+        self.num_states = 0 if history else num_states
+        return history
+
+    def _is_violated(self, world):
+        if world.status.count(GRANTED) > 1:
+            return True
+        self.num_loaded += world.next_claimants is not None
+        return False
 
     def _steps(self, world):
         for caller in CALLERS:
--- a/features/support/claims_model_check.py
+++ b/features/support/claims_model_check.py
@@ -5,10 +5,10 @@
 message once sent may be delivered at any later moment, any number of times, or never.
 """
 
-from collections import deque
 from functools import cache
 from typing import NamedTuple
 
+from features.support.exploration import explore
 from weirscale.domain.claims.holder import ClaimHolder, HolderPhase
 from weirscale.domain.claims.merge import merge_claims
 from weirscale.domain.claims.model import (
@@ -146,26 +146,11 @@
     def search(self):
         """The first history (list of steps) that runs the key twice, or None."""
         start = World(pack([Slot(HolderState(1, HolderPhase.ACTIVE))] * 3))
-        parents = {start: None}
-        frontier = deque([start])
-        while frontier:
-            world = frontier.popleft()
-            if world.status == (GRANTED, GRANTED):
-                return self._history(parents, world)
-            for step, following in self._steps(world):
-                if following not in parents:
-                    parents[following] = (world, step)
-                    frontier.append(following)
-        self.num_states = len(parents)
-        return None
-
-    @staticmethod
-    def _history(parents, world):
-        steps = []
-        while parents[world] is not None:
-            world, step = parents[world]
-            steps.append(step)
-        return steps[::-1]
+        history, num_states = explore(
+            start, self._steps, lambda world: world.status == (GRANTED, GRANTED)
+        )
+        self.num_states = 0 if history else num_states
+        return history
 
     def _steps(self, world):
         for caller in CALLERS:
