--- /dev/null
+++ b/src/weirscale/gateway/back_ends.py
@@ -0,0 +1,100 @@
+"""Discovered back ends: who serves, who is leaving, at which address now."""
+
+import enum
+from collections.abc import Iterable
+
+import msgspec
+
+from weirscale.domain.identifiers import ServiceName, ZoneName
+
+
+class BackEndState(enum.Enum):
+    """What a back end says of itself."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class ServedModel(msgspec.Struct, frozen=True):
+    """A model on a runner and the version of its weights."""
+
+    name: str
+    version: int
+
+
+class BackEnd(msgspec.Struct, frozen=True):
+    """One incarnation of a back end.
+
+    Attributes:
+        instance: Identifies this start of the process.
+        service: The service it runs.
+        address: IP:PORT.
+        zone: Where it stands.
+        state: Whether it takes new work.
+        slots: Requests it works on at once.
+        models: Models and versions, for runners.
+    """
+
+    instance: str
+    service: ServiceName
+    address: str
+    zone: ZoneName
+    state: BackEndState
+    slots: int
+    models: tuple[ServedModel, ...] = ()
+
+    def version_of(self, model: str) -> int | None:
+        """Return the version of a model's weights as last registered."""
+        for served in self.models:
+            if served.name == model:
+                return served.version
+        return None
+
+
+class BackEndDirectory:
+    """Back ends by instance, as the platform registers them.
+
+    A later incarnation at an address takes it over: the earlier one is dropped with it, since its
+    address now answers for another process, maybe of another service.
+    """
+
+    def __init__(self) -> None:
+        self._by_instance: dict[str, BackEnd] = {}
+        self._by_service: dict[ServiceName, dict[str, BackEnd]] = {}
+
+    def put(self, back_end: BackEnd) -> tuple[str, ...]:
+        """Take a registration; returns the instances that it displaces."""
+        displaced = tuple(
+            other.instance
+            for other in self._by_instance.values()
+            if other.address == back_end.address and other.instance != back_end.instance
+        )
+        for instance in displaced:
+            self.remove(instance)
+        self.remove(back_end.instance)
+        self._by_instance[back_end.instance] = back_end
+        self._by_service.setdefault(back_end.service, {})[back_end.instance] = back_end
+        return displaced
+
+    def remove(self, instance: str) -> BackEnd | None:
+        """Forget an instance; returns what was known of it."""
+        known = self._by_instance.pop(instance, None)
+        if known is not None:
+            del self._by_service[known.service][instance]
+        return known
+
+    def get(self, instance: str) -> BackEnd | None:
+        """Return an instance."""
+        return self._by_instance.get(instance)
+
+    def of_service(self, service: ServiceName) -> Iterable[BackEnd]:
+        """Return all instances of a service, leaving ones included."""
+        return self._by_service.get(service, {}).values()
+
+    def instances(self) -> tuple[str, ...]:
+        """Return all instance identifiers."""
+        return tuple(self._by_instance)
+
+    def all(self) -> Iterable[BackEnd]:
+        """Return all instances."""
+        return self._by_instance.values()
--- /dev/null
+++ b/src/weirscale/gateway/cache_belief.py
@@ -0,0 +1,80 @@
+"""What a node believes a runner or a store keeps of prompts.
+
+Beliefs come from sends, the node's own and those that other nodes tell of. They are hints: the
+runner reads what it lacks, and finds a part only within the scope that it was made in.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import msgspec
+
+from weirscale.gateway.prompt import PromptPart
+
+
+class KeptPart(msgspec.Struct):
+    """A part believed to be kept.
+
+    Attributes:
+        num_tokens: Its size.
+        is_ready: Whether the runner has certainly read it, so that others may fetch it.
+    """
+
+    num_tokens: int
+    is_ready: bool
+
+
+class CacheBelief:
+    """The parts believed to be kept at one place; the least recently used give way.
+
+    Args:
+        capacity_tokens: Tokens that fit.
+    """
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity_tokens = capacity_tokens
+        self._num_tokens = 0
+        self._parts: OrderedDict[tuple[str, str], KeptPart] = OrderedDict()
+
+    def note(self, scope: str, parts: Sequence[PromptPart], is_ready: bool) -> None:
+        """Note that a request with these parts goes there, or that it has been read there."""
+        # The first part is touched last, so that a chain loses its end before its beginning.
+        for part in reversed(parts):
+            self._note_part((scope, part.part_id), part.num_tokens, is_ready)
+        while self._num_tokens > self._capacity_tokens and self._parts:
+            _, dropped = self._parts.popitem(last=False)
+            self._num_tokens -= dropped.num_tokens
+
+    def _note_part(self, key: tuple[str, str], num_tokens: int, is_ready: bool) -> None:
+        kept = self._parts.get(key)
+        if kept is None:
+            self._parts[key] = KeptPart(num_tokens, is_ready)
+            self._num_tokens += num_tokens
+            return
+        kept.is_ready = kept.is_ready or is_ready
+        self._parts.move_to_end(key)
+
+    def matched_tokens(
+        self, scope: str, parts: Sequence[PromptPart], only_ready: bool = False
+    ) -> int:
+        """Return the tokens of the leading parts that are kept."""
+        num_tokens = 0
+        for part in parts:
+            kept = self._parts.get((scope, part.part_id))
+            if kept is None or (only_ready and not kept.is_ready):
+                break
+            num_tokens += part.num_tokens
+        return num_tokens
+
+    def forget(self, scope: str, parts: Sequence[PromptPart]) -> None:
+        """Forget parts that were expected and not read there."""
+        for part in parts:
+            kept = self._parts.get((scope, part.part_id))
+            if kept is not None and not kept.is_ready:
+                del self._parts[(scope, part.part_id)]
+                self._num_tokens -= kept.num_tokens
+
+    def clear(self) -> None:
+        """Forget everything: the place restarted or took new weights."""
+        self._parts.clear()
+        self._num_tokens = 0
--- /dev/null
+++ b/src/weirscale/gateway/caller_app.py
@@ -0,0 +1,137 @@
+"""The ASGI application: callers, readiness and metrics by the port that a connection came in on."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import anyio
+
+from weirscale.gateway.exchange import Exchange
+from weirscale.gateway.exchange_context import ExchangeContext
+from weirscale.gateway.ports import CallerDialect, CallerRequest
+from weirscale.gateway.responder import Responder, Send
+from weirscale.gateway.settings import GatewaySettings
+
+HTTP_OK = 200
+HTTP_BAD_REQUEST = 400
+HTTP_NOT_FOUND = 404
+HTTP_TOO_LARGE = 413
+HTTP_UNAVAILABLE = 503
+METRICS_TYPE = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+"""ASGI's receive."""
+
+
+class CallerLeft(Exception):
+    """The caller closed its connection before its request was whole."""
+
+
+class BodyTooLarge(Exception):
+    """The body exceeds the declared limit."""
+
+
+class CallerApp:
+    """Serves all of a gateway's listeners.
+
+    Args:
+        settings: Which port serves what.
+        context: What requests share.
+        dialect: How requests are written.
+        is_ready: Whether new connections are welcome.
+        is_stopping: Whether connections should end with their answer.
+        metrics_text: Returns the metrics.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        context: ExchangeContext,
+        dialect: CallerDialect,
+        is_ready: Callable[[], bool],
+        is_stopping: Callable[[], bool],
+        metrics_text: Callable[[], bytes],
+    ) -> None:
+        self._context = context
+        self._dialect = dialect
+        self._is_ready = is_ready
+        self._is_stopping = is_stopping
+        self._metrics_text = metrics_text
+        self._caller_port = settings.callers.port
+        self._readiness_port = settings.readiness.port
+        self.num_running = 0
+
+    async def __call__(self, scope: Mapping[str, Any], receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        port = scope["server"][1]
+        if port == self._caller_port:
+            await self._serve_caller(scope, receive, send)
+        elif port == self._readiness_port:
+            await _answer(send, HTTP_OK if self._is_ready() else HTTP_UNAVAILABLE)
+        else:
+            await _answer(send, HTTP_OK, self._metrics_text())
+
+    async def _serve_caller(self, scope: Mapping[str, Any], receive: Receive, send: Send) -> None:
+        arrived_at_s = self._context.clock()
+        request = self._dialect.parse(scope)
+        if isinstance(request, str):
+            await _answer(send, HTTP_BAD_REQUEST, request.encode())
+            return
+        responder = Responder(send, self._dialect, request.request_id, self._is_stopping)
+        self.num_running += 1
+        try:
+            body = await self._read_body(receive)
+            await self._run(request, body, responder, receive, arrived_at_s)
+        except BodyTooLarge:
+            await responder.refuse(HTTP_TOO_LARGE)
+        except CallerLeft:
+            return
+        finally:
+            self.num_running -= 1
+
+    async def _run(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        responder: Responder,
+        receive: Receive,
+        arrived_at_s: float,
+    ) -> None:
+        """Run the request until it ends or the caller leaves."""
+        exchange = Exchange(self._context, request, body, responder, arrived_at_s)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_left, receive, tasks.cancel_scope)
+            await exchange.run()
+            tasks.cancel_scope.cancel()
+
+    async def _read_body(self, receive: Receive) -> bytes:
+        table = self._context.knowledge.table
+        max_bytes = table.configuration.limits.max_body_bytes if table else 0
+        parts: list[bytes] = []
+        num_bytes = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise CallerLeft
+            part = message.get("body", b"")
+            num_bytes += len(part)
+            if table is not None and num_bytes > max_bytes:
+                raise BodyTooLarge
+            parts.append(part)
+            if not message.get("more_body", False):
+                return b"".join(parts)
+
+
+async def _cancel_when_left(receive: Receive, scope: anyio.CancelScope) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+async def _answer(send: Send, status: int, body: bytes = b"") -> None:
+    headers = [METRICS_TYPE, (b"content-length", str(len(body)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body, "more_body": False})
--- /dev/null
+++ b/src/weirscale/gateway/choice.py
@@ -0,0 +1,242 @@
+"""Choice of the back end that answers a request first with the least prompt read again.
+
+Estimates are in seconds. What must be read again is weighed beyond the time that it takes, because
+reading it costs the whole runner; fetching a part from another runner costs little.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+import msgspec
+
+from weirscale.domain.identifiers import ZoneName
+from weirscale.gateway.back_ends import BackEnd
+from weirscale.gateway.cache_belief import CacheBelief
+from weirscale.gateway.load import Load
+from weirscale.gateway.prompt import Prompt
+
+
+class ChoiceRules(msgspec.Struct, frozen=True):
+    """Weights of the choice, with units.
+
+    Attributes:
+        tokens_per_s: Prompt tokens that a runner reads in a second.
+        fetch_tokens_per_s: Tokens of cached parts that move between runners in a second.
+        fetch_setup_s: Fixed time of a fetch.
+        active_s: Delay that each request at work adds to a new one.
+        queue_s: Delay that each request beyond the slots adds.
+        memory_s: Delay at full memory, by how far requests exceed what fits.
+        reread_weight: Cost of prompt read again, as a multiple of its reading time.
+        other_zone_s: Cost of a back end in another zone.
+        suspect_s: Cost of a back end that is being tried again.
+        tie_s: Estimates closer than this count as equal.
+        memory_share: Share of a runner's memory that may be filled by running requests.
+        min_fetch_tokens: Smaller parts are read, not fetched.
+    """
+
+    tokens_per_s: float = 38_000.0
+    fetch_tokens_per_s: float = 400_000.0
+    fetch_setup_s: float = 0.004
+    active_s: float = 0.0015
+    queue_s: float = 0.05
+    memory_s: float = 0.5
+    reread_weight: float = 0.5
+    other_zone_s: float = 0.003
+    suspect_s: float = 0.3
+    tie_s: float = 0.002
+    memory_share: float = 0.85
+    min_fetch_tokens: int = 64
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """A back end that may be chosen.
+
+    Attributes:
+        back_end: The back end.
+        load: Work of all nodes there.
+        is_suspect: Whether it is being tried again after failures.
+        cache: What it is believed to keep, or None for other services.
+        capacity_tokens: Tokens that fit into its memory.
+        weight_version: Version of the weights asked for, or None.
+    """
+
+    back_end: BackEnd
+    load: Load
+    is_suspect: bool
+    cache: CacheBelief | None = None
+    capacity_tokens: int = 0
+    weight_version: int | None = None
+
+
+class FetchSource(msgspec.Struct, frozen=True):
+    """Where cached parts can be fetched.
+
+    Attributes:
+        address: IP:PORT.
+        zone: Where it stands.
+        cache: What it is believed to keep.
+        weight_version: Version that its parts are of; None for a store, which keeps all.
+        instance: The runner, or None for a store.
+    """
+
+    address: str
+    zone: ZoneName
+    cache: CacheBelief
+    weight_version: int | None = None
+    instance: str | None = None
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """The chosen back end and what decided it.
+
+    Attributes:
+        candidate: The back end.
+        scope: Cache scope, or None without a prompt.
+        cached_tokens: Leading tokens that it is believed to keep.
+        fetched_tokens: Further tokens that it fetches.
+        read_tokens: Tokens that it has to read.
+        fetch_from: Address of the source of the fetch, or None.
+        estimate_s: Estimated time to the first event.
+        num_candidates: How many back ends were compared.
+    """
+
+    candidate: Candidate
+    scope: str | None = None
+    cached_tokens: int = 0
+    fetched_tokens: int = 0
+    read_tokens: int = 0
+    fetch_from: str | None = None
+    estimate_s: float = 0.0
+    num_candidates: int = 0
+
+
+class PromptNeed(msgspec.Struct, frozen=True):
+    """A prompt and the scope of its parts for each version of the weights.
+
+    Attributes:
+        prompt: The prompt.
+        scopes: Scope text by weight version.
+    """
+
+    prompt: Prompt
+    scopes: dict[int, str]
+
+
+class _Estimate(msgspec.Struct, frozen=True):
+    choice: Choice
+    cost_s: float
+
+
+def choose(
+    candidates: Sequence[Candidate],
+    need: PromptNeed | None,
+    sources: Sequence[FetchSource],
+    zone: ZoneName,
+    rules: ChoiceRules,
+    random: Random,
+) -> Choice | None:
+    """Return the candidate of least cost; among near equals, any.
+
+    Args:
+        candidates: Back ends that may serve.
+        need: The prompt, for generations.
+        sources: Where cached parts may be fetched.
+        zone: The node's zone.
+        rules: Weights.
+        random: Breaks ties, so that nodes do not all pick the same.
+    """
+    estimates = [_estimate(one, need, sources, zone, rules) for one in candidates]
+    if not estimates:
+        return None
+    least_s = min(estimate.cost_s for estimate in estimates)
+    near = [estimate for estimate in estimates if estimate.cost_s <= least_s + rules.tie_s]
+    chosen = near[0] if len(near) == 1 else random.choice(near)
+    return msgspec.structs.replace(chosen.choice, num_candidates=len(candidates))
+
+
+def _estimate(
+    candidate: Candidate,
+    need: PromptNeed | None,
+    sources: Sequence[FetchSource],
+    zone: ZoneName,
+    rules: ChoiceRules,
+) -> _Estimate:
+    common_s = _common_cost_s(candidate, zone, rules)
+    if need is None or candidate.cache is None or candidate.weight_version is None:
+        busy_s = rules.queue_s * candidate.load.num_requests / max(1, candidate.back_end.slots)
+        return _Estimate(Choice(candidate, estimate_s=busy_s), common_s + busy_s)
+    return _estimate_generation(candidate, need, sources, common_s, rules)
+
+
+def _common_cost_s(candidate: Candidate, zone: ZoneName, rules: ChoiceRules) -> float:
+    cost_s = rules.suspect_s if candidate.is_suspect else 0.0
+    if candidate.back_end.zone != zone:
+        cost_s += rules.other_zone_s
+    num_over = candidate.load.num_requests + 1 - candidate.back_end.slots
+    return cost_s + rules.queue_s * max(0, num_over)
+
+
+def _estimate_generation(
+    candidate: Candidate,
+    need: PromptNeed,
+    sources: Sequence[FetchSource],
+    common_s: float,
+    rules: ChoiceRules,
+) -> _Estimate:
+    assert candidate.cache is not None
+    assert candidate.weight_version is not None
+    prompt = need.prompt
+    scope = need.scopes[candidate.weight_version]
+    cached = min(candidate.cache.matched_tokens(scope, prompt.parts), prompt.num_tokens)
+    source, fetched = _best_source(candidate, scope, prompt, sources, cached, rules)
+    read = prompt.num_tokens - cached - fetched
+    wait_s = (candidate.load.waiting_tokens + read) / rules.tokens_per_s
+    if source is not None:
+        wait_s += rules.fetch_setup_s + fetched / rules.fetch_tokens_per_s
+    wait_s += rules.active_s * candidate.load.num_requests
+    wait_s += _memory_delay_s(candidate, prompt, rules)
+    reread_s = rules.reread_weight * read / rules.tokens_per_s
+    choice = Choice(
+        candidate,
+        scope=scope,
+        cached_tokens=cached,
+        fetched_tokens=fetched,
+        read_tokens=read,
+        fetch_from=None if source is None else source.address,
+        estimate_s=wait_s,
+    )
+    return _Estimate(choice, common_s + wait_s + reread_s)
+
+
+def _memory_delay_s(candidate: Candidate, prompt: Prompt, rules: ChoiceRules) -> float:
+    fits = max(1.0, rules.memory_share * candidate.capacity_tokens)
+    needed = candidate.load.held_tokens + prompt.num_tokens + prompt.max_output_tokens
+    return rules.memory_s * max(0.0, needed / fits - 1.0)
+
+
+def _best_source(
+    candidate: Candidate,
+    scope: str,
+    prompt: Prompt,
+    sources: Sequence[FetchSource],
+    cached: int,
+    rules: ChoiceRules,
+) -> tuple[FetchSource | None, int]:
+    best: FetchSource | None = None
+    best_tokens = cached + rules.min_fetch_tokens - 1
+    for source in sources:
+        if source.instance == candidate.back_end.instance:
+            continue
+        if source.weight_version not in (None, candidate.weight_version):
+            continue
+        matched = source.cache.matched_tokens(scope, prompt.parts, only_ready=True)
+        is_nearer = best is not None and matched == best_tokens and _is_nearer(candidate, source)
+        if matched > best_tokens or is_nearer:
+            best, best_tokens = source, matched
+    if best is None:
+        return None, 0
+    return best, min(best_tokens, prompt.num_tokens) - cached
+
+
+def _is_nearer(candidate: Candidate, source: FetchSource) -> bool:
+    return source.zone == candidate.back_end.zone
--- /dev/null
+++ b/src/weirscale/gateway/dispatcher.py
@@ -0,0 +1,223 @@
+"""Chooses back ends for requests and keeps what the choice rests on: load, caches, health."""
+
+from collections.abc import Callable, Collection
+from random import Random
+
+import msgspec
+
+from weirscale.domain.identifiers import ServiceName, ZoneName
+from weirscale.gateway.back_ends import BackEnd
+from weirscale.gateway.cache_belief import CacheBelief
+from weirscale.gateway.choice import (
+    Candidate,
+    Choice,
+    ChoiceRules,
+    FetchSource,
+    PromptNeed,
+    choose,
+)
+from weirscale.gateway.health import BackEndHealth
+from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.load import FleetLoad
+from weirscale.gateway.model import Service, Tenant
+from weirscale.gateway.prompt import CacheScope, Prompt, PromptPart
+
+LOADING_MARK_LIFE_S = 7.0
+"""A runner that was announced to load is used again after this, should the end go untold."""
+
+CACHE_SHARE = 0.8
+"""Share of a runner's memory that is believed to keep parts; running requests take the rest."""
+
+
+class DispatchQuery(msgspec.Struct, frozen=True):
+    """What a choice is asked for.
+
+    Attributes:
+        service: The service.
+        prompt: The prompt, for generations.
+        tenant: The tenant, if the route is keyed.
+        excluded: Instances that may not be chosen.
+    """
+
+    service: ServiceName
+    prompt: Prompt | None
+    tenant: Tenant | None
+    excluded: Collection[str]
+
+
+class Dispatcher:
+    """Chooses back ends.
+
+    Args:
+        zone: The node's zone.
+        knowledge: Back ends, configuration, versions.
+        load: Work at each back end.
+        health: Circuits.
+        weights_grace_s: How long older weights may be sent requests.
+        random: Breaks ties and spreads trials.
+        clock: Monotonic seconds.
+        rules: Weights of the choice.
+    """
+
+    def __init__(
+        self,
+        zone: ZoneName,
+        knowledge: Knowledge,
+        load: FleetLoad,
+        health: BackEndHealth,
+        weights_grace_s: float,
+        random: Random,
+        clock: Callable[[], float],
+        rules: ChoiceRules | None = None,
+    ) -> None:
+        self._zone = zone
+        self._knowledge = knowledge
+        self._load = load
+        self._health = health
+        self._weights_grace_s = weights_grace_s
+        self._random = random
+        self._clock = clock
+        self.rules = rules or ChoiceRules()
+        self._caches: dict[str, CacheBelief] = {}
+        self._kept_caches: dict[str, CacheBelief] = {}
+        self._loading_until_s: dict[str, float] = {}
+
+    def choose(self, query: DispatchQuery) -> Choice | None:
+        """Return the best back end, or None if none may serve."""
+        table = self._knowledge.table
+        service = table.service(query.service) if table else None
+        candidates = self._candidates(query, service)
+        if not candidates:
+            return None
+        need = None
+        sources: list[FetchSource] = []
+        if query.prompt is not None and service is not None and service.engine is not None:
+            need = _need(query.prompt, query.tenant, candidates)
+            sources = self._sources(query.prompt, candidates)
+        return choose(candidates, need, sources, self._zone, self.rules, self._random)
+
+    def _candidates(self, query: DispatchQuery, service: Service | None) -> list[Candidate]:
+        now_s = self._clock()
+        usable = [
+            back_end
+            for back_end in self._knowledge.ready_back_ends(query.service)
+            if back_end.instance not in query.excluded
+            and self._has_usable_weights(back_end, query.prompt, now_s)
+        ]
+        settled = [one for one in usable if not self._is_loading(one.instance, now_s)]
+        admitted = [one for one in settled if self._health.admits(one.instance, now_s)]
+        # With every circuit open, a bad network is likelier than so many bad back ends.
+        chosen = admitted or settled
+        return [self._candidate(one, query.prompt, service, now_s) for one in chosen]
+
+    def _has_usable_weights(self, back_end: BackEnd, prompt: Prompt | None, now_s: float) -> bool:
+        if prompt is None or not back_end.models:
+            return True
+        version = self._knowledge.version_of(back_end.instance, prompt.model)
+        if version is None:
+            return False
+        lowest = self._knowledge.weights.lowest_allowed(prompt.model, now_s, self._weights_grace_s)
+        return version >= lowest
+
+    def _candidate(
+        self, back_end: BackEnd, prompt: Prompt | None, service: Service | None, now_s: float
+    ) -> Candidate:
+        load = self._load.total(back_end.instance, now_s)
+        is_suspect = self._health.is_suspect(back_end.instance, now_s)
+        if prompt is None or service is None or service.engine is None:
+            return Candidate(back_end, load, is_suspect)
+        capacity = service.engine.cache_tokens
+        return Candidate(
+            back_end,
+            load,
+            is_suspect,
+            self._cache(back_end.instance, capacity),
+            capacity,
+            self._knowledge.version_of(back_end.instance, prompt.model),
+        )
+
+    def _cache(self, instance: str, capacity_tokens: int) -> CacheBelief:
+        cache = self._caches.get(instance)
+        if cache is None:
+            cache = self._caches[instance] = CacheBelief(int(capacity_tokens * CACHE_SHARE))
+        return cache
+
+    def _sources(self, prompt: Prompt, candidates: list[Candidate]) -> list[FetchSource]:
+        now_s = self._clock()
+        sources = []
+        for candidate in candidates:
+            back_end = candidate.back_end
+            if candidate.cache is None or self._health.is_suspect(back_end.instance, now_s):
+                continue
+            sources.append(
+                FetchSource(
+                    back_end.address,
+                    back_end.zone,
+                    candidate.cache,
+                    candidate.weight_version,
+                    back_end.instance,
+                )
+            )
+        return sources
+
+    def note_sent(self, choice: Choice, prompt: Prompt) -> None:
+        """Note that a prompt goes to a runner."""
+        self.note_parts(choice.candidate.back_end.instance, choice.scope, prompt.parts, False)
+
+    def note_read(self, choice: Choice, prompt: Prompt) -> None:
+        """Note that a runner has read a prompt."""
+        self.note_parts(choice.candidate.back_end.instance, choice.scope, prompt.parts, True)
+
+    def note_parts(
+        self, instance: str, scope: str | None, parts: tuple[PromptPart, ...], is_ready: bool
+    ) -> None:
+        """Note parts at a runner, from this node's own sends or a peer's."""
+        cache = self._caches.get(instance)
+        if cache is None:
+            back_end = self._knowledge.directory.get(instance)
+            table = self._knowledge.table
+            service = table.service(back_end.service) if table and back_end else None
+            if service is None or service.engine is None:
+                return
+            cache = self._cache(instance, service.engine.cache_tokens)
+        if scope is not None:
+            cache.note(scope, parts, is_ready)
+
+    def note_unread(self, choice: Choice, prompt: Prompt) -> None:
+        """Note that a runner did not read a prompt after all."""
+        cache = self._caches.get(choice.candidate.back_end.instance)
+        if cache is not None and choice.scope is not None:
+            cache.forget(choice.scope, prompt.parts)
+
+    def mark_loading(self, instance: str, is_done: bool) -> None:
+        """Mark that a runner is about to load weights, or has done so."""
+        if is_done:
+            self._loading_until_s.pop(instance, None)
+        else:
+            self._loading_until_s[instance] = self._clock() + LOADING_MARK_LIFE_S
+
+    def _is_loading(self, instance: str, now_s: float) -> bool:
+        return self._loading_until_s.get(instance, 0.0) > now_s
+
+    def weights_changed(self, instance: str) -> None:
+        """A runner has new weights: what it kept is gone."""
+        cache = self._caches.get(instance)
+        if cache is not None:
+            cache.clear()
+        self._loading_until_s.pop(instance, None)
+
+    def forget(self, instance: str) -> None:
+        """Forget a back end that is gone."""
+        self._caches.pop(instance, None)
+        self._loading_until_s.pop(instance, None)
+        self._load.forget(instance)
+        self._health.forget(instance)
+
+
+def _need(prompt: Prompt, tenant: Tenant | None, candidates: list[Candidate]) -> PromptNeed:
+    isolated = tenant.name if tenant is not None and tenant.is_isolated else None
+    versions = {one.weight_version for one in candidates if one.weight_version is not None}
+    scopes = {
+        version: CacheScope(prompt.model, version, isolated).text() for version in versions
+    }
+    return PromptNeed(prompt, scopes)
--- /dev/null
+++ b/src/weirscale/gateway/exchange.py
@@ -0,0 +1,342 @@
+"""One request from its arrival to its end: admission, attempts, answer.
+
+The rules: an answer goes to the caller only if it is whole and its own; a request that may have run
+is sent again only if its route allows it; a refusal that promises "not run" is given only if no
+attempt may have run; what is given up is answered at once.
+"""
+
+from collections.abc import Callable
+
+import anyio
+
+from weirscale.domain.identifiers import ServiceName
+from weirscale.gateway.choice import Choice
+from weirscale.gateway.dispatcher import DispatchQuery
+from weirscale.gateway.events import EventCutter
+from weirscale.gateway.exchange_context import ExchangeContext
+from weirscale.gateway.model import RequestKind, Route, Tenant
+from weirscale.gateway.outcome import AttemptEnd, Verdict, judge_answer, judge_failure
+from weirscale.gateway.ports import Answer, BodyBroken, CallerRequest, Headers, OutboundRequest
+from weirscale.gateway.responder import Responder
+from weirscale.gateway.summary import ExchangeSummary, Stage
+
+HTTP_UNAUTHORIZED = 401
+HTTP_NOT_FOUND = 404
+HTTP_BAD_GATEWAY = 502
+HTTP_UNAVAILABLE = 503
+HTTP_TIMEOUT = 504
+
+NO_CONFIGURATION_RETRY_S = 0.5
+NO_BACK_END_RETRY_S = 0.25
+"""When a caller should come back. Callers honour up to a third of the time that they have left."""
+
+MIN_ATTEMPT_S = 0.02
+"""With less time left an attempt is not worth beginning."""
+
+MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
+"""Largest answer that is gathered before it is passed on."""
+
+
+class Exchange:
+    """Runs one request.
+
+    Args:
+        context: What requests share.
+        request: The request.
+        body: Its whole body.
+        responder: The caller's side.
+        arrived_at_s: When its head arrived.
+    """
+
+    def __init__(
+        self,
+        context: ExchangeContext,
+        request: CallerRequest,
+        body: bytes,
+        responder: Responder,
+        arrived_at_s: float,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._body = body
+        self._responder = responder
+        self._arrived_at_s = arrived_at_s
+        self._clock: Callable[[], float] = context.clock
+        self._route: Route | None = None
+        self._tenant: Tenant | None = None
+        self._service: ServiceName | None = None
+        self._deadline_s = 0.0
+        self._excluded: set[str] = set()
+        self._tried: set[str] = set()
+        self._may_have_run = False
+        self._num_attempts = 0
+        self._cutter = EventCutter()
+        self._failed_answer: tuple[int, Headers, bytes] | None = None
+        self._first_byte_s: float | None = None
+        self._choice: Choice | None = None
+        self._causes: list[str] = []
+        self.stage = Stage.LEFT
+
+    async def run(self) -> None:
+        """Answer the request, or break its answer off."""
+        try:
+            refusal = self._admit()
+            if refusal is not None:
+                await self._refuse(refusal, NO_CONFIGURATION_RETRY_S)
+                return
+            with anyio.CancelScope(deadline=self._deadline_s) as time_left:
+                await self._attempt_until_done()
+            if time_left.cancelled_caught:
+                await self._time_out()
+        finally:
+            self._tell_end()
+
+    def _admit(self) -> int | None:
+        """Find route and tenant; returns the status of a refusal."""
+        table = self._context.knowledge.table
+        if table is None:
+            self._causes.append("no_configuration")
+            return HTTP_UNAVAILABLE
+        route = table.find(self._request.host, self._request.path)
+        if route is None:
+            return self._refuse_unknown(HTTP_NOT_FOUND, "no_route")
+        self._route = route
+        if table.needs_keys and not route.is_public:
+            if not self._context.is_current():
+                self._causes.append("configuration_unproved")
+                return HTTP_UNAVAILABLE
+            self._tenant = table.tenant_of(self._request.key)
+            if self._tenant is None:
+                return self._refuse_unknown(HTTP_UNAUTHORIZED, "unknown_key")
+        self._service = self._context.split.next_service(route)
+        timeout_s = route.timeout_s
+        if self._request.timeout_s is not None:
+            timeout_s = min(timeout_s, self._request.timeout_s)
+        self._deadline_s = self._arrived_at_s + timeout_s
+        return None
+
+    def _refuse_unknown(self, status: int, cause: str) -> int:
+        """A denial needs a current configuration: else the caller should come back."""
+        self._causes.append(cause)
+        return status if self._context.is_current() else HTTP_UNAVAILABLE
+
+    async def _attempt_until_done(self) -> None:
+        while True:
+            choice = self._choose()
+            if choice is None:
+                self._causes.append("no_back_end")
+                await self._give_up()
+                return
+            self._choice = choice
+            end = await self._attempt(choice)
+            if self._responder.has_ended:
+                self.stage = Stage.ANSWERED
+                return
+            if not self._may_go_on(end):
+                await self._give_up()
+                return
+
+    def _choose(self) -> Choice | None:
+        assert self._service is not None
+        query = DispatchQuery(
+            self._service, self._request.prompt, self._tenant, self._excluded
+        )
+        return self._context.dispatcher.choose(query)
+
+    def _may_go_on(self, end: AttemptEnd) -> bool:
+        """Whether another attempt may follow."""
+        assert self._route is not None and self._service is not None
+        if self._deadline_s - self._clock() < MIN_ATTEMPT_S:
+            self._causes.append("no_time")
+            return False
+        if end is AttemptEnd.NEVER_SENT:
+            return True
+        if self._may_have_run and not self._route.is_repeatable:
+            return False
+        if len(self._tried) >= self._route.max_attempts:
+            self._causes.append("max_attempts")
+            return False
+        if not self._context.take_retry(self._service):
+            self._causes.append("retry_budget")
+            return False
+        return True
+
+    async def _attempt(self, choice: Choice) -> AttemptEnd:
+        """Send the request to one back end and pass on what may be passed on."""
+        back_end = choice.candidate.back_end
+        self._num_attempts += 1
+        self._excluded.add(back_end.instance)
+        self._context.begin(choice, self._request.prompt, self._is_first_send())
+        verdict = Verdict(AttemptEnd.UNCERTAIN, "cancelled")
+        patience = anyio.CancelScope()
+        try:
+            with patience:
+                self._set_patience(patience, choice)
+                verdict = await self._send(choice, patience)
+            if patience.cancelled_caught:
+                verdict = Verdict(AttemptEnd.UNCERTAIN, "too_slow")
+        finally:
+            self._context.end(choice, self._request.prompt, verdict)
+        if verdict.end is not AttemptEnd.NEVER_SENT:
+            self._tried.add(back_end.instance)
+        if verdict.end in (AttemptEnd.UNCERTAIN, AttemptEnd.FAILED):
+            self._may_have_run = True
+        if verdict.end is not AttemptEnd.ANSWERED:
+            self._causes.append(f"{back_end.instance}:{verdict.reason}")
+        return verdict.end
+
+    def _is_first_send(self) -> bool:
+        return not self._tried
+
+    def _set_patience(self, patience: anyio.CancelScope, choice: Choice) -> None:
+        """Bound the wait for the first event where the request may be tried elsewhere."""
+        assert self._route is not None
+        if not self._route.is_repeatable or len(self._tried) + 1 >= self._route.max_attempts:
+            return
+        wait_s = self._context.first_event_patience_s(self._route, choice)
+        patience.deadline = self._clock() + wait_s
+
+    async def _send(self, choice: Choice, patience: anyio.CancelScope) -> Verdict:
+        outbound = self._outbound(choice)
+        port = self._context.port_of(choice.candidate.back_end)
+        async with port.send(outbound) as sent:
+            if sent.is_err():
+                return judge_failure(sent.unwrap_err())
+            answer = sent.unwrap()
+            verdict = judge_answer(answer, self._request.request_id, outbound.instance)
+            self._context.note_answer(choice, self._request.prompt, answer)
+            if verdict.end in (AttemptEnd.UNRUN, AttemptEnd.UNCERTAIN):
+                return verdict
+            try:
+                return await self._pass_on(answer, verdict, choice, patience)
+            except BodyBroken:
+                return Verdict(AttemptEnd.UNCERTAIN, "body_broken")
+
+    def _outbound(self, choice: Choice) -> OutboundRequest:
+        prompt = self._request.prompt
+        is_generation = choice.scope is not None and prompt is not None
+        return OutboundRequest(
+            request=self._request,
+            body=self._body,
+            instance=choice.candidate.back_end.instance,
+            timeout_s=self._deadline_s - self._clock(),
+            tenant=self._tenant.name if self._tenant else None,
+            priority=self._priority() if is_generation else None,
+            cache_scope=choice.scope,
+            weight_version=choice.candidate.weight_version,
+            fetch_from=choice.fetch_from,
+            resume_after=self._cutter.last_id or self._request.resume_after,
+        )
+
+    def _priority(self) -> int:
+        assert self._route is not None
+        tenant_priority = self._tenant.priority if self._tenant else None
+        return self._context.priority(tenant_priority, self._route.priority)
+
+    async def _pass_on(
+        self, answer: Answer, verdict: Verdict, choice: Choice, patience: anyio.CancelScope
+    ) -> Verdict:
+        assert self._route is not None
+        is_stream = self._route.kind is RequestKind.STREAMING
+        if is_stream and verdict.reason == "ok":
+            await self._relay_stream(answer, choice, patience)
+            return verdict
+        body = await _gather(answer)
+        if verdict.end is AttemptEnd.FAILED:
+            self._failed_answer = (answer.status, answer.headers, body)
+            return verdict
+        if self._responder.has_begun:
+            return Verdict(AttemptEnd.FAILED, f"status_{answer.status}_on_resume")
+        self._note_first_byte()
+        await self._responder.whole(answer.status, answer.headers, body)
+        return verdict
+
+    async def _relay_stream(
+        self, answer: Answer, choice: Choice, patience: anyio.CancelScope
+    ) -> None:
+        """Pass on whole events as they come; the head waits for the first of them."""
+        cutter = self._cutter
+        cutter.drop_rest()
+        is_first = True
+        async for chunk in answer.body:
+            events = cutter.feed(chunk)
+            if not events:
+                continue
+            if is_first:
+                is_first = False
+                self._context.first_event(choice, self._request.prompt)
+            patience.deadline = self._clock() + self._stall_s()
+            await self._begin_stream(answer)
+            await self._responder.part(events)
+        await self._begin_stream(answer)
+        rest = cutter.take_rest()
+        if rest:
+            await self._responder.part(rest)
+        await self._responder.end()
+
+    def _stall_s(self) -> float:
+        assert self._route is not None
+        if not self._route.is_repeatable or len(self._tried) + 1 >= self._route.max_attempts:
+            return float("inf")
+        return self._context.stall_patience_s(self._route)
+
+    async def _begin_stream(self, answer: Answer) -> None:
+        if not self._responder.has_begun:
+            self._note_first_byte()
+            await self._responder.begin(answer.status, answer.headers)
+
+    def _note_first_byte(self) -> None:
+        if self._first_byte_s is None:
+            self._first_byte_s = self._clock() - self._arrived_at_s
+
+    async def _give_up(self) -> None:
+        """Answer at once for a request that no attempt has answered."""
+        if self._responder.has_begun:
+            self.stage = Stage.BROKEN
+        elif self._failed_answer is not None:
+            self.stage = Stage.FAILED
+            status, headers, body = self._failed_answer
+            await self._responder.whole(status, headers, body)
+        elif self._may_have_run:
+            self.stage = Stage.FAILED
+            await self._responder.refuse(HTTP_BAD_GATEWAY)
+        else:
+            await self._refuse(HTTP_UNAVAILABLE, NO_BACK_END_RETRY_S)
+
+    async def _time_out(self) -> None:
+        self.stage = Stage.TIMED_OUT
+        self._causes.append("time_out")
+        if not self._responder.has_begun:
+            await self._responder.refuse(HTTP_TIMEOUT)
+
+    async def _refuse(self, status: int, retry_after_s: float) -> None:
+        self.stage = Stage.REFUSED
+        wait_s = retry_after_s if status == HTTP_UNAVAILABLE else None
+        await self._responder.refuse(status, wait_s)
+
+    def _tell_end(self) -> None:
+        summary = ExchangeSummary(
+            request=self._request,
+            route=self._route,
+            service=self._service,
+            stage=self.stage,
+            status=self._responder.status,
+            choice=self._choice,
+            num_attempts=self._num_attempts,
+            causes=tuple(self._causes),
+            first_byte_s=self._first_byte_s,
+            duration_s=self._clock() - self._arrived_at_s,
+        )
+        self._context.tell_end(summary)
+
+
+async def _gather(answer: Answer) -> bytes:
+    """Read a whole body."""
+    parts: list[bytes] = []
+    num_bytes = 0
+    async for chunk in answer.body:
+        num_bytes += len(chunk)
+        if num_bytes > MAX_WHOLE_ANSWER_BYTES:
+            raise BodyBroken("answer too large")
+        parts.append(chunk)
+    return b"".join(parts)
--- /dev/null
+++ b/src/weirscale/gateway/exchange_context.py
@@ -0,0 +1,209 @@
+"""What the requests of a node share: knowledge, choice, budgets, load, and the telling of it."""
+
+from collections.abc import Callable
+
+from weirscale.domain.identifiers import ServiceName
+from weirscale.gateway.back_ends import BackEnd
+from weirscale.gateway.choice import Choice
+from weirscale.gateway.dispatcher import Dispatcher
+from weirscale.gateway.health import BackEndHealth
+from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.load import FleetLoad
+from weirscale.gateway.metrics import GatewayMetrics
+from weirscale.gateway.model import Route
+from weirscale.gateway.outcome import AttemptEnd, Verdict
+from weirscale.gateway.peer_messages import PartNews, SendNews, SuspectNews
+from weirscale.gateway.peers import NewsOutbox, PeerDirectory
+from weirscale.gateway.ports import Answer, BackEndPort
+from weirscale.gateway.prompt import Prompt
+from weirscale.gateway.retry_budget import SharedRetryBudget
+from weirscale.gateway.settings import GatewaySettings
+from weirscale.gateway.split import WeightedSplit
+from weirscale.gateway.summary import ExchangeSummary
+from weirscale.node.event_log import EventLog
+
+PROOF_SHARE = 0.65
+"""Share of the bound on removed keys for which a proof of the configuration holds. The rest is for
+a store whose watch tells changes late, and for requests on their way."""
+
+MAX_PRIORITY = 9
+PRIORITIES_A_TENANT = 3
+DEFAULT_TENANT_PRIORITY = 1
+
+FIRST_EVENT_SHARE = 0.6
+"""Share of the objective after which a silent runner is left, where another may take over."""
+
+FIRST_EVENT_FACTOR = 3.0
+"""The wait is at least this multiple of the estimate."""
+
+STALL_FACTOR = 1.5
+"""A stream without an event for this multiple of its longest pause is taken up elsewhere."""
+
+DEFAULT_MAX_PAUSE_S = 0.5
+BLAMED = frozenset({"no_answer", "other_answer", "body_broken", "too_slow", "no_seal"})
+"""Ends without a verdict of the back end's own that count against it."""
+
+
+class ExchangeContext:
+    """Shared by all requests of a node.
+
+    Args:
+        settings: Settings of the process.
+        knowledge: The platform's state.
+        dispatcher: Chooses back ends.
+        load: Work at back ends.
+        health: Circuits.
+        budget: Retry budget.
+        peers: Other nodes.
+        outbox: What peers are told.
+        port_of: Returns the port of a back end.
+        event_log: Decisions.
+        metrics: Figures.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        knowledge: Knowledge,
+        dispatcher: Dispatcher,
+        load: FleetLoad,
+        health: BackEndHealth,
+        budget: SharedRetryBudget,
+        peers: PeerDirectory,
+        outbox: NewsOutbox,
+        port_of: Callable[[BackEnd], BackEndPort],
+        event_log: EventLog,
+        metrics: GatewayMetrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self.knowledge = knowledge
+        self.dispatcher = dispatcher
+        self._load = load
+        self._health = health
+        self._budget = budget
+        self._peers = peers
+        self._outbox = outbox
+        self.port_of = port_of
+        self._event_log = event_log
+        self._metrics = metrics
+        self.clock = clock
+        self.split = WeightedSplit()
+        self._waiting: dict[int, int] = {}
+
+    def is_current(self) -> bool:
+        """Whether the configuration is proved to be current enough for keys."""
+        bound_s = self._settings.bounds.key_removal_s
+        return bound_s is None or self.knowledge.age_s() <= PROOF_SHARE * bound_s
+
+    def priority(self, tenant_priority: int | None, route_priority: int) -> int:
+        """Combine priorities: the tenant's goes before the route's; 0 is the most urgent."""
+        tenant = DEFAULT_TENANT_PRIORITY if tenant_priority is None else tenant_priority
+        route = min(route_priority, PRIORITIES_A_TENANT - 1)
+        return min(MAX_PRIORITY, max(0, tenant * PRIORITIES_A_TENANT + route))
+
+    def take_retry(self, service: ServiceName) -> bool:
+        """Spend one repeat of the shared budget."""
+        return self._budget.try_take(service, self._peers.num_nodes(), self.clock())
+
+    def first_event_patience_s(self, route: Route, choice: Choice) -> float:
+        """Return how long to wait for a first event before another back end is tried."""
+        return max(FIRST_EVENT_SHARE * route.objective_s, FIRST_EVENT_FACTOR * choice.estimate_s)
+
+    def stall_patience_s(self, route: Route) -> float:
+        """Return how long a stream may be silent before it is taken up elsewhere."""
+        return STALL_FACTOR * (route.max_pause_s or DEFAULT_MAX_PAUSE_S)
+
+    def begin(self, choice: Choice, prompt: Prompt | None, is_first: bool) -> None:
+        """An attempt begins."""
+        back_end = choice.candidate.back_end
+        held = prompt.num_tokens if prompt else 0
+        self._load.begin(back_end.instance, choice.read_tokens, held)
+        self._waiting[id(choice)] = choice.read_tokens
+        if is_first:
+            self._budget.note_request(back_end.service, self.clock())
+        if prompt is not None and choice.scope is not None:
+            self.dispatcher.note_sent(choice, prompt)
+            self._tell_send(choice, prompt, is_ready=False)
+
+    def first_event(self, choice: Choice, prompt: Prompt | None) -> None:
+        """The first event of an attempt arrived: its prompt has been read."""
+        instance = choice.candidate.back_end.instance
+        self._load.first_event(instance, self._waiting.pop(id(choice), 0))
+        if prompt is not None and choice.scope is not None:
+            self.dispatcher.note_read(choice, prompt)
+            self._tell_send(choice, prompt, is_ready=True)
+
+    def end(self, choice: Choice, prompt: Prompt | None, verdict: Verdict) -> None:
+        """An attempt has ended."""
+        instance = choice.candidate.back_end.instance
+        was_unread = id(choice) in self._waiting
+        self._load.first_event(instance, self._waiting.pop(id(choice), 0))
+        self._load.end(instance, prompt.num_tokens if prompt else 0)
+        if was_unread and prompt is not None:
+            self.dispatcher.note_unread(choice, prompt)
+        self._judge_health(instance, verdict)
+
+    def _judge_health(self, instance: str, verdict: Verdict) -> None:
+        now_s = self.clock()
+        if verdict.end is AttemptEnd.ANSWERED:
+            self._health.succeeded(instance, now_s)
+        elif verdict.end is AttemptEnd.NEVER_SENT:
+            self._health.unreachable(instance, verdict.reason, now_s)
+            self._outbox.add_suspect(SuspectNews(instance))
+        elif verdict.end is AttemptEnd.FAILED or verdict.reason in BLAMED:
+            self._health.failed(instance, verdict.reason, now_s)
+
+    def note_answer(self, choice: Choice, prompt: Prompt | None, answer: Answer) -> None:
+        """Learn from the head of an answer which weights the runner has."""
+        if prompt is None or answer.weight_version is None or choice.scope is None:
+            return
+        instance = choice.candidate.back_end.instance
+        self.knowledge.learn_version(instance, prompt.model, answer.weight_version, "answer")
+
+    def _tell_send(self, choice: Choice, prompt: Prompt, is_ready: bool) -> None:
+        assert choice.scope is not None
+        parts = tuple(PartNews(part.part_id, part.num_tokens) for part in prompt.parts)
+        instance = choice.candidate.back_end.instance
+        self._outbox.add_send(SendNews(instance, choice.scope, is_ready, parts))
+
+    def tell_end(self, summary: ExchangeSummary) -> None:
+        """Log and count a request that has ended."""
+        self._metrics.count_request(summary)
+        self._event_log.event("request_ended", **self._fields(summary))
+
+    def _fields(self, summary: ExchangeSummary) -> dict[str, object]:
+        table = self.knowledge.table
+        fields: dict[str, object] = {
+            "id": summary.request.request_id,
+            "outcome": summary.stage.value,
+            "status": summary.status,
+            "route": summary.route.name if summary.route else "",
+            "service": summary.service or "",
+            "attempts": summary.num_attempts,
+            "ms": round(summary.duration_s * 1000.0, 1),
+            "config": table.version if table else 0,
+            "config_age_ms": round(self.knowledge.age_s() * 1000.0),
+        }
+        if summary.first_byte_s is not None:
+            fields["first_ms"] = round(summary.first_byte_s * 1000.0, 1)
+        if summary.choice is not None:
+            fields.update(_choice_fields(summary.choice))
+        if summary.causes:
+            fields["causes"] = ",".join(summary.causes)
+        return fields
+
+
+def _choice_fields(choice: Choice) -> dict[str, object]:
+    load = choice.candidate.load
+    return {
+        "instance": choice.candidate.back_end.instance,
+        "weights": choice.candidate.weight_version or 0,
+        "candidates": choice.num_candidates,
+        "load": f"{load.num_requests}/{load.waiting_tokens}/{load.held_tokens}",
+        "cached": choice.cached_tokens,
+        "fetched": choice.fetched_tokens,
+        "read": choice.read_tokens,
+        "estimate_ms": round(choice.estimate_s * 1000.0, 1),
+    }
--- /dev/null
+++ b/src/weirscale/gateway/health.py
@@ -0,0 +1,111 @@
+"""Health of back ends as this node finds it: circuits fed by requests and probes."""
+
+from random import Random
+
+from weirscale.domain.health.circuit import (
+    HEALTHY,
+    Circuit,
+    CircuitState,
+    admission_weight,
+    after_failure,
+    after_probe_failure,
+    after_probe_success,
+    after_success,
+    state_at,
+)
+from weirscale.domain.health.rules import HealthRules
+from weirscale.node.event_log import EventLog
+
+GATEWAY_HEALTH_RULES = HealthRules(
+    max_consecutive_failures=2,
+    max_failed_probes=1,
+    max_failure_rate=0.25,
+    min_samples=6.0,
+    sample_half_life_s=3.0,
+    open_time_s=0.6,
+    max_open_time_s=4.0,
+    forget_openings_s=10.0,
+    slow_return_s=1.0,
+    min_weight=0.15,
+)
+"""Days are short and requests are many: circuits open soon and are tried again soon."""
+
+
+class BackEndHealth:
+    """One circuit for each back end.
+
+    Args:
+        event_log: Where openings and closings are told.
+        random: Jitter and trials.
+        rules: Thresholds.
+    """
+
+    def __init__(
+        self, event_log: EventLog, random: Random, rules: HealthRules = GATEWAY_HEALTH_RULES
+    ) -> None:
+        self._event_log = event_log
+        self._random = random
+        self._rules = rules
+        self._circuits: dict[str, Circuit] = {}
+
+    def succeeded(self, instance: str, now_s: float) -> None:
+        """A request was answered."""
+        circuit = self._circuits.get(instance)
+        if circuit is not None:
+            self._set(instance, after_success(circuit, self._rules, now_s), now_s)
+
+    def failed(self, instance: str, reason: str, now_s: float) -> None:
+        """A request failed."""
+        circuit = self._circuits.get(instance, HEALTHY)
+        after = after_failure(circuit, self._rules, now_s, self._random, reason)
+        self._set(instance, after, now_s)
+
+    def unreachable(self, instance: str, reason: str, now_s: float) -> None:
+        """No connection could be made, or a probe went unanswered."""
+        circuit = self._circuits.get(instance, HEALTHY)
+        after = after_probe_failure(circuit, self._rules, now_s, self._random, reason)
+        self._set(instance, after, now_s)
+
+    def probed(self, instance: str, now_s: float) -> None:
+        """A probe was answered."""
+        circuit = self._circuits.get(instance)
+        if circuit is not None:
+            self._set(instance, after_probe_success(circuit, now_s), now_s)
+
+    def admits(self, instance: str, now_s: float) -> bool:
+        """Whether a request may go there now; by chance while the back end returns."""
+        circuit = self._circuits.get(instance)
+        if circuit is None:
+            return True
+        weight = admission_weight(circuit, self._rules, now_s)
+        return weight >= 1.0 or self._random.random() < weight
+
+    def is_suspect(self, instance: str, now_s: float) -> bool:
+        """Whether the circuit is not closed."""
+        circuit = self._circuits.get(instance)
+        return circuit is not None and state_at(circuit, now_s) is not CircuitState.CLOSED
+
+    def to_probe(self, now_s: float) -> tuple[str, ...]:
+        """Return the back ends whose circuit a probe can close now."""
+        return tuple(
+            instance
+            for instance, circuit in self._circuits.items()
+            if not circuit.needs_request and state_at(circuit, now_s) is CircuitState.HALF_OPEN
+        )
+
+    def forget(self, instance: str) -> None:
+        """Forget a back end that is gone."""
+        self._circuits.pop(instance, None)
+
+    def _set(self, instance: str, circuit: Circuit, now_s: float) -> None:
+        was_open = self._circuits.get(instance, HEALTHY).is_open
+        self._circuits[instance] = circuit
+        if circuit.is_open and not was_open:
+            self._event_log.event(
+                "back_end_suspected",
+                instance=instance,
+                reason=circuit.reason,
+                open_s=circuit.open_until_s - now_s,
+            )
+        elif was_open and not circuit.is_open:
+            self._event_log.event("back_end_recovered", instance=instance, reason=circuit.reason)
--- /dev/null
+++ b/src/weirscale/gateway/knowledge.py
@@ -0,0 +1,194 @@
+"""What a node knows of the platform's state: one owner, everything else reads.
+
+Nothing here ever goes back: a key's older revision and a lower configuration version are dropped,
+whichever way they arrive.
+"""
+
+from collections.abc import Callable, Iterator
+
+from weirscale.domain.identifiers import ServiceName
+from weirscale.gateway.back_ends import BackEnd, BackEndDirectory, BackEndState
+from weirscale.gateway.ports import (
+    BackEndGone,
+    BackEndRegistered,
+    ConfigurationNamed,
+    RecordChanged,
+    StateBatch,
+    Unreadable,
+    VersionedChange,
+    WeightsNamed,
+)
+from weirscale.gateway.routes import RouteTable
+from weirscale.gateway.weights import LONG_AGO_S, VersionBook
+from weirscale.node.event_log import EventLog
+
+NEVER_S = float("-inf")
+
+
+class Knowledge:
+    """The platform's state as this node knows it.
+
+    Args:
+        event_log: Where changes are told.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(self, event_log: EventLog, clock: Callable[[], float]) -> None:
+        self._event_log = event_log
+        self._clock = clock
+        self._revisions: dict[str, int] = {}
+        self._instance_keys: dict[str, str] = {}
+        self._record_keys: dict[str, str] = {}
+        self._versions: dict[tuple[str, str], int] = {}
+        self.table: RouteTable | None = None
+        self.directory = BackEndDirectory()
+        self.weights = VersionBook()
+        self.records: dict[str, bytes] = {}
+        self.revision = 0
+        self.confirmed_at_s = NEVER_S
+        """Everything acknowledged before this time is known."""
+        self.has_read_all = False
+        self.on_gone: Callable[[BackEnd], None] = _ignore
+        self.on_table: Callable[[RouteTable], None] = _ignore
+        self.on_version: Callable[[str, str, int], None] = _ignore_version
+
+    def replace_all(self, batch: StateBatch, asked_at_s: float) -> None:
+        """Take over a reading of everything; what it lacks is gone."""
+        present = {change.key for change in batch.changes}
+        for instance, key in list(self._instance_keys.items()):
+            if key not in present:
+                self._remove_back_end(instance)
+        for key in [key for key in self.records if key not in present]:
+            del self.records[key]
+        self.apply(batch, asked_at_s)
+        self.has_read_all = True
+
+    def apply(self, batch: StateBatch, asked_at_s: float) -> None:
+        """Take over changes.
+
+        Args:
+            batch: The changes.
+            asked_at_s: When the store was asked: what it had acknowledged by then is known now.
+        """
+        for change in batch.changes:
+            if change.revision > self._revisions.get(change.key, 0):
+                self._revisions[change.key] = change.revision
+                self._apply_one(change)
+        self.revision = max(self.revision, batch.revision)
+        self.confirmed_at_s = max(self.confirmed_at_s, asked_at_s)
+
+    def _apply_one(self, versioned: VersionedChange) -> None:
+        change = versioned.change
+        if isinstance(change, ConfigurationNamed):
+            self._take_configuration(change, versioned.revision)
+        elif isinstance(change, BackEndRegistered):
+            self._put_back_end(versioned.key, change.back_end)
+        elif isinstance(change, BackEndGone):
+            self._remove_back_end(change.instance)
+        elif isinstance(change, WeightsNamed):
+            self._name_weights(change)
+        elif isinstance(change, RecordChanged):
+            self._change_record(change)
+        elif isinstance(change, Unreadable):
+            self._event_log.event(
+                "state_unreadable",
+                key=change.key,
+                problem=change.problem,
+                remedy="mend the entry in the store; the last good state stays in force",
+            )
+
+    def _take_configuration(self, named: ConfigurationNamed, revision: int) -> None:
+        version = named.configuration.version
+        known = self.table.version if self.table else None
+        if known is not None and version <= known:
+            return
+        self.table = RouteTable(named.configuration)
+        self._event_log.event(
+            "configuration_taken",
+            version=version,
+            previous=known,
+            revision=revision,
+            routes=len(named.configuration.routes),
+        )
+        self.on_table(self.table)
+
+    def _put_back_end(self, key: str, back_end: BackEnd) -> None:
+        known = self.directory.get(back_end.instance)
+        for displaced in self.directory.put(back_end):
+            self._event_log.event(
+                "back_end_displaced", instance=displaced, by=back_end.instance,
+                address=back_end.address,
+            )  # fmt: skip
+            self._instance_keys.pop(displaced, None)
+        self._instance_keys[back_end.instance] = key
+        for served in back_end.models:
+            self.learn_version(back_end.instance, served.name, served.version, "registration")
+        if known is None or known.state is not back_end.state:
+            self._event_log.event(
+                "back_end_seen" if back_end.state is BackEndState.READY else "back_end_leaving",
+                instance=back_end.instance,
+                service=back_end.service,
+                address=back_end.address,
+                zone=back_end.zone,
+            )
+
+    def _remove_back_end(self, instance: str) -> None:
+        self._instance_keys.pop(instance, None)
+        known = self.directory.remove(instance)
+        for key in [key for key in self._versions if key[0] == instance]:
+            del self._versions[key]
+        if known is not None:
+            self._event_log.event("back_end_gone", instance=instance, address=known.address)
+            self.on_gone(known)
+
+    def _name_weights(self, change: WeightsNamed) -> None:
+        named_at_s = self._clock() if self.has_read_all else LONG_AGO_S
+        if self.weights.name(change.model, change.version, named_at_s):
+            self._event_log.event("weights_named", model=change.model, version=change.version)
+
+    def _change_record(self, change: RecordChanged) -> None:
+        if change.value is None:
+            self.records.pop(change.key, None)
+        else:
+            self.records[change.key] = change.value
+
+    def learn_version(self, instance: str, model: str, version: int, source: str) -> None:
+        """Learn which weights a runner has; an incarnation's version only rises."""
+        known = self._versions.get((instance, model), 0)
+        if version <= known or self.directory.get(instance) is None:
+            return
+        self._versions[(instance, model)] = version
+        self.on_version(instance, model, version)
+        if known:
+            self._event_log.event(
+                "version_believed", instance=instance, model=model, version=version,
+                previous=known, source=source,
+            )  # fmt: skip
+
+    def version_of(self, instance: str, model: str) -> int | None:
+        """Return the version that a runner is believed to have."""
+        return self._versions.get((instance, model))
+
+    def age_s(self) -> float:
+        """Return for how long nothing has proved that this knowledge is current."""
+        return self._clock() - self.confirmed_at_s
+
+    def records_under(self, prefix: str) -> Iterator[tuple[str, bytes]]:
+        """Return the gateway's own records with a prefix."""
+        return ((key, value) for key, value in self.records.items() if key.startswith(prefix))
+
+    def ready_back_ends(self, service: ServiceName) -> list[BackEnd]:
+        """Return the back ends of a service that take new work."""
+        return [
+            back_end
+            for back_end in self.directory.of_service(service)
+            if back_end.state is BackEndState.READY
+        ]
+
+
+def _ignore(_: object) -> None:
+    """Do nothing until the node sets a handler."""
+
+
+def _ignore_version(_instance: str, _model: str, _version: int) -> None:
+    """Do nothing until the node sets a handler."""
--- /dev/null
+++ b/src/weirscale/gateway/model.py
@@ -0,0 +1,139 @@
+"""The gateway's configuration: an immutable value that is replaced as a whole."""
+
+import enum
+
+import msgspec
+
+from weirscale.domain.identifiers import ServiceName, TenantName, ZoneName
+
+DEFAULT_HEALTH_PATH = "/healthz"
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    """May run more than once."""
+    MUTATING = "mutating"
+    """Runs at most once."""
+    STREAMING = "streaming"
+    """Answers with a series of events; runs at most once unless its route is resumable."""
+
+
+class WeightedService(msgspec.Struct, frozen=True):
+    """One part of a route's traffic."""
+
+    service: ServiceName
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Where requests of one host and path prefix go, and what is promised for them.
+
+    Attributes:
+        name: Unique name.
+        host: Host header that it matches, without a port.
+        path_prefix: Begins and ends with a slash.
+        kind: What may be repeated.
+        parts: Services that share the traffic by weight; at least one.
+        timeout_s: Longest time that a request may be held.
+        objective_s: Time to the answer, or to a stream's first event, that earns full credit.
+        priority: 0 is the most urgent.
+        max_attempts: Back ends that one request may be sent to.
+        is_public: Whether no key is needed.
+        is_resumable: Whether a stream may be taken up by another back end.
+        max_pause_s: Longest pause between a stream's events that keeps it in time.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    parts: tuple[WeightedService, ...]
+    timeout_s: float
+    objective_s: float
+    priority: int = 0
+    max_attempts: int = 1
+    is_public: bool = False
+    is_resumable: bool = False
+    max_pause_s: float | None = None
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RequestKind.STREAMING:
+            return self.is_resumable
+        return self.kind is RequestKind.IDEMPOTENT
+
+
+class EngineProfile(msgspec.Struct, frozen=True):
+    """What the runners of a model service have.
+
+    Attributes:
+        slots: Requests that a runner works on at once.
+        cache_tokens: Tokens that fit into a runner's memory.
+        models: Names of the models served.
+    """
+
+    slots: int
+    cache_tokens: int
+    models: tuple[str, ...] = ()
+
+
+class KeptCacheStore(msgspec.Struct, frozen=True):
+    """A store of cached prompt parts outside the runners.
+
+    Attributes:
+        address: IP:PORT that runners reach it at.
+        zone: Where it stands.
+        capacity_tokens: Tokens that it keeps.
+    """
+
+    address: str
+    zone: ZoneName
+    capacity_tokens: int
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A service that routes may name, or a store of cached prompt parts."""
+
+    name: ServiceName
+    health_path: str = DEFAULT_HEALTH_PATH
+    max_connections: int = 100
+    engine: EngineProfile | None = None
+    kept_cache: KeptCacheStore | None = None
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """Bounds on what callers may send and how long connections may rest."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Tenant(msgspec.Struct, frozen=True):
+    """A tenant and its keys.
+
+    Attributes:
+        name: Unique name.
+        keys: API keys that belong to it.
+        priority: Goes before the route's where given; 0 is the most urgent.
+        is_isolated: Whether it shares no cached prompt part with other tenants.
+    """
+
+    name: TenantName
+    keys: tuple[str, ...]
+    priority: int | None = None
+    is_isolated: bool = False
+
+
+class GatewayConfiguration(msgspec.Struct, frozen=True):
+    """All that operators declare; applied as a whole, only ever to a higher version."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    limits: CallerLimits = CallerLimits()
+    tenants: tuple[Tenant, ...] = ()
--- /dev/null
+++ b/src/weirscale/gateway/node.py
@@ -0,0 +1,295 @@
+"""Assembles a gateway from its parts and runs its tasks."""
+
+from collections.abc import Callable
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from weirscale.domain.duties.assignment import Duty, DutyKind
+from weirscale.domain.duties.lease import LeaseRules
+from weirscale.domain.identifiers import Incarnation, NodeId
+from weirscale.gateway.back_ends import BackEnd
+from weirscale.gateway.caller_app import CallerApp
+from weirscale.gateway.dispatcher import Dispatcher
+from weirscale.gateway.exchange_context import ExchangeContext
+from weirscale.gateway.follower import StateFollower
+from weirscale.gateway.health import BackEndHealth
+from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.load import FleetLoad, Load
+from weirscale.gateway.metrics import GatewayMetrics
+from weirscale.gateway.peer_messages import LoadingNews, LoadNews, NamedNews, PeerNews
+from weirscale.gateway.peers import (
+    NewsOutbox,
+    NewsReceiver,
+    PeerDirectory,
+    PeerTask,
+    RegistrationTask,
+)
+from weirscale.gateway.ports import BackEndConnector, BackEndPort, CallerDialect, StateFeed
+from weirscale.gateway.prompt import PromptPart
+from weirscale.gateway.retry_budget import SharedRetryBudget
+from weirscale.gateway.rollout import RolloutRules
+from weirscale.gateway.rollout_task import RolloutTask
+from weirscale.gateway.routes import RouteTable
+from weirscale.gateway.settings import GatewaySettings
+from weirscale.gateway.weights import LONG_AGO_S
+from weirscale.node.duties.lease_task import KEY_PREFIX, DutyLeaseTask
+from weirscale.node.event_log import EventLog
+from weirscale.ports.key_value import KeyValuePort
+
+MILLISECONDS_PER_S = 1000.0
+
+WEIGHTS_MARGIN_S = 1.1
+"""Requests wait at a runner before they start, so sending on old weights ends this much early."""
+
+ROLLOUT_TARGET_SHARE = 0.8
+"""Share of the bound on weights by which every load should have begun."""
+
+LOAD_S = 2.0
+SHARE_LOADING_AT_ONCE = 0.34
+RANK_DELAY_S = 0.25
+"""Each node waits this much longer than the one before it, so that few race for a free duty."""
+
+PROBE_INTERVAL_S = 0.3
+PROBE_TIMEOUT_S = 0.4
+UNTOLD_GRACE_S = 0.4
+"""After a start, how long peers have to tell how old the named versions are."""
+
+DEFAULT_MAX_CONNECTIONS = 100
+CONNECTION_SHARE = 0.4
+"""Share of a back end's connections that one node may use: most nodes may be gone."""
+
+
+class RolloutEligibility:
+    """Lets a node try for the duty once its key is gone, later by rank."""
+
+    def __init__(
+        self, knowledge: Knowledge, peers: PeerDirectory, duty: Duty, clock: Callable[[], float]
+    ) -> None:
+        self._knowledge = knowledge
+        self._peers = peers
+        self._key = KEY_PREFIX + duty.key
+        self._clock = clock
+        self._free_since_s: float | None = None
+
+    def is_own(self, duty: Duty, count: int, /) -> bool:
+        """Whether this node should try now."""
+        if not self._knowledge.has_read_all or self._key in self._knowledge.records:
+            self._free_since_s = None
+            return False
+        if self._free_since_s is None:
+            self._free_since_s = self._clock()
+        return self._clock() >= self._free_since_s + RANK_DELAY_S * self._peers.rank()
+
+
+class GatewayNode(NewsReceiver):
+    """One gateway.
+
+    Args:
+        settings: Settings of the process.
+        feed: The platform's state.
+        store: The key-value service, for leases.
+        connect: Makes ports of back ends.
+        dialect: How callers write.
+        event_log: Decisions.
+        random: Source of randomness.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        feed: StateFeed,
+        store: KeyValuePort,
+        connect: BackEndConnector,
+        dialect: CallerDialect,
+        event_log: EventLog,
+        random: Random,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.settings = settings
+        self._connect = connect
+        self._event_log = event_log
+        self._clock = clock
+        self._ports: dict[str, BackEndPort] = {}
+        self._closing: list[BackEndPort] = []
+        self.is_stopping = False
+        self.metrics = GatewayMetrics()
+        self.knowledge = Knowledge(event_log, clock)
+        self.knowledge.on_gone = self._forget_back_end
+        self.knowledge.on_version = self._take_version
+        self.follower = StateFollower(feed, self.knowledge, event_log, random)
+        self.load = FleetLoad()
+        self.health = BackEndHealth(event_log, random)
+        bounds = settings.bounds
+        self.dispatcher = Dispatcher(
+            settings.zone, self.knowledge, self.load, self.health,
+            bounds.weights_s - WEIGHTS_MARGIN_S, random, clock,
+        )  # fmt: skip
+        self.budget = SharedRetryBudget(
+            settings.retry_budget, clock(), skips_first_window=not settings.is_first_start
+        )
+        self.peers = PeerDirectory(settings.name, self.knowledge, clock)
+        self.outbox = NewsOutbox(settings.name)
+        self.peer_task = PeerTask(
+            settings.peers, self.peers, self.outbox, self, self._gather_news
+        )
+        self.registration = RegistrationTask(settings.name, settings.peers, store, event_log)
+        self.context = ExchangeContext(
+            settings, self.knowledge, self.dispatcher, self.load, self.health, self.budget,
+            self.peers, self.outbox, self.port_of, event_log, self.metrics, clock,
+        )  # fmt: skip
+        self.app = CallerApp(
+            settings, self.context, dialect, self.is_ready, lambda: self.is_stopping,
+            self.metrics_text,
+        )  # fmt: skip
+        self._lease = self._make_lease(store, random)
+        self._rollout = RolloutTask(
+            settings.name, self._lease, self.knowledge, self.port_of, self._announce_loading,
+            lambda instance: self.load.total(instance, clock()).num_requests, event_log,
+            RolloutRules(
+                load_s=LOAD_S,
+                share_at_once=SHARE_LOADING_AT_ONCE,
+                target_s=ROLLOUT_TARGET_SHARE * bounds.weights_s,
+                urgent_s=bounds.weights_s - WEIGHTS_MARGIN_S,
+            ),
+            bounds.lease_s,
+        )  # fmt: skip
+
+    def _make_lease(self, store: KeyValuePort, random: Random) -> DutyLeaseTask:
+        duty = Duty(DutyKind.PLACEMENT_PLANNER)
+        life_s = max(self.settings.bounds.min_lease_s, 3.0)
+        rules = LeaseRules(
+            time_to_live_s=life_s,
+            margin_s=0.3,
+            renew_interval_s=life_s / 4.0,
+            retry_interval_s=0.4,
+            standby_interval_s=0.5,
+        )
+        eligibility = RolloutEligibility(self.knowledge, self.peers, duty, self._clock)
+        node_id = NodeId(self.settings.name, Incarnation(0))
+        return DutyLeaseTask(duty, node_id, store, eligibility, random, rules)
+
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome: a configuration is known and no stop has begun."""
+        return self.knowledge.table is not None and not self.is_stopping
+
+    async def run(self) -> None:
+        """Run all tasks until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.follower.run)
+            tasks.start_soon(self.registration.run)
+            tasks.start_soon(self.peer_task.run)
+            tasks.start_soon(self._lease.run)
+            tasks.start_soon(self._rollout.run)
+            tasks.start_soon(self._probe_regularly, tasks)
+            await anyio.sleep_forever()
+
+    async def leave(self) -> None:
+        """Give up duties and registration, so that others take over at once."""
+        await self._lease.release()
+        await self.registration.withdraw()
+
+    def port_of(self, back_end: BackEnd) -> BackEndPort:
+        """Return the port of a back end."""
+        port = self._ports.get(back_end.instance)
+        if port is None:
+            table = self.knowledge.table
+            service = table.service(back_end.service) if table else None
+            limit = service.max_connections if service else DEFAULT_MAX_CONNECTIONS
+            port = self._connect(back_end, max(4, int(limit * CONNECTION_SHARE)))
+            self._ports[back_end.instance] = port
+        return port
+
+    def _forget_back_end(self, back_end: BackEnd) -> None:
+        port = self._ports.pop(back_end.instance, None)
+        if port is not None:
+            self._closing.append(port)
+        self.dispatcher.forget(back_end.instance)
+
+    def _take_version(self, instance: str, model: str, version: int) -> None:
+        self.dispatcher.weights_changed(instance)
+
+    def hear(self, news: PeerNews) -> None:
+        """Take over what a peer tells."""
+        now_s = self._clock()
+        for load in news.loads:
+            heard = Load(load.num_requests, load.waiting_tokens, load.held_tokens)
+            self.load.hear(news.sender, load.instance, heard, now_s)
+        for send in news.sends:
+            parts = tuple(PromptPart(part.part_id, part.num_tokens) for part in send.parts)
+            self.dispatcher.note_parts(send.instance, send.scope, parts, send.is_ready)
+        for loading in news.loading:
+            self._hear_loading(loading)
+        for named in news.named:
+            age_s = named.age_ms / MILLISECONDS_PER_S
+            self.knowledge.weights.learn_age(named.model, named.version, now_s - age_s)
+        for suspect in news.suspects:
+            if self.knowledge.directory.get(suspect.instance) is not None:
+                self.health.unreachable(suspect.instance, "told_by_peer", now_s)
+
+    def _hear_loading(self, loading: LoadingNews) -> None:
+        self.dispatcher.mark_loading(loading.instance, loading.is_done)
+        if loading.is_done and loading.version:
+            self.knowledge.learn_version(
+                loading.instance, loading.model, loading.version, "peer"
+            )
+
+    async def _announce_loading(
+        self, instance: str, model: str, version: int, is_done: bool
+    ) -> None:
+        self.dispatcher.mark_loading(instance, is_done)
+        self.outbox.add_loading(LoadingNews(instance, model, version, is_done))
+        await self.peer_task.flush()
+
+    def _gather_news(self, must_refresh: bool) -> None:
+        changed = self.load.take_changed()
+        if must_refresh:
+            changed.update({one: self.load.own(one) for one in self.load.own_instances()})
+            self._gather_ages()
+        for instance, load in changed.items():
+            self.outbox.add_load(
+                LoadNews(instance, load.num_requests, load.waiting_tokens, load.held_tokens)
+            )
+
+    def _gather_ages(self) -> None:
+        now_s = self._clock()
+        for model, named in self.knowledge.weights.all():
+            if named.named_at_s != LONG_AGO_S:
+                age_ms = int((now_s - named.named_at_s) * MILLISECONDS_PER_S)
+                self.outbox.add_named(NamedNews(model, named.version, age_ms))
+
+    async def _probe_regularly(self, tasks: TaskGroup) -> None:
+        while True:
+            await anyio.sleep(PROBE_INTERVAL_S)
+            for port in self._closing:
+                tasks.start_soon(port.close)
+            self._closing = []
+            for instance in self.health.to_probe(self._clock()):
+                tasks.start_soon(self._probe, instance)
+
+    async def _probe(self, instance: str) -> None:
+        back_end = self.knowledge.directory.get(instance)
+        table = self.knowledge.table
+        if back_end is None or table is None:
+            self.health.forget(instance)
+            return
+        service = table.service(back_end.service)
+        path = service.health_path if service else "/"
+        if await self.port_of(back_end).is_healthy(path, PROBE_TIMEOUT_S):
+            self.health.probed(instance, self._clock())
+        else:
+            self.health.unreachable(instance, "probe", self._clock())
+
+    def metrics_text(self) -> bytes:
+        """Return the metrics, with figures that are read off now."""
+        table: RouteTable | None = self.knowledge.table
+        self.metrics.knowledge_age.set(min(self.knowledge.age_s(), 1e9))
+        self.metrics.configuration_version.set(table.version if table else 0)
+        self.metrics.back_ends.set(len(self.knowledge.directory.instances()))
+        self.metrics.lease_held.set(1 if self._lease.is_held() else 0)
+        for service in {one.service for one in self.knowledge.directory.all()}:
+            left = self.budget.left(service, self.peers.num_nodes(), self._clock())
+            self.metrics.retry_budget_left.labels(service).set(left)
+        return self.metrics.text()
--- /dev/null
+++ b/src/weirscale/gateway/program.py
@@ -0,0 +1,152 @@
+"""A gateway as a process: sockets, signals, logs, and the order of a planned stop."""
+
+import gc
+import signal
+import sys
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+import anyio
+
+from weirscale.gateway.line_log import LineLog
+from weirscale.gateway.node import GatewayNode
+from weirscale.gateway.ports import BackEndConnector, CallerDialect, StateFeed
+from weirscale.gateway.settings import GatewaySettings
+from weirscale.node.event_log import EventLog
+from weirscale.ports.http_server import ConnectionLimits, open_listener, serve_on_listeners
+from weirscale.ports.key_value import KeyValuePort
+
+NOTICE_S = 2.3
+"""From the first failed readiness answer until nobody sends new connections any more."""
+
+STOP_MARGIN_S = 0.8
+"""Kept free at the end of the time for a stop."""
+
+POLL_INTERVAL_S = 0.05
+YOUNG_OBJECTS_BEFORE_COLLECTION = 20_000
+"""New containers that start a collection; requests are freed by their reference counts."""
+
+
+class Adapter(Protocol):
+    """What an adapter to a platform provides."""
+
+    def settings(self) -> GatewaySettings:
+        """Read the settings."""
+        ...
+
+    def feed(self) -> StateFeed:
+        """Return the platform's state."""
+        ...
+
+    def store(self) -> KeyValuePort:
+        """Return the key-value service."""
+        ...
+
+    def connector(self) -> BackEndConnector:
+        """Return what makes ports of back ends."""
+        ...
+
+    def dialect(self) -> CallerDialect:
+        """Return how callers write."""
+        ...
+
+
+class GatewayProgram:
+    """One gateway on real sockets.
+
+    Args:
+        adapter: The platform.
+        settings: Checked settings.
+        event_log: Decisions.
+        random: Source of randomness.
+    """
+
+    def __init__(
+        self, adapter: Adapter, settings: GatewaySettings, event_log: EventLog, random: Random
+    ) -> None:
+        self._settings = settings
+        self._event_log = event_log
+        self.node = GatewayNode(
+            settings,
+            adapter.feed(),
+            adapter.store(),
+            adapter.connector(),
+            adapter.dialect(),
+            event_log,
+            random,
+        )
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serve until `stop` is set, then end without cutting a request."""
+        settings = self._settings
+        addresses = [settings.callers, settings.readiness]
+        if settings.metrics is not None:
+            addresses.append(settings.metrics)
+        listeners = [open_listener(one.host, one.port) for one in addresses]
+        closed = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.node.run)
+            limits = ConnectionLimits()
+            finish_s = settings.bounds.stop_s - NOTICE_S - STOP_MARGIN_S
+            async with anyio.create_task_group() as serving:
+                serving.start_soon(
+                    serve_on_listeners, self.node.app, listeners, closed, finish_s, limits
+                )
+                self._event_log.event("node_started", callers=settings.callers.port)
+                _relieve_garbage_collector()
+                await stop.wait()
+                await self._leave(closed)
+            tasks.cancel_scope.cancel()
+        self._event_log.event("node_stopped")
+
+    async def _leave(self, closed: anyio.Event) -> None:
+        """Turn new connections away, let go of duties, then let running requests end."""
+        self._event_log.event("node_stopping", running=self.node.app.num_running)
+        self.node.is_stopping = True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.node.leave)
+            await anyio.sleep(NOTICE_S)
+        closed.set()
+
+
+def _relieve_garbage_collector() -> None:
+    """Exempt what was made at the start from collection, and collect less often."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS_BEFORE_COLLECTION)
+
+
+async def _follow_signals(stop: anyio.Event, reload: Callable[[], None]) -> None:
+    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*wanted) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                reload()
+            else:
+                stop.set()
+
+
+async def _serve(make_adapter: Callable[[], Adapter]) -> None:
+    adapter = make_adapter()
+    settings = adapter.settings()
+    log = LineLog(sys.stdout.fileno(), node=settings.name)
+    log.install()
+    program = GatewayProgram(adapter, settings, log, Random())
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(log.run)
+        tasks.start_soon(_follow_signals, stop, lambda: log.event("settings_signalled"))
+        await program.run(stop)
+        tasks.cancel_scope.cancel()
+    log.flush()
+
+
+def run_gateway(make_adapter: Callable[[], Adapter]) -> int:
+    """Run a gateway until SIGTERM or SIGINT; returns the exit code.
+
+    Raises:
+        OSError: An address cannot be bound.
+    """
+    anyio.run(_serve, make_adapter, backend_options={"use_uvloop": True})
+    return 0
--- /dev/null
+++ b/src/weirscale/gateway/prompt.py
@@ -0,0 +1,55 @@
+"""A prompt given as parts: identifiers with token counts, in order, most shared first."""
+
+import msgspec
+
+from weirscale.domain.identifiers import TenantName
+
+
+class PromptPart(msgspec.Struct, frozen=True):
+    """One part of a prompt.
+
+    Attributes:
+        part_id: Identifies the part's content and all parts before it.
+        num_tokens: Tokens of this part alone.
+    """
+
+    part_id: str
+    num_tokens: int
+
+
+class Prompt(msgspec.Struct, frozen=True):
+    """What the caller tells of a prompt that the gateway itself never reads.
+
+    Attributes:
+        model: Model asked for.
+        parts: Parts in order; the last one belongs to this request or its session alone.
+        num_tokens: Tokens of the whole prompt.
+        max_output_tokens: Most tokens to generate.
+    """
+
+    model: str
+    parts: tuple[PromptPart, ...]
+    num_tokens: int
+    max_output_tokens: int
+
+
+class CacheScope(msgspec.Struct, frozen=True):
+    """Within what a cached part may be reused.
+
+    Parts of different scopes never match, so memory of other weights or of an isolated tenant
+    cannot be used by mistake, not even by a store that keeps the first copy of a part for good.
+
+    Attributes:
+        model: Name of the model.
+        weight_version: Version of its weights.
+        isolated_tenant: The tenant, if it shares with nobody.
+    """
+
+    model: str
+    weight_version: int
+    isolated_tenant: TenantName | None = None
+
+    def text(self) -> str:
+        """Return the text that runners and stores compare."""
+        shared = f"{self.model}@{self.weight_version}"
+        return f"{shared}/{self.isolated_tenant}" if self.isolated_tenant else shared
--- /dev/null
+++ b/src/weirscale/gateway/responder.py
@@ -0,0 +1,67 @@
+"""The caller's side of one request: its answer is sent once, whole, or visibly broken off."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from weirscale.gateway.ports import CallerDialect, Headers
+
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+"""ASGI's send."""
+
+CONNECTION_CLOSE = (b"connection", b"close")
+
+
+class Responder:
+    """Sends the answer over ASGI.
+
+    An answer that is begun and not finished ends with its connection, without the end mark that a
+    whole answer has.
+
+    Args:
+        send: ASGI's send.
+        dialect: Writes refusals.
+        request_id: The caller's id.
+        is_stopping: Whether the connection should not be used again.
+    """
+
+    def __init__(
+        self, send: Send, dialect: CallerDialect, request_id: str, is_stopping: Callable[[], bool]
+    ) -> None:
+        self._send = send
+        self._dialect = dialect
+        self._request_id = request_id
+        self._is_stopping = is_stopping
+        self.has_begun = False
+        self.has_ended = False
+        self.status = 0
+
+    async def refuse(self, status: int, retry_after_s: float | None = None) -> None:
+        """Answer on the gateway's own behalf."""
+        headers = self._dialect.refusal_headers(self._request_id, retry_after_s)
+        await self.whole(status, headers, b"")
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Answer at once."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.begin(status, (*headers, length))
+        self.has_ended = True
+        await self._send({"type": "http.response.body", "body": body, "more_body": False})
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the head."""
+        self.has_begun = True
+        self.status = status
+        if self._is_stopping():
+            headers = (*headers, CONNECTION_CLOSE)
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": list(headers)}
+        )
+
+    async def part(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def end(self) -> None:
+        """Send the end mark."""
+        self.has_ended = True
+        await self._send({"type": "http.response.body", "body": b"", "more_body": False})
--- /dev/null
+++ b/src/weirscale/gateway/retry_budget.py
@@ -0,0 +1,90 @@
+"""The retry budget that all nodes share without talking.
+
+All nodes together may repeat, in any window, a share of the requests plus a fixed extra. Each node
+spends its own requests' share and its part of the extra, so the sum holds whatever the others do.
+A node that starts cannot know what its last run spent: it leaves the extra alone for one window.
+"""
+
+from collections import deque
+
+import msgspec
+
+from weirscale.domain.identifiers import ServiceName
+
+
+class RetryBudgetRules(msgspec.Struct, frozen=True):
+    """The budget of all nodes together, for each service.
+
+    Attributes:
+        share: Repeats allowed for each request.
+        extra: Repeats allowed on top, over all nodes.
+        window_s: Span that the rule looks at.
+        safety: Share of the budget that is used, for what nodes see a little apart.
+    """
+
+    share: float
+    extra: float
+    window_s: float
+    safety: float = 0.85
+
+
+class _Window:
+    """Times of the last events within a span."""
+
+    def __init__(self) -> None:
+        self._times_s: deque[float] = deque()
+
+    def add(self, now_s: float) -> None:
+        self._times_s.append(now_s)
+
+    def count(self, since_s: float) -> int:
+        while self._times_s and self._times_s[0] < since_s:
+            self._times_s.popleft()
+        return len(self._times_s)
+
+
+class SharedRetryBudget:
+    """What one node may spend.
+
+    Args:
+        rules: The fleet's budget.
+        started_at_s: Start of this run.
+        skips_first_window: Whether an earlier run may have spent from the same window.
+    """
+
+    def __init__(
+        self, rules: RetryBudgetRules, started_at_s: float, skips_first_window: bool
+    ) -> None:
+        self._rules = rules
+        self._extra_from_s = started_at_s + (rules.window_s if skips_first_window else 0.0)
+        self._requests: dict[ServiceName, _Window] = {}
+        self._repeats: dict[ServiceName, _Window] = {}
+
+    def set_rules(self, rules: RetryBudgetRules) -> None:
+        """Take over changed rules."""
+        self._rules = rules
+
+    def note_request(self, service: ServiceName, now_s: float) -> None:
+        """A caller's request was sent on for the first time."""
+        self._requests.setdefault(service, _Window()).add(now_s)
+
+    def try_take(self, service: ServiceName, num_nodes: int, now_s: float) -> bool:
+        """Spend one repeat; False if the budget does not allow it.
+
+        Args:
+            service: Service that gets the repeat.
+            num_nodes: Nodes that share the extra, as many as may run.
+            now_s: Time.
+        """
+        if self.left(service, num_nodes, now_s) < 1.0:
+            return False
+        self._repeats.setdefault(service, _Window()).add(now_s)
+        return True
+
+    def left(self, service: ServiceName, num_nodes: int, now_s: float) -> float:
+        """Return the repeats that may be spent now."""
+        since_s = now_s - self._rules.window_s
+        requests = self._requests.setdefault(service, _Window()).count(since_s)
+        repeats = self._repeats.setdefault(service, _Window()).count(since_s)
+        extra = self._rules.extra / max(1, num_nodes) if now_s >= self._extra_from_s else 0.0
+        return self._rules.safety * (self._rules.share * requests + extra) - repeats
--- /dev/null
+++ b/src/weirscale/gateway/rollout_task.py
@@ -0,0 +1,174 @@
+"""Brings named weights to the runners, while this node holds the lease on that duty.
+
+Orders carry the lease's fencing token, the incarnation that is meant and the number of orders that
+the runner has taken, so one that is carried out late changes nothing.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from weirscale.gateway.back_ends import BackEnd, BackEndState
+from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.ports import BackEndPort, OrderOutcome, RunnerReport, WeightOrder
+from weirscale.gateway.rollout import LaggingRunner, RolloutRules, runners_to_load
+from weirscale.node.duties.lease_task import DutyLeaseTask
+from weirscale.node.event_log import EventLog
+
+PLAN_INTERVAL_S = 0.1
+REPORT_INTERVAL_S = 0.2
+CALL_TIMEOUT_S = 0.8
+ANNOUNCE_LEAD_S = 0.02
+"""Time for peers to hear that a runner is about to load, before the order goes out."""
+
+MAX_LOAD_S = 6.0
+"""A load that has not ended by then is looked at anew."""
+
+TAKEN_BY_S = 1.0
+"""An order without an answer that shows no effect by then is given again."""
+
+TURN_MARGIN_S = 0.15
+"""Added to the least time between two holders' orders."""
+
+
+class RolloutTask:
+    """Gives orders; `run` must be running.
+
+    Args:
+        holder: Name of this node.
+        lease: Lease on the duty; asked at each order.
+        knowledge: Runners, versions.
+        port_of: Returns the port of a back end.
+        announce: Tells peers that a runner loads (`is_done` False) or has the version.
+        num_requests: Requests at work at an instance.
+        event_log: Where orders are told.
+        rules: Times.
+        turn_s: Least time between orders of two holders.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        lease: DutyLeaseTask,
+        knowledge: Knowledge,
+        port_of: Callable[[BackEnd], BackEndPort],
+        announce: Callable[[str, str, int, bool], Awaitable[None]],
+        num_requests: Callable[[str], int],
+        event_log: EventLog,
+        rules: RolloutRules,
+        turn_s: float,
+    ) -> None:
+        self._holder = holder
+        self._lease = lease
+        self._knowledge = knowledge
+        self._port_of = port_of
+        self._announce = announce
+        self._num_requests = num_requests
+        self._event_log = event_log
+        self._rules = rules
+        self._turn_s = turn_s
+        self._loading: set[str] = set()
+        self._token = 0
+        self._may_order_at_s = 0.0
+
+    async def run(self) -> None:
+        """Plan and order until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                if self._may_order():
+                    for model in self._knowledge.weights.models():
+                        self._begin_loads(model, tasks)
+                await anyio.sleep(PLAN_INTERVAL_S)
+
+    def _may_order(self) -> bool:
+        """Whether the lease is held, and for long enough that an earlier holder has stopped."""
+        token = self._lease.token()
+        if token is None:
+            return False
+        if token != self._token:
+            self._token = token
+            self._may_order_at_s = anyio.current_time() + self._turn_s + TURN_MARGIN_S
+            self._event_log.event("lease_won", duty=self._lease.duty.key, token=token)
+        return anyio.current_time() >= self._may_order_at_s
+
+    def _begin_loads(self, model: str, tasks: TaskGroup) -> None:
+        runners = [
+            runner
+            for runner in self._knowledge.directory.all()
+            if runner.version_of(model) is not None and runner.state is BackEndState.READY
+        ]
+        lagging = [one for one in map(self._lag_of(model), runners) if one is not None]
+        num_loading = sum(1 for runner in runners if runner.instance in self._loading)
+        for instance in runners_to_load(
+            lagging, len(runners), num_loading, anyio.current_time(), self._rules
+        ):
+            runner = self._knowledge.directory.get(instance)
+            if runner is not None:
+                self._loading.add(instance)
+                tasks.start_soon(self._load, runner, model)
+
+    def _lag_of(self, model: str) -> Callable[[BackEnd], LaggingRunner | None]:
+        def lag(runner: BackEnd) -> LaggingRunner | None:
+            version = self._knowledge.version_of(runner.instance, model)
+            if version is None or runner.instance in self._loading:
+                return None
+            owed = self._knowledge.weights.first_newer(model, version)
+            if owed is None:
+                return None
+            num_requests = self._num_requests(runner.instance)
+            return LaggingRunner(runner.instance, owed.named_at_s, num_requests)
+
+        return lag
+
+    async def _load(self, runner: BackEnd, model: str) -> None:
+        try:
+            await self._announce(runner.instance, model, 0, False)
+            await anyio.sleep(ANNOUNCE_LEAD_S)
+            with anyio.move_on_after(MAX_LOAD_S):
+                await self._order_until_done(runner, model)
+        finally:
+            self._loading.discard(runner.instance)
+            version = self._knowledge.version_of(runner.instance, model) or 0
+            with anyio.CancelScope(shield=True):
+                await self._announce(runner.instance, model, version, True)
+
+    async def _order_until_done(self, runner: BackEnd, model: str) -> None:
+        port = self._port_of(runner)
+        ordered: tuple[int, int] | None = None
+        ordered_at_s = 0.0
+        while self._knowledge.directory.get(runner.instance) is not None:
+            report = await port.report(CALL_TIMEOUT_S)
+            if report is not None and not report.is_ordered:
+                wanted = self._knowledge.weights.newest(model) or 0
+                if self._has_version(runner, model, wanted, report):
+                    return
+                has_waited = anyio.current_time() - ordered_at_s >= TAKEN_BY_S
+                if ordered != (wanted, report.sequence) or has_waited:
+                    ordered = (wanted, report.sequence)
+                    ordered_at_s = anyio.current_time()
+                    await self._order(port, runner, model, wanted, report.sequence)
+            await anyio.sleep(REPORT_INTERVAL_S)
+
+    def _has_version(
+        self, runner: BackEnd, model: str, wanted: int, report: RunnerReport
+    ) -> bool:
+        for served in report.models:
+            if served.name == model:
+                self._knowledge.learn_version(runner.instance, model, served.version, "report")
+        return (self._knowledge.version_of(runner.instance, model) or 0) >= wanted
+
+    async def _order(
+        self, port: BackEndPort, runner: BackEnd, model: str, version: int, sequence: int
+    ) -> None:
+        token = self._lease.token()
+        if token is None or token != self._token:
+            return
+        order = WeightOrder(model, version, self._holder, token, sequence, runner.instance)
+        outcome = await port.order(order, CALL_TIMEOUT_S)
+        self._event_log.event(
+            "order_given", instance=runner.instance, model=model, version=version,
+            token=token, sequence=sequence, outcome=outcome.value,
+        )  # fmt: skip
+        if outcome is OrderOutcome.HOLDS_ALREADY:
+            self._knowledge.learn_version(runner.instance, model, version, "order")
--- /dev/null
+++ b/src/weirscale/gateway/settings.py
@@ -0,0 +1,63 @@
+"""Settings of one gateway process, whatever file or flags they came from."""
+
+import msgspec
+
+from weirscale.domain.identifiers import RegionName, ZoneName
+from weirscale.gateway.retry_budget import RetryBudgetRules
+
+
+class ListenAddress(msgspec.Struct, frozen=True):
+    """An IP number and a port to listen on."""
+
+    host: str
+    port: int
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Times within which the deployment's promises hold.
+
+    Attributes:
+        stop_s: From the signal to stop until the process is killed.
+        leaving_s: Until a leaving back end gets no new request.
+        key_removal_s: Until a removed key serves no more, cut off or not; None without that bound.
+        lease_s: Least time between orders of two holders.
+        weights_s: Until requests start on newly named weights only.
+        min_lease_s: Shortest lease that the store grants.
+    """
+
+    stop_s: float = 8.0
+    leaving_s: float = 2.0
+    key_removal_s: float | None = 5.0
+    lease_s: float = 3.0
+    weights_s: float = 8.0
+    min_lease_s: float = 1.0
+
+
+class GatewaySettings(msgspec.Struct, frozen=True):
+    """Settings of one gateway process.
+
+    Attributes:
+        name: Name of the node.
+        zone: Its zone.
+        region: Its region.
+        callers: Where callers connect.
+        readiness: Where readiness is asked for.
+        metrics: Where metrics are asked for, or None.
+        metrics_path: Path of the metrics.
+        peers: Where other nodes' datagrams arrive.
+        is_first_start: Whether the whole system starts for the first time.
+        bounds: The deployment's bounds.
+        retry_budget: The deployment's retry budget.
+    """
+
+    name: str
+    zone: ZoneName
+    region: RegionName
+    callers: ListenAddress
+    readiness: ListenAddress
+    peers: ListenAddress
+    metrics: ListenAddress | None = None
+    metrics_path: str = "/metrics"
+    is_first_start: bool = False
+    bounds: Bounds = Bounds()
+    retry_budget: RetryBudgetRules = RetryBudgetRules(0.2, 50.0, 10.0)
--- a/src/weirscale/node/duties/lease_task.py
+++ b/src/weirscale/node/duties/lease_task.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from random import Random
+from typing import Protocol
 
 import anyio
 import msgspec
@@ -24,7 +25,6 @@
     next_operation,
 )
 from weirscale.domain.identifiers import NodeId
-from weirscale.node.duties.view import DutyView
 from weirscale.ports.key_value import (
     KeyValue,
     KeyValueFailure,
@@ -47,6 +47,14 @@
 """How often the task looks whether an operation is due."""
 
 
+class DutyEligibility(Protocol):
+    """Tells which nodes should try to take a duty."""
+
+    def is_own(self, duty: Duty, count: int, /) -> bool:
+        """Whether this node is among the first candidates for a duty."""
+        ...
+
+
 class DutyLeaseTask:
     """Takes and keeps the lease; `run` must be running.
 
@@ -65,7 +73,7 @@
         duty: Duty,
         own_id: NodeId,
         key_value: KeyValuePort,
-        duties: DutyView,
+        duties: DutyEligibility,
         random: Random,
         rules: LeaseRules | None = None,
         sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
--- a/src/weirscale/ports/http_server.py
+++ b/src/weirscale/ports/http_server.py
@@ -4,6 +4,7 @@
 """
 
 import socket
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 import anyio
@@ -82,21 +83,32 @@
     finish_timeout_s: float,
     limits: ConnectionLimits = DEFAULT_LIMITS,
 ) -> None:
-    """Serve until `stop` is set or the task is cancelled; the listener is closed at the end.
+    """Serve one listener; see `serve_on_listeners`."""
+    await serve_on_listeners(app, [listener], stop, finish_timeout_s, limits)
+
+
+async def serve_on_listeners(
+    app: AsgiApp,
+    listeners: Sequence[socket.socket],
+    stop: anyio.Event,
+    finish_timeout_s: float,
+    limits: ConnectionLimits = DEFAULT_LIMITS,
+) -> None:
+    """Serve until `stop` is set or the task is cancelled; the listeners are closed at the end.
 
     hypercorn does not clean up when it is cancelled, so it runs shielded, and cancellation becomes
     a stop.
 
     Args:
         app: The application.
-        listener: A listening socket; owned by the server from here on.
+        listeners: Listening sockets; owned by the server from here on.
         stop: Ends the serving.
         finish_timeout_s: How long open requests and connections may go on after the stop.
         limits: How long connections may be unused.
     """
     from hypercorn.asyncio import serve
 
-    config = _configuration(listener, finish_timeout_s, limits)
+    config = _configuration(listeners, finish_timeout_s, limits)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_stop_when_cancelled, stop)
         with anyio.CancelScope(shield=True):
@@ -104,12 +116,12 @@
 
 
 def _configuration(
-    listener: socket.socket, finish_timeout_s: float, limits: ConnectionLimits
+    listeners: Sequence[socket.socket], finish_timeout_s: float, limits: ConnectionLimits
 ) -> "Config":
     from hypercorn.config import Config
 
     config = Config()
-    config.bind = [f"fd://{listener.detach()}"]
+    config.bind = [f"fd://{listener.detach()}" for listener in listeners]
     config.accesslog = None
     config.errorlog = None
     config.backlog = LISTEN_BACKLOG
