Load weights once an order, fetch cached parts wherever they are kept

Ruled out: slow peers' news (the marks arrive within 50 ms). Change: an order's task ends with the version it ordered; a back end that refuses unrun rests for 150 ms; parts are saved to the store of kept cache and fetched from runners or it.

--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -222,21 +222,29 @@
     cached: int,
     rules: ChoiceRules,
 ) -> tuple[FetchSource | None, int]:
+    """Return the source that has most beyond what is cached.
+
+    Among equals a runner that has certainly read its parts goes first, then the nearer one, then a
+    runner before a store: a source that does not answer delays the request.
+    """
     best: FetchSource | None = None
-    best_tokens = cached + rules.min_fetch_tokens - 1
+    best_rank = (cached + rules.min_fetch_tokens, False, False, False)
     for source in sources:
         if source.instance == candidate.back_end.instance:
             continue
         if source.weight_version not in (None, candidate.weight_version):
             continue
-        matched = source.cache.matched_tokens(scope, prompt.parts, only_ready=True)
-        is_nearer = best is not None and matched == best_tokens and _is_nearer(candidate, source)
-        if matched > best_tokens or is_nearer:
-            best, best_tokens = source, matched
+        matched = source.cache.matched_tokens(scope, prompt.parts)
+        if matched < best_rank[0]:
+            continue
+        is_ready = source.cache.matched_tokens(scope, prompt.parts, only_ready=True) == matched
+        rank = (matched, is_ready, source.instance is not None, _is_near(candidate, source))
+        if best is None or rank > best_rank:
+            best, best_rank = source, rank
     if best is None:
         return None, 0
-    return best, min(best_tokens, prompt.num_tokens) - cached
+    return best, min(best_rank[0], prompt.num_tokens) - cached
 
 
-def _is_nearer(candidate: Candidate, source: FetchSource) -> bool:
+def _is_near(candidate: Candidate, source: FetchSource) -> bool:
     return source.zone == candidate.back_end.zone
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -19,12 +19,16 @@
 from weirscale.gateway.health import BackEndHealth
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.load import FleetLoad
-from weirscale.gateway.model import Service, Tenant
+from weirscale.gateway.model import KeptCacheStore, Service, Tenant
 from weirscale.gateway.prompt import CacheScope, Prompt, PromptPart
 
 LOADING_MARK_LIFE_S = 7.0
 """A runner that was announced to load is used again after this, should the end go untold."""
 
+REFUSAL_PAUSE_S = 0.15
+"""A back end that refused a request unrun is left alone for this long, unless nothing else serves:
+it may be full, about to leave, or loading weights, and looks idle meanwhile."""
+
 CACHE_SHARE = 0.8
 """Share of a runner's memory that is believed to keep parts; running requests take the rest."""
 
@@ -81,6 +85,7 @@
         self._caches: dict[str, CacheBelief] = {}
         self._kept_caches: dict[str, CacheBelief] = {}
         self._loading_until_s: dict[str, float] = {}
+        self._refused_until_s: dict[str, float] = {}
 
     def choose(self, query: DispatchQuery) -> Choice | None:
         """Return the best back end, or None if none may serve."""
@@ -93,9 +98,17 @@
         sources: list[FetchSource] = []
         if query.prompt is not None and service is not None and service.engine is not None:
             need = _need(query.prompt, query.tenant, candidates)
-            sources = self._sources(query.prompt, candidates)
+            sources = self._sources(candidates)
         return choose(candidates, need, sources, self._zone, self.rules, self._random)
 
+    def save_address(self) -> str | None:
+        """Return the address of the store that gets the parts that runners read, if there is one."""
+        table = self._knowledge.table
+        for service in table.kept_caches() if table else ():
+            if service.kept_cache is not None:
+                return service.kept_cache.address
+        return None
+
     def _candidates(self, query: DispatchQuery, service: Service | None) -> list[Candidate]:
         now_s = self._clock()
         usable = [
@@ -105,9 +118,10 @@
             and self._has_usable_weights(back_end, query.prompt, now_s)
         ]
         settled = [one for one in usable if not self._is_loading(one.instance, now_s)]
-        admitted = [one for one in settled if self._health.admits(one.instance, now_s)]
+        calm = [one for one in settled if not self._has_refused(one.instance, now_s)]
+        admitted = [one for one in calm if self._health.admits(one.instance, now_s)]
         # With every circuit open, a bad network is likelier than so many bad back ends.
-        chosen = admitted or settled
+        chosen = admitted or calm or settled
         return [self._candidate(one, query.prompt, service, now_s) for one in chosen]
 
     def _has_usable_weights(self, back_end: BackEnd, prompt: Prompt | None, now_s: float) -> bool:
@@ -142,9 +156,9 @@
             cache = self._caches[instance] = CacheBelief(int(capacity_tokens * CACHE_SHARE))
         return cache
 
-    def _sources(self, prompt: Prompt, candidates: list[Candidate]) -> list[FetchSource]:
+    def _sources(self, candidates: list[Candidate]) -> list[FetchSource]:
         now_s = self._clock()
-        sources = []
+        sources = self._store_sources()
         for candidate in candidates:
             back_end = candidate.back_end
             if candidate.cache is None or self._health.is_suspect(back_end.instance, now_s):
@@ -160,6 +174,22 @@
             )
         return sources
 
+    def _store_sources(self) -> list[FetchSource]:
+        table = self._knowledge.table
+        sources = []
+        for service in table.kept_caches() if table else ():
+            store = service.kept_cache
+            if store is not None:
+                cache = self._kept_cache(store)
+                sources.append(FetchSource(store.address, store.zone, cache))
+        return sources
+
+    def _kept_cache(self, store: KeptCacheStore) -> CacheBelief:
+        cache = self._kept_caches.get(store.address)
+        if cache is None:
+            cache = self._kept_caches[store.address] = CacheBelief(store.capacity_tokens)
+        return cache
+
     def note_sent(self, choice: Choice, prompt: Prompt) -> None:
         """Note that a prompt goes to a runner."""
         self.note_parts(choice.candidate.back_end.instance, choice.scope, prompt.parts, False)
@@ -180,8 +210,19 @@
             if service is None or service.engine is None:
                 return
             cache = self._cache(instance, service.engine.cache_tokens)
-        if scope is not None:
-            cache.note(scope, parts, is_ready)
+        if scope is None:
+            return
+        cache.note(scope, parts, is_ready)
+        if is_ready:
+            self._note_saved(scope, parts)
+
+    def _note_saved(self, scope: str, parts: tuple[PromptPart, ...]) -> None:
+        """Every node has runners save what they read, so what was read is in the store."""
+        table = self._knowledge.table
+        for service in table.kept_caches() if table else ():
+            if service.kept_cache is not None:
+                self._kept_cache(service.kept_cache).note(scope, parts, is_ready=True)
+                return
 
     def note_unread(self, choice: Choice, prompt: Prompt) -> None:
         """Note that a runner did not read a prompt after all."""
@@ -199,6 +240,13 @@
     def _is_loading(self, instance: str, now_s: float) -> bool:
         return self._loading_until_s.get(instance, 0.0) > now_s
 
+    def note_refused(self, instance: str) -> None:
+        """A back end refused a request without running it."""
+        self._refused_until_s[instance] = self._clock() + REFUSAL_PAUSE_S
+
+    def _has_refused(self, instance: str, now_s: float) -> bool:
+        return self._refused_until_s.get(instance, 0.0) > now_s
+
     def weights_changed(self, instance: str) -> None:
         """A runner has new weights: what it kept is gone."""
         cache = self._caches.get(instance)
@@ -210,6 +258,7 @@
         """Forget a back end that is gone."""
         self._caches.pop(instance, None)
         self._loading_until_s.pop(instance, None)
+        self._refused_until_s.pop(instance, None)
         self._load.forget(instance)
         self._health.forget(instance)
 
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -225,6 +225,7 @@
             cache_scope=choice.scope,
             weight_version=choice.candidate.weight_version,
             fetch_from=choice.fetch_from,
+            save_to=self._context.dispatcher.save_address() if is_generation else None,
             resume_after=self._cutter.last_id or self._request.resume_after,
         )
 
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -149,6 +149,8 @@
         now_s = self.clock()
         if verdict.end is AttemptEnd.ANSWERED:
             self._health.succeeded(instance, now_s)
+        elif verdict.end is AttemptEnd.UNRUN:
+            self.dispatcher.note_refused(instance)
         elif verdict.end is AttemptEnd.NEVER_SENT:
             self._health.unreachable(instance, verdict.reason, now_s)
             self._outbox.add_suspect(SuspectNews(instance))
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -46,7 +46,7 @@
 ROLLOUT_TARGET_SHARE = 0.8
 """Share of the bound on weights by which every load should have begun."""
 
-LOAD_S = 2.0
+LOAD_S = 2.4
 SHARE_LOADING_AT_ONCE = 0.34
 RANK_DELAY_S = 0.25
 """Each node waits this much longer than the one before it, so that few race for a free duty."""
--- a/src/weirscale/gateway/rollout_task.py
+++ b/src/weirscale/gateway/rollout_task.py
@@ -134,25 +134,25 @@
                 await self._announce(runner.instance, model, version, True)
 
     async def _order_until_done(self, runner: BackEnd, model: str) -> None:
+        """Order the newest version and wait for it; a version named later is another load."""
         port = self._port_of(runner)
-        ordered: tuple[int, int] | None = None
+        wanted = self._knowledge.weights.newest(model) or 0
+        ordered_sequence: int | None = None
         ordered_at_s = 0.0
         while self._knowledge.directory.get(runner.instance) is not None:
             report = await port.report(CALL_TIMEOUT_S)
             if report is not None and not report.is_ordered:
-                wanted = self._knowledge.weights.newest(model) or 0
                 if self._has_version(runner, model, wanted, report):
                     return
                 has_waited = anyio.current_time() - ordered_at_s >= TAKEN_BY_S
-                if ordered != (wanted, report.sequence) or has_waited:
-                    ordered = (wanted, report.sequence)
+                if ordered_sequence != report.sequence or has_waited:
+                    wanted = self._knowledge.weights.newest(model) or 0
+                    ordered_sequence = report.sequence
                     ordered_at_s = anyio.current_time()
                     await self._order(port, runner, model, wanted, report.sequence)
             await anyio.sleep(REPORT_INTERVAL_S)
 
-    def _has_version(
-        self, runner: BackEnd, model: str, wanted: int, report: RunnerReport
-    ) -> bool:
+    def _has_version(self, runner: BackEnd, model: str, wanted: int, report: RunnerReport) -> bool:
         for served in report.models:
             if served.name == model:
                 self._knowledge.learn_version(runner.instance, model, served.version, "report")
