--- a/src/weirscale/gateway/caller_app.py
+++ b/src/weirscale/gateway/caller_app.py
@@ -22,11 +22,11 @@
 """ASGI's receive."""
 
 
-class CallerLeft(Exception):
+class CallerLeftError(Exception):
     """The caller closed its connection before its request was whole."""
 
 
-class BodyTooLarge(Exception):
+class BodyTooLargeError(Exception):
     """The body exceeds the declared limit."""
 
 
@@ -83,9 +83,9 @@
         try:
             body = await self._read_body(receive)
             await self._run(request, body, responder, receive, arrived_at_s)
-        except BodyTooLarge:
+        except BodyTooLargeError:
             await responder.refuse(HTTP_TOO_LARGE)
-        except CallerLeft:
+        except CallerLeftError:
             return
         finally:
             self.num_running -= 1
@@ -113,11 +113,11 @@
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
-                raise CallerLeft
+                raise CallerLeftError
             part = message.get("body", b"")
             num_bytes += len(part)
             if table is not None and num_bytes > max_bytes:
-                raise BodyTooLarge
+                raise BodyTooLargeError
             parts.append(part)
             if not message.get("more_body", False):
                 return b"".join(parts)
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -102,7 +102,7 @@
         return choose(candidates, need, sources, self._zone, self.rules, self._random)
 
     def save_address(self) -> str | None:
-        """Return the address of the store that gets the parts that runners read, if there is one."""
+        """Return the address of the store that gets what runners read, if there is one."""
         table = self._knowledge.table
         for service in table.kept_caches() if table else ():
             if service.kept_cache is not None:
@@ -266,7 +266,5 @@
 def _need(prompt: Prompt, tenant: Tenant | None, candidates: list[Candidate]) -> PromptNeed:
     isolated = tenant.name if tenant is not None and tenant.is_isolated else None
     versions = {one.weight_version for one in candidates if one.weight_version is not None}
-    scopes = {
-        version: CacheScope(prompt.model, version, isolated).text() for version in versions
-    }
+    scopes = {version: CacheScope(prompt.model, version, isolated).text() for version in versions}
     return PromptNeed(prompt, scopes)
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -16,7 +16,7 @@
 from weirscale.gateway.exchange_context import ExchangeContext
 from weirscale.gateway.model import RequestKind, Route, Tenant
 from weirscale.gateway.outcome import AttemptEnd, Verdict, judge_answer, judge_failure
-from weirscale.gateway.ports import Answer, BodyBroken, CallerRequest, Headers, OutboundRequest
+from weirscale.gateway.ports import Answer, BodyBrokenError, CallerRequest, Headers, OutboundRequest
 from weirscale.gateway.responder import Responder
 from weirscale.gateway.summary import ExchangeSummary, Stage
 
@@ -138,9 +138,7 @@
 
     def _choose(self) -> Choice | None:
         assert self._service is not None
-        query = DispatchQuery(
-            self._service, self._request.prompt, self._tenant, self._excluded
-        )
+        query = DispatchQuery(self._service, self._request.prompt, self._tenant, self._excluded)
         return self._context.dispatcher.choose(query)
 
     def _may_go_on(self, end: AttemptEnd) -> bool:
@@ -209,7 +207,7 @@
                 return verdict
             try:
                 return await self._pass_on(answer, verdict, choice, patience)
-            except BodyBroken:
+            except BodyBrokenError:
                 return Verdict(AttemptEnd.UNCERTAIN, "body_broken")
 
     def _outbound(self, choice: Choice) -> OutboundRequest:
@@ -338,6 +336,6 @@
     async for chunk in answer.body:
         num_bytes += len(chunk)
         if num_bytes > MAX_WHOLE_ANSWER_BYTES:
-            raise BodyBroken("answer too large")
+            raise BodyBrokenError("answer too large")
         parts.append(chunk)
     return b"".join(parts)
--- a/src/weirscale/gateway/line_log.py
+++ b/src/weirscale/gateway/line_log.py
@@ -65,15 +65,20 @@
 
     def event(self, name: str, **fields: object) -> None:
         """Log one event, or count it as dropped; never blocks."""
-        is_ordinary = name == ORDINARY_EVENT and fields.get("outcome") == ORDINARY_OUTCOME
-        if is_ordinary and not self._ordinary.try_take():
-            self.num_dropped += 1
-        elif not self._all.try_take() or len(self._lines) >= MAX_QUEUED_LINES:
+        if not self._may_log(name, fields.get("outcome")):
             self.num_dropped += 1
-        else:
-            eliot.log_message(  # type: ignore[no-untyped-call]
-                message_type=name, **self._fields, **fields
-            )
+            return
+        eliot.log_message(  # type: ignore[no-untyped-call]
+            message_type=name, **self._fields, **fields
+        )
+
+    def _may_log(self, name: str, outcome: object) -> bool:
+        if len(self._lines) >= MAX_QUEUED_LINES:
+            return False
+        is_ordinary = name == ORDINARY_EVENT and outcome == ORDINARY_OUTCOME
+        if is_ordinary and not self._ordinary.try_take():
+            return False
+        return self._all.try_take()
 
     def take_message(self, message: Mapping[str, object]) -> None:
         """Queue an eliot message; registered as eliot's destination."""
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -8,7 +8,7 @@
 
 from weirscale.domain.duties.assignment import Duty, DutyKind
 from weirscale.domain.duties.lease import LeaseRules
-from weirscale.domain.identifiers import Incarnation, NodeId
+from weirscale.domain.identifiers import Incarnation, NodeId, NodeName
 from weirscale.gateway.back_ends import BackEnd
 from weirscale.gateway.caller_app import CallerApp
 from weirscale.gateway.dispatcher import Dispatcher
@@ -132,9 +132,7 @@
         )
         self.peers = PeerDirectory(settings.name, self.knowledge, clock)
         self.outbox = NewsOutbox(settings.name)
-        self.peer_task = PeerTask(
-            settings.peers, self.peers, self.outbox, self, self._gather_news
-        )
+        self.peer_task = PeerTask(settings.peers, self.peers, self.outbox, self, self._gather_news)
         self.registration = RegistrationTask(settings.name, settings.peers, store, event_log)
         self.context = ExchangeContext(
             settings, self.knowledge, self.dispatcher, self.load, self.health, self.budget,
@@ -168,7 +166,7 @@
             standby_interval_s=0.5,
         )
         eligibility = RolloutEligibility(self.knowledge, self.peers, duty, self._clock)
-        node_id = NodeId(self.settings.name, Incarnation(0))
+        node_id = NodeId(NodeName(self.settings.name), Incarnation(0))
         return DutyLeaseTask(duty, node_id, store, eligibility, random, rules)
 
     def is_ready(self) -> bool:
@@ -232,9 +230,7 @@
     def _hear_loading(self, loading: LoadingNews) -> None:
         self.dispatcher.mark_loading(loading.instance, loading.is_done)
         if loading.is_done and loading.version:
-            self.knowledge.learn_version(
-                loading.instance, loading.model, loading.version, "peer"
-            )
+            self.knowledge.learn_version(loading.instance, loading.model, loading.version, "peer")
 
     async def _announce_loading(
         self, instance: str, model: str, version: int, is_done: bool
--- a/src/weirscale/gateway/ports.py
+++ b/src/weirscale/gateway/ports.py
@@ -166,7 +166,7 @@
         is_proved_unrun: Whether the back end says that it did not and will not run the request.
         is_sealed: Whether it carries the back end's signature.
         weight_version: Version of the weights, or None.
-        body: Chunks in order; raises `BodyBroken` if it ends early.
+        body: Chunks in order; raises `BodyBrokenError` if it ends early.
     """
 
     status: int
@@ -179,7 +179,7 @@
     body: AsyncIterator[bytes]
 
 
-class BodyBroken(Exception):
+class BodyBrokenError(Exception):
     """An answer ended before it was whole."""
 
 
