--- /dev/null
+++ b/features/gateway_requests.feature
@@ -0,0 +1,119 @@
+Feature: The gateway answers each request once, whole and truthfully, whatever a back end does
+
+  Scenario Outline: One back end does "<fault>" to <kind> request
+    Given two back ends of which the one asked first does "<fault>" once
+    When <kind> request is sent
+    Then the caller gets "<answer>"
+    And the request has run <runs> times
+
+    Examples: kind of request, fault, what the caller gets and how often it ran
+      | kind             | fault    | answer   | runs |
+      | an order         | none     | whole    | 1    |
+      | an order         | connect  | whole    | 1    |
+      | an order         | refuse   | whole    | 1    |
+      | an order         | reset    | 502      | 1    |
+      | an order         | break    | 502      | 1    |
+      | an order         | cross    | 502      | 1    |
+      | an order         | unsealed | 502      | 1    |
+      | an order         | unproved | 502      | 1    |
+      | an order         | error    | 500      | 1    |
+      | a status         | none     | whole    | 1    |
+      | a status         | connect  | whole    | 1    |
+      | a status         | refuse   | whole    | 1    |
+      | a status         | reset    | whole    | 2    |
+      | a status         | break    | whole    | 2    |
+      | a status         | cross    | whole    | 2    |
+      | a status         | unsealed | whole    | 2    |
+      | a status         | unproved | whole    | 2    |
+      | a status         | error    | whole    | 2    |
+      | a status         | hang     | whole    | 2    |
+      | a resumable      | none     | stream   | 1    |
+      | a resumable      | connect  | stream   | 1    |
+      | a resumable      | refuse   | stream   | 1    |
+      | a resumable      | reset    | stream   | 2    |
+      | a resumable      | break    | stream   | 2    |
+      | a resumable      | stall    | stream   | 2    |
+      | a resumable      | hang     | stream   | 2    |
+      | a resumable      | cross    | stream   | 2    |
+      | a resumable      | unsealed | stream   | 2    |
+      | a single         | none     | stream   | 1    |
+      | a single         | connect  | stream   | 1    |
+      | a single         | refuse   | 503      | 0    |
+      | a single         | reset    | 502      | 1    |
+      | a single         | cross    | 502      | 1    |
+      | a single         | break    | cut      | 1    |
+      | a single         | stall    | cut      | 1    |
+      | a single         | hang     | 504      | 1    |
+
+  Scenario: A refusal that promises "not run" says when to come back
+    Given two back ends of which the one asked first does "refuse" once
+    When a single request is sent
+    Then the caller gets "503"
+    And it is told to come back within 1 second
+
+  Scenario: Nobody serves
+    Given no back end
+    When an order request is sent
+    Then the caller gets "503"
+    And it was answered within 0.05 seconds
+
+  Scenario: A resumed stream is joined at the event where it broke
+    Given two back ends of which the one asked first does "break" once
+    When a resumable request is sent
+    Then the caller gets "stream"
+    And the second back end was asked to go on after event 2
+    And the answer keeps the head of the back end asked first
+
+  Scenario: A caller that leaves ends the run
+    Given two back ends of which the one asked first does "hang" once
+    When a single request is sent and its caller leaves after 0.2 seconds
+    Then the run is cancelled within 0.3 seconds
+
+  Scenario Outline: A request is given up at its route's time-out, and answered then
+    Given two back ends of which the one asked first does "hang" once
+    And the route of <kind> requests holds them for <timeout_ms> ms
+    When <kind> request is sent with a deadline of <deadline_ms> ms
+    Then it was answered within <seconds> seconds
+    And no run was given more than <left_ms> ms
+
+    Examples:
+      | kind     | timeout_ms | deadline_ms | seconds | left_ms |
+      | a single | 500        | 4000        | 0.55    | 500     |
+      | a single | 4000       | 500         | 0.55    | 500     |
+      | an order | 700        | 700         | 0.75    | 700     |
+
+  Scenario Outline: What the caller sends in a header that the system sets goes no further
+    Given two back ends of which the one asked first does "none" once
+    When a single request is sent with the header "<header>" of "forged"
+    Then the back end does not see "forged" in "<header>"
+
+    Examples:
+      | header             |
+      | x-tenant           |
+      | x-cache-salt       |
+      | x-kv-source        |
+      | x-kv-target        |
+      | x-expect-instance  |
+      | x-expect-version   |
+      | x-request-priority |
+      | x-pin-ms           |
+      | x-hold             |
+      | x-kv-backup        |
+      | kv-from            |
+      | authorization      |
+
+  Scenario: Method, path, query and body reach the back end as they were sent
+    Given two back ends of which the one asked first does "none" once
+    When a single request is sent to "/n/%7Ex/..//y?q=%20&r"
+    Then the back end saw the target "/n/%7Ex/..//y?q=%20&r" and the body
+
+  Scenario: A header that the caller names as of its connection goes no further
+    Given two back ends of which the one asked first does "none" once
+    When a single request is sent with the header "connection" of "close, x-secret"
+    Then the back end does not see "x-secret"
+
+  Scenario: The fleet's retry budget bounds repeats
+    Given two back ends that fail each request
+    And a retry budget of 0.2 with 5 extra and 10 seconds
+    When 40 status requests are sent
+    Then at most 13 of them were repeated
--- /dev/null
+++ b/features/steps/gateway_requests_steps.py
@@ -0,0 +1,237 @@
+"""Steps of `gateway_requests.feature`."""
+
+import anyio
+from behave import given, then, when
+
+from features.support.platform_fleet import (
+    Fleet,
+    ask,
+    configuration,
+    generation_headers,
+    request_headers,
+    with_fleet,
+)
+from features.support.platform_runner import NUM_EVENTS, RunnerStandIn
+from features.support.virtual_time import run_in_virtual_time
+from weirscale.gateway.retry_budget import RetryBudgetRules
+
+PATHS = {"an order": "/o/1", "a status": "/s/1", "a resumable": "/a/1", "a single": "/n/1"}
+ROUTES = {"an order": "orders", "a status": "status", "a resumable": "draft", "a single": "note"}
+GENERATIONS = ("a resumable", "a single")
+WHOLE_STREAM = b"".join(
+    f"id: {number}\ndata: token-{number}\n\n".encode() for number in range(1, NUM_EVENTS + 1)
+)
+
+
+def prepare(context, faults):
+    context.faults = faults
+    context.configuration = configuration()
+    context.budget = None
+    context.repeated = None
+
+
+@given('two back ends of which the one asked first does "{fault}" once')
+def step_one_fault(context, fault):
+    prepare(context, [fault])
+
+
+@given("two back ends that fail each request")
+def step_all_fail(context):
+    prepare(context, ["error"] * 1000)
+
+
+@given("no back end")
+def step_none(context):
+    prepare(context, None)
+
+
+@given("the route of {kind} requests holds them for {timeout_ms:d} ms")
+def step_timeout(context, kind, timeout_ms):
+    for entry in context.configuration["routes"]:
+        if entry["name"] == ROUTES[kind]:
+            entry["timeout_ms"] = timeout_ms
+
+
+@given("a retry budget of {share:g} with {extra:g} extra and {window_s:g} seconds")
+def step_budget(context, share, extra, window_s):
+    context.budget = RetryBudgetRules(share, extra, window_s)
+
+
+def add_back_ends(context, fleet):
+    """Add two of each service; the faults are shared, so the one asked first gets them."""
+    if context.faults is None:
+        return
+    faults = list(context.faults)
+    for number in (1, 2):
+        fleet.add_runner(
+            RunnerStandIn(
+                f"o-{number}", f"10.2.0.{number}:8080", "orders", model=None, faults=faults
+            )
+        )
+        fleet.add_runner(RunnerStandIn(f"r-{number}", f"10.3.0.{number}:8080", "lm", faults=faults))
+
+
+def play(context, script):
+    """Run `script(node)` on a fleet of one node."""
+    fleet = Fleet()
+    if context.budget is not None:
+        fleet.budget = context.budget
+
+    async def main():
+        async def body():
+            fleet.store.put("op/config", context.configuration)
+            add_back_ends(context, fleet)
+            node = await fleet.start_node()
+            await script(node)
+            await anyio.sleep(0.3)
+
+        await with_fleet(fleet, body)
+
+    run_in_virtual_time(main)
+    context.fleet = fleet
+
+
+def headers_of(kind, request_id="q1", **more):
+    make = generation_headers if kind in GENERATIONS else request_headers
+    return make(request_id, **more)
+
+
+def send(context, kind, path=None, extra=(), **more):
+    leave_after_s = more.pop("leave_after_s", None)
+
+    async def script(node):
+        headers = headers_of(kind, **more) + list(extra)
+        context.answer = await ask(
+            node, path or PATHS[kind], headers=headers, leave_after_s=leave_after_s
+        )
+
+    play(context, script)
+
+
+@when("{kind} request is sent")
+def step_send(context, kind):
+    send(context, kind)
+
+
+@when("{kind} request is sent with a deadline of {deadline_ms:d} ms")
+def step_send_deadline(context, kind, deadline_ms):
+    send(context, kind, x_deadline_ms=deadline_ms)
+
+
+@when("{kind} request is sent and its caller leaves after {seconds:g} seconds")
+def step_send_leave(context, kind, seconds):
+    context.left_after_s = seconds
+    send(context, kind, leave_after_s=seconds)
+
+
+@when('{kind} request is sent with the header "{header}" of "{value}"')
+def step_send_header(context, kind, header, value):
+    secret = (b"x-secret", b"1")
+    send(context, kind, extra=[(header.encode(), value.encode()), secret])
+
+
+@when('{kind} request is sent to "{target}"')
+def step_send_target(context, kind, target):
+    send(context, kind, path=target)
+
+
+@when("{count:d} status requests are sent")
+def step_send_many(context, count):
+    async def script(node):
+        for number in range(count):
+            await ask(node, PATHS["a status"], headers=headers_of("a status", f"q{number}"))
+            await anyio.sleep(0.1)
+
+    play(context, script)
+
+
+def arrivals(context):
+    found = [one for runner in context.fleet.runners for one in runner.arrivals]
+    return sorted(found, key=lambda one: one[0])
+
+
+def runs(context):
+    found = [run for runner in context.fleet.runners for run in runner.runs]
+    return sorted(found, key=lambda run: run.began_s)
+
+
+@then('the caller gets "{answer}"')
+def step_answer(context, answer):
+    got = context.answer
+    if answer == "whole":
+        assert got.status == 200 and got.is_complete and got.body.startswith(b"done by "), got
+        assert got.header("x-response-seal"), got
+    elif answer == "stream":
+        assert got.status == 200 and got.is_complete, got
+        assert got.body == WHOLE_STREAM, got.body
+        assert got.header("x-response-seal"), got
+    elif answer == "cut":
+        assert got.status == 200 and not got.is_complete, got
+        assert WHOLE_STREAM.startswith(got.body) and got.body.endswith(b"\n\n"), got.body
+    else:
+        assert got.status == int(answer) and got.is_complete, got
+        has_seal = got.header("x-response-seal") is not None
+        assert has_seal == (answer == "500"), got
+
+
+@then("the request has run {count:d} times")
+def step_runs(context, count):
+    assert len(runs(context)) == count, runs(context)
+
+
+@then("it is told to come back within {seconds:g} second")
+def step_retry_after(context, seconds):
+    assert 0.0 < float(context.answer.header("retry-after")) <= seconds
+
+
+@then("it was answered within {seconds:g} seconds")
+def step_within(context, seconds):
+    assert context.answer.took_s <= seconds, context.answer
+
+
+@then("no run was given more than {left_ms:d} ms")
+def step_given(context, left_ms):
+    given_ms = [int(one[2]["x-deadline-ms"]) for one in arrivals(context)]
+    assert given_ms and max(given_ms) <= left_ms, given_ms
+
+
+@then("the second back end was asked to go on after event {number:d}")
+def step_resumed_after(context, number):
+    assert arrivals(context)[1][2]["last-event-id"] == str(number), arrivals(context)
+
+
+@then("the answer keeps the head of the back end asked first")
+def step_first_head(context):
+    first = next(
+        runner for runner in context.fleet.runners if arrivals(context)[0] in runner.arrivals
+    )
+    assert context.answer.header("x-response-seal") == f"seal-{first.instance}".encode()
+
+
+@then("the run is cancelled within {seconds:g} seconds")
+def step_cancelled(context, seconds):
+    cancelled = [one for runner in context.fleet.runners for one in runner.cancelled]
+    assert len(cancelled) == 1, cancelled
+    assert cancelled[0][0] - arrivals(context)[0][0] <= context.left_after_s + seconds
+
+
+@then('the back end does not see "{value}" in "{header}"')
+def step_unseen_in(context, value, header):
+    assert arrivals(context)[0][2].get(header) != value, arrivals(context)[0]
+
+
+@then('the back end does not see "{header}"')
+def step_unseen(context, header):
+    assert arrivals(context) and header not in arrivals(context)[0][2]
+
+
+@then('the back end saw the target "{target}" and the body')
+def step_target(context, target):
+    seen = [run for runner in context.fleet.runners for run in runner.targets]
+    assert seen == [(target.encode(), b"hello")], seen
+
+
+@then("at most {count:d} of them were repeated")
+def step_repeated(context, count):
+    ids = [one[1] for one in arrivals(context)]
+    assert 0 < len(ids) - len(set(ids)) <= count, len(ids) - len(set(ids))
--- /dev/null
+++ b/features/support/platform_fleet.py
@@ -0,0 +1,284 @@
+"""Gateways in virtual time on stand-ins of the platform, spoken to over the adapter."""
+
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import anyio
+import httpx
+
+ADAPTER = Path(__file__).resolve().parents[2] / "platform"
+if str(ADAPTER) not in sys.path:
+    sys.path.append(str(ADAPTER))
+
+from features.support.platform_store import StoreStandIn  # noqa: E402
+from weirscale.gateway.node import GatewayNode  # noqa: E402
+from weirscale.gateway.retry_budget import RetryBudgetRules  # noqa: E402
+from weirscale.gateway.settings import Bounds, GatewaySettings, ListenAddress  # noqa: E402
+from weirscale_platform.callers import Callers  # noqa: E402
+from weirscale_platform.runner import RunnerConnector  # noqa: E402
+from weirscale_platform.store import StoreClient  # noqa: E402
+
+STORE_ADDRESS = "10.0.0.1:7000"
+CALLER_PORT = 8000
+READY_PORT = 8001
+TICK_S = 0.05
+MODEL = "m"
+
+
+class EventRecorder:
+    """An event log that keeps its events."""
+
+    def __init__(self):
+        self.events = []
+
+    def event(self, name, **fields):
+        self.events.append((name, fields))
+
+    def named(self, name):
+        return [fields for one, fields in self.events if one == name]
+
+
+class Transport(httpx.AsyncBaseTransport):
+    """Hands requests to stand-ins by address; nobody there refuses the connection."""
+
+    def __init__(self, fleet, node_name):
+        self._fleet = fleet
+        self._node_name = node_name
+
+    async def handle_async_request(self, request):
+        address = f"{request.url.host}:{request.url.port}"
+        if (self._node_name, address) in self._fleet.cuts:
+            await anyio.sleep(0.3)
+            raise httpx.ConnectTimeout("cut")
+        target = self._fleet.targets.get(address)
+        if target is None:
+            raise httpx.ConnectError("refused")
+        if "target" in request.extensions:
+            request.extensions["seen_target"] = request.extensions["target"]
+        return await target.handle(request)
+
+
+@dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int = 0
+    headers: list = field(default_factory=list)
+    body: bytes = b""
+    is_complete: bool = False
+    took_s: float = 0.0
+
+    def header(self, name):
+        return dict(self.headers).get(name.encode())
+
+
+class Fleet:
+    """A store, runners and gateways."""
+
+    def __init__(self, seed=1, **bounds):
+        self.store = StoreStandIn()
+        self.targets = {STORE_ADDRESS: self.store}
+        self.runners = []
+        self.cuts = set()
+        self.nodes = {}
+        self.logs = {}
+        self.scopes = {}
+        self.bounds = Bounds(**bounds)
+        self.budget = RetryBudgetRules(0.2, 50.0, 10.0)
+        self.seed = seed
+        self.tasks = None
+
+    def add_runner(self, runner, registered=True):
+        self.runners.append(runner)
+        self.targets[runner.address] = runner
+        if registered:
+            self.store.put(f"servers/{runner.instance}", runner.entry())
+
+    def remove_runner(self, runner):
+        self.runners.remove(runner)
+        if self.targets.get(runner.address) is runner:
+            del self.targets[runner.address]
+
+    async def start_node(self, name="node-1", is_first_start=True):
+        number = len(self.nodes) + 1
+        address = ListenAddress(f"10.1.0.{number}", CALLER_PORT)
+        settings = GatewaySettings(
+            name=name,
+            zone="hall-a",
+            region="r",
+            callers=address,
+            readiness=ListenAddress(address.host, READY_PORT),
+            peers=ListenAddress("127.0.0.1", 0),
+            is_first_start=is_first_start,
+            bounds=self.bounds,
+            retry_budget=self.budget,
+        )
+
+        def transport(_connections, _keepalive_s):
+            return Transport(self, name)
+
+        store = StoreClient(STORE_ADDRESS, transport)
+        log = EventRecorder()
+        node = GatewayNode(
+            settings, store, store, RunnerConnector(transport), Callers(), log,
+            Random(self.seed + number),
+        )  # fmt: skip
+        node.peer_task = InMemoryPeers(self, node)
+        self.nodes[name] = node
+        self.logs[name] = log
+        scope = anyio.CancelScope()
+        self.scopes[name] = scope
+        self.tasks.start_soon(self._run_node, node, scope)
+        await anyio.sleep(0.1)
+        return node
+
+    async def _run_node(self, node, scope):
+        with scope:
+            await node.run()
+
+    def kill(self, name):
+        self.scopes[name].cancel()
+        del self.nodes[name]
+
+    async def tick(self):
+        """Let time pass for runners: loads end and registrations follow."""
+        while True:
+            for runner in self.runners:
+                version = runner.version
+                runner.tick()
+                if runner.version != version:
+                    self.store.put(f"servers/{runner.instance}", runner.entry())
+            await anyio.sleep(TICK_S)
+
+
+class InMemoryPeers:
+    """Takes the place of the datagram socket: what a node tells arrives at the others at once."""
+
+    def __init__(self, fleet, node):
+        self._fleet = fleet
+        self._node = node
+
+    async def run(self):
+        while True:
+            self._node._gather_news(True)
+            await self.flush()
+            await anyio.sleep(0.1)
+
+    async def flush(self):
+        news = self._node.outbox.take()
+        if news is None:
+            return
+        for node in list(self._fleet.nodes.values()):
+            if node is not self._node:
+                node.hear(news)
+
+
+async def with_fleet(fleet, body):
+    """Run a test body while the fleet's tasks run."""
+    async with anyio.create_task_group() as tasks:
+        fleet.tasks = tasks
+        tasks.start_soon(fleet.tick)
+        result = await body()
+        tasks.cancel_scope.cancel()
+    return result
+
+
+async def ask(
+    node, path="/a/x", method="POST", headers=(), body=b"hello", host="h.example", leave_after_s=None
+):
+    """Send one request to a node's application; `leave_after_s` closes the caller's side."""
+    answer = Answer()
+    began_s = anyio.current_time()
+    sent_body = False
+    raw_path, _, query = path.partition("?")
+
+    async def receive():
+        nonlocal sent_body
+        if not sent_body:
+            sent_body = True
+            return {"type": "http.request", "body": body, "more_body": False}
+        await anyio.sleep(3600.0 if leave_after_s is None else leave_after_s)
+        return {"type": "http.disconnect"}
+
+    async def send(message):
+        if message["type"] == "http.response.start":
+            answer.status = message["status"]
+            answer.headers = list(message["headers"])
+            return
+        answer.body += message.get("body", b"")
+        answer.is_complete = not message.get("more_body", False)
+
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": raw_path,
+        "raw_path": raw_path.encode(),
+        "query_string": query.encode(),
+        "headers": [(b"host", host.encode()), *headers],
+        "server": (node.settings.callers.host, CALLER_PORT),
+    }
+    await node.app(scope, receive, send)
+    answer.took_s = anyio.current_time() - began_s
+    return answer
+
+
+def request_headers(request_id="q1", **more):
+    """Return the header fields of a caller's request."""
+    headers = [(b"x-attempt-id", request_id.encode())]
+    return headers + [
+        (name.replace("_", "-").encode(), str(value).encode()) for name, value in more.items()
+    ]
+
+
+def generation_headers(request_id="q1", parts="aa:800,bb:200", key=None, tokens="1000,20", **more):
+    """Return the header fields of a generation."""
+    headers = request_headers(
+        request_id, x_model=MODEL, x_token_usage=tokens, x_prefix_hash=parts, **more
+    )
+    if key is not None:
+        headers.append((b"authorization", f"Bearer {key}".encode()))
+    return headers
+
+
+def route(name, prefix, kind, **more):
+    """Return a route as operators write it."""
+    entry = {
+        "name": name,
+        "host": "h.example",
+        "path_prefix": prefix,
+        "type": kind,
+        "timeout_ms": 4000,
+        "slo_ms": 800,
+        "service": "orders",
+        "max_attempts": 2,
+        "public": True,
+    }
+    return entry | more
+
+
+def configuration(version=1, routes=None, tenants=(), **more):
+    """Return a configuration as operators write it."""
+    default_routes = [
+        route("orders", "/o/", "mutating"),
+        route("status", "/s/", "idempotent"),
+        route("draft", "/a/", "streaming", service="lm", resumable=True, gap_slo_ms=500),
+        route("note", "/n/", "streaming", service="lm", max_attempts=1),
+    ]
+    entry = {
+        "version": version,
+        "routes": default_routes if routes is None else routes,
+        "services": [
+            {"name": "orders", "health_path": "/healthz", "max_conns": 100},
+            {
+                "name": "lm",
+                "health_path": "/healthz",
+                "max_conns": 100,
+                "engine": {"slots": 4, "kv_capacity": 100_000, "models": [{"name": MODEL}]},
+            },
+        ],
+        "limits": {"max_body_bytes": 100},
+        "tenants": list(tenants),
+    }
+    return entry | more
--- /dev/null
+++ b/features/support/platform_runner.py
@@ -0,0 +1,207 @@
+"""Stand-in of a runner and of an ordering service, written from the published protocol.
+
+It records every arrival and every run, so that a test can say what ran how often and over what.
+"""
+
+import json
+from dataclasses import dataclass, field
+
+import anyio
+import httpx
+
+NUM_EVENTS = 5
+EVENT_INTERVAL_S = 0.02
+READ_S = 0.03
+HANG_S = 3600.0
+
+
+@dataclass
+class Run:
+    """One run of a request."""
+
+    request_id: str
+    salt: str | None
+    version: int
+    source: str | None
+    tenant: str | None
+    headers: dict
+    began_s: float
+    ended_s: float | None = None
+
+
+@dataclass
+class RunnerStandIn:
+    """One incarnation; `faults` are taken one for each arrival, then all is well."""
+
+    instance: str
+    address: str
+    service: str
+    zone: str = "hall-a"
+    model: str | None = "m"
+    version: int = 1
+    faults: list = field(default_factory=list)
+    arrivals: list = field(default_factory=list)
+    runs: list = field(default_factory=list)
+    orders: list = field(default_factory=list)
+    cancelled: list = field(default_factory=list)
+    targets: list = field(default_factory=list)
+    sequence: int = 0
+    fence: int = 0
+    is_loading: bool = False
+    load_s: float = 0.5
+    lose_order_answers: bool = False
+    late_orders_s: float | None = None
+    read_s: float = READ_S
+    on_version: object = None
+
+    def entry(self, state="ready"):
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "slots": 4,
+            "state": state,
+            "seq": 1,
+            "models": models if self.model else [],
+        }
+
+    async def handle(self, request):
+        await anyio.sleep(0.001)
+        path = request.url.path
+        if path == "/v1/report":
+            return self._report()
+        if path == "/v1/order":
+            return await self._order(request)
+        if path == "/healthz":
+            return httpx.Response(200, headers={"X-Instance-Id": self.instance})
+        return await self._request(request)
+
+    async def _request(self, request):
+        request_id = request.headers.get("x-attempt-id", "")
+        self.arrivals.append((anyio.current_time(), request_id, dict(request.headers)))
+        self.targets.append((request.extensions["target"], request.content))
+        fault = self.faults.pop(0) if self.faults else "none"
+        if fault == "connect":
+            raise httpx.ConnectError("refused")
+        expected = request.headers.get("x-expect-instance")
+        if expected not in (None, self.instance):
+            return httpx.Response(421, headers={"X-Instance-Id": self.instance})
+        wanted = request.headers.get("x-expect-version")
+        if wanted is not None and int(wanted) != self.version:
+            return httpx.Response(421, headers={"X-Not-Executed": "1"})
+        if fault == "refuse" or self.is_loading:
+            return httpx.Response(503, headers={"X-Not-Executed": "1"})
+        return await self._run(request, request_id, fault)
+
+    async def _run(self, request, request_id, fault):
+        run = Run(
+            request_id,
+            request.headers.get("x-cache-salt"),
+            self.version,
+            request.headers.get("x-kv-source"),
+            request.headers.get("x-tenant"),
+            dict(request.headers),
+            anyio.current_time(),
+        )
+        self.runs.append(run)
+        if fault == "hang":
+            await self._sleep_or_note(request_id, HANG_S)
+        if fault == "reset":
+            raise httpx.ReadError("reset")
+        headers = {"X-Attempt-Id": request_id, "X-Response-Seal": f"seal-{self.instance}"}
+        if fault == "cross":
+            headers["X-Attempt-Id"] = "another"
+        if fault == "unsealed":
+            del headers["X-Response-Seal"]
+        if fault == "error":
+            return httpx.Response(500, headers=headers, content=b"failed")
+        if fault == "unproved":
+            return httpx.Response(503, headers=headers, content=b"maybe")
+        if self.model is None:
+            await anyio.sleep(self.read_s)
+            body = b"done by " + self.instance.encode()
+            if fault == "break":
+                return httpx.Response(200, headers=headers, stream=Broken([body[:4]]))
+            return httpx.Response(200, headers=headers, content=body)
+        headers["X-Weight-Versions"] = str(self.version)
+        after = int(request.headers.get("last-event-id") or 0)
+        stream = Events(self, run, after, fault)
+        return httpx.Response(200, headers=headers, stream=stream)
+
+    async def _sleep_or_note(self, request_id, seconds):
+        try:
+            await anyio.sleep(seconds)
+        except BaseException:
+            self.cancelled.append((anyio.current_time(), request_id))
+            raise
+
+    def _report(self):
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        report = {"models": models, "utilization": self.is_loading, "seq": self.sequence}
+        return httpx.Response(200, content=json.dumps(report).encode())
+
+    async def _order(self, request):
+        order = json.loads(request.content)
+        if self.late_orders_s is not None:
+            await anyio.sleep(self.late_orders_s)
+        if request.headers.get("x-expect-instance") not in (None, self.instance):
+            return httpx.Response(421)
+        if order["fence_token"] < self.fence:
+            return httpx.Response(412)
+        if self.is_loading or order["if_revision"] != self.sequence:
+            return httpx.Response(409)
+        self.fence = order["fence_token"]
+        self.sequence += 1
+        self.orders.append((anyio.current_time(), order))
+        self.is_loading = True
+        self.ends_load_s = anyio.current_time() + self.load_s
+        self.loading_version = order["version"]
+        if self.lose_order_answers:
+            raise httpx.ReadError("answer lost")
+        return httpx.Response(202)
+
+    def tick(self):
+        """End a load whose time has come."""
+        if self.is_loading and anyio.current_time() >= self.ends_load_s:
+            self.is_loading = False
+            self.version = self.loading_version
+
+
+class Events(httpx.AsyncByteStream):
+    """A stream of numbered events, perhaps broken off."""
+
+    def __init__(self, runner, run, after, fault):
+        self._runner = runner
+        self._run = run
+        self._after = after
+        self._fault = fault
+
+    async def __aiter__(self):
+        try:
+            await anyio.sleep(self._runner.read_s)
+            for number in range(self._after + 1, NUM_EVENTS + 1):
+                event = f"id: {number}\ndata: token-{number}\n\n".encode()
+                if self._fault == "break" and number == 3:
+                    yield event[:9]
+                    raise httpx.RemoteProtocolError("incomplete chunked read")
+                if self._fault == "stall" and number == 3:
+                    await anyio.sleep(HANG_S)
+                yield event
+                await anyio.sleep(EVENT_INTERVAL_S)
+            self._run.ended_s = anyio.current_time()
+        finally:
+            if self._run.ended_s is None:
+                self._runner.cancelled.append((anyio.current_time(), self._run.request_id))
+
+
+class Broken(httpx.AsyncByteStream):
+    """A body that ends early."""
+
+    def __init__(self, parts):
+        self._parts = parts
+
+    async def __aiter__(self):
+        for part in self._parts:
+            yield part
+        raise httpx.RemoteProtocolError("peer closed connection")
--- /dev/null
+++ b/features/support/platform_store.py
@@ -0,0 +1,168 @@
+"""Stand-in of the platform's store, written from its published protocol, with faults to switch on."""
+
+import base64
+import json
+
+import anyio
+import httpx
+
+HISTORY_LENGTH = 200
+SILENT_S = 3600.0
+JSON_TYPE = {"content-type": "application/json"}
+
+
+class StoreStandIn:
+    """Items, leases, transactions and watches at one linearizable store."""
+
+    def __init__(self):
+        self.items = {}
+        self.leases = {}
+        self.history = []
+        self.revision = 0
+        self.oldest = 0
+        self.calls = []
+        self.changed = anyio.Event()
+        self.is_down = False
+        self.is_silent = False
+        self.lose_answers = False
+        self.late_writes_s = None
+        self.is_deaf = False
+        self.next_lease = 100
+
+    # What tests do directly, as the operator or a runner.
+
+    def put(self, key, value, lease=0):
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._change(key, raw, lease)
+
+    def delete(self, key):
+        if key in self.items:
+            del self.items[key]
+            self.revision += 1
+            self._note({"private_key": key, "revision": self.revision, "gone": True})
+
+    def compact(self):
+        """Forget all history and cut the watches."""
+        self.history.clear()
+        self.oldest = self.revision
+        self._wake()
+
+    def _change(self, key, raw, lease):
+        self.revision += 1
+        made = self.items[key]["made"] if key in self.items else self.revision
+        item = {
+            "private_key": key,
+            "value": base64.b64encode(raw).decode(),
+            "revision": self.revision,
+            "made": made,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def _note(self, event):
+        self.history.append(event)
+        self._wake()
+
+    def _wake(self):
+        changed, self.changed = self.changed, anyio.Event()
+        changed.set()
+
+    def _expire(self):
+        now_s = anyio.current_time()
+        for lease in [one for one, until_s in self.leases.items() if until_s <= now_s]:
+            self._end_lease(lease)
+
+    def _end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+            self.delete(key)
+
+    # The protocol.
+
+    async def handle(self, request):
+        body = json.loads(request.content or b"{}")
+        path = request.url.path
+        self.calls.append((request.method, path))
+        if self.is_silent:
+            await anyio.sleep(SILENT_S)
+        if self.is_down:
+            raise httpx.ConnectError("refused")
+        await anyio.sleep(0.004)
+        self._expire()
+        return await self._answer(request, path, body)
+
+    async def _answer(self, request, path, body):
+        if path == "/v1/kv-range":
+            prefix = request.url.params["path_prefix"]
+            items = [self.items[key] for key in sorted(self.items) if key.startswith(prefix)]
+            return reply(200, {"items": items, "more": False, "at": self.revision})
+        if path == "/v1/kv-watch":
+            return await self._watch(request.url.params)
+        if path == "/v1/kv-txn":
+            return await self._write(lambda: self._transaction(body))
+        if path == "/v1/kv-lease":
+            return await self._write(lambda: self._grant(body["ttl_ms"]))
+        if path.startswith("/v1/kv-keep/"):
+            return self._keep(int(path.rsplit("/", 1)[1]))
+        if path.startswith("/v1/kv-lease-end/"):
+            self._end_lease(int(path.rsplit("/", 1)[1]))
+            return reply(200, {})
+        return reply(400, {})
+
+    async def _watch(self, parameters):
+        after = int(parameters["after"])
+        with anyio.move_on_after(int(parameters["wait_ms"]) / 1000.0):
+            while True:
+                if after < self.oldest:
+                    return reply(410, {})
+                prefix = parameters["path_prefix"]
+                events = [
+                    event
+                    for event in self.history
+                    if event["revision"] > after and event["private_key"].startswith(prefix)
+                ]
+                if events and not self.is_deaf:
+                    return reply(200, {"events": events, "at": self.revision})
+                await self.changed.wait()
+        return reply(200, {"events": [], "at": after if self.is_deaf else self.revision})
+
+    async def _write(self, change):
+        if self.late_writes_s is not None:
+            await anyio.sleep(self.late_writes_s)
+        answer = change()
+        if self.lose_answers:
+            raise httpx.RemoteProtocolError("answer lost")
+        return answer
+
+    def _transaction(self, body):
+        for row in body["if_revision"]:
+            item = self.items.get(row["private_key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                keys = [one["private_key"] for one in body["if_revision"]]
+                found = [self.items[key] for key in keys if key in self.items]
+                return reply(412, {"items": found})
+        for put in body["put"]:
+            if put["lease"] and put["lease"] not in self.leases:
+                return reply(404, {})
+        for put in body["put"]:
+            self._change(put["private_key"], base64.b64decode(put["value"]), put["lease"])
+        for key in body["delete"]:
+            self.delete(key)
+        return reply(200, {"revision": self.revision})
+
+    def _grant(self, ttl_ms):
+        self.next_lease += 1
+        self.leases[self.next_lease] = anyio.current_time() + ttl_ms / 1000.0
+        self.ttl_ms = ttl_ms
+        return reply(200, {"lease": self.next_lease, "ttl_ms": ttl_ms})
+
+    def _keep(self, lease):
+        if lease not in self.leases:
+            return reply(404, {})
+        self.leases[lease] = anyio.current_time() + self.ttl_ms / 1000.0
+        return reply(200, {"ttl_ms": self.ttl_ms})
+
+
+def reply(status, body):
+    return httpx.Response(status, headers=JSON_TYPE, content=json.dumps(body).encode())
