--- /dev/null
+++ b/features/gateway_rollout.feature
@@ -0,0 +1,67 @@
+Feature: Named weights reach the runners by fenced orders of one node, and old ones stop serving
+
+  Scenario Outline: Which runners load now
+    Given a rollout rule of 2 s a load, a third at once, a target of 6 s and urgency from 7 s
+    And <runners> runners of which <loading> load
+    When runners are owed since "<ages>" seconds
+    Then "<chosen>" begin to load
+
+    Examples: runners, loading, seconds since each was owed, and who begins (numbered by age)
+      | runners | loading | ages        | chosen  |
+      | 6       | 0       |             |         |
+      | 6       | 0       | 1,1,1,1,1,1 |         |
+      | 6       | 0       | 2,2,2,2,2,2 | 1,2     |
+      | 6       | 1       | 2,2,2,2,2,2 | 1       |
+      | 6       | 2       | 2,2,2,2,2,2 |         |
+      | 6       | 0       | 5,5         |         |
+      | 6       | 0       | 6,1         | 1,2     |
+      | 6       | 2       | 7,1         | 1       |
+      | 6       | 0       | 8,8,8,8     | 1,2,3,4 |
+      | 1       | 0       | 6           | 1       |
+
+  Scenario Outline: All runners take a new version in time, whatever <fault>
+    Given 3 nodes and 6 runners
+    When version 2 is named and there is "<fault>"
+    And 13 seconds pass
+    Then every runner has version 2
+    And orders of two nodes lie 3 seconds apart or more
+    And every order carried a fencing token no lower than the one before
+
+    Examples:
+      | fault                    |
+      | nothing else             |
+      | a killed holder          |
+      | a holder cut off         |
+      | an outage of 2 s         |
+      | lost store answers       |
+      | lost order answers       |
+      | orders 3 s late          |
+      | a restart of all nodes   |
+
+  Scenario: No request starts on weights that are too old, whoever gives orders
+    Given 3 nodes and 6 runners
+    And nobody can give orders
+    When version 2 is named and there is "nothing else"
+    And generations are sent for 10 seconds
+    Then no run began on version 1 later than 8 seconds after the naming
+
+  Scenario: A runner that loads gets no requests meanwhile
+    Given 3 nodes and 6 runners
+    When version 2 is named and there is "nothing else"
+    And generations are sent for 10 seconds
+    Then at most 3 of them were refused by a runner
+    And each run was over the scope of its own version
+
+  Scenario: Two versions named in a row cost one load where the bound allows
+    Given 3 nodes and 6 runners
+    When versions 2 and 3 are named 1 second apart
+    And 13 seconds pass
+    Then every runner has version 3
+    And 6 orders were given
+
+  Scenario: A restarted node learns from its peers how old a version is
+    Given 3 nodes and 6 runners
+    And nobody can give orders
+    When version 2 is named and there is "nothing else"
+    And a node starts anew 2 seconds later
+    Then it still sends requests to version 1
--- /dev/null
+++ b/features/gateway_state.feature
@@ -0,0 +1,79 @@
+Feature: A node follows the platform's state, never goes back, and serves keys only on proof
+
+  Scenario Outline: A configuration is in force at once and whatever the store does
+    Given a node that has configuration 3
+    When the store suffers "<fault>" while configuration <next> is written
+    Then within <seconds> seconds the node has configuration <expected>
+
+    Examples: fault, version written, and what is in force by when
+      | fault       | next | seconds | expected |
+      | none        | 4    | 0.1     | 4        |
+      | none        | 2    | 1.0     | 3        |
+      | compaction  | 4    | 2.0     | 4        |
+      | outage      | 4    | 3.5     | 4        |
+      | silence     | 4    | 5.0     | 4        |
+      | nonsense    | 4    | 1.0     | 3        |
+
+  Scenario Outline: A request with a key after <fault> of <seconds> seconds gets <status>
+    Given a node that has configuration 3 with a tenant
+    When the store suffers "<fault>" for <seconds> seconds
+    And a request with the tenant's key is sent
+    Then the caller gets status <status>
+
+    Examples: a key is served only while the configuration is proved to be current
+      | fault       | seconds | status |
+      | none        | 1       | 200    |
+      | outage      | 1       | 200    |
+      | outage      | 5       | 503    |
+      | silence     | 5       | 503    |
+
+  Scenario: A key that was taken away serves no more, although watches are told late
+    Given a node that has configuration 3 with a tenant
+    When watches hear nothing for 1 second while the key is taken away, then history is dropped
+    And requests with the tenant's key are sent for 8 seconds
+    Then none that was sent 2 seconds after the change is served
+
+  Scenario Outline: What no configuration allows is refused by the table in force
+    Given a node that has configuration 3 with a tenant
+    When a request to "<path>" of "<host>" with key "<key>" is sent
+    Then the caller gets status <status>
+
+    Examples:
+      | path     | host         | key      | status |
+      | /k/x     | h.example    | good     | 200    |
+      | /k/x     | H.EXAMPLE    | good     | 200    |
+      | /k/x     | h.example:80 | good     | 200    |
+      | /k/x     | h.example    | bad      | 401    |
+      | /k/x     | h.example    |          | 401    |
+      | /k       | h.example    | good     | 404    |
+      | /kk/x    | h.example    | good     | 404    |
+      | /k/x     | other        | good     | 404    |
+      | /k/deep/ | h.example    |          | 200    |
+
+  Scenario: A node without a configuration says so, and is not ready
+    Given a node and a store without a configuration
+    When a request to "/k/x" of "h.example" with key "good" is sent
+    Then the caller gets status 503
+    And the node is not ready
+
+  Scenario Outline: A back end that is <change> gets no request
+    Given a node that has configuration 3 and two back ends
+    When the first back end is <change>
+    And 10 requests are sent after 0.1 seconds
+    Then the first back end gets none of them
+
+    Examples:
+      | change   |
+      | leaving  |
+      | gone     |
+      | replaced |
+
+  Scenario: The tenant's name goes to the back end and its key does not
+    Given a node that has configuration 3 with a tenant
+    When a request to "/k/x" of "h.example" with key "good" is sent
+    Then the back end saw the tenant "t1" and no key
+
+  Scenario: A split gives each part its weight
+    Given a node whose route splits 70 to "orders" and 30 to "others"
+    When 100 requests are sent after 0.1 seconds
+    Then "orders" got 70 and "others" 30 of them
--- /dev/null
+++ b/features/steps/gateway_rollout_steps.py
@@ -0,0 +1,272 @@
+"""Steps of `gateway_rollout.feature`."""
+
+import itertools
+
+import anyio
+from behave import given, then, when
+
+from features.support.platform_fleet import (
+    MODEL,
+    STORE_ADDRESS,
+    Fleet,
+    ask,
+    configuration,
+    generation_headers,
+    with_fleet,
+)
+from features.support.platform_runner import RunnerStandIn
+from features.support.virtual_time import run_in_virtual_time
+from weirscale.gateway.rollout import LaggingRunner, RolloutRules, runners_to_load
+
+NOW_S = 100.0
+NEVER_TAKEN = "weirscale/duties/placement_planner"
+STARTED_S = 5.0
+REQUEST_INTERVAL_S = 0.05
+
+
+@given(
+    "a rollout rule of {load_s:g} s a load, a third at once, a target of {target_s:g} s and "
+    "urgency from {urgent_s:g} s"
+)
+def step_rules(context, load_s, target_s, urgent_s):
+    context.rules = RolloutRules(load_s, 0.34, target_s, urgent_s)
+
+
+@given("{runners:d} runners of which {loading:d} load")
+def step_runner_counts(context, runners, loading):
+    context.counts = (runners, loading)
+
+
+@when('runners are owed since "{ages}" seconds')
+def step_owed(context, ages):
+    lagging = [
+        LaggingRunner(str(number), NOW_S - float(age), 0)
+        for number, age in enumerate(ages.split(","), start=1)
+    ]
+    context.chosen = runners_to_load(lagging, *context.counts, NOW_S, context.rules)
+
+
+@when('runners are owed since "" seconds')
+def step_owed_none(context):
+    context.chosen = runners_to_load([], *context.counts, NOW_S, context.rules)
+
+
+@then('"{chosen}" begin to load')
+def step_chosen(context, chosen):
+    assert context.chosen == chosen.split(","), context.chosen
+
+
+@then('"" begin to load')
+def step_chosen_none(context):
+    assert context.chosen == [], context.chosen
+
+
+class Play:
+    """A fleet and what happens to it, in one run."""
+
+    def __init__(self, num_nodes, num_runners):
+        self.num_nodes = num_nodes
+        self.num_runners = num_runners
+        self.actions = []
+        self.nobody_orders = False
+        self.answers = []
+
+    def run(self):
+        self.fleet = Fleet()
+        run_in_virtual_time(self._main)
+        return self
+
+    async def _main(self):
+        async def body():
+            store = self.fleet.store
+            store.put("op/config", configuration())
+            store.put(f"op/version/{MODEL}", {"model": MODEL, "version": 1})
+            if self.nobody_orders:
+                store.put(NEVER_TAKEN, b"nobody")
+            for number in range(1, self.num_runners + 1):
+                self.fleet.add_runner(
+                    RunnerStandIn(f"r-{number}", f"10.3.0.{number}:8080", "lm", read_s=0.02)
+                )
+            for number in range(1, self.num_nodes + 1):
+                await self.fleet.start_node(f"node-{number}")
+            await anyio.sleep(STARTED_S)
+            for action in self.actions:
+                await action(self)
+
+        await with_fleet(self.fleet, body)
+
+    def holder(self):
+        return next(node for node in self.fleet.nodes.values() if node._lease.is_held())
+
+    def orders(self):
+        found = [one for runner in self.fleet.runners for one in runner.orders]
+        return sorted(found, key=lambda one: one[0])
+
+
+@given("{nodes:d} nodes and {runners:d} runners")
+def step_fleet(context, nodes, runners):
+    context.play = Play(nodes, runners)
+
+
+@given("nobody can give orders")
+def step_nobody(context):
+    context.play.nobody_orders = True
+
+
+def name_version(play, version):
+    play.fleet.store.put(f"op/version/{MODEL}", {"model": MODEL, "version": version})
+    play.named_s = anyio.current_time()
+
+
+async def suffer(play, fault):
+    fleet = play.fleet
+    if fault == "a killed holder":
+        await anyio.sleep(0.5)
+        fleet.kill(play.holder().settings.name)
+    elif fault == "a holder cut off":
+        await anyio.sleep(0.5)
+        fleet.cuts.add((play.holder().settings.name, STORE_ADDRESS))
+    elif fault == "an outage of 2 s":
+        fleet.store.is_down = True
+        await anyio.sleep(2.0)
+        fleet.store.is_down = False
+    elif fault == "lost store answers":
+        fleet.store.lose_answers = True
+        await anyio.sleep(3.0)
+        fleet.store.lose_answers = False
+    elif fault == "lost order answers":
+        for runner in fleet.runners:
+            runner.lose_order_answers = True
+    elif fault == "orders 3 s late":
+        fleet.runners[0].late_orders_s = 3.0
+    elif fault == "a restart of all nodes":
+        await restart_all(fleet)
+
+
+async def restart_all(fleet):
+    await anyio.sleep(0.5)
+    names = list(fleet.nodes)
+    for name in names:
+        fleet.kill(name)
+    await anyio.sleep(0.5)
+    for name in names:
+        await fleet.start_node(name, is_first_start=False)
+
+
+@when('version {version:d} is named and there is "{fault}"')
+def step_named(context, version, fault):
+    async def action(play):
+        name_version(play, version)
+        await suffer(play, fault)
+
+    context.play.actions.append(action)
+
+
+@when("versions {first:d} and {second:d} are named {seconds:g} second apart")
+def step_named_two(context, first, second, seconds):
+    async def action(play):
+        name_version(play, first)
+        await anyio.sleep(seconds)
+        name_version(play, second)
+
+    context.play.actions.append(action)
+
+
+@when("{seconds:g} seconds pass")
+def step_pass(context, seconds):
+    async def action(play):
+        await anyio.sleep(seconds)
+
+    context.play.actions.append(action)
+
+
+@when("generations are sent for {seconds:g} seconds")
+def step_generations(context, seconds):
+    async def action(play):
+        end_s = anyio.current_time() + seconds
+        nodes = itertools.cycle(list(play.fleet.nodes.values()))
+        async with anyio.create_task_group() as tasks:
+            for number in itertools.count():
+                if anyio.current_time() >= end_s:
+                    break
+                tasks.start_soon(generate, play, next(nodes), f"q{number}")
+                await anyio.sleep(REQUEST_INTERVAL_S)
+
+    context.play.actions.append(action)
+
+
+async def generate(play, node, request_id):
+    headers = generation_headers(request_id, parts=f"aa:800,{request_id}:200")
+    play.answers.append(await ask(node, "/a/1", headers=headers))
+
+
+@when("a node starts anew {seconds:g} seconds later")
+def step_start_anew(context, seconds):
+    async def action(play):
+        await anyio.sleep(seconds)
+        play.fleet.kill("node-1")
+        node = await play.fleet.start_node("node-1", is_first_start=False)
+        await anyio.sleep(0.5)
+        play.answers.append(await ask(node, "/a/1", headers=generation_headers()))
+
+    context.play.actions.append(action)
+
+
+@then("it still sends requests to version {version:d}")
+def step_still_sends(context, version):
+    play = context.play.run()
+    assert [answer.status for answer in play.answers] == [200], play.answers
+    assert {run.version for runner in play.fleet.runners for run in runner.runs} == {version}
+
+
+@then("every runner has version {version:d}")
+def step_all_have(context, version):
+    play = context.play.run()
+    assert [runner.version for runner in play.fleet.runners] == [version] * play.num_runners
+
+
+@then("orders of two nodes lie {seconds:g} seconds apart or more")
+def step_turns(context, seconds):
+    orders = context.play.orders()
+    for (earlier_s, earlier), (later_s, later) in itertools.combinations(orders, 2):
+        if earlier["holder"] != later["holder"]:
+            assert later_s - earlier_s >= seconds, (earlier, later)
+
+
+@then("every order carried a fencing token no lower than the one before")
+def step_tokens(context):
+    tokens = [order["fence_token"] for _, order in context.play.orders()]
+    assert tokens and tokens == sorted(tokens), tokens
+
+
+@then("no run began on version {version:d} later than {seconds:g} seconds after the naming")
+def step_no_late_run(context, version, seconds):
+    play = context.play.run()
+    began = [
+        run.began_s - play.named_s
+        for runner in play.fleet.runners
+        for run in runner.runs
+        if run.version == version
+    ]
+    assert began and max(began) <= seconds, max(began)
+
+
+@then("at most {count:d} of them were refused by a runner")
+def step_refused(context, count):
+    play = context.play.run()
+    num_runs = sum(len(runner.runs) for runner in play.fleet.runners)
+    num_arrivals = sum(len(runner.arrivals) for runner in play.fleet.runners)
+    assert num_arrivals - num_runs <= count, (num_arrivals, num_runs)
+    assert {answer.status for answer in play.answers} == {200}
+
+
+@then("each run was over the scope of its own version")
+def step_scopes(context):
+    for runner in context.play.fleet.runners:
+        for run in runner.runs:
+            assert run.salt == f"{MODEL}@{run.version}", run
+
+
+@then("{count:d} orders were given")
+def step_order_count(context, count):
+    assert len(context.play.orders()) == count, context.play.orders()
--- /dev/null
+++ b/features/steps/gateway_state_steps.py
@@ -0,0 +1,280 @@
+"""Steps of `gateway_state.feature`."""
+
+import anyio
+from behave import given, then, when
+
+from features.support.platform_fleet import (
+    Fleet,
+    ask,
+    configuration,
+    request_headers,
+    route,
+    with_fleet,
+)
+from features.support.platform_runner import RunnerStandIn
+from features.support.virtual_time import run_in_virtual_time
+
+TENANT = {"name": "t1", "api_keys": ["good"]}
+SETTLE_S = 0.3
+
+
+def keyed_configuration(version, keys=("good",)):
+    routes = [
+        route("keyed", "/k/", "idempotent", public=False),
+        route("deep", "/k/deep/", "idempotent"),
+    ]
+    return configuration(version, routes, [TENANT | {"api_keys": list(keys)}])
+
+
+class Script:
+    """Steps gathered by a scenario, played in one run once a then step asks."""
+
+    def __init__(self, first):
+        self.first = first
+        self.actions = []
+        self.answers = []
+        self.played = None
+
+    def play(self):
+        if self.played is None:
+            self.fleet = Fleet()
+            run_in_virtual_time(self._main)
+            self.played = True
+        return self
+
+    async def _main(self):
+        async def body():
+            if self.first is not None:
+                self.fleet.store.put("op/config", self.first)
+            for number in (1, 2):
+                self.fleet.add_runner(back_end(number))
+            self.node = await self.fleet.start_node()
+            await anyio.sleep(SETTLE_S)
+            for action in self.actions:
+                await action(self)
+
+        await with_fleet(self.fleet, body)
+
+
+def back_end(number, service="orders", instance=None):
+    name = instance or f"{service}-{number}"
+    host = 2 if service == "orders" else 3
+    return RunnerStandIn(name, f"10.{host}.0.{number}:8080", service, model=None, read_s=0.01)
+
+
+@given("a node that has configuration {version:d}")
+def step_node(context, version):
+    context.script = Script(configuration(version))
+
+
+@given("a node that has configuration {version:d} with a tenant")
+def step_node_tenant(context, version):
+    context.script = Script(keyed_configuration(version))
+
+
+@given("a node and a store without a configuration")
+def step_node_without(context):
+    context.script = Script(None)
+
+
+@given("a node that has configuration {version:d} and two back ends")
+def step_node_back_ends(context, version):
+    context.script = Script(configuration(version))
+
+
+@given('a node whose route splits {first:d} to "{one}" and {second:d} to "{other}"')
+def step_split(context, first, one, second, other):
+    parts = [{"service": one, "weight": first}, {"service": other, "weight": second}]
+    entry = route("split", "/o/", "mutating", service=None, split=parts)
+    services = [{"name": one}, {"name": other}]
+    context.script = Script(configuration(1, [entry], services=services))
+
+    async def add(script):
+        script.fleet.add_runner(back_end(1, other))
+        await anyio.sleep(SETTLE_S)
+
+    context.script.actions.append(add)
+
+
+async def begin_fault(store, fault):
+    if fault == "outage":
+        store.is_down = True
+    elif fault == "silence":
+        store.is_silent = True
+
+
+def end_fault(store):
+    store.is_down = False
+    store.is_silent = False
+
+
+@when('the store suffers "{fault}" while configuration {version:d} is written')
+def step_fault_write(context, fault, version):
+    async def action(script):
+        store = script.fleet.store
+        await begin_fault(store, fault)
+        if fault == "compaction":
+            store.is_deaf = True
+        store.put("op/config", b"{" if fault == "nonsense" else configuration(version))
+        script.written_s = anyio.current_time()
+        if fault in ("outage", "silence"):
+            await anyio.sleep(2.0)
+        if fault == "compaction":
+            await anyio.sleep(1.0)
+            store.is_deaf = False
+            store.compact()
+        end_fault(store)
+
+    context.script.actions.append(action)
+
+
+@then("within {seconds:g} seconds the node has configuration {version:d}")
+def step_has_version(context, seconds, version):
+    async def action(script):
+        remaining_s = seconds - (anyio.current_time() - script.written_s)
+        await anyio.sleep(max(0.0, remaining_s))
+        script.version = script.node.knowledge.table.version
+
+    context.script.actions.append(action)
+    assert context.script.play().version == version, context.script.version
+
+
+@when('the store suffers "{fault}" for {seconds:g} seconds')
+def step_fault_for(context, fault, seconds):
+    async def action(script):
+        await begin_fault(script.fleet.store, fault)
+        await anyio.sleep(seconds)
+
+    context.script.actions.append(action)
+
+
+@when("a request with the tenant's key is sent")
+def step_keyed_request(context):
+    add_request(context, "/k/x", "h.example", "good")
+
+
+@when('a request to "{path}" of "{host}" with key "{key}" is sent')
+def step_request(context, path, host, key):
+    add_request(context, path, host, key)
+
+
+@when('a request to "{path}" of "{host}" with key "" is sent')
+def step_request_no_key(context, path, host):
+    add_request(context, path, host, "")
+
+
+def add_request(context, path, host, key):
+    async def action(script):
+        headers = request_headers()
+        if key:
+            headers.append((b"authorization", f"Bearer {key}".encode()))
+        answer = await ask(script.node, path, "GET", headers, b"", host)
+        script.answers.append((anyio.current_time(), answer))
+
+    context.script.actions.append(action)
+
+
+@when("watches hear nothing for 1 second while the key is taken away, then history is dropped")
+def step_deaf(context):
+    async def action(script):
+        store = script.fleet.store
+        store.is_deaf = True
+        await anyio.sleep(0.3)
+        store.put("op/config", keyed_configuration(4, keys=["other"]))
+        script.changed_s = anyio.current_time()
+
+        async def heal():
+            await anyio.sleep(0.7)
+            store.is_deaf = False
+            store.compact()
+
+        script.fleet.tasks.start_soon(heal)
+
+    context.script.actions.append(action)
+
+
+@when("requests with the tenant's key are sent for {seconds:g} seconds")
+def step_requests_for(context, seconds):
+    async def action(script):
+        end_s = anyio.current_time() + seconds
+        while anyio.current_time() < end_s:
+            headers = request_headers() + [(b"authorization", b"Bearer good")]
+            sent_s = anyio.current_time()
+            answer = await ask(script.node, "/k/x", "GET", headers, b"")
+            script.answers.append((sent_s, answer))
+            await anyio.sleep(0.05)
+
+    context.script.actions.append(action)
+
+
+@then("none that was sent {seconds:g} seconds after the change is served")
+def step_none_served(context, seconds):
+    script = context.script.play()
+    late = [
+        answer.status for sent_s, answer in script.answers if sent_s >= script.changed_s + seconds
+    ]
+    assert late and 200 not in late, late
+    assert 200 in [answer.status for _, answer in script.answers]
+
+
+@then("the caller gets status {status:d}")
+def step_status(context, status):
+    answers = context.script.play().answers
+    assert [answer.status for _, answer in answers] == [status], answers
+
+
+@then("the node is not ready")
+def step_not_ready(context):
+    assert not context.script.play().node.is_ready()
+
+
+@when("the first back end is {change}")
+def step_change(context, change):
+    async def action(script):
+        store = script.fleet.store
+        first = script.fleet.runners[0]
+        script.first = first
+        if change == "leaving":
+            store.put(f"servers/{first.instance}", first.entry("draining"))
+        elif change == "gone":
+            store.delete(f"servers/{first.instance}")
+        else:
+            other = back_end(1, instance="later")
+            store.put("servers/later", other.entry() | {"service": "another"})
+
+    context.script.actions.append(action)
+
+
+@when("{count:d} requests are sent after {seconds:g} seconds")
+def step_many(context, count, seconds):
+    async def action(script):
+        await anyio.sleep(seconds)
+        for number in range(count):
+            answer = await ask(script.node, "/o/1", headers=request_headers(f"q{number}"))
+            script.answers.append((anyio.current_time(), answer))
+
+    context.script.actions.append(action)
+
+
+@then("the first back end gets none of them")
+def step_none_of_them(context):
+    script = context.script.play()
+    assert not script.first.arrivals
+    assert {answer.status for _, answer in script.answers} == {200}
+
+
+@then('the back end saw the tenant "{tenant}" and no key')
+def step_tenant(context, tenant):
+    script = context.script.play()
+    seen = [one[2] for runner in script.fleet.runners for one in runner.arrivals]
+    assert [one.get("x-tenant") for one in seen] == [tenant], seen
+    assert not any("authorization" in one for one in seen)
+
+
+@then('"{one}" got {first:d} and "{other}" {second:d} of them')
+def step_shares(context, one, first, other, second):
+    script = context.script.play()
+    counts = {one: 0, other: 0}
+    for runner in script.fleet.runners:
+        counts[runner.service] += len(runner.arrivals)
+    assert counts == {one: first, other: second}, counts
