--- a/features/architecture_layers.feature
+++ b/features/architecture_layers.feature
@@ -11,8 +11,9 @@
       | ports       | ports domain messages                                      |
       | standins    | standins domain messages ports                             |
       | node        | node domain messages ports                                 |
+      | gateway     | gateway node domain ports                                  |
       | experiments | experiments node domain messages ports standins            |
-      | cli         | cli experiments node domain messages ports standins        |
+      | cli         | cli experiments gateway node domain messages ports standins |
 
   Scenario Outline: Rules do no input or output and read no clock
     Given the modules of "weirscale.domain"
--- /dev/null
+++ b/features/gateway_choice.feature
@@ -0,0 +1,73 @@
+Feature: The gateway chooses the back end that answers first with the least prompt read again
+
+  Scenario Outline: Load, caches and zones decide
+    Given runners that differ: "<first>" and "<second>"
+    When a prompt of 800 shared and 200 own tokens is to be placed in zone "here"
+    Then "<chosen>" is chosen, with <cached> tokens cached and <fetched> fetched
+
+    Examples: two runners, each a list of what sets it apart
+      | first                | second                  | chosen | cached | fetched |
+      | idle                 | busy                    | first  | 0      | 0       |
+      | busy                 | idle                    | second | 0      | 0       |
+      | idle                 | keeps it                | second | 800    | 0       |
+      | idle                 | keeps it,waiting        | first  | 0      | 800     |
+      | idle                 | keeps it unread         | second | 800    | 0       |
+      | idle                 | keeps it for another    | either | 0      | 0       |
+      | idle                 | keeps it of old weights | either | 0      | 0       |
+      | idle,elsewhere       | idle                    | second | 0      | 0       |
+      | idle                 | full memory             | first  | 0      | 0       |
+      | idle,suspect         | idle                    | second | 0      | 0       |
+      | full slots           | idle                    | second | 0      | 0       |
+
+  Scenario: The least recently used parts are believed to give way, ends before beginnings
+    Given a place that keeps 1000 tokens
+    When the parts "a:400,b:200" and then "c:500" are noted there
+    Then "a:400,b:200" matches 400 tokens
+    And "c:500" matches 500 tokens
+
+  Scenario: A part that was never read is no source
+    Given a place that keeps 1000 tokens
+    When the parts "a:400,b:200" are sent there and not read
+    Then "a:400,b:200" matches 0 tokens
+
+  Scenario: What peers send counts as this node's own knowledge
+    Given 2 nodes and 2 runners that keep prompts
+    When one node sends a generation and the other one the same prompt
+    Then both runs were at one runner
+
+  Scenario: An isolated tenant's prompt is never looked up with another's
+    Given 1 nodes and 2 runners that keep prompts
+    When tenants "open" and "walled" and "open2" send the same prompt
+    Then the scopes of "open" and "open2" are one and that of "walled" is its own
+
+  Scenario: A back end that refused rests, and serves again when nothing else does
+    Given 1 nodes and 2 runners that keep prompts
+    When the runner chosen first refuses, and 5 more generations are sent at once
+    Then the refusing runner got 1 request
+
+  Scenario Outline: Circuits open at failures and close by probe or by request
+    Given a back end's circuit
+    When it sees "<events>"
+    Then its circuit "<admits>" requests
+
+    Examples:
+      | events                              | admits         |
+      | success                             | admits         |
+      | failure                             | admits         |
+      | failure,failure                     | does not admit |
+      | unreachable                         | does not admit |
+      | unreachable,wait,probe              | admits         |
+      | failure,failure,wait,probe          | rarely admits  |
+      | failure,failure,wait,success,settle | admits         |
+
+  Scenario Outline: The retry budget of <nodes> nodes
+    Given a retry budget of 0.2 with 50 extra over 10 seconds, shared by <nodes> nodes
+    When a node that <start> has seen <requests> requests
+    Then it may repeat at most <repeats> and at least <least>
+
+    Examples:
+      | nodes | start         | requests | repeats | least |
+      | 5     | starts anew   | 100      | 20      | 15    |
+      | 5     | starts first  | 100      | 30      | 20    |
+      | 1     | starts first  | 0        | 50      | 40    |
+      | 5     | starts anew   | 0        | 0       | 0     |
--- /dev/null
+++ b/features/platform_adapter.feature
@@ -0,0 +1,84 @@
+Feature: The adapter to the users' platform translates, and nothing else knows its names
+
+  Scenario Outline: No name of the platform stands outside its folder
+    Given the source files outside the adapter
+    Then none contains "<name>"
+
+    Examples:
+      | name               |
+      | x-attempt-id       |
+      | x-response-seal    |
+      | x-prefix-hash      |
+      | x-token-usage      |
+      | x-not-executed     |
+      | x-cache-salt       |
+      | x-kv-source        |
+      | x-kv-target        |
+      | x-expect-instance  |
+      | x-instance-id      |
+      | x-weight-versions  |
+      | x-request-priority |
+      | /v1/kv-            |
+      | /v1/order          |
+      | /v1/report         |
+      | op/config          |
+      | op/version         |
+      | servers/           |
+      | private_key        |
+      | fence_token        |
+      | weirscale_node_file |
+
+  Scenario: The product does not import the adapter, and the adapter is small
+    Given the source files outside the adapter
+    Then none imports "weirscale_platform"
+    And the adapter has fewer than 2500 lines
+
+  Scenario: The adapter never shadows the standard module of its folder's name
+    Then the module "platform" is the standard one
+
+  Scenario Outline: A wrong settings file is one line that names the remedy
+    Given a settings file with "<change>"
+    When it is read
+    Then the error names "<problem>"
+
+    Examples:
+      | change                  | problem     |
+      | no file                 | unreadable  |
+      | no TOML                 | mend        |
+      | without node_name       | node_name   |
+      | without listen          | listen      |
+      | a frontend without port | IP:PORT     |
+
+  Scenario: Fields that are not known are ignored, and bounds arrive in seconds
+    Given a settings file with "fields of a later day"
+    When it is read
+    Then the settings have a stop of 8 s, weights in 8 s, keys in 5 s and a budget of 0.2 and 54
+
+  Scenario Outline: An entry of the store becomes a change, or a problem that keeps the last state
+    When the item "<key>" with "<value>" is read
+    Then it is "<change>"
+
+    Examples:
+      | key          | value                                                              | change             |
+      | op/config    | {"version":3}                                                      | ConfigurationNamed |
+      | op/config    | {"version":"x"}                                                    | Unreadable         |
+      | op/config    | {                                                                  | Unreadable         |
+      | op/version/m | {"model":"m","version":2}                                          | WeightsNamed       |
+      | op/version/m | {"model":"m"}                                                      | Unreadable         |
+      | servers/i-1  | {"service":"s","address":"10.0.0.1:1","zone":"z","state":"ready"}  | BackEndRegistered  |
+      | servers/i-1  | {"service":"s"}                                                    | Unreadable         |
+      | servers/i-1  | gone                                                               | BackEndGone        |
+      | weirscale/x  | anything                                                           | RecordChanged      |
+      | other/x      | anything                                                           | nothing            |
+
+  Scenario Outline: The outline of a prompt
+    When a request has the prompt headers "<model>", "<parts>", "<usage>"
+    Then its prompt has <num> parts and <tokens> tokens
+
+    Examples:
+      | model | parts       | usage  | num | tokens |
+      | m     | a:100,b:20  | 120,9  | 2   | 120    |
+      | m     | a:100, b:20 | 120,9  | 2   | 120    |
+      | m     | a           | 120,9  | 0   | 0      |
+      | m     | a:100       | many   | 0   | 0      |
+      |       | a:100       | 120,9  | 0   | 0      |
--- /dev/null
+++ b/features/steps/gateway_choice_steps.py
@@ -0,0 +1,280 @@
+"""Steps of `gateway_choice.feature`."""
+
+from random import Random
+
+import anyio
+from behave import given, then, when
+
+from features.support.platform_fleet import (
+    EventRecorder,
+    Fleet,
+    ask,
+    configuration,
+    generation_headers,
+    route,
+    with_fleet,
+)
+from features.support.platform_runner import RunnerStandIn
+from features.support.virtual_time import run_in_virtual_time
+from weirscale.gateway.back_ends import BackEnd, BackEndState
+from weirscale.gateway.cache_belief import CacheBelief
+from weirscale.gateway.choice import Candidate, ChoiceRules, FetchSource, PromptNeed, choose
+from weirscale.gateway.health import BackEndHealth
+from weirscale.gateway.load import Load
+from weirscale.gateway.prompt import CacheScope, Prompt, PromptPart
+from weirscale.gateway.retry_budget import RetryBudgetRules, SharedRetryBudget
+
+CAPACITY = 10_000
+SLOTS = 8
+VERSION = 2
+SHARED = PromptPart("aa", 800)
+OWN = PromptPart("bb", 200)
+PROMPT = Prompt("m", (SHARED, OWN), 1000, 20)
+SCOPE = CacheScope("m", VERSION).text()
+LOADS = {
+    "busy": Load(4, 6000, 4000),
+    "waiting": Load(3, 12_000, 3000),
+    "full memory": Load(2, 0, 9500),
+    "full slots": Load(SLOTS + 2, 0, 0),
+}
+TRIALS = 300
+
+
+def parse_parts(text):
+    parts = []
+    for one in text.split(","):
+        part_id, _, tokens = one.partition(":")
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def make_candidate(name, traits):
+    cache = CacheBelief(CAPACITY)
+    if "keeps it" in traits:
+        cache.note(SCOPE, (SHARED,), is_ready=True)
+    if "keeps it unread" in traits:
+        cache.note(SCOPE, (SHARED,), is_ready=False)
+    if "keeps it for another" in traits:
+        cache.note(CacheScope("m", VERSION, "t9").text(), (SHARED,), is_ready=True)
+    if "keeps it of old weights" in traits:
+        cache.note(CacheScope("m", VERSION - 1).text(), (SHARED,), is_ready=True)
+    load = next((LOADS[trait] for trait in traits if trait in LOADS), Load())
+    zone = "there" if "elsewhere" in traits else "here"
+    end = BackEnd(name, "lm", f"10.0.0.1:{len(name)}", zone, BackEndState.READY, SLOTS)
+    return Candidate(end, load, "suspect" in traits, cache, CAPACITY, VERSION)
+
+
+@given('runners that differ: "{first}" and "{second}"')
+def step_runners(context, first, second):
+    context.candidates = [
+        make_candidate("first", first.split(",")),
+        make_candidate("second", second.split(",")),
+    ]
+
+
+@when('a prompt of 800 shared and 200 own tokens is to be placed in zone "{zone}"')
+def step_place(context, zone):
+    need = PromptNeed(PROMPT, {VERSION: SCOPE})
+    sources = [
+        FetchSource(
+            one.back_end.address, one.back_end.zone, one.cache, VERSION, one.back_end.instance
+        )
+        for one in context.candidates
+    ]
+    context.choices = [
+        choose(context.candidates, need, sources, zone, ChoiceRules(), Random(seed))
+        for seed in range(20)
+    ]
+
+
+@then('"{name}" is chosen, with {cached:d} tokens cached and {fetched:d} fetched')
+def step_chosen(context, name, cached, fetched):
+    names = {choice.candidate.back_end.instance for choice in context.choices}
+    assert names == ({"first", "second"} if name == "either" else {name}), names
+    assert {choice.cached_tokens for choice in context.choices} == {cached}
+    assert {choice.fetched_tokens for choice in context.choices} == {fetched}
+    for choice in context.choices:
+        assert (choice.fetch_from is not None) == (fetched > 0)
+        assert choice.read_tokens == PROMPT.num_tokens - cached - fetched
+
+
+@given("a place that keeps {tokens:d} tokens")
+def step_place_keeps(context, tokens):
+    context.cache = CacheBelief(tokens)
+
+
+@when('the parts "{first}" and then "{second}" are noted there')
+def step_noted(context, first, second):
+    context.cache.note(SCOPE, parse_parts(first), is_ready=True)
+    context.cache.note(SCOPE, parse_parts(second), is_ready=True)
+
+
+@when('the parts "{parts}" are sent there and not read')
+def step_unread(context, parts):
+    context.cache.note(SCOPE, parse_parts(parts), is_ready=False)
+    context.cache.forget(SCOPE, parse_parts(parts))
+
+
+@then('"{parts}" matches {tokens:d} tokens')
+def step_matches(context, parts, tokens):
+    assert context.cache.matched_tokens(SCOPE, parse_parts(parts)) == tokens
+
+
+class CacheFleet:
+    """Nodes and runners, with tenants."""
+
+    def __init__(self, num_nodes):
+        self.num_nodes = num_nodes
+        self.statuses = []
+
+    def run(self, script):
+        self.fleet = Fleet()
+
+        async def main():
+            async def body():
+                tenants = [
+                    {"name": "open", "api_keys": ["k-open"]},
+                    {"name": "open2", "api_keys": ["k-open2"]},
+                    {"name": "walled", "api_keys": ["k-walled"], "isolated": True},
+                ]
+                routes = [
+                    route("note", "/n/", "streaming", service="lm", public=False, max_attempts=1),
+                ]
+                self.fleet.store.put("op/config", configuration(1, routes, tenants))
+                for number in (1, 2):
+                    self.fleet.add_runner(
+                        RunnerStandIn(f"r-{number}", f"10.3.0.{number}:8080", "lm")
+                    )
+                for number in range(1, self.num_nodes + 1):
+                    await self.fleet.start_node(f"node-{number}")
+                await anyio.sleep(0.5)
+                await script(list(self.fleet.nodes.values()))
+
+            await with_fleet(self.fleet, body)
+
+        run_in_virtual_time(main)
+
+    async def generate(self, node, request_id, key="k-open"):
+        headers = generation_headers(request_id, key=key)
+        answer = await ask(node, "/n/1", headers=headers)
+        self.statuses.append(answer.status)
+
+    def runs(self):
+        return [(runner, run) for runner in self.fleet.runners for run in runner.runs]
+
+
+@given("{nodes:d} nodes and 2 runners that keep prompts")
+def step_cache_fleet(context, nodes):
+    context.caches = CacheFleet(nodes)
+
+
+@when("one node sends a generation and the other one the same prompt")
+def step_same_prompt(context):
+    async def script(nodes):
+        await context.caches.generate(nodes[0], "q1")
+        await anyio.sleep(0.2)
+        for number in range(5):
+            await context.caches.generate(nodes[1], f"p{number}")
+
+    context.caches.run(script)
+
+
+@then("both runs were at one runner")
+def step_one_runner(context):
+    assert {runner.instance for runner, _ in context.caches.runs()}.__len__() == 1
+
+
+@when('tenants "{one}" and "{two}" and "{three}" send the same prompt')
+def step_tenants(context, one, two, three):
+    async def script(nodes):
+        for tenant in (one, two, three):
+            await context.caches.generate(nodes[0], tenant, f"k-{tenant}")
+
+    context.caches.run(script)
+
+
+@then('the scopes of "{one}" and "{two}" are one and that of "{three}" is its own')
+def step_scopes(context, one, two, three):
+    scopes = {run.request_id: run.salt for _, run in context.caches.runs()}
+    assert scopes[one] == scopes[two] != scopes[three], scopes
+
+
+@when("the runner chosen first refuses, and 5 more generations are sent at once")
+def step_refuses(context):
+    async def script(nodes):
+        faults = ["refuse"]
+        for runner in context.caches.fleet.runners:
+            runner.faults = faults
+        await context.caches.generate(nodes[0], "q0")
+        for number in range(1, 6):
+            context.caches.fleet.tasks.start_soon(context.caches.generate, nodes[0], f"q{number}")
+        await anyio.sleep(1.0)
+
+    context.caches.run(script)
+
+
+@then("the refusing runner got 1 request")
+def step_refusing(context):
+    runners = context.caches.fleet.runners
+    refusing = [runner for runner in runners if len(runner.arrivals) > len(runner.runs)]
+    assert [len(runner.arrivals) for runner in refusing] == [1]
+    assert sorted(context.caches.statuses) == [200] * 5 + [503]
+
+
+@given("a back end's circuit")
+def step_circuit(context):
+    context.health = BackEndHealth(EventRecorder(), Random(1))
+    context.now_s = 100.0
+
+
+@when('it sees "{events}"')
+def step_sees(context, events):
+    for event in events.split(","):
+        if event == "wait":
+            context.now_s += 1.0
+        elif event == "settle":
+            context.now_s += 3.0
+        elif event == "success":
+            context.health.succeeded("r", context.now_s)
+        elif event == "failure":
+            context.health.failed("r", "reset", context.now_s)
+        elif event == "unreachable":
+            context.health.unreachable("r", "connect", context.now_s)
+        else:
+            context.health.probed("r", context.now_s)
+            context.now_s += 3.0
+
+
+@then('its circuit "{admits}" requests')
+def step_admits(context, admits):
+    admitted = sum(context.health.admits("r", context.now_s) for _ in range(TRIALS))
+    if admits == "admits":
+        assert admitted == TRIALS, admitted
+    elif admits == "does not admit":
+        assert admitted == 0, admitted
+    else:
+        assert 0 < admitted < TRIALS / 2, admitted
+
+
+@given(
+    "a retry budget of {share:g} with {extra:g} extra over {window_s:g} seconds, shared by "
+    "{nodes:d} nodes"
+)
+def step_shared_budget(context, share, extra, window_s, nodes):
+    context.rules = RetryBudgetRules(share, extra, window_s)
+    context.num_nodes = nodes
+
+
+@when("a node that {start} has seen {requests:d} requests")
+def step_seen(context, start, requests):
+    context.budget = SharedRetryBudget(context.rules, 100.0, start == "starts anew")
+    for _ in range(requests):
+        context.budget.note_request("lm", 105.0)
+
+
+@then("it may repeat at most {most:d} and at least {least:d}")
+def step_may_repeat(context, most, least):
+    taken = 0
+    while context.budget.try_take("lm", context.num_nodes, 106.0):
+        taken += 1
+    assert least <= taken <= most, taken
--- /dev/null
+++ b/features/steps/gateway_log_steps.py
@@ -0,0 +1,178 @@
+"""Steps of `gateway_log.feature`."""
+
+import fcntl
+import os
+import re
+import time
+from pathlib import Path
+
+from behave import given, then, when
+
+from weirscale.gateway.line_log import MAX_QUEUED_LINES, LineLog
+
+ROOT = Path(__file__).resolve().parents[2]
+GATEWAY = ROOT / "src" / "weirscale" / "gateway"
+PAGE = ROOT / "docs" / "OPERATIONS.md"
+PIPE_BYTES = 4096
+LONG_S = 0.05
+EVENT_CALL = re.compile(r"\.event\(\s*\"(\w+)\"")
+CHOSEN_EVENT = re.compile(r"\"(back_end_\w+)\" if ")
+METRIC_NAME = re.compile(r"\"(weirscale_\w+)\"")
+
+
+def make_log(context):
+    context.reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+    os.set_blocking(writer, False)
+    os.set_blocking(context.reader, False)
+    context.log = LineLog(writer, node="n")
+    context.add_cleanup(os.close, context.reader)
+    context.add_cleanup(os.close, writer)
+    context.log_text = b""
+
+
+def log_one(log, name, **fields):
+    """Log an event as `LineLog.event` does, without the process-wide destinations of eliot."""
+    if log._may_log(name, fields.get("outcome")):
+        log.take_message({"message_type": name, "timestamp": 0.0, **fields})
+    else:
+        log.num_dropped += 1
+
+
+def read_all(context):
+    while True:
+        try:
+            block = os.read(context.reader, 65536)
+        except BlockingIOError:
+            return
+        if not block:
+            return
+        context.log_text += block
+
+
+def flush(context):
+    for _ in range(1000):
+        context.log.flush()
+        read_all(context)
+
+
+@given("a line log on a pipe that nobody reads")
+@given("a line log on a pipe that is read")
+def step_log(context):
+    make_log(context)
+
+
+@when("{count:d} events are logged in bursts, with flushes between")
+def step_bursts(context, count):
+    context.longest_s = 0.0
+    context.num_events = count
+    for number in range(count):
+        began_s = time.monotonic()
+        log_one(context.log, "back_end_gone", instance=f"i-{number}")
+        if number % 100 == 0:
+            context.log.flush()
+        context.longest_s = max(context.longest_s, time.monotonic() - began_s)
+
+
+@then("no call took long, and at most {count:d} lines wait")
+def step_not_long(context, count):
+    assert context.longest_s < LONG_S, context.longest_s
+    assert len(context.log._lines) <= count == MAX_QUEUED_LINES
+
+
+@then("what was dropped is counted")
+def step_counted(context):
+    waiting = len(context.log._lines)
+    assert 0 < context.num_events - waiting - context.log.num_dropped <= MAX_QUEUED_LINES
+    assert context.log.num_dropped > 0
+
+
+@when("{successes:d} successes and {failures:d} failures are logged at once")
+def step_mixed(context, successes, failures):
+    context.num_failures = failures
+    for number in range(successes):
+        log_one(context.log, "request_ended", id=f"s{number}", outcome="answered")
+    for number in range(failures):
+        log_one(context.log, "request_ended", id=f"f{number}", outcome="failed")
+    flush(context)
+
+
+@then("all failures are written and some successes are not")
+def step_failures(context):
+    lines = context.log_text.decode().splitlines()
+    failures = [line for line in lines if "outcome=failed" in line]
+    successes = [line for line in lines if "outcome=answered" in line]
+    assert len(failures) == context.num_failures, len(failures)
+    assert 0 < len(successes) < 1000 and context.log.num_dropped == 1000 - len(successes)
+
+
+@when("the log is flushed as its task does")
+def step_task_flush(context):
+    context.told = []
+    context.log.event = lambda name, **fields: context.told.append((name, fields))
+    context.log._tell_dropped()
+    context.log._tell_dropped()
+
+
+@then("one line tells how many were dropped")
+def step_told(context):
+    assert context.told == [("log_lines_dropped", {"total": context.log.num_dropped})]
+
+
+def request_line(context):
+    lines = context.fleet.logs["node-1"].named("request_ended")
+    assert len(lines) == 1, lines
+    return lines[0]
+
+
+@then('its line has the outcome "{outcome}" and a cause with "{cause}"')
+def step_line(context, outcome, cause):
+    line = request_line(context)
+    assert line["outcome"] == outcome and cause in line["causes"], line
+
+
+@then('its line has the outcome "{outcome}" and a cause with ""')
+def step_line_no_cause(context, outcome):
+    line = request_line(context)
+    assert line["outcome"] == outcome and "causes" not in line, line
+
+
+@then("its line has the fields of the table in the operators' page")
+def step_fields(context):
+    page = PAGE.read_text()
+    missing = [name for name in request_line(context) if f"`{name}`" not in page]
+    assert not missing, missing
+
+
+@given("the source files of the gateway")
+def step_gateway_files(context):
+    context.sources = [file.read_text() for file in GATEWAY.glob("*.py")]
+
+
+@then("each event name that they log stands in the operators' page")
+def step_events_documented(context):
+    page = PAGE.read_text()
+    names = {
+        name
+        for source in context.sources
+        for pattern in (EVENT_CALL, CHOSEN_EVENT)
+        for name in pattern.findall(source)
+    }
+    assert len(names) > 10, names
+    undocumented = [name for name in sorted(names) if f"`{name}`" not in page]
+    assert not undocumented, undocumented
+
+
+@then("each metric that they define stands in the operators' page")
+def step_metrics_documented(context):
+    page = PAGE.read_text()
+    source = (GATEWAY / "metrics.py").read_text()
+    names = METRIC_NAME.findall(source)
+    assert len(names) > 5
+    assert not [name for name in names if f"`{name}`" not in page]
+
+
+@then("the metrics tell {count:d} streaming request that was answered")
+def step_metrics(context, count):
+    wanted = f'weirscale_requests_total{{kind="streaming",outcome="answered"}} {count}.0'
+    assert wanted in context.metrics_text, context.metrics_text
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -84,6 +84,7 @@
             node = await fleet.start_node()
             await script(node)
             await anyio.sleep(0.3)
+            context.metrics_text = node.metrics_text().decode()
 
         await with_fleet(fleet, body)
 
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,156 @@
+"""Steps of `platform_adapter.feature`."""
+
+import base64
+import platform as standard_platform
+import sysconfig
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from features.support.platform_fleet import ADAPTER
+from weirscale_platform.callers import Callers
+from weirscale_platform.items import StoreItem, read_item
+from weirscale_platform.settings import SettingsUnreadableError, gateway_settings, read_node_file
+
+ROOT = ADAPTER.parent
+PROMPT_HEADERS = (b"x-model", b"x-prefix-hash", b"x-token-usage")
+GOOD_FILE = """
+node_name = "edge-1"
+ip = "10.1.0.30"
+zone = "hall"
+internal_ports = [7340, 7355]
+[listen]
+frontend = "10.1.0.30:8782"
+ready = "10.1.0.30:8789"
+[platform]
+address = "10.200.1.7:8784"
+[bounds]
+grace_s = 8
+strict_revoke = true
+revoke_ms = 5000
+version_ms = 8000
+retry_budget_ratio = 0.2
+retry_extra = 54
+"""
+
+
+@given("the source files outside the adapter")
+def step_files(context):
+    folders = ("src", "bench", "scripts")
+    context.files = [file for folder in folders for file in (ROOT / folder).rglob("*.py")]
+    assert context.files
+
+
+@then('none contains "{name}"')
+def step_none_contains(context, name):
+    found = [str(file) for file in context.files if name in file.read_text().lower()]
+    assert not found, found
+
+
+@then('none imports "{module}"')
+def step_none_imports(context, module):
+    found = [str(file) for file in context.files if module in file.read_text()]
+    assert not found, found
+
+
+@then("the adapter has fewer than {count:d} lines")
+def step_small(context, count):
+    lines = sum(len(file.read_text().splitlines()) for file in ADAPTER.rglob("*.py"))
+    assert 0 < lines < count, lines
+
+
+@then('the module "platform" is the standard one')
+def step_standard(context):
+    standard = Path(sysconfig.get_path("stdlib"))
+    assert Path(standard_platform.__file__).parent == standard
+
+
+@given('a settings file with "{change}"')
+def step_file(context, change):
+    text = GOOD_FILE
+    if change == "no TOML":
+        text = "= ="
+    elif change.startswith("without "):
+        field = change.removeprefix("without ")
+        text = text.replace(f"[{field}]", "[other]").replace(f"{field} =", "other =")
+    elif change == "a frontend without port":
+        text = text.replace("10.1.0.30:8782", "10.1.0.30")
+    elif change == "fields of a later day":
+        text = "later = 1\n" + text + "later_ms = 3\n[still_later]\nx = 1\n"
+    context.settings_text = None if change == "no file" else text
+
+
+@when("it is read")
+def step_read(context):
+    context.error = None
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.toml"
+        if context.settings_text is not None:
+            path.write_text(context.settings_text)
+        try:
+            context.settings = gateway_settings(read_node_file(path))
+        except SettingsUnreadableError as error:
+            context.error = str(error)
+
+
+@then('the error names "{problem}"')
+def step_error(context, problem):
+    assert context.error is not None and problem in context.error, context.error
+    assert "\n" not in context.error
+
+
+@then(
+    "the settings have a stop of {stop_s:g} s, weights in {weights_s:g} s, keys in {keys_s:g} s "
+    "and a budget of {share:g} and {extra:g}"
+)
+def step_bounds(context, stop_s, weights_s, keys_s, share, extra):
+    assert context.error is None, context.error
+    bounds = context.settings.bounds
+    assert (bounds.stop_s, bounds.weights_s, bounds.key_removal_s) == (stop_s, weights_s, keys_s)
+    budget = context.settings.retry_budget
+    assert (budget.share, budget.extra) == (share, extra)
+
+
+@when('the item "{key}" with "{value}" is read')
+def step_item(context, key, value):
+    if value == "gone":
+        item = StoreItem(key, 3, gone=True)
+    else:
+        item = StoreItem(key, 3, base64.b64encode(value.encode()).decode())
+    context.change = read_item(item)
+
+
+@then('it is "{change}"')
+def step_change(context, change):
+    if change == "nothing":
+        assert context.change is None
+    else:
+        assert type(context.change.change).__name__ == change, context.change
+        assert context.change.revision == 3
+
+
+@when('a request has the prompt headers "{model}", "{parts}", "{usage}"')
+def step_prompt(context, model, parts, usage):
+    parse_prompt(context, model, parts, usage)
+
+
+@when('a request has the prompt headers "", "{parts}", "{usage}"')
+def step_prompt_no_model(context, parts, usage):
+    parse_prompt(context, "", parts, usage)
+
+
+def parse_prompt(context, *values):
+    headers = [
+        (name, value.encode()) for name, value in zip(PROMPT_HEADERS, values, strict=True) if value
+    ]
+    scope = {"method": "POST", "raw_path": b"/a/", "query_string": b"", "headers": headers}
+    context.prompt = Callers().parse(scope).prompt
+
+
+@then("its prompt has {num:d} parts and {tokens:d} tokens")
+def step_has_parts(context, num, tokens):
+    if num == 0:
+        assert context.prompt is None
+    else:
+        assert (len(context.prompt.parts), context.prompt.num_tokens) == (num, tokens)
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -186,7 +186,13 @@
 
 
 async def ask(
-    node, path="/a/x", method="POST", headers=(), body=b"hello", host="h.example", leave_after_s=None
+    node,
+    path="/a/x",
+    method="POST",
+    headers=(),
+    body=b"hello",
+    host="h.example",
+    leave_after_s=None,
 ):
     """Send one request to a node's application; `leave_after_s` closes the caller's side."""
     answer = Answer()
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -58,6 +58,7 @@
         cache: What it is believed to keep, or None for other services.
         capacity_tokens: Tokens that fit into its memory.
         weight_version: Version of the weights asked for, or None.
+        load_age_s: Age of the oldest peer's news in the load.
     """
 
     back_end: BackEnd
@@ -66,6 +67,7 @@
     cache: CacheBelief | None = None
     capacity_tokens: int = 0
     weight_version: int | None = None
+    load_age_s: float = 0.0
 
 
 class FetchSource(msgspec.Struct, frozen=True):
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -148,6 +148,7 @@
             self._cache(back_end.instance, capacity),
             capacity,
             self._knowledge.version_of(back_end.instance, prompt.model),
+            self._load.age_s(back_end.instance, now_s),
         )
 
     def _cache(self, instance: str, capacity_tokens: int) -> CacheBelief:
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -204,6 +204,7 @@
         "weights": choice.candidate.weight_version or 0,
         "candidates": choice.num_candidates,
         "load": f"{load.num_requests}/{load.waiting_tokens}/{load.held_tokens}",
+        "load_age_ms": round(choice.candidate.load_age_s * 1000.0),
         "cached": choice.cached_tokens,
         "fetched": choice.fetched_tokens,
         "read": choice.read_tokens,
--- a/src/weirscale/gateway/load.py
+++ b/src/weirscale/gateway/load.py
@@ -84,6 +84,11 @@
                 total = total.plus(heard.load)
         return total
 
+    def age_s(self, instance: str, now_s: float) -> float:
+        """Return the age of the oldest news that counts in the load of a back end."""
+        ages = [now_s - heard.heard_at_s for heard in self._peers.get(instance, {}).values()]
+        return max((age_s for age_s in ages if age_s <= PEER_LOAD_LIFE_S), default=0.0)
+
     def take_changed(self) -> dict[str, Load]:
         """Return the loads that changed since the last call."""
         changed = {instance: self.own(instance) for instance in self._changed}
