--- a/features/steps/gateway_state_steps.py
+++ b/features/steps/gateway_state_steps.py
@@ -198,7 +198,7 @@
     async def action(script):
         end_s = anyio.current_time() + seconds
         while anyio.current_time() < end_s:
-            headers = request_headers() + [(b"authorization", b"Bearer good")]
+            headers = [*request_headers(), (b"authorization", b"Bearer good")]
             sent_s = anyio.current_time()
             answer = await ask(script.node, "/k/x", "GET", headers, b"")
             script.answers.append((sent_s, answer))
