Prove the configuration by the store's revision, and time old weights by the store

Ruled out: a shorter watch (costs calls, and a watch may be deaf for a second). Change: the store's revision is read each 1.2 s and compared; the grace of old weights begins anew after an outage; orders are kept apart by a record under a lease, which outlives the last order by the least time between holders; a record marks newly named versions; the store of kept cache is always named as a source; only shared parts that it lacks are saved; cold prompts have a runner by hash.

--- a/features/gateway_choice.feature
+++ b/features/gateway_choice.feature
@@ -12,13 +12,18 @@
       | idle                 | keeps it                | second | 800    | 0       |
       | idle                 | keeps it,waiting        | first  | 0      | 800     |
       | idle                 | keeps it unread         | second | 800    | 0       |
-      | idle                 | keeps it for another    | either | 0      | 0       |
-      | idle                 | keeps it of old weights | either | 0      | 0       |
-      | idle,elsewhere       | idle                    | second | 0      | 0       |
+      | idle                 | keeps it for another    | one    | 0      | 0       |
+      | idle                 | keeps it of old weights | one    | 0      | 0       |
+      | keeps it,elsewhere   | keeps it                | second | 800    | 0       |
       | idle                 | full memory             | first  | 0      | 0       |
       | idle,suspect         | idle                    | second | 0      | 0       |
       | full slots           | idle                    | second | 0      | 0       |
 
+  Scenario: A prompt that nobody keeps belongs to one runner by its hash, evenly over prompts
+    Given runners that differ: "idle" and "idle"
+    When 200 prompts that nobody keeps are to be placed by 3 nodes
+    Then each prompt goes to one runner, and each runner gets between 70 and 130
+
   Scenario: The least recently used parts are believed to give way, ends before beginnings
     Given a place that keeps 1000 tokens
     When the parts "a:400,b:200" and then "c:500" are noted there
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -8,6 +8,7 @@
 from random import Random
 
 import msgspec
+import xxhash
 
 from weirscale.domain.identifiers import ZoneName
 from weirscale.gateway.back_ends import BackEnd
@@ -15,6 +16,10 @@
 from weirscale.gateway.load import Load
 from weirscale.gateway.prompt import Prompt
 
+HASH_RANGE = 2**32
+AFFINITY_SHARPNESS = 3
+"""Makes one runner's share stand out from the others'."""
+
 
 class ChoiceRules(msgspec.Struct, frozen=True):
     """Weights of the choice, with units.
@@ -32,6 +37,8 @@
         tie_s: Estimates closer than this count as equal.
         memory_share: Share of a runner's memory that may be filled by running requests.
         min_fetch_tokens: Smaller parts are read, not fetched.
+        affinity_s: Advantage of the runner that a prompt nobody keeps belongs to by its hash, so
+            that nodes that have not heard of each other's sends choose the same.
     """
 
     tokens_per_s: float = 38_000.0
@@ -46,6 +53,7 @@
     tie_s: float = 0.002
     memory_share: float = 0.85
     min_fetch_tokens: int = 64
+    affinity_s: float = 0.03
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -193,11 +201,13 @@
     source, fetched = _best_source(candidate, scope, prompt, sources, cached, rules)
     read = prompt.num_tokens - cached - fetched
     wait_s = (candidate.load.waiting_tokens + read) / rules.tokens_per_s
-    if source is not None:
+    if fetched:
         wait_s += rules.fetch_setup_s + fetched / rules.fetch_tokens_per_s
     wait_s += rules.active_s * candidate.load.num_requests
     wait_s += _memory_delay_s(candidate, prompt, rules)
     reread_s = rules.reread_weight * read / rules.tokens_per_s
+    if cached == 0 and fetched == 0:
+        reread_s -= rules.affinity_s * _affinity(scope, prompt, candidate)
     choice = Choice(
         candidate,
         scope=scope,
@@ -210,6 +220,14 @@
     return _Estimate(choice, common_s + wait_s + reread_s)
 
 
+def _affinity(scope: str, prompt: Prompt, candidate: Candidate) -> float:
+    """Return from 0 to 1 how much a prompt's shared parts belong to a runner, by their hash."""
+    shared = prompt.parts[-2] if len(prompt.parts) > 1 else prompt.parts[-1]
+    text = f"{scope}|{shared.part_id}|{candidate.back_end.instance}"
+    share = xxhash.xxh32_intdigest(text.encode()) / HASH_RANGE
+    return float(share**AFFINITY_SHARPNESS)
+
+
 def _memory_delay_s(candidate: Candidate, prompt: Prompt, rules: ChoiceRules) -> float:
     fits = max(1.0, rules.memory_share * candidate.capacity_tokens)
     needed = candidate.load.held_tokens + prompt.num_tokens + prompt.max_output_tokens
@@ -226,8 +244,10 @@
 ) -> tuple[FetchSource | None, int]:
     """Return the source that has most beyond what is cached.
 
-    Among equals a runner that has certainly read its parts goes first, then the nearer one, then a
-    runner before a store: a source that does not answer delays the request.
+    A store is named as the source even if nothing is believed to be there: a miss costs a
+    millisecond, and beliefs are lost with each restart. Among equals a runner that has certainly
+    read its parts goes first, then a runner before a store, then the nearer one: a source that
+    does not answer delays the request.
     """
     best: FetchSource | None = None
     best_rank = (cached + rules.min_fetch_tokens, False, False, False)
@@ -244,7 +264,8 @@
         if best is None or rank > best_rank:
             best, best_rank = source, rank
     if best is None:
-        return None, 0
+        store = next((source for source in sources if source.instance is None), None)
+        return store, 0
     return best, min(best_rank[0], prompt.num_tokens) - cached
 
 
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -21,6 +21,7 @@
 from weirscale.gateway.load import FleetLoad
 from weirscale.gateway.model import KeptCacheStore, Service, Tenant
 from weirscale.gateway.prompt import CacheScope, Prompt, PromptPart
+from weirscale.gateway.timed_record import young_key
 
 LOADING_MARK_LIFE_S = 7.0
 """A runner that was announced to load is used again after this, should the end go untold."""
@@ -29,6 +30,12 @@
 """A back end that refused a request unrun is left alone for this long, unless nothing else serves:
 it may be full, about to leave, or loading weights, and looks idle meanwhile."""
 
+SLOW_SOURCE_S = 0.25
+"""A first event this much later than estimated, with a fetch from a store, makes it suspect."""
+
+SLOW_SOURCE_PAUSE_S = 2.0
+"""How long a suspect store is not fetched from."""
+
 CACHE_SHARE = 0.8
 """Share of a runner's memory that is believed to keep parts; running requests take the rest."""
 
@@ -86,6 +93,7 @@
         self._kept_caches: dict[str, CacheBelief] = {}
         self._loading_until_s: dict[str, float] = {}
         self._refused_until_s: dict[str, float] = {}
+        self._slow_until_s: dict[str, float] = {}
 
     def choose(self, query: DispatchQuery) -> Choice | None:
         """Return the best back end, or None if none may serve."""
@@ -101,12 +109,18 @@
             sources = self._sources(candidates)
         return choose(candidates, need, sources, self._zone, self.rules, self._random)
 
-    def save_address(self) -> str | None:
-        """Return the address of the store that gets what runners read, if there is one."""
-        table = self._knowledge.table
-        for service in table.kept_caches() if table else ():
-            if service.kept_cache is not None:
-                return service.kept_cache.address
+    def save_address(self, choice: Choice, prompt: Prompt) -> str | None:
+        """Return the address of the store that gets what this runner reads, if it lacks it.
+
+        The last part of a prompt is its own; saving it alone is not worth the move.
+        """
+        shared = prompt.parts[:-1]
+        for store in self._stores():
+            kept = self._kept_cache(store)
+            if not shared or choice.scope is None:
+                return None
+            lacks = kept.matched_tokens(choice.scope, shared) < sum(p.num_tokens for p in shared)
+            return store.address if lacks else None
         return None
 
     def _candidates(self, query: DispatchQuery, service: Service | None) -> list[Candidate]:
@@ -130,8 +144,24 @@
         version = self._knowledge.version_of(back_end.instance, prompt.model)
         if version is None:
             return False
-        lowest = self._knowledge.weights.lowest_allowed(prompt.model, now_s, self._weights_grace_s)
-        return version >= lowest
+        return version >= self._lowest_version(prompt.model, now_s)
+
+    def _lowest_version(self, model: str, now_s: float) -> int:
+        """Return the oldest weights that may be used.
+
+        Nobody can bring new weights to the runners while the store cannot be reached, so the grace
+        of old ones begins anew after that.
+        """
+        return self._knowledge.weights.lowest_allowed(
+            model,
+            now_s,
+            self._weights_grace_s,
+            self._knowledge.disrupted_at_s,
+            self._is_young,
+        )
+
+    def _is_young(self, model: str, version: int) -> bool:
+        return young_key(model, version) in self._knowledge.records
 
     def _candidate(
         self, back_end: BackEnd, prompt: Prompt | None, service: Service | None, now_s: float
@@ -176,14 +206,25 @@
         return sources
 
     def _store_sources(self) -> list[FetchSource]:
+        now_s = self._clock()
+        return [
+            FetchSource(store.address, store.zone, self._kept_cache(store))
+            for store in self._stores()
+            if self._slow_until_s.get(store.address, 0.0) <= now_s
+        ]
+
+    def note_first_event(self, choice: Choice, took_s: float) -> None:
+        """Learn how long a first event took: a source that is dead delays what it should speed."""
+        address = choice.fetch_from
+        if address is None or took_s < choice.estimate_s + SLOW_SOURCE_S:
+            return
+        if any(store.address == address for store in self._stores()):
+            self._slow_until_s[address] = self._clock() + SLOW_SOURCE_PAUSE_S
+
+    def _stores(self) -> list[KeptCacheStore]:
         table = self._knowledge.table
-        sources = []
-        for service in table.kept_caches() if table else ():
-            store = service.kept_cache
-            if store is not None:
-                cache = self._kept_cache(store)
-                sources.append(FetchSource(store.address, store.zone, cache))
-        return sources
+        services = table.kept_caches() if table else []
+        return [service.kept_cache for service in services if service.kept_cache is not None]
 
     def _kept_cache(self, store: KeptCacheStore) -> CacheBelief:
         cache = self._kept_caches.get(store.address)
@@ -219,11 +260,8 @@
 
     def _note_saved(self, scope: str, parts: tuple[PromptPart, ...]) -> None:
         """Every node has runners save what they read, so what was read is in the store."""
-        table = self._knowledge.table
-        for service in table.kept_caches() if table else ():
-            if service.kept_cache is not None:
-                self._kept_cache(service.kept_cache).note(scope, parts, is_ready=True)
-                return
+        for store in self._stores()[:1]:
+            self._kept_cache(store).note(scope, parts[:-1], is_ready=True)
 
     def note_unread(self, choice: Choice, prompt: Prompt) -> None:
         """Note that a runner did not read a prompt after all."""
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -70,6 +70,7 @@
         self._tried: set[str] = set()
         self._may_have_run = False
         self._num_attempts = 0
+        self._attempt_began_s = arrived_at_s
         self._cutter = EventCutter()
         self._failed_answer: tuple[int, Headers, bytes] | None = None
         self._first_byte_s: float | None = None
@@ -163,6 +164,7 @@
         """Send the request to one back end and pass on what may be passed on."""
         back_end = choice.candidate.back_end
         self._num_attempts += 1
+        self._attempt_began_s = self._clock()
         self._excluded.add(back_end.instance)
         self._context.begin(choice, self._request.prompt, self._is_first_send())
         verdict = Verdict(AttemptEnd.UNCERTAIN, "cancelled")
@@ -223,10 +225,16 @@
             cache_scope=choice.scope,
             weight_version=choice.candidate.weight_version,
             fetch_from=choice.fetch_from,
-            save_to=self._context.dispatcher.save_address() if is_generation else None,
+            save_to=self._save_to(choice),
             resume_after=self._cutter.last_id or self._request.resume_after,
         )
 
+    def _save_to(self, choice: Choice) -> str | None:
+        prompt = self._request.prompt
+        if prompt is None:
+            return None
+        return self._context.dispatcher.save_address(choice, prompt)
+
     def _priority(self) -> int:
         assert self._route is not None
         tenant_priority = self._tenant.priority if self._tenant else None
@@ -263,7 +271,8 @@
                 continue
             if is_first:
                 is_first = False
-                self._context.first_event(choice, self._request.prompt)
+                took_s = self._clock() - self._attempt_began_s
+                self._context.first_event(choice, self._request.prompt, took_s)
             patience.deadline = self._clock() + self._stall_s()
             await self._begin_stream(answer)
             await self._responder.part(events)
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -22,9 +22,9 @@
 from weirscale.gateway.summary import ExchangeSummary
 from weirscale.node.event_log import EventLog
 
-PROOF_SHARE = 0.65
-"""Share of the bound on removed keys for which a proof of the configuration holds. The rest is for
-a store whose watch tells changes late, and for requests on their way."""
+PROOF_SHARE = 0.92
+"""Share of the bound on removed keys for which a proof of the configuration holds. A removal that
+is not known is younger than the proof, and a request is sent before it is admitted."""
 
 MAX_PRIORITY = 9
 PRIORITIES_A_TENANT = 3
@@ -127,8 +127,9 @@
             self.dispatcher.note_sent(choice, prompt)
             self._tell_send(choice, prompt, is_ready=False)
 
-    def first_event(self, choice: Choice, prompt: Prompt | None) -> None:
+    def first_event(self, choice: Choice, prompt: Prompt | None, took_s: float) -> None:
         """The first event of an attempt arrived: its prompt has been read."""
+        self.dispatcher.note_first_event(choice, took_s)
         instance = choice.candidate.back_end.instance
         self._load.first_event(instance, self._waiting.pop(id(choice), 0))
         if prompt is not None and choice.scope is not None:
--- a/src/weirscale/gateway/follower.py
+++ b/src/weirscale/gateway/follower.py
@@ -6,21 +6,27 @@
 import anyio
 from result import Err, Result
 
-from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.knowledge import NEVER_S, Knowledge
 from weirscale.gateway.ports import StateBatch, StateFeed
 from weirscale.node.event_log import EventLog
 from weirscale.ports.key_value import KeyValueFailure, KeyValueFailureKind
 
-FOLLOW_WAIT_S = 1.5
-"""Length of one wait. Each answer also proves that the knowledge is current, so it is kept well
-below the bound within which removed keys must stop serving."""
+FOLLOW_WAIT_S = 6.0
+"""Length of one wait."""
 
-WATCH_LAG_S = 1.2
-"""A watch may tell changes this late: its answer proves what was acknowledged before that."""
+PROOF_INTERVAL_S = 1.2
+"""How often the store's revision is read. A revision that is known already proves that nothing else
+has been acknowledged; a watch alone may tell changes late."""
+
+LATE_CHANGE_S = 0.4
+"""A revision that the watch has not told by then makes everything be read anew."""
 
 ANSWER_SLACK_S = 1.5
 """How much longer than its wait a call may take before it is given up."""
 
+NUM_FAILURES_OF_OUTAGE = 2
+"""One call may fail for its connection's sake; more in a row mean that the store is cut off."""
+
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 """Pauses after failed calls double between these; random parts keep nodes from one step."""
@@ -45,11 +51,17 @@
         self._random = random
         self._num_failures = 0
         self._must_read_all = True
+        self._watch_scope = anyio.CancelScope()
         self.changed = anyio.Event()
         """Set, and replaced, whenever changes have been taken over."""
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._prove_regularly)
+            await self._follow_on()
+
+    async def _follow_on(self) -> None:
         while True:
             failure = await self._step()
             if failure is None:
@@ -69,16 +81,41 @@
             followed = await self._follow()
             if isinstance(followed, Err):
                 return followed.err_value
-            heard_at_s = anyio.current_time() - WATCH_LAG_S
-            self._knowledge.apply(followed.ok_value, max(asked_at_s, heard_at_s))
+            self._knowledge.apply(followed.ok_value, NEVER_S)
         self._tell_change()
         return None
 
     async def _follow(self) -> Result[StateBatch, KeyValueFailure]:
-        with anyio.move_on_after(FOLLOW_WAIT_S + ANSWER_SLACK_S):
+        with anyio.move_on_after(FOLLOW_WAIT_S + ANSWER_SLACK_S) as self._watch_scope:
             return await self._feed.follow(self._knowledge.revision, FOLLOW_WAIT_S)
         return Err(KeyValueFailure(KeyValueFailureKind.AMBIGUOUS, "no answer to the watch"))
 
+    async def _prove_regularly(self) -> None:
+        while True:
+            await anyio.sleep(PROOF_INTERVAL_S)
+            if self._must_read_all or self._num_failures:
+                continue
+            asked_at_s = anyio.current_time()
+            with anyio.move_on_after(ANSWER_SLACK_S):
+                await self._prove(asked_at_s)
+
+    async def _prove(self, asked_at_s: float) -> None:
+        read = await self._feed.current_revision()
+        if isinstance(read, Err):
+            # The watch may not notice by itself that its connection is dead.
+            self._watch_scope.cancel()
+            return
+        if self._knowledge.revision < read.ok_value:
+            await anyio.sleep(LATE_CHANGE_S)
+        if self._knowledge.revision < read.ok_value:
+            self._event_log.event(
+                "watch_late", known=self._knowledge.revision, current=read.ok_value
+            )
+            self._must_read_all = True
+            self._watch_scope.cancel()
+        else:
+            self._knowledge.confirm(asked_at_s)
+
     def _tell_change(self) -> None:
         changed, self.changed = self.changed, anyio.Event()
         changed.set()
@@ -94,6 +131,8 @@
             self._must_read_all = True
             return
         self._num_failures += 1
+        if self._num_failures >= NUM_FAILURES_OF_OUTAGE:
+            self._knowledge.disrupted_at_s = anyio.current_time()
         if self._num_failures == 1:
             self._event_log.event(
                 "store_lost", kind=failure.kind.value, detail=failure.detail,
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -47,6 +47,8 @@
         self.revision = 0
         self.confirmed_at_s = NEVER_S
         """Everything acknowledged before this time is known."""
+        self.disrupted_at_s = NEVER_S
+        """When the store could last not be reached."""
         self.has_read_all = False
         self.on_gone: Callable[[BackEnd], None] = _ignore
         self.on_table: Callable[[RouteTable], None] = _ignore
@@ -75,7 +77,11 @@
                 self._revisions[change.key] = change.revision
                 self._apply_one(change)
         self.revision = max(self.revision, batch.revision)
-        self.confirmed_at_s = max(self.confirmed_at_s, asked_at_s)
+        self.confirm(asked_at_s)
+
+    def confirm(self, proved_at_s: float) -> None:
+        """Learn that everything acknowledged before a time is known."""
+        self.confirmed_at_s = max(self.confirmed_at_s, proved_at_s)
 
     def _apply_one(self, versioned: VersionedChange) -> None:
         change = versioned.change
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -33,6 +33,7 @@
 from weirscale.gateway.rollout_task import RolloutTask
 from weirscale.gateway.routes import RouteTable
 from weirscale.gateway.settings import GatewaySettings
+from weirscale.gateway.timed_record import OrderTurn
 from weirscale.gateway.weights import LONG_AGO_S
 from weirscale.node.duties.lease_task import KEY_PREFIX, DutyLeaseTask
 from weirscale.node.event_log import EventLog
@@ -46,6 +47,9 @@
 ROLLOUT_TARGET_SHARE = 0.8
 """Share of the bound on weights by which every load should have begun."""
 
+ROLLOUT_LEASE_S = 2.0
+"""How long a holder that was killed keeps others from giving orders."""
+
 LOAD_S = 2.4
 SHARE_LOADING_AT_ONCE = 0.34
 RANK_DELAY_S = 0.25
@@ -152,17 +156,18 @@
                 target_s=ROLLOUT_TARGET_SHARE * bounds.weights_s,
                 urgent_s=bounds.weights_s - WEIGHTS_MARGIN_S,
             ),
-            bounds.lease_s,
+            OrderTurn(settings.name, store, self.knowledge, bounds.lease_s, clock),
+            store,
         )  # fmt: skip
 
     def _make_lease(self, store: KeyValuePort, random: Random) -> DutyLeaseTask:
         duty = Duty(DutyKind.PLACEMENT_PLANNER)
-        life_s = max(self.settings.bounds.min_lease_s, 3.0)
+        life_s = max(self.settings.bounds.min_lease_s, ROLLOUT_LEASE_S)
         rules = LeaseRules(
             time_to_live_s=life_s,
-            margin_s=0.3,
+            margin_s=0.2,
             renew_interval_s=life_s / 4.0,
-            retry_interval_s=0.4,
+            retry_interval_s=0.3,
             standby_interval_s=0.5,
         )
         eligibility = RolloutEligibility(self.knowledge, self.peers, duty, self._clock)
--- a/src/weirscale/gateway/ports.py
+++ b/src/weirscale/gateway/ports.py
@@ -93,6 +93,10 @@
         """Wait up to `wait_s` for changes after a revision. COMPACTED: read everything anew."""
         ...
 
+    async def current_revision(self) -> Result[int, KeyValueFailure]:
+        """Return the store's revision now, linearizably."""
+        ...
+
 
 # Requests and answers.
 
--- a/src/weirscale/gateway/rollout_task.py
+++ b/src/weirscale/gateway/rollout_task.py
@@ -13,8 +13,10 @@
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.ports import BackEndPort, OrderOutcome, RunnerReport, WeightOrder
 from weirscale.gateway.rollout import LaggingRunner, RolloutRules, runners_to_load
+from weirscale.gateway.timed_record import OrderTurn, write_timed_record, young_key
 from weirscale.node.duties.lease_task import DutyLeaseTask
 from weirscale.node.event_log import EventLog
+from weirscale.ports.key_value import KeyValuePort
 
 PLAN_INTERVAL_S = 0.1
 REPORT_INTERVAL_S = 0.2
@@ -28,8 +30,11 @@
 TAKEN_BY_S = 1.0
 """An order without an answer that shows no effect by then is given again."""
 
-TURN_MARGIN_S = 0.15
-"""Added to the least time between two holders' orders."""
+MIN_YOUNG_S = 1.5
+"""Shorter records are not worth the calls."""
+
+YOUNG_SHARE = 0.95
+"""The record of a newly named version vanishes a little before its age ends older weights' use."""
 
 
 class RolloutTask:
@@ -44,7 +49,8 @@
         num_requests: Requests at work at an instance.
         event_log: Where orders are told.
         rules: Times.
-        turn_s: Least time between orders of two holders.
+        turn: Keeps orders apart from another holder's.
+        store: Takes the records of newly named versions.
     """
 
     def __init__(
@@ -57,7 +63,8 @@
         num_requests: Callable[[str], int],
         event_log: EventLog,
         rules: RolloutRules,
-        turn_s: float,
+        turn: OrderTurn,
+        store: KeyValuePort,
     ) -> None:
         self._holder = holder
         self._lease = lease
@@ -67,30 +74,41 @@
         self._num_requests = num_requests
         self._event_log = event_log
         self._rules = rules
-        self._turn_s = turn_s
+        self._turn = turn
+        self._store = store
         self._loading: set[str] = set()
+        self._recorded: dict[str, int] = {}
         self._token = 0
-        self._may_order_at_s = 0.0
 
     async def run(self) -> None:
         """Plan and order until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                if self._may_order():
+                if self._holds_lease():
                     for model in self._knowledge.weights.models():
+                        self._record_young(model, tasks)
                         self._begin_loads(model, tasks)
                 await anyio.sleep(PLAN_INTERVAL_S)
 
-    def _may_order(self) -> bool:
-        """Whether the lease is held, and for long enough that an earlier holder has stopped."""
+    def _holds_lease(self) -> bool:
         token = self._lease.token()
         if token is None:
             return False
         if token != self._token:
             self._token = token
-            self._may_order_at_s = anyio.current_time() + self._turn_s + TURN_MARGIN_S
             self._event_log.event("lease_won", duty=self._lease.duty.key, token=token)
-        return anyio.current_time() >= self._may_order_at_s
+        return True
+
+    def _record_young(self, model: str, tasks: TaskGroup) -> None:
+        """Record that a version was named just now, for nodes that start meanwhile."""
+        named = self._knowledge.weights.newest_named(model)
+        if named is None or self._recorded.get(model, 0) >= named.version:
+            return
+        self._recorded[model] = named.version
+        left_s = named.named_at_s + YOUNG_SHARE * self._rules.urgent_s - anyio.current_time()
+        if left_s > MIN_YOUNG_S:
+            key = young_key(model, named.version)
+            tasks.start_soon(write_timed_record, self._store, key, b"", left_s)
 
     def _begin_loads(self, model: str, tasks: TaskGroup) -> None:
         runners = [
@@ -147,9 +165,9 @@
                 has_waited = anyio.current_time() - ordered_at_s >= TAKEN_BY_S
                 if ordered_sequence != report.sequence or has_waited:
                     wanted = self._knowledge.weights.newest(model) or 0
-                    ordered_sequence = report.sequence
-                    ordered_at_s = anyio.current_time()
-                    await self._order(port, runner, model, wanted, report.sequence)
+                    if await self._order(port, runner, model, wanted, report.sequence):
+                        ordered_sequence = report.sequence
+                        ordered_at_s = anyio.current_time()
             await anyio.sleep(REPORT_INTERVAL_S)
 
     def _has_version(self, runner: BackEnd, model: str, wanted: int, report: RunnerReport) -> bool:
@@ -160,10 +178,13 @@
 
     async def _order(
         self, port: BackEndPort, runner: BackEnd, model: str, version: int, sequence: int
-    ) -> None:
+    ) -> bool:
+        """Give an order; False if it may not be given now."""
+        if not await self._turn.take():
+            return False
         token = self._lease.token()
         if token is None or token != self._token:
-            return
+            return False
         order = WeightOrder(model, version, self._holder, token, sequence, runner.instance)
         outcome = await port.order(order, CALL_TIMEOUT_S)
         self._event_log.event(
@@ -172,3 +193,4 @@
         )  # fmt: skip
         if outcome is OrderOutcome.HOLDS_ALREADY:
             self._knowledge.learn_version(runner.instance, model, version, "order")
+        return True
--- /dev/null
+++ b/src/weirscale/gateway/timed_record.py
@@ -0,0 +1,89 @@
+"""Records that vanish from the store by themselves: the store's leases as a clock of the fleet.
+
+Nodes keep nothing and all may restart at once; what is gone from the store was written longer ago
+than its life, whoever wrote it.
+"""
+
+from collections.abc import Callable
+
+from result import Err
+
+from weirscale.gateway.knowledge import Knowledge
+from weirscale.ports.key_value import KeyValueFailureKind, KeyValuePort
+
+RENEWAL_LIFE_S = 0.4
+"""How long a renewal counts before the next one is needed."""
+
+TURN_KEY = "weirscale/orders"
+YOUNG_PREFIX = "weirscale/young/"
+
+
+async def write_timed_record(store: KeyValuePort, key: str, value: bytes, life_s: float) -> int:
+    """Write a record that vanishes after `life_s`; returns its lease, 0 if it was not written."""
+    granted = await store.grant_lease(life_s)
+    if isinstance(granted, Err):
+        return 0
+    swapped = await store.compare_and_swap(key, 0, value, granted.ok_value)
+    if isinstance(swapped, Err) or not swapped.ok_value.succeeded:
+        return 0
+    return granted.ok_value
+
+
+def young_key(model: str, version: int) -> str:
+    """Return the key of the record that lives while a version is newly named."""
+    return f"{YOUNG_PREFIX}{model}/{version}"
+
+
+class OrderTurn:
+    """Keeps two holders' orders apart.
+
+    A holder renews a record before it gives orders; the record outlives its last order by the
+    least time between two holders' orders. Another holder waits until the record is gone.
+
+    Args:
+        holder: Name of this node.
+        store: The key-value service.
+        knowledge: Where the record is seen.
+        apart_s: Least time between orders of two holders.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        store: KeyValuePort,
+        knowledge: Knowledge,
+        apart_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._value = holder.encode()
+        self._store = store
+        self._knowledge = knowledge
+        self._life_s = apart_s + 2 * RENEWAL_LIFE_S
+        self._clock = clock
+        self._lease_id = 0
+        self._renewed_at_s = float("-inf")
+
+    async def take(self) -> bool:
+        """Whether an order may be given within the next `RENEWAL_LIFE_S`."""
+        if self._is_renewed():
+            return True
+        sent_at_s = self._clock()
+        if self._lease_id:
+            renewed = await self._store.keep_lease_alive(self._lease_id)
+            if isinstance(renewed, Err):
+                if renewed.err_value.kind is KeyValueFailureKind.LEASE_LOST:
+                    self._lease_id = 0
+                return False
+        elif TURN_KEY in self._knowledge.records:
+            return False
+        else:
+            self._lease_id = await write_timed_record(
+                self._store, TURN_KEY, self._value, self._life_s
+            )
+        if self._lease_id:
+            self._renewed_at_s = sent_at_s
+        return self._is_renewed()
+
+    def _is_renewed(self) -> bool:
+        return self._clock() - self._renewed_at_s <= RENEWAL_LIFE_S
--- a/src/weirscale/gateway/weights.py
+++ b/src/weirscale/gateway/weights.py
@@ -1,6 +1,6 @@
 """Which weights are wanted, since when, and which ones may still serve."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -8,6 +8,10 @@
 """When a version was named that a starting node finds in the store."""
 
 
+def _never(_model: str, _version: int) -> bool:
+    return False
+
+
 class NamedVersion(msgspec.Struct, frozen=True):
     """A version that operators named.
 
@@ -46,17 +50,33 @@
         versions = self._named.get(model)
         return versions[-1].version if versions else None
 
-    def lowest_allowed(self, model: str, now_s: float, grace_s: float) -> int:
+    def newest_named(self, model: str) -> NamedVersion | None:
+        """Return the newest version of a model and when it was named."""
+        versions = self._named.get(model)
+        return versions[-1] if versions else None
+
+    def lowest_allowed(
+        self,
+        model: str,
+        now_s: float,
+        grace_s: float,
+        not_before_s: float = LONG_AGO_S,
+        is_young: Callable[[str, int], bool] = _never,
+    ) -> int:
         """Return the lowest version that requests may still start on.
 
         Args:
             model: The model.
             now_s: Time.
             grace_s: How long an older version may serve after a newer one was named.
+            not_before_s: The grace begins no earlier than this.
+            is_young: Whether a version that was there before this node was named just before.
         """
         allowed = 0
         for named in self._named.get(model, ()):
-            if named.named_at_s + grace_s <= now_s:
+            if named.named_at_s == LONG_AGO_S and is_young(model, named.version):
+                continue
+            if max(named.named_at_s, not_before_s) + grace_s <= now_s:
                 allowed = named.version
         return allowed
 
