Do not leave a back end nobody can replace; pace late loads

Change: two silent reports end a load; larger waves when time was lost; a silent back end is left only if another may serve, and may be asked again if nobody else does.

--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -160,6 +160,9 @@
         return None
     least_s = min(estimate.cost_s for estimate in estimates)
     near = [estimate for estimate in estimates if estimate.cost_s <= least_s + rules.tie_s]
+    if need is not None and all(one.choice.read_tokens == need.prompt.num_tokens for one in near):
+        # Nobody keeps any of it: the hash decides, not chance, so that all nodes choose alike.
+        near = [min(near, key=lambda estimate: estimate.cost_s)]
     chosen = near[0] if len(near) == 1 else random.choice(near)
     return msgspec.structs.replace(chosen.choice, num_candidates=len(candidates))
 
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -5,7 +5,7 @@
 attempt may have run; what is given up is answered at once.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import anyio
 
@@ -139,8 +139,15 @@
 
     def _choose(self) -> Choice | None:
         assert self._service is not None
-        query = DispatchQuery(self._service, self._request.prompt, self._tenant, self._excluded)
-        return self._context.dispatcher.choose(query)
+        chosen = self._context.dispatcher.choose(self._query(self._excluded))
+        if chosen is None and self._tried:
+            # Nobody else serves: the same back end may have recovered.
+            chosen = self._context.dispatcher.choose(self._query(()))
+        return chosen
+
+    def _query(self, excluded: Collection[str]) -> DispatchQuery:
+        assert self._service is not None
+        return DispatchQuery(self._service, self._request.prompt, self._tenant, excluded)
 
     def _may_go_on(self, end: AttemptEnd) -> bool:
         """Whether another attempt may follow."""
@@ -191,11 +198,17 @@
     def _set_patience(self, patience: anyio.CancelScope, choice: Choice) -> None:
         """Bound the wait for the first event where the request may be tried elsewhere."""
         assert self._route is not None
-        if not self._route.is_repeatable or len(self._tried) + 1 >= self._route.max_attempts:
+        if not self._may_be_left(choice):
             return
         wait_s = self._context.first_event_patience_s(self._route, choice)
         patience.deadline = self._clock() + wait_s
 
+    def _may_be_left(self, choice: Choice) -> bool:
+        """Whether a silent back end may be left for another one."""
+        assert self._route is not None
+        has_attempts = len(self._tried) + 1 < self._route.max_attempts
+        return self._route.is_repeatable and has_attempts and choice.num_candidates > 1
+
     async def _send(self, choice: Choice, patience: anyio.CancelScope) -> Verdict:
         outbound = self._outbound(choice)
         port = self._context.port_of(choice.candidate.back_end)
@@ -284,7 +297,7 @@
 
     def _stall_s(self) -> float:
         assert self._route is not None
-        if not self._route.is_repeatable or len(self._tried) + 1 >= self._route.max_attempts:
+        if self._choice is None or not self._may_be_left(self._choice):
             return float("inf")
         return self._context.stall_patience_s(self._route)
 
--- a/src/weirscale/gateway/rollout.py
+++ b/src/weirscale/gateway/rollout.py
@@ -5,6 +5,7 @@
 the same load.
 """
 
+import math
 from collections.abc import Sequence
 
 import msgspec
@@ -59,10 +60,10 @@
     at_once = max(1, int(num_runners * rules.share_at_once))
     order = sorted(lagging, key=lambda one: (one.owed_since_s, one.num_requests, one.instance))
     urgent = [one.instance for one in order if now_s - one.owed_since_s >= rules.urgent_s]
-    num_free = at_once - num_loading
-    if num_free <= 0 or not _must_begin(order, at_once, now_s, rules):
+    if not _must_begin(order, at_once, now_s, rules):
         return urgent
-    chosen = [one.instance for one in order[:num_free]]
+    num_free = max(at_once, _num_needed(order, now_s, rules)) - num_loading
+    chosen = [one.instance for one in order[: max(0, num_free)]]
     return chosen + [instance for instance in urgent if instance not in chosen]
 
 
@@ -76,3 +77,16 @@
         if now_s >= latest_s:
             return True
     return False
+
+
+def _num_needed(order: Sequence[LaggingRunner], now_s: float, rules: RolloutRules) -> int:
+    """Return how many runners must load at once for none to be late.
+
+    After lost time, somewhat larger waves now are better than all that is left at the end.
+    """
+    needed = 0
+    for index, one in enumerate(order):
+        left_s = max(0.0, one.owed_since_s + rules.target_s - now_s)
+        num_waves = 1 + int(left_s / rules.load_s)
+        needed = max(needed, math.ceil((index + 1) / num_waves))
+    return needed
--- a/src/weirscale/gateway/rollout_task.py
+++ b/src/weirscale/gateway/rollout_task.py
@@ -27,6 +27,9 @@
 MAX_LOAD_S = 6.0
 """A load that has not ended by then is looked at anew."""
 
+MAX_SILENT_REPORTS = 2
+"""A runner that leaves so many reports unanswered is down; others load meanwhile."""
+
 TAKEN_BY_S = 1.0
 """An order without an answer that shows no effect by then is given again."""
 
@@ -157,8 +160,12 @@
         wanted = self._knowledge.weights.newest(model) or 0
         ordered_sequence: int | None = None
         ordered_at_s = 0.0
+        num_silent = 0
         while self._knowledge.directory.get(runner.instance) is not None:
             report = await port.report(CALL_TIMEOUT_S)
+            num_silent = num_silent + 1 if report is None else 0
+            if num_silent >= MAX_SILENT_REPORTS:
+                return
             if report is not None and not report.is_ordered:
                 if self._has_version(runner, model, wanted, report):
                     return
