Keep streams of unregistered back ends; reckon with earlier names of weights

Change: connections close once nothing runs on them; a starting node takes all versions below the newest for named before, unless a peer or a record tells when.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -117,3 +117,10 @@
     And a retry budget of 0.2 with 5 extra and 10 seconds
     When 40 status requests are sent
     Then at most 13 of them were repeated
+
+  Scenario: A stream goes on to its end although its back end's registration has ended
+    Given two back ends of which the one asked first does "none" once
+    And every stream takes 3 seconds to its first event
+    When a single request is sent while all registrations end
+    Then the caller gets "stream"
+    And no run was cancelled
--- a/features/gateway_rollout.feature
+++ b/features/gateway_rollout.feature
@@ -65,3 +65,15 @@
     When version 2 is named and there is "nothing else"
     And a node starts anew 2 seconds later
     Then it still sends requests to version 1
+
+  Scenario Outline: A node that starts after two namings reckons with the first one
+    Given <nodes> nodes and 2 runners
+    And nobody can give orders
+    When versions 2 and 3 are named 4 second apart
+    And a node starts anew 0.5 seconds later and is sent generations for 10 seconds
+    Then no run began on version 1 later than 8 seconds after the first naming
+
+    Examples:
+      | nodes |
+      | 1     |
+      | 3     |
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -27,7 +27,7 @@
     context.faults = faults
     context.configuration = configuration()
     context.budget = None
-    context.repeated = None
+    context.read_s = None
 
 
 @given('two back ends of which the one asked first does "{fault}" once')
@@ -68,7 +68,9 @@
                 f"o-{number}", f"10.2.0.{number}:8080", "orders", model=None, faults=faults
             )
         )
-        fleet.add_runner(RunnerStandIn(f"r-{number}", f"10.3.0.{number}:8080", "lm", faults=faults))
+        runner = RunnerStandIn(f"r-{number}", f"10.3.0.{number}:8080", "lm", faults=faults)
+        runner.read_s = context.read_s or runner.read_s
+        fleet.add_runner(runner)
 
 
 def play(context, script):
@@ -77,6 +79,8 @@
     if context.budget is not None:
         fleet.budget = context.budget
 
+    context.fleet = fleet
+
     async def main():
         async def body():
             fleet.store.put("op/config", context.configuration)
@@ -89,7 +93,6 @@
         await with_fleet(fleet, body)
 
     run_in_virtual_time(main)
-    context.fleet = fleet
 
 
 def headers_of(kind, request_id="q1", **more):
@@ -131,6 +134,31 @@
     send(context, kind, extra=[(header.encode(), value.encode()), secret])
 
 
+@given("every stream takes {seconds:g} seconds to its first event")
+def step_read_s(context, seconds):
+    context.read_s = seconds
+
+
+@when("{kind} request is sent while all registrations end")
+def step_send_unregistered(context, kind):
+    async def script(node):
+        async def end_registrations():
+            await anyio.sleep(0.2)
+            for runner in context.fleet.runners:
+                context.fleet.store.delete(f"servers/{runner.instance}")
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(end_registrations)
+            context.answer = await ask(node, PATHS[kind], headers=headers_of(kind))
+
+    play(context, script)
+
+
+@then("no run was cancelled")
+def step_none_cancelled(context):
+    assert not [one for runner in context.fleet.runners for one in runner.cancelled]
+
+
 @when('{kind} request is sent to "{target}"')
 def step_send_target(context, kind, target):
     send(context, kind, path=target)
--- a/features/steps/gateway_rollout_steps.py
+++ b/features/steps/gateway_rollout_steps.py
@@ -166,6 +166,7 @@
 def step_named_two(context, first, second, seconds):
     async def action(play):
         name_version(play, first)
+        play.first_named_s = play.named_s
         await anyio.sleep(seconds)
         name_version(play, second)
 
@@ -212,6 +213,33 @@
     context.play.actions.append(action)
 
 
+@when("a node starts anew {wait_s:g} seconds later and is sent generations for {seconds:g} seconds")
+def step_start_and_send(context, wait_s, seconds):
+    async def action(play):
+        await anyio.sleep(wait_s)
+        play.fleet.kill("node-1")
+        node = await play.fleet.start_node("node-1", is_first_start=False)
+        await anyio.sleep(0.2)
+        end_s = anyio.current_time() + seconds
+        for number in itertools.count():
+            if anyio.current_time() >= end_s:
+                break
+            await generate(play, node, f"q{number}")
+            await anyio.sleep(REQUEST_INTERVAL_S)
+
+    context.play.actions.append(action)
+
+
+@then("no run began on version 1 later than {seconds:g} seconds after the first naming")
+def step_no_late_first(context, seconds):
+    play = context.play.run()
+    began = [
+        run.began_s - play.first_named_s for runner in play.fleet.runners for run in runner.runs
+    ]
+    assert all(one <= seconds for one in began), max(began)
+    assert play.answers[-1].status == 503, play.answers[-1]
+
+
 @then("it still sends requests to version {version:d}")
 def step_still_sends(context, version):
     play = context.play.run()
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -46,6 +46,11 @@
     def __init__(self, fleet, node_name):
         self._fleet = fleet
         self._node_name = node_name
+        self.is_closed = False
+
+    async def aclose(self):
+        """Close all connections, those in use too, as the real transport does."""
+        self.is_closed = True
 
     async def handle_async_request(self, request):
         address = f"{request.url.host}:{request.url.port}"
@@ -57,7 +62,23 @@
             raise httpx.ConnectError("refused")
         if "target" in request.extensions:
             request.extensions["seen_target"] = request.extensions["target"]
-        return await target.handle(request)
+        response = await target.handle(request)
+        response.stream = Guarded(self, response.stream)
+        return response
+
+
+class Guarded(httpx.AsyncByteStream):
+    """A body that breaks when its transport is closed."""
+
+    def __init__(self, transport, stream):
+        self._transport = transport
+        self._stream = stream
+
+    async def __aiter__(self):
+        async for chunk in self._stream:
+            if self._transport.is_closed:
+                raise httpx.ReadError("connection closed")
+            yield chunk
 
 
 @dataclass
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -16,7 +16,7 @@
 from weirscale.gateway.follower import StateFollower
 from weirscale.gateway.health import BackEndHealth
 from weirscale.gateway.knowledge import Knowledge
-from weirscale.gateway.load import FleetLoad, Load
+from weirscale.gateway.load import NO_LOAD, FleetLoad, Load
 from weirscale.gateway.metrics import GatewayMetrics
 from weirscale.gateway.peer_messages import LoadingNews, LoadNews, NamedNews, PeerNews
 from weirscale.gateway.peers import (
@@ -34,7 +34,6 @@
 from weirscale.gateway.routes import RouteTable
 from weirscale.gateway.settings import GatewaySettings
 from weirscale.gateway.timed_record import OrderTurn
-from weirscale.gateway.weights import LONG_AGO_S
 from weirscale.node.duties.lease_task import KEY_PREFIX, DutyLeaseTask
 from weirscale.node.event_log import EventLog
 from weirscale.ports.key_value import KeyValuePort
@@ -57,8 +56,8 @@
 
 PROBE_INTERVAL_S = 0.3
 PROBE_TIMEOUT_S = 0.4
-UNTOLD_GRACE_S = 0.4
-"""After a start, how long peers have to tell how old the named versions are."""
+MAX_TOLD_AGE_S = 30.0
+"""Versions named longer ago are not told of: a node that does not know them takes them for old."""
 
 DEFAULT_MAX_CONNECTIONS = 100
 CONNECTION_SHARE = 0.4
@@ -117,7 +116,7 @@
         self._event_log = event_log
         self._clock = clock
         self._ports: dict[str, BackEndPort] = {}
-        self._closing: list[BackEndPort] = []
+        self._closing: dict[str, BackEndPort] = {}
         self.is_stopping = False
         self.metrics = GatewayMetrics()
         self.knowledge = Knowledge(event_log, clock)
@@ -208,7 +207,7 @@
     def _forget_back_end(self, back_end: BackEnd) -> None:
         port = self._ports.pop(back_end.instance, None)
         if port is not None:
-            self._closing.append(port)
+            self._closing[back_end.instance] = port
         self.dispatcher.forget(back_end.instance)
 
     def _take_version(self, instance: str, model: str, version: int) -> None:
@@ -257,19 +256,27 @@
     def _gather_ages(self) -> None:
         now_s = self._clock()
         for model, named in self.knowledge.weights.all():
-            if named.named_at_s != LONG_AGO_S:
-                age_ms = int((now_s - named.named_at_s) * MILLISECONDS_PER_S)
+            age_s = now_s - named.named_at_s
+            if age_s <= MAX_TOLD_AGE_S:
+                age_ms = int(age_s * MILLISECONDS_PER_S)
                 self.outbox.add_named(NamedNews(model, named.version, age_ms))
 
     async def _probe_regularly(self, tasks: TaskGroup) -> None:
         while True:
             await anyio.sleep(PROBE_INTERVAL_S)
-            for port in self._closing:
-                tasks.start_soon(port.close)
-            self._closing = []
+            self._close_unused(tasks)
             for instance in self.health.to_probe(self._clock()):
                 tasks.start_soon(self._probe, instance)
 
+    def _close_unused(self, tasks: TaskGroup) -> None:
+        """Close connections to back ends that are gone, once nothing runs there any more.
+
+        A back end's registration may end long before its last answer does.
+        """
+        for instance in list(self._closing):
+            if self.load.own(instance) == NO_LOAD:
+                tasks.start_soon(self._closing.pop(instance).close)
+
     async def _probe(self, instance: str) -> None:
         back_end = self.knowledge.directory.get(instance)
         table = self.knowledge.table
--- a/src/weirscale/gateway/weights.py
+++ b/src/weirscale/gateway/weights.py
@@ -4,6 +4,10 @@
 
 import msgspec
 
+FIRST_VERSION = 1
+MAX_EARLIER_VERSIONS = 32
+"""Versions below the newest that a starting node reckons with."""
+
 LONG_AGO_S = float("-inf")
 """When a version was named that a starting node finds in the store."""
 
@@ -31,10 +35,19 @@
         self._named: dict[str, list[NamedVersion]] = {}
 
     def name(self, model: str, version: int, named_at_s: float) -> bool:
-        """Note a version; False if one as high is known."""
+        """Note a version; False if one as high is known.
+
+        The store keeps only the newest name, so for a starting node the lower versions were named
+        at some time before, and runners may owe one of them.
+        """
         versions = self._named.setdefault(model, [])
         if versions and versions[-1].version >= version:
             return False
+        if named_at_s == LONG_AGO_S:
+            lowest = max(FIRST_VERSION, version - MAX_EARLIER_VERSIONS)
+            known = versions[-1].version if versions else lowest - 1
+            earlier = range(known + 1, version)
+            versions.extend(NamedVersion(one, LONG_AGO_S) for one in earlier)
         versions.append(NamedVersion(version, named_at_s))
         return True
 
@@ -92,7 +105,7 @@
         return tuple(self._named)
 
     def all(self) -> Iterator[tuple[str, NamedVersion]]:
-        """Return every model's newest versions."""
+        """Return every named version of every model."""
         for model, versions in self._named.items():
-            if versions:
-                yield model, versions[-1]
+            for named in versions:
+                yield model, named
