--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -124,3 +124,16 @@
     When a single request is sent while all registrations end
     Then the caller gets "stream"
     And no run was cancelled
+
+  Scenario Outline: Under overload a caller with time left is told to come back, once
+    Given two back ends of which the one asked first does "none" once
+    And both back ends of generations have <tokens> prompt tokens waiting
+    When a single request is sent with a deadline of <deadline_ms> ms
+    Then the caller gets "<answer>"
+
+    Examples: an objective of 800 ms, a route's time-out of 4000 ms
+      | tokens | deadline_ms | answer |
+      | 0      | 4000        | stream |
+      | 20000  | 4000        | stream |
+      | 60000  | 4000        | 503    |
+      | 60000  | 2500        | stream |
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -28,6 +28,7 @@
     context.configuration = configuration()
     context.budget = None
     context.read_s = None
+    context.waiting_tokens = 0
 
 
 @given('two back ends of which the one asked first does "{fault}" once')
@@ -86,6 +87,8 @@
             fleet.store.put("op/config", context.configuration)
             add_back_ends(context, fleet)
             node = await fleet.start_node()
+            for runner in fleet.runners:
+                node.load.begin(runner.instance, context.waiting_tokens, 0)
             await script(node)
             await anyio.sleep(0.3)
             context.metrics_text = node.metrics_text().decode()
@@ -264,3 +267,8 @@
 def step_repeated(context, count):
     ids = [one[1] for one in arrivals(context)]
     assert 0 < len(ids) - len(set(ids)) <= count, len(ids) - len(set(ids))
+
+
+@given("both back ends of generations have {tokens:d} prompt tokens waiting")
+def step_waiting(context, tokens):
+    context.waiting_tokens = tokens
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -29,6 +29,10 @@
         fetch_tokens_per_s: Tokens of cached parts that move between runners in a second.
         fetch_setup_s: Fixed time of a fetch.
         active_s: Delay that each request at work adds to a new one.
+        disturb_share: Cost of the delay that reading brings to each request at work there, as a
+            share of that delay.
+        backlog_tokens: Waiting prompt beyond which every request at work there pauses noticeably.
+        backlog_share: As `disturb_share`, for what exceeds `backlog_tokens`.
         queue_s: Delay that each request beyond the slots adds.
         memory_s: Delay at full memory, by how far requests exceed what fits.
         reread_weight: Cost of prompt read again, as a multiple of its reading time.
@@ -45,6 +49,9 @@
     fetch_tokens_per_s: float = 400_000.0
     fetch_setup_s: float = 0.004
     active_s: float = 0.0015
+    disturb_share: float = 0.0
+    backlog_tokens: int = 8192
+    backlog_share: float = 0.0
     queue_s: float = 0.05
     memory_s: float = 0.5
     reread_weight: float = 0.5
@@ -211,6 +218,7 @@
     reread_s = rules.reread_weight * read / rules.tokens_per_s
     if cached == 0 and fetched == 0:
         reread_s -= rules.affinity_s * _affinity(scope, prompt, candidate)
+    disturb_s = _disturbance_s(candidate, read, rules)
     choice = Choice(
         candidate,
         scope=scope,
@@ -220,7 +228,7 @@
         fetch_from=None if source is None else source.address,
         estimate_s=wait_s,
     )
-    return _Estimate(choice, common_s + wait_s + reread_s)
+    return _Estimate(choice, common_s + wait_s + reread_s + disturb_s)
 
 
 def _affinity(scope: str, prompt: Prompt, candidate: Candidate) -> float:
@@ -231,6 +239,19 @@
     return float(share**AFFINITY_SHARPNESS)
 
 
+def _disturbance_s(candidate: Candidate, read_tokens: int, rules: ChoiceRules) -> float:
+    """Return the cost of what reading a prompt does to the streams at work at a runner.
+
+    A runner reads prompts in pieces between the tokens of its streams. While prompts wait, each
+    token takes as long as a piece, so that streams pause.
+    """
+    num_streams = candidate.load.num_requests
+    backlog = candidate.load.waiting_tokens + read_tokens - rules.backlog_tokens
+    own_s = rules.disturb_share * read_tokens / rules.tokens_per_s
+    backlog_s = rules.backlog_share * max(0, min(backlog, read_tokens)) / rules.tokens_per_s
+    return num_streams * (own_s + backlog_s)
+
+
 def _memory_delay_s(candidate: Candidate, prompt: Prompt, rules: ChoiceRules) -> float:
     fits = max(1.0, rules.memory_share * candidate.capacity_tokens)
     needed = candidate.load.held_tokens + prompt.num_tokens + prompt.max_output_tokens
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -30,6 +30,15 @@
 NO_BACK_END_RETRY_S = 0.25
 """When a caller should come back. Callers honour up to a third of the time that they have left."""
 
+OVERLOAD_FACTOR = 1.25
+"""A first event estimated later than this multiple of the objective is not waited for."""
+
+FRESH_SHARE = 0.85
+"""A caller that still has this share of its route's time asks for the first time."""
+
+COME_BACK_SHARE = 0.3
+"""Largest share of a caller's time that it is told to stay away."""
+
 MIN_ATTEMPT_S = 0.02
 """With less time left an attempt is not worth beginning."""
 
@@ -74,6 +83,8 @@
         self._cutter = EventCutter()
         self._failed_answer: tuple[int, Headers, bytes] | None = None
         self._first_byte_s: float | None = None
+        self._last_event_s: float | None = None
+        self._longest_pause_s = 0.0
         self._choice: Choice | None = None
         self._causes: list[str] = []
         self.stage = Stage.LEFT
@@ -129,6 +140,10 @@
                 await self._give_up()
                 return
             self._choice = choice
+            if self._should_come_back(choice):
+                self._causes.append("overloaded")
+                await self._refuse(HTTP_UNAVAILABLE, self._come_back_s(choice))
+                return
             end = await self._attempt(choice)
             if self._responder.has_ended:
                 self.stage = Stage.ANSWERED
@@ -145,6 +160,24 @@
             chosen = self._context.dispatcher.choose(self._query(()))
         return chosen
 
+    def _should_come_back(self, choice: Choice) -> bool:
+        """Whether the answer would be late here and the caller has time to come back.
+
+        A request that waits in a long queue is late and makes others late; one that is told at
+        once to come back finds the queue shorter. A caller that has come back is served.
+        """
+        assert self._route is not None
+        if self._tried or choice.scope is None or self._request.timeout_s is None:
+            return False
+        has_come_back = self._request.timeout_s < FRESH_SHARE * self._route.timeout_s
+        limit_s = OVERLOAD_FACTOR * self._route.objective_s
+        return not has_come_back and choice.estimate_s > limit_s
+
+    def _come_back_s(self, choice: Choice) -> float:
+        assert self._route is not None and self._request.timeout_s is not None
+        longest_s = COME_BACK_SHARE * self._request.timeout_s
+        return min(longest_s, max(NO_BACK_END_RETRY_S, choice.estimate_s / 2.0))
+
     def _query(self, excluded: Collection[str]) -> DispatchQuery:
         assert self._service is not None
         return DispatchQuery(self._service, self._request.prompt, self._tenant, excluded)
@@ -288,6 +321,7 @@
                 self._context.first_event(choice, self._request.prompt, took_s)
             patience.deadline = self._clock() + self._stall_s()
             await self._begin_stream(answer)
+            self._note_pause()
             await self._responder.part(events)
         await self._begin_stream(answer)
         rest = cutter.take_rest()
@@ -306,6 +340,12 @@
             self._note_first_byte()
             await self._responder.begin(answer.status, answer.headers)
 
+    def _note_pause(self) -> None:
+        now_s = self._clock()
+        if self._last_event_s is not None:
+            self._longest_pause_s = max(self._longest_pause_s, now_s - self._last_event_s)
+        self._last_event_s = now_s
+
     def _note_first_byte(self) -> None:
         if self._first_byte_s is None:
             self._first_byte_s = self._clock() - self._arrived_at_s
@@ -346,6 +386,7 @@
             num_attempts=self._num_attempts,
             causes=tuple(self._causes),
             first_byte_s=self._first_byte_s,
+            longest_pause_s=self._longest_pause_s,
             duration_s=self._clock() - self._arrived_at_s,
         )
         self._context.tell_end(summary)
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -191,6 +191,8 @@
         }
         if summary.first_byte_s is not None:
             fields["first_ms"] = round(summary.first_byte_s * 1000.0, 1)
+        if summary.longest_pause_s:
+            fields["pause_ms"] = round(summary.longest_pause_s * 1000.0, 1)
         if summary.choice is not None:
             fields.update(_choice_fields(summary.choice))
         if summary.causes:
--- a/src/weirscale/gateway/summary.py
+++ b/src/weirscale/gateway/summary.py
@@ -33,4 +33,5 @@
     num_attempts: int
     causes: tuple[str, ...]
     first_byte_s: float | None
+    longest_pause_s: float
     duration_s: float
