Trace a request through the logs of several nodes

Change: weirscale trace ID FILE... prints the request's line, the beliefs of its node before it, and what any node noticed of its back ends meanwhile.

--- a/src/weirscale/cli/main.py
+++ b/src/weirscale/cli/main.py
@@ -100,6 +100,12 @@
         }
         return Command(lambda: _run_node(settings, overrides))
 
+    def trace(self, request_id: str, *files: str) -> Command:
+        """Print the life of a request from gateways' logs, with the beliefs that it rested on."""
+        from weirscale.cli import trace
+
+        return Command(lambda: trace.run(str(request_id), [str(file) for file in files]))
+
     def check(self, file: str) -> Command:
         """Check a deployment file; every error names line, field and remedy."""
         from weirscale.cli import configuration
