--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -30,7 +30,7 @@
 NO_BACK_END_RETRY_S = 0.25
 """When a caller should come back. Callers honour up to a third of the time that they have left."""
 
-OVERLOAD_FACTOR = 1.25
+OVERLOAD_FACTOR = 0.8
 """A first event estimated later than this multiple of the objective is not waited for."""
 
 FRESH_SHARE = 0.85
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -30,7 +30,7 @@
 PRIORITIES_A_TENANT = 3
 DEFAULT_TENANT_PRIORITY = 1
 
-FIRST_EVENT_SHARE = 0.6
+FIRST_EVENT_SHARE = 1.2
 """Share of the objective after which a silent runner is left, where another may take over."""
 
 FIRST_EVENT_FACTOR = 3.0
