--- a/features/path_faults.feature
+++ b/features/path_faults.feature
@@ -171,3 +171,9 @@
     When an at-most-once caption is asked for twice with one key
     Then the second caption is refused as "duplicate_request ran"
     And the history of the request path is clean
+
+  Scenario: Each attempt names the run of the engine and the weights that were chosen
+    Given an engine that will kill once at the step "mid-stream" and a healthy engine
+    When a repeatable caption is asked for, streamed and whole
+    Then each caption ends as "complete"
+    And every call expected the chosen incarnation and weights
--- /dev/null
+++ b/features/steps/gateway_instances_steps.py
@@ -0,0 +1,165 @@
+"""Steps of `gateway_instances.feature`."""
+
+import anyio
+from behave import given, then, when
+
+from features.support.platform_fleet import (
+    MODEL,
+    EventRecorder,
+    Fleet,
+    Transport,
+    ask,
+    configuration,
+    generation_headers,
+    request_headers,
+    with_fleet,
+)
+from features.support.platform_runner import RunnerStandIn
+from features.support.virtual_time import run_in_virtual_time
+from weirscale.gateway.back_ends import BackEnd, BackEndState
+from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.model import GatewayConfiguration
+from weirscale.gateway.ports import (
+    BackEndGone,
+    BackEndRegistered,
+    ConfigurationNamed,
+    StateBatch,
+    VersionedChange,
+    WeightOrder,
+    WeightsNamed,
+)
+from weirscale_platform.runner import RunnerConnector
+
+KEYS = {"configuration": "c", "weights": "w", "the": "b"}
+
+
+def services():
+    return [RunnerStandIn(f"o-{n}", f"10.2.0.{n}:8080", "orders", model=None) for n in (1, 2)]
+
+
+@given("two back ends, of which the first's address has passed to another service unnoticed")
+def step_passed(context):
+    context.fleet = Fleet()
+    context.ends = services()
+    context.other = RunnerStandIn("another", "10.2.0.1:8080", "elsewhere", model=None)
+    context.path = "/o/1"
+
+
+@given("two runners, of which the first has taken new weights unnoticed")
+def step_new_weights(context):
+    context.fleet = Fleet()
+    context.ends = [RunnerStandIn(f"r-{n}", f"10.3.0.{n}:8080", "lm") for n in (1, 2)]
+    context.other = None
+    context.path = "/a/1"
+
+
+@when("{count:d} requests are sent")
+def step_sent(context, count):
+    fleet = context.fleet
+    context.answers = []
+
+    async def body():
+        fleet.store.put("op/config", configuration())
+        for end in context.ends:
+            fleet.add_runner(end)
+        node = await fleet.start_node()
+        if context.other is not None:
+            fleet.targets[context.other.address] = context.other
+        else:
+            context.ends[0].version = 2
+        for number in range(count):
+            make = request_headers if context.path == "/o/1" else generation_headers
+            answer = await ask(node, context.path, headers=make(f"q{number}"))
+            context.answers.append(answer)
+            await anyio.sleep(0.2)
+
+    run_in_virtual_time(lambda: with_fleet(fleet, body))
+
+
+@then("all are answered by the second back end")
+def step_second(context):
+    assert {answer.status for answer in context.answers} == {200}, context.answers
+    assert {answer.body for answer in context.answers} == {b"done by o-2"}
+
+
+@then("the process at the first's address ran none of them")
+def step_none_ran(context):
+    assert context.other.arrivals and not context.other.runs
+
+
+@then("no run was over a scope of other weights than its runner had")
+def step_scope(context):
+    assert {answer.status for answer in context.answers} == {200}, context.answers
+    for runner in context.fleet.runners:
+        for run in runner.runs:
+            assert run.salt == f"{MODEL}@{run.version}", run
+            assert run.headers["x-expect-version"] == str(run.version), run
+
+
+@given("a runner whose address has passed to its next incarnation")
+def step_next(context):
+    context.fleet = Fleet()
+    context.runner = RunnerStandIn("next", "10.3.0.1:8080", "lm")
+    context.fleet.add_runner(context.runner)
+
+
+@when("an order meant for the earlier incarnation is given")
+def step_order(context):
+    def transport(_connections, _keepalive_s):
+        return Transport(context.fleet, "n")
+
+    async def main():
+        end = BackEnd("earlier", "lm", "10.3.0.1:8080", "z", BackEndState.READY, 4)
+        port = RunnerConnector(transport)(end, 4)
+        order = WeightOrder(MODEL, 2, "n", 7, 0, "earlier")
+        context.outcome = await port.order(order, 1.0)
+
+    run_in_virtual_time(main)
+
+
+@then('it is answered with "{outcome}" and no order was taken')
+def step_outcome(context, outcome):
+    assert context.outcome.value == outcome, context.outcome
+    assert not context.runner.orders
+
+
+def back_end(state):
+    return BackEnd("i-1", "lm", "10.3.0.1:8080", "z", state, 4)
+
+
+@given(
+    "a node's knowledge at revision 10 with configuration {version:d}, weights {weights:d} and a "
+    "leaving back end"
+)
+def step_knowledge(context, version, weights):
+    context.knowledge = Knowledge(EventRecorder(), lambda: 100.0)
+    changes = (
+        VersionedChange("c", 5, ConfigurationNamed(GatewayConfiguration(version))),
+        VersionedChange("w", 6, WeightsNamed(MODEL, weights)),
+        VersionedChange("b", 10, BackEndRegistered(back_end(BackEndState.LEAVING))),
+    )
+    context.knowledge.replace_all(StateBatch(10, changes), 99.0)
+
+
+@when('"{change}" arrives with revision {revision:d}')
+def step_arrives(context, change, revision):
+    words = change.split()
+    if words[0] == "configuration":
+        told = ConfigurationNamed(GatewayConfiguration(int(words[1])))
+    elif words[0] == "weights":
+        told = WeightsNamed(MODEL, int(words[1]))
+    elif words[-1] == "gone":
+        told = BackEndGone("i-1")
+    else:
+        told = BackEndRegistered(back_end(BackEndState.READY))
+    batch = StateBatch(revision, (VersionedChange(KEYS[words[0]], revision, told),))
+    context.knowledge.apply(batch, 99.5)
+
+
+@then('it knows configuration {version:d}, weights {weights:d} and a back end that is "{state}"')
+def step_knows(context, version, weights, state):
+    knowledge = context.knowledge
+    known = knowledge.directory.get("i-1")
+    assert knowledge.table.version == version
+    assert knowledge.weights.newest(MODEL) == weights
+    assert (known.state.value if known else "gone") == state
--- a/features/steps/path_faults_steps.py
+++ b/features/steps/path_faults_steps.py
@@ -219,3 +219,16 @@
     assert node.drain.num_running == 0
     lines = [fields for name, fields in node.log.events if name == "request"]
     assert len(lines) == node.admission.num_admitted
+
+
+@then("every call expected the chosen incarnation and weights")
+def step_expected(context):
+    calls = [
+        call
+        for node, _, _, _ in context.calls
+        for engine in node.routing.engines
+        for call in engine.calls
+    ]
+    assert len(calls) > len(context.calls), calls
+    expected = {(call.expected_incarnation, call.expected_weight_version) for call in calls}
+    assert expected == {(1, "v1")}, expected
