Close the holes that mutations found in the tests

Cause: scripts/mutate.py: 5 of 41 mutations went unnoticed: a non-resumable stream with two attempts, the turn between two holders, shared tokens, the expected sequence, a deaf watch. Also found: the stand-in of the store renewed every lease with the length of the last one granted. Change: scenarios for each; the stand-in keeps each lease's own length.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -44,6 +44,10 @@
       | a single         | break    | cut      | 1    |
       | a single         | stall    | cut      | 1    |
       | a single         | hang     | 504      | 1    |
+      | a fixed          | refuse   | stream   | 1    |
+      | a fixed          | reset    | 502      | 1    |
+      | a fixed          | break    | cut      | 1    |
+      | a fixed          | unsealed | 502      | 1    |
 
   Scenario: A refusal that promises "not run" says when to come back
     Given two back ends of which the one asked first does "refuse" once
--- a/features/gateway_rollout.feature
+++ b/features/gateway_rollout.feature
@@ -26,11 +26,13 @@
     Then every runner has version 2
     And orders of two nodes lie 3 seconds apart or more
     And every order carried a fencing token no lower than the one before
+    And no two nodes gave orders with one token
 
     Examples:
       | fault                    |
       | nothing else             |
       | a killed holder          |
+      | a holder killed at work  |
       | a holder cut off         |
       | an outage of 2 s         |
       | lost store answers       |
@@ -59,6 +61,21 @@
     Then every runner has version 3
     And 6 orders were given
 
+  Scenario: A new holder waits as long as the deployment asks between two holders' orders
+    Given 3 nodes and 6 runners
+    And orders of two holders must lie 5 seconds apart
+    When version 2 is named and there is "a holder killed at work"
+    And 18 seconds pass
+    Then every runner has version 2
+    And orders of two nodes lie 5 seconds apart or more
+
+  Scenario: A runner takes one version after the other
+    Given 3 nodes and 6 runners
+    When versions 2 and 3 are named 9 second apart
+    And 13 seconds pass
+    Then every runner has version 3
+    And 12 orders were given
+
   Scenario: A restarted node learns from its peers how old a version is
     Given 3 nodes and 6 runners
     And nobody can give orders
--- a/features/gateway_state.feature
+++ b/features/gateway_state.feature
@@ -33,6 +33,12 @@
     And requests with the tenant's key are sent for 8 seconds
     Then none that was sent 2 seconds after the change is served
 
+  Scenario: A key that was taken away serves no more, although the watch stays deaf
+    Given a node that has configuration 3 with a tenant
+    When watches hear nothing for good while the key is taken away
+    And requests with the tenant's key are sent for 8 seconds
+    Then none that was sent 4.8 seconds after the change is served
+
   Scenario Outline: What no configuration allows is refused by the table in force
     Given a node that has configuration 3 with a tenant
     When a request to "<path>" of "<host>" with key "<key>" is sent
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -15,9 +15,15 @@
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.retry_budget import RetryBudgetRules
 
-PATHS = {"an order": "/o/1", "a status": "/s/1", "a resumable": "/a/1", "a single": "/n/1"}
+PATHS = {
+    "an order": "/o/1",
+    "a status": "/s/1",
+    "a resumable": "/a/1",
+    "a single": "/n/1",
+    "a fixed": "/f/1",
+}
 ROUTES = {"an order": "orders", "a status": "status", "a resumable": "draft", "a single": "note"}
-GENERATIONS = ("a resumable", "a single")
+GENERATIONS = ("a resumable", "a single", "a fixed")
 WHOLE_STREAM = b"".join(
     f"id: {number}\ndata: token-{number}\n\n".encode() for number in range(1, NUM_EVENTS + 1)
 )
--- a/features/steps/gateway_rollout_steps.py
+++ b/features/steps/gateway_rollout_steps.py
@@ -69,10 +69,11 @@
         self.num_runners = num_runners
         self.actions = []
         self.nobody_orders = False
+        self.bounds = {}
         self.answers = []
 
     def run(self):
-        self.fleet = Fleet()
+        self.fleet = Fleet(**self.bounds)
         run_in_virtual_time(self._main)
         return self
 
@@ -108,6 +109,11 @@
     context.play = Play(nodes, runners)
 
 
+@given("orders of two holders must lie {seconds:g} seconds apart")
+def step_apart(context, seconds):
+    context.play.bounds["lease_s"] = seconds
+
+
 @given("nobody can give orders")
 def step_nobody(context):
     context.play.nobody_orders = True
@@ -123,6 +129,10 @@
     if fault == "a killed holder":
         await anyio.sleep(0.5)
         fleet.kill(play.holder().settings.name)
+    elif fault == "a holder killed at work":
+        with anyio.fail_after(10.0):
+            await first_order(play)
+        fleet.kill(play.holder().settings.name)
     elif fault == "a holder cut off":
         await anyio.sleep(0.5)
         fleet.cuts.add((play.holder().settings.name, STORE_ADDRESS))
@@ -143,6 +153,13 @@
         await restart_all(fleet)
 
 
+async def first_order(play):
+    for _ in itertools.count():
+        if play.orders():
+            return
+        await anyio.sleep(0.02)
+
+
 async def restart_all(fleet):
     await anyio.sleep(0.5)
     names = list(fleet.nodes)
@@ -267,6 +284,14 @@
     assert tokens and tokens == sorted(tokens), tokens
 
 
+@then("no two nodes gave orders with one token")
+def step_own_tokens(context):
+    holders = {}
+    for _, order in context.play.orders():
+        holders.setdefault(order["fence_token"], set()).add(order["holder"])
+    assert all(len(names) == 1 for names in holders.values()), holders
+
+
 @then("no run began on version {version:d} later than {seconds:g} seconds after the naming")
 def step_no_late_run(context, version, seconds):
     play = context.play.run()
--- a/features/steps/gateway_state_steps.py
+++ b/features/steps/gateway_state_steps.py
@@ -193,6 +193,17 @@
     context.script.actions.append(action)
 
 
+@when("watches hear nothing for good while the key is taken away")
+def step_deaf_for_good(context):
+    async def action(script):
+        script.fleet.store.is_deaf = True
+        await anyio.sleep(0.3)
+        script.fleet.store.put("op/config", keyed_configuration(4, keys=["other"]))
+        script.changed_s = anyio.current_time()
+
+    context.script.actions.append(action)
+
+
 @when("requests with the tenant's key are sent for {seconds:g} seconds")
 def step_requests_for(context, seconds):
     async def action(script):
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -292,6 +292,7 @@
         route("status", "/s/", "idempotent"),
         route("draft", "/a/", "streaming", service="lm", resumable=True, gap_slo_ms=500),
         route("note", "/n/", "streaming", service="lm", max_attempts=1),
+        route("fixed", "/f/", "streaming", service="lm", max_attempts=2),
     ]
     entry = {
         "version": version,
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -17,6 +17,7 @@
     def __init__(self):
         self.items = {}
         self.leases = {}
+        self.lives_ms = {}
         self.history = []
         self.revision = 0
         self.oldest = 0
@@ -154,14 +155,15 @@
     def _grant(self, ttl_ms):
         self.next_lease += 1
         self.leases[self.next_lease] = anyio.current_time() + ttl_ms / 1000.0
-        self.ttl_ms = ttl_ms
+        self.lives_ms[self.next_lease] = ttl_ms
         return reply(200, {"lease": self.next_lease, "ttl_ms": ttl_ms})
 
     def _keep(self, lease):
         if lease not in self.leases:
             return reply(404, {})
-        self.leases[lease] = anyio.current_time() + self.ttl_ms / 1000.0
-        return reply(200, {"ttl_ms": self.ttl_ms})
+        ttl_ms = self.lives_ms[lease]
+        self.leases[lease] = anyio.current_time() + ttl_ms / 1000.0
+        return reply(200, {"ttl_ms": ttl_ms})
 
 
 def reply(status, body):
