--- a/features/gateway_state.feature
+++ b/features/gateway_state.feature
@@ -24,6 +24,7 @@
       | fault       | seconds | status |
       | none        | 1       | 200    |
       | outage      | 1       | 200    |
+      | a cut watch | 5       | 200    |
       | outage      | 5       | 503    |
       | silence     | 5       | 503    |
 
--- a/features/steps/gateway_state_steps.py
+++ b/features/steps/gateway_state_steps.py
@@ -101,6 +101,8 @@
         store.is_down = True
     elif fault == "silence":
         store.is_silent = True
+    elif fault == "a cut watch":
+        store.cut_watches()
 
 
 def end_fault(store):
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -29,6 +29,7 @@
         self.late_writes_s = None
         self.is_deaf = False
         self.next_lease = 100
+        self.num_cuts = 0
 
     # What tests do directly, as the operator or a runner.
 
@@ -48,6 +49,11 @@
         self.oldest = self.revision
         self._wake()
 
+    def cut_watches(self):
+        """Reset the connections of all watches that wait."""
+        self.num_cuts += 1
+        self._wake()
+
     def _change(self, key, raw, lease):
         self.revision += 1
         made = self.items[key]["made"] if key in self.items else self.revision
@@ -113,8 +119,11 @@
 
     async def _watch(self, parameters):
         after = int(parameters["after"])
+        num_cuts = self.num_cuts
         with anyio.move_on_after(int(parameters["wait_ms"]) / 1000.0):
             while True:
+                if self.num_cuts != num_cuts:
+                    raise httpx.ReadError("connection reset")
                 if after < self.oldest:
                     return reply(410, {})
                 prefix = parameters["path_prefix"]
--- a/src/weirscale/gateway/follower.py
+++ b/src/weirscale/gateway/follower.py
@@ -93,7 +93,7 @@
     async def _prove_regularly(self) -> None:
         while True:
             await anyio.sleep(PROOF_INTERVAL_S)
-            if self._must_read_all or self._num_failures:
+            if self._must_read_all:
                 continue
             asked_at_s = anyio.current_time()
             with anyio.move_on_after(ANSWER_SLACK_S):
@@ -115,6 +115,7 @@
             self._watch_scope.cancel()
         else:
             self._knowledge.confirm(asked_at_s)
+            self._note_success()
 
     def _tell_change(self) -> None:
         changed, self.changed = self.changed, anyio.Event()
