Hold the rollout's lease and turn through lost answers of the store

Change: the record names its lease, so its own is known again; a lease of 3 s renewed each 0.5 s with calls of 0.6 s; calls of the store end after 1 s.

--- a/features/gateway_rollout.feature
+++ b/features/gateway_rollout.feature
@@ -36,6 +36,7 @@
       | a holder cut off         |
       | an outage of 2 s         |
       | lost store answers       |
+      | half the answers lost    |
       | lost order answers       |
       | orders 3 s late          |
       | a restart of all nodes   |
--- a/features/steps/gateway_rollout_steps.py
+++ b/features/steps/gateway_rollout_steps.py
@@ -144,6 +144,8 @@
         fleet.store.lose_answers = True
         await anyio.sleep(3.0)
         fleet.store.lose_answers = False
+    elif fault == "half the answers lost":
+        fleet.store.lose_share = 0.5
     elif fault == "lost order answers":
         for runner in fleet.runners:
             runner.lose_order_answers = True
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -2,12 +2,16 @@
 
 import base64
 import json
+from random import Random
 
 import anyio
 import httpx
 
 HISTORY_LENGTH = 200
 SILENT_S = 3600.0
+LOST_ANSWER_S = 1.0
+"""When the adapter gives an answer up."""
+
 JSON_TYPE = {"content-type": "application/json"}
 
 
@@ -26,6 +30,8 @@
         self.is_down = False
         self.is_silent = False
         self.lose_answers = False
+        self.lose_share = 0.0
+        self.random = Random(5)
         self.late_writes_s = None
         self.is_deaf = False
         self.next_lease = 100
@@ -143,6 +149,9 @@
         answer = change()
         if self.lose_answers:
             raise httpx.RemoteProtocolError("answer lost")
+        if self.random.random() < self.lose_share:
+            await anyio.sleep(LOST_ANSWER_S)
+            raise httpx.ReadTimeout("answer lost")
         return answer
 
     def _transaction(self, body):
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -46,8 +46,12 @@
 ROLLOUT_TARGET_SHARE = 0.8
 """Share of the bound on weights by which every load should have begun."""
 
-ROLLOUT_LEASE_S = 2.0
-"""How long a holder that was killed keeps others from giving orders."""
+ROLLOUT_LEASE_S = 3.0
+"""How long a holder that was killed keeps others from giving orders; four renewals may be lost."""
+
+LEASE_RENEWAL_S = 0.5
+LEASE_CALL_TIMEOUT_S = 0.6
+"""A slow store takes some 0.4 s to answer."""
 
 LOAD_S = 2.4
 SHARE_LOADING_AT_ONCE = 0.34
@@ -165,13 +169,15 @@
         rules = LeaseRules(
             time_to_live_s=life_s,
             margin_s=0.2,
-            renew_interval_s=life_s / 4.0,
-            retry_interval_s=0.3,
+            renew_interval_s=LEASE_RENEWAL_S,
+            retry_interval_s=0.1,
             standby_interval_s=0.5,
         )
         eligibility = RolloutEligibility(self.knowledge, self.peers, duty, self._clock)
         node_id = NodeId(NodeName(self.settings.name), Incarnation(0))
-        return DutyLeaseTask(duty, node_id, store, eligibility, random, rules)
+        return DutyLeaseTask(
+            duty, node_id, store, eligibility, random, rules, call_timeout_s=LEASE_CALL_TIMEOUT_S
+        )
 
     def is_ready(self) -> bool:
         """Whether new connections are welcome: a configuration is known and no stop has begun."""
--- a/src/weirscale/gateway/timed_record.py
+++ b/src/weirscale/gateway/timed_record.py
@@ -56,12 +56,13 @@
         apart_s: float,
         clock: Callable[[], float],
     ) -> None:
-        self._value = holder.encode()
+        self._holder = holder
         self._store = store
         self._knowledge = knowledge
         self._life_s = apart_s + 2 * RENEWAL_LIFE_S
         self._clock = clock
         self._lease_id = 0
+        self._is_written = False
         self._renewed_at_s = float("-inf")
 
     async def take(self) -> bool:
@@ -70,20 +71,45 @@
             return True
         sent_at_s = self._clock()
         if self._lease_id:
-            renewed = await self._store.keep_lease_alive(self._lease_id)
-            if isinstance(renewed, Err):
-                if renewed.err_value.kind is KeyValueFailureKind.LEASE_LOST:
-                    self._lease_id = 0
-                return False
-        elif TURN_KEY in self._knowledge.records:
-            return False
+            is_taken = await self._renew() and await self._write()
         else:
-            self._lease_id = await write_timed_record(
-                self._store, TURN_KEY, self._value, self._life_s
-            )
-        if self._lease_id:
+            is_taken = await self._begin()
+        if is_taken:
             self._renewed_at_s = sent_at_s
         return self._is_renewed()
 
+    async def _begin(self) -> bool:
+        if TURN_KEY in self._knowledge.records:
+            return False
+        granted = await self._store.grant_lease(self._life_s)
+        if isinstance(granted, Err):
+            return False
+        self._lease_id = granted.ok_value
+        self._is_written = False
+        return await self._write()
+
+    async def _renew(self) -> bool:
+        renewed = await self._store.keep_lease_alive(self._lease_id)
+        if not isinstance(renewed, Err):
+            return True
+        if renewed.err_value.kind is KeyValueFailureKind.LEASE_LOST:
+            self._lease_id = 0
+        return False
+
+    async def _write(self) -> bool:
+        """Write the record under the lease; an answer that was lost shows as our own record."""
+        if self._is_written:
+            return True
+        value = f"{self._holder}/{self._lease_id}".encode()
+        if self._knowledge.records.get(TURN_KEY) == value:
+            self._is_written = True
+            return True
+        swapped = await self._store.compare_and_swap(TURN_KEY, 0, value, self._lease_id)
+        if isinstance(swapped, Err):
+            return False
+        current = swapped.ok_value.current
+        self._is_written = current is not None and current.value == value
+        return self._is_written
+
     def _is_renewed(self) -> bool:
         return self._clock() - self._renewed_at_s <= RENEWAL_LIFE_S
--- a/src/weirscale/node/duties/lease_task.py
+++ b/src/weirscale/node/duties/lease_task.py
@@ -66,6 +66,7 @@
         random: Spreads retries.
         rules: Durations.
         sleep: Replaced by experiments that freeze nodes.
+        call_timeout_s: A call that takes longer counts as failed.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         random: Random,
         rules: LeaseRules | None = None,
         sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+        call_timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
         self.duty = duty
         self.state = LeaseState()
@@ -87,6 +89,7 @@
         self._random = random
         self._rules = rules or LeaseRules()
         self._sleep = sleep
+        self._call_timeout_s = call_timeout_s
         self._num_failures = 0
         self._is_released = False
 
@@ -113,7 +116,7 @@
         self._is_released = True
         self.state = after_release(anyio.current_time(), self._rules)
         if lease_id:
-            with anyio.move_on_after(CALL_TIMEOUT_S):
+            with anyio.move_on_after(self._call_timeout_s):
                 await self._key_value.revoke_lease(lease_id)
 
     def _may_go_on(self) -> bool:
@@ -141,7 +144,7 @@
         return msgspec.structs.replace(state, not_before_s=later_s)
 
     async def _ask(self, operation: LeaseOperation, lease_id: int) -> LeaseAnswer:
-        with anyio.move_on_after(CALL_TIMEOUT_S):
+        with anyio.move_on_after(self._call_timeout_s):
             return await self._call(operation, lease_id)
         return CallFailed()
 
