Document the gateway, measure its decisions and datagrams; no test on a wall clock

Cause: one step compared wall time with 50 ms, which a busy machine may miss. Change: a write that blocked would never return, as nobody reads the pipe; an alarm ends the test then.

--- /dev/null
+++ b/bench/gateway_cost.py
@@ -0,0 +1,121 @@
+"""Measures what the gateway's decisions and datagrams cost; run: python -m bench.gateway_cost.
+
+Prints one line a figure: time of a choice over 18 runners (median and p99), of a datagram's
+encoding and decoding, and bytes of a datagram. Times are of this machine; ratios hold better.
+"""
+
+import sys
+import time
+from collections.abc import Callable
+from random import Random
+
+from weirscale.domain.identifiers import ServiceName, ZoneName
+from weirscale.gateway.back_ends import BackEnd, BackEndState
+from weirscale.gateway.cache_belief import CacheBelief
+from weirscale.gateway.choice import Candidate, ChoiceRules, FetchSource, PromptNeed, choose
+from weirscale.gateway.load import Load
+from weirscale.gateway.peer_messages import (
+    LoadNews,
+    PartNews,
+    PeerNews,
+    SendNews,
+    decode_news,
+    encode_news,
+)
+from weirscale.gateway.prompt import CacheScope, Prompt, PromptPart
+
+NUM_RUNNERS = 18
+NUM_PROMPTS = 200
+NUM_CHOICES = 5_000
+CAPACITY_TOKENS = 108_000
+SHARED_TOKENS = (3000, 2000, 1300)
+OWN_TOKENS = 2890
+NUM_DATAGRAMS = 2_000
+NUM_SENDS_A_DATAGRAM = 4
+VERSION = 3
+SCOPE = CacheScope("model", VERSION).text()
+MICROSECONDS_PER_S = 1e6
+P99 = 0.99
+
+
+def make_prompts(random: Random) -> list[Prompt]:
+    """Make prompts of nested shared parts and one part of their own."""
+    prompts = []
+    for number in range(NUM_PROMPTS):
+        shared = tuple(
+            PromptPart(f"{number % (20 * (depth + 1)):x}-{depth}", tokens)
+            for depth, tokens in enumerate(SHARED_TOKENS)
+        )
+        own = PromptPart(f"{random.getrandbits(32):x}", OWN_TOKENS)
+        total = sum(SHARED_TOKENS) + OWN_TOKENS
+        prompts.append(Prompt("model", (*shared, own), total, 20))
+    return prompts
+
+
+def make_candidates(prompts: list[Prompt], random: Random) -> list[Candidate]:
+    """Make runners that keep what a share of the prompts brought them."""
+    candidates = []
+    for number in range(NUM_RUNNERS):
+        cache = CacheBelief(CAPACITY_TOKENS)
+        for prompt in random.sample(prompts, 12):
+            cache.note(SCOPE, prompt.parts, is_ready=True)
+        back_end = BackEnd(
+            f"i-{number}", ServiceName("lm"), f"10.0.0.{number}:80", ZoneName(f"z{number % 4}"),
+            BackEndState.READY, 48,
+        )  # fmt: skip
+        load = Load(random.randrange(20), random.randrange(9000), random.randrange(60_000))
+        candidates.append(Candidate(back_end, load, False, cache, CAPACITY_TOKENS, VERSION))
+    return candidates
+
+
+def time_each(action: Callable[[int], object], count: int) -> list[float]:
+    """Return the sorted times of repeated calls, in seconds."""
+    times_s = []
+    for number in range(count):
+        began_s = time.perf_counter()
+        action(number)
+        times_s.append(time.perf_counter() - began_s)
+    return sorted(times_s)
+
+
+def report(name: str, times_s: list[float]) -> None:
+    """Print the median and the 99th percentile."""
+    median = times_s[len(times_s) // 2] * MICROSECONDS_PER_S
+    p99 = times_s[int(len(times_s) * P99)] * MICROSECONDS_PER_S
+    print(f"{name}: median {median:.0f} us, p99 {p99:.0f} us")
+
+
+def main() -> int:
+    """Measure and print."""
+    random = Random(1)
+    prompts = make_prompts(random)
+    candidates = make_candidates(prompts, random)
+    sources = [
+        FetchSource(
+            one.back_end.address, one.back_end.zone, one.cache, VERSION, one.back_end.instance
+        )
+        for one in candidates
+        if one.cache is not None
+    ]
+    rules = ChoiceRules()
+
+    def choose_one(number: int) -> object:
+        need = PromptNeed(prompts[number % NUM_PROMPTS], {VERSION: SCOPE})
+        return choose(candidates, need, sources, ZoneName("z1"), rules, random)
+
+    report(f"choice over {NUM_RUNNERS} runners", time_each(choose_one, NUM_CHOICES))
+    loads = tuple(LoadNews(f"i-{number:08x}", 12, 3456, 45_678) for number in range(NUM_RUNNERS))
+    parts = tuple(PartNews(part.part_id, part.num_tokens) for part in prompts[0].parts)
+    sends = (SendNews("i-0000000a", SCOPE, False, parts),) * NUM_SENDS_A_DATAGRAM
+    news = PeerNews("edge-hall-1", loads, sends)
+    datagram = encode_news(news)
+    report("datagram encoding", time_each(lambda _: encode_news(news), NUM_DATAGRAMS))
+    report("datagram decoding", time_each(lambda _: decode_news(datagram), NUM_DATAGRAMS))
+    print(
+        f"datagram of {NUM_RUNNERS} loads and {NUM_SENDS_A_DATAGRAM} sends: {len(datagram)} bytes"
+    )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/features/gateway_log.feature
+++ b/features/gateway_log.feature
@@ -3,7 +3,7 @@
   Scenario: A reader that stops reading costs no event and no memory
     Given a line log on a pipe that nobody reads
     When 20000 events are logged in bursts, with flushes between
-    Then no call took long, and at most 2000 lines wait
+    Then no call blocked, and at most 2000 lines wait
     And what was dropped is counted
 
   Scenario: Ordinary successes are dropped before failures
