Let few nodes read the store and tell the others, with a bounded age of proof

Cause: each node watched all keys and read the store's revision each 1.2 s.

Ruled out: reading with `stale`, which may be seconds old and proves nothing; longer pauses between watches, which saves a part at the price of late changes; a share of readers in each zone, which at 7 nodes in 4 zones would be nearly all of them.

Change: `state_relay` chooses readers by hash from the registered nodes (2, or one for 24 nodes). The others ask one of them each 0.4 s; a reply proves what it says as of the query's time less the reader's proof age, so late or frozen messages prove nothing newer. A proof older than 1.1 s makes a node read the store itself. `change_log` keeps the latest change of each key; what it lacks, or what does not fit a datagram, is read from the store. Registrations are decoded once, not at each flush.

--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -19,8 +19,8 @@
     PartNews,
     PeerNews,
     SendNews,
-    decode_news,
-    encode_news,
+    decode_message,
+    encode_message,
 )
 from weirscale.gateway.prompt import CacheScope, Prompt, PromptPart
 
@@ -108,9 +108,9 @@
     parts = tuple(PartNews(part.part_id, part.num_tokens) for part in prompts[0].parts)
     sends = (SendNews("i-0000000a", SCOPE, False, parts),) * NUM_SENDS_A_DATAGRAM
     news = PeerNews("edge-hall-1", loads, sends)
-    datagram = encode_news(news)
-    report("datagram encoding", time_each(lambda _: encode_news(news), NUM_DATAGRAMS))
-    report("datagram decoding", time_each(lambda _: decode_news(datagram), NUM_DATAGRAMS))
+    datagram = encode_message(news)
+    report("datagram encoding", time_each(lambda _: encode_message(news), NUM_DATAGRAMS))
+    report("datagram decoding", time_each(lambda _: decode_message(datagram), NUM_DATAGRAMS))
     print(
         f"datagram of {NUM_RUNNERS} loads and {NUM_SENDS_A_DATAGRAM} sends: {len(datagram)} bytes"
     )
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -14,6 +14,7 @@
 
 from features.support.platform_store import StoreStandIn  # noqa: E402
 from weirscale.gateway.node import GatewayNode  # noqa: E402
+from weirscale.gateway.peer_messages import decode_message, encode_message  # noqa: E402
 from weirscale.gateway.retry_budget import RetryBudgetRules  # noqa: E402
 from weirscale.gateway.settings import Bounds, GatewaySettings, ListenAddress  # noqa: E402
 from weirscale_platform.callers import Callers  # noqa: E402
@@ -23,6 +24,7 @@
 STORE_ADDRESS = "10.0.0.1:7000"
 CALLER_PORT = 8000
 READY_PORT = 8001
+PEER_PORT = 8002
 TICK_S = 0.05
 MODEL = "m"
 
@@ -54,6 +56,7 @@
 
     async def handle_async_request(self, request):
         address = f"{request.url.host}:{request.url.port}"
+        self._fleet.asked.append((self._node_name, request.url.path))
         if (self._node_name, address) in self._fleet.cuts:
             await anyio.sleep(0.3)
             raise httpx.ConnectTimeout("cut")
@@ -103,6 +106,8 @@
         self.targets = {STORE_ADDRESS: self.store}
         self.runners = []
         self.cuts = set()
+        self.silent = set()
+        self.asked = []
         self.nodes = {}
         self.logs = {}
         self.scopes = {}
@@ -131,7 +136,7 @@
             region="r",
             callers=address,
             readiness=ListenAddress(address.host, READY_PORT),
-            peers=ListenAddress("127.0.0.1", 0),
+            peers=ListenAddress(address.host, PEER_PORT),
             is_first_start=is_first_start,
             bounds=self.bounds,
             retry_budget=self.budget,
@@ -159,6 +164,11 @@
         with scope:
             await node.run()
 
+    def hears(self, sender, receiver):
+        """Whether datagrams between two nodes arrive."""
+        names = {sender.settings.name, receiver.settings.name}
+        return not names & self.silent
+
     def kill(self, name):
         self.scopes[name].cancel()
         del self.nodes[name]
@@ -193,7 +203,14 @@
             return
         for node in list(self._fleet.nodes.values()):
             if node is not self._node:
-                node.hear(news)
+                await node.hear(news, self._node.settings.peers)
+
+    async def send(self, message, address):
+        decoded = decode_message(encode_message(message))
+        assert decoded == message, decoded
+        for node in list(self._fleet.nodes.values()):
+            if node.settings.peers == address and self._fleet.hears(self._node, node):
+                await node.hear(decoded, self._node.settings.peers)
 
 
 async def with_fleet(fleet, body):
--- /dev/null
+++ b/src/weirscale/gateway/change_log.py
@@ -0,0 +1,43 @@
+"""The latest change of each key of the platform's state, in the order of revisions.
+
+The latest change of a key makes its earlier ones needless, so the log stays as large as the state.
+"""
+
+from collections import OrderedDict
+
+from weirscale.gateway.ports import VersionedChange
+
+MAX_ENTRIES = 2048
+"""Beyond this the oldest entries go; nodes that lack them read the store."""
+
+
+class ChangeLog:
+    """What other nodes may be told; `Knowledge` is its only writer."""
+
+    def __init__(self) -> None:
+        self._latest: OrderedDict[str, VersionedChange] = OrderedDict()
+        self._complete_after = 0
+
+    def begin(self, revision: int) -> None:
+        """Begin anew after a reading of everything: what had ended before it is not known."""
+        self._latest.clear()
+        self._complete_after = revision
+
+    def add(self, change: VersionedChange) -> None:
+        """Note the latest change of a key."""
+        self._latest[change.key] = change
+        self._latest.move_to_end(change.key)
+        if len(self._latest) > MAX_ENTRIES:
+            _, dropped = self._latest.popitem(last=False)
+            self._complete_after = max(self._complete_after, dropped.revision)
+
+    def since(self, revision: int) -> tuple[VersionedChange, ...] | None:
+        """Return the changes after a revision; None if some of them may not be known."""
+        if revision < self._complete_after:
+            return None
+        newer: list[VersionedChange] = []
+        for change in reversed(self._latest.values()):
+            if change.revision <= revision:
+                break
+            newer.append(change)
+        return tuple(reversed(newer))
--- a/src/weirscale/gateway/follower.py
+++ b/src/weirscale/gateway/follower.py
@@ -1,5 +1,6 @@
 """Follows the platform's state: reads all once, then waits for changes; reads all again when the
-store has forgotten its history."""
+store has forgotten its history. It rests while another node that reads the store tells the changes.
+"""
 
 from random import Random
 
@@ -8,6 +9,7 @@
 
 from weirscale.gateway.knowledge import NEVER_S, Knowledge
 from weirscale.gateway.ports import StateBatch, StateFeed
+from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
 from weirscale.node.event_log import EventLog
 from weirscale.ports.key_value import KeyValueFailure, KeyValueFailureKind
 
@@ -18,6 +20,9 @@
 """How often the store's revision is read. A revision that is known already proves that nothing else
 has been acknowledged; a watch alone may tell changes late."""
 
+READER_PROOF_INTERVAL_S = 0.4
+"""The same at a node that others rest on: their proofs are older by the way to them."""
+
 LATE_CHANGE_S = 0.4
 """A revision that the watch has not told by then makes everything be read anew."""
 
@@ -40,20 +45,30 @@
         knowledge: What is kept up to date; this task is its only writer.
         event_log: Where losses and returns of the store are told.
         random: Spreads retries.
+        publisher: Tells other nodes what changes.
+        subscription: Keeps this node current while another one reads the store.
     """
 
     def __init__(
-        self, feed: StateFeed, knowledge: Knowledge, event_log: EventLog, random: Random
+        self,
+        feed: StateFeed,
+        knowledge: Knowledge,
+        event_log: EventLog,
+        random: Random,
+        publisher: ChangePublisher,
+        subscription: StateSubscription,
     ) -> None:
         self._feed = feed
         self._knowledge = knowledge
+        self._publisher = publisher
+        self._subscription = subscription
         self._event_log = event_log
         self._random = random
         self._num_failures = 0
         self._must_read_all = True
         self._watch_scope = anyio.CancelScope()
-        self.changed = anyio.Event()
-        """Set, and replaced, whenever changes have been taken over."""
+        # A watch that hears nothing must not keep this node from reading.
+        subscription.on_reading_due = lambda: self._watch_scope.cancel()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -63,26 +78,33 @@
 
     async def _follow_on(self) -> None:
         while True:
+            if self._is_resting():
+                await self._subscription.wait_until_not_current()
+                continue
             failure = await self._step()
             if failure is None:
                 self._note_success()
             else:
                 await self._note_failure(failure)
 
+    def _is_resting(self) -> bool:
+        return not self._must_read_all and self._subscription.is_current()
+
     async def _step(self) -> KeyValueFailure | None:
         asked_at_s = anyio.current_time()
-        if self._must_read_all:
+        if self._must_read_all or self._subscription.is_reading_due():
             read = await self._feed.read_all()
             if isinstance(read, Err):
                 return read.err_value
             self._knowledge.replace_all(read.ok_value, asked_at_s)
             self._must_read_all = False
+            self._subscription.has_read()
         else:
             followed = await self._follow()
             if isinstance(followed, Err):
                 return followed.err_value
             self._knowledge.apply(followed.ok_value, NEVER_S)
-        self._tell_change()
+        await self._publisher.publish()
         return None
 
     async def _follow(self) -> Result[StateBatch, KeyValueFailure]:
@@ -92,13 +114,17 @@
 
     async def _prove_regularly(self) -> None:
         while True:
-            await anyio.sleep(PROOF_INTERVAL_S)
-            if self._must_read_all:
+            await anyio.sleep(self._proof_interval_s())
+            if self._must_read_all or self._is_resting():
                 continue
             asked_at_s = anyio.current_time()
             with anyio.move_on_after(ANSWER_SLACK_S):
                 await self._prove(asked_at_s)
 
+    def _proof_interval_s(self) -> float:
+        has_subscribers = self._publisher.has_subscribers()
+        return READER_PROOF_INTERVAL_S if has_subscribers else PROOF_INTERVAL_S
+
     async def _prove(self, asked_at_s: float) -> None:
         read = await self._feed.current_revision()
         if isinstance(read, Err):
@@ -117,10 +143,6 @@
             self._knowledge.confirm(asked_at_s)
             self._note_success()
 
-    def _tell_change(self) -> None:
-        changed, self.changed = self.changed, anyio.Event()
-        changed.set()
-
     def _note_success(self) -> None:
         if self._num_failures:
             self._event_log.event("store_regained", failures=self._num_failures)
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -8,6 +8,7 @@
 
 from weirscale.domain.identifiers import ServiceName
 from weirscale.gateway.back_ends import BackEnd, BackEndDirectory, BackEndState
+from weirscale.gateway.change_log import ChangeLog
 from weirscale.gateway.ports import (
     BackEndGone,
     BackEndRegistered,
@@ -43,6 +44,7 @@
         self.table: RouteTable | None = None
         self.directory = BackEndDirectory()
         self.weights = VersionBook()
+        self.log = ChangeLog()
         self.records: dict[str, bytes] = {}
         self.revision = 0
         self.confirmed_at_s = NEVER_S
@@ -62,6 +64,7 @@
                 self._remove_back_end(instance)
         for key in [key for key in self.records if key not in present]:
             del self.records[key]
+        self.log.begin(batch.revision)
         self.apply(batch, asked_at_s)
         self.has_read_all = True
 
@@ -75,6 +78,7 @@
         for change in batch.changes:
             if change.revision > self._revisions.get(change.key, 0):
                 self._revisions[change.key] = change.revision
+                self.log.add(change)
                 self._apply_one(change)
         self.revision = max(self.revision, batch.revision)
         self.confirm(asked_at_s)
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -18,10 +18,18 @@
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.load import NO_LOAD, FleetLoad, Load
 from weirscale.gateway.metrics import GatewayMetrics
-from weirscale.gateway.peer_messages import LoadingNews, LoadNews, NamedNews, PeerNews
+from weirscale.gateway.peer_messages import (
+    LoadingNews,
+    LoadNews,
+    NamedNews,
+    PeerMessage,
+    PeerNews,
+    StateQuery,
+    StateReply,
+)
 from weirscale.gateway.peers import (
+    MessageReceiver,
     NewsOutbox,
-    NewsReceiver,
     PeerDirectory,
     PeerTask,
     RegistrationTask,
@@ -32,7 +40,8 @@
 from weirscale.gateway.rollout import RolloutRules
 from weirscale.gateway.rollout_task import RolloutTask
 from weirscale.gateway.routes import RouteTable
-from weirscale.gateway.settings import GatewaySettings
+from weirscale.gateway.settings import GatewaySettings, ListenAddress
+from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
 from weirscale.gateway.timed_record import OrderTurn
 from weirscale.node.duties.lease_task import KEY_PREFIX, DutyLeaseTask
 from weirscale.node.event_log import EventLog
@@ -90,7 +99,7 @@
         return self._clock() >= self._free_since_s + RANK_DELAY_S * self._peers.rank()
 
 
-class GatewayNode(NewsReceiver):
+class GatewayNode(MessageReceiver):
     """One gateway.
 
     Args:
@@ -126,7 +135,6 @@
         self.knowledge = Knowledge(event_log, clock)
         self.knowledge.on_gone = self._forget_back_end
         self.knowledge.on_version = self._take_version
-        self.follower = StateFollower(feed, self.knowledge, event_log, random)
         self.load = FleetLoad()
         self.health = BackEndHealth(event_log, random)
         bounds = settings.bounds
@@ -140,6 +148,13 @@
         self.peers = PeerDirectory(settings.name, self.knowledge, clock)
         self.outbox = NewsOutbox(settings.name)
         self.peer_task = PeerTask(settings.peers, self.peers, self.outbox, self, self._gather_news)
+        self.publisher = ChangePublisher(settings.name, self.knowledge, self._send, clock)
+        self.subscription = StateSubscription(
+            settings.name, self.knowledge, self.peers, self._send, event_log, random, clock
+        )
+        self.follower = StateFollower(
+            feed, self.knowledge, event_log, random, self.publisher, self.subscription
+        )
         self.registration = RegistrationTask(settings.name, settings.peers, store, event_log)
         self.context = ExchangeContext(
             settings, self.knowledge, self.dispatcher, self.load, self.health, self.budget,
@@ -187,6 +202,7 @@
         """Run all tasks until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.follower.run)
+            tasks.start_soon(self.subscription.run)
             tasks.start_soon(self.registration.run)
             tasks.start_soon(self.peer_task.run)
             tasks.start_soon(self._lease.run)
@@ -219,8 +235,19 @@
     def _take_version(self, instance: str, model: str, version: int) -> None:
         self.dispatcher.weights_changed(instance)
 
-    def hear(self, news: PeerNews) -> None:
-        """Take over what a peer tells."""
+    async def _send(self, message: PeerMessage, address: ListenAddress) -> None:
+        await self.peer_task.send(message, address)
+
+    async def hear(self, message: PeerMessage, sender: ListenAddress) -> None:
+        """Take over what a peer tells, or answer it."""
+        if isinstance(message, StateQuery):
+            await self.publisher.answer(message, sender)
+        elif isinstance(message, StateReply):
+            self.subscription.hear(message)
+        else:
+            self._hear_news(message)
+
+    def _hear_news(self, news: PeerNews) -> None:
         now_s = self._clock()
         for load in news.loads:
             heard = Load(load.num_requests, load.waiting_tokens, load.held_tokens)
--- a/src/weirscale/gateway/peer_messages.py
+++ b/src/weirscale/gateway/peer_messages.py
@@ -1,14 +1,17 @@
-"""What nodes tell one another: one typed message, cbor2 on the wire.
+"""What nodes tell one another: typed messages, cbor2 on the wire.
 
-Everything in it improves choices and nothing depends on it: a lost datagram costs a less good
-choice. Loads are absolute values, so a later message repairs an earlier loss.
+`PeerNews` improves choices and nothing depends on it: a lost datagram costs a less good choice.
+Loads are absolute values, so a later message repairs an earlier loss. `StateQuery` and `StateReply`
+spread the platform's state from the nodes that read it to the others (`state_relay`).
 """
 
 import cbor2
 import msgspec
 
-MAX_DATAGRAM_BYTES = 60_000
-"""Largest message sent; below what one datagram holds."""
+from weirscale.gateway.ports import VersionedChange
+
+MAX_REPLY_BYTES = 24_000
+"""Larger replies do not go out: datagrams of many fragments are lost too often."""
 
 
 class LoadNews(msgspec.Struct, frozen=True, array_like=True):
@@ -59,8 +62,8 @@
     instance: str
 
 
-class PeerNews(msgspec.Struct, frozen=True, array_like=True):
-    """One datagram."""
+class PeerNews(msgspec.Struct, frozen=True, array_like=True, tag="news"):
+    """What improves choices."""
 
     sender: str
     loads: tuple[LoadNews, ...] = ()
@@ -70,15 +73,57 @@
     suspects: tuple[SuspectNews, ...] = ()
 
 
-def encode_news(news: PeerNews) -> bytes:
+class StateQuery(msgspec.Struct, frozen=True, array_like=True, tag="query"):
+    """A node asks a reader of the store for what it lacks, and for proof that this is all.
+
+    Attributes:
+        sender: The node that asks.
+        number: Told back in the reply; the sender knows when it asked.
+        after_revision: Revision up to which the sender knows everything.
+    """
+
+    sender: str
+    number: int
+    after_revision: int
+
+
+class StateReply(msgspec.Struct, frozen=True, array_like=True, tag="reply"):
+    """The changes after a revision, or the word that they must be read from the store.
+
+    Attributes:
+        sender: The reader.
+        number: Number of the query, 0 for changes that nobody asked for.
+        after_revision: The changes are complete after this revision.
+        revision: The changes are complete up to this revision.
+        proof_age_ms: Everything acknowledged longer ago than this is in it.
+        is_left_out: The changes are too old or too large to be sent.
+        changes: The latest change of each key.
+    """
+
+    sender: str
+    number: int
+    after_revision: int
+    revision: int
+    proof_age_ms: int
+    is_left_out: bool = False
+    changes: tuple[VersionedChange, ...] = ()
+
+
+PeerMessage = PeerNews | StateQuery | StateReply
+
+
+def encode_message(message: PeerMessage) -> bytes:
     """Encode a message."""
-    encoded: bytes = cbor2.dumps(msgspec.to_builtins(news))
+    encoded: bytes = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
     return encoded
 
 
-def decode_news(datagram: bytes) -> PeerNews | None:
+def decode_message(datagram: bytes) -> PeerMessage | None:
     """Decode a message; None for anything else than a valid one."""
     try:
-        return msgspec.convert(cbor2.loads(datagram), PeerNews)
+        message: PeerMessage = msgspec.convert(
+            cbor2.loads(datagram), PeerMessage, builtin_types=(bytes,)
+        )
     except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError):
         return None
+    return message
--- a/src/weirscale/gateway/peers.py
+++ b/src/weirscale/gateway/peers.py
@@ -1,7 +1,7 @@
 """Finds the other nodes by their registrations and exchanges small datagrams with them."""
 
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 import cbor2
@@ -14,11 +14,12 @@
     LoadingNews,
     LoadNews,
     NamedNews,
+    PeerMessage,
     PeerNews,
     SendNews,
     SuspectNews,
-    decode_news,
-    encode_news,
+    decode_message,
+    encode_message,
 )
 from weirscale.gateway.settings import ListenAddress
 from weirscale.node.event_log import EventLog
@@ -59,6 +60,8 @@
         self._knowledge = knowledge
         self._clock = clock
         self._last_seen_s: dict[str, float] = {}
+        self._read: dict[str, tuple[bytes, ListenAddress | None]] = {}
+        """Registrations as last read, so that each is decoded once."""
 
     def addresses(self) -> dict[str, ListenAddress]:
         """Return the other nodes' addresses."""
@@ -66,12 +69,18 @@
         now_s = self._clock()
         for key, value in self._knowledge.records_under(NODE_PREFIX):
             name = key.removeprefix(NODE_PREFIX)
-            address = _read_registration(value)
+            address = self._address(key, value)
             if address is not None and name != self._name:
                 found[name] = address
                 self._last_seen_s[name] = now_s
         return found
 
+    def _address(self, key: str, value: bytes) -> ListenAddress | None:
+        known = self._read.get(key)
+        if known is None or known[0] != value:
+            known = self._read[key] = (value, _read_registration(value))
+        return known[1]
+
     def num_nodes(self) -> int:
         """Return how many nodes may share a budget: all seen lately, this one included."""
         self.addresses()
@@ -165,11 +174,11 @@
         return False
 
 
-class NewsReceiver:
+class MessageReceiver:
     """Takes what peers tell; the node implements it."""
 
-    def hear(self, news: PeerNews) -> None:
-        """Take over one message."""
+    async def hear(self, message: PeerMessage, sender: ListenAddress) -> None:
+        """Take over one message that came from an address."""
         raise NotImplementedError
 
 
@@ -241,7 +250,7 @@
         address: ListenAddress,
         directory: PeerDirectory,
         outbox: NewsOutbox,
-        receiver: NewsReceiver,
+        receiver: MessageReceiver,
         gather: Callable[[bool], None],
     ) -> None:
         self._address = address
@@ -263,10 +272,10 @@
                 await self._flush_regularly()
 
     async def _receive(self, socket: UDPSocket) -> None:
-        async for datagram, _ in socket:
-            news = decode_news(datagram)
-            if news is not None:
-                self._receiver.hear(news)
+        async for datagram, (host, port) in socket:
+            message = decode_message(datagram)
+            if message is not None:
+                await self._receiver.hear(message, ListenAddress(host, port))
 
     async def _flush_regularly(self) -> None:
         refreshed_at_s = 0.0
@@ -281,14 +290,22 @@
 
     async def flush(self) -> None:
         """Send what there is to tell, now."""
-        socket = self._socket
         news = self._outbox.take()
-        if news is None or socket is None:
+        if news is not None:
+            await self._send_to_all(news, self._directory.addresses().values())
+
+    async def send(self, message: PeerMessage, address: ListenAddress) -> None:
+        """Send a message to one node; it may be lost."""
+        await self._send_to_all(message, (address,))
+
+    async def _send_to_all(self, message: PeerMessage, addresses: Iterable[ListenAddress]) -> None:
+        socket = self._socket
+        if socket is None:
             return
-        datagram = encode_news(news)
-        # A load is announced by another task than the regular flush: the socket takes one sender.
+        datagram = encode_message(message)
+        # Several tasks send; the socket takes one sender at a time.
         async with self._sending:
-            for address in self._directory.addresses().values():
+            for address in addresses:
                 await _send_to(socket, datagram, address)
 
 
--- a/src/weirscale/gateway/ports.py
+++ b/src/weirscale/gateway/ports.py
@@ -18,42 +18,42 @@
 """Header fields in order; names in lower case."""
 
 
-# What the platform's state tells.
+# What the platform's state tells. The kinds of change are tagged: nodes pass them on.
 
 
-class ConfigurationNamed(msgspec.Struct, frozen=True):
+class ConfigurationNamed(msgspec.Struct, frozen=True, tag=True):
     """The operators' configuration as it stands."""
 
     configuration: GatewayConfiguration
 
 
-class BackEndRegistered(msgspec.Struct, frozen=True):
+class BackEndRegistered(msgspec.Struct, frozen=True, tag=True):
     """A back end registered or changed its registration."""
 
     back_end: BackEnd
 
 
-class BackEndGone(msgspec.Struct, frozen=True):
+class BackEndGone(msgspec.Struct, frozen=True, tag=True):
     """A registration ended."""
 
     instance: str
 
 
-class WeightsNamed(msgspec.Struct, frozen=True):
+class WeightsNamed(msgspec.Struct, frozen=True, tag=True):
     """Operators want a version of a model's weights on all runners."""
 
     model: str
     version: int
 
 
-class RecordChanged(msgspec.Struct, frozen=True):
+class RecordChanged(msgspec.Struct, frozen=True, tag=True):
     """One of the gateway's own records; `value` is None once it is gone."""
 
     key: str
     value: bytes | None
 
 
-class Unreadable(msgspec.Struct, frozen=True):
+class Unreadable(msgspec.Struct, frozen=True, tag=True):
     """An entry that could not be parsed; the last good state stays."""
 
     key: str
--- /dev/null
+++ b/src/weirscale/gateway/state_relay.py
@@ -0,0 +1,250 @@
+"""Spreads the platform's state from a few nodes that read the store to all others.
+
+Every call to the store has a price and a rate shared by all nodes. So a few nodes, chosen by hash
+from the registered ones, follow the store; each other node asks one of them, several times a
+second, for the changes that it lacks and for the age of the reader's proof that there are no more.
+
+A reply proves what it says as of the time of the query less that age, however long either message
+was on its way: the reader's proof was at most that old when it answered, and it answered after the
+query. A node whose proof grows older than `PATIENCE_S` reads the store itself, as a reader does, so
+a reader that is dead, frozen or cut off delays a change by no more than that.
+"""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import anyio
+import msgspec
+import xxhash
+
+from weirscale.gateway.knowledge import NEVER_S, Knowledge
+from weirscale.gateway.peer_messages import (
+    MAX_REPLY_BYTES,
+    PeerMessage,
+    StateQuery,
+    StateReply,
+    encode_message,
+)
+from weirscale.gateway.peers import PeerDirectory
+from weirscale.gateway.ports import StateBatch
+from weirscale.gateway.settings import ListenAddress
+from weirscale.node.event_log import EventLog
+
+MIN_READERS = 2
+NODES_A_READER = 24
+"""A reader answers so many nodes."""
+
+QUERY_INTERVAL_S = 0.4
+PATIENCE_S = 1.1
+"""An older proof makes a node read the store itself; changes must be in force within 2 s."""
+
+AVOIDED_S = 3.0
+"""How long a reader without proofs is not asked again."""
+
+SUBSCRIBED_S = 1.5
+"""How long after its last query a node is told changes unasked."""
+
+MAX_OPEN_QUERIES = 8
+MILLISECONDS_PER_S = 1000.0
+MAX_TOLD_AGE_MS = 1_000_000_000
+
+Send = Callable[[PeerMessage, ListenAddress], Awaitable[None]]
+"""Sends one datagram; it may be lost."""
+
+
+def choose_readers(names: set[str]) -> list[str]:
+    """Return the nodes that read the store: the same on every node that knows the same names."""
+    num_readers = max(MIN_READERS, -(-len(names) // NODES_A_READER))
+    return sorted(names, key=lambda name: (xxhash.xxh64_intdigest(name.encode()), name))[
+        :num_readers
+    ]
+
+
+class _Subscriber(msgspec.Struct):
+    address: ListenAddress
+    asked_at_s: float
+
+
+class ChangePublisher:
+    """Answers other nodes' queries and tells them changes as they come.
+
+    Args:
+        name: This node.
+        knowledge: What is told.
+        send: Sends a datagram.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self, name: str, knowledge: Knowledge, send: Send, clock: Callable[[], float]
+    ) -> None:
+        self._name = name
+        self._knowledge = knowledge
+        self._send = send
+        self._clock = clock
+        self._subscribers: dict[str, _Subscriber] = {}
+        self._published_revision = 0
+
+    def has_subscribers(self) -> bool:
+        """Whether other nodes rest on this one's proofs."""
+        since_s = self._clock() - SUBSCRIBED_S
+        for name in [one for one, sub in self._subscribers.items() if sub.asked_at_s < since_s]:
+            del self._subscribers[name]
+        return bool(self._subscribers)
+
+    async def answer(self, query: StateQuery, address: ListenAddress) -> None:
+        """Answer a query."""
+        if not self._knowledge.has_read_all:
+            return
+        self._subscribers[query.sender] = _Subscriber(address, self._clock())
+        await self._send(self._reply(query.number, query.after_revision), address)
+
+    async def publish(self) -> None:
+        """Tell all who asked lately what has changed since the last time."""
+        after_revision, self._published_revision = (
+            self._published_revision,
+            self._knowledge.revision,
+        )
+        if not self.has_subscribers() or self._knowledge.revision <= after_revision:
+            return
+        reply = self._reply(0, after_revision)
+        if not reply.changes:
+            return
+        for subscriber in list(self._subscribers.values()):
+            await self._send(reply, subscriber.address)
+
+    def _reply(self, number: int, after_revision: int) -> StateReply:
+        knowledge = self._knowledge
+        age_ms = min(knowledge.age_s() * MILLISECONDS_PER_S, MAX_TOLD_AGE_MS)
+        told = StateReply(
+            self._name, number, after_revision, knowledge.revision, int(age_ms) + 1,
+            is_left_out=True,
+        )  # fmt: skip
+        changes = knowledge.log.since(after_revision)
+        if changes is None:
+            return told
+        whole = msgspec.structs.replace(told, is_left_out=False, changes=changes)
+        if changes and len(encode_message(whole)) > MAX_REPLY_BYTES:
+            return told
+        return whole
+
+
+class StateSubscription:
+    """Keeps this node's knowledge current by queries to a reader; `run` must be running.
+
+    Args:
+        name: This node.
+        knowledge: What is kept current.
+        peers: The registered nodes.
+        send: Sends a datagram.
+        event_log: Where losses and returns of readers are told.
+        random: Spreads the queries.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        knowledge: Knowledge,
+        peers: PeerDirectory,
+        send: Send,
+        event_log: EventLog,
+        random: Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._name = name
+        self._knowledge = knowledge
+        self._peers = peers
+        self._send = send
+        self._event_log = event_log
+        self._random = random
+        self._clock = clock
+        self._reader: str | None = None
+        self._reader_since_s = NEVER_S
+        self._avoided_until_s: dict[str, float] = {}
+        self._open_queries: dict[int, float] = {}
+        self._number = 0
+        self._proved_at_s = NEVER_S
+        self._reading_due = anyio.Event()
+        self.on_reading_due: Callable[[], None] = lambda: None
+        """Called when a reader could not tell all changes; the follower sets it."""
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            await anyio.sleep(QUERY_INTERVAL_S * (0.9 + 0.2 * self._random.random()))
+            if self._knowledge.has_read_all:
+                await self._ask()
+
+    def is_current(self) -> bool:
+        """Whether a reader keeps this node current, so that it need not read the store."""
+        return not self._reading_due.is_set() and self._clock() < self._proved_at_s + PATIENCE_S
+
+    async def wait_until_not_current(self) -> None:
+        """Return once this node has to read the store itself."""
+        while self.is_current():
+            with anyio.CancelScope(deadline=self._proved_at_s + PATIENCE_S):
+                await self._reading_due.wait()
+
+    def is_reading_due(self) -> bool:
+        """Whether a reader could not tell all changes, so that everything must be read."""
+        return self._reading_due.is_set()
+
+    def has_read(self) -> None:
+        """Learn that everything has been read."""
+        if self._reading_due.is_set():
+            self._reading_due = anyio.Event()
+
+    def hear(self, reply: StateReply) -> None:
+        """Take over a reply, or changes that were told unasked."""
+        asked_at_s = self._open_queries.pop(reply.number, None)
+        if reply.is_left_out or reply.after_revision > self._knowledge.revision:
+            # What was told unasked may follow on something that got lost: the next query mends it.
+            if asked_at_s is not None and reply.revision > self._knowledge.revision:
+                self._reading_due.set()
+                self.on_reading_due()
+            return
+        self._knowledge.apply(StateBatch(reply.revision, reply.changes), NEVER_S)
+        if asked_at_s is None:
+            return
+        proved_at_s = asked_at_s - reply.proof_age_ms / MILLISECONDS_PER_S
+        self._knowledge.confirm(proved_at_s)
+        self._proved_at_s = max(self._proved_at_s, proved_at_s)
+
+    async def _ask(self) -> None:
+        addresses = self._peers.addresses()
+        reader = self._choose_reader(set(addresses))
+        if reader is None:
+            return
+        self._number += 1
+        self._open_queries[self._number] = self._clock()
+        while len(self._open_queries) > MAX_OPEN_QUERIES:
+            del self._open_queries[next(iter(self._open_queries))]
+        query = StateQuery(self._name, self._number, self._knowledge.revision)
+        await self._send(query, addresses[reader])
+
+    def _choose_reader(self, peers: set[str]) -> str | None:
+        """Return whom to ask: one reader as long as its proofs are fresh; None for a reader."""
+        now_s = self._clock()
+        readers = choose_readers(peers | {self._name})
+        if self._name in readers:
+            self._reader = None
+            return None
+        if self._reader in readers and now_s - self._last_proof_s() <= PATIENCE_S:
+            return self._reader
+        if self._reader is not None:
+            self._avoided_until_s[self._reader] = now_s + AVOIDED_S
+            self._event_log.event(
+                "reader_lost", reader=self._reader, proof_age_s=now_s - self._proved_at_s
+            )
+        usable = [one for one in readers if self._avoided_until_s.get(one, NEVER_S) <= now_s]
+        self._reader = min(usable, key=self._distance, default=None)
+        self._reader_since_s = now_s
+        return self._reader
+
+    def _last_proof_s(self) -> float:
+        """Return when the reader last proved to be of use, or was chosen."""
+        return max(self._reader_since_s, self._proved_at_s)
+
+    def _distance(self, reader: str) -> int:
+        return xxhash.xxh64_intdigest(f"{self._name}|{reader}".encode())
