--- a/features/gateway_instances.feature
+++ b/features/gateway_instances.feature
@@ -11,6 +11,12 @@
     When 6 requests are sent
     Then no run was over a scope of other weights than its runner had
 
+  Scenario: One refusal for other weights teaches all nodes
+    Given 3 nodes and 2 runners, all of which have taken new weights unnoticed
+    When 30 generations that may be sent once are sent to the nodes in turn
+    Then at most 2 of them met a refusal
+    And the 20 latest were answered
+
   Scenario: An order for an incarnation that is gone changes nothing at the next one
     Given a runner whose address has passed to its next incarnation
     When an order meant for the earlier incarnation is given
--- a/features/steps/gateway_instances_steps.py
+++ b/features/steps/gateway_instances_steps.py
@@ -96,6 +96,49 @@
             assert run.headers["x-expect-version"] == str(run.version), run
 
 
+@given("{nodes:d} nodes and {runners:d} runners, all of which have taken new weights unnoticed")
+def step_all_new(context, nodes, runners):
+    context.fleet = Fleet()
+    context.num_nodes = nodes
+    context.ends = [
+        RunnerStandIn(f"r-{number}", f"10.3.0.{number}:8080", "lm") for number in range(runners)
+    ]
+
+
+@when("{count:d} generations that may be sent once are sent to the nodes in turn")
+def step_in_turn(context, count):
+    fleet = context.fleet
+    context.answers = []
+
+    async def body():
+        fleet.store.put("op/config", configuration())
+        for end in context.ends:
+            fleet.add_runner(end)
+        nodes = [await fleet.start_node(f"node-{number}") for number in range(context.num_nodes)]
+        await anyio.sleep(1.0)
+        for end in context.ends:
+            end.version = 2
+        for number in range(count):
+            headers = generation_headers(f"q{number}", parts=f"a{number}:800,b{number}:200")
+            node = nodes[number % len(nodes)]
+            context.answers.append(await ask(node, "/n/1", headers=headers))
+            await anyio.sleep(0.1)
+
+    run_in_virtual_time(lambda: with_fleet(fleet, body))
+
+
+@then("at most {count:d} of them met a refusal")
+def step_few_refused(context, count):
+    arrivals = sum(len(end.arrivals) for end in context.ends)
+    runs = sum(len(end.runs) for end in context.ends)
+    assert 0 < arrivals - runs <= count, (arrivals, runs)
+
+
+@then("the {count:d} latest were answered")
+def step_latest(context, count):
+    assert {answer.status for answer in context.answers[-count:]} == {200}, context.answers
+
+
 @given("a runner whose address has passed to its next incarnation")
 def step_next(context):
     context.fleet = Fleet()
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -11,7 +11,7 @@
 from weirscale.gateway.load import FleetLoad
 from weirscale.gateway.metrics import GatewayMetrics
 from weirscale.gateway.model import Route
-from weirscale.gateway.outcome import AttemptEnd, Verdict
+from weirscale.gateway.outcome import AttemptEnd, Verdict, is_about_weights
 from weirscale.gateway.peer_messages import PartNews, SendNews, SuspectNews
 from weirscale.gateway.peers import NewsOutbox, PeerDirectory
 from weirscale.gateway.ports import Answer, BackEndPort
@@ -20,6 +20,7 @@
 from weirscale.gateway.settings import GatewaySettings
 from weirscale.gateway.split import WeightedSplit
 from weirscale.gateway.summary import ExchangeSummary
+from weirscale.gateway.version_check import VersionCheck
 from weirscale.node.event_log import EventLog
 
 PROOF_SHARE = 0.92
@@ -56,6 +57,7 @@
         budget: Retry budget.
         peers: Other nodes.
         outbox: What peers are told.
+        version_check: Asks runners that have other weights than believed.
         port_of: Returns the port of a back end.
         event_log: Decisions.
         metrics: Figures.
@@ -72,6 +74,7 @@
         budget: SharedRetryBudget,
         peers: PeerDirectory,
         outbox: NewsOutbox,
+        version_check: VersionCheck,
         port_of: Callable[[BackEnd], BackEndPort],
         event_log: EventLog,
         metrics: GatewayMetrics,
@@ -85,6 +88,7 @@
         self._budget = budget
         self._peers = peers
         self._outbox = outbox
+        self._version_check = version_check
         self.port_of = port_of
         self._event_log = event_log
         self._metrics = metrics
@@ -152,6 +156,8 @@
             self._health.succeeded(instance, now_s)
         elif verdict.end is AttemptEnd.UNRUN:
             self.dispatcher.note_refused(instance)
+            if is_about_weights(verdict):
+                self._version_check.request(instance)
         elif verdict.end is AttemptEnd.NEVER_SENT:
             self._health.unreachable(instance, verdict.reason, now_s)
             self._outbox.add_suspect(SuspectNews(instance))
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -43,6 +43,7 @@
 from weirscale.gateway.settings import GatewaySettings, ListenAddress
 from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
 from weirscale.gateway.timed_record import OrderTurn
+from weirscale.gateway.version_check import VersionCheck
 from weirscale.node.duties.lease_task import KEY_PREFIX, DutyLeaseTask
 from weirscale.node.event_log import EventLog
 from weirscale.ports.key_value import KeyValuePort
@@ -166,9 +167,13 @@
             feed, self.knowledge, event_log, random, self.publisher, self.subscription
         )
         self.registration = RegistrationTask(settings.name, settings.peers, store, event_log)
+        self.version_check = VersionCheck(
+            self.knowledge, self.port_of, self.outbox.add_loading, clock
+        )
         self.context = ExchangeContext(
             settings, self.knowledge, self.dispatcher, self.load, self.health, self.budget,
-            self.peers, self.outbox, self.port_of, event_log, self.metrics, clock,
+            self.peers, self.outbox, self.version_check, self.port_of, event_log, self.metrics,
+            clock,
         )  # fmt: skip
         self.app = CallerApp(
             settings, self.context, dialect, self.is_ready, lambda: self.is_stopping,
@@ -217,6 +222,7 @@
             tasks.start_soon(self.peer_task.run)
             tasks.start_soon(self._lease.run)
             tasks.start_soon(self._rollout.run)
+            tasks.start_soon(self.version_check.run)
             tasks.start_soon(self._probe_regularly, tasks)
             await anyio.sleep_forever()
 
@@ -241,6 +247,7 @@
         if port is not None:
             self._closing[back_end.instance] = port
         self.dispatcher.forget(back_end.instance)
+        self.version_check.forget(back_end.instance)
 
     def _take_version(self, instance: str, model: str, version: int) -> None:
         self.dispatcher.weights_changed(instance)
--- a/src/weirscale/gateway/outcome.py
+++ b/src/weirscale/gateway/outcome.py
@@ -68,6 +68,14 @@
     return Verdict(AttemptEnd.ANSWERED, f"status_{answer.status}")
 
 
+HTTP_MISDIRECTED = 421
+
+
+def is_about_weights(verdict: Verdict) -> bool:
+    """Whether a back end refused for being another one, or having other weights, than expected."""
+    return verdict.end is AttemptEnd.UNRUN and verdict.reason == f"refused_{HTTP_MISDIRECTED}"
+
+
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request did not run and never will."""
 
