Take over changed settings while running; count the calls to the store

Change: `SettingsWatch` reads the settings on the signal and each 2 s; bounds and the retry budget are in force at once, other fields are told as counting from the next start, and unreadable settings keep the last good ones (told once, with the remedy). `CountedFeed` and `CountedStore` count calls by kind and result around whatever adapter makes them.

--- a/features/gateway_log.feature
+++ b/features/gateway_log.feature
@@ -41,3 +41,7 @@
     Given two back ends of which the one asked first does "none" once
     When a single request is sent
     Then the metrics tell 1 streaming request that was answered
+
+  Scenario: The metrics tell calls to the store by kind and result
+    Given a gateway whose store is down for a while after the start
+    Then the metrics tell calls "follow" and "revision" that succeeded and some that failed
--- a/features/steps/gateway_log_steps.py
+++ b/features/steps/gateway_log_steps.py
@@ -6,8 +6,11 @@
 import signal
 from pathlib import Path
 
+import anyio
 from behave import given, then, when
 
+from features.support.platform_fleet import Fleet, configuration, with_fleet
+from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.line_log import MAX_QUEUED_LINES, LineLog
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -177,3 +180,33 @@
 def step_metrics(context, count):
     wanted = f'weirscale_requests_total{{kind="streaming",outcome="answered"}} {count}.0'
     assert wanted in context.metrics_text, context.metrics_text
+
+
+@given("a gateway whose store is down for a while after the start")
+def step_store_down(context):
+    fleet = Fleet()
+
+    async def body():
+        fleet.store.put("op/config", configuration())
+        node = await fleet.start_node()
+        await anyio.sleep(3.0)
+        fleet.store.put("op/config", configuration(2))
+        await anyio.sleep(1.0)
+        fleet.store.is_down = True
+        fleet.store.cut_watches()
+        await anyio.sleep(3.0)
+        context.metrics = node.metrics_text().decode()
+
+    run_in_virtual_time(lambda: with_fleet(fleet, body))
+
+
+@then('the metrics tell calls "{one}" and "{other}" that succeeded and some that failed')
+def step_store_calls(context, one, other):
+    counted = [
+        line
+        for line in context.metrics.splitlines()
+        if line.startswith("weirscale_store_calls_total")
+    ]
+    for kind in (one, other):
+        assert any(f'kind="{kind}",result="ok"' in line for line in counted), counted
+    assert any('result="unreachable"' in line for line in counted), counted
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -133,7 +133,6 @@
         settings = GatewaySettings(
             name=name,
             zone="hall-a",
-            region="r",
             callers=address,
             readiness=ListenAddress(address.host, READY_PORT),
             peers=ListenAddress(address.host, PEER_PORT),
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -95,6 +95,10 @@
         self._refused_until_s: dict[str, float] = {}
         self._slow_until_s: dict[str, float] = {}
 
+    def set_weights_grace(self, weights_grace_s: float) -> None:
+        """Change how long older weights may be sent requests."""
+        self._weights_grace_s = weights_grace_s
+
     def choose(self, query: DispatchQuery) -> Choice | None:
         """Return the best back end, or None if none may serve."""
         table = self._knowledge.table
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -17,7 +17,7 @@
 from weirscale.gateway.ports import Answer, BackEndPort
 from weirscale.gateway.prompt import Prompt
 from weirscale.gateway.retry_budget import SharedRetryBudget
-from weirscale.gateway.settings import GatewaySettings
+from weirscale.gateway.settings import Bounds
 from weirscale.gateway.split import WeightedSplit
 from weirscale.gateway.summary import ExchangeSummary
 from weirscale.gateway.version_check import VersionCheck
@@ -49,7 +49,7 @@
     """Shared by all requests of a node.
 
     Args:
-        settings: Settings of the process.
+        bounds: The deployment's bounds.
         knowledge: The platform's state.
         dispatcher: Chooses back ends.
         load: Work at back ends.
@@ -66,7 +66,7 @@
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        bounds: Bounds,
         knowledge: Knowledge,
         dispatcher: Dispatcher,
         load: FleetLoad,
@@ -80,7 +80,7 @@
         metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
-        self._settings = settings
+        self._key_removal_s = bounds.key_removal_s
         self.knowledge = knowledge
         self.dispatcher = dispatcher
         self._load = load
@@ -96,9 +96,13 @@
         self.split = WeightedSplit()
         self._waiting: dict[int, int] = {}
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Change the bounds."""
+        self._key_removal_s = bounds.key_removal_s
+
     def is_current(self) -> bool:
         """Whether the configuration is proved to be current enough for keys."""
-        bound_s = self._settings.bounds.key_removal_s
+        bound_s = self._key_removal_s
         return bound_s is None or self.knowledge.age_s() <= PROOF_SHARE * bound_s
 
     def priority(self, tenant_priority: int | None, route_priority: int) -> int:
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -11,6 +11,7 @@
 from weirscale.domain.identifiers import Incarnation, NodeId, NodeName
 from weirscale.gateway.back_ends import BackEnd
 from weirscale.gateway.caller_app import CallerApp
+from weirscale.gateway.counted_store import CountedFeed, CountedStore
 from weirscale.gateway.dispatcher import Dispatcher
 from weirscale.gateway.exchange_context import ExchangeContext
 from weirscale.gateway.follower import StateFollower
@@ -40,7 +41,7 @@
 from weirscale.gateway.rollout import RolloutRules
 from weirscale.gateway.rollout_task import RolloutTask
 from weirscale.gateway.routes import RouteTable
-from weirscale.gateway.settings import GatewaySettings, ListenAddress
+from weirscale.gateway.settings import Bounds, GatewaySettings, ListenAddress
 from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
 from weirscale.gateway.timed_record import OrderTurn
 from weirscale.gateway.version_check import VersionCheck
@@ -88,6 +89,15 @@
     return RANK_DELAY_S * num_first + LATER_RANK_DELAY_S * (rank - num_first)
 
 
+def _rollout_rules(bounds: Bounds) -> RolloutRules:
+    return RolloutRules(
+        load_s=LOAD_S,
+        share_at_once=SHARE_LOADING_AT_ONCE,
+        target_s=ROLLOUT_TARGET_SHARE * bounds.weights_s,
+        urgent_s=bounds.weights_s - WEIGHTS_MARGIN_S,
+    )
+
+
 class RolloutEligibility:
     """Lets a node try for the duty once its key is gone, later by rank."""
 
@@ -143,6 +153,8 @@
         self._closing: dict[str, BackEndPort] = {}
         self.is_stopping = False
         self.metrics = GatewayMetrics()
+        feed = CountedFeed(feed, self.metrics.count_store_call)
+        store = CountedStore(store, self.metrics.count_store_call)
         self.knowledge = Knowledge(event_log, clock)
         self.knowledge.on_gone = self._forget_back_end
         self.knowledge.on_version = self._take_version
@@ -171,7 +183,7 @@
             self.knowledge, self.port_of, self.outbox.add_loading, clock
         )
         self.context = ExchangeContext(
-            settings, self.knowledge, self.dispatcher, self.load, self.health, self.budget,
+            settings.bounds, self.knowledge, self.dispatcher, self.load, self.health, self.budget,
             self.peers, self.outbox, self.version_check, self.port_of, event_log, self.metrics,
             clock,
         )  # fmt: skip
@@ -180,17 +192,11 @@
             self.metrics_text,
         )  # fmt: skip
         self._lease = self._make_lease(store, random)
+        self._turn = OrderTurn(settings.name, store, self.knowledge, bounds.lease_s, clock)
         self._rollout = RolloutTask(
             settings.name, self._lease, self.knowledge, self.port_of, self._announce_loading,
             lambda instance: self.load.total(instance, clock()).num_requests, event_log,
-            RolloutRules(
-                load_s=LOAD_S,
-                share_at_once=SHARE_LOADING_AT_ONCE,
-                target_s=ROLLOUT_TARGET_SHARE * bounds.weights_s,
-                urgent_s=bounds.weights_s - WEIGHTS_MARGIN_S,
-            ),
-            OrderTurn(settings.name, store, self.knowledge, bounds.lease_s, clock),
-            store,
+            _rollout_rules(bounds), self._turn, store,
         )  # fmt: skip
 
     def _make_lease(self, store: KeyValuePort, random: Random) -> DutyLeaseTask:
@@ -209,6 +215,15 @@
             duty, node_id, store, eligibility, random, rules, call_timeout_s=LEASE_CALL_TIMEOUT_S
         )
 
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Put changed bounds and a changed retry budget in force."""
+        bounds = settings.bounds
+        self.budget.set_rules(settings.retry_budget)
+        self.context.set_bounds(bounds)
+        self.dispatcher.set_weights_grace(bounds.weights_s - WEIGHTS_MARGIN_S)
+        self._rollout.set_rules(_rollout_rules(bounds))
+        self._turn.set_apart(bounds.lease_s)
+
     def is_ready(self) -> bool:
         """Whether new connections are welcome: a configuration is known and no stop has begun."""
         return self.knowledge.table is not None and not self.is_stopping
--- a/src/weirscale/gateway/program.py
+++ b/src/weirscale/gateway/program.py
@@ -13,6 +13,7 @@
 from weirscale.gateway.node import GatewayNode
 from weirscale.gateway.ports import BackEndConnector, CallerDialect, StateFeed
 from weirscale.gateway.settings import GatewaySettings
+from weirscale.gateway.settings_watch import SettingsWatch
 from weirscale.node.event_log import EventLog
 from weirscale.ports.http_server import ConnectionLimits, open_listener, serve_on_listeners
 from weirscale.ports.key_value import KeyValuePort
@@ -32,7 +33,11 @@
     """What an adapter to a platform provides."""
 
     def settings(self) -> GatewaySettings:
-        """Read the settings."""
+        """Read the settings as they are now.
+
+        Raises:
+            SettingsError: They cannot be read or are wrong.
+        """
         ...
 
     def feed(self) -> StateFeed:
@@ -76,6 +81,9 @@
             event_log,
             random,
         )
+        self.settings_watch = SettingsWatch(
+            settings, adapter.settings, self.node.apply_settings, event_log
+        )
 
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop` is set, then end without cutting a request."""
@@ -87,6 +95,7 @@
         closed = anyio.Event()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.node.run)
+            tasks.start_soon(self.settings_watch.run)
             limits = ConnectionLimits()
             finish_s = settings.bounds.stop_s - NOTICE_S - STOP_MARGIN_S
             async with anyio.create_task_group() as serving:
@@ -136,7 +145,7 @@
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(log.run)
-        tasks.start_soon(_follow_signals, stop, lambda: log.event("settings_signalled"))
+        tasks.start_soon(_follow_signals, stop, program.settings_watch.signal)
         await program.run(stop)
         tasks.cancel_scope.cancel()
     log.flush()
--- a/src/weirscale/gateway/rollout_task.py
+++ b/src/weirscale/gateway/rollout_task.py
@@ -83,6 +83,10 @@
         self._recorded: dict[str, int] = {}
         self._token = 0
 
+    def set_rules(self, rules: RolloutRules) -> None:
+        """Change the times."""
+        self._rules = rules
+
     async def run(self) -> None:
         """Plan and order until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/src/weirscale/gateway/settings.py
+++ b/src/weirscale/gateway/settings.py
@@ -2,10 +2,14 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import RegionName, ZoneName
+from weirscale.domain.identifiers import ZoneName
 from weirscale.gateway.retry_budget import RetryBudgetRules
 
 
+class SettingsError(Exception):
+    """The settings are missing or wrong; the message names the remedy."""
+
+
 class ListenAddress(msgspec.Struct, frozen=True):
     """An IP number and a port to listen on."""
 
@@ -18,7 +22,6 @@
 
     Attributes:
         stop_s: From the signal to stop until the process is killed.
-        leaving_s: Until a leaving back end gets no new request.
         key_removal_s: Until a removed key serves no more, cut off or not; None without that bound.
         lease_s: Least time between orders of two holders.
         weights_s: Until requests start on newly named weights only.
@@ -26,7 +29,6 @@
     """
 
     stop_s: float = 8.0
-    leaving_s: float = 2.0
     key_removal_s: float | None = 5.0
     lease_s: float = 3.0
     weights_s: float = 8.0
@@ -39,7 +41,6 @@
     Attributes:
         name: Name of the node.
         zone: Its zone.
-        region: Its region.
         callers: Where callers connect.
         readiness: Where readiness is asked for.
         metrics: Where metrics are asked for, or None.
@@ -52,7 +53,6 @@
 
     name: str
     zone: ZoneName
-    region: RegionName
     callers: ListenAddress
     readiness: ListenAddress
     peers: ListenAddress
--- a/src/weirscale/gateway/timed_record.py
+++ b/src/weirscale/gateway/timed_record.py
@@ -59,12 +59,17 @@
         self._holder = holder
         self._store = store
         self._knowledge = knowledge
-        self._life_s = apart_s + 2 * RENEWAL_LIFE_S
+        self._life_s = 0.0
+        self.set_apart(apart_s)
         self._clock = clock
         self._lease_id = 0
         self._is_written = False
         self._renewed_at_s = float("-inf")
 
+    def set_apart(self, apart_s: float) -> None:
+        """Change the least time between two holders' orders; counts from the next record on."""
+        self._life_s = apart_s + 2 * RENEWAL_LIFE_S
+
     async def take(self) -> bool:
         """Whether an order may be given within the next `RENEWAL_LIFE_S`."""
         if self._is_renewed():
