Put the news of a large fleet into fewer messages; say how state spreads

Cause: every node tells every other its news, up to 20 times a second.

Change: a node's messages to all others lie 0.005 s a node apart, from 0.05 s (up to 10 nodes, as before) to 1 s.

--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -20,7 +20,7 @@
 from weirscale.gateway.change_log import ChangeLog
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.peer_messages import StateReply
-from weirscale.gateway.peers import PeerDirectory
+from weirscale.gateway.peers import PeerDirectory, flush_interval_s
 from weirscale.gateway.ports import RecordChanged, StateBatch, VersionedChange
 from weirscale.gateway.settings import ListenAddress
 from weirscale.gateway.state_relay import StateSubscription, choose_readers
@@ -310,3 +310,15 @@
     for name in context.names[:20]:
         if name not in context.readers:
             assert choose_readers(set(context.names) - {name}) == context.readers
+
+
+@then("a node of a fleet of {nodes:d} tells its news each {seconds:g} seconds")
+def step_flush(context, nodes, seconds):
+    context.interval_s = flush_interval_s(nodes)
+    context.num_heard = (nodes - 1) / context.interval_s
+    assert abs(context.interval_s - seconds) < 1e-9, context.interval_s
+
+
+@then("it hears at most {count:d} messages a second")
+def step_heard(context, count):
+    assert context.num_heard <= count, context.num_heard
--- a/src/weirscale/gateway/peers.py
+++ b/src/weirscale/gateway/peers.py
@@ -30,7 +30,12 @@
 RENEWAL_INTERVAL_S = 2.0
 REGISTRATION_RETRY_S = 0.5
 CALL_TIMEOUT_S = 1.5
-FLUSH_INTERVAL_S = 0.05
+MIN_FLUSH_INTERVAL_S = 0.05
+MAX_FLUSH_INTERVAL_S = 1.0
+FLUSH_S_A_NODE = 0.005
+"""Every node hears from every other: the larger the fleet, the more news goes into one message, so
+that a node hears at most some 200 messages a second."""
+
 REFRESH_INTERVAL_S = 1.0
 """All loads are told again this often, which mends losses and shows that the node lives."""
 
@@ -239,6 +244,11 @@
         return news
 
 
+def flush_interval_s(num_nodes: int) -> float:
+    """Return the time between a node's messages to all others."""
+    return min(MAX_FLUSH_INTERVAL_S, max(MIN_FLUSH_INTERVAL_S, FLUSH_S_A_NODE * num_nodes))
+
+
 class PeerTask:
     """Owns the datagram socket; `run` must be running.
 
@@ -291,7 +301,7 @@
                 refreshed_at_s = now_s
             self._gather(must_refresh)
             await self.flush()
-            await anyio.sleep(FLUSH_INTERVAL_S)
+            await anyio.sleep(flush_interval_s(self._directory.num_nodes()))
 
     async def flush(self) -> None:
         """Send what there is to tell, now."""
