Do not let a late reply revive a key that has ended; check histories of the relay

Cause: a node that reads everything forgets keys that have ended, but not at which revision. A reply of a reader that was sent before and arrived after brought such a key back, with a proof that covered it: a back end that is gone would have been chosen again until the next reading.

Ruled out: the direct way, whose answers come one after the other. Change: of a reply, only changes newer than what the node knows are taken over.

--- a/features/gateway_relay.feature
+++ b/features/gateway_relay.feature
@@ -92,3 +92,8 @@
       | 7     | 0.05    |
       | 79    | 0.395   |
       | 400   | 1.0     |
+
+  Scenario: However messages are lost, delayed, repeated or reordered, no more is proved than is known
+    Given 1500 random histories of a store, a reader and a node that asks it
+    Then at no time has a node a value older than its proof
+    And in most histories the node's proof came from the reader
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -16,6 +16,7 @@
     route,
     with_fleet,
 )
+from features.support.relay_history import RelayHistory
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.change_log import ChangeLog
 from weirscale.gateway.knowledge import Knowledge
@@ -322,3 +323,21 @@
 @then("it hears at most {count:d} messages a second")
 def step_heard(context, count):
     assert context.num_heard <= count, context.num_heard
+
+
+@given("{count:d} random histories of a store, a reader and a node that asks it")
+def step_histories(context, count):
+    context.histories = [RelayHistory(seed) for seed in range(count)]
+
+
+@then("at no time has a node a value older than its proof")
+def step_no_stale(context):
+    for seed, history in enumerate(context.histories):
+        violation = history.run()
+        assert violation is None, (seed, violation)
+
+
+@then("in most histories the node's proof came from the reader")
+def step_proofs(context):
+    num_proved = sum(history.num_proofs > 3 for history in context.histories)
+    assert num_proved > len(context.histories) / 2, num_proved
--- a/src/weirscale/gateway/state_relay.py
+++ b/src/weirscale/gateway/state_relay.py
@@ -204,7 +204,9 @@
                 self._reading_due.set()
                 self.on_reading_due()
             return
-        self._knowledge.apply(StateBatch(reply.revision, reply.changes), NEVER_S)
+        # What is not newer is known already, or has ended since: a late reply must not revive it.
+        newer = tuple(one for one in reply.changes if one.revision > self._knowledge.revision)
+        self._knowledge.apply(StateBatch(reply.revision, newer), NEVER_S)
         if asked_at_s is None:
             return
         proved_at_s = asked_at_s - reply.proof_age_ms / MILLISECONDS_PER_S
