A stopping holder of the rollout no longer keeps the next one from giving orders

It gave no order without the lease, but renewed the record of orders each time it looked, for the six seconds that a load may take; the next holder held the lease from 9.2 s and gave its first order at 18.7 s, when all runners were beyond the bound on old weights.

Ruled out: the order in which nodes try for the duty (the node that registered last held it at once); the relay of state (the record did exist all the time).

Change: without the lease of the same term neither the record nor the load goes on. Besides, a reading of everything that is older than what a reader has told meanwhile is done again: it would drop what was made in between (seen in the code, no failure of it was met).

Measured: "A holder that stops with loads to order does not keep the next one waiting" fails without the change and passes with it.

--- a/features/gateway_rollout.feature
+++ b/features/gateway_rollout.feature
@@ -104,6 +104,12 @@
       | 1     |
       | 3     |
 
+  Scenario: A holder that stops with loads to order does not keep the next one waiting
+    Given 3 nodes and 6 runners
+    When version 2 is named and the holder stops between a load's beginning and its order
+    And 7 seconds pass
+    Then every runner has version 2
+
   Scenario: The node that registered last takes a free duty
     Given 4 nodes and 2 runners
     When the holder of the duty is killed and node-3 registers anew
--- a/features/steps/gateway_rollout_steps.py
+++ b/features/steps/gateway_rollout_steps.py
@@ -23,6 +23,7 @@
 
 NOW_S = 100.0
 NEVER_TAKEN = "weirscale/duties/placement_planner"
+MAX_WAITS = 500
 STARTED_S = 5.0
 REQUEST_INTERVAL_S = 0.05
 
@@ -386,3 +387,27 @@
 @then("a node of rank {rank:d} waits {seconds:g} seconds")
 def step_rank_delay(context, rank, seconds):
     assert abs(rank_delay_s(rank) - seconds) < 1e-9
+
+
+@when("version {version:d} is named and the holder stops between a load's beginning and its order")
+def step_stops_with_loads(context, version):
+    async def action(play):
+        fleet = play.fleet
+        holder = play.holder()
+        name_version(play, version)
+        for _ in range(MAX_WAITS):
+            ordered = {runner.instance for runner in fleet.runners if runner.orders}
+            waiting = holder._rollout._loading - ordered
+            if ordered and waiting:
+                break
+            if ordered:
+                late = [one for one in fleet.runners if one.instance not in ordered]
+                fleet.cuts.update((holder.settings.name, one.address) for one in late)
+            await anyio.sleep(0.02)
+        assert ordered and waiting, "no load had begun without its order"
+        await anyio.sleep(0.1)
+        fleet.cuts.clear()
+        holder.is_stopping = True
+        await holder.leave()
+
+    context.play.actions.append(action)
--- a/src/weirscale/gateway/follower.py
+++ b/src/weirscale/gateway/follower.py
@@ -96,6 +96,9 @@
             read = await self._feed.read_all()
             if isinstance(read, Err):
                 return read.err_value
+            if read.ok_value.revision < self._knowledge.revision:
+                # A reader told newer changes meanwhile; what this reading lacks may be among them.
+                return None
             self._knowledge.replace_all(read.ok_value, asked_at_s)
             self._must_read_all = False
             self._subscription.has_read()
--- a/src/weirscale/gateway/rollout_task.py
+++ b/src/weirscale/gateway/rollout_task.py
@@ -165,7 +165,7 @@
         ordered_sequence: int | None = None
         ordered_at_s = 0.0
         num_silent = 0
-        while self._knowledge.directory.get(runner.instance) is not None:
+        while self._is_own_term() and self._knowledge.directory.get(runner.instance) is not None:
             report = await port.report(CALL_TIMEOUT_S)
             num_silent = num_silent + 1 if report is None else 0
             if num_silent >= MAX_SILENT_REPORTS:
@@ -187,15 +187,18 @@
                 self._knowledge.learn_version(runner.instance, model, served.version, "report")
         return (self._knowledge.version_of(runner.instance, model) or 0) >= wanted
 
+    def _is_own_term(self) -> bool:
+        token = self._lease.token()
+        return token is not None and token == self._token
+
     async def _order(
         self, port: BackEndPort, runner: BackEnd, model: str, version: int, sequence: int
     ) -> bool:
         """Give an order; False if it may not be given now."""
-        if not await self._turn.take():
-            return False
-        token = self._lease.token()
-        if token is None or token != self._token:
+        # Without the lease the record must not be renewed either: it keeps the next holder out.
+        if not self._is_own_term() or not await self._turn.take() or not self._is_own_term():
             return False
+        token = self._token
         order = WeightOrder(model, version, self._holder, token, sequence, runner.instance)
         outcome = await port.order(order, CALL_TIMEOUT_S)
         self._event_log.event(
