Correct a comment on how many messages a node hears

Cause: the comment promised some 200 messages a second for any fleet; from 200 nodes on the interval is at its longest, so a node hears one a second from each other node, as the table in gateway_relay.feature says. Change: the comment only; no code. make test: 1577 passed, 0 failed.

--- a/src/weirscale/gateway/peers.py
+++ b/src/weirscale/gateway/peers.py
@@ -34,7 +34,7 @@
 MAX_FLUSH_INTERVAL_S = 1.0
 FLUSH_S_A_NODE = 0.005
 """Every node hears from every other: the larger the fleet, the more news goes into one message, so
-that a node hears at most some 200 messages a second."""
+that a node hears some 200 messages a second up to 200 nodes, and one from each node beyond."""
 
 REFRESH_INTERVAL_S = 1.0
 """All loads are told again this often, which mends losses and shows that the node lives."""
