Listen before the libraries are loaded; let callers wait for the first reading

Cause: after a loss of all processes a node listened 0.69 s after its start, because it loaded its libraries first; callers were turned away meanwhile and repeat but once. With listening alone, the requests that had waited met a node without a configuration and were refused.

`listeners` leaves `http_server`. Also mended, found by the new test: a refusal before any configuration was proved raised OverflowError while it was logged.

--- a/bench/bare_relay.py
+++ b/bench/bare_relay.py
@@ -8,7 +8,8 @@
 import httpx
 
 from bench.setup import ServerAddress, announce
-from weirscale.ports.http_server import open_listener, serve_asgi
+from weirscale.ports.http_server import serve_asgi
+from weirscale.ports.listeners import open_listener
 
 Message = MutableMapping[str, Any]
 LOOPBACK = "127.0.0.1"
--- a/bench/control_process.py
+++ b/bench/control_process.py
@@ -48,8 +48,9 @@
 from weirscale.node.program import make_service_port
 from weirscale.ports.engine import EnginePort
 from weirscale.ports.engine_http import HttpEngine
-from weirscale.ports.http_server import open_listener, serve_asgi
+from weirscale.ports.http_server import serve_asgi
 from weirscale.ports.key_value_etcd import EtcdKeyValue
+from weirscale.ports.listeners import open_listener
 from weirscale.ports.peers_network import UdpHttpPeerNetwork
 from weirscale.standins.key_value.app import KeyValueApp
 from weirscale.standins.key_value.in_process import InProcessKeyValue
--- a/bench/node_process.py
+++ b/bench/node_process.py
@@ -12,7 +12,7 @@
 from weirscale.node.event_log import start_line_log
 from weirscale.node.program import NodeProgram
 from weirscale.node.settings import NodeSettings, PeerKeySettings
-from weirscale.ports.http_server import open_listener
+from weirscale.ports.listeners import open_listener
 
 LOOPBACK = "127.0.0.1"
 PROFILE_VARIABLE = "WEIRSCALE_BENCH_PROFILE"
--- a/bench/platform_process.py
+++ b/bench/platform_process.py
@@ -9,7 +9,8 @@
 from weirscale.domain.identifiers import EngineName
 from weirscale.node.configuration.apply import Applier
 from weirscale.node.configuration.outcome import Accepted
-from weirscale.ports.http_server import open_listener, serve_asgi
+from weirscale.ports.http_server import serve_asgi
+from weirscale.ports.listeners import open_listener
 from weirscale.standins.engine.server import EngineServer, serve_engine
 from weirscale.standins.engine.settings import EngineSettings
 from weirscale.standins.key_value.app import KeyValueApp
--- a/features/support/loopback.py
+++ b/features/support/loopback.py
@@ -6,7 +6,7 @@
 import anyio
 
 from weirscale.domain.identifiers import NodeAddress
-from weirscale.ports.http_server import open_listener, port_of
+from weirscale.ports.listeners import open_listener, port_of
 from weirscale.standins.asgi_server import LOOPBACK, serve_listener
 
 
--- a/features/support/path_sockets.py
+++ b/features/support/path_sockets.py
@@ -4,7 +4,8 @@
 
 import anyio
 
-from weirscale.ports.http_server import open_listener, port_of, serve_asgi
+from weirscale.ports.http_server import serve_asgi
+from weirscale.ports.listeners import open_listener, port_of
 
 LOOPBACK = "127.0.0.1"
 FINISH_TIMEOUT_S = 0.0
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -30,6 +30,9 @@
 NO_BACK_END_RETRY_S = 0.25
 """When a caller should come back. Callers honour up to a third of the time that they have left."""
 
+FIRST_READ_PATIENCE_S = 1.0
+"""Until this long after its start a node lets callers wait for its first reading of the state."""
+
 OVERLOAD_FACTOR = 0.8
 """A first event estimated later than this multiple of the objective is not waited for."""
 
@@ -92,6 +95,7 @@
     async def run(self) -> None:
         """Answer the request, or break its answer off."""
         try:
+            await self._context.knowledge.wait_for_first_read(FIRST_READ_PATIENCE_S)
             refusal = self._admit()
             if refusal is not None:
                 await self._refuse(refusal, NO_CONFIGURATION_RETRY_S)
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -1,5 +1,6 @@
 """What the requests of a node share: knowledge, choice, budgets, load, and the telling of it."""
 
+import math
 from collections.abc import Callable
 
 from weirscale.domain.identifiers import ServiceName
@@ -27,6 +28,7 @@
 """Share of the bound on removed keys for which a proof of the configuration holds. A removal that
 is not known is younger than the proof, and a request is sent before it is admitted."""
 
+MILLISECONDS_PER_S = 1000.0
 MAX_PRIORITY = 9
 PRIORITIES_A_TENANT = 3
 DEFAULT_TENANT_PRIORITY = 1
@@ -195,14 +197,14 @@
             "route": summary.route.name if summary.route else "",
             "service": summary.service or "",
             "attempts": summary.num_attempts,
-            "ms": round(summary.duration_s * 1000.0, 1),
+            "ms": round(summary.duration_s * MILLISECONDS_PER_S, 1),
             "config": table.version if table else 0,
-            "config_age_ms": round(self.knowledge.age_s() * 1000.0),
+            "config_age_ms": _age_ms(self.knowledge.age_s()),
         }
         if summary.first_byte_s is not None:
-            fields["first_ms"] = round(summary.first_byte_s * 1000.0, 1)
+            fields["first_ms"] = round(summary.first_byte_s * MILLISECONDS_PER_S, 1)
         if summary.longest_pause_s:
-            fields["pause_ms"] = round(summary.longest_pause_s * 1000.0, 1)
+            fields["pause_ms"] = round(summary.longest_pause_s * MILLISECONDS_PER_S, 1)
         if summary.choice is not None:
             fields.update(_choice_fields(summary.choice))
         if summary.causes:
@@ -210,6 +212,11 @@
         return fields
 
 
+def _age_ms(age_s: float) -> int | str:
+    """Return an age for the log; a configuration may never have been proved yet."""
+    return "never" if math.isinf(age_s) else round(age_s * MILLISECONDS_PER_S)
+
+
 def _choice_fields(choice: Choice) -> dict[str, object]:
     load = choice.candidate.load
     return {
@@ -217,9 +224,9 @@
         "weights": choice.candidate.weight_version or 0,
         "candidates": choice.num_candidates,
         "load": f"{load.num_requests}/{load.waiting_tokens}/{load.held_tokens}",
-        "load_age_ms": round(choice.candidate.load_age_s * 1000.0),
+        "load_age_ms": round(choice.candidate.load_age_s * MILLISECONDS_PER_S),
         "cached": choice.cached_tokens,
         "fetched": choice.fetched_tokens,
         "read": choice.read_tokens,
-        "estimate_ms": round(choice.estimate_s * 1000.0, 1),
+        "estimate_ms": round(choice.estimate_s * MILLISECONDS_PER_S, 1),
     }
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Callable, Iterator
 
+import anyio
+
 from weirscale.domain.identifiers import ServiceName
 from weirscale.gateway.back_ends import BackEnd, BackEndDirectory, BackEndState
 from weirscale.gateway.change_log import ChangeLog
@@ -52,6 +54,8 @@
         self.disrupted_at_s = NEVER_S
         """When the store could last not be reached."""
         self.has_read_all = False
+        self._first_read = anyio.Event()
+        self._made_at_s = clock()
         self.on_gone: Callable[[BackEnd], None] = _ignore
         self.on_table: Callable[[RouteTable], None] = _ignore
         self.on_version: Callable[[str, str, int], None] = _ignore_version
@@ -67,6 +71,15 @@
         self.log.begin(batch.revision)
         self.apply(batch, asked_at_s)
         self.has_read_all = True
+        self._first_read.set()
+
+    async def wait_for_first_read(self, patience_s: float) -> None:
+        """Wait until everything has been read once, until `patience_s` after the start at most."""
+        if self.has_read_all:
+            return
+        left_s = self._made_at_s + patience_s - self._clock()
+        with anyio.move_on_after(max(0.0, left_s)):
+            await self._first_read.wait()
 
     def apply(self, batch: StateBatch, asked_at_s: float) -> None:
         """Take over changes.
--- a/src/weirscale/gateway/program.py
+++ b/src/weirscale/gateway/program.py
@@ -2,8 +2,9 @@
 
 import gc
 import signal
+import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Protocol
 
@@ -12,11 +13,12 @@
 from weirscale.gateway.line_log import LineLog
 from weirscale.gateway.node import GatewayNode
 from weirscale.gateway.ports import BackEndConnector, CallerDialect, StateFeed
-from weirscale.gateway.settings import GatewaySettings
+from weirscale.gateway.settings import GatewaySettings, ListenAddress
 from weirscale.gateway.settings_watch import SettingsWatch
 from weirscale.node.event_log import EventLog
-from weirscale.ports.http_server import ConnectionLimits, open_listener, serve_on_listeners
+from weirscale.ports.http_server import ConnectionLimits, serve_on_listeners
 from weirscale.ports.key_value import KeyValuePort
+from weirscale.ports.listeners import open_listener
 
 NOTICE_S = 2.3
 """From the first failed readiness answer until nobody sends new connections any more."""
@@ -28,6 +30,11 @@
 YOUNG_OBJECTS_BEFORE_COLLECTION = 20_000
 """New containers that start a collection; requests are freed by their reference counts."""
 
+OpenListeners = Mapping[tuple[str, int], socket.socket]
+"""Sockets that listen already, by host and port."""
+
+NO_LISTENERS: OpenListeners = {}
+
 
 class Adapter(Protocol):
     """What an adapter to a platform provides."""
@@ -65,13 +72,20 @@
         settings: Checked settings.
         event_log: Decisions.
         random: Source of randomness.
+        open_listeners: Sockets that listen already; the others are opened by `run`.
     """
 
     def __init__(
-        self, adapter: Adapter, settings: GatewaySettings, event_log: EventLog, random: Random
+        self,
+        adapter: Adapter,
+        settings: GatewaySettings,
+        event_log: EventLog,
+        random: Random,
+        open_listeners: OpenListeners = NO_LISTENERS,
     ) -> None:
         self._settings = settings
         self._event_log = event_log
+        self._open_listeners = open_listeners
         self.node = GatewayNode(
             settings,
             adapter.feed(),
@@ -91,7 +105,7 @@
         addresses = [settings.callers, settings.readiness]
         if settings.metrics is not None:
             addresses.append(settings.metrics)
-        listeners = [open_listener(one.host, one.port) for one in addresses]
+        listeners = [self._listener(address) for address in addresses]
         closed = anyio.Event()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.node.run)
@@ -109,6 +123,10 @@
             tasks.cancel_scope.cancel()
         self._event_log.event("node_stopped")
 
+    def _listener(self, address: ListenAddress) -> socket.socket:
+        opened = self._open_listeners.get((address.host, address.port))
+        return opened or open_listener(address.host, address.port)
+
     async def _leave(self, closed: anyio.Event) -> None:
         """Turn new connections away, let go of duties, then let running requests end."""
         self._event_log.event("node_stopping", running=self.node.app.num_running)
@@ -136,12 +154,12 @@
                 stop.set()
 
 
-async def _serve(make_adapter: Callable[[], Adapter]) -> None:
+async def _serve(make_adapter: Callable[[], Adapter], open_listeners: OpenListeners) -> None:
     adapter = make_adapter()
     settings = adapter.settings()
     log = LineLog(sys.stdout.fileno(), node=settings.name)
     log.install()
-    program = GatewayProgram(adapter, settings, log, Random())
+    program = GatewayProgram(adapter, settings, log, Random(), open_listeners)
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(log.run)
@@ -151,11 +169,17 @@
     log.flush()
 
 
-def run_gateway(make_adapter: Callable[[], Adapter]) -> int:
+def run_gateway(
+    make_adapter: Callable[[], Adapter], open_listeners: OpenListeners = NO_LISTENERS
+) -> int:
     """Run a gateway until SIGTERM or SIGINT; returns the exit code.
 
+    Args:
+        make_adapter: Makes the adapter to the platform.
+        open_listeners: Sockets that listen already, by host and port.
+
     Raises:
         OSError: An address cannot be bound.
     """
-    anyio.run(_serve, make_adapter, backend_options={"use_uvloop": True})
+    anyio.run(_serve, make_adapter, open_listeners, backend_options={"use_uvloop": True})
     return 0
--- a/src/weirscale/node/program.py
+++ b/src/weirscale/node/program.py
@@ -17,8 +17,9 @@
 from weirscale.node.settings import NodeSettings, parse_address
 from weirscale.ports.engine import EnginePort
 from weirscale.ports.engine_http import HttpEngine
-from weirscale.ports.http_server import open_listener, port_of, serve_asgi
+from weirscale.ports.http_server import serve_asgi
 from weirscale.ports.key_value_etcd import EtcdKeyValue
+from weirscale.ports.listeners import open_listener, port_of
 from weirscale.ports.machines_http import HttpMachineList
 from weirscale.ports.peers_network import UdpHttpPeerNetwork
 from weirscale.ports.service import ServicePort
--- a/src/weirscale/ports/http_server.py
+++ b/src/weirscale/ports/http_server.py
@@ -11,11 +11,11 @@
 import msgspec
 
 from weirscale.ports.asgi import AsgiApp
+from weirscale.ports.listeners import LISTEN_BACKLOG
 
 if TYPE_CHECKING:
     from hypercorn.config import Config
 
-LISTEN_BACKLOG = 1024
 KEEP_ALIVE_S = 75.0
 """Longer than clients keep idle connections, so that the client closes them. Also the longest that
 the headers of a request may take: the server has no other limit for them."""
@@ -55,27 +55,6 @@
 DEFAULT_LIMITS = ConnectionLimits()
 
 
-def open_listener(host: str, port: int) -> socket.socket:
-    """Bind a TCP port (0: any free one) and listen, so that its number is known at once.
-
-    Raises:
-        OSError: The address cannot be bound.
-    """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
-    listener.listen(LISTEN_BACKLOG)
-    listener.setblocking(False)
-    return listener
-
-
-def port_of(listener: socket.socket) -> int:
-    """Return the port that a listener is bound to."""
-    port: int = listener.getsockname()[1]
-    return port
-
-
 async def serve_asgi(
     app: AsgiApp,
     listener: socket.socket,
--- a/src/weirscale/ports/peers_network.py
+++ b/src/weirscale/ports/peers_network.py
@@ -17,7 +17,8 @@
 from weirscale.domain.identifiers import NodeAddress
 from weirscale.ports.asgi import Receive, Scope, Send, answer_lifespan, read_body, send_whole
 from weirscale.ports.http_client import shared_tls_context
-from weirscale.ports.http_server import open_listener, serve_asgi
+from weirscale.ports.http_server import serve_asgi
+from weirscale.ports.listeners import open_listener
 from weirscale.ports.peers import CallHandler, Datagram, PeerFailure
 
 CALL_PATH = "/peer"
--- a/src/weirscale/standins/asgi_server.py
+++ b/src/weirscale/standins/asgi_server.py
@@ -7,7 +7,8 @@
 import anyio.lowlevel
 
 from weirscale.ports.asgi import AsgiApp, Receive, Scope, Send
-from weirscale.ports.http_server import open_listener, port_of, serve_asgi
+from weirscale.ports.http_server import serve_asgi
+from weirscale.ports.listeners import open_listener, port_of
 
 LOOPBACK = "127.0.0.1"
 MAX_BODY_BYTES = 64 * 1024 * 1024
