Load new weights at once while requests run on older ones; take the turn of orders once

Change: the choice prefers runners that have the newest weights, by less than an objective. The holder loads a first wave at once and goes on as long as more than a fifth of the requests runs on older weights; runners that nobody needs still wait for the bound, so that versions named in a row cost them one load. The order waits up to 0.4 s for runs at the runner to end; suspect runners load last, and a runner that leaves reports unanswered is suspect. `load_begun` logs what decided. The turn is taken by one load at a time; test: "Loads that begin together share one turn of orders".

--- a/features/gateway_rollout.feature
+++ b/features/gateway_rollout.feature
@@ -19,6 +19,23 @@
       | 6       | 0       | 8,8,8,8     | 1,2,3,4 |
       | 1       | 0       | 6           | 1       |
 
+  Scenario Outline: Runners load at once as long as requests run on older weights
+    Given a rollout rule of 2 s a load, a third at once, a target of 6 s and urgency from 7 s
+    And 6 runners of which <loading> load
+    And <new> requests run on the newest weights, and the last load ended <ago> s ago
+    When runners with "<old>" requests are owed since 0.1 s
+    Then "<chosen>" begin to load
+
+    Examples: requests at each runner that lags (numbered in this order), and who begins
+      | loading | new | ago | old         | chosen |
+      | 0       | 0   | 99  | 0,0,0,0,0,0 |        |
+      | 0       | 0   | 99  | 3,1,2,1,3,3 | 2,4    |
+      | 1       | 0   | 99  | 3,1,2,3,3   | 2      |
+      | 2       | 0   | 99  | 3,1,2,3     |        |
+      | 0       | 9   | 99  | 1,0,1,0     |        |
+      | 0       | 9   | 99  | 2,0,1,0     | 2,4    |
+      | 0       | 0   | 0.3 | 3,1,2,3     |        |
+
   Scenario Outline: All runners take a new version in time, whatever <fault>
     Given 3 nodes and 6 runners
     When version 2 is named and there is "<fault>"
@@ -125,3 +142,9 @@
       | 1    | 0.25    |
       | 8    | 2.0     |
       | 78   | 5.5     |
+
+  Scenario: Loads that begin together share one turn of orders
+    Given a holder that has given no order yet
+    When 3 loads ask for the turn at once, again and again for 5 seconds
+    Then each of them may give its order
+    And the record of the turn outlives the last order by 3 seconds
--- a/features/steps/gateway_rollout_steps.py
+++ b/features/steps/gateway_rollout_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 from functools import partial
+from random import Random
 
 import anyio
 from behave import given, then, when
@@ -19,13 +20,25 @@
 from features.support.platform_runner import RunnerStandIn
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.node import rank_delay_s
-from weirscale.gateway.rollout import LaggingRunner, RolloutRules, runners_to_load
+from weirscale.gateway.rollout import (
+    LaggingRunner,
+    LoadedRunners,
+    RolloutRules,
+    runners_to_load,
+)
+from weirscale.gateway.timed_record import TURN_KEY
 
 NOW_S = 100.0
 NEVER_TAKEN = "weirscale/duties/placement_planner"
 MAX_WAITS = 500
 STARTED_S = 5.0
 REQUEST_INTERVAL_S = 0.05
+APART_S = 3.0
+"""Least time between two holders' orders, by default."""
+
+SLACK_S = 0.05
+JITTER_S = 0.004
+NUM_STORE_SEEDS = 10
 
 
 @given(
@@ -47,12 +60,27 @@
         LaggingRunner(str(number), NOW_S - float(age), 0)
         for number, age in enumerate(ages.split(","), start=1)
     ]
-    context.chosen = runners_to_load(lagging, *context.counts, NOW_S, context.rules)
+    context.chosen = runners_to_load(lagging, LoadedRunners(*context.counts), NOW_S, context.rules)
+
+
+@given("{new:d} requests run on the newest weights, and the last load ended {ago:g} s ago")
+def step_new_requests(context, new, ago):
+    num_runners, num_loading = context.counts
+    context.others = LoadedRunners(num_runners, num_loading, new, NOW_S - ago)
+
+
+@when('runners with "{old}" requests are owed since {age:g} s')
+def step_old_requests(context, old, age):
+    lagging = [
+        LaggingRunner(str(number), NOW_S - age, int(count))
+        for number, count in enumerate(old.split(","), start=1)
+    ]
+    context.chosen = runners_to_load(lagging, context.others, NOW_S, context.rules)
 
 
 @when('runners are owed since "" seconds')
 def step_owed_none(context):
-    context.chosen = runners_to_load([], *context.counts, NOW_S, context.rules)
+    context.chosen = runners_to_load([], LoadedRunners(*context.counts), NOW_S, context.rules)
 
 
 @then('"{chosen}" begin to load')
@@ -411,3 +439,52 @@
         await holder.leave()
 
     context.play.actions.append(action)
+
+
+@given("a holder that has given no order yet")
+def step_holder(context):
+    """Each play makes its own."""
+
+
+@when("{count:d} loads ask for the turn at once, again and again for {seconds:d} seconds")
+def step_ask_turn(context, count, seconds):
+    context.taken = []
+    context.has_record = []
+    for seed in range(NUM_STORE_SEEDS):
+        ask_for_turn(context, seed, count, seconds)
+
+
+def ask_for_turn(context, seed, count, seconds):
+    """Ask beside one another at a store whose answers pass each other."""
+    fleet = Fleet()
+    fleet.store.random = Random(seed)
+    fleet.store.jitter_s = JITTER_S
+
+    async def body():
+        fleet.store.put("op/config", configuration())
+        node = await fleet.start_node()
+
+        async def ask_turn():
+            context.taken.append(await node._turn.take())
+
+        for _ in range(seconds):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(count):
+                    tasks.start_soon(ask_turn)
+            await anyio.sleep(1.0)
+        await anyio.sleep(APART_S - 1.0 - SLACK_S)
+        fleet.store._expire()
+        context.has_record.append(TURN_KEY in fleet.store.items)
+
+    run_in_virtual_time(lambda: with_fleet(fleet, body))
+
+
+@then("each of them may give its order")
+def step_all_taken(context):
+    assert all(context.taken), context.taken
+
+
+@then("the record of the turn outlives the last order by {seconds:g} seconds")
+def step_record(context, seconds):
+    assert seconds == APART_S
+    assert all(context.has_record), context.has_record
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -32,6 +32,7 @@
         self.lose_answers = False
         self.lose_share = 0.0
         self.random = Random(5)
+        self.jitter_s = 0.0
         self.late_writes_s = None
         self.is_deaf = False
         self.next_lease = 100
@@ -101,7 +102,7 @@
             await anyio.sleep(SILENT_S)
         if self.is_down:
             raise httpx.ConnectError("refused")
-        await anyio.sleep(0.004)
+        await anyio.sleep(0.004 + self.jitter_s * self.random.random())
         self._expire()
         return await self._answer(request, path, body)
 
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -38,6 +38,8 @@
         reread_weight: Cost of prompt read again, as a multiple of its reading time.
         other_zone_s: Cost of a back end in another zone.
         suspect_s: Cost of a back end that is being tried again.
+        old_weights_s: Cost of weights that are not the newest named. Less than an objective: an
+            answer on older weights is better than a late one.
         tie_s: Estimates closer than this count as equal.
         memory_share: Share of a runner's memory that may be filled by running requests.
         min_fetch_tokens: Smaller parts are read, not fetched.
@@ -57,6 +59,7 @@
     reread_weight: float = 0.5
     other_zone_s: float = 0.003
     suspect_s: float = 0.3
+    old_weights_s: float = 0.25
     tie_s: float = 0.002
     memory_share: float = 0.85
     min_fetch_tokens: int = 64
@@ -74,6 +77,7 @@
         capacity_tokens: Tokens that fit into its memory.
         weight_version: Version of the weights asked for, or None.
         load_age_s: Age of the oldest peer's news in the load.
+        has_old_weights: Whether newer weights than its own are named.
     """
 
     back_end: BackEnd
@@ -83,6 +87,7 @@
     capacity_tokens: int = 0
     weight_version: int | None = None
     load_age_s: float = 0.0
+    has_old_weights: bool = False
 
 
 class FetchSource(msgspec.Struct, frozen=True):
@@ -190,6 +195,8 @@
 
 def _common_cost_s(candidate: Candidate, zone: ZoneName, rules: ChoiceRules) -> float:
     cost_s = rules.suspect_s if candidate.is_suspect else 0.0
+    if candidate.has_old_weights:
+        cost_s += rules.old_weights_s
     if candidate.back_end.zone != zone:
         cost_s += rules.other_zone_s
     num_over = candidate.load.num_requests + 1 - candidate.back_end.slots
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -175,14 +175,17 @@
         if prompt is None or service is None or service.engine is None:
             return Candidate(back_end, load, is_suspect)
         capacity = service.engine.cache_tokens
+        version = self._knowledge.version_of(back_end.instance, prompt.model)
+        newest = self._knowledge.weights.newest(prompt.model)
         return Candidate(
             back_end,
             load,
             is_suspect,
             self._cache(back_end.instance, capacity),
             capacity,
-            self._knowledge.version_of(back_end.instance, prompt.model),
+            version,
             self._load.age_s(back_end.instance, now_s),
+            has_old_weights=version is not None and newest is not None and version < newest,
         )
 
     def _cache(self, instance: str, capacity_tokens: int) -> CacheBelief:
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -195,8 +195,8 @@
         self._turn = OrderTurn(settings.name, store, self.knowledge, bounds.lease_s, clock)
         self._rollout = RolloutTask(
             settings.name, self._lease, self.knowledge, self.port_of, self._announce_loading,
-            lambda instance: self.load.total(instance, clock()).num_requests, event_log,
-            _rollout_rules(bounds), self._turn, store,
+            lambda instance: self.load.total(instance, clock()).num_requests, self.health,
+            event_log, _rollout_rules(bounds), self._turn, store,
         )  # fmt: skip
 
     def _make_lease(self, store: KeyValuePort, random: Random) -> DutyLeaseTask:
--- a/src/weirscale/gateway/rollout.py
+++ b/src/weirscale/gateway/rollout.py
@@ -1,8 +1,10 @@
 """When which runner takes newly named weights: pure planning.
 
 A runner that loads serves nobody for a while, and many loading at once take longer each. So runners
-load in waves, and no earlier than the bound asks for: a version named meanwhile is then taken by
-the same load.
+load in waves. The first wave loads at once, and the next ones follow as long as requests go on
+starting on older weights: the runners that have the new ones do not suffice. Runners that nobody
+needs meanwhile load no earlier than the bound asks for: a version named until then is taken by the
+same load.
 """
 
 import math
@@ -19,12 +21,16 @@
         share_at_once: Share of a model's runners that may load at once.
         target_s: Time after the naming by which every runner should have begun its load.
         urgent_s: From this age on, runners are out of use anyway and load all at once.
+        settle_s: Time after a load before it is judged whether the loaded runners suffice.
+        old_share: They do not while more than this share of the requests runs on older weights.
     """
 
     load_s: float
     share_at_once: float
     target_s: float
     urgent_s: float
+    settle_s: float = 0.4
+    old_share: float = 0.2
 
 
 class LaggingRunner(msgspec.Struct, frozen=True):
@@ -34,39 +40,69 @@
         instance: The runner.
         owed_since_s: When the first version newer than its own was named.
         num_requests: Requests at work there.
+        is_suspect: Whether it has failed lately; the others load before it.
     """
 
     instance: str
     owed_since_s: float
     num_requests: int
+    is_suspect: bool = False
+
+
+class LoadedRunners(msgspec.Struct, frozen=True):
+    """The other runners of a model.
+
+    Attributes:
+        num_runners: All runners of the model, those that lag included.
+        num_loading: Runners that load now.
+        num_requests: Requests at work at runners that have the newest weights.
+        last_load_s: When the last load ended.
+    """
+
+    num_runners: int
+    num_loading: int = 0
+    num_requests: int = 0
+    last_load_s: float = -math.inf
 
 
 def runners_to_load(
-    lagging: Sequence[LaggingRunner],
-    num_runners: int,
-    num_loading: int,
-    now_s: float,
-    rules: RolloutRules,
+    lagging: Sequence[LaggingRunner], others: LoadedRunners, now_s: float, rules: RolloutRules
 ) -> list[str]:
     """Return the runners that should begin to load now.
 
     Args:
         lagging: Runners to load that have not begun.
-        num_runners: All runners of the model.
-        num_loading: Runners that load now.
+        others: The other runners.
         now_s: Time.
         rules: Times.
     """
-    at_once = max(1, int(num_runners * rules.share_at_once))
-    order = sorted(lagging, key=lambda one: (one.owed_since_s, one.num_requests, one.instance))
+    at_once = max(1, round(others.num_runners * rules.share_at_once))
+    order = sorted(lagging, key=_load_order)
     urgent = [one.instance for one in order if now_s - one.owed_since_s >= rules.urgent_s]
-    if not _must_begin(order, at_once, now_s, rules):
-        return urgent
-    num_free = max(at_once, _num_needed(order, now_s, rules)) - num_loading
-    chosen = [one.instance for one in order[: max(0, num_free)]]
+    num_at_once = 0
+    if _must_begin(order, at_once, now_s, rules):
+        num_at_once = max(at_once, _num_needed(order, now_s, rules))
+    elif _is_needed(order, others, now_s, rules):
+        num_at_once = at_once
+    num_free = max(0, num_at_once - others.num_loading)
+    chosen = [one.instance for one in order[:num_free]]
     return chosen + [instance for instance in urgent if instance not in chosen]
 
 
+def _load_order(runner: LaggingRunner) -> tuple[bool, float, int, str]:
+    return runner.is_suspect, runner.owed_since_s, runner.num_requests, runner.instance
+
+
+def _is_needed(
+    order: Sequence[LaggingRunner], others: LoadedRunners, now_s: float, rules: RolloutRules
+) -> bool:
+    """Whether too many requests run on older weights."""
+    if now_s < others.last_load_s + rules.settle_s:
+        return False
+    num_old = sum(one.num_requests for one in order)
+    return num_old > rules.old_share * (num_old + others.num_requests)
+
+
 def _must_begin(
     order: Sequence[LaggingRunner], at_once: int, now_s: float, rules: RolloutRules
 ) -> bool:
--- a/src/weirscale/gateway/rollout_task.py
+++ b/src/weirscale/gateway/rollout_task.py
@@ -4,15 +4,22 @@
 the runner has taken, so one that is carried out late changes nothing.
 """
 
+import math
 from collections.abc import Awaitable, Callable
 
 import anyio
 from anyio.abc import TaskGroup
 
 from weirscale.gateway.back_ends import BackEnd, BackEndState
+from weirscale.gateway.health import BackEndHealth
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.ports import BackEndPort, OrderOutcome, RunnerReport, WeightOrder
-from weirscale.gateway.rollout import LaggingRunner, RolloutRules, runners_to_load
+from weirscale.gateway.rollout import (
+    LaggingRunner,
+    LoadedRunners,
+    RolloutRules,
+    runners_to_load,
+)
 from weirscale.gateway.timed_record import OrderTurn, write_timed_record, young_key
 from weirscale.node.duties.lease_task import DutyLeaseTask
 from weirscale.node.event_log import EventLog
@@ -24,6 +31,12 @@
 ANNOUNCE_LEAD_S = 0.02
 """Time for peers to hear that a runner is about to load, before the order goes out."""
 
+RUNS_END_S = 0.4
+"""How long the order waits for the runs at the runner to end: what they make afterwards is of
+mixed weights."""
+
+RUNS_POLL_S = 0.05
+
 MAX_LOAD_S = 6.0
 """A load that has not ended by then is looked at anew."""
 
@@ -50,6 +63,7 @@
         port_of: Returns the port of a back end.
         announce: Tells peers that a runner loads (`is_done` False) or has the version.
         num_requests: Requests at work at an instance.
+        health: Runners that fail; those that leave reports unanswered are told to it.
         event_log: Where orders are told.
         rules: Times.
         turn: Keeps orders apart from another holder's.
@@ -64,6 +78,7 @@
         port_of: Callable[[BackEnd], BackEndPort],
         announce: Callable[[str, str, int, bool], Awaitable[None]],
         num_requests: Callable[[str], int],
+        health: BackEndHealth,
         event_log: EventLog,
         rules: RolloutRules,
         turn: OrderTurn,
@@ -75,11 +90,13 @@
         self._port_of = port_of
         self._announce = announce
         self._num_requests = num_requests
+        self._health = health
         self._event_log = event_log
         self._rules = rules
         self._turn = turn
         self._store = store
         self._loading: set[str] = set()
+        self._last_load_s: dict[str, float] = {}
         self._recorded: dict[str, int] = {}
         self._token = 0
 
@@ -124,15 +141,36 @@
             if runner.version_of(model) is not None and runner.state is BackEndState.READY
         ]
         lagging = [one for one in map(self._lag_of(model), runners) if one is not None]
-        num_loading = sum(1 for runner in runners if runner.instance in self._loading)
-        for instance in runners_to_load(
-            lagging, len(runners), num_loading, anyio.current_time(), self._rules
-        ):
+        others = self._others(model, runners, lagging)
+        for instance in runners_to_load(lagging, others, anyio.current_time(), self._rules):
             runner = self._knowledge.directory.get(instance)
             if runner is not None:
                 self._loading.add(instance)
+                self._tell_begun(runner, model, lagging, others)
                 tasks.start_soon(self._load, runner, model)
 
+    def _tell_begun(
+        self, runner: BackEnd, model: str, lagging: list[LaggingRunner], others: LoadedRunners
+    ) -> None:
+        self._event_log.event(
+            "load_begun", instance=runner.instance, model=model,
+            newest=self._knowledge.weights.newest(model), lagging=len(lagging),
+            loading=others.num_loading, old_requests=sum(one.num_requests for one in lagging),
+            new_requests=others.num_requests,
+        )  # fmt: skip
+
+    def _others(
+        self, model: str, runners: list[BackEnd], lagging: list[LaggingRunner]
+    ) -> LoadedRunners:
+        behind = {one.instance for one in lagging} | self._loading
+        loaded = [runner.instance for runner in runners if runner.instance not in behind]
+        return LoadedRunners(
+            num_runners=len(runners),
+            num_loading=sum(1 for runner in runners if runner.instance in self._loading),
+            num_requests=sum(self._num_requests(instance) for instance in loaded),
+            last_load_s=self._last_load_s.get(model, -math.inf),
+        )
+
     def _lag_of(self, model: str) -> Callable[[BackEnd], LaggingRunner | None]:
         def lag(runner: BackEnd) -> LaggingRunner | None:
             version = self._knowledge.version_of(runner.instance, model)
@@ -142,7 +180,8 @@
             if owed is None:
                 return None
             num_requests = self._num_requests(runner.instance)
-            return LaggingRunner(runner.instance, owed.named_at_s, num_requests)
+            is_suspect = self._health.is_suspect(runner.instance, anyio.current_time())
+            return LaggingRunner(runner.instance, owed.named_at_s, num_requests, is_suspect)
 
         return lag
 
@@ -150,14 +189,21 @@
         try:
             await self._announce(runner.instance, model, 0, False)
             await anyio.sleep(ANNOUNCE_LEAD_S)
+            await self._let_runs_end(runner)
             with anyio.move_on_after(MAX_LOAD_S):
                 await self._order_until_done(runner, model)
         finally:
             self._loading.discard(runner.instance)
+            self._last_load_s[model] = anyio.current_time()
             version = self._knowledge.version_of(runner.instance, model) or 0
             with anyio.CancelScope(shield=True):
                 await self._announce(runner.instance, model, version, True)
 
+    async def _let_runs_end(self, runner: BackEnd) -> None:
+        with anyio.move_on_after(RUNS_END_S):
+            while self._num_requests(runner.instance) > 0:  # noqa: ASYNC110 - load tells nobody
+                await anyio.sleep(RUNS_POLL_S)
+
     async def _order_until_done(self, runner: BackEnd, model: str) -> None:
         """Order the newest version and wait for it; a version named later is another load."""
         port = self._port_of(runner)
@@ -169,6 +215,7 @@
             report = await port.report(CALL_TIMEOUT_S)
             num_silent = num_silent + 1 if report is None else 0
             if num_silent >= MAX_SILENT_REPORTS:
+                self._health.unreachable(runner.instance, "report", anyio.current_time())
                 return
             if report is not None and not report.is_ordered:
                 if self._has_version(runner, model, wanted, report):
--- a/src/weirscale/gateway/timed_record.py
+++ b/src/weirscale/gateway/timed_record.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 
+import anyio
 from result import Err
 
 from weirscale.gateway.knowledge import Knowledge
@@ -65,15 +66,21 @@
         self._lease_id = 0
         self._is_written = False
         self._renewed_at_s = float("-inf")
+        self._taking = anyio.Lock()
 
     def set_apart(self, apart_s: float) -> None:
         """Change the least time between two holders' orders; counts from the next record on."""
         self._life_s = apart_s + 2 * RENEWAL_LIFE_S
 
     async def take(self) -> bool:
-        """Whether an order may be given within the next `RENEWAL_LIFE_S`."""
-        if self._is_renewed():
-            return True
+        """Whether an order may be given within the next `RENEWAL_LIFE_S`.
+
+        Loads that begin together ask together: one of them writes the record for all.
+        """
+        async with self._taking:
+            return self._is_renewed() or await self._take_anew()
+
+    async def _take_anew(self) -> bool:
         sent_at_s = self._clock()
         if self._lease_id:
             is_taken = await self._renew() and await self._write()
