Learn how long runners take to a first event; send no prompt away that alone takes too long

Cause: requests were refused as overloaded at runners at rest, because 19,000 tokens take longer than 0.8 of the objective at the fixed 38,000 tokens/s; these runners read 57,000, and coming back makes no prompt shorter. Change: the time to a first event is learnt for each service (base, own tokens, waiting tokens, requests at work) by recursive least squares with bounded errors and bounded rates. A refusal needs a wait that others cause. Ruled out: one rate for own and waiting tokens (median error 20.6 ms, p95 140 ms): behind 5,000 waiting tokens short prompts took 110 to 146 ms where 223 ms were expected.

--- a/features/gateway_choice.feature
+++ b/features/gateway_choice.feature
@@ -18,6 +18,9 @@
       | idle                 | full memory             | first  | 0      | 0       |
       | idle,suspect         | idle                    | second | 0      | 0       |
       | full slots           | idle                    | second | 0      | 0       |
+      | idle,newer named     | idle                    | second | 0      | 0       |
+      | idle,newer named     | busy                    | second | 0      | 0       |
+      | idle,newer named     | far behind              | first  | 0      | 0       |
 
   Scenario: A prompt that nobody keeps belongs to one runner by its hash, evenly over prompts
     Given runners that differ: "idle" and "idle"
@@ -76,3 +79,28 @@
       | 5     | starts first  | 100      | 30      | 20    |
       | 1     | starts first  | 0        | 50      | 40    |
       | 5     | starts anew   | 0        | 0       | 0     |
+
+  Scenario Outline: The rates of runners are learnt from their first events
+    Given runners that read <tokens_per_ms> tokens a ms, with <base_ms> ms and <active_ms> ms a request on top
+    When <count> first events are observed, <far_off> in a hundred of them 2 s late
+    Then the median error of the next estimates is under <error> of the time
+
+    Examples: at the start 38 tokens a ms, 20 ms and 1.5 ms a request are assumed
+      | tokens_per_ms | base_ms | active_ms | count | far_off | error |
+      | 38            | 20      | 1.5       | 100   | 0       | 0.10  |
+      | 57            | 50      | 0.5       | 100   | 0       | 0.10  |
+      | 15            | 10      | 3         | 200   | 0       | 0.10  |
+      | 76            | 40      | 1         | 100   | 0       | 0.15  |
+      | 57            | 50      | 0.5       | 100   | 3       | 0.20  |
+      | 15            | 10      | 3         | 300   | 3       | 0.15  |
+
+  Scenario Outline: Whatever is observed, the rates stay within bounds
+    When <count> first events of <tokens> tokens that took <took_s> s are observed
+    Then every rate lies within its bounds
+
+    Examples:
+      | count | tokens | took_s |
+      | 1000  | 0      | 0      |
+      | 1000  | 100000 | 0      |
+      | 1000  | 1      | 3600   |
+      | 1000  | 0      | 3600   |
--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -141,3 +141,16 @@
       | 20000  | 4000        | stream |
       | 60000  | 4000        | 503    |
       | 60000  | 2500        | stream |
+
+  Scenario Outline: A prompt that alone takes longer to read than the objective is not sent away
+    Given two back ends of which the one asked first does "none" once
+    And both back ends of generations have <tokens> prompt tokens waiting
+    When a single request of <prompt> prompt tokens is sent with a deadline of 4000 ms
+    Then the caller gets "<answer>"
+
+    Examples: an objective of 800 ms; 60,000 tokens take longer than it, by the rates at a start
+      | tokens | prompt | answer |
+      | 0      | 20000  | stream |
+      | 0      | 60000  | stream |
+      | 60000  | 60000  | stream |
+      | 60000  | 1000   | 503    |
--- a/features/gateway_rollout.feature
+++ b/features/gateway_rollout.feature
@@ -22,19 +22,22 @@
   Scenario Outline: Runners load at once as long as requests run on older weights
     Given a rollout rule of 2 s a load, a third at once, a target of 6 s and urgency from 7 s
     And 6 runners of which <loading> load
+    And <suspect> of them have failed lately
     And <new> requests run on the newest weights, and the last load ended <ago> s ago
     When runners with "<old>" requests are owed since 0.1 s
     Then "<chosen>" begin to load
 
     Examples: requests at each runner that lags (numbered in this order), and who begins
-      | loading | new | ago | old         | chosen |
-      | 0       | 0   | 99  | 0,0,0,0,0,0 |        |
-      | 0       | 0   | 99  | 3,1,2,1,3,3 | 2,4    |
-      | 1       | 0   | 99  | 3,1,2,3,3   | 2      |
-      | 2       | 0   | 99  | 3,1,2,3     |        |
-      | 0       | 9   | 99  | 1,0,1,0     |        |
-      | 0       | 9   | 99  | 2,0,1,0     | 2,4    |
-      | 0       | 0   | 0.3 | 3,1,2,3     |        |
+      | loading | suspect | new | ago | old         | chosen |
+      | 0       | 0       | 0   | 99  | 0,0,0,0,0,0 |        |
+      | 0       | 0       | 0   | 99  | 3,1,2,1,3,3 | 2,4    |
+      | 1       | 0       | 0   | 99  | 3,1,2,3,3   | 2      |
+      | 2       | 0       | 0   | 99  | 3,1,2,3     |        |
+      | 0       | 1       | 0   | 99  | 3,1,2,3     | 2      |
+      | 1       | 1       | 0   | 99  | 3,1,2,3     |        |
+      | 0       | 0       | 9   | 99  | 1,0,1,0     |        |
+      | 0       | 0       | 9   | 99  | 2,0,1,0     | 2,4    |
+      | 0       | 0       | 0   | 0.3 | 3,1,2,3     |        |
 
   Scenario Outline: All runners take a new version in time, whatever <fault>
     Given 3 nodes and 6 runners
--- a/features/steps/gateway_choice_steps.py
+++ b/features/steps/gateway_choice_steps.py
@@ -19,6 +19,14 @@
 from weirscale.gateway.back_ends import BackEnd, BackEndState
 from weirscale.gateway.cache_belief import CacheBelief
 from weirscale.gateway.choice import Candidate, ChoiceRules, FetchSource, PromptNeed, choose
+from weirscale.gateway.first_event_model import (
+    LEAST_RATES,
+    MOST_RATES,
+    FirstEventModel,
+    FirstEventRates,
+    ReadingWork,
+    first_event_s,
+)
 from weirscale.gateway.health import BackEndHealth
 from weirscale.gateway.load import Load
 from weirscale.gateway.prompt import CacheScope, Prompt, PromptPart
@@ -36,6 +44,7 @@
     "waiting": Load(3, 12_000, 3000),
     "full memory": Load(2, 0, 9500),
     "full slots": Load(SLOTS + 2, 0, 0),
+    "far behind": Load(4, 20_000, 4000),
 }
 TRIALS = 300
 
@@ -61,7 +70,15 @@
     load = next((LOADS[trait] for trait in traits if trait in LOADS), Load())
     zone = "there" if "elsewhere" in traits else "here"
     end = BackEnd(name, "lm", f"10.0.0.1:{len(name)}", zone, BackEndState.READY, SLOTS)
-    return Candidate(end, load, "suspect" in traits, cache, CAPACITY, VERSION)
+    return Candidate(
+        end,
+        load,
+        "suspect" in traits,
+        cache,
+        CAPACITY,
+        VERSION,
+        has_old_weights="newer named" in traits,
+    )
 
 
 @given('runners that differ: "{first}" and "{second}"')
@@ -302,3 +319,59 @@
     while context.budget.try_take("lm", context.num_nodes, 106.0):
         taken += 1
     assert least <= taken <= most, taken
+
+
+NUM_TESTED = 200
+LATE_S = 2.0
+SPREAD_SHARE = 0.15
+
+
+def make_work(random):
+    """Return what requests of mixed sizes meet at a runner."""
+    waiting = max(0, int(random.gauss(0, 6000)))
+    return ReadingWork(int(random.lognormvariate(7.5, 1.2)), waiting, random.randrange(12))
+
+
+@given(
+    "runners that read {tokens_per_ms:g} tokens a ms, with {base_ms:g} ms and {active_ms:g} ms "
+    "a request on top"
+)
+def step_true_rates(context, tokens_per_ms, base_ms, active_ms):
+    token_s = 1e-3 / tokens_per_ms
+    context.true_rates = FirstEventRates(base_ms / 1e3, token_s, 0.7 * token_s, active_ms / 1e3)
+
+
+@when("{count:d} first events are observed, {far_off:d} in a hundred of them 2 s late")
+def step_observe(context, count, far_off):
+    context.model = FirstEventModel()
+    random = Random(count + far_off)
+    for _ in range(count):
+        work = make_work(random)
+        took_s = first_event_s(context.true_rates, work) * random.gauss(1.0, SPREAD_SHARE)
+        took_s += LATE_S if random.random() < far_off / 100 else 0.0
+        context.model.observe(work, took_s)
+
+
+@then("the median error of the next estimates is under {share:g} of the time")
+def step_error(context, share):
+    random = Random(7)
+    errors = []
+    for _ in range(NUM_TESTED):
+        work = make_work(random)
+        true_s = first_event_s(context.true_rates, work)
+        errors.append(abs(first_event_s(context.model.rates, work) - true_s) / true_s)
+    assert sorted(errors)[NUM_TESTED // 2] < share, sorted(errors)[NUM_TESTED // 2]
+
+
+@when("{count:d} first events of {tokens:d} tokens that took {took_s:g} s are observed")
+def step_observe_same(context, count, tokens, took_s):
+    context.model = FirstEventModel()
+    for _ in range(count):
+        context.model.observe(ReadingWork(tokens, 0, 1), took_s)
+
+
+@then("every rate lies within its bounds")
+def step_bounds(context):
+    for name in FirstEventRates.__struct_fields__:
+        rate = getattr(context.model.rates, name)
+        assert getattr(LEAST_RATES, name) <= rate <= getattr(MOST_RATES, name), (name, rate)
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -131,6 +131,12 @@
     send(context, kind, x_deadline_ms=deadline_ms)
 
 
+@when("a single request of {tokens:d} prompt tokens is sent with a deadline of {deadline_ms:d} ms")
+def step_send_long(context, tokens, deadline_ms):
+    prompt = {"parts": f"aa:800,bb:{tokens - 800}", "tokens": f"{tokens},20"}
+    send(context, "a single", x_deadline_ms=deadline_ms, **prompt)
+
+
 @when("{kind} request is sent and its caller leaves after {seconds:g} seconds")
 def step_send_leave(context, kind, seconds):
     context.left_after_s = seconds
--- a/features/steps/gateway_rollout_steps.py
+++ b/features/steps/gateway_rollout_steps.py
@@ -63,10 +63,16 @@
     context.chosen = runners_to_load(lagging, LoadedRunners(*context.counts), NOW_S, context.rules)
 
 
+@given("{suspect:d} of them have failed lately")
+def step_suspect(context, suspect):
+    context.num_suspect = suspect
+
+
 @given("{new:d} requests run on the newest weights, and the last load ended {ago:g} s ago")
 def step_new_requests(context, new, ago):
     num_runners, num_loading = context.counts
-    context.others = LoadedRunners(num_runners, num_loading, new, NOW_S - ago)
+    suspect = context.num_suspect
+    context.others = LoadedRunners(num_runners, num_loading, suspect, new, NOW_S - ago)
 
 
 @when('runners with "{old}" requests are owed since {age:g} s')
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -13,6 +13,12 @@
 from weirscale.domain.identifiers import ZoneName
 from weirscale.gateway.back_ends import BackEnd
 from weirscale.gateway.cache_belief import CacheBelief
+from weirscale.gateway.first_event_model import (
+    START_RATES,
+    FirstEventRates,
+    ReadingWork,
+    first_event_s,
+)
 from weirscale.gateway.load import Load
 from weirscale.gateway.prompt import Prompt
 
@@ -25,10 +31,9 @@
     """Weights of the choice, with units.
 
     Attributes:
-        tokens_per_s: Prompt tokens that a runner reads in a second.
+        rates: What makes up the time to a first event, as learnt.
         fetch_tokens_per_s: Tokens of cached parts that move between runners in a second.
         fetch_setup_s: Fixed time of a fetch.
-        active_s: Delay that each request at work adds to a new one.
         disturb_share: Cost of the delay that reading brings to each request at work there, as a
             share of that delay.
         backlog_tokens: Waiting prompt beyond which every request at work there pauses noticeably.
@@ -47,10 +52,9 @@
             that nodes that have not heard of each other's sends choose the same.
     """
 
-    tokens_per_s: float = 38_000.0
+    rates: FirstEventRates = START_RATES
     fetch_tokens_per_s: float = 400_000.0
     fetch_setup_s: float = 0.004
-    active_s: float = 0.0015
     disturb_share: float = 0.0
     backlog_tokens: int = 8192
     backlog_share: float = 0.0
@@ -119,6 +123,7 @@
         read_tokens: Tokens that it has to read.
         fetch_from: Address of the source of the fetch, or None.
         estimate_s: Estimated time to the first event.
+        idle_s: The same, were nothing else at work there.
         num_candidates: How many back ends were compared.
     """
 
@@ -129,6 +134,7 @@
     read_tokens: int = 0
     fetch_from: str | None = None
     estimate_s: float = 0.0
+    idle_s: float = 0.0
     num_candidates: int = 0
 
 
@@ -217,12 +223,11 @@
     cached = min(candidate.cache.matched_tokens(scope, prompt.parts), prompt.num_tokens)
     source, fetched = _best_source(candidate, scope, prompt, sources, cached, rules)
     read = prompt.num_tokens - cached - fetched
-    wait_s = (candidate.load.waiting_tokens + read) / rules.tokens_per_s
-    if fetched:
-        wait_s += rules.fetch_setup_s + fetched / rules.fetch_tokens_per_s
-    wait_s += rules.active_s * candidate.load.num_requests
+    fetching_s = fetch_s(fetched, rules)
+    idle_s = first_event_s(rules.rates, ReadingWork(read, 0, 0)) + fetching_s
+    wait_s = first_event_s(rules.rates, reading_work(candidate, read)) + fetching_s
     wait_s += _memory_delay_s(candidate, prompt, rules)
-    reread_s = rules.reread_weight * read / rules.tokens_per_s
+    reread_s = rules.reread_weight * read * rules.rates.token_s
     if cached == 0 and fetched == 0:
         reread_s -= rules.affinity_s * _affinity(scope, prompt, candidate)
     disturb_s = _disturbance_s(candidate, read, rules)
@@ -234,10 +239,22 @@
         read_tokens=read,
         fetch_from=None if source is None else source.address,
         estimate_s=wait_s,
+        idle_s=idle_s,
     )
     return _Estimate(choice, common_s + wait_s + reread_s + disturb_s)
 
 
+def reading_work(candidate: Candidate, read_tokens: int) -> ReadingWork:
+    """Return what a request that has some tokens to read meets at a runner."""
+    load = candidate.load
+    return ReadingWork(read_tokens, load.waiting_tokens, load.num_requests)
+
+
+def fetch_s(num_tokens: int, rules: ChoiceRules) -> float:
+    """Return the time that a fetch of cached parts takes."""
+    return rules.fetch_setup_s + num_tokens / rules.fetch_tokens_per_s if num_tokens else 0.0
+
+
 def _affinity(scope: str, prompt: Prompt, candidate: Candidate) -> float:
     """Return from 0 to 1 how much a prompt's shared parts belong to a runner, by their hash."""
     shared = prompt.parts[-2] if len(prompt.parts) > 1 else prompt.parts[-1]
@@ -254,8 +271,8 @@
     """
     num_streams = candidate.load.num_requests
     backlog = candidate.load.waiting_tokens + read_tokens - rules.backlog_tokens
-    own_s = rules.disturb_share * read_tokens / rules.tokens_per_s
-    backlog_s = rules.backlog_share * max(0, min(backlog, read_tokens)) / rules.tokens_per_s
+    own_s = rules.disturb_share * read_tokens * rules.rates.token_s
+    backlog_s = rules.backlog_share * max(0, min(backlog, read_tokens)) * rules.rates.token_s
     return num_streams * (own_s + backlog_s)
 
 
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -15,7 +15,10 @@
     FetchSource,
     PromptNeed,
     choose,
+    fetch_s,
+    reading_work,
 )
+from weirscale.gateway.first_event_model import FirstEventModel
 from weirscale.gateway.health import BackEndHealth
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.load import FleetLoad
@@ -88,7 +91,8 @@
         self._weights_grace_s = weights_grace_s
         self._random = random
         self._clock = clock
-        self.rules = rules or ChoiceRules()
+        self._start_rules = rules or ChoiceRules()
+        self._models: dict[ServiceName, FirstEventModel] = {}
         self._caches: dict[str, CacheBelief] = {}
         self._kept_caches: dict[str, CacheBelief] = {}
         self._loading_until_s: dict[str, float] = {}
@@ -111,7 +115,16 @@
         if query.prompt is not None and service is not None and service.engine is not None:
             need = _need(query.prompt, query.tenant, candidates)
             sources = self._sources(candidates)
-        return choose(candidates, need, sources, self._zone, self.rules, self._random)
+        return choose(
+            candidates, need, sources, self._zone, self.rules(query.service), self._random
+        )
+
+    def rules(self, service: ServiceName) -> ChoiceRules:
+        """Return the weights of the choice, with the rates learnt of a service's runners."""
+        model = self._models.get(service)
+        if model is None:
+            return self._start_rules
+        return msgspec.structs.replace(self._start_rules, rates=model.rates)
 
     def save_address(self, choice: Choice, prompt: Prompt) -> str | None:
         """Return the address of the store that gets what this runner reads, if it lacks it.
@@ -222,12 +235,23 @@
 
     def note_first_event(self, choice: Choice, took_s: float) -> None:
         """Learn how long a first event took: a source that is dead delays what it should speed."""
+        self._learn_rates(choice, took_s)
         address = choice.fetch_from
         if address is None or took_s < choice.estimate_s + SLOW_SOURCE_S:
             return
         if any(store.address == address for store in self._stores()):
             self._slow_until_s[address] = self._clock() + SLOW_SOURCE_PAUSE_S
 
+    def _learn_rates(self, choice: Choice, took_s: float) -> None:
+        if choice.scope is None:
+            return
+        candidate = choice.candidate
+        model = self._models.setdefault(
+            candidate.back_end.service, FirstEventModel(self._start_rules.rates)
+        )
+        reading_s = took_s - fetch_s(choice.fetched_tokens, self._start_rules)
+        model.observe(reading_work(candidate, choice.read_tokens), reading_s)
+
     def _stores(self) -> list[KeptCacheStore]:
         table = self._knowledge.table
         services = table.kept_caches() if table else []
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -168,14 +168,15 @@
         """Whether the answer would be late here and the caller has time to come back.
 
         A request that waits in a long queue is late and makes others late; one that is told at
-        once to come back finds the queue shorter. A caller that has come back is served.
+        once to come back finds the queue shorter. A caller that has come back is served, and one
+        whose prompt alone takes that long to read: it would not be sooner later.
         """
         assert self._route is not None
         if self._tried or choice.scope is None or self._request.timeout_s is None:
             return False
         has_come_back = self._request.timeout_s < FRESH_SHARE * self._route.timeout_s
         limit_s = OVERLOAD_FACTOR * self._route.objective_s
-        return not has_come_back and choice.estimate_s > limit_s
+        return not has_come_back and choice.idle_s <= limit_s < choice.estimate_s
 
     def _come_back_s(self, choice: Choice) -> float:
         assert self._route is not None and self._request.timeout_s is not None
--- a/src/weirscale/gateway/rollout.py
+++ b/src/weirscale/gateway/rollout.py
@@ -55,12 +55,14 @@
     Attributes:
         num_runners: All runners of the model, those that lag included.
         num_loading: Runners that load now.
+        num_suspect: Runners that have failed lately; they are missed as those that load are.
         num_requests: Requests at work at runners that have the newest weights.
         last_load_s: When the last load ended.
     """
 
     num_runners: int
     num_loading: int = 0
+    num_suspect: int = 0
     num_requests: int = 0
     last_load_s: float = -math.inf
 
@@ -83,7 +85,7 @@
     if _must_begin(order, at_once, now_s, rules):
         num_at_once = max(at_once, _num_needed(order, now_s, rules))
     elif _is_needed(order, others, now_s, rules):
-        num_at_once = at_once
+        num_at_once = at_once - others.num_suspect
     num_free = max(0, num_at_once - others.num_loading)
     chosen = [one.instance for one in order[:num_free]]
     return chosen + [instance for instance in urgent if instance not in chosen]
--- a/src/weirscale/gateway/rollout_task.py
+++ b/src/weirscale/gateway/rollout_task.py
@@ -163,10 +163,17 @@
         self, model: str, runners: list[BackEnd], lagging: list[LaggingRunner]
     ) -> LoadedRunners:
         behind = {one.instance for one in lagging} | self._loading
+        now_s = anyio.current_time()
         loaded = [runner.instance for runner in runners if runner.instance not in behind]
         return LoadedRunners(
             num_runners=len(runners),
             num_loading=sum(1 for runner in runners if runner.instance in self._loading),
+            num_suspect=sum(
+                1
+                for runner in runners
+                if runner.instance not in self._loading
+                and self._health.is_suspect(runner.instance, now_s)
+            ),
             num_requests=sum(self._num_requests(instance) for instance in loaded),
             last_load_s=self._last_load_s.get(model, -math.inf),
         )
