Keep unused connections to runners as long as their answers allow

Change: an answer's time-out, less a second, sets how long unused connections are kept; the pool that was opened before closes after its last use, never under a running answer.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -82,3 +82,19 @@
       | m     | a           | 120,9  | 0   | 0      |
       | m     | a:100       | many   | 0   | 0      |
       |       | a:100       | 120,9  | 0   | 0      |
+
+  Scenario Outline: Unused connections to a runner are kept as long as its answers allow
+    Given a runner whose answers tell "<told>" of idle connections
+    When two requests are sent to it, the second while the first one's answer goes on
+    Then unused connections were kept for "<idle>" seconds, and each kind was closed after its last use
+
+    Examples: three seconds are assumed until an answer tells
+      | told              | idle |
+      | nothing           | 3    |
+      | timeout=10        | 3,9  |
+      | timeout=10, max=5 | 3,9  |
+      | Timeout=2         | 3,1  |
+      | timeout=1         | 3,0  |
+      | timeout=4         | 3    |
+      | timeout=soon      | 3    |
+      | max=5             | 3    |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -6,11 +6,16 @@
 import tempfile
 from pathlib import Path
 
+import httpx
 from behave import given, then, when
 
 from features.support.platform_fleet import ADAPTER
+from features.support.virtual_time import run_in_virtual_time
+from weirscale.gateway.back_ends import BackEnd, BackEndState
+from weirscale.gateway.ports import CallerRequest, OutboundRequest
 from weirscale_platform.callers import Callers
 from weirscale_platform.items import StoreItem, read_item
+from weirscale_platform.runner import RunnerConnector
 from weirscale_platform.settings import SettingsUnreadableError, gateway_settings, read_node_file
 
 ROOT = ADAPTER.parent
@@ -154,3 +159,72 @@
         assert context.prompt is None
     else:
         assert (len(context.prompt.parts), context.prompt.num_tokens) == (num, tokens)
+
+
+class RecordedTransport(httpx.AsyncBaseTransport):
+    """Answers with what a test says of idle connections; records when it is closed."""
+
+    def __init__(self, headers, idle_s):
+        self.idle_s = idle_s
+        self.num_open = 0
+        self.was_closed_open = False
+        self.is_closed = False
+        self._headers = headers
+
+    async def handle_async_request(self, request):
+        self.num_open += 1
+        return httpx.Response(200, headers=self._headers, stream=OpenBody(self))
+
+    async def aclose(self):
+        self.is_closed = True
+        self.was_closed_open = self.num_open > 0
+
+
+class OpenBody(httpx.AsyncByteStream):
+    def __init__(self, transport):
+        self._transport = transport
+
+    async def __aiter__(self):
+        yield b"done"
+
+    async def aclose(self):
+        self._transport.num_open -= 1
+
+
+def outbound_request(number):
+    asked = CallerRequest(f"q{number}", "GET", b"/s/1", "h", "/s/1", None, 1.0, None, None, ())
+    return OutboundRequest(asked, b"", "o-1", 1.0)
+
+
+@given('a runner whose answers tell "{told}" of idle connections')
+def step_told(context, told):
+    context.headers = {} if told == "nothing" else {"Keep-Alive": told}
+
+
+@when("two requests are sent to it, the second while the first one's answer goes on")
+def step_two_requests(context):
+    context.transports = []
+
+    def make(_connections, idle_s):
+        context.transports.append(RecordedTransport(context.headers, idle_s))
+        return context.transports[-1]
+
+    async def body():
+        end = BackEnd("o-1", "orders", "10.2.0.1:8080", "hall-a", BackEndState.READY, 4)
+        port = RunnerConnector(make)(end, 4)
+        async with port.send(outbound_request(1)), port.send(outbound_request(2)):
+            assert not context.transports[0].is_closed
+        context.was_closed = [one.is_closed for one in context.transports]
+        await port.close()
+
+    run_in_virtual_time(body)
+
+
+@then(
+    'unused connections were kept for "{idle}" seconds, and each kind was closed after its last use'
+)
+def step_idle(context, idle):
+    kept = [one.idle_s for one in context.transports]
+    assert kept == [float(text) for text in idle.split(",")], kept
+    assert not any(one.was_closed_open for one in context.transports)
+    assert context.was_closed == [True] * (len(kept) - 1) + [False], context.was_closed
