Know a caller again that was told to come back

Cause: a request was taken for the first attempt while its caller had 0.85 of the route's time left. Ruled out: waiting for long (the credit of the second attempt counts from its own start, but a caller heeds a third of its time at most). Change: only a caller that has 0.99 to all of the route's time left asks for the first time; who is told to come back stays away for 0.02 of its time at least, so that it is known. Tests: two rows and "Who was told to come back is known again", red before.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -141,6 +141,23 @@
       | 20000  | 4000        | stream |
       | 60000  | 4000        | 503    |
       | 60000  | 2500        | stream |
+      | 60000  | 3700        | stream |
+      | 60000  | 5000        | stream |
+
+  Scenario Outline: Who was told to come back is known again, however long the route allows
+    Given two back ends of which the one asked first does "none" once
+    And a route's time-out of <timeout_ms> ms for all generations
+    And both back ends of generations have 60000 prompt tokens waiting
+    When a single request is sent with a deadline of <timeout_ms> ms
+    And the caller comes back when it was told to
+    Then the caller gets "stream"
+
+    Examples:
+      | timeout_ms |
+      | 2500       |
+      | 4000       |
+      | 12000      |
+      | 60000      |
 
   Scenario Outline: A prompt that alone takes longer to read than the objective is not sent away
     Given two back ends of which the one asked first does "none" once
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -137,6 +137,21 @@
     send(context, "a single", x_deadline_ms=deadline_ms, **prompt)
 
 
+@given("a route's time-out of {timeout_ms:d} ms for all generations")
+def step_generation_timeout(context, timeout_ms):
+    context.timeout_ms = timeout_ms
+    for entry in context.configuration["routes"]:
+        if entry["service"] == "lm":
+            entry["timeout_ms"] = timeout_ms
+
+
+@when("the caller comes back when it was told to")
+def step_come_back(context):
+    assert context.answer.status == 503, context.answer
+    waited_ms = 1000 * float(context.answer.header("retry-after"))
+    send(context, "a single", x_deadline_ms=int(context.timeout_ms - waited_ms))
+
+
 @when("{kind} request is sent and its caller leaves after {seconds:g} seconds")
 def step_send_leave(context, kind, seconds):
     context.left_after_s = seconds
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -36,8 +36,12 @@
 OVERLOAD_FACTOR = 0.8
 """A first event estimated later than this multiple of the objective is not waited for."""
 
-FRESH_SHARE = 0.85
-"""A caller that still has this share of its route's time asks for the first time."""
+FRESH_SHARE = 0.99
+"""A caller that still has this share of its route's time, and no more than all of it, asks for the
+first time. One that has more may have asked before: nothing tells."""
+
+LEAST_COME_BACK_SHARE = 0.02
+"""Least share of its time that a caller is told to stay away, so that it is known when it comes."""
 
 COME_BACK_SHARE = 0.3
 """Largest share of a caller's time that it is told to stay away."""
@@ -174,14 +178,16 @@
         assert self._route is not None
         if self._tried or choice.scope is None or self._request.timeout_s is None:
             return False
-        has_come_back = self._request.timeout_s < FRESH_SHARE * self._route.timeout_s
+        share_left = self._request.timeout_s / self._route.timeout_s
+        asks_first = FRESH_SHARE <= share_left <= 1.0
         limit_s = OVERLOAD_FACTOR * self._route.objective_s
-        return not has_come_back and choice.idle_s <= limit_s < choice.estimate_s
+        return asks_first and choice.idle_s <= limit_s < choice.estimate_s
 
     def _come_back_s(self, choice: Choice) -> float:
         assert self._route is not None and self._request.timeout_s is not None
         longest_s = COME_BACK_SHARE * self._request.timeout_s
-        return min(longest_s, max(NO_BACK_END_RETRY_S, choice.estimate_s / 2.0))
+        least_s = max(NO_BACK_END_RETRY_S, LEAST_COME_BACK_SHARE * self._request.timeout_s)
+        return min(longest_s, max(least_s, choice.estimate_s / 2.0))
 
     def _query(self, excluded: Collection[str]) -> DispatchQuery:
         assert self._service is not None
