--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SEEDS ?= 200
 
-.PHONY: demo test bench soak scale real format clean
+.PHONY: demo test bench soak real format clean
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -24,9 +24,6 @@
 soak: $(STAMP)
 	$(VENV)/bin/weirscale soak --seeds=$(SEEDS)
 
-scale: $(STAMP)
-	$(PYTHON) -m bench.scale
-
 real: $(STAMP)
 	$(PYTHON) -m bench.real_fleet tsehay --report=reports/real-tsehay
 	$(PYTHON) -m bench.real_fleet startgrid --report=reports/real-startgrid
--- a/features/membership_faults.feature
+++ b/features/membership_faults.feature
@@ -1,7 +1,7 @@
 Feature: Membership of nodes under faults
 
   Scenario Outline: All live nodes agree on a change in time
-    Given a hollow fleet of <nodes> nodes in <zones> zones, seed <seed>, losing <loss> % of datagrams
+    Given a fleet of <nodes> nodes in <zones> zones, seed <seed>, losing <loss> % of datagrams
     When <event> happens to it
     Then all live nodes agree within <limit> s
 
@@ -20,7 +20,7 @@
       | 24    | 3     | 11   | 0    | a herd replacing half at once  | 10    |
 
   Scenario Outline: Poor links and pauses bury nobody that runs
-    Given a hollow fleet of 18 nodes in 2 zones, seed <seed>, losing <loss> % of datagrams
+    Given a fleet of 18 nodes in 2 zones, seed <seed>, losing <loss> % of datagrams
     When it runs for 30 s under <fault>
     Then no node has ever held a running node dead
 
@@ -33,7 +33,7 @@
       | 25   | 0    | a one-way cut from a node to a third of the nodes |
 
   Scenario Outline: A paused node wakes without accusing the others
-    Given a hollow fleet of 12 nodes in 3 zones, seed <seed>, losing 0 % of datagrams
+    Given a fleet of 12 nodes in 3 zones, seed <seed>, losing 0 % of datagrams
     When one node is frozen for <pause> s and wakes
     Then the others never held one another dead
     And the woken node never held another node dead
@@ -52,7 +52,7 @@
     And the suspect is dead when no refutation comes in the time of a suspicion
 
   Scenario Outline: Views merge after a cut heals
-    Given a hollow fleet of 16 nodes in 4 zones, seed <seed>, losing 0 % of datagrams
+    Given a fleet of 16 nodes in 4 zones, seed <seed>, losing 0 % of datagrams
     When <cut> lasts <length> s and heals
     Then each side held the other dead when the cut <outcome>
     And all live nodes agree within 20 s
@@ -65,7 +65,7 @@
       | 43   | a cut between halves                    | 1      | was short   |
 
   Scenario: A leaving node is seen as leaving, then gone, and never comes back by old news
-    Given a hollow fleet of 10 nodes in 2 zones, seed 51, losing 0 % of datagrams
+    Given a fleet of 10 nodes in 2 zones, seed 51, losing 0 % of datagrams
     When a node announces that it leaves
     Then all other nodes hold it leaving within 2 s
     When it departs and an old ALIVE claim about it is gossiped
@@ -91,13 +91,13 @@
       | LEAVING | 5           | 2           | ALIVE   | LEAVING |
 
   Scenario: Forged and replayed membership messages change nothing
-    Given a hollow fleet of 10 nodes in 1 zones, seed 61, losing 0 % of datagrams
+    Given a fleet of 10 nodes in 1 zones, seed 61, losing 0 % of datagrams
     When a stranger forges the death of every node and replays all that was sent during a leave
     Then no node has ever held a running node dead
     And the node that left stays gone
 
   Scenario: The machine list is a hint only
-    Given a hollow fleet of 6 nodes in 1 zones, seed 71, losing 0 % of datagrams
+    Given a fleet of 6 nodes in 1 zones, seed 71, losing 0 % of datagrams
     When the machine list marks one node as leaving and omits another that runs
     Then the marked node is held leaving and the omitted one stays alive
 
@@ -118,6 +118,6 @@
       | 9     | 2     |
 
   Scenario: A later run of the same name supersedes this one
-    Given a hollow fleet of 6 nodes in 1 zones, seed 81, losing 0 % of datagrams
+    Given a fleet of 6 nodes in 1 zones, seed 81, losing 0 % of datagrams
     When a second node with a later incarnation starts under a running node's name elsewhere
     Then the earlier run notices that it is superseded
--- a/features/steps/membership_faults_steps.py
+++ b/features/steps/membership_faults_steps.py
@@ -5,13 +5,13 @@
 from msgspec.structs import replace
 from result import Ok
 
+from features.support.membership_fleet import MembershipFleet, MembershipNode
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.identifiers import NodeAddress, NodeId
 from weirscale.domain.membership.actions import StartSync
 from weirscale.domain.membership.beliefs import MemberBeliefs
 from weirscale.domain.membership.protocol import MembershipProtocol
 from weirscale.domain.membership.rules import MembershipRules
-from weirscale.experiments.scale.fleet import HollowFleet, HollowNode
 from weirscale.messages.codec import MessageCodec
 from weirscale.messages.envelope import (
     EnvelopeKind,
@@ -51,7 +51,7 @@
 
     async def main():
         async with anyio.create_task_group() as tasks:
-            fleet = HollowFleet(tasks, context.seed, context.num_zones)
+            fleet = MembershipFleet(tasks, context.seed, context.num_zones)
             await fleet.start(context.num_nodes, settle_s=4.0)
             fleet.network.set_drop_rate(context.loss)
             context.deaths = FalseDeaths(fleet)
@@ -62,10 +62,9 @@
 
 
 @given(
-    "a hollow fleet of {nodes:d} nodes in {zones:d} zones, seed {seed:d}, "
-    "losing {loss:d} % of datagrams"
+    "a fleet of {nodes:d} nodes in {zones:d} zones, seed {seed:d}, losing {loss:d} % of datagrams"
 )
-def step_hollow_fleet(context, nodes, zones, seed, loss):
+def step_membership_fleet(context, nodes, zones, seed, loss):
     context.num_nodes = nodes
     context.num_zones = zones
     context.seed = seed
@@ -406,7 +405,7 @@
 def step_second_run(context):
     async def script(fleet, tasks):
         first = fleet.running()[3]
-        second = HollowNode(
+        second = MembershipNode(
             fleet.network,
             NodeId(first.node.name, first.node.incarnation + 10**6),
             NodeAddress("10.9.9.9", 7100),
--- a/src/weirscale/experiments/scale/fleet.py
+++ b/features/support/membership_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of hollow nodes over the in-memory network: peer link and membership, nothing else."""
+"""Nodes of peer link and membership alone, over the in-memory network."""
 
 from collections.abc import Callable
 from random import Random
@@ -14,7 +14,7 @@
 from weirscale.node.membership import MembershipTask
 from weirscale.node.peers.link import AuthenticatedPeerLink
 
-FLEET_KEY = PeerKey(1, b"key of the hollow fleet.")
+FLEET_KEY = PeerKey(1, b"key of the membership fleet")
 PEER_PORT = 7100
 WATCH_INTERVAL_S = 0.05
 """How often `until` looks; the resolution of measured times."""
@@ -26,7 +26,7 @@
 OTHER_ZONE = LinkQuality(delay_s=0.0015, jitter_s=0.001)
 
 
-class HollowNode:
+class MembershipNode:
     """One node's link and membership.
 
     Attributes:
@@ -78,8 +78,8 @@
         return None
 
 
-class HollowFleet:
-    """Starts, stops, freezes and cuts hollow nodes.
+class MembershipFleet:
+    """Starts, stops, freezes and cuts nodes.
 
     Args:
         tasks: Nodes run in this task group.
@@ -99,7 +99,7 @@
         self.zones = [ZoneName(f"zone-{number:02d}") for number in range(zones)]
         for zone in self.zones:
             self.network.set_zone_quality(zone, zone, SAME_ZONE)
-        self.nodes: dict[NodeName, HollowNode] = {}
+        self.nodes: dict[NodeName, MembershipNode] = {}
         self.seeds: list[NodeAddress] = []
         self._rules = rules or MembershipRules()
         self._tasks = tasks
@@ -114,7 +114,7 @@
         assert agreed is not None, "the fleet did not form"
         await anyio.sleep(settle_s)
 
-    def start_node(self, replaces: HollowNode | None = None) -> HollowNode:
+    def start_node(self, replaces: MembershipNode | None = None) -> MembershipNode:
         """Start a node: a new one, or a later run of one that stopped, at its address."""
         self._num_started += 1
         number = self._num_started
@@ -127,7 +127,7 @@
             name, address, zone = replaces.node.name, replaces.address, replaces.zone
         if len(self.seeds) < 3:
             self.seeds.append(address)
-        node = HollowNode(
+        node = MembershipNode(
             self.network,
             NodeId(name, incarnation),
             address,
@@ -140,20 +140,20 @@
         self._tasks.start_soon(node.run)
         return node
 
-    def crash(self, node: HollowNode) -> None:
+    def crash(self, node: MembershipNode) -> None:
         """Stop a node without a word."""
         node.scope.cancel()
         self.network.detach(node.address)
         self.nodes.pop(node.node.name, None)
 
-    async def leave(self, node: HollowNode, drain_s: float = 1.0) -> None:
+    async def leave(self, node: MembershipNode, drain_s: float = 1.0) -> None:
         """Stop a node as an operator would."""
         node.membership.leave()
         await anyio.sleep(drain_s)
         await node.membership.depart()
         self.crash(node)
 
-    def running(self) -> list[HollowNode]:
+    def running(self) -> list[MembershipNode]:
         """Return nodes that run, frozen ones included, by name."""
         return [self.nodes[name] for name in sorted(self.nodes)]
 
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -35,7 +35,6 @@
     "membership_faults",
     "duties_lease",
     "configuration_spread",
-    "scale_hollow_fleet",
     "backends_directory",
     "placement_rollout",
     "claims_faults",
--- a/src/weirscale/experiments/scale/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Hollow fleets: many nodes' membership in one process, to measure its cost and its speed."""
