Keep unused connections for nine seconds until an answer tells less or one is reset

Change: nine seconds are assumed from the start; an answer that tells less shortens them, and so does a reset (halved, one second at least): the grown deployments' back ends may forget a connection without a word. Ruled out: a longer time without the second rule, for that reason.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -88,13 +88,27 @@
     When two requests are sent to it, the second while the first one's answer goes on
     Then unused connections were kept for "<idle>" seconds, and each kind was closed after its last use
 
-    Examples: three seconds are assumed until an answer tells
+    Examples: nine seconds are assumed until an answer tells
       | told              | idle |
-      | nothing           | 3    |
-      | timeout=10        | 3,9  |
-      | timeout=10, max=5 | 3,9  |
-      | Timeout=2         | 3,1  |
-      | timeout=1         | 3,0  |
-      | timeout=4         | 3    |
-      | timeout=soon      | 3    |
-      | max=5             | 3    |
+      | nothing           | 9    |
+      | timeout=10        | 9    |
+      | timeout=60        | 9    |
+      | timeout=5, max=5  | 9,4  |
+      | Timeout=2         | 9,1  |
+      | timeout=1         | 9,0  |
+      | timeout=soon      | 9    |
+      | max=5             | 9    |
+
+  Scenario Outline: Unused connections are kept for less after <failure>
+    Given a runner whose answers tell "nothing" of idle connections
+    When <count> requests to it end with "<failure>" and one is answered
+    Then unused connections were kept for "<idle>" seconds, and each kind was closed after its last use
+
+    Examples: a back end may forget a connection without a word
+      | failure        | count | idle              |
+      | ReadError      | 1     | 9,4.5             |
+      | WriteError     | 1     | 9,4.5             |
+      | ReadError      | 6     | 9,4.5,2.25,1.125,1 |
+      | ConnectError   | 2     | 9                 |
+      | ConnectTimeout | 2     | 9                 |
+      | ReadTimeout    | 2     | 9                 |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -164,14 +164,17 @@
 class RecordedTransport(httpx.AsyncBaseTransport):
     """Answers with what a test says of idle connections; records when it is closed."""
 
-    def __init__(self, headers, idle_s):
+    def __init__(self, headers, idle_s, failures=()):
         self.idle_s = idle_s
+        self._failures = failures
         self.num_open = 0
         self.was_closed_open = False
         self.is_closed = False
         self._headers = headers
 
     async def handle_async_request(self, request):
+        if self._failures:
+            raise getattr(httpx, self._failures.pop())("as the test wants")
         self.num_open += 1
         return httpx.Response(200, headers=self._headers, stream=OpenBody(self))
 
@@ -220,6 +223,29 @@
     run_in_virtual_time(body)
 
 
+@when('{count:d} requests to it end with "{failure}" and one is answered')
+def step_failures(context, count, failure):
+    context.transports = []
+    failures = [failure] * count
+
+    def make(_connections, idle_s):
+        context.transports.append(RecordedTransport({}, idle_s, failures))
+        return context.transports[-1]
+
+    async def body():
+        end = BackEnd("o-1", "orders", "10.2.0.1:8080", "hall-a", BackEndState.READY, 4)
+        port = RunnerConnector(make)(end, 4)
+        for number in range(count):
+            async with port.send(outbound_request(number)) as sent:
+                assert sent.is_err()
+        async with port.send(outbound_request(count)) as sent:
+            assert sent.is_ok()
+        context.was_closed = [one.is_closed for one in context.transports]
+        await port.close()
+
+    run_in_virtual_time(body)
+
+
 @then(
     'unused connections were kept for "{idle}" seconds, and each kind was closed after its last use'
 )
