--- a/features/gateway_state.feature
+++ b/features/gateway_state.feature
@@ -75,6 +75,28 @@
       | gone     |
       | replaced |
 
+  Scenario Outline: A back end whose leaving is known gets no request, <store> afterwards
+    Given a node that has configuration 3 and two back ends
+    When the first back end is <change>
+    And <store> from 0.2 seconds later
+    And 10 requests are sent after 0.1 seconds
+    And 10 requests are sent after <seconds> seconds
+    Then the first back end gets none of them
+
+    Examples:
+      | change  | store                     | seconds |
+      | leaving | the store is down         | 3       |
+      | leaving | the store is silent       | 3       |
+      | gone    | the store is silent       | 3       |
+      | leaving | the store is down         | 20      |
+
+  Scenario: Back ends whose registrations lapsed with the store serve again once they are back
+    Given a node that has configuration 3 and two back ends
+    When all registrations lapse while the store is down for 3 seconds
+    And the back ends register again 1.2 seconds after it
+    And 10 requests are sent after 0.5 seconds
+    Then all of them are answered
+
   Scenario: The tenant's name goes to the back end and its key does not
     Given a node that has configuration 3 with a tenant
     When a request to "/k/x" of "h.example" with key "good" is sent
--- a/features/steps/gateway_state_steps.py
+++ b/features/steps/gateway_state_steps.py
@@ -258,6 +258,45 @@
     context.script.actions.append(action)
 
 
+@when("the store is {fault} from {seconds:g} seconds later")
+def step_store_fault(context, fault, seconds):
+    async def action(script):
+        await anyio.sleep(seconds)
+        script.fleet.store.is_down = fault == "down"
+        script.fleet.store.is_silent = fault == "silent"
+
+    context.script.actions.append(action)
+
+
+@when("all registrations lapse while the store is down for {seconds:g} seconds")
+def step_lapse(context, seconds):
+    async def action(script):
+        store = script.fleet.store
+        store.is_down = True
+        for runner in script.fleet.runners:
+            store.delete(f"servers/{runner.instance}")
+        await anyio.sleep(seconds)
+        store.is_down = False
+
+    context.script.actions.append(action)
+
+
+@when("the back ends register again {seconds:g} seconds after it")
+def step_register_again(context, seconds):
+    async def action(script):
+        await anyio.sleep(seconds)
+        for runner in script.fleet.runners:
+            script.fleet.store.put(f"servers/{runner.instance}", runner.entry())
+
+    context.script.actions.append(action)
+
+
+@then("all of them are answered")
+def step_all_answered(context):
+    answers = context.script.play().answers
+    assert [answer.status for _, answer in answers] == [200] * len(answers), answers
+
+
 @when("{count:d} requests are sent after {seconds:g} seconds")
 def step_many(context, count, seconds):
     async def action(script):
--- a/src/weirscale/gateway/first_event_model.py
+++ b/src/weirscale/gateway/first_event_model.py
@@ -12,14 +12,13 @@
 import msgspec
 
 NUM_COEFFICIENTS = 4
-FORGETTING = 0.995
-"""Weight of the past at each observation: some 200 observations count."""
+FORGETTING = 0.99
+"""Weight of the past at each observation: some 100 observations count."""
 
-NOISE_S = 0.03
-"""Usual spread of the times about the line."""
-
-MAX_ERROR_S = 0.1
-"""Errors beyond it count as this much."""
+LEAST_NOISE_S = 0.02
+NOISE_SHARE = 0.3
+"""Usual spread of the times about the line: a fixed part and a share of the expected time. An error
+counts up to this much."""
 
 Vector = tuple[float, float, float, float]
 Matrix = list[list[float]]
@@ -88,16 +87,17 @@
             took_s: Time from the sending to the first event.
         """
         inputs = _inputs(work)
-        error_s = took_s - first_event_s(self.rates, work)
-        error_s = max(-MAX_ERROR_S, min(MAX_ERROR_S, error_s))
-        gain = self._gain(inputs)
+        expected_s = first_event_s(self.rates, work)
+        noise_s = LEAST_NOISE_S + NOISE_SHARE * expected_s
+        error_s = max(-noise_s, min(noise_s, took_s - expected_s))
+        gain = self._gain(inputs, noise_s)
         rates = _vector(self.rates)
         self.rates = _bounded([a + part * error_s for a, part in zip(rates, gain, strict=True)])
 
-    def _gain(self, inputs: Vector) -> list[float]:
+    def _gain(self, inputs: Vector, noise_s: float) -> list[float]:
         """Return the weight of an error for each coefficient, and narrow the covariance."""
         spread = [_product(row, inputs) for row in self._covariance]
-        total = _product(inputs, spread) + NOISE_S**2
+        total = _product(inputs, spread) + noise_s**2
         gain = [part / total for part in spread]
         limits = _vector(SPREAD)
         for row in range(NUM_COEFFICIENTS):
