--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -16,6 +16,7 @@
 from weirscale.gateway.exchange_context import ExchangeContext
 from weirscale.gateway.model import RequestKind, Route, Tenant
 from weirscale.gateway.outcome import AttemptEnd, Verdict, judge_answer, judge_failure
+from weirscale.gateway.overload import come_back_s, should_come_back
 from weirscale.gateway.ports import Answer, BodyBrokenError, CallerRequest, Headers, OutboundRequest
 from weirscale.gateway.responder import Responder
 from weirscale.gateway.summary import ExchangeSummary, Stage
@@ -33,19 +34,6 @@
 FIRST_READ_PATIENCE_S = 1.0
 """Until this long after its start a node lets callers wait for its first reading of the state."""
 
-OVERLOAD_FACTOR = 0.8
-"""A first event estimated later than this multiple of the objective is not waited for."""
-
-FRESH_SHARE = 0.99
-"""A caller that still has this share of its route's time, and no more than all of it, asks for the
-first time. One that has more may have asked before: nothing tells."""
-
-LEAST_COME_BACK_SHARE = 0.02
-"""Least share of its time that a caller is told to stay away, so that it is known when it comes."""
-
-COME_BACK_SHARE = 0.3
-"""Largest share of a caller's time that it is told to stay away."""
-
 MIN_ATTEMPT_S = 0.02
 """With less time left an attempt is not worth beginning."""
 
@@ -150,7 +138,8 @@
             self._choice = choice
             if self._should_come_back(choice):
                 self._causes.append("overloaded")
-                await self._refuse(HTTP_UNAVAILABLE, self._come_back_s(choice))
+                wait_s = come_back_s(choice, self._request.timeout_s, NO_BACK_END_RETRY_S)
+                await self._refuse(HTTP_UNAVAILABLE, wait_s)
                 return
             end = await self._attempt(choice)
             if self._responder.has_ended:
@@ -169,25 +158,8 @@
         return chosen
 
     def _should_come_back(self, choice: Choice) -> bool:
-        """Whether the answer would be late here and the caller has time to come back.
-
-        A request that waits in a long queue is late and makes others late; one that is told at
-        once to come back finds the queue shorter. A caller that has come back is served, and one
-        whose prompt alone takes that long to read: it would not be sooner later.
-        """
         assert self._route is not None
-        if self._tried or choice.scope is None or self._request.timeout_s is None:
-            return False
-        share_left = self._request.timeout_s / self._route.timeout_s
-        asks_first = FRESH_SHARE <= share_left <= 1.0
-        limit_s = OVERLOAD_FACTOR * self._route.objective_s
-        return asks_first and choice.idle_s <= limit_s < choice.estimate_s
-
-    def _come_back_s(self, choice: Choice) -> float:
-        assert self._route is not None and self._request.timeout_s is not None
-        longest_s = COME_BACK_SHARE * self._request.timeout_s
-        least_s = max(NO_BACK_END_RETRY_S, LEAST_COME_BACK_SHARE * self._request.timeout_s)
-        return min(longest_s, max(least_s, choice.estimate_s / 2.0))
+        return not self._tried and should_come_back(choice, self._route, self._request.timeout_s)
 
     def _query(self, excluded: Collection[str]) -> DispatchQuery:
         assert self._service is not None
