--- a/features/gateway_state.feature
+++ b/features/gateway_state.feature
@@ -106,3 +106,8 @@
     Given a node whose route splits 70 to "orders" and 30 to "others"
     When 100 requests are sent after 0.1 seconds
     Then "orders" got 70 and "others" 30 of them
+
+  Scenario: A reading of everything that newer changes overtook drops nothing
+    Given a node that reads everything while a reader tells it of a new back end
+    When the reading ends with the state of before
+    Then the back end is known all along, and everything was read once more
--- a/features/steps/gateway_state_steps.py
+++ b/features/steps/gateway_state_steps.py
@@ -1,9 +1,14 @@
 """Steps of `gateway_state.feature`."""
 
+from random import Random
+from types import SimpleNamespace
+
 import anyio
 from behave import given, then, when
+from result import Ok
 
 from features.support.platform_fleet import (
+    EventRecorder,
     Fleet,
     ask,
     configuration,
@@ -13,6 +18,10 @@
 )
 from features.support.platform_runner import RunnerStandIn
 from features.support.virtual_time import run_in_virtual_time
+from weirscale.gateway.back_ends import BackEnd, BackEndState
+from weirscale.gateway.follower import StateFollower
+from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.ports import BackEndRegistered, StateBatch, VersionedChange
 
 TENANT = {"name": "t1", "api_keys": ["good"]}
 SETTLE_S = 0.3
@@ -330,3 +339,64 @@
     for runner in script.fleet.runners:
         counts[runner.service] += len(runner.arrivals)
     assert counts == {one: first, other: second}, counts
+
+
+class OvertakenFeed:
+    """Reads everything slowly: first as it was before, then as it is."""
+
+    def __init__(self, before, now):
+        self._batches = [before, now]
+        self.num_readings = 0
+
+    async def read_all(self):
+        self.num_readings += 1
+        await anyio.sleep(0.2)
+        return Ok(self._batches[min(self.num_readings, 2) - 1])
+
+    async def follow(self, revision, wait_s):
+        await anyio.sleep(wait_s)
+        return Ok(StateBatch(revision, ()))
+
+    async def current_revision(self):
+        return Ok(12)
+
+
+@given("a node that reads everything while a reader tells it of a new back end")
+def step_overtaken(context):
+    end = BackEnd("o-1", "orders", "10.2.0.1:8080", "hall-a", BackEndState.READY, 4)
+    context.told = StateBatch(12, (VersionedChange("b", 12, BackEndRegistered(end)),))
+    context.feed = OvertakenFeed(StateBatch(10, ()), context.told)
+
+
+@when("the reading ends with the state of before")
+def step_reading_ends(context):
+    context.is_known = []
+
+    async def do_nothing():
+        pass
+
+    async def body():
+        knowledge = Knowledge(EventRecorder(), anyio.current_time)
+        publisher = SimpleNamespace(publish=do_nothing, has_subscribers=lambda: False)
+        subscription = SimpleNamespace(
+            is_current=lambda: False, is_reading_due=lambda: False, has_read=lambda: None
+        )
+        follower = StateFollower(
+            context.feed, knowledge, EventRecorder(), Random(1), publisher, subscription
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            await anyio.sleep(0.1)
+            knowledge.apply(context.told, anyio.current_time())
+            for _ in range(10):
+                context.is_known.append(knowledge.directory.get("o-1") is not None)
+                await anyio.sleep(0.05)
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(body)
+
+
+@then("the back end is known all along, and everything was read once more")
+def step_known(context):
+    assert all(context.is_known), context.is_known
+    assert context.feed.num_readings == 2
