Gather changes of the store before watching again

Change: 0.1 s between an answer to the watch and the next watch, and 0.3 s after a reading of everything: meanwhile a node hears from the readers.

--- a/features/gateway_state.feature
+++ b/features/gateway_state.feature
@@ -111,3 +111,8 @@
     Given a node that reads everything while a reader tells it of a new back end
     When the reading ends with the state of before
     Then the back end is known all along, and everything was read once more
+
+  Scenario: Changes that come together cost few watches, and are known in time
+    Given a node that has configuration 3 and two back ends
+    When 50 back ends register within 0.5 seconds
+    Then the node knows them 0.2 seconds later, after at most 8 watches
--- a/features/steps/gateway_state_steps.py
+++ b/features/steps/gateway_state_steps.py
@@ -400,3 +400,29 @@
 def step_known(context):
     assert all(context.is_known), context.is_known
     assert context.feed.num_readings == 2
+
+
+@when("{count:d} back ends register within {seconds:g} seconds")
+def step_register_many(context, count, seconds):
+    async def action(script):
+        script.num_watches = num_watches(script.fleet.store)
+        for number in range(count):
+            script.fleet.add_runner(back_end(number + 10))
+            await anyio.sleep(seconds / count)
+        await anyio.sleep(0.2)
+        script.num_watches = num_watches(script.fleet.store) - script.num_watches
+        script.num_known = len(script.node.knowledge.directory.instances())
+
+    context.script.actions.append(action)
+    context.num_registered = count + 2
+
+
+def num_watches(store):
+    return sum(path == "/v1/kv-watch" for _, path in store.calls)
+
+
+@then("the node knows them {seconds:g} seconds later, after at most {watches:d} watches")
+def step_known_soon(context, seconds, watches):
+    script = context.script.play()
+    assert script.num_known == context.num_registered, script.num_known
+    assert script.num_watches <= watches, script.num_watches
--- a/src/weirscale/gateway/follower.py
+++ b/src/weirscale/gateway/follower.py
@@ -23,6 +23,14 @@
 READER_PROOF_INTERVAL_S = 0.4
 """The same at a node that others rest on: their proofs are older by the way to them."""
 
+GATHER_S = 0.1
+"""Pause between an answer to the watch and the next watch: changes that come together cost one
+call. Each change ends every watch, and a fleet that starts makes many at once."""
+
+READ_PAUSE_S = 0.3
+"""The same after a reading of everything: meanwhile a node hears from the readers, so that most
+nodes of a fleet that starts never watch."""
+
 LATE_CHANGE_S = 0.4
 """A revision that the watch has not told by then makes everything be read anew."""
 
@@ -102,12 +110,15 @@
             self._knowledge.replace_all(read.ok_value, asked_at_s)
             self._must_read_all = False
             self._subscription.has_read()
+            pause_s = READ_PAUSE_S
         else:
             followed = await self._follow()
             if isinstance(followed, Err):
                 return followed.err_value
             self._knowledge.apply(followed.ok_value, NEVER_S)
+            pause_s = GATHER_S
         await self._publisher.publish()
+        await anyio.sleep(pause_s)
         return None
 
     async def _follow(self) -> Result[StateBatch, KeyValueFailure]:
