--- a/features/gateway_start.feature
+++ b/features/gateway_start.feature
@@ -36,3 +36,8 @@
       | 9.0  | 0.1   | 503    | 0.85  | 0.95 |
       | 9.0  | 0.8   | 503    | 0.15  | 0.25 |
       | 9.0  | 2.0   | 503    | 0.0   | 0.01 |
+
+  Scenario: A caller with little time waits for half of it at most
+    Given the store can be reached 9.0 s after the start of a node
+    When a request of 0.4 s arrives 0.1 s after the start
+    Then it gets 503 after 0.19 to 0.21 s
--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -162,8 +162,18 @@
     context.read_s = read
 
 
+@when("a request of {timeout:g} s arrives {asked:g} s after the start")
+def step_asked_soon(context, timeout, asked):
+    ask_starting_node(context, asked, x_deadline_ms=int(1000 * timeout))
+
+
 @when("a request arrives {asked:g} s after the start")
 def step_asked(context, asked):
+    ask_starting_node(context, asked)
+
+
+def ask_starting_node(context, asked, **headers):
+    """Ask a node whose store can be reached later."""
     fleet = Fleet()
     fleet.store.is_down = True
 
@@ -177,7 +187,7 @@
         fleet.tasks.start_soon(open_store)
         node = await fleet.start_node()
         await anyio.sleep(asked - START_S)
-        context.answer = await ask(node, "/o/1", headers=request_headers())
+        context.answer = await ask(node, "/o/1", headers=request_headers(**headers))
 
     run_in_virtual_time(lambda: with_fleet(fleet, body))
 
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -34,6 +34,9 @@
 FIRST_READ_PATIENCE_S = 1.0
 """Until this long after its start a node lets callers wait for its first reading of the state."""
 
+FIRST_READ_SHARE = 0.5
+"""Share of a caller's time that it may wait then."""
+
 MIN_ATTEMPT_S = 0.02
 """With less time left an attempt is not worth beginning."""
 
@@ -87,7 +90,7 @@
     async def run(self) -> None:
         """Answer the request, or break its answer off."""
         try:
-            await self._context.knowledge.wait_for_first_read(FIRST_READ_PATIENCE_S)
+            await self._wait_for_first_read()
             refusal = self._admit()
             if refusal is not None:
                 await self._refuse(refusal, NO_CONFIGURATION_RETRY_S)
@@ -99,6 +102,14 @@
         finally:
             self._tell_end()
 
+    async def _wait_for_first_read(self) -> None:
+        """Let a caller wait while the node starts, for half of the caller's time at most."""
+        at_most_s = FIRST_READ_PATIENCE_S
+        if self._request.timeout_s is not None:
+            at_most_s = min(at_most_s, FIRST_READ_SHARE * self._request.timeout_s)
+        with anyio.move_on_after(at_most_s):
+            await self._context.knowledge.wait_for_first_read(FIRST_READ_PATIENCE_S)
+
     def _admit(self) -> int | None:
         """Find route and tenant; returns the status of a refusal."""
         table = self._context.knowledge.table
