--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -16,7 +16,6 @@
 from weirscale.gateway.load import Load
 from weirscale.gateway.peer_messages import (
     LoadNews,
-    PartNews,
     PeerNews,
     SendNews,
     decode_message,
@@ -105,8 +104,7 @@
 
     report(f"choice over {NUM_RUNNERS} runners", time_each(choose_one, NUM_CHOICES))
     loads = tuple(LoadNews(f"i-{number:08x}", 12, 3456, 45_678) for number in range(NUM_RUNNERS))
-    parts = tuple(PartNews(part.part_id, part.num_tokens) for part in prompts[0].parts)
-    sends = (SendNews("i-0000000a", SCOPE, False, parts),) * NUM_SENDS_A_DATAGRAM
+    sends = (SendNews("i-0000000a", SCOPE, False, prompts[0].parts),) * NUM_SENDS_A_DATAGRAM
     news = PeerNews("edge-hall-1", loads, sends)
     datagram = encode_message(news)
     report("datagram encoding", time_each(lambda _: encode_message(news), NUM_DATAGRAMS))
--- a/features/steps/gateway_groups_steps.py
+++ b/features/steps/gateway_groups_steps.py
@@ -11,7 +11,7 @@
 from weirscale.gateway.group_relay import news_interval_s
 from weirscale.gateway.groups import Member, divide
 from weirscale.gateway.load import FleetLoad, Load
-from weirscale.gateway.peer_messages import PartNews, SendNews
+from weirscale.gateway.peer_messages import SendNews
 from weirscale.gateway.prompt import CacheScope, PromptPart
 
 SETTLE_S = 4.0
@@ -199,8 +199,7 @@
 
 @when("one node tells that a runner has read a prompt")
 def step_tells_read(context):
-    parts = tuple(PartNews(part.part_id, part.num_tokens) for part in (*SHARED, OWN))
-    context.send = SendNews(RUNNER.instance, SCOPE, True, parts)
+    context.send = SendNews(RUNNER.instance, SCOPE, True, (*SHARED, OWN))
 
 
 @then("within {seconds:g} seconds every node believes that the runner keeps its shared parts")
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -15,7 +15,7 @@
 from weirscale.gateway.node_metrics import NodeMetrics
 from weirscale.gateway.outcome import AttemptEnd, Verdict, is_about_weights
 from weirscale.gateway.overload import QueueLimit
-from weirscale.gateway.peer_messages import PartNews, SendNews, SuspectNews
+from weirscale.gateway.peer_messages import SendNews, SuspectNews
 from weirscale.gateway.ports import Answer, BackEndPort
 from weirscale.gateway.prompt import Prompt
 from weirscale.gateway.registrations import PeerDirectory
@@ -212,9 +212,8 @@
 
     def _tell_send(self, choice: Choice, prompt: Prompt, is_ready: bool) -> None:
         assert choice.scope is not None
-        parts = tuple(PartNews(part.part_id, part.num_tokens) for part in prompt.parts)
         instance = choice.candidate.back_end.instance
-        self._outbox.add_send(SendNews(instance, choice.scope, is_ready, parts))
+        self._outbox.add_send(SendNews(instance, choice.scope, is_ready, prompt.parts))
 
     def tell_end(self, summary: ExchangeSummary) -> None:
         """Log and count a request that has ended."""
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -32,7 +32,6 @@
 )
 from weirscale.gateway.peers import MessageReceiver, PeerTask
 from weirscale.gateway.ports import BackEndConnector, BackEndPort, CallerDialect, StateFeed
-from weirscale.gateway.prompt import PromptPart
 from weirscale.gateway.registrations import PeerDirectory, Registration, RegistrationTask
 from weirscale.gateway.retry_budget import SharedRetryBudget
 from weirscale.gateway.rollout import RolloutRules
@@ -295,11 +294,10 @@
             heard = Load(load.num_requests, load.waiting_tokens, load.held_tokens)
             self.load.hear(source or "", load.instance, heard, now_s)
         for send in news.sends:
-            parts = tuple(PromptPart(part.part_id, part.num_tokens) for part in send.parts)
             if news.group:
-                self.dispatcher.note_shared_parts(send.instance, send.scope, parts)
+                self.dispatcher.note_shared_parts(send.instance, send.scope, send.parts)
             else:
-                self.dispatcher.note_parts(send.instance, send.scope, parts, send.is_ready)
+                self.dispatcher.note_parts(send.instance, send.scope, send.parts, send.is_ready)
         for loading in news.loading:
             self._hear_loading(loading)
         for named in news.named:
--- a/src/weirscale/gateway/peer_messages.py
+++ b/src/weirscale/gateway/peer_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from weirscale.gateway.ports import VersionedChange
+from weirscale.gateway.prompt import PromptPart
 
 MAX_REPLY_BYTES = 24_000
 """Larger replies do not go out: datagrams of many fragments are lost too often."""
@@ -23,20 +24,13 @@
     held_tokens: int
 
 
-class PartNews(msgspec.Struct, frozen=True, array_like=True):
-    """A prompt part."""
-
-    part_id: str
-    num_tokens: int
-
-
 class SendNews(msgspec.Struct, frozen=True, array_like=True):
     """A prompt was sent to a runner, or (`is_ready`) has been read there."""
 
     instance: str
     scope: str
     is_ready: bool
-    parts: tuple[PartNews, ...]
+    parts: tuple[PromptPart, ...]
 
 
 class LoadingNews(msgspec.Struct, frozen=True, array_like=True):
--- a/src/weirscale/gateway/prompt.py
+++ b/src/weirscale/gateway/prompt.py
@@ -5,7 +5,7 @@
 from weirscale.domain.identifiers import TenantName
 
 
-class PromptPart(msgspec.Struct, frozen=True):
+class PromptPart(msgspec.Struct, frozen=True, array_like=True):
     """One part of a prompt.
 
     Attributes:
