--- a/features/gateway_groups.feature
+++ b/features/gateway_groups.feature
@@ -21,6 +21,10 @@
     Given 60 nodes in 3 zones, every third of them weak
     Then the first head of each group is no weak node
 
+  Scenario: The strongest nodes read the store for the others
+    Given 60 nodes in 3 zones, every third of them weak
+    Then no weak node reads the store, and each node may ask 2 others
+
   Scenario Outline: A node hears few messages, however many nodes there are
     Given <nodes> nodes in <zones> zones
     When each node tells its news as often as it may
--- a/features/gateway_overload.feature
+++ b/features/gateway_overload.feature
@@ -16,3 +16,61 @@
     Given 3 nodes before 3 runners that read a quarter as fast as usual
     When callers offer 0.4 times what the runners can read, and then 0.4 times
     Then at most 2 in 100 callers of either load are refused
+
+  Scenario Outline: The bound on queues follows the pauses of streams
+    When <late> streams pause for too long and then <sound> do not
+    Then between <least> and <most> of the bound is in force
+
+    Examples: one late stream takes a fifth, a sound one gives back 0.02
+      | late | sound | least | most |
+      | 0    | 10    | 1.0   | 1.0  |
+      | 1    | 0     | 0.79  | 0.81 |
+      | 3    | 0     | 0.5   | 0.53 |
+      | 3    | 30    | 1.0   | 1.0  |
+      | 100  | 0     | 0.05  | 0.05 |
+      | 100  | 20    | 0.44  | 0.46 |
+
+  Scenario Outline: Who is told to come back
+    Given a wait of <others> seconds that others cause and <own> seconds of its own
+    When a caller that "<asks>" asks with <share> of the bound in force
+    Then that caller is "<answer>"
+
+    Examples: an objective of 1 s, a bound of 0.8 s
+      | others | own | asks       | share | answer |
+      | 0.0    | 0.1 | first      | 1.0   | sent   |
+      | 0.6    | 0.1 | first      | 1.0   | sent   |
+      | 0.8    | 0.1 | first      | 1.0   | told   |
+      | 0.6    | 0.1 | first      | 0.5   | told   |
+      | 0.8    | 0.1 | once more  | 1.0   | sent   |
+      | 2.5    | 0.1 | once more  | 1.0   | told   |
+      | 0.8    | 0.1 | once more  | 0.3   | told   |
+      | 0.04   | 0.1 | first      | 0.05  | sent   |
+      | 0.06   | 0.1 | first      | 0.05  | told   |
+      | 0.5    | 2.0 | first      | 1.0   | sent   |
+      | 0.9    | 2.0 | first      | 1.0   | told   |
+
+  Scenario Outline: An attempt that waits too long tells so before it ends
+    Given an attempt expected to take <expected> seconds at a runner that <lives>
+    When <waited> seconds have passed
+    Then it "<tells>", and tells once more after <again> seconds
+
+    Examples: after 1.5 times what was expected, and each time that the wait has grown so
+      | expected | lives               | waited | tells         | again |
+      | 0.4      | makes other events  | 0.5    | tells nothing | 0.7   |
+      | 0.4      | makes other events  | 0.65   | tells         | 1.0   |
+      | 0.01     | makes other events  | 0.05   | tells nothing | 0.2   |
+      | 0.4      | has made none since | 5.0    | tells nothing | never |
+
+  Scenario Outline: A stream is left for a pause only beyond what is usual
+    Given streams of a service that usually pause for <usual> seconds and may for 0.5 seconds
+    Then a silent one is left after <patience> seconds
+
+    Examples:
+      | usual | patience |
+      | 0.05  | 0.75     |
+      | 0.2   | 0.75     |
+      | 1.0   | 3.0      |
+
+  Scenario: A slow stream is not left where no repeat may be spent
+    When the retry budget is spent and a stream pauses for 1.2 seconds
+    Then the stream is answered by its first runner
--- a/features/steps/gateway_groups_steps.py
+++ b/features/steps/gateway_groups_steps.py
@@ -13,6 +13,7 @@
 from weirscale.gateway.load import FleetLoad, Load
 from weirscale.gateway.peer_messages import SendNews
 from weirscale.gateway.prompt import CacheScope, PromptPart
+from weirscale.gateway.state_relay import choose_readers
 
 SETTLE_S = 4.0
 WEAK, STRONG = 30, 100
@@ -43,9 +44,18 @@
 def step_weak_nodes(context, nodes, zones):
     # Zones and weakness go by different numbers, so that every zone has weak nodes.
     members = make_members(nodes, zones + 1, weak_each=3)
+    context.members = members
     context.division = divide(members)
 
 
+@then("no weak node reads the store, and each node may ask {count:d} others")
+def step_strong_readers(context, count):
+    readers = choose_readers(context.members)
+    weak = {one.name for one in context.members if one.strength == WEAK}
+    assert len(readers) == count, readers
+    assert not weak & set(readers)
+
+
 @then("there are between {least:d} and {most:d} groups")
 def step_groups(context, least, most):
     assert least <= len(context.division.groups) <= most, len(context.division.groups)
--- a/features/steps/gateway_overload_steps.py
+++ b/features/steps/gateway_overload_steps.py
@@ -10,12 +10,20 @@
     Fleet,
     ask,
     configuration,
+    generation_headers,
     request_headers,
     route,
     with_fleet,
 )
+from features.support.platform_runner import RunnerStandIn
 from features.support.reading_runner import ReadingRunner
 from features.support.virtual_time import run_in_virtual_time
+from weirscale.gateway.back_ends import BackEnd, BackEndState
+from weirscale.gateway.choice import Candidate, Choice
+from weirscale.gateway.load import Load
+from weirscale.gateway.model import RequestKind, Route
+from weirscale.gateway.overdue import OverdueAttempts
+from weirscale.gateway.overload import QueueLimit, should_come_back
 
 NUM_RUNNERS = 3
 TOKENS_PER_S = 14_000.0
@@ -157,3 +165,127 @@
 def step_few_refused(context, share):
     for load in context.loads:
         assert len(load.refusals) <= share * load.num_callers / 100, len(load.refusals)
+
+
+@when("{late:d} streams pause for too long and then {sound:d} do not")
+def step_streams(context, late, sound):
+    context.limit = QueueLimit()
+    for _ in range(late):
+        context.limit.note_stream(True)
+    for _ in range(sound):
+        context.limit.note_stream(False)
+
+
+@then("between {least:g} and {most:g} of the bound is in force")
+def step_in_force(context, least, most):
+    assert least <= context.limit.share <= most, context.limit.share
+
+
+RUNNER = BackEnd("r-1", "lm", "10.3.0.1:8080", "here", BackEndState.READY, 4)
+AIMED = Route(
+    "draft", "h", "/", RequestKind.STREAMING, (), timeout_s=4.0, objective_s=1.0, max_pause_s=0.5
+)
+
+
+@given("a wait of {others:g} seconds that others cause and {own:g} seconds of its own")
+def step_wait(context, others, own):
+    candidate = Candidate(RUNNER, Load(), False)
+    context.choice = Choice(candidate, scope="m@1", estimate_s=others + own, idle_s=own)
+
+
+@when('a caller that "{asks}" asks with {share:g} of the bound in force')
+def step_asks(context, asks, share):
+    timeout_s = AIMED.timeout_s if asks == "first" else 0.8 * AIMED.timeout_s
+    context.is_told = should_come_back(context.choice, AIMED, timeout_s, QueueLimit(share))
+
+
+@then('that caller is "{answer}"')
+def step_told(context, answer):
+    assert context.is_told == (answer == "told")
+
+
+@given("an attempt expected to take {expected:g} seconds at a runner that {lives}")
+def step_attempt(context, expected, lives):
+    context.overdue = OverdueAttempts()
+    candidate = Candidate(RUNNER, Load(), False)
+    context.choice = Choice(candidate, scope="m@1", estimate_s=expected)
+    context.overdue.note_alive(RUNNER.instance, 9.9)
+    context.overdue.begin(context.choice, 10.0)
+    if lives == "makes other events":
+        context.overdue.note_alive(RUNNER.instance, 10.01)
+
+
+@when("{waited:g} seconds have passed")
+def step_waited(context, waited):
+    context.waited_s = waited
+    context.due = context.overdue.take_due(10.0 + waited)
+
+
+@then('it "{tells}", and tells once more after {again} seconds')
+def step_tells(context, tells, again):
+    assert bool(context.due) == (tells == "tells"), context.due
+    assert all(abs(waited_s - context.waited_s) < 1e-9 for _, waited_s in context.due)
+    if again == "never":
+        assert not context.overdue.take_due(100.0)
+        return
+    assert not context.overdue.take_due(10.0 + context.waited_s + 0.001)
+    assert context.overdue.take_due(10.0 + float(again))
+    context.overdue.end(context.choice)
+    assert not context.overdue.take_due(100.0)
+
+
+def play_with_node(body, faults=()):
+    """Run a body with one node before two runners of which the first one asked has faults."""
+    fleet = Fleet()
+
+    async def main():
+        async def inner():
+            fleet.store.put("op/config", configuration(1))
+            for number in (1, 2):
+                runner = RunnerStandIn(f"r-{number}", f"10.3.0.{number}:8080", "lm")
+                runner.faults = list(faults)
+                fleet.add_runner(runner)
+            node = await fleet.start_node()
+            await anyio.sleep(0.5)
+            await body(node)
+
+        await with_fleet(fleet, inner)
+
+    run_in_virtual_time(main)
+    return fleet
+
+
+@given(
+    "streams of a service that usually pause for {usual:g} seconds and may for {allowed:g} seconds"
+)
+def step_usual(context, usual, allowed):
+    async def body(node):
+        for _ in range(400):
+            node.context.note_pause("lm", usual)
+        context.patience_s = node.context.stall_patience_s(AIMED, "lm")
+
+    assert allowed == AIMED.max_pause_s
+    play_with_node(body)
+
+
+@then("a silent one is left after {patience:g} seconds")
+def step_patience(context, patience):
+    assert abs(context.patience_s - patience) < 0.01, context.patience_s
+
+
+@when("the retry budget is spent and a stream pauses for {seconds:g} seconds")
+def step_no_repeat(context, seconds):
+    async def body(node):
+        while node.context.take_retry("lm"):
+            pass
+        headers = generation_headers("q1", parts="own:200", x_deadline_ms=4000)
+        context.answer = await ask(node, "/a/x", headers=headers)
+
+    context.fleet = play_with_node(body, [f"pause:{seconds}"])
+
+
+@then("the stream is answered by its first runner")
+def step_first_runner(context):
+    runs = [run for runner in context.fleet.runners for run in runner.runs]
+    assert len(runs) == 1, runs
+    assert context.answer.status == 200 and context.answer.is_complete
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -193,6 +193,8 @@
                     raise httpx.RemoteProtocolError("incomplete chunked read")
                 if self._fault == "stall" and number == 3:
                     await anyio.sleep(HANG_S)
+                if self._fault.startswith("pause:") and number == 3:
+                    await anyio.sleep(float(self._fault.removeprefix("pause:")))
                 yield event
                 await anyio.sleep(EVENT_INTERVAL_S)
             self._run.ended_s = anyio.current_time()
