Move the lease task and the event log below the gateway: it imports nothing of the node

Change: node/duties/lease_task.py -> leases/lease_task.py, node/event_log.py -> ports/event_log.py; nothing but names of modules changes. architecture_layers.feature forbids the gateway to import the node, where it allowed it before.

--- a/bench/node_process.py
+++ b/bench/node_process.py
@@ -9,9 +9,9 @@
 
 from bench.setup import ZONE, ServerAddress, announce
 from weirscale.domain.identifiers import ConfigurationRevision, NodeName
-from weirscale.node.event_log import start_line_log
 from weirscale.node.program import NodeProgram
 from weirscale.node.settings import NodeSettings, PeerKeySettings
+from weirscale.ports.event_log import start_line_log
 from weirscale.ports.listeners import open_listener
 
 LOOPBACK = "127.0.0.1"
--- a/bench/placement_states.py
+++ b/bench/placement_states.py
@@ -33,13 +33,13 @@
 from weirscale.messages.cache import LoadReport
 from weirscale.messages.envelope import KeyRing, PeerKey
 from weirscale.node.backends.facts import EMPTY_SNAPSHOT, DirectorySnapshot, EngineFacts
-from weirscale.node.event_log import SilentEventLog
 from weirscale.node.interfaces import ConfigurationInForce, Peer, PeerState
 from weirscale.node.peers.link import AuthenticatedPeerLink
 from weirscale.node.placement.fleet_states import FleetStates
 from weirscale.node.placement.states_server import EngineStatesServer
 from weirscale.node.placement.task import PlacementTask
 from weirscale.ports.engine import EngineFailure, EngineOrder, LoadModel
+from weirscale.ports.event_log import SilentEventLog
 from weirscale.standins.key_value.in_process import InProcessKeyValue
 from weirscale.standins.key_value.server import KeyValueServer
 
--- a/features/architecture_layers.feature
+++ b/features/architecture_layers.feature
@@ -9,9 +9,10 @@
       | domain      | domain messages                                            |
       | messages    | messages domain                                            |
       | ports       | ports domain messages                                      |
+      | leases      | leases ports domain                                        |
       | standins    | standins domain messages ports                             |
-      | node        | node domain messages ports                                 |
-      | gateway     | gateway node domain ports                                  |
+      | node        | node domain messages ports leases                          |
+      | gateway     | gateway domain ports leases                                |
       | experiments | experiments node domain messages ports standins            |
       | cli         | cli experiments gateway node domain messages ports standins |
 
--- a/features/steps/duties_lease_steps.py
+++ b/features/steps/duties_lease_steps.py
@@ -16,7 +16,7 @@
 )
 from weirscale.domain.duties.fence import TokenFence
 from weirscale.domain.identifiers import NodeAddress, NodeId
-from weirscale.node.duties.lease_task import DutyLeaseTask
+from weirscale.leases.lease_task import DutyLeaseTask
 from weirscale.node.duties.view import DutyView
 from weirscale.node.interfaces import Peer, PeerState
 from weirscale.standins.key_value.in_process import InProcessKeyValue
--- a/features/steps/node_drain_steps.py
+++ b/features/steps/node_drain_steps.py
@@ -8,8 +8,8 @@
 from weirscale.experiments.memory_network import MemoryNetwork
 from weirscale.messages.envelope import KeyRing, PeerKey
 from weirscale.node.assembly import Node
-from weirscale.node.event_log import SilentEventLog
 from weirscale.node.node_ports import NodeIdentity, NodePorts
+from weirscale.ports.event_log import SilentEventLog
 from weirscale.standins.key_value.in_process import InProcessKeyValue
 from weirscale.standins.key_value.server import KeyValueServer
 
--- a/features/steps/path_in_time_steps.py
+++ b/features/steps/path_in_time_steps.py
@@ -12,8 +12,8 @@
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.domain.configuration.model import RetryRules
 from weirscale.domain.request.retry_policy import NextStep
-from weirscale.node.event_log import render_line
 from weirscale.node.execution.history import RequestHistory
+from weirscale.ports.event_log import render_line
 from weirscale.ports.service import ServiceFailureKind
 
 EACH_TIME = 1000
--- a/features/steps/path_services_steps.py
+++ b/features/steps/path_services_steps.py
@@ -6,7 +6,7 @@
 from features.support.path_asgi import CallerScript, call_app
 from features.support.path_node import PathNode, ScriptedBackend
 from features.support.virtual_time import run_in_virtual_time
-from weirscale.node.event_log import render_line
+from weirscale.ports.event_log import render_line
 from weirscale.ports.service import ServiceFailureKind
 
 ORDER_ID = "order-1"
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -13,11 +13,11 @@
 from weirscale.domain.duties.assignment import Duty, DutyKind
 from weirscale.domain.identifiers import NodeId
 from weirscale.domain.placement.model import EngineObservation
+from weirscale.leases.lease_task import DutyLeaseTask
 from weirscale.node.backends.probe_pace import ProbeRules
-from weirscale.node.duties.lease_task import DutyLeaseTask
-from weirscale.node.event_log import SilentEventLog
 from weirscale.node.placement.task import PlacementTask
 from weirscale.ports.engine import EngineFailure, EngineFailureKind, GenerateCall
+from weirscale.ports.event_log import SilentEventLog
 from weirscale.standins.engine.in_process import InProcessEngine
 from weirscale.standins.engine.settings import EngineSettings
 from weirscale.standins.key_value.in_process import InProcessKeyValue
--- a/src/weirscale/experiments/run/node_factory.py
+++ b/src/weirscale/experiments/run/node_factory.py
@@ -16,9 +16,9 @@
 from weirscale.experiments.run.recorder import Recorder
 from weirscale.messages.envelope import KeyRing, PeerKey
 from weirscale.node.assembly import Node
-from weirscale.node.event_log import EventLog
 from weirscale.node.node_ports import NodeIdentity, NodePorts
 from weirscale.ports.engine import EnginePort
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.service import ServicePort
 from weirscale.standins.key_value.in_process import InProcessKeyValue
 from weirscale.standins.machines.in_process import InProcessMachineList
--- a/src/weirscale/experiments/run/virtual.py
+++ b/src/weirscale/experiments/run/virtual.py
@@ -26,7 +26,7 @@
 from weirscale.experiments.run.recorder import Recorder
 from weirscale.experiments.workload.items import PlanItem
 from weirscale.experiments.workload.plan import PlanSetting, make_plan
-from weirscale.node.event_log import EventLog, SilentEventLog
+from weirscale.ports.event_log import EventLog, SilentEventLog
 from weirscale.standins.engine.answer import expected_text
 
 SETTLE_S = 3.0
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -24,7 +24,7 @@
 from weirscale.gateway.split import WeightedSplit
 from weirscale.gateway.summary import ExchangeSummary
 from weirscale.gateway.version_check import VersionCheck
-from weirscale.node.event_log import EventLog
+from weirscale.ports.event_log import EventLog
 
 PROOF_SHARE = 0.92
 """Share of the bound on removed keys for which a proof of the configuration holds. A removal that
--- a/src/weirscale/gateway/follower.py
+++ b/src/weirscale/gateway/follower.py
@@ -10,7 +10,7 @@
 from weirscale.gateway.knowledge import NEVER_S, Knowledge
 from weirscale.gateway.ports import StateBatch, StateFeed
 from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
-from weirscale.node.event_log import EventLog
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValueFailure, KeyValueFailureKind
 
 FOLLOW_WAIT_S = 6.0
--- a/src/weirscale/gateway/health.py
+++ b/src/weirscale/gateway/health.py
@@ -14,7 +14,7 @@
     state_at,
 )
 from weirscale.domain.health.rules import HealthRules
-from weirscale.node.event_log import EventLog
+from weirscale.ports.event_log import EventLog
 
 GATEWAY_HEALTH_RULES = HealthRules(
     max_consecutive_failures=2,
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -23,7 +23,7 @@
 )
 from weirscale.gateway.routes import RouteTable
 from weirscale.gateway.weights import LONG_AGO_S, VersionBook
-from weirscale.node.event_log import EventLog
+from weirscale.ports.event_log import EventLog
 
 NEVER_S = float("-inf")
 
--- a/src/weirscale/gateway/line_log.py
+++ b/src/weirscale/gateway/line_log.py
@@ -12,7 +12,7 @@
 import anyio
 import eliot
 
-from weirscale.node.event_log import render_line
+from weirscale.ports.event_log import render_line
 
 MAX_QUEUED_LINES = 2_000
 FLUSH_INTERVAL_S = 0.1
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -40,8 +40,8 @@
 from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
 from weirscale.gateway.timed_record import OrderTurn
 from weirscale.gateway.version_check import VersionCheck
-from weirscale.node.duties.lease_task import KEY_PREFIX, DutyLeaseTask
-from weirscale.node.event_log import EventLog
+from weirscale.leases.lease_task import KEY_PREFIX, DutyLeaseTask
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValuePort
 
 MILLISECONDS_PER_S = 1000.0
--- a/src/weirscale/gateway/program.py
+++ b/src/weirscale/gateway/program.py
@@ -15,7 +15,7 @@
 from weirscale.gateway.ports import BackEndConnector, CallerDialect, StateFeed
 from weirscale.gateway.settings import GatewaySettings, ListenAddress
 from weirscale.gateway.settings_watch import SettingsWatch
-from weirscale.node.event_log import EventLog
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.http_server import ConnectionLimits, serve_on_listeners
 from weirscale.ports.key_value import KeyValuePort
 from weirscale.ports.listeners import open_listener
--- a/src/weirscale/gateway/registrations.py
+++ b/src/weirscale/gateway/registrations.py
@@ -11,7 +11,7 @@
 from weirscale.gateway.groups import Division, Member, divide
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.settings import ListenAddress
-from weirscale.node.event_log import EventLog
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValueFailureKind, KeyValuePort
 
 NODE_PREFIX = "weirscale/nodes/"
--- a/src/weirscale/gateway/rollout_task.py
+++ b/src/weirscale/gateway/rollout_task.py
@@ -21,8 +21,8 @@
     runners_to_load,
 )
 from weirscale.gateway.timed_record import OrderTurn, write_timed_record, young_key
-from weirscale.node.duties.lease_task import DutyLeaseTask
-from weirscale.node.event_log import EventLog
+from weirscale.leases.lease_task import DutyLeaseTask
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValuePort
 
 PLAN_INTERVAL_S = 0.1
--- a/src/weirscale/gateway/settings_watch.py
+++ b/src/weirscale/gateway/settings_watch.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from weirscale.gateway.settings import GatewaySettings, SettingsError
-from weirscale.node.event_log import EventLog
+from weirscale.ports.event_log import EventLog
 
 READ_INTERVAL_S = 2.0
 """How often the settings are read without a signal."""
--- a/src/weirscale/gateway/state_relay.py
+++ b/src/weirscale/gateway/state_relay.py
@@ -29,7 +29,7 @@
 from weirscale.gateway.ports import StateBatch
 from weirscale.gateway.registrations import PeerDirectory
 from weirscale.gateway.settings import ListenAddress
-from weirscale.node.event_log import EventLog
+from weirscale.ports.event_log import EventLog
 
 MIN_READERS = 2
 NODES_A_READER = 48
--- a/src/weirscale/node/assembly.py
+++ b/src/weirscale/node/assembly.py
@@ -30,6 +30,7 @@
 )
 from weirscale.domain.request.refusal import Refusal
 from weirscale.domain.request.retry_budget import RetryBudget
+from weirscale.leases.lease_task import DutyLeaseTask
 from weirscale.messages.envelope import KeyRing
 from weirscale.node.backends.directory import BackendDirectory
 from weirscale.node.callers.app import CallerApp
@@ -37,9 +38,7 @@
 from weirscale.node.callers.metrics import CallerMetrics
 from weirscale.node.claims.ledger import QuorumClaimLedger
 from weirscale.node.configuration.task import ConfigurationTask
-from weirscale.node.duties.lease_task import DutyLeaseTask
 from weirscale.node.duties.view import DutyView
-from weirscale.node.event_log import EventLog
 from weirscale.node.execution.canceller import EngineCanceller
 from weirscale.node.execution.generation import GenerationExecutor
 from weirscale.node.execution.service import ServiceExecutor
@@ -63,6 +62,7 @@
 from weirscale.node.routing.engine_router import EngineRouter
 from weirscale.node.routing.explain import Explainer
 from weirscale.node.routing.service_router import ServiceRouter
+from weirscale.ports.event_log import EventLog
 
 _NO_REVISION = ConfigurationRevision(0)
 
--- a/src/weirscale/node/backends/directory.py
+++ b/src/weirscale/node/backends/directory.py
@@ -28,10 +28,10 @@
 from weirscale.node.backends.probe_pace import ProbeRules
 from weirscale.node.backends.probes import EngineProbes, poll_machines
 from weirscale.node.backends.state import DirectoryState
-from weirscale.node.event_log import EventLog, SilentEventLog
 from weirscale.node.interfaces import ConfigurationView
 from weirscale.node.mailbox import Mailbox
 from weirscale.ports.engine import EnginePort
+from weirscale.ports.event_log import EventLog, SilentEventLog
 from weirscale.ports.machines import MachineListPort
 from weirscale.ports.service import ServicePort
 
--- a/src/weirscale/node/backends/state.py
+++ b/src/weirscale/node/backends/state.py
@@ -29,9 +29,9 @@
     ServiceAttemptEnded,
 )
 from weirscale.node.backends.port_table import PortTable
-from weirscale.node.event_log import EventLog
 from weirscale.node.interfaces import ConfigurationInForce
 from weirscale.ports.engine import EnginePort
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.machines import Machine
 from weirscale.ports.service import ServicePort
 
--- a/src/weirscale/node/callers/app.py
+++ b/src/weirscale/node/callers/app.py
@@ -29,7 +29,6 @@
 from weirscale.node.callers.generation_route import GenerationRoute
 from weirscale.node.callers.metrics import CallerMetrics
 from weirscale.node.callers.service_route import SERVICES_PREFIX, ServiceCallRoute
-from weirscale.node.event_log import EventLog
 from weirscale.node.execution.generation import GenerationExecutor
 from weirscale.node.execution.service import ServiceExecutor
 from weirscale.node.interfaces import Admission, ConfigurationInForce, ConfigurationView
@@ -44,6 +43,7 @@
     headers_size_bytes,
     send_whole,
 )
+from weirscale.ports.event_log import EventLog
 
 MODELS_PATH = "/v1/models"
 HEALTH_PATH = "/healthz"
--- a/src/weirscale/node/claims/keeper.py
+++ b/src/weirscale/node/claims/keeper.py
@@ -23,8 +23,8 @@
 from weirscale.node.claims.log import ClaimLog
 from weirscale.node.claims.peers import ClaimPeers
 from weirscale.node.claims.registry import HolderRegistry
-from weirscale.node.event_log import EventLog, SilentEventLog
 from weirscale.node.interfaces import ConfigurationView, MembershipView
+from weirscale.ports.event_log import EventLog, SilentEventLog
 from weirscale.ports.key_value import KeyValuePort
 
 CONCURRENT_CHANGES = 4
--- a/src/weirscale/node/claims/ledger.py
+++ b/src/weirscale/node/claims/ledger.py
@@ -45,7 +45,6 @@
 from weirscale.node.claims.log import ClaimLog
 from weirscale.node.claims.peers import ClaimPeers
 from weirscale.node.claims.registry import HolderRegistry
-from weirscale.node.event_log import EventLog
 from weirscale.node.interfaces import (
     Claim,
     ClaimState,
@@ -53,6 +52,7 @@
     MembershipView,
     PeerLink,
 )
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValuePort
 
 CLAIM_BUDGET_S = 3.0
--- a/src/weirscale/node/configuration/reader.py
+++ b/src/weirscale/node/configuration/reader.py
@@ -12,8 +12,8 @@
 from weirscale.domain.rendezvous import rendezvous_key, rendezvous_weight
 from weirscale.node.configuration.apply import CONFIGURATION_KEY, find_configuration
 from weirscale.node.configuration.backoff import Backoff
-from weirscale.node.event_log import EventLog
 from weirscale.node.interfaces import MembershipView, Peer, PeerState
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import (
     KeyValue,
     KeyValueFailure,
--- a/src/weirscale/node/configuration/task.py
+++ b/src/weirscale/node/configuration/task.py
@@ -12,9 +12,9 @@
 from weirscale.node.configuration.reader import ConfigurationReader, Sleep
 from weirscale.node.configuration.spread import ConfigurationSpread
 from weirscale.node.configuration.status import ConfigurationStatusTask, FleetConfigurationStatus
-from weirscale.node.event_log import EventLog
 from weirscale.node.interfaces import ConfigurationInForce, MembershipView, PeerLink
 from weirscale.node.mailbox import Mailbox
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValuePort
 
 MAILBOX_SIZE = 16
--- a/src/weirscale/node/duties/__init__.py
+++ b/src/weirscale/node/duties/__init__.py
@@ -1,1 +1,1 @@
-"""Duties of this node, and the task that holds a fenced lease on one."""
+"""Duties of this node by the view that it has of the others."""
--- a/src/weirscale/node/execution/generation.py
+++ b/src/weirscale/node/execution/generation.py
@@ -12,7 +12,6 @@
 from weirscale.domain.request.retry_budget import RetryBudget
 from weirscale.domain.request.retry_policy import NextStep
 from weirscale.domain.request.stream import StreamCheck
-from weirscale.node.event_log import EventLog
 from weirscale.node.execution.attempt import Attempt, AttemptFailure, ChunkSink
 from weirscale.node.execution.attempts import RequestAttempts
 from weirscale.node.execution.canceller import EngineCanceller
@@ -22,6 +21,7 @@
 from weirscale.node.execution.history import RequestHistory
 from weirscale.node.execution.recovery import GenerationRecovery
 from weirscale.node.interfaces import Claim, ClaimLedger, ClaimState, EngineRouting
+from weirscale.ports.event_log import EventLog
 
 ChunkOrRefusal = Result[TokenChunk, Refusal]
 
--- a/src/weirscale/node/execution/recovery.py
+++ b/src/weirscale/node/execution/recovery.py
@@ -14,10 +14,10 @@
     final_refusal,
     next_step,
 )
-from weirscale.node.event_log import EventLog
 from weirscale.node.execution.attempt import Attempt, AttemptFailure
 from weirscale.node.execution.attempts import RequestAttempts
 from weirscale.node.execution.counts import GenerationCounts, count_failure
+from weirscale.ports.event_log import EventLog
 
 
 class RecoveryDecision(msgspec.Struct, frozen=True):
--- a/src/weirscale/node/execution/service.py
+++ b/src/weirscale/node/execution/service.py
@@ -20,11 +20,11 @@
     final_refusal,
     next_step,
 )
-from weirscale.node.event_log import EventLog
 from weirscale.node.execution.claims import fingerprint, settle_claim, take_claim
 from weirscale.node.execution.counts import ServiceCounts, count_failure
 from weirscale.node.execution.history import RequestHistory
 from weirscale.node.interfaces import ChosenBackend, Claim, ClaimLedger, ClaimState, ServiceRouting
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.service import ServiceFailure, ServiceFailureKind
 
 _TIMED_OUT = ServiceFailure(ServiceFailureKind.TIMED_OUT, "the back end did not answer in time")
--- a/src/weirscale/node/placement/task.py
+++ b/src/weirscale/node/placement/task.py
@@ -29,7 +29,6 @@
 )
 from weirscale.messages.placement import PlacementRecord, RolloutProgress
 from weirscale.node.backends.facts import SnapshotSource
-from weirscale.node.event_log import EventLog
 from weirscale.node.interfaces import ConfigurationView
 from weirscale.node.placement.fleet_states import NoStates, StatesSource
 from weirscale.node.placement.observing import observe_engines
@@ -41,6 +40,7 @@
     order_of_load,
 )
 from weirscale.node.placement.record_store import RecordStore, StoredRecord
+from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValuePort
 
 ROUND_INTERVAL_S = 1.0
--- a/src/weirscale/node/planned_stop.py
+++ b/src/weirscale/node/planned_stop.py
@@ -2,13 +2,13 @@
 
 import anyio
 
+from weirscale.leases.lease_task import DutyLeaseTask
 from weirscale.node.callers.drain import Drain
 from weirscale.node.claims.ledger import QuorumClaimLedger
-from weirscale.node.duties.lease_task import DutyLeaseTask
-from weirscale.node.event_log import EventLog
 from weirscale.node.execution.canceller import EngineCanceller
 from weirscale.node.interfaces import ConfigurationView
 from weirscale.node.membership.task import MembershipTask
+from weirscale.ports.event_log import EventLog
 
 UNCONFIGURED_DRAIN_TIMEOUT_S = 5.0
 """Without a configuration requests wait about a second for the first one; they still end whole."""
--- a/src/weirscale/node/program.py
+++ b/src/weirscale/node/program.py
@@ -12,11 +12,11 @@
 from weirscale.domain.identifiers import Incarnation, NodeAddress, NodeId
 from weirscale.messages.envelope import KeyRing, PeerKey
 from weirscale.node.assembly import Node
-from weirscale.node.event_log import EliotEventLog, start_line_log
 from weirscale.node.node_ports import NodeIdentity, NodePorts
 from weirscale.node.settings import NodeSettings, parse_address
 from weirscale.ports.engine import EnginePort
 from weirscale.ports.engine_http import HttpEngine
+from weirscale.ports.event_log import EliotEventLog, start_line_log
 from weirscale.ports.http_server import serve_asgi
 from weirscale.ports.key_value_etcd import EtcdKeyValue
 from weirscale.ports.listeners import open_listener, port_of
