Let news of unreachable runners wait for the next message between groups

Cause (reading): each suspicion made a head send to all other heads at once, and these to their groups; a runner that dies is suspected by nearly every node within a second: hundreds of messages a head. Change: only loads of weights go on at once. A scenario for suspicions between groups. In a fleet of one group nothing changes.

--- a/features/gateway_groups.feature
+++ b/features/gateway_groups.feature
@@ -65,6 +65,11 @@
     When one node announces that a runner loads weights
     Then within 0.05 seconds every node avoids the runner
 
+  Scenario: A runner that one node cannot reach is known everywhere soon
+    Given a running fleet of 30 nodes in 3 zones
+    When one node cannot reach a runner
+    Then within 1.0 seconds every node suspects the runner
+
   Scenario: A load that is not told again counts no more
     Given the loads of back ends
     When source "a" tells 3 requests at second 10 and source "b" 2 requests at second 11
--- a/features/steps/gateway_groups_steps.py
+++ b/features/steps/gateway_groups_steps.py
@@ -11,7 +11,7 @@
 from weirscale.gateway.group_relay import news_interval_s
 from weirscale.gateway.groups import Member, divide
 from weirscale.gateway.load import FleetLoad, Load
-from weirscale.gateway.peer_messages import SendNews
+from weirscale.gateway.peer_messages import SendNews, SuspectNews
 from weirscale.gateway.prompt import CacheScope, PromptPart
 from weirscale.gateway.state_relay import choose_readers
 
@@ -252,6 +252,31 @@
     assert all(found.values()), found
 
 
+@when("one node cannot reach a runner")
+def step_unreachable(context):
+    pass
+
+
+@then("within {seconds:g} seconds every node suspects the runner")
+def step_suspects(context, seconds):
+    found = {}
+
+    async def body():
+        first = next(iter(context.fleet.nodes.values()))
+        first.health.unreachable(RUNNER.instance, "connect", anyio.current_time())
+        first.outbox.add_suspect(SuspectNews(RUNNER.instance))
+        await anyio.sleep(seconds)
+        for name, node in context.fleet.nodes.items():
+            reasons = [
+                one["reason"] for one in context.fleet.logs[name].named("back_end_suspected")
+            ]
+            found[name] = node is first or "told_by_peer" in reasons
+
+    play(context, body)
+    assert len(found) == context.num_nodes
+    assert all(found.values()), found
+
+
 @given("the loads of back ends")
 def step_loads(context):
     context.load = FleetLoad()
--- a/src/weirscale/gateway/group_relay.py
+++ b/src/weirscale/gateway/group_relay.py
@@ -1,8 +1,9 @@
 """Carries news between groups of nodes: who speaks for a group, and what it passes on.
 
 The head of a group is its strongest member that has been heard lately. It tells the heads of the
-other groups the sum of its group's loads, which prompts its group's runs have read, and at once
-what cannot wait; and it tells its own group the sum of what the other heads say. Two nodes that
+other groups the sum of its group's loads, which prompts its group's runs have read, which runners
+are unreachable, and at once which ones load weights; and it tells its own group the sum of what the
+other heads say. Two nodes that
 both take themselves for the head do no harm: sums are whole values, and the latest replaces the one
 before. A head that is dead, frozen or cut off is replaced `HEARD_LIFE_S` after it was last heard.
 """
@@ -178,7 +179,8 @@
             outbox.add_loading(loading)
         for suspect in news.suspects:
             outbox.add_suspect(suspect)
-        if news.loading or news.suspects:
+        # What was unreachable to one node is soon told by many: that waits for the next message.
+        if news.loading:
             await self.flush()
 
     def _add_shared(self, send: SendNews) -> None:
