--- a/features/gateway_groups.feature
+++ b/features/gateway_groups.feature
@@ -70,6 +70,16 @@
     When one node cannot reach a runner
     Then within 1.0 seconds every node suspects the runner
 
+  Scenario Outline: Registrations that change while a head sends do no harm
+    Given a head of a fleet of 30 nodes in 3 zones that has news for all
+    When a node of its own group <changes> while it sends to the other heads
+    Then its whole group is told
+
+    Examples:
+      | changes   |
+      | registers |
+      | leaves    |
+
   Scenario: A load that is not told again counts no more
     Given the loads of back ends
     When source "a" tells 3 requests at second 10 and source "b" 2 requests at second 11
--- a/features/steps/gateway_groups_steps.py
+++ b/features/steps/gateway_groups_steps.py
@@ -3,16 +3,21 @@
 from random import Random
 
 import anyio
+import cbor2
+import msgspec
 from behave import given, then, when
 
-from features.support.platform_fleet import Fleet, configuration, with_fleet
+from features.support.platform_fleet import EventRecorder, Fleet, configuration, with_fleet
 from features.support.platform_runner import RunnerStandIn
 from features.support.virtual_time import run_in_virtual_time
-from weirscale.gateway.group_relay import news_interval_s
+from weirscale.gateway.group_relay import GroupRelay, news_interval_s
 from weirscale.gateway.groups import Member, divide
+from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.load import FleetLoad, Load
-from weirscale.gateway.peer_messages import SendNews, SuspectNews
+from weirscale.gateway.peer_messages import LoadingNews, PeerNews, SendNews, SuspectNews
+from weirscale.gateway.ports import RecordChanged, StateBatch, VersionedChange
 from weirscale.gateway.prompt import CacheScope, PromptPart
+from weirscale.gateway.registrations import NODE_PREFIX, PeerDirectory, Registration
 from weirscale.gateway.state_relay import choose_readers
 
 SETTLE_S = 4.0
@@ -277,6 +282,79 @@
     assert all(found.values()), found
 
 
+class LoneHead:
+    """A head whose messages are kept; registrations change while it sends."""
+
+    def __init__(self, members):
+        self.members = members
+        self.name = divide(members).groups["hall-0/0/0"][0].name
+        self.knowledge = Knowledge(EventRecorder(), lambda: 10.0)
+        self.revision = 0
+        for number, member in enumerate(members):
+            self.register(member, number)
+        directory = PeerDirectory(self.name, self.knowledge, lambda: 10.0, "hall-0", STRONG)
+        self.sent = []
+        self.during_send = None
+        self.relay = GroupRelay(
+            self.name, directory, FleetLoad(), lambda: (), self._send, lambda: 10.0
+        )
+
+    def register(self, member, number):
+        address = Registration(f"10.9.0.{number}", 7000, member.zone, member.strength)
+        self._change(member.name, cbor2.dumps(msgspec.to_builtins(address)))
+
+    def remove(self, name):
+        self._change(name, None)
+
+    def _change(self, name, value):
+        self.revision += 1
+        key = NODE_PREFIX + name
+        change = VersionedChange(key, self.revision, RecordChanged(key, value))
+        self.knowledge.apply(StateBatch(self.revision, (change,)), 10.0)
+
+    async def _send(self, news, addresses):
+        self.sent.append((news, list(addresses)))
+        if self.during_send is not None and news.group != "*":
+            self.during_send()
+
+    def flush(self):
+        loading = LoadingNews(RUNNER.instance, "m", 2, False)
+
+        async def main():
+            # What another head says goes on to the own group; what a mate says goes to the heads.
+            await self.relay.hear(PeerNews("mate", loading=(loading,)))
+            await self.relay.hear(PeerNews("head", loading=(loading,), group="hall-1/0/0"))
+            await self.relay.flush()
+
+        run_in_virtual_time(main)
+
+
+@given("a head of a fleet of {nodes:d} nodes in {zones:d} zones that has news for all")
+def step_lone_head(context, nodes, zones):
+    context.head = LoneHead(make_members(nodes, zones))
+
+
+@when("a node of its own group {changes} while it sends to the other heads")
+def step_changes_meanwhile(context, changes):
+    head = context.head
+    mates = [one for one in head.members if one.zone == "hall-0" and one.name != head.name]
+    if changes == "registers":
+        newcomer = Member("node-new", "hall-0", STRONG)
+        head.during_send = lambda: head.register(newcomer, 200)
+    else:
+        head.during_send = lambda: head.remove(mates[0].name)
+    head.relay._to_mates.add_suspect(SuspectNews("r-2"))
+    head.flush()
+    context.num_mates = len(mates)
+
+
+@then("its whole group is told")
+def step_group_told(context):
+    to_mates = [addresses for news, addresses in context.head.sent if news.group == "*"]
+    assert to_mates, "nobody told"
+    assert all(abs(len(one) - context.num_mates) <= 1 for one in to_mates), to_mates
+
+
 @given("the loads of back ends")
 def step_loads(context):
     context.load = FleetLoad()
--- a/src/weirscale/gateway/group_relay.py
+++ b/src/weirscale/gateway/group_relay.py
@@ -224,17 +224,19 @@
 
     async def flush(self) -> None:
         """Send what has gathered, now."""
+        # Registrations may change while messages go out: all receivers are worked out before.
         addresses = self._directory.addresses()
         division = self._directory.division()
         own_group = division.group_of[self._name]
+        others = [group for group in division.groups if group != own_group]
+        heads = [addresses[name] for group in others for name in self._heads(group)]
+        mates = [addresses[name] for name in self.mates()]
         to_heads = self._to_heads.take(own_group)
+        to_mates = self._to_mates.take()
         if to_heads is not None:
-            others = (group for group in division.groups if group != own_group)
-            heads = [addresses[name] for group in others for name in self._heads(group)]
             await self._send(to_heads, heads)
-        to_mates = self._to_mates.take()
         if to_mates is not None:
-            await self._send(to_mates, [addresses[name] for name in self.mates()])
+            await self._send(to_mates, mates)
 
     def _heads(self, group: str) -> tuple[str, ...]:
         """Return whom to tell of another group: who speaks for it, or its first members."""
