Choose at random among estimates that are equal for as late as news of loads comes

Cause: at 195 nodes news takes 0.3 to 0.6 s, in which some 60 generations are placed; all nodes see the same runner as the best. Streams there pause (24,000 tokens read at once: 0.64 s an event), 618 of 1,980 captions late at a fifth of what the runners can read. Ruled out: newer news (more messages); affinity as the reason (fetching shared parts elsewhere costs 20 ms). Change: ChoiceRules.tie_share: estimates within 0.15 of the delay of news count as equal; nothing changes in a fleet of one group. Scenario in gateway_choice.feature.

--- a/features/gateway_choice.feature
+++ b/features/gateway_choice.feature
@@ -27,6 +27,17 @@
     When 200 prompts that nobody keeps are to be placed by 3 nodes
     Then each prompt goes to one runner, and each runner gets between 70 and 130
 
+  Scenario Outline: Where news of loads comes late, nodes do not all choose the same runner
+    Given 20 idle runners, each with up to 20 ms of waiting prompts
+    When 100 nodes place a prompt each while news is <delay> seconds late
+    Then the busiest runner gets between <least> and <most> of them
+
+    Examples: at once, the best runner is the best
+      | delay | least | most |
+      | 0.0   | 25    | 60   |
+      | 0.05  | 8     | 24   |
+      | 0.25  | 5     | 14   |
+
   Scenario: The least recently used parts are believed to give way, ends before beginnings
     Given a place that keeps 1000 tokens
     When the parts "a:400,b:200" and then "c:500" are noted there
--- a/features/steps/gateway_choice_steps.py
+++ b/features/steps/gateway_choice_steps.py
@@ -1,5 +1,6 @@
 """Steps of `gateway_choice.feature`."""
 
+from collections import Counter
 from random import Random
 
 import anyio
@@ -19,9 +20,11 @@
 from weirscale.gateway.back_ends import BackEnd, BackEndState
 from weirscale.gateway.cache_belief import CacheBelief
 from weirscale.gateway.choice import Candidate, ChoiceRules, FetchSource, PromptNeed, choose
+from weirscale.gateway.dispatcher import Dispatcher
 from weirscale.gateway.first_event_model import (
     LEAST_RATES,
     MOST_RATES,
+    START_RATES,
     FirstEventModel,
     FirstEventRates,
     ReadingWork,
@@ -139,6 +142,37 @@
     assert least <= num_first <= most, num_first
 
 
+@given("{count:d} idle runners, each with up to {most_ms:d} ms of waiting prompts")
+def step_waiting_runners(context, count, most_ms):
+    context.candidates = []
+    for number in range(count):
+        cache = CacheBelief(CAPACITY)
+        cache.note(SCOPE, (SHARED,), is_ready=True)
+        waiting = int(most_ms * number / count / 1000.0 / START_RATES.waiting_token_s)
+        end = BackEnd(f"r-{number}", "lm", f"10.0.1.{number}:1", "here", BackEndState.READY, SLOTS)
+        load = Load(0, waiting, 0)
+        context.candidates.append(Candidate(end, load, False, cache, CAPACITY, VERSION))
+
+
+@when("{nodes:d} nodes place a prompt each while news is {delay:g} seconds late")
+def step_late_news(context, nodes, delay):
+    dispatcher = Dispatcher(
+        "here", None, None, None, 0.0, Random(1), lambda: 0.0, news_delay_s=lambda: delay
+    )
+    need = PromptNeed(PROMPT, {VERSION: SCOPE})
+    rules = dispatcher.rules("lm")
+    chosen = [
+        choose(context.candidates, need, [], "here", rules, Random(seed)) for seed in range(nodes)
+    ]
+    context.counts = Counter(choice.candidate.back_end.instance for choice in chosen)
+
+
+@then("the busiest runner gets between {least:d} and {most:d} of them")
+def step_busiest(context, least, most):
+    busiest = max(context.counts.values())
+    assert least <= busiest <= most, context.counts
+
+
 @given("a place that keeps {tokens:d} tokens")
 def step_place_keeps(context, tokens):
     context.cache = CacheBelief(tokens)
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -42,6 +42,8 @@
         old_weights_s: Cost of weights that are not the newest named. Less than an objective: an
             answer on older weights is better than a late one.
         tie_s: Estimates closer than this count as equal.
+        tie_share: The same grows by this share of what news of loads is late: meanwhile many nodes
+            see the same runner as the best, and would all choose it.
         memory_share: Share of a runner's memory that may be filled by running requests.
         min_fetch_tokens: Smaller parts are read, not fetched.
         affinity_s: Advantage of the runner that a prompt nobody keeps belongs to by its hash, so
@@ -58,6 +60,7 @@
     suspect_s: float = 0.3
     old_weights_s: float = 0.25
     tie_s: float = 0.002
+    tie_share: float = 0.15
     memory_share: float = 0.85
     min_fetch_tokens: int = 64
     affinity_s: float = 0.03
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -72,6 +72,7 @@
         random: Breaks ties and spreads trials.
         clock: Monotonic seconds.
         rules: Weights of the choice.
+        news_delay_s: Returns how much later than at once news of other nodes' loads comes.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         random: Random,
         clock: Callable[[], float],
         rules: ChoiceRules | None = None,
+        news_delay_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._zone = zone
         self._knowledge = knowledge
@@ -93,6 +95,7 @@
         self._random = random
         self._clock = clock
         self._start_rules = rules or ChoiceRules()
+        self._news_delay_s = news_delay_s
         self._models: dict[ServiceName, FirstEventModel] = {}
         self._caches: dict[str, CacheBelief] = {}
         self._kept_caches: dict[str, CacheBelief] = {}
@@ -131,11 +134,18 @@
         return msgspec.structs.replace(choice, candidate=candidate)
 
     def rules(self, service: ServiceName) -> ChoiceRules:
-        """Return the weights of the choice, with the rates learnt of a service's runners."""
+        """Return the weights of the choice as they are now.
+
+        The rates are those learnt of the service's runners, and the older the news of loads is, the
+        more estimates count as equal.
+        """
+        rules = self._start_rules
         model = self._models.get(service)
-        if model is None:
-            return self._start_rules
-        return msgspec.structs.replace(self._start_rules, rates=model.rates)
+        return msgspec.structs.replace(
+            rules,
+            rates=rules.rates if model is None else model.rates,
+            tie_s=rules.tie_s + rules.tie_share * self._news_delay_s(),
+        )
 
     def save_address(self, choice: Choice, prompt: Prompt) -> str | None:
         """Return the address of the store that gets what this runner reads, if it lacks it.
--- a/src/weirscale/gateway/group_relay.py
+++ b/src/weirscale/gateway/group_relay.py
@@ -110,6 +110,10 @@
         """Return the time between messages in a fleet of this size."""
         return news_interval_s(len(self._directory.division().groups))
 
+    def delay_s(self) -> float:
+        """Return how much later than within a single group news of other nodes' loads comes."""
+        return self.interval_s() - LEAST_INTERVAL_S
+
     def mates(self) -> tuple[str, ...]:
         """Return the names of the other members of this node's group."""
         members = self._directory.division().mates(self._name)
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -159,6 +159,7 @@
         self.dispatcher = Dispatcher(
             settings.zone, self.knowledge, self.load, self.health,
             bounds.weights_s - WEIGHTS_MARGIN_S, random, clock,
+            news_delay_s=lambda: self.relay.delay_s(),
         )  # fmt: skip
         self.budget = SharedRetryBudget(
             settings.retry_budget, clock(), skips_first_window=not settings.is_first_start
