--- a/src/weirscale/gateway/group_relay.py
+++ b/src/weirscale/gateway/group_relay.py
@@ -56,6 +56,20 @@
     return min(MOST_INTERVAL_S, max(LEAST_INTERVAL_S, INTERVAL_S_A_GROUP * num_groups))
 
 
+class RefreshTimer:
+    """Tells when everything is to be told again, not only what has changed."""
+
+    def __init__(self) -> None:
+        self._refreshed_at_s = float("-inf")
+
+    def is_due(self, now_s: float) -> bool:
+        """Return whether the interval has passed; if so, the next one begins."""
+        if now_s - self._refreshed_at_s < REFRESH_INTERVAL_S:
+            return False
+        self._refreshed_at_s = now_s
+        return True
+
+
 class GroupRelay:
     """Passes news between this node's group and the others; it acts only while this node is head.
 
@@ -95,12 +109,9 @@
 
     async def run(self) -> None:
         """Pass on what has gathered, until cancelled."""
-        refreshed_at_s = 0.0
+        refresh = RefreshTimer()
         while True:
-            now_s = self._clock()
-            must_refresh = now_s - refreshed_at_s >= REFRESH_INTERVAL_S
-            if must_refresh:
-                refreshed_at_s = now_s
+            must_refresh = refresh.is_due(self._clock())
             if self.is_head():
                 self._gather(must_refresh)
                 await self.flush()
--- a/src/weirscale/gateway/peers.py
+++ b/src/weirscale/gateway/peers.py
@@ -6,7 +6,7 @@
 import anyio
 from anyio.abc import UDPSocket
 
-from weirscale.gateway.group_relay import REFRESH_INTERVAL_S, GroupRelay
+from weirscale.gateway.group_relay import GroupRelay, RefreshTimer
 from weirscale.gateway.news_outbox import NewsOutbox
 from weirscale.gateway.peer_messages import PeerMessage, decode_message, encode_message
 from weirscale.gateway.registrations import PeerDirectory
@@ -68,12 +68,9 @@
                 await self._receiver.hear(message, ListenAddress(host, port))
 
     async def _flush_regularly(self) -> None:
-        refreshed_at_s = 0.0
+        refresh = RefreshTimer()
         while True:
-            now_s = anyio.current_time()
-            must_refresh = now_s - refreshed_at_s >= REFRESH_INTERVAL_S
-            if must_refresh:
-                refreshed_at_s = now_s
+            must_refresh = refresh.is_due(anyio.current_time())
             self._gather(must_refresh)
             await self.flush(shows_life=must_refresh)
             await anyio.sleep(self._relay.interval_s())
