--- a/features/steps/gateway_groups_steps.py
+++ b/features/steps/gateway_groups_steps.py
@@ -321,8 +321,8 @@
         loading = LoadingNews(RUNNER.instance, "m", 2, False)
 
         async def main():
-            # What another head says goes on to the own group; what a mate says goes to the heads.
-            await self.relay.hear(PeerNews("mate", loading=(loading,)))
+            # What another head says goes on to the own group; what a member of its own group says goes to the heads.
+            await self.relay.hear(PeerNews("peer", loading=(loading,)))
             await self.relay.hear(PeerNews("head", loading=(loading,), group="hall-1/0/0"))
             await self.relay.flush()
 
@@ -337,22 +337,22 @@
 @when("a node of its own group {changes} while it sends to the other heads")
 def step_changes_meanwhile(context, changes):
     head = context.head
-    mates = [one for one in head.members if one.zone == "hall-0" and one.name != head.name]
+    peers = [one for one in head.members if one.zone == "hall-0" and one.name != head.name]
     if changes == "registers":
         newcomer = Member("node-new", "hall-0", STRONG)
         head.during_send = lambda: head.register(newcomer, 200)
     else:
-        head.during_send = lambda: head.remove(mates[0].name)
-    head.relay._to_mates.add_suspect(SuspectNews("r-2"))
+        head.during_send = lambda: head.remove(peers[0].name)
+    head.relay._to_group.add_suspect(SuspectNews("r-2"))
     head.flush()
-    context.num_mates = len(mates)
+    context.num_peers = len(peers)
 
 
 @then("its whole group is told")
 def step_group_told(context):
-    to_mates = [addresses for news, addresses in context.head.sent if news.group == "*"]
-    assert to_mates, "nobody told"
-    assert all(abs(len(one) - context.num_mates) <= 1 for one in to_mates), to_mates
+    to_group = [addresses for news, addresses in context.head.sent if news.group == "*"]
+    assert to_group, "nobody told"
+    assert all(abs(len(one) - context.num_peers) <= 1 for one in to_group), to_group
 
 
 @given("the loads of back ends")
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -205,12 +205,12 @@
     async def flush(self):
         news = self._node.outbox.take(with_empty=True)
         division = self._node.peers.division()
-        mates = set(self._node.relay.mates())
+        group_peers = set(self._node.relay.group_peers())
         for name, node in list(self._fleet.nodes.items()):
             # Nodes of one group hear one another even before they have read the registrations.
-            is_mate = name in mates or len(division.groups) == 1
+            is_peer = name in group_peers or len(division.groups) == 1
             is_lost = {name, self._node.settings.name} & self._fleet.mute
-            if node is not self._node and is_mate and not is_lost:
+            if node is not self._node and is_peer and not is_lost:
                 await node.hear(news, self._node.settings.peers)
         await self._node.relay.tell_own(news)
 
--- a/src/weirscale/gateway/group_relay.py
+++ b/src/weirscale/gateway/group_relay.py
@@ -98,7 +98,7 @@
         self._send = send
         self._clock = clock
         self._to_heads = NewsOutbox(name)
-        self._to_mates = NewsOutbox(name, REST_OF_FLEET)
+        self._to_group = NewsOutbox(name, REST_OF_FLEET)
         self._heard_at_s: dict[str, float] = {}
         """When a member of this node's group was last heard, or first seen in it."""
         self._speakers: dict[str, tuple[str, float]] = {}
@@ -125,9 +125,9 @@
         """Return how much later than within a single group news of other nodes' loads comes."""
         return self.interval_s() - LEAST_INTERVAL_S
 
-    def mates(self) -> tuple[str, ...]:
+    def group_peers(self) -> tuple[str, ...]:
         """Return the names of the other members of this node's group."""
-        members = self._directory.division().mates(self._name)
+        members = self._directory.division().group_members(self._name)
         return tuple(member.name for member in members if member.name != self._name)
 
     def is_head(self) -> bool:
@@ -141,7 +141,7 @@
 
     def _is_first_alive(self) -> bool:
         now_s = self._clock()
-        for member in self._directory.division().mates(self._name):
+        for member in self._directory.division().group_members(self._name):
             if member.name == self._name:
                 return True
             # One that has just registered is given time to be heard.
@@ -175,7 +175,7 @@
             return
         else:
             self._speakers[news.group] = (news.sender, now_s)
-            outbox = self._to_mates
+            outbox = self._to_group
         if self.is_head():
             await self._pass_on(news, outbox)
 
@@ -186,7 +186,7 @@
 
     async def _pass_on(self, news: PeerNews, outbox: NewsOutbox) -> None:
         for send in news.sends:
-            if outbox is self._to_mates:
+            if outbox is self._to_group:
                 outbox.add_send(send)
             else:
                 self._add_shared(send)
@@ -220,7 +220,7 @@
             own[instance] = own.get(instance, NO_LOAD).plus(self._load.own(instance))
         rest = self._load.sum_of(lambda source: source.startswith(GROUP_SOURCE), now_s)
         self._add_sums(self._to_heads, "", own, must_refresh)
-        self._add_sums(self._to_mates, REST_OF_FLEET, rest, must_refresh)
+        self._add_sums(self._to_group, REST_OF_FLEET, rest, must_refresh)
         if must_refresh:
             for named in self._ages():
                 self._to_heads.add_named(named)
@@ -245,13 +245,13 @@
         own_group = division.group_of[self._name]
         others = [group for group in division.groups if group != own_group]
         heads = [addresses[name] for group in others for name in self._heads(group)]
-        mates = [addresses[name] for name in self.mates()]
+        peers = [addresses[name] for name in self.group_peers()]
         to_heads = self._to_heads.take(own_group)
-        to_mates = self._to_mates.take()
+        to_group = self._to_group.take()
         if to_heads is not None:
             await self._send(to_heads, heads)
-        if to_mates is not None:
-            await self._send(to_mates, mates)
+        if to_group is not None:
+            await self._send(to_group, peers)
 
     def _heads(self, group: str) -> tuple[str, ...]:
         """Return whom to tell of another group: who speaks for it, or its first members."""
--- a/src/weirscale/gateway/groups.py
+++ b/src/weirscale/gateway/groups.py
@@ -46,7 +46,7 @@
     groups: Mapping[str, tuple[Member, ...]]
     group_of: Mapping[str, str]
 
-    def mates(self, name: str) -> tuple[Member, ...]:
+    def group_members(self, name: str) -> tuple[Member, ...]:
         """Return a node's group, itself included; empty for an unknown node."""
         group = self.group_of.get(name)
         return () if group is None else self.groups[group]
--- a/src/weirscale/gateway/peers.py
+++ b/src/weirscale/gateway/peers.py
@@ -85,7 +85,7 @@
         if news is None:
             return
         addresses = self._directory.addresses()
-        await self.send(news, [addresses[name] for name in self._relay.mates()])
+        await self.send(news, [addresses[name] for name in self._relay.group_peers()])
         await self._relay.tell_own(news)
 
     async def send(self, message: PeerMessage, addresses: Iterable[ListenAddress]) -> None:
