--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -239,8 +239,7 @@
 
     def _may_be_left(self, choice: Choice) -> bool:
         """Whether a silent back end may be left for another one."""
-        assert self._route is not None
-        assert self._service is not None
+        assert self._route is not None and self._service is not None
         has_attempts = len(self._tried) + 1 < self._route.max_attempts
         if not self._route.is_repeatable or not has_attempts or choice.num_candidates <= 1:
             return False
--- a/src/weirscale/gateway/group_relay.py
+++ b/src/weirscale/gateway/group_relay.py
@@ -3,9 +3,9 @@
 The head of a group is its strongest member that has been heard lately. It tells the heads of the
 other groups the sum of its group's loads, which prompts its group's runs have read, which runners
 are unreachable, and at once which ones load weights; and it tells its own group the sum of what the
-other heads say. Two nodes that
-both take themselves for the head do no harm: sums are whole values, and the latest replaces the one
-before. A head that is dead, frozen or cut off is replaced `HEARD_LIFE_S` after it was last heard.
+other heads say. Two nodes that both take themselves for the head do no harm: sums are whole values,
+and the latest replaces the one before. A head that is dead, frozen or cut off is replaced
+`HEARD_LIFE_S` after it was last heard.
 """
 
 from collections.abc import Awaitable, Callable, Iterable
