--- a/features/steps/gateway_groups_steps.py
+++ b/features/steps/gateway_groups_steps.py
@@ -17,7 +17,9 @@
 from weirscale.gateway.peer_messages import LoadingNews, PeerNews, SendNews, SuspectNews
 from weirscale.gateway.ports import RecordChanged, StateBatch, VersionedChange
 from weirscale.gateway.prompt import CacheScope, PromptPart
+from weirscale.gateway.quota import QuotaLedger
 from weirscale.gateway.registrations import NODE_PREFIX, PeerDirectory, Registration
+from weirscale.gateway.settings import QuotaBounds
 from weirscale.gateway.state_relay import choose_readers
 
 SETTLE_S = 4.0
@@ -295,8 +297,11 @@
         directory = PeerDirectory(self.name, self.knowledge, lambda: 10.0, "hall-0", STRONG)
         self.sent = []
         self.during_send = None
+        quotas = QuotaLedger(
+            QuotaBounds(), lambda: len(members), lambda: 0.1, Random(1), lambda: 10.0
+        )
         self.relay = GroupRelay(
-            self.name, directory, FleetLoad(), lambda: (), self._send, lambda: 10.0
+            self.name, directory, FleetLoad(), quotas, lambda: (), self._send, lambda: 10.0
         )
 
     def register(self, member, number):
--- /dev/null
+++ b/features/steps/gateway_quota_steps.py
@@ -0,0 +1,421 @@
+"""Steps of `gateway_quota.feature` and `gateway_quota_schedules.feature`."""
+
+import json
+from random import Random
+
+import anyio
+from behave import given, then, when
+
+from features.support.platform_fleet import (
+    Fleet,
+    ask,
+    configuration,
+    generation_headers,
+    route,
+    with_fleet,
+)
+from features.support.platform_runner import RunnerStandIn
+from features.support.quota_fleet import (
+    BOUNDS,
+    ORDINARY,
+    URGENT,
+    QuotaFleet,
+    allowed,
+    worst_window,
+)
+from features.support.virtual_time import run_in_virtual_time
+from weirscale.gateway.model import Quota, QuotaUnit, Tenant
+from weirscale.gateway.quota import cost_of
+from weirscale_platform.callers import Callers
+from weirscale_platform.configuration import read_configuration
+
+USUAL_SHARE = 0.55
+"""Share of its limit that a tenant usually sends."""
+
+MEAN_COST = 0.65 * 875 + 0.35 * 9200
+FILLED_S = 5.0
+HOT_AT_S, END_S = 10.0, 40.0
+LAST_S = 10.0
+CUT_AT_S, HEALED_AT_S = 9.0, 25.0
+LOWERED_RATE = 15_000.0
+IN_FORCE_S = 3.0
+NUM_SCHEDULES = 50
+
+
+def make_tenant(name, rate, burst):
+    return Tenant(name, (name,), quota=Quota(rate, burst, QuotaUnit.TOKENS, 200))
+
+
+def usual_per_s(tenant):
+    return tenant.quota.rate_per_s * USUAL_SHARE / MEAN_COST
+
+
+def make_fleet(nodes, zones, tenants, seed=1):
+    fleet = QuotaFleet(nodes, zones, tenants, BOUNDS, seed)
+    # Buckets are empty at first, since nobody knows what was spent before.
+    fleet.run_until(FILLED_S)
+    for tenant in tenants:
+        fleet.traffic[tenant.name] = (usual_per_s(tenant), None)
+    return fleet
+
+
+def become_hot(fleet, tenant, times, names=None):
+    fleet.at(
+        HOT_AT_S,
+        lambda: fleet.traffic.__setitem__(tenant.name, (times * usual_per_s(tenant), names)),
+    )
+
+
+@given(
+    "{nodes:d} nodes in {zones:d} zones and a tenant with {rate:d} tokens a second"
+    " and a burst of {burst:d}"
+)
+def step_fleet(context, nodes, zones, rate, burst):
+    context.tenant = make_tenant("a", rate, burst)
+    context.fleet = make_fleet(nodes, zones, [context.tenant])
+
+
+@when("it sends {times:g} times its usual through {where}")
+def step_hot(context, times, where):
+    names = ["node-3"] if where == "one node" else None
+    become_hot(context.fleet, context.tenant, times, names)
+    context.fleet.run_until(END_S)
+
+
+def some(fleet, share):
+    return fleet.random.sample(list(fleet.nodes), int(share * len(fleet.nodes)))
+
+
+def cut_each(fleet, names):
+    for side, name in enumerate(names):
+        fleet.cut([name], side + 1)
+
+
+def kill_often(fleet):
+    for at_s in (11.0, 14.0, 17.0):
+        fleet.at(at_s, lambda: fleet.kill(some(fleet, 0.6)))
+
+
+def heal(fleet):
+    fleet.at(HEALED_AT_S, lambda: fleet.cut(list(fleet.nodes), 0))
+
+
+def cut_together(fleet):
+    fleet.at(CUT_AT_S, lambda: fleet.cut(some(fleet, 1 / 3), 1))
+    heal(fleet)
+
+
+def cut_alone(fleet):
+    fleet.at(CUT_AT_S, lambda: cut_each(fleet, some(fleet, 1 / 3)))
+    heal(fleet)
+
+
+TROUBLES = {
+    "all nodes are killed and come back": lambda fleet: fleet.at(
+        13.0, lambda: fleet.kill(list(fleet.nodes))
+    ),
+    "nodes are killed again and again": kill_often,
+    "every head stands still for 8 s and wakes": lambda fleet: fleet.at(
+        12.0, lambda: fleet.freeze(fleet.heads(), 8.0)
+    ),
+    "a third of the nodes stand still for 8 s": lambda fleet: fleet.at(
+        12.0, lambda: fleet.freeze(some(fleet, 1 / 3), 8.0)
+    ),
+    "a third of the nodes are cut off together": cut_together,
+    "a third of the nodes are cut off, each alone": cut_alone,
+}
+
+
+@when('it sends {times:g} times its usual through all nodes while "{trouble}"')
+def step_trouble(context, times, trouble):
+    become_hot(context.fleet, context.tenant, times)
+    TROUBLES[trouble](context.fleet)
+    context.fleet.run_until(END_S)
+
+
+@then("no window holds more than the rule allows")
+def step_within(context):
+    worst = worst_window(context.fleet.spent["a"], BOUNDS.window_s)
+    assert worst <= allowed(context.tenant.quota, BOUNDS), worst
+
+
+@then("before that nothing was refused")
+def step_nothing_refused(context):
+    early = [one for one in context.fleet.refused["a"] if one[0] < HOT_AT_S]
+    assert not early, early
+
+
+@then("under the load it gets between {least:g} and {most:g} of its rate")
+def step_use(context, least, most):
+    spent = sum(cost for at_s, cost, _ in context.fleet.spent["a"] if at_s > END_S - 2 * LAST_S)
+    share = spent / (2 * LAST_S * context.tenant.quota.rate_per_s)
+    assert least <= share <= most, share
+
+
+@then("its urgent requests are served more often than the others")
+def step_urgent(context):
+    def served(priority):
+        fleet = context.fleet
+        spent = [one for one in fleet.spent["a"] if one[0] > HOT_AT_S and one[2] == priority]
+        refused = [one for one in fleet.refused["a"] if one[0] > HOT_AT_S and one[2] == priority]
+        return len(spent) / (len(spent) + len(refused))
+
+    assert served(URGENT) > 2 * served(ORDINARY), (served(URGENT), served(ORDINARY))
+
+
+@then("the tenant is served afterwards")
+def step_served_after(context):
+    last = sum(cost for at_s, cost, _ in context.fleet.spent["a"] if at_s > END_S - LAST_S)
+    assert last > 0.7 * LAST_S * context.tenant.quota.rate_per_s, last
+
+
+LOWERED = {
+    "while all hear each other": lambda fleet: None,
+    "while a third is cut off": cut_together,
+    "after being raised a moment before": lambda fleet: fleet.at(
+        HOT_AT_S - 0.4,
+        lambda: fleet.configure([make_tenant("a", 180_000, 90_000)], IN_FORCE_S / 4),
+    ),
+}
+
+
+@when("it sends its usual and the limit becomes {rate:d} tokens a second {when}")
+def step_lowered(context, rate, when):
+    fleet = context.fleet
+    context.lower = make_tenant("a", rate, context.tenant.quota.burst)
+    LOWERED[when](fleet)
+    fleet.at(HOT_AT_S + 1.0, lambda: fleet.configure([context.lower], IN_FORCE_S))
+    fleet.run_until(END_S)
+
+
+@then(
+    "no window that begins after it is in force everywhere holds more than the lower limit allows"
+)
+def step_lower_binds(context):
+    in_force_s = HOT_AT_S + 1.0 + IN_FORCE_S
+    worst = worst_window(context.fleet.spent["a"], BOUNDS.window_s, in_force_s)
+    assert 0.0 < worst <= allowed(context.lower.quota, BOUNDS), worst
+
+
+def draw_schedule(seed):
+    """Return a fleet with drawn load and troubles, and its tenant."""
+    random = Random(seed)
+    rate = random.choice((15_000, 29_000, 60_000, 150_000))
+    tenant = make_tenant("a", rate, max(69_000, rate))
+    fleet = make_fleet(random.randint(6, 40), random.randint(1, 4), [tenant], seed)
+    hot_names = [next(iter(fleet.nodes))] if random.random() < 0.2 else None
+    become_hot(fleet, tenant, random.uniform(1.0, 8.0), hot_names)
+    for _ in range(random.randint(1, 4)):
+        draw_trouble(fleet, random)
+    return fleet, tenant
+
+
+def draw_trouble(fleet, random):
+    at_s = random.uniform(6.0, 22.0)
+    share = random.uniform(0.05, 0.4)
+    kind = random.choice(("kill", "kill all", "freeze", "cut", "alone", "heal", "heads"))
+    actions = {
+        "kill": lambda: fleet.kill(some(fleet, share)),
+        "kill all": lambda: fleet.kill(list(fleet.nodes)),
+        "freeze": lambda: fleet.freeze(some(fleet, share), random.uniform(1.0, 9.0)),
+        "cut": lambda: fleet.cut(some(fleet, share), 1),
+        "alone": lambda: cut_each(fleet, some(fleet, share)),
+        "heal": lambda: fleet.cut(list(fleet.nodes), 0),
+        "heads": lambda: fleet.freeze(fleet.heads(), 8.0),
+    }
+    fleet.at(at_s, actions[kind])
+
+
+@then("in {count:d} drawn schedules over 6 to 40 nodes no window holds more than the rule allows")
+def step_schedules(context, count):
+    broken = {}
+    for seed in range(count):
+        fleet, tenant = draw_schedule(seed)
+        fleet.run_until(30.0)
+        worst = worst_window(fleet.spent["a"], BOUNDS.window_s)
+        if worst > allowed(tenant.quota, BOUNDS):
+            broken[seed] = worst / allowed(tenant.quota, BOUNDS)
+    assert not broken, broken
+
+
+@given(
+    "{nodes:d} nodes in {zones:d} zones and {count:d} tenants of which the first sends"
+    " {times:g} times its usual"
+)
+def step_tenants(context, nodes, zones, count, times):
+    tenants = [make_tenant(name, 40_000, 69_000) for name in "abcdefgh"[:count]]
+    context.fleet = make_fleet(nodes, zones, tenants)
+    become_hot(context.fleet, tenants[0], times)
+
+
+@then("nothing of the other tenants is refused")
+def step_others(context):
+    context.fleet.run_until(25.0)
+    assert context.fleet.refused.pop("a")
+    assert not any(context.fleet.refused.values()), context.fleet.refused
+
+
+@given("{nodes:d} nodes in {zones:d} zones and {count:d} tenants of which each sends its usual")
+def step_many(context, nodes, zones, count):
+    tenants = [make_tenant(f"t{number}", 12_000, 69_000) for number in range(count)]
+    context.fleet = make_fleet(nodes, zones, tenants)
+
+
+@then("a node that is no head sends at most {most:d} bytes a second about quotas")
+def step_bytes(context, most):
+    fleet, seconds = context.fleet, 2.0
+    fleet.run_until(FILLED_S + seconds)
+    heads = set(fleet.heads())
+    fleet.bytes_by_sender.clear()
+    fleet.run_until(FILLED_S + 2 * seconds)
+    sent = [fleet.bytes_by_sender[name] / seconds for name in fleet.nodes if name not in heads]
+    assert sum(sent) / len(sent) <= most, sum(sent) / len(sent)
+
+
+@given("a tenant's quota that counts {unit}, with {unnamed:d} for what names no tokens")
+def step_quota(context, unit, unnamed):
+    context.quota = Quota(1000.0, 0.0, QuotaUnit(unit), unnamed)
+
+
+@then("a request that names {named} costs {cost:d}")
+def step_cost(context, named, cost):
+    headers = [] if named == "nothing" else [(b"x-token-usage", named.encode())]
+    scope = {"headers": headers, "raw_path": b"/a/", "query_string": b"", "method": "POST"}
+    assert cost_of(context.quota, Callers().parse(scope).num_tokens) == cost
+
+
+@given("a tenant that operators write with {fields}")
+def step_written(context, fields):
+    tenant = {"name": "a", "api_keys": ["k"], **json.loads(fields)}
+    entry = configuration(tenants=[tenant])
+    context.quota = read_configuration(json.dumps(entry).encode()).tenants[0].quota
+
+
+@then("its quota is {text}")
+def step_is(context, text):
+    quota = context.quota
+    if quota is None:
+        assert text == "none"
+        return
+    found = f"{quota.rate_per_s:g} {quota.unit.value}/s, burst {quota.burst:g}"
+    assert found == text, found
+
+
+@given("a gateway whose tenant may spend {rate:d} tokens a second and a burst of {burst:d}")
+def step_gateway(context, rate, burst):
+    limits = {"rate_per_s": rate, "burst": burst, "unit": "token_stream", "uncached_tokens": 200}
+    context.configuration = configuration(
+        routes=[route("draft", "/a/", "streaming", service="lm", max_attempts=1, public=False)],
+        tenants=[
+            {"name": "a", "api_keys": ["key-a"], **limits},
+            {"name": "b", "api_keys": ["key-b"]},
+        ],
+    )
+    context.faults = []
+
+
+@given("its back ends refuse every request unrun")
+def step_refusing(context):
+    context.faults = ["refuse"] * 1000
+
+
+def send(context, count, key, at_once):
+    fleet = context.fleet = Fleet()
+    context.answers = {}
+
+    async def one(node, request_id):
+        headers = generation_headers(request_id, key=key)
+        context.answers[request_id] = await ask(node, "/a/1", headers=headers)
+
+    async def body():
+        fleet.store.put("op/config", context.configuration)
+        for number in (1, 2):
+            fleet.add_runner(
+                RunnerStandIn(f"r-{number}", f"10.3.0.{number}:8080", "lm", faults=context.faults)
+            )
+        node = await fleet.start_node()
+        await anyio.sleep(5.0)
+        async with anyio.create_task_group() as tasks:
+            for number in range(count):
+                if at_once:
+                    tasks.start_soon(one, node, f"q{number}")
+                else:
+                    await one(node, f"q{number}")
+        context.metrics_text = node.metrics_text().decode()
+
+    run_in_virtual_time(lambda: with_fleet(fleet, body))
+
+
+@when("{count:d} requests of 1020 tokens arrive at once after 5 seconds")
+def step_at_once(context, count):
+    send(context, count, "key-a", at_once=True)
+
+
+@when("{count:d} requests of 1020 tokens arrive one after the other after 5 seconds")
+def step_one_by_one(context, count):
+    send(context, count, "key-a", at_once=False)
+
+
+@when("{count:d} requests of another tenant without a quota arrive")
+def step_others_arrive(context, count):
+    send(context, count, "key-b", at_once=True)
+
+
+def refused(context):
+    return {name: one for name, one in context.answers.items() if one.status == 429}
+
+
+@then(
+    "{least:d} or {most:d} are answered, and the others get 429 with a time between {first:g}"
+    " and {last:g} seconds"
+)
+def step_some(context, least, most, first, last):
+    answered = [one for one in context.answers.values() if one.status == 200]
+    assert least <= len(answered) <= most, len(answered)
+    assert len(refused(context)) == len(context.answers) - len(answered)
+    for answer in refused(context).values():
+        assert first <= float(answer.header("retry-after")) <= last, answer
+
+
+@then("no back end ran one that was refused")
+def step_not_run(context):
+    run = {one.request_id for runner in context.fleet.runners for one in runner.runs}
+    assert run and not run & set(refused(context)), run
+
+
+@then("the lines of the refused tell cost, what was left, share and age")
+def step_lines(context):
+    lines = {one["id"]: one for one in context.fleet.logs["node-1"].named("request_ended")}
+    for name in refused(context):
+        line = lines[name]
+        assert line["causes"] == "over_quota" and line["status"] == 429, line
+        assert line["tenant"] == "a" and line["quota_cost"] == 1020, line
+        assert line["quota_left"] < 2040 and line["quota_share"] == 1.0, line
+        assert line["quota_age_ms"] == 0, line
+
+
+@then("the metrics count them for the tenant")
+def step_metrics(context):
+    text = f'weirscale_quota_refusals_total{{tenant="a"}} {len(refused(context)):.1f}'
+    assert text in context.metrics_text, context.metrics_text
+    assert 'weirscale_quota_left{tenant="a"}' in context.metrics_text
+
+
+@then("it gets 429 without a time to come back")
+def step_never(context):
+    answer = context.answers["q0"]
+    assert answer.status == 429 and answer.header("retry-after") is None, answer
+    line = context.fleet.logs["node-1"].named("request_ended")[-1]
+    assert line["causes"] == "never_in_quota", line
+
+
+@then("none of them gets 429")
+def step_none_refused(context):
+    statuses = {one.status for one in context.answers.values()}
+    assert statuses == {503}, statuses
+
+
+@then("every one of them is answered")
+def step_all_answered(context):
+    statuses = {one.status for one in context.answers.values()}
+    assert statuses == {200}, statuses
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -195,7 +195,9 @@
 
 
 def outbound_request(number):
-    asked = CallerRequest(f"q{number}", "GET", b"/s/1", "h", "/s/1", None, 1.0, None, None, ())
+    asked = CallerRequest(
+        f"q{number}", "GET", b"/s/1", "h", "/s/1", None, 1.0, None, None, None, ()
+    )
     return OutboundRequest(asked, b"", "o-1", 1.0)
 
 
--- /dev/null
+++ b/features/support/quota_fleet.py
@@ -0,0 +1,271 @@
+"""Nodes that share tenants' quotas over the product's own news, in simulated time.
+
+Each node has the product's ledger, relay between groups and directory; datagrams take a moment, get
+lost, and stop at cuts. What is spent is noted from outside, as the back ends would see it.
+"""
+
+import heapq
+import itertools
+import random
+from collections import Counter, deque
+
+import msgspec
+
+from features.support.platform_fleet import EventRecorder
+from weirscale.gateway.group_relay import GroupRelay, RefreshTimer
+from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.load import FleetLoad
+from weirscale.gateway.news_outbox import NewsOutbox
+from weirscale.gateway.peer_messages import encode_message
+from weirscale.gateway.ports import RecordChanged, StateBatch, VersionedChange
+from weirscale.gateway.quota import LIFE_INTERVAL_S, QuotaLedger
+from weirscale.gateway.registrations import NODE_PREFIX, PeerDirectory, Registration, cbor2
+from weirscale.gateway.settings import QuotaBounds
+from weirscale.gateway.usage_telling import UsageTelling, read_usage
+
+STEP_S = 0.01
+LEAST_DELAY_S, MOST_DELAY_S = 0.0005, 0.003
+RESTART_S = 1.0
+URGENT, ORDINARY = 0, 1
+
+
+def run(coroutine):
+    """Run a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+    raise AssertionError("it waits")
+
+
+class QuotaNode:
+    """One node."""
+
+    ledger_class = QuotaLedger
+
+    def __init__(self, fleet, name, zone, offset_s):
+        self.fleet, self.name, self.zone = fleet, name, zone
+        self.offset_s = offset_s
+        self.frozen_until_s = self.off_until_s = 0.0
+        self.side = 0
+        self.late = []
+        self.start()
+
+    def clock(self):
+        return self.fleet.now_s + self.offset_s
+
+    def start(self):
+        """Start the process: nothing is remembered."""
+        fleet = self.fleet
+        knowledge = Knowledge(EventRecorder(), self.clock)
+        knowledge.apply(fleet.registrations, self.clock())
+        self.peers = PeerDirectory(self.name, knowledge, self.clock, self.zone, 100)
+        self.load = FleetLoad()
+        self.outbox = NewsOutbox(self.name)
+        self.quotas = fleet.ledger_class(
+            fleet.bounds,
+            lambda: self.peers.num_nodes(fleet.bounds.window_s),
+            lambda: self.relay.interval_s(),
+            random.Random(fleet.random.random()),
+            self.clock,
+        )
+        self.quotas.set_tenants(fleet.tenants)
+        self.telling = UsageTelling()
+        self.relay = GroupRelay(
+            self.name, self.peers, self.load, self.quotas, lambda: (), self.send, self.clock
+        )
+        self.refresh, self.head_refresh = RefreshTimer(), RefreshTimer()
+        self.life = RefreshTimer(LIFE_INTERVAL_S)
+        self.head_life = RefreshTimer(LIFE_INTERVAL_S)
+        self.next_tick_s = fleet.now_s + fleet.random.random() * self.relay.interval_s()
+
+    def is_up(self):
+        now_s = self.fleet.now_s
+        return now_s >= self.frozen_until_s and now_s >= self.off_until_s
+
+    async def send(self, message, addresses):
+        self.fleet.deliver(self, message, [one.host for one in addresses])
+
+    def tick(self):
+        if not self.is_up() or self.fleet.now_s < self.next_tick_s:
+            return
+        self.next_tick_s = self.fleet.now_s + self.relay.interval_s()
+        must_refresh = self.refresh.is_due(self.clock())
+        self.quotas.tick()
+        self.telling.add_to(self.outbox, dict(self.quotas.own_usage()), must_refresh)
+        shows_life = must_refresh or self.relay.must_show_life(self.life)
+        news = self.outbox.take(with_empty=shows_life)
+        if news is not None:
+            self.fleet.deliver(self, news, self.relay.group_peers())
+            run(self.relay.tell_own(news))
+        if self.relay.is_head():
+            must_refresh = self.head_refresh.is_due(self.clock())
+            self.relay._gather(must_refresh)
+            shows_life = must_refresh or self.relay.must_show_life(self.head_life)
+            run(self.relay.flush(shows_life=shows_life))
+
+    def hear(self, news):
+        source = self.relay.source_of(news)
+        if source is not None:
+            usage = [read_usage(one) for one in news.usage]
+            self.quotas.fleet.hear(source, news.num_nodes, usage, self.clock())
+        run(self.relay.hear(news))
+
+
+class QuotaFleet:
+    """A fleet in fixed steps."""
+
+    def __init__(self, num_nodes, num_zones, tenants, bounds, seed, ledger_class=QuotaLedger):
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.tenants, self.bounds, self.ledger_class = tuple(tenants), bounds, ledger_class
+        self.loss = 0.01
+        self.wire, self.order = [], itertools.count()
+        self.num_messages = self.num_bytes = 0
+        self.bytes_by_sender = Counter()
+        names = [f"node-{number}" for number in range(num_nodes)]
+        self.registrations = StateBatch(
+            num_nodes,
+            tuple(
+                VersionedChange(
+                    NODE_PREFIX + name,
+                    number + 1,
+                    RecordChanged(
+                        NODE_PREFIX + name,
+                        cbor2.dumps(
+                            msgspec.to_builtins(
+                                Registration(name, 1, f"hall-{number % num_zones}", 100)
+                            )
+                        ),
+                    ),
+                )
+                for number, name in enumerate(names)
+            ),
+        )
+        self.nodes = {
+            name: QuotaNode(self, name, f"hall-{number % num_zones}", self.random.uniform(0, 50))
+            for number, name in enumerate(names)
+        }
+        self.spent = {tenant.name: [] for tenant in tenants}
+        self.refused = {tenant.name: [] for tenant in tenants}
+        self.traffic = {}
+        """By tenant: requests a second, nodes that they come to (None: all)."""
+        self.events = []
+        self.costs = ((0.65, 875, URGENT), (0.35, 9200, ORDINARY))
+
+    def deliver(self, sender, message, names):
+        size = len(encode_message(message))
+        for name in names:
+            self.num_messages += 1
+            self.num_bytes += size
+            self.bytes_by_sender[sender.name] += size
+            node = self.nodes[name]
+            if node.side != sender.side or self.random.random() < self.loss:
+                continue
+            at_s = self.now_s + self.random.uniform(LEAST_DELAY_S, MOST_DELAY_S)
+            heapq.heappush(self.wire, (at_s, next(self.order), name, message))
+
+    def at(self, at_s, action):
+        """Have something happen at a time."""
+        self.events.append((at_s, next(self.order), action))
+        self.events.sort()
+
+    def run_until(self, end_s):
+        while self.now_s < end_s:
+            self.now_s += STEP_S
+            while self.events and self.events[0][0] <= self.now_s:
+                self.events.pop(0)[2]()
+            while self.wire and self.wire[0][0] <= self.now_s:
+                _, _, name, message = heapq.heappop(self.wire)
+                node = self.nodes[name]
+                if self.now_s < node.frozen_until_s:
+                    node.late.append(message)
+                elif node.is_up():
+                    self._wake(node)
+                    node.hear(message)
+            for node in self.nodes.values():
+                self._wake(node)
+                node.tick()
+            self._arrive()
+
+    def _wake(self, node):
+        if node.late and node.is_up():
+            late, node.late = node.late, []
+            for message in late:
+                node.hear(message)
+
+    def _arrive(self):
+        for tenant in self.tenants:
+            per_s, names = self.traffic.get(tenant.name, (0.0, None))
+            for _ in range(self._poisson(per_s * STEP_S)):
+                name = self.random.choice(names or list(self.nodes))
+                if self.nodes[name].is_up():
+                    self.ask(self.nodes[name], tenant)
+
+    def _poisson(self, mean):
+        count, left = 0, self.random.expovariate(1.0)
+        while left < mean:
+            count += 1
+            left += self.random.expovariate(1.0)
+        return count
+
+    def ask(self, node, tenant):
+        weights = [share for share, _, _ in self.costs]
+        _, cost, priority = self.random.choices(self.costs, weights)[0]
+        decision = node.quotas.admit(tenant, cost, priority)
+        if decision.is_admitted:
+            node.quotas.spend(tenant, cost)
+            self.spent[tenant.name].append((self.now_s, cost, priority))
+        else:
+            self.refused[tenant.name].append((self.now_s, cost, priority))
+
+    def cut(self, names, side):
+        for name in names:
+            self.nodes[name].side = side
+
+    def freeze(self, names, for_s):
+        for name in names:
+            self.nodes[name].frozen_until_s = self.now_s + for_s
+
+    def kill(self, names, for_s=RESTART_S):
+        for name in names:
+            node = self.nodes[name]
+            node.off_until_s = self.now_s + for_s
+            node.start()
+            node.late = []
+            node.next_tick_s += for_s
+
+    def configure(self, tenants, within_s):
+        """Put changed quotas in force, at each node within some time."""
+        self.tenants = tuple(tenants)
+        for node in self.nodes.values():
+            self.at(
+                self.now_s + self.random.uniform(0.1, within_s),
+                lambda node=node: node.quotas.set_tenants(self.tenants),
+            )
+
+    def heads(self):
+        return [name for name, node in self.nodes.items() if node.relay.is_head()]
+
+
+def worst_window(spent, window_s, since_s=0.0, until_s=float("inf")):
+    """Return the most that was spent in any window between two times."""
+    inside, total, worst = deque(), 0.0, 0.0
+    for at_s, cost, _ in spent:
+        if not since_s <= at_s <= until_s:
+            continue
+        inside.append((at_s, cost))
+        total += cost
+        while inside[0][0] <= at_s - window_s:
+            total -= inside.popleft()[1]
+        worst = max(worst, total)
+    return worst
+
+
+def allowed(quota, bounds):
+    """Return what may be spent in a window."""
+    usual = quota.rate_per_s * bounds.window_s + quota.burst
+    return usual * (1.0 + bounds.overage) + bounds.tolerance
+
+
+BOUNDS = QuotaBounds(window_s=8.0, overage=0.1, tolerance=110_000.0)
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -41,6 +41,8 @@
     "experiment_virtual_runs",
     "limits_shares",
     "choice_comparison",
+    "gateway_quota",
+    "gateway_quota_schedules",
 )
 """Files that take longest, begun first so that no worker is left with one at the end."""
 
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -18,11 +18,19 @@
 from weirscale.gateway.outcome import AttemptEnd, Verdict, judge_answer, judge_failure
 from weirscale.gateway.overload import come_back_s, should_come_back
 from weirscale.gateway.ports import Answer, BodyBrokenError, CallerRequest, Headers, OutboundRequest
+from weirscale.gateway.quota import QuotaDecision
 from weirscale.gateway.responder import Responder
-from weirscale.gateway.summary import OVERLOADED, ExchangeSummary, Stage
+from weirscale.gateway.summary import (
+    NEVER_IN_QUOTA,
+    OVER_QUOTA,
+    OVERLOADED,
+    ExchangeSummary,
+    Stage,
+)
 
 HTTP_UNAUTHORIZED = 401
 HTTP_NOT_FOUND = 404
+HTTP_TOO_MANY = 429
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_TIMEOUT = 504
@@ -86,6 +94,8 @@
         self._attempt_pause_s: float | None = None
         self._choice: Choice | None = None
         self._causes: list[str] = []
+        self._cost = 0.0
+        self._quota_refusal: QuotaDecision | None = None
         self.stage = Stage.LEFT
 
     async def run(self) -> None:
@@ -96,6 +106,8 @@
             if refusal is not None:
                 await self._refuse(refusal, NO_CONFIGURATION_RETRY_S)
                 return
+            if not await self._is_within_quota():
+                return
             with anyio.CancelScope(deadline=self._deadline_s) as time_left:
                 await self._attempt_until_done()
             if time_left.cancelled_caught:
@@ -135,6 +147,26 @@
         self._deadline_s = self._arrived_at_s + timeout_s
         return None
 
+    async def _is_within_quota(self) -> bool:
+        """Let the tenant's quota decide; answers a request that it has no room for."""
+        assert self._route is not None
+        if self._tenant is None:
+            return True
+        decision = self._context.quotas.admit(
+            self._tenant, self._request.num_tokens, self._route.priority
+        )
+        self._cost = decision.cost
+        if decision.is_admitted:
+            return True
+        self._quota_refusal = decision
+        self._causes.append(NEVER_IN_QUOTA if decision.retry_after_s is None else OVER_QUOTA)
+        await self._refuse(HTTP_TOO_MANY, decision.retry_after_s)
+        return False
+
+    def _spend(self, cost: float) -> None:
+        if self._tenant is not None:
+            self._context.quotas.spend(self._tenant, cost)
+
     def _refuse_unknown(self, status: int, cause: str) -> int:
         """A denial needs a current configuration: else the caller should come back."""
         self._causes.append(cause)
@@ -206,6 +238,7 @@
         self._attempt_pause_s = None
         self._excluded.add(back_end.instance)
         self._context.begin(choice, self._request.prompt, self._is_first_send())
+        self._spend(self._cost)
         verdict = Verdict(AttemptEnd.UNCERTAIN, "cancelled")
         patience = anyio.CancelScope()
         try:
@@ -218,6 +251,8 @@
             self._context.end(choice, self._request.prompt, verdict)
             if self._attempt_pause_s is not None:
                 self._context.note_stream(back_end.service, self._route, self._attempt_pause_s)
+        if verdict.end in (AttemptEnd.NEVER_SENT, AttemptEnd.UNRUN):
+            self._spend(-self._cost)
         if verdict.end is not AttemptEnd.NEVER_SENT:
             self._tried.add(back_end.instance)
         if verdict.end in (AttemptEnd.UNCERTAIN, AttemptEnd.FAILED):
@@ -382,9 +417,9 @@
         if not self._responder.has_begun:
             await self._responder.refuse(HTTP_TIMEOUT)
 
-    async def _refuse(self, status: int, retry_after_s: float) -> None:
+    async def _refuse(self, status: int, retry_after_s: float | None) -> None:
         self.stage = Stage.REFUSED
-        wait_s = retry_after_s if status == HTTP_UNAVAILABLE else None
+        wait_s = retry_after_s if status in (HTTP_UNAVAILABLE, HTTP_TOO_MANY) else None
         await self._responder.refuse(status, wait_s)
 
     def _tell_end(self) -> None:
@@ -400,6 +435,8 @@
             first_byte_s=self._first_byte_s,
             longest_pause_s=self._longest_pause_s,
             duration_s=self._clock() - self._arrived_at_s,
+            tenant=self._tenant.name if self._tenant else None,
+            quota=self._quota_refusal,
         )
         self._context.tell_end(summary)
 
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -18,6 +18,7 @@
 from weirscale.gateway.peer_messages import SendNews, SuspectNews
 from weirscale.gateway.ports import Answer, BackEndPort
 from weirscale.gateway.prompt import Prompt
+from weirscale.gateway.quota import QuotaDecision, QuotaLedger
 from weirscale.gateway.registrations import PeerDirectory
 from weirscale.gateway.retry_budget import SharedRetryBudget
 from weirscale.gateway.settings import Bounds
@@ -66,6 +67,7 @@
         load: Work at back ends.
         health: Circuits.
         budget: Retry budget.
+        quotas: What tenants may spend.
         peers: Other nodes.
         outbox: What peers are told.
         version_check: Asks runners that have other weights than believed.
@@ -83,6 +85,7 @@
         load: FleetLoad,
         health: BackEndHealth,
         budget: SharedRetryBudget,
+        quotas: QuotaLedger,
         peers: PeerDirectory,
         outbox: NewsOutbox,
         version_check: VersionCheck,
@@ -97,6 +100,7 @@
         self._load = load
         self._health = health
         self._budget = budget
+        self.quotas = quotas
         self._peers = peers
         self._outbox = outbox
         self._version_check = version_check
@@ -241,6 +245,9 @@
             fields.update(_choice_fields(summary.choice))
             if summary.service is not None and summary.choice.scope is not None:
                 fields["queue_share"] = round(self.queue_limit(summary.service).share, 2)
+        if summary.quota is not None:
+            fields["tenant"] = summary.tenant
+            fields.update(_quota_fields(summary.quota))
         if summary.causes:
             fields["causes"] = ",".join(summary.causes)
         return fields
@@ -251,6 +258,15 @@
     return "never" if math.isinf(age_s) else round(age_s * MILLISECONDS_PER_S)
 
 
+def _quota_fields(decision: QuotaDecision) -> dict[str, object]:
+    return {
+        "quota_cost": round(decision.cost),
+        "quota_left": round(decision.level),
+        "quota_share": round(decision.share, 2),
+        "quota_age_ms": round(decision.age_s * MILLISECONDS_PER_S),
+    }
+
+
 def _choice_fields(choice: Choice) -> dict[str, object]:
     load = choice.candidate.load
     return {
--- a/src/weirscale/gateway/group_relay.py
+++ b/src/weirscale/gateway/group_relay.py
@@ -21,8 +21,11 @@
     PeerNews,
     SendNews,
 )
+from weirscale.gateway.quota import LIFE_INTERVAL_S, QuotaLedger
 from weirscale.gateway.registrations import PeerDirectory
 from weirscale.gateway.settings import ListenAddress
+from weirscale.gateway.usage import NO_USAGE
+from weirscale.gateway.usage_telling import UsageTelling
 
 REFRESH_INTERVAL_S = 1.0
 """All loads are told again this often, which mends losses and shows that the node lives."""
@@ -57,14 +60,19 @@
 
 
 class RefreshTimer:
-    """Tells when everything is to be told again, not only what has changed."""
+    """Tells when everything is to be told again, not only what has changed.
 
-    def __init__(self) -> None:
+    Args:
+        interval_s: Time between two.
+    """
+
+    def __init__(self, interval_s: float = REFRESH_INTERVAL_S) -> None:
+        self._interval_s = interval_s
         self._refreshed_at_s = float("-inf")
 
     def is_due(self, now_s: float) -> bool:
         """Return whether the interval has passed; if so, the next one begins."""
-        if now_s - self._refreshed_at_s < REFRESH_INTERVAL_S:
+        if now_s - self._refreshed_at_s < self._interval_s:
             return False
         self._refreshed_at_s = now_s
         return True
@@ -77,6 +85,7 @@
         name: This node.
         directory: The registered nodes.
         load: Work at back ends, with what others told.
+        quotas: What tenants spend, with what others told.
         ages: Returns the versions of weights that were named lately, for new nodes.
         send: Sends a message to several nodes.
         clock: Monotonic seconds.
@@ -87,6 +96,7 @@
         name: str,
         directory: PeerDirectory,
         load: FleetLoad,
+        quotas: QuotaLedger,
         ages: Callable[[], Iterable[NamedNews]],
         send: Send,
         clock: Callable[[], float],
@@ -94,6 +104,7 @@
         self._name = name
         self._directory = directory
         self._load = load
+        self._quotas = quotas
         self._ages = ages
         self._send = send
         self._clock = clock
@@ -105,18 +116,24 @@
         """Who spoke for another group last, and when."""
         self._told_sums: dict[str, dict[str, Load]] = {"": {}, REST_OF_FLEET: {}}
         self._told_sends: dict[tuple[str, str, str], float] = {}
+        self._usage_to_heads = UsageTelling()
+        self._usage_to_group = UsageTelling()
         self._was_head = False
 
     async def run(self) -> None:
         """Pass on what has gathered, until cancelled."""
-        refresh = RefreshTimer()
+        refresh, life = RefreshTimer(), RefreshTimer(LIFE_INTERVAL_S)
         while True:
             must_refresh = refresh.is_due(self._clock())
             if self.is_head():
                 self._gather(must_refresh)
-                await self.flush()
+                await self.flush(shows_life=must_refresh or self.must_show_life(life))
             await anyio.sleep(self.interval_s())
 
+    def must_show_life(self, timer: "RefreshTimer") -> bool:
+        """Whether others need to hear from this node although it has nothing to tell."""
+        return self._quotas.has_quotas() and timer.is_due(self._clock())
+
     def interval_s(self) -> float:
         """Return the time between messages in a fleet of this size."""
         return news_interval_s(len(self._directory.division().groups))
@@ -155,6 +172,9 @@
         for source in self._load.sources():
             if source.startswith(GROUP_SOURCE) and (source == REST_SOURCE) == is_head:
                 self._load.forget_source(source)
+        for source in self._quotas.fleet.sources():
+            if source.startswith(GROUP_SOURCE) and (source == REST_SOURCE) == is_head:
+                self._quotas.fleet.forget_source(source, self._clock())
 
     def source_of(self, news: PeerNews) -> str | None:
         """Return the source under which the loads of some news count, or None if they do not."""
@@ -221,10 +241,23 @@
         rest = self._load.sum_of(lambda source: source.startswith(GROUP_SOURCE), now_s)
         self._add_sums(self._to_heads, "", own, must_refresh)
         self._add_sums(self._to_group, REST_OF_FLEET, rest, must_refresh)
+        self._gather_usage(must_refresh)
         if must_refresh:
             for named in self._ages():
                 self._to_heads.add_named(named)
 
+    def _gather_usage(self, must_refresh: bool) -> None:
+        fleet = self._quotas.fleet
+        since_s = self._quotas.heard_since_s()
+        num_members, own = fleet.sum_of(lambda source: not source.startswith(GROUP_SOURCE), since_s)
+        num_others, rest = fleet.sum_of(lambda source: source.startswith(GROUP_SOURCE), since_s)
+        for tenant, usage in self._quotas.own_usage():
+            own[tenant] = own.get(tenant, NO_USAGE).plus(usage)
+        self._to_heads.set_num_nodes(1 + num_members)
+        self._to_group.set_num_nodes(num_others)
+        self._usage_to_heads.add_to(self._to_heads, own, must_refresh)
+        self._usage_to_group.add_to(self._to_group, rest, must_refresh)
+
     def _add_sums(
         self, outbox: NewsOutbox, key: str, sums: dict[str, Load], must_refresh: bool
     ) -> None:
@@ -237,8 +270,12 @@
                 )
         self._told_sums[key] = sums
 
-    async def flush(self) -> None:
-        """Send what has gathered, now."""
+    async def flush(self, shows_life: bool = False) -> None:
+        """Send what has gathered, now.
+
+        Args:
+            shows_life: Whether to send messages also if there is nothing to tell.
+        """
         # Registrations may change while messages go out: all receivers are worked out before.
         addresses = self._directory.addresses()
         division = self._directory.division()
@@ -246,8 +283,8 @@
         others = [group for group in division.groups if group != own_group]
         heads = [addresses[name] for group in others for name in self._heads(group)]
         peers = [addresses[name] for name in self.group_peers()]
-        to_heads = self._to_heads.take(own_group)
-        to_group = self._to_group.take()
+        to_heads = self._to_heads.take(own_group, with_empty=shows_life)
+        to_group = self._to_group.take(with_empty=shows_life)
         if to_heads is not None:
             await self._send(to_heads, heads)
         if to_group is not None:
--- a/src/weirscale/gateway/metrics.py
+++ b/src/weirscale/gateway/metrics.py
@@ -12,6 +12,11 @@
 NEVER_PROVED_AGE_S = 1e9
 """Stands for the age of a state that was never proved: the text format is for plain numbers."""
 
+MAX_TENANT_LABELS = 32
+"""So many tenants have labels of their own, in the order in which they are first seen."""
+
+OTHER_TENANTS = "others"
+
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 
 
@@ -79,6 +84,22 @@
             ("service",), registry=self.registry,
         )  # fmt: skip
 
+        self._quota_refusals = Counter(
+            "weirscale_quota_refusals", "Requests refused for their tenant's quota", ("tenant",),
+            registry=self.registry,
+        )  # fmt: skip
+        self._quota_left = Gauge(
+            "weirscale_quota_left", "What is left of a tenant's quota, in its unit", ("tenant",),
+            registry=self.registry,
+        )  # fmt: skip
+        self._tenant_labels: set[str] = set()
+
+    def _tenant_label(self, tenant: str) -> str:
+        """Return the label of a tenant; those beyond the bound share one."""
+        if len(self._tenant_labels) < MAX_TENANT_LABELS:
+            self._tenant_labels.add(tenant)
+        return tenant if tenant in self._tenant_labels else OTHER_TENANTS
+
     def count_request(self, summary: ExchangeSummary) -> None:
         """Count a request that has ended."""
         kind = summary.route.kind.value if summary.route else "none"
@@ -87,6 +108,8 @@
         self._late_answers.labels(kind).inc(summary.is_late())
         self._overload_refusals.labels(kind).inc(summary.is_overload_refusal())
         self._deadlines_passed.labels(kind).inc(summary.deadline_passed_after_sending())
+        if summary.tenant is not None and summary.is_quota_refusal():
+            self._quota_refusals.labels(self._tenant_label(summary.tenant)).inc()
         if summary.first_byte_s is not None:
             self._first_byte.labels(kind).observe(summary.first_byte_s)
         if summary.choice is not None and summary.choice.scope is not None:
@@ -107,6 +130,9 @@
         self._lease_held.set(1 if figures.holds_lease else 0)
         for service, share in figures.queue_shares.items():
             self._queue_share.labels(service).set(share)
+        for tenant, left in figures.quota_levels.items():
+            if self._tenant_label(tenant) == tenant:
+                self._quota_left.labels(tenant).set(left)
         for service, left in figures.retries_left.items():
             self._retry_budget_left.labels(service).set(left)
         return generate_latest(self.registry)
--- a/src/weirscale/gateway/model.py
+++ b/src/weirscale/gateway/model.py
@@ -113,6 +113,29 @@
     idle_timeout_s: float = 15.0
 
 
+class QuotaUnit(enum.Enum):
+    """What a quota counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+class Quota(msgspec.Struct, frozen=True):
+    """What a tenant may spend, over all nodes together.
+
+    Attributes:
+        rate_per_s: Units a second; above 0.
+        burst: Units on top, at once.
+        unit: What counts.
+        unnamed_tokens: What a request costs that does not name its tokens, if tokens count.
+    """
+
+    rate_per_s: float
+    burst: float
+    unit: QuotaUnit = QuotaUnit.REQUESTS
+    unnamed_tokens: int = 0
+
+
 class Tenant(msgspec.Struct, frozen=True):
     """A tenant and its keys.
 
@@ -121,12 +144,14 @@
         keys: API keys that belong to it.
         priority: Goes before the route's where given; 0 is the most urgent.
         is_isolated: Whether it shares no cached prompt part with other tenants.
+        quota: What it may spend, or None for no limit.
     """
 
     name: TenantName
     keys: tuple[str, ...]
     priority: int | None = None
     is_isolated: bool = False
+    quota: Quota | None = None
 
 
 class GatewayConfiguration(msgspec.Struct, frozen=True):
--- a/src/weirscale/gateway/news_outbox.py
+++ b/src/weirscale/gateway/news_outbox.py
@@ -7,6 +7,7 @@
     PeerNews,
     SendNews,
     SuspectNews,
+    UsageNews,
 )
 
 MAX_SENDS_A_MESSAGE = 64
@@ -28,6 +29,16 @@
         self._loading: list[LoadingNews] = []
         self._named: list[NamedNews] = []
         self._suspects: dict[str, SuspectNews] = {}
+        self._usage: dict[str, UsageNews] = {}
+        self._num_nodes = 1
+
+    def add_usage(self, news: UsageNews) -> None:
+        """Tell what a tenant spends; replaces what was to be told of it."""
+        self._usage[news.tenant] = news
+
+    def set_num_nodes(self, num_nodes: int) -> None:
+        """Set of how many nodes the usage is."""
+        self._num_nodes = num_nodes
 
     def add_load(self, news: LoadNews) -> None:
         """Tell a load; replaces an earlier one."""
@@ -65,9 +76,11 @@
             tuple(self._named),
             tuple(self._suspects.values()),
             self._group if group is None else group,
+            tuple(self._usage.values()),
+            self._num_nodes,
         )
         if not with_empty and not (
-            news.loads or news.sends or news.loading or news.named or news.suspects
+            news.loads or news.sends or news.loading or news.named or news.suspects or news.usage
         ):
             return None
         self._loads = {}
@@ -75,4 +88,5 @@
         self._loading = []
         self._named = []
         self._suspects = {}
+        self._usage = {}
         return news
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -32,6 +32,7 @@
 )
 from weirscale.gateway.peers import MessageReceiver, PeerTask
 from weirscale.gateway.ports import BackEndConnector, BackEndPort, CallerDialect, StateFeed
+from weirscale.gateway.quota import QuotaLedger
 from weirscale.gateway.registrations import PeerDirectory, Registration, RegistrationTask
 from weirscale.gateway.retry_budget import SharedRetryBudget
 from weirscale.gateway.rollout import RolloutRules
@@ -39,6 +40,7 @@
 from weirscale.gateway.settings import Bounds, GatewaySettings, ListenAddress
 from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
 from weirscale.gateway.timed_record import OrderTurn
+from weirscale.gateway.usage_telling import UsageTelling, read_usage
 from weirscale.gateway.version_check import VersionCheck
 from weirscale.leases.lease_task import KEY_PREFIX, DutyLeaseTask
 from weirscale.ports.event_log import EventLog
@@ -167,8 +169,14 @@
         strength = settings.machine.strength()
         self.peers = PeerDirectory(settings.name, self.knowledge, clock, settings.zone, strength)
         self.outbox = NewsOutbox(settings.name)
+        self.quotas = QuotaLedger(
+            bounds.quota, lambda: self.peers.num_nodes(bounds.quota.window_s),
+            lambda: self.relay.interval_s(), random, clock,
+        )  # fmt: skip
+        self.knowledge.on_table = lambda table: self.quotas.set_tenants(table.configuration.tenants)
+        self._usage_telling = UsageTelling()
         self.relay = GroupRelay(
-            settings.name, self.peers, self.load, self._named_lately, self._send, clock
+            settings.name, self.peers, self.load, self.quotas, self._named_lately, self._send, clock
         )
         self.peer_task = PeerTask(
             settings.peers, self.peers, self.relay, self.outbox, self, self._gather_news
@@ -191,8 +199,8 @@
         )
         self.context = ExchangeContext(
             settings.bounds, self.knowledge, self.dispatcher, self.load, self.health, self.budget,
-            self.peers, self.outbox, self.version_check, self.port_of, event_log, self.metrics,
-            clock,
+            self.quotas, self.peers, self.outbox, self.version_check, self.port_of, event_log,
+            self.metrics, clock,
         )  # fmt: skip
         self.app = CallerApp(
             settings, self.context, dialect, self.is_ready, lambda: self.is_stopping,
@@ -226,6 +234,7 @@
         """Put changed bounds and a changed retry budget in force."""
         bounds = settings.bounds
         self.budget.set_rules(settings.retry_budget)
+        self.quotas.set_bounds(bounds.quota)
         self.context.set_bounds(bounds)
         self.dispatcher.set_weights_grace(bounds.weights_s - WEIGHTS_MARGIN_S)
         self._rollout.set_rules(_rollout_rules(bounds))
@@ -294,6 +303,9 @@
         for load in news.loads if source is not None else ():
             heard = Load(load.num_requests, load.waiting_tokens, load.held_tokens)
             self.load.hear(source or "", load.instance, heard, now_s)
+        if source is not None:
+            usage = [read_usage(one) for one in news.usage]
+            self.quotas.fleet.hear(source, news.num_nodes, usage, now_s)
         for send in news.sends:
             if news.group:
                 self.dispatcher.note_shared_parts(send.instance, send.scope, send.parts)
@@ -326,6 +338,8 @@
             changed.update({one: self.load.own(one) for one in self.load.own_instances()})
             for named in self._named_lately():
                 self.outbox.add_named(named)
+        self.quotas.tick()
+        self._usage_telling.add_to(self.outbox, dict(self.quotas.own_usage()), must_refresh)
         for instance, load in changed.items():
             self.outbox.add_load(
                 LoadNews(instance, load.num_requests, load.waiting_tokens, load.held_tokens)
@@ -381,5 +395,6 @@
                 holds_lease=self._lease.is_held(),
                 queue_shares={one: self.context.queue_limit(one).share for one in services},
                 retries_left={one: self.budget.left(one, num_nodes, now_s) for one in services},
+                quota_levels=self.quotas.levels(),
             )
         )
--- a/src/weirscale/gateway/node_metrics.py
+++ b/src/weirscale/gateway/node_metrics.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import ServiceName
+from weirscale.domain.identifiers import ServiceName, TenantName
 from weirscale.gateway.settings import GatewaySettings
 from weirscale.gateway.summary import ExchangeSummary
 
@@ -24,6 +24,7 @@
         holds_lease: Whether this node gives orders.
         retries_left: Repeats that may be spent now, by service.
         queue_shares: Share of the bound on queues that is in force, by service.
+        quota_levels: What is left of each quota, in its unit, by tenant.
     """
 
     knowledge_age_s: float
@@ -32,6 +33,7 @@
     holds_lease: bool
     retries_left: Mapping[ServiceName, float]
     queue_shares: Mapping[ServiceName, float]
+    quota_levels: Mapping[TenantName, float]
 
 
 class NodeMetrics(Protocol):
--- a/src/weirscale/gateway/peer_messages.py
+++ b/src/weirscale/gateway/peer_messages.py
@@ -56,6 +56,20 @@
     instance: str
 
 
+class UsageNews(msgspec.Struct, frozen=True, array_like=True):
+    """What a tenant with a quota spends and asks for, in its quota's units a second.
+
+    Attributes:
+        tenant: The tenant.
+        spent_per_s: What was sent to back ends and not proved unrun.
+        asked_per_s: What callers asked for, refused or not, by priority.
+    """
+
+    tenant: str
+    spent_per_s: int
+    asked_per_s: tuple[int, ...]
+
+
 REST_OF_FLEET = "*"
 """Names all groups but the receiver's own in `PeerNews.group`."""
 
@@ -72,6 +86,8 @@
         suspects: Unreachable back ends.
         group: Empty for the sender's own doings; else the loads are the sum of this group's
             members, or with `REST_OF_FLEET` of all groups but the receiver's.
+        usage: What tenants with a quota spend, of the same nodes as the loads.
+        num_nodes: How many nodes that is.
     """
 
     sender: str
@@ -81,6 +97,8 @@
     named: tuple[NamedNews, ...] = ()
     suspects: tuple[SuspectNews, ...] = ()
     group: str = ""
+    usage: tuple[UsageNews, ...] = ()
+    num_nodes: int = 1
 
 
 class StateQuery(msgspec.Struct, frozen=True, array_like=True, tag="query"):
--- a/src/weirscale/gateway/peers.py
+++ b/src/weirscale/gateway/peers.py
@@ -9,6 +9,7 @@
 from weirscale.gateway.group_relay import GroupRelay, RefreshTimer
 from weirscale.gateway.news_outbox import NewsOutbox
 from weirscale.gateway.peer_messages import PeerMessage, decode_message, encode_message
+from weirscale.gateway.quota import LIFE_INTERVAL_S
 from weirscale.gateway.registrations import PeerDirectory
 from weirscale.gateway.settings import ListenAddress
 
@@ -68,11 +69,11 @@
                 await self._receiver.hear(message, ListenAddress(host, port))
 
     async def _flush_regularly(self) -> None:
-        refresh = RefreshTimer()
+        refresh, life = RefreshTimer(), RefreshTimer(LIFE_INTERVAL_S)
         while True:
             must_refresh = refresh.is_due(anyio.current_time())
             self._gather(must_refresh)
-            await self.flush(shows_life=must_refresh)
+            await self.flush(shows_life=must_refresh or self._relay.must_show_life(life))
             await anyio.sleep(self._relay.interval_s())
 
     async def flush(self, shows_life: bool = False) -> None:
--- a/src/weirscale/gateway/ports.py
+++ b/src/weirscale/gateway/ports.py
@@ -113,6 +113,7 @@
         key: API key, or None.
         timeout_s: How long the caller waits, or None if it did not say.
         prompt: The prompt's outline, for generations.
+        num_tokens: Tokens that it names, of the prompt and at most of the answer, or None.
         resume_after: Id of the last event that the caller has, or None.
         headers: What travels on to the back end.
     """
@@ -125,6 +126,7 @@
     key: str | None
     timeout_s: float | None
     prompt: Prompt | None
+    num_tokens: int | None
     resume_after: str | None
     headers: Headers
 
--- a/src/weirscale/gateway/registrations.py
+++ b/src/weirscale/gateway/registrations.py
@@ -102,10 +102,14 @@
         self._addresses = {name: ListenAddress(one.host, one.port) for name, one in found.items()}
         self._division = divide([self._own, *self._others()])
 
-    def num_nodes(self) -> int:
-        """Return how many nodes may share a budget: all seen lately, this one included."""
+    def num_nodes(self, remembered_s: float = REMEMBERED_PEER_S) -> int:
+        """Return how many nodes may share a budget: all seen lately, this one included.
+
+        Args:
+            remembered_s: How long one that left the registrations still counts.
+        """
         self._read_changes()
-        since_s = self._clock() - REMEMBERED_PEER_S
+        since_s = self._clock() - remembered_s
         num_left = sum(1 for left_at_s in self._left_at_s.values() if left_at_s >= since_s)
         return 1 + len(self._registrations) + num_left
 
--- a/src/weirscale/gateway/settings.py
+++ b/src/weirscale/gateway/settings.py
@@ -17,6 +17,20 @@
     port: int
 
 
+class QuotaBounds(msgspec.Struct, frozen=True):
+    """How exactly tenants' quotas are to be kept.
+
+    Attributes:
+        window_s: In any such span, rate times span plus burst may be spent, ...
+        overage: ... and this share more, ...
+        tolerance: ... and so many units more.
+    """
+
+    window_s: float = 8.0
+    overage: float = 0.0
+    tolerance: float = 0.0
+
+
 class Bounds(msgspec.Struct, frozen=True):
     """Times within which the deployment's promises hold.
 
@@ -26,6 +40,7 @@
         lease_s: Least time between orders of two holders.
         weights_s: Until requests start on newly named weights only.
         min_lease_s: Shortest lease that the store grants.
+        quota: How exactly tenants' quotas are to be kept.
     """
 
     stop_s: float = 8.0
@@ -33,6 +48,7 @@
     lease_s: float = 3.0
     weights_s: float = 8.0
     min_lease_s: float = 1.0
+    quota: QuotaBounds = QuotaBounds()
 
 
 ORDINARY_CORES = 1.0
--- a/src/weirscale/gateway/summary.py
+++ b/src/weirscale/gateway/summary.py
@@ -4,15 +4,23 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import ServiceName
+from weirscale.domain.identifiers import ServiceName, TenantName
 from weirscale.gateway.choice import Choice
 from weirscale.gateway.model import Route
 from weirscale.gateway.ports import CallerRequest
+from weirscale.gateway.quota import QuotaDecision
 
 OVERLOADED = "overloaded"
 """Cause of a refusal because of the queues."""
 
 
+OVER_QUOTA = "over_quota"
+"""Cause of a refusal because of the tenant's quota."""
+
+NEVER_IN_QUOTA = "never_in_quota"
+"""Cause of a refusal of a request that alone costs more than the quota ever holds."""
+
+
 class Stage(enum.Enum):
     """How a request ended, for logs and metrics."""
 
@@ -38,6 +46,8 @@
     first_byte_s: float | None
     longest_pause_s: float
     duration_s: float
+    tenant: TenantName | None = None
+    quota: QuotaDecision | None = None
 
     def is_late(self) -> bool:
         """Whether it was answered later, or with a longer pause, than its route aims at."""
@@ -51,6 +61,10 @@
         """Whether its caller was told to come back because of the queues."""
         return self.stage is Stage.REFUSED and OVERLOADED in self.causes
 
+    def is_quota_refusal(self) -> bool:
+        """Whether it was refused for its tenant's quota."""
+        return self.stage is Stage.REFUSED and self.quota is not None
+
     def deadline_passed_after_sending(self) -> bool:
         """Whether a runner worked on it, or let it wait, until its time was over."""
         return self.stage is Stage.TIMED_OUT and self.num_attempts > 0
--- /dev/null
+++ b/src/weirscale/gateway/usage.py
@@ -0,0 +1,205 @@
+"""What tenants ask for and spend, at this node and, as told, at the others.
+
+Everything is told as a rate over the last moment, not as a count: a later message replaces an
+earlier one, so loss, doubling, a new head of a group or a restart leave no lasting error. Like the
+loads (`load`), what others tell is kept by its source: a node of this node's group, or the sum of a
+group (`groups`).
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from weirscale.domain.identifiers import TenantName
+from weirscale.gateway.load import HEARD_LIFE_S
+
+NUM_PRIORITIES = 3
+"""Priorities of routes that are told apart; all beyond count as the last."""
+
+SPENT_SPAN_S = 0.6
+"""Span of the rate that is told as spent: two messages in a large fleet. A longer one makes news
+older, a shorter one is missed more often when a message is lost."""
+
+ASKED_SPAN_S = 1.5
+"""Span of the rate that is told as asked for; it only divides what is left among priorities."""
+
+
+class TenantUsage(msgspec.Struct, frozen=True):
+    """Rates of one tenant, in the unit of its quota.
+
+    Attributes:
+        spent_per_s: What was sent to back ends and not proved unrun.
+        asked_per_s: What callers asked for, refused or not, by priority.
+    """
+
+    spent_per_s: float = 0.0
+    asked_per_s: tuple[float, ...] = (0.0,) * NUM_PRIORITIES
+
+    def plus(self, other: "TenantUsage") -> "TenantUsage":
+        """Return the sum."""
+        asked = tuple(a + b for a, b in zip(self.asked_per_s, other.asked_per_s, strict=True))
+        return TenantUsage(self.spent_per_s + other.spent_per_s, asked)
+
+    def minus(self, other: "TenantUsage") -> "TenantUsage":
+        """Return the difference."""
+        asked = tuple(a - b for a, b in zip(self.asked_per_s, other.asked_per_s, strict=True))
+        return TenantUsage(self.spent_per_s - other.spent_per_s, asked)
+
+
+NO_USAGE = TenantUsage()
+
+
+class RateMeter:
+    """A rate over the last moment.
+
+    Args:
+        span_s: Length of that moment.
+    """
+
+    def __init__(self, span_s: float) -> None:
+        self._span_s = span_s
+        self._amounts: deque[tuple[float, float]] = deque()
+        self._sum = 0.0
+
+    def add(self, amount: float, now_s: float) -> None:
+        """Count an amount; a negative one takes an earlier one back."""
+        self._amounts.append((now_s, amount))
+        self._sum += amount
+
+    def per_s(self, now_s: float) -> float:
+        """Return the rate."""
+        while self._amounts and self._amounts[0][0] <= now_s - self._span_s:
+            self._sum -= self._amounts.popleft()[1]
+        if not self._amounts:
+            self._sum = 0.0
+        return self._sum / self._span_s
+
+
+class OwnUsage:
+    """One tenant's requests at this node."""
+
+    def __init__(self) -> None:
+        self._spent = RateMeter(SPENT_SPAN_S)
+        self._asked = tuple(RateMeter(ASKED_SPAN_S) for _ in range(NUM_PRIORITIES))
+
+    def ask(self, amount: float, priority: int, now_s: float) -> None:
+        """A caller asks for an amount."""
+        self._asked[min(priority, NUM_PRIORITIES - 1)].add(amount, now_s)
+
+    def spend(self, amount: float, now_s: float) -> None:
+        """An amount is sent to a back end; a negative one was proved unrun."""
+        self._spent.add(amount, now_s)
+
+    def now(self, now_s: float) -> TenantUsage:
+        """Return the rates."""
+        asked = tuple(meter.per_s(now_s) for meter in self._asked)
+        return TenantUsage(self._spent.per_s(now_s), asked)
+
+
+class _HeardUsage(msgspec.Struct, frozen=True):
+    usage: TenantUsage
+    heard_at_s: float
+
+
+class _Source(msgspec.Struct):
+    """What a source last told.
+
+    Attributes:
+        num_nodes: Nodes whose usage is in it.
+        heard_at_s: When it was last heard.
+        tenants: Usage that it told of.
+    """
+
+    num_nodes: int
+    heard_at_s: float
+    tenants: dict[TenantName, _HeardUsage]
+
+
+class FleetUsage:
+    """Sums what the other nodes spend.
+
+    Args:
+        on_change: Called before a tenant's sum changes, and with the time: what was spent until
+            then is to be reckoned by the old sum.
+    """
+
+    def __init__(self, on_change: Callable[[TenantName, float], None]) -> None:
+        self._on_change = on_change
+        self._sources: dict[str, _Source] = {}
+        self._sums: dict[TenantName, TenantUsage] = {}
+
+    def hear(
+        self,
+        source: str,
+        num_nodes: int,
+        usage: Iterable[tuple[TenantName, TenantUsage]],
+        now_s: float,
+    ) -> None:
+        """Take over what a source tells, in place of what it told of these tenants before."""
+        known = self._sources.setdefault(source, _Source(num_nodes, now_s, {}))
+        known.num_nodes = num_nodes
+        known.heard_at_s = now_s
+        for tenant, told in usage:
+            before = known.tenants.pop(tenant, None)
+            if told != NO_USAGE:
+                known.tenants[tenant] = _HeardUsage(told, now_s)
+            self._change(tenant, told.minus(before.usage if before else NO_USAGE), now_s)
+
+    def _change(self, tenant: TenantName, change: TenantUsage, now_s: float) -> None:
+        self._on_change(tenant, now_s)
+        self._sums[tenant] = self._sums.get(tenant, NO_USAGE).plus(change)
+
+    def sum(self, tenant: TenantName) -> TenantUsage:
+        """Return what the other nodes spend, as far as it was told."""
+        return self._sums.get(tenant, NO_USAGE)
+
+    def num_heard(self, since_s: float) -> int:
+        """Return of how many other nodes the usage was told since a time."""
+        return sum(one.num_nodes for one in self._sources.values() if one.heard_at_s >= since_s)
+
+    def age_s(self, now_s: float) -> float:
+        """Return the age of the oldest news that counts."""
+        return max((now_s - one.heard_at_s for one in self._sources.values()), default=0.0)
+
+    def sum_of(
+        self, is_wanted: Callable[[str], bool], since_s: float
+    ) -> tuple[int, dict[TenantName, TenantUsage]]:
+        """Return the sum over some sources, and how many nodes were heard since a time."""
+        num_nodes = 0
+        sums: dict[TenantName, TenantUsage] = {}
+        for name, source in self._sources.items():
+            if is_wanted(name):
+                num_nodes += source.num_nodes if source.heard_at_s >= since_s else 0
+                for tenant, heard in source.tenants.items():
+                    sums[tenant] = sums.get(tenant, NO_USAGE).plus(heard.usage)
+        return num_nodes, sums
+
+    def sources(self) -> tuple[str, ...]:
+        """Return the sources that count."""
+        return tuple(self._sources)
+
+    def forget_source(self, source: str, now_s: float) -> None:
+        """Forget what a source told."""
+        known = self._sources.pop(source, None)
+        if known is not None:
+            for tenant, heard in known.tenants.items():
+                self._change(tenant, NO_USAGE.minus(heard.usage), now_s)
+
+    def sweep(self, now_s: float) -> None:
+        """Drop sources, and what they told of single tenants, once that is too old."""
+        for name, source in list(self._sources.items()):
+            if now_s - source.heard_at_s > HEARD_LIFE_S:
+                self.forget_source(name, now_s)
+                continue
+            for tenant, heard in list(source.tenants.items()):
+                if now_s - heard.heard_at_s > HEARD_LIFE_S:
+                    del source.tenants[tenant]
+                    self._change(tenant, NO_USAGE.minus(heard.usage), now_s)
+
+    def keep(self, tenants: Iterable[TenantName]) -> None:
+        """Forget all tenants but these."""
+        wanted = set(tenants)
+        self._sums = {name: one for name, one in self._sums.items() if name in wanted}
+        for source in self._sources.values():
+            source.tenants = {name: one for name, one in source.tenants.items() if name in wanted}
