Back ends whose registrations lapsed with the store serve on until they are back

Cause: entries that end while the store is away (platform_down lapse) took every back end away at once when the store returned, until they had registered again.

Ruled out: keeping every ended registration for a while (a back end that is gone would get new work; DRAIN); believing the health check alone (probes are priced).

Change: state LAPSED in back_ends; knowledge keeps a ready back end 1.7 s when its registration ends within 2 s after an outage that this node saw; one that had said it leaves, and one that ends at another time, goes at once.

--- a/features/gateway_state.feature
+++ b/features/gateway_state.feature
@@ -97,6 +97,33 @@
     And 10 requests are sent after 0.5 seconds
     Then all of them are answered
 
+  Scenario: Back ends whose registrations lapsed with the store serve on until they are back
+    Given a node that has configuration 3 and two back ends
+    When all registrations lapse while the store is down for 3 seconds
+    And 10 requests are sent after 0.9 seconds
+    And the back ends register again 0.3 seconds after it
+    And 10 requests are sent after 2.5 seconds
+    Then all of them are answered
+
+  Scenario Outline: A registration that ends <when> gets <what>
+    Given a node that has configuration 3 and two back ends
+    When the registration of the first back end, "<state>" before, ends <when>
+    And 20 requests are sent after <seconds> seconds
+    Then the first back end gets <what>
+
+    Examples: the store tells at once what ended while it was away; 2 s later it is too late to come back
+      | when                   | state    | seconds | what         |
+      | while the store is up  | ready    | 1       | none of them |
+      | with the store away    | ready    | 0.9     | some of them |
+      | with the store away    | ready    | 3.5     | none of them |
+      | with the store away    | draining | 0.9     | none of them |
+      | a while after the store's return | ready | 0.5 | none of them |
+
+  Scenario: A sequence number alone changes nothing
+    Given a node that has configuration 3 and two back ends
+    When the first back end registers 20 times with another sequence number
+    Then the node tells of no change and keeps what it knew
+
   Scenario: The tenant's name goes to the back end and its key does not
     Given a node that has configuration 3 with a tenant
     When a request to "/k/x" of "h.example" with key "good" is sent
--- a/features/steps/gateway_state_steps.py
+++ b/features/steps/gateway_state_steps.py
@@ -290,6 +290,59 @@
     context.script.actions.append(action)
 
 
+@when('the registration of the first back end, "{state}" before, ends {when}')
+def step_ends(context, state, when):
+    async def action(script):
+        store = script.fleet.store
+        first = script.first = script.fleet.runners[0]
+        store.put(f"servers/{first.instance}", first.entry(state))
+        await anyio.sleep(1.0)
+        store.is_down = when != "while the store is up"
+        # By then no watch waits any more that could tell of it.
+        await anyio.sleep(1.5)
+        if when == "with the store away":
+            store.delete(f"servers/{first.instance}")
+        await anyio.sleep(0.5)
+        store.is_down = False
+        if when == "a while after the store's return":
+            await anyio.sleep(5.0)
+        store.delete(f"servers/{first.instance}")
+
+    context.script.actions.append(action)
+
+
+@then("the first back end gets some of them")
+def step_some_of_them(context):
+    script = context.script.play()
+    assert script.first.arrivals
+    assert {answer.status for _, answer in script.answers} == {200}
+
+
+@when("the first back end registers {count:d} times with another sequence number")
+def step_sequence(context, count):
+    async def action(script):
+        first = script.fleet.runners[0]
+        script.log = script.fleet.logs[script.node.settings.name]
+        script.events_before = list(script.log.events)
+        script.known_before = script.node.knowledge.directory.get(first.instance)
+        for number in range(count):
+            entry = first.entry() | {"seq": 2 + number}
+            script.fleet.store.put(f"servers/{first.instance}", entry)
+            await anyio.sleep(0.2)
+        script.known_after = script.node.knowledge.directory.get(first.instance)
+
+    context.script.actions.append(action)
+
+
+@then("the node tells of no change and keeps what it knew")
+def step_no_change(context):
+    script = context.script.play()
+    assert script.known_before is not None
+    assert script.known_after == script.known_before
+    told = [name for name, _ in script.log.events[len(script.events_before) :]]
+    assert not [name for name in told if name.startswith("back_end")], told
+
+
 @when("the back ends register again {seconds:g} seconds after it")
 def step_register_again(context, seconds):
     async def action(script):
--- a/src/weirscale/cli/trace.py
+++ b/src/weirscale/cli/trace.py
@@ -31,6 +31,7 @@
         "back_end_seen",
         "back_end_leaving",
         "back_end_gone",
+        "back_end_lapsed",
         "back_end_displaced",
         "back_end_suspected",
         "back_end_recovered",
--- a/src/weirscale/gateway/back_ends.py
+++ b/src/weirscale/gateway/back_ends.py
@@ -9,10 +9,18 @@
 
 
 class BackEndState(enum.Enum):
-    """What a back end says of itself."""
+    """Whether a back end takes new work."""
 
     READY = "ready"
+    """It says so."""
     LEAVING = "leaving"
+    """It says that it will end."""
+    LAPSED = "lapsed"
+    """Its registration ended with an outage of the store; it is given time to come back."""
+
+
+TAKES_WORK = frozenset({BackEndState.READY, BackEndState.LAPSED})
+"""States in which a back end is sent new requests."""
 
 
 class ServedModel(msgspec.Struct, frozen=True):
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -7,9 +7,15 @@
 from collections.abc import Callable, Iterator
 
 import anyio
+import msgspec
 
 from weirscale.domain.identifiers import ServiceName
-from weirscale.gateway.back_ends import BackEnd, BackEndDirectory, BackEndState
+from weirscale.gateway.back_ends import (
+    TAKES_WORK,
+    BackEnd,
+    BackEndDirectory,
+    BackEndState,
+)
 from weirscale.gateway.change_log import ChangeLog
 from weirscale.gateway.ports import (
     BackEndGone,
@@ -27,6 +33,13 @@
 
 NEVER_S = float("-inf")
 
+LAPSE_S = 2.0
+"""A registration that ends within this time after an outage of the store may have lapsed with it."""
+
+LAPSED_KEPT_S = 1.7
+"""How long such a back end is still used: those that live register again within some two seconds of
+the store's return, and one that is gone gets no new work two seconds after that was told."""
+
 
 class Knowledge:
     """The platform's state as this node knows it.
@@ -41,6 +54,7 @@
         self._clock = clock
         self._revisions: dict[str, int] = {}
         self._instance_keys: dict[str, str] = {}
+        self._lapsed_until_s: dict[str, float] = {}
         self._record_keys: dict[str, str] = {}
         self._versions: dict[tuple[str, str], int] = {}
         self.table: RouteTable | None = None
@@ -140,12 +154,14 @@
 
     def _put_back_end(self, key: str, back_end: BackEnd) -> None:
         known = self.directory.get(back_end.instance)
+        self._lapsed_until_s.pop(back_end.instance, None)
         for displaced in self.directory.put(back_end):
             self._event_log.event(
                 "back_end_displaced", instance=displaced, by=back_end.instance,
                 address=back_end.address,
             )  # fmt: skip
             self._instance_keys.pop(displaced, None)
+            self._lapsed_until_s.pop(displaced, None)
         self._instance_keys[back_end.instance] = key
         for served in back_end.models:
             self.learn_version(back_end.instance, served.name, served.version, "registration")
@@ -160,6 +176,35 @@
 
     def _remove_back_end(self, instance: str) -> None:
         self._instance_keys.pop(instance, None)
+        known = self.directory.get(instance)
+        if known is not None and self._may_have_lapsed(known):
+            self._keep_lapsed(known)
+        else:
+            self._forget_back_end(instance)
+
+    def _may_have_lapsed(self, back_end: BackEnd) -> bool:
+        return (
+            back_end.state is BackEndState.READY and self._clock() - self.disrupted_at_s <= LAPSE_S
+        )
+
+    def _keep_lapsed(self, back_end: BackEnd) -> None:
+        lapsed = msgspec.structs.replace(back_end, state=BackEndState.LAPSED)
+        self.directory.put(lapsed)
+        self._lapsed_until_s[back_end.instance] = self._clock() + LAPSED_KEPT_S
+        self._event_log.event(
+            "back_end_lapsed", instance=back_end.instance, address=back_end.address,
+            outage_age_s=self._clock() - self.disrupted_at_s, kept_s=LAPSED_KEPT_S,
+        )  # fmt: skip
+
+    def forget_lapsed(self) -> None:
+        """Forget the back ends that lapsed with the store and have not come back in time."""
+        now_s = self._clock()
+        for instance, until_s in list(self._lapsed_until_s.items()):
+            if until_s <= now_s:
+                self._forget_back_end(instance)
+
+    def _forget_back_end(self, instance: str) -> None:
+        self._lapsed_until_s.pop(instance, None)
         known = self.directory.remove(instance)
         for key in [key for key in self._versions if key[0] == instance]:
             del self._versions[key]
@@ -210,10 +255,12 @@
 
     def ready_back_ends(self, service: ServiceName) -> list[BackEnd]:
         """Return the back ends of a service that take new work."""
+        if self._lapsed_until_s:
+            self.forget_lapsed()
         return [
             back_end
             for back_end in self.directory.of_service(service)
-            if back_end.state is BackEndState.READY
+            if back_end.state in TAKES_WORK
         ]
 
 
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -356,6 +356,7 @@
     async def _probe_regularly(self, tasks: TaskGroup) -> None:
         while True:
             await anyio.sleep(PROBE_INTERVAL_S)
+            self.knowledge.forget_lapsed()
             self._close_unused(tasks)
             for instance in self.health.to_probe(self._clock()):
                 tasks.start_soon(self._probe, instance)
