--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -106,6 +106,22 @@
       | kv-from            |
       | authorization      |
 
+  Scenario Outline: A field that only the system sets reaches no runner, <form>
+    Given two back ends of which the one asked first does "none" once
+    When a single request is sent with each such field <form>
+    Then no back end sees any of them as the caller sent it
+    And the request's own fields reach the back end
+
+    Examples:
+      | form                                |
+      | twice                               |
+      | in upper case                       |
+      | in mixed case                       |
+      | after all other fields              |
+      | named in the connection field       |
+      | beside one named like it            |
+      | with an empty value and then forged |
+
   Scenario: Method, path, query and body reach the back end as they were sent
     Given two back ends of which the one asked first does "none" once
     When a single request is sent to "/n/%7Ex/..//y?q=%20&r"
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -164,6 +164,48 @@
     send(context, kind, extra=[(header.encode(), value.encode()), secret])
 
 
+SYSTEM_FIELDS = (
+    b"x-hold", b"x-pin-ms", b"x-kv-backup", b"kv-from", b"x-cache-salt", b"x-kv-source",
+    b"x-kv-target", b"x-tenant", b"x-request-priority", b"x-expect-instance", b"x-expect-version",
+)  # fmt: skip
+FORGED = b"forged"
+
+
+def forged(name, form):
+    """Return a caller's header fields that try to pass one of the system's own on."""
+    forms = {
+        "twice": [(name, FORGED), (name, FORGED)],
+        "in upper case": [(name.upper(), FORGED)],
+        "in mixed case": [(name.title(), FORGED)],
+        "after all other fields": [(name, FORGED)],
+        "named in the connection field": [(b"connection", name), (name, FORGED)],
+        "beside one named like it": [(name + b"-x", b"own"), (name, FORGED)],
+        "with an empty value and then forged": [(name, b""), (name, FORGED)],
+    }
+    return forms[form]
+
+
+@when("a single request is sent with each such field {form}")
+def step_send_forged(context, form):
+    fields = [field for name in SYSTEM_FIELDS for field in forged(name, form)]
+    send(context, "a single", extra=[*fields, (b"x-secret", b"1")])
+
+
+@then("no back end sees any of them as the caller sent it")
+def step_none_forged(context):
+    seen = [headers for runner in context.fleet.runners for _, _, headers in runner.arrivals]
+    assert seen
+    for headers in seen:
+        assert FORGED.decode() not in "".join(headers.values()), headers
+
+
+@then("the request's own fields reach the back end")
+def step_own_fields(context):
+    seen = [headers for runner in context.fleet.runners for _, _, headers in runner.arrivals]
+    for headers in seen:
+        assert headers["x-secret"] == "1" and headers["x-model"] == "m", headers
+
+
 @given("every stream takes {seconds:g} seconds to its first event")
 def step_read_s(context, seconds):
     context.read_s = seconds
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -34,7 +34,7 @@
 NEVER_S = float("-inf")
 
 LAPSE_S = 2.0
-"""A registration that ends within this time after an outage of the store may have lapsed with it."""
+"""A registration that ends within this time after an outage of the store may have lapsed so."""
 
 LAPSED_KEPT_S = 1.7
 """How long such a back end is still used: those that live register again within some two seconds of
