A reader that the store turns away asks another reader

Cause: a node that is chosen to read the store never asked others; where the store refused just that node (platform_down for some machines) it ran out of proofs and refused keys after 4.6 s although its peers knew.

Change: a reader whose own proof is older than 1.1 s asks like any other node.

--- a/src/weirscale/gateway/state_relay.py
+++ b/src/weirscale/gateway/state_relay.py
@@ -225,12 +225,17 @@
         await self._send(query, (self._peers.addresses()[reader],))
 
     def _choose_reader(self) -> str | None:
-        """Return whom to ask: one reader as long as its proofs are fresh; None for a reader."""
+        """Return whom to ask: one reader as long as its proofs are fresh; None for a reader.
+
+        A reader that the store turns away asks another one like any other node.
+        """
         now_s = self._clock()
         readers = choose_readers(self._peers.members())
         if self._name in readers:
-            self._reader = None
-            return None
+            if self._knowledge.age_s() <= PATIENCE_S:
+                self._reader = None
+                return None
+            readers.remove(self._name)
         if self._reader in readers and now_s - self._last_proof_s() <= PATIENCE_S:
             return self._reader
         if self._reader is not None:
