A node that is cut off says so and sends its callers on

Ruled out: not being ready whenever the proof is old: while the store is away for all that would leave no node (the platform then falls back on other zones).

Change: gateway/contact: no proof for 2 s and fewer than half of the nodes heard means cut off: not ready, answers close their connection, and a refusal tells the caller to come back at once, which it does elsewhere.

Tests: gateway_state.feature, five rows (cut off from both, from the store alone, from the others alone, store away for all); the first two failed before.

--- a/features/gateway_state.feature
+++ b/features/gateway_state.feature
@@ -119,6 +119,20 @@
       | with the store away    | draining | 0.9     | none of them |
       | a while after the store's return | ready | 0.5 | none of them |
 
+  Scenario Outline: A node without proof of its configuration <does> when <who> cannot reach <what>
+    Given a fleet of 4 nodes with a tenant's route
+    When <who> cannot reach <what> for <seconds> seconds
+    Then the first node <does> at the end, and a keyed request there gets <status>
+    And one second after that it is ready and serves again
+
+    Examples:
+      | who            | what                    | seconds | does                         | status |
+      | the first node | the store and the others | 4      | is not ready and sends on    | 200    |
+      | the first node | the store and the others | 6      | is not ready and sends on    | 503    |
+      | the first node | the store               | 6       | is ready and keeps callers   | 200    |
+      | the first node | the others              | 6       | is ready and keeps callers   | 200    |
+      | every node     | the store               | 6       | is ready and keeps callers   | 503    |
+
   Scenario: A sequence number alone changes nothing
     Given a node that has configuration 3 and two back ends
     When the first back end registers 20 times with another sequence number
--- a/features/steps/gateway_state_steps.py
+++ b/features/steps/gateway_state_steps.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from features.support.platform_fleet import (
+    STORE_ADDRESS,
     EventRecorder,
     Fleet,
     ask,
@@ -318,6 +319,71 @@
     assert {answer.status for _, answer in script.answers} == {200}
 
 
+@given("a fleet of {count:d} nodes with a tenant's route")
+def step_keyed_fleet(context, count):
+    context.fleet = Fleet()
+    context.num_nodes = count
+
+
+@when("{who} cannot reach {what} for {seconds:g} seconds")
+def step_cut(context, who, what, seconds):
+    fleet = context.fleet
+
+    async def body():
+        fleet.store.put("op/config", keyed_configuration(1))
+        fleet.add_runner(back_end(1))
+        for number in range(context.num_nodes):
+            await fleet.start_node(f"node-{number + 1}")
+        await anyio.sleep(5.0)
+        cut = ["node-1"] if who == "the first node" else list(fleet.nodes)
+        if "store" in what:
+            fleet.cuts |= {(name, STORE_ADDRESS) for name in cut}
+        if "others" in what:
+            fleet.mute |= set(cut)
+        await anyio.sleep(seconds)
+        context.at_end = await ask_keyed(fleet.nodes["node-1"])
+        fleet.cuts.clear()
+        fleet.mute.clear()
+        await anyio.sleep(1.5)
+        context.after = await ask_keyed(fleet.nodes["node-1"])
+
+    run_in_virtual_time(lambda: with_fleet(fleet, body))
+
+
+async def ask_keyed(node):
+    """Return whether a node is ready, and its answer to a request with a key."""
+    headers = [*request_headers("q1"), (b"authorization", b"Bearer good")]
+    return node.is_ready(), await ask(node, "/k/1", headers=headers)
+
+
+@then(
+    "the first node is not ready and sends on at the end, and a keyed request there gets {status:d}"
+)
+def step_sends_on(context, status):
+    is_ready, answer = context.at_end
+    assert not is_ready
+    assert answer.status == status and answer.header("connection") == b"close", answer
+    if status == 503:
+        assert float(answer.header("retry-after")) <= 0.05, answer
+
+
+@then(
+    "the first node is ready and keeps callers at the end, and a keyed request there gets {status:d}"
+)
+def step_keeps(context, status):
+    is_ready, answer = context.at_end
+    assert is_ready
+    assert answer.status == status and answer.header("connection") is None, answer
+    if status == 503:
+        assert float(answer.header("retry-after")) >= 0.2, answer
+
+
+@then("one second after that it is ready and serves again")
+def step_serves_again(context):
+    is_ready, answer = context.after
+    assert is_ready and answer.status == 200, answer
+
+
 @when("the first back end registers {count:d} times with another sequence number")
 def step_sequence(context, count):
     async def action(script):
--- a/src/weirscale/gateway/caller_app.py
+++ b/src/weirscale/gateway/caller_app.py
@@ -38,7 +38,7 @@
         context: What requests share.
         dialect: How requests are written.
         is_ready: Whether new connections are welcome.
-        is_stopping: Whether connections should end with their answer.
+        sends_on: Whether connections should end with their answer.
         metrics_text: Returns the metrics.
     """
 
@@ -48,13 +48,13 @@
         context: ExchangeContext,
         dialect: CallerDialect,
         is_ready: Callable[[], bool],
-        is_stopping: Callable[[], bool],
+        sends_on: Callable[[], bool],
         metrics_text: Callable[[], bytes],
     ) -> None:
         self._context = context
         self._dialect = dialect
         self._is_ready = is_ready
-        self._is_stopping = is_stopping
+        self._sends_on = sends_on
         self._metrics_text = metrics_text
         self._caller_port = settings.callers.port
         self._readiness_port = settings.readiness.port
@@ -78,7 +78,7 @@
         if isinstance(request, str):
             await _answer(send, HTTP_BAD_REQUEST, request.encode())
             return
-        responder = Responder(send, self._dialect, request.request_id, self._is_stopping)
+        responder = Responder(send, self._dialect, request.request_id, self._sends_on)
         self.num_running += 1
         try:
             body = await self._read_body(receive)
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -36,6 +36,9 @@
 HTTP_TIMEOUT = 504
 
 NO_CONFIGURATION_RETRY_S = 0.5
+CUT_OFF_RETRY_S = 0.02
+"""A node that is cut off sends callers on at once: they come back to another node."""
+
 NO_BACK_END_RETRY_S = 0.25
 """When a caller should come back. Callers honour up to a third of the time that they have left."""
 
@@ -104,7 +107,7 @@
             await self._wait_for_first_read()
             refusal = self._admit()
             if refusal is not None:
-                await self._refuse(refusal, NO_CONFIGURATION_RETRY_S)
+                await self._refuse(refusal, self._come_back_s())
                 return
             if not await self._is_within_quota():
                 return
@@ -147,6 +150,11 @@
         self._deadline_s = self._arrived_at_s + timeout_s
         return None
 
+    def _come_back_s(self) -> float:
+        """Return when a caller should come back to whom this node cannot tell what is in force."""
+        is_cut_off = self._context.contact.is_cut_off()
+        return CUT_OFF_RETRY_S if is_cut_off else NO_CONFIGURATION_RETRY_S
+
     async def _is_within_quota(self) -> bool:
         """Let the tenant's quota decide; answers a request that it has no room for."""
         assert self._route is not None
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -6,6 +6,7 @@
 from weirscale.domain.identifiers import ServiceName
 from weirscale.gateway.back_ends import BackEnd
 from weirscale.gateway.choice import Choice
+from weirscale.gateway.contact import Contact
 from weirscale.gateway.dispatcher import Dispatcher
 from weirscale.gateway.health import BackEndHealth
 from weirscale.gateway.knowledge import Knowledge
@@ -70,6 +71,7 @@
         quotas: What tenants may spend.
         peers: Other nodes.
         outbox: What peers are told.
+        contact: Whether this node is cut off.
         version_check: Asks runners that have other weights than believed.
         port_of: Returns the port of a back end.
         event_log: Decisions.
@@ -88,6 +90,7 @@
         quotas: QuotaLedger,
         peers: PeerDirectory,
         outbox: NewsOutbox,
+        contact: Contact,
         version_check: VersionCheck,
         port_of: Callable[[BackEnd], BackEndPort],
         event_log: EventLog,
@@ -103,6 +106,7 @@
         self.quotas = quotas
         self._peers = peers
         self._outbox = outbox
+        self.contact = contact
         self._version_check = version_check
         self.port_of = port_of
         self._event_log = event_log
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -11,6 +11,7 @@
 from weirscale.domain.identifiers import Incarnation, NodeId, NodeName
 from weirscale.gateway.back_ends import BackEnd
 from weirscale.gateway.caller_app import CallerApp
+from weirscale.gateway.contact import Contact
 from weirscale.gateway.counted_store import CountedFeed, CountedStore
 from weirscale.gateway.dispatcher import Dispatcher
 from weirscale.gateway.exchange_context import ExchangeContext
@@ -197,13 +198,14 @@
         self.version_check = VersionCheck(
             self.knowledge, self.port_of, self.outbox.add_loading, clock
         )
+        self.contact = Contact(self.knowledge, self.quotas, event_log, clock)
         self.context = ExchangeContext(
             settings.bounds, self.knowledge, self.dispatcher, self.load, self.health, self.budget,
-            self.quotas, self.peers, self.outbox, self.version_check, self.port_of, event_log,
-            self.metrics, clock,
+            self.quotas, self.peers, self.outbox, self.contact, self.version_check, self.port_of,
+            event_log, self.metrics, clock,
         )  # fmt: skip
         self.app = CallerApp(
-            settings, self.context, dialect, self.is_ready, lambda: self.is_stopping,
+            settings, self.context, dialect, self.is_ready, self.sends_callers_on,
             self.metrics_text,
         )  # fmt: skip
         self._lease = self._make_lease(store, random)
@@ -241,8 +243,12 @@
         self._turn.set_apart(bounds.lease_s)
 
     def is_ready(self) -> bool:
-        """Whether new connections are welcome: a configuration is known and no stop has begun."""
-        return self.knowledge.table is not None and not self.is_stopping
+        """Whether new connections are welcome: a configuration is known and others know no more."""
+        return self.knowledge.table is not None and not self.sends_callers_on()
+
+    def sends_callers_on(self) -> bool:
+        """Whether connections should end with their answer: callers do better elsewhere."""
+        return self.is_stopping or self.contact.is_cut_off()
 
     async def run(self) -> None:
         """Run all tasks until cancelled."""
--- a/src/weirscale/gateway/quota.py
+++ b/src/weirscale/gateway/quota.py
@@ -152,13 +152,17 @@
             return
         self._swept_at_s = now_s
         self.fleet.sweep(now_s)
-        heard = self.fleet.num_heard(self.heard_since_s())
-        share = min(1.0, (1 + heard) / max(1, self._num_nodes()))
+        share = self.heard_share(self.heard_since_s())
         if share != self._share:
             for name in self._buckets:
                 self._reckon(name, now_s)
             self._share = share
 
+    def heard_share(self, since_s: float) -> float:
+        """Return the share of the nodes that were heard since a time, this one included."""
+        heard = self.fleet.num_heard(since_s)
+        return min(1.0, (1 + heard) / max(1, self._num_nodes()))
+
     def has_quotas(self) -> bool:
         """Whether any tenant has a quota."""
         return bool(self._quotas)
--- a/src/weirscale/gateway/responder.py
+++ b/src/weirscale/gateway/responder.py
@@ -21,16 +21,16 @@
         send: ASGI's send.
         dialect: Writes refusals.
         request_id: The caller's id.
-        is_stopping: Whether the connection should not be used again.
+        sends_on: Whether the connection should not be used again.
     """
 
     def __init__(
-        self, send: Send, dialect: CallerDialect, request_id: str, is_stopping: Callable[[], bool]
+        self, send: Send, dialect: CallerDialect, request_id: str, sends_on: Callable[[], bool]
     ) -> None:
         self._send = send
         self._dialect = dialect
         self._request_id = request_id
-        self._is_stopping = is_stopping
+        self._sends_on = sends_on
         self.has_begun = False
         self.has_ended = False
         self.status = 0
@@ -51,7 +51,7 @@
         """Send the head."""
         self.has_begun = True
         self.status = status
-        if self._is_stopping():
+        if self._sends_on():
             headers = (*headers, CONNECTION_CLOSE)
         await self._send(
             {"type": "http.response.start", "status": status, "headers": list(headers)}
