--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -33,7 +33,7 @@
 )
 from weirscale.gateway.peers import MessageReceiver, PeerTask
 from weirscale.gateway.ports import BackEndConnector, BackEndPort, CallerDialect, StateFeed
-from weirscale.gateway.quota import QuotaLedger
+from weirscale.gateway.quota import GONE_MEMORY_S, QuotaLedger
 from weirscale.gateway.registrations import PeerDirectory, Registration, RegistrationTask
 from weirscale.gateway.retry_budget import SharedRetryBudget
 from weirscale.gateway.rollout import RolloutRules
@@ -171,7 +171,7 @@
         self.peers = PeerDirectory(settings.name, self.knowledge, clock, settings.zone, strength)
         self.outbox = NewsOutbox(settings.name)
         self.quotas = QuotaLedger(
-            bounds.quota, lambda: self.peers.num_nodes(bounds.quota.window_s),
+            bounds.quota, lambda: self.peers.num_nodes(GONE_MEMORY_S),
             lambda: self.relay.interval_s(), random, clock,
         )  # fmt: skip
         self.knowledge.on_table = lambda table: self.quotas.set_tenants(table.configuration.tenants)
--- a/src/weirscale/gateway/quota.py
+++ b/src/weirscale/gateway/quota.py
@@ -45,6 +45,11 @@
 tolerates beyond the quota: requests cannot be divided, so its share alone would be too small for
 one. The tolerance bears it while at most two fifths of the nodes are blind at once."""
 
+GONE_MEMORY_S = 1.0
+"""How long a node that left the registrations still counts as one that may spend. It left them
+because it has not reached the store for some six seconds, so it has no proof of its configuration
+either, and refuses whoever needs a key unless it hears somebody who has."""
+
 LEAST_RETRY_S = 0.05
 
 LIFE_INTERVAL_S = 0.25
