--- a/src/weirscale/gateway/back_ends.py
+++ b/src/weirscale/gateway/back_ends.py
@@ -69,6 +69,8 @@
     def __init__(self) -> None:
         self._by_instance: dict[str, BackEnd] = {}
         self._by_service: dict[ServiceName, dict[str, BackEnd]] = {}
+        self.num_changes = 0
+        """Rises when an instance comes or goes, for those who read them by change."""
 
     def put(self, back_end: BackEnd) -> tuple[str, ...]:
         """Take a registration; returns the instances that it displaces."""
@@ -79,13 +81,20 @@
         )
         for instance in displaced:
             self.remove(instance)
-        self.remove(back_end.instance)
+        if self._drop(back_end.instance) is None:
+            self.num_changes += 1
         self._by_instance[back_end.instance] = back_end
         self._by_service.setdefault(back_end.service, {})[back_end.instance] = back_end
         return displaced
 
     def remove(self, instance: str) -> BackEnd | None:
         """Forget an instance; returns what was known of it."""
+        known = self._drop(instance)
+        if known is not None:
+            self.num_changes += 1
+        return known
+
+    def _drop(self, instance: str) -> BackEnd | None:
         known = self._by_instance.pop(instance, None)
         if known is not None:
             del self._by_service[known.service][instance]
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -44,6 +44,9 @@
         tie_s: Estimates closer than this count as equal.
         tie_share: The same grows by this share of what news of loads is late: meanwhile many nodes
             see the same runner as the best, and would all choose it.
+        foreign_share: Cost of a runner that other groups of nodes prefer, as a share of what news
+            of loads is late: what they send it meanwhile is not known.
+        foreign_s: That cost now.
         memory_share: Share of a runner's memory that may be filled by running requests.
         min_fetch_tokens: Smaller parts are read, not fetched.
         affinity_s: Advantage of the runner that a prompt nobody keeps belongs to by its hash, so
@@ -61,6 +64,8 @@
     old_weights_s: float = 0.25
     tie_s: float = 0.002
     tie_share: float = 0.15
+    foreign_share: float = 0.3
+    foreign_s: float = 0.0
     memory_share: float = 0.85
     min_fetch_tokens: int = 64
     affinity_s: float = 0.03
@@ -78,6 +83,7 @@
         weight_version: Version of the weights asked for, or None.
         load_age_s: Age of the oldest peer's news in the load.
         has_old_weights: Whether newer weights than its own are named.
+        is_foreign: Whether another group of nodes prefers it.
     """
 
     back_end: BackEnd
@@ -88,6 +94,7 @@
     weight_version: int | None = None
     load_age_s: float = 0.0
     has_old_weights: bool = False
+    is_foreign: bool = False
 
 
 class FetchSource(msgspec.Struct, frozen=True):
@@ -282,6 +289,8 @@
         cost_s += rules.old_weights_s
     if candidate.back_end.zone != zone:
         cost_s += rules.other_zone_s
+    if candidate.is_foreign:
+        cost_s += rules.foreign_s
     num_over = candidate.load.num_requests + 1 - candidate.back_end.slots
     return cost_s + rules.queue_s * max(0, num_over)
 
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -73,6 +73,7 @@
         clock: Monotonic seconds.
         rules: Weights of the choice.
         news_delay_s: Returns how much later than at once news of other nodes' loads comes.
+        is_foreign: Tells whether another group of nodes prefers a runner.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         clock: Callable[[], float],
         rules: ChoiceRules | None = None,
         news_delay_s: Callable[[], float] = lambda: 0.0,
+        is_foreign: Callable[[str], bool] = lambda instance: False,
     ) -> None:
         self._zone = zone
         self._knowledge = knowledge
@@ -96,6 +98,7 @@
         self._clock = clock
         self._start_rules = rules or ChoiceRules()
         self._news_delay_s = news_delay_s
+        self._is_foreign = is_foreign
         self._models: dict[ServiceName, FirstEventModel] = {}
         self._caches: dict[str, CacheBelief] = {}
         self._kept_caches: dict[str, CacheBelief] = {}
@@ -145,6 +148,7 @@
             rules,
             rates=rules.rates if model is None else model.rates,
             tie_s=rules.tie_s + rules.tie_share * self._news_delay_s(),
+            foreign_s=rules.foreign_share * self._news_delay_s(),
         )
 
     def save_address(self, choice: Choice, prompt: Prompt) -> str | None:
@@ -219,6 +223,7 @@
             capacity,
             version,
             has_old_weights=version is not None and newest is not None and version < newest,
+            is_foreign=self._is_foreign(back_end.instance),
         )
 
     def _cache(self, instance: str, capacity_tokens: int) -> CacheBelief:
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -38,6 +38,7 @@
 from weirscale.gateway.retry_budget import SharedRetryBudget
 from weirscale.gateway.rollout import RolloutRules
 from weirscale.gateway.rollout_task import RolloutTask
+from weirscale.gateway.runner_shares import RunnerShares
 from weirscale.gateway.settings import Bounds, GatewaySettings, ListenAddress
 from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
 from weirscale.gateway.timed_record import OrderTurn
@@ -163,12 +164,14 @@
             settings.zone, self.knowledge, self.load, self.health,
             bounds.weights_s - WEIGHTS_MARGIN_S, random, clock,
             news_delay_s=lambda: self.relay.delay_s(),
+            is_foreign=lambda instance: self.runner_shares.is_foreign(instance),
         )  # fmt: skip
         self.budget = SharedRetryBudget(
             settings.retry_budget, clock(), skips_first_window=not settings.is_first_start
         )
         strength = settings.machine.strength()
         self.peers = PeerDirectory(settings.name, self.knowledge, clock, settings.zone, strength)
+        self.runner_shares = RunnerShares(settings.name, self.peers, self.knowledge.directory)
         self.outbox = NewsOutbox(settings.name)
         self.quotas = QuotaLedger(
             bounds.quota, lambda: self.peers.num_nodes(GONE_MEMORY_S),
--- a/src/weirscale/gateway/quota.py
+++ b/src/weirscale/gateway/quota.py
@@ -2,9 +2,9 @@
 
 Each node keeps a bucket for each tenant with a quota: it fills at the tenant's rate and by the
 burst once a window, up to the burst; what this node spends is taken out at once, and what the
-others spend as they tell it (`usage`). The news is some tenths of a second old, so the bucket may fall below nothing; that debt
-is paid back before more is let in, so the quota holds in the long run whatever the delay, and the
-deployment's tolerance bears the moment.
+others spend as they tell it (`usage`). The news is some tenths of a second old, so the bucket may
+fall below nothing; that debt is paid back before more is let in, so the quota holds in the long run
+whatever the delay, and the deployment's tolerance bears the moment.
 
 Near the limit nodes would all see room for one more request and all let it in. So a request is let
 in with a probability: what the bucket holds over what all nodes are asked for while news travels.
--- /dev/null
+++ b/src/weirscale/gateway/runner_shares.py
@@ -0,0 +1,85 @@
+"""Shares the model runners out among the groups of nodes.
+
+News of loads is fresh within a group and some tenths of a second old beyond it (`groups`):
+meanwhile nodes of several groups see the same runner idle and send it their long prompts together.
+So each group prefers runners of its own, which usually only its own nodes use, and these hear each
+other at once. It is a preference: what is busy there goes elsewhere.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from weirscale.gateway.back_ends import BackEnd, BackEndDirectory
+from weirscale.gateway.groups import Division, name_hash
+from weirscale.gateway.registrations import PeerDirectory
+
+
+class RunnerShares:
+    """Keeps up by change which back ends other groups prefer.
+
+    Args:
+        name: This node.
+        peers: The groups.
+        directory: The back ends.
+    """
+
+    def __init__(self, name: str, peers: PeerDirectory, directory: BackEndDirectory) -> None:
+        self._name = name
+        self._peers = peers
+        self._directory = directory
+        self._division: Division | None = None
+        self._num_changes = -1
+        self._owners: dict[str, str] = {}
+
+    def is_foreign(self, instance: str) -> bool:
+        """Whether another group of nodes prefers a back end."""
+        division = self._peers.division()
+        if division is not self._division or self._directory.num_changes != self._num_changes:
+            self._division = division
+            self._num_changes = self._directory.num_changes
+            runners = [one for one in self._directory.all() if one.models]
+            self._owners = share_out(runners, division)
+        own_group = division.group_of.get(self._name)
+        return self._owners.get(instance, own_group) != own_group
+
+
+def share_out(back_ends: Iterable[BackEnd], division: Division) -> dict[str, str]:
+    """Return the group that each runner belongs to; the same on all nodes that know the same.
+
+    Within a zone every group gets about as many as the others, by rendezvous hashing, so that few
+    change hands when one comes or goes. A zone without nodes leaves its back ends to all groups.
+    """
+    if len(division.groups) < 2:
+        return {}
+    groups = _groups_by_zone(division)
+    every_group = sorted(division.groups)
+    by_zone: dict[str, list[BackEnd]] = {}
+    for back_end in back_ends:
+        by_zone.setdefault(back_end.zone, []).append(back_end)
+    owners: dict[str, str] = {}
+    for zone, inhabitants in by_zone.items():
+        owners.update(_share_out(inhabitants, groups.get(zone, every_group)))
+    return owners
+
+
+def _groups_by_zone(division: Division) -> Mapping[str, list[str]]:
+    groups: dict[str, list[str]] = {}
+    for name, members in sorted(division.groups.items()):
+        groups.setdefault(members[0].zone, []).append(name)
+    return groups
+
+
+def _share_out(back_ends: list[BackEnd], groups: list[str]) -> dict[str, str]:
+    fair = len(back_ends) // len(groups)
+    num_owned = dict.fromkeys(groups, 0)
+    owners: dict[str, str] = {}
+    for back_end in sorted(back_ends, key=lambda one: name_hash(one.instance)):
+        short = [group for group in groups if num_owned[group] < fair]
+        free = short or [group for group in groups if num_owned[group] == fair]
+        owner = max(free, key=lambda group: _score(group, back_end.instance))
+        num_owned[owner] += 1
+        owners[back_end.instance] = owner
+    return owners
+
+
+def _score(group: str, instance: str) -> int:
+    return name_hash(f"{group}|{instance}")
