Nodes that leave the registrations keep their places in the groups for 20 s

The registrations of the 28 that were had ended, zones fell under a power of two of group size and were divided anew, and nodes that learnt of it at different times (the store's history was being dropped) did not hear each other.

Ruled out: the quotas' own life signs (shares were 1 until the registrations ended).

Change: the division is made of registered nodes and of those that left less than 20 s ago; readers, ranks and budgets go by the registered ones as before. A lost head was always replaced by who is heard.

--- a/src/weirscale/gateway/group_relay.py
+++ b/src/weirscale/gateway/group_relay.py
@@ -277,7 +277,7 @@
             shows_life: Whether to send messages also if there is nothing to tell.
         """
         # Registrations may change while messages go out: all receivers are worked out before.
-        addresses = self._directory.addresses()
+        addresses = self._directory.group_addresses()
         division = self._directory.division()
         own_group = division.group_of[self._name]
         others = [group for group in division.groups if group != own_group]
--- a/src/weirscale/gateway/peers.py
+++ b/src/weirscale/gateway/peers.py
@@ -85,7 +85,7 @@
         news = self._outbox.take(with_empty=shows_life)
         if news is None:
             return
-        addresses = self._directory.addresses()
+        addresses = self._directory.group_addresses()
         await self.send(news, [addresses[name] for name in self._relay.group_peers()])
         await self._relay.tell_own(news)
 
--- a/src/weirscale/gateway/registrations.py
+++ b/src/weirscale/gateway/registrations.py
@@ -19,6 +19,12 @@
 RENEWAL_INTERVAL_S = 2.0
 REGISTRATION_RETRY_S = 0.5
 CALL_TIMEOUT_S = 1.5
+DIVISION_MEMORY_S = 20.0
+"""How long a node that left the registrations keeps its place in the groups: most come back. Nodes
+learn of a change at different times, and while they divide themselves differently they do not hear
+each other; so a fleet of which a third is cut off must not be divided anew. A head that is gone is
+replaced by who is heard, not by who is registered."""
+
 REMEMBERED_PEER_S = 60.0
 """How long a node that left the registrations still counts for shared budgets."""
 
@@ -58,15 +64,23 @@
         self._read_at_change = -1
         self._registrations: dict[str, Registration] = {}
         self._addresses: dict[str, ListenAddress] = {}
+        self._departed: dict[str, Registration] = {}
+        """Nodes that left the registrations and still have a place in the groups."""
+        self._group_addresses: dict[str, ListenAddress] = {}
         self._division = divide((self._own,))
 
     def addresses(self) -> dict[str, ListenAddress]:
-        """Return the other nodes' addresses."""
+        """Return the other registered nodes' addresses."""
         self._read_changes()
         return self._addresses
 
+    def group_addresses(self) -> dict[str, ListenAddress]:
+        """Return the addresses of all nodes that have a place in the groups."""
+        self._read_changes()
+        return self._group_addresses
+
     def division(self) -> Division:
-        """Return the groups of all registered nodes and this one."""
+        """Return the groups of all nodes that are registered, or were of late, and this one."""
         self._read_changes()
         return self._division
 
@@ -76,14 +90,12 @@
         return [self._own, *self._others()]
 
     def _others(self) -> list[Member]:
-        return [
-            Member(name, ZoneName(one.zone), one.strength)
-            for name, one in self._registrations.items()
-        ]
+        return [_member(name, one) for name, one in self._registrations.items()]
 
     def _read_changes(self) -> None:
         """Read the registrations anew if any record has changed."""
         if self._knowledge.num_record_changes == self._read_at_change:
+            self._forget_departed()
             return
         self._read_at_change = self._knowledge.num_record_changes
         found: dict[str, Registration] = {}
@@ -95,12 +107,33 @@
         if found == self._registrations:
             return
         now_s = self._clock()
-        self._left_at_s.update({name: now_s for name in self._registrations if name not in found})
+        left = {name: one for name, one in self._registrations.items() if name not in found}
+        self._left_at_s.update(dict.fromkeys(left, now_s))
+        self._departed.update(left)
         for name in found:
             self._left_at_s.pop(name, None)
+            self._departed.pop(name, None)
         self._registrations = found
-        self._addresses = {name: ListenAddress(one.host, one.port) for name, one in found.items()}
-        self._division = divide([self._own, *self._others()])
+        self._addresses = _addresses(found)
+        self._divide()
+
+    def _forget_departed(self) -> None:
+        """Give up the places of nodes that have not come back."""
+        if not self._departed:
+            return
+        since_s = self._clock() - DIVISION_MEMORY_S
+        gone = [name for name in self._departed if self._left_at_s[name] < since_s]
+        for name in gone:
+            del self._departed[name]
+        if gone:
+            self._divide()
+
+    def _divide(self) -> None:
+        placed = self._registrations | self._departed
+        self._group_addresses = _addresses(placed)
+        division = divide([self._own, *(_member(name, one) for name, one in placed.items())])
+        if division != self._division:
+            self._division = division
 
     def num_nodes(self, remembered_s: float = REMEMBERED_PEER_S) -> int:
         """Return how many nodes may share a budget: all seen lately, this one included.
@@ -123,6 +156,14 @@
         return sum(1 for revision in others if revision > own)
 
 
+def _member(name: str, registration: Registration) -> Member:
+    return Member(name, ZoneName(registration.zone), registration.strength)
+
+
+def _addresses(registrations: dict[str, Registration]) -> dict[str, ListenAddress]:
+    return {name: ListenAddress(one.host, one.port) for name, one in registrations.items()}
+
+
 def _read_registration(value: bytes) -> Registration | None:
     try:
         return msgspec.convert(cbor2.loads(value), Registration)
