--- a/src/weirscale/gateway/quota.py
+++ b/src/weirscale/gateway/quota.py
@@ -34,7 +34,7 @@
     TenantUsage,
 )
 
-SETTLE_INTERVALS = 3.3
+SETTLE_INTERVALS = 2.5
 """The bucket is shared out over this many times the interval of news: shorter, and nodes let in
 more than there is before they hear of each other; longer, and a burst waits for nothing."""
 
