--- a/features/gateway_groups.feature
+++ b/features/gateway_groups.feature
@@ -87,6 +87,14 @@
     And the load is 2 requests at second 11.8
     And the load is 0 requests at second 13.0
 
+  Scenario: Nodes that leave for a while keep their places in the groups
+    Given a directory of 79 nodes in 3 zones
+    When 28 of them leave the registrations and come back 12 seconds later
+    Then the groups are the same all along
+    And those that are gone are no readers and are not counted after a second
+    When 28 of them leave the registrations for good
+    Then 21 seconds later the groups are those of the nodes that are left
+
   Scenario Outline: <nodes> nodes in <zones> zones share <runners> runners out
     Given <nodes> nodes in <zones> zones
     When <runners> runners are shared out among their groups
--- a/features/steps/gateway_groups_steps.py
+++ b/features/steps/gateway_groups_steps.py
@@ -464,3 +464,85 @@
 @then("the node chooses the foreign one")
 def step_foreign_chosen(context):
     assert context.chosen is context.ends[1]
+
+
+class Directory:
+    """A directory whose registrations and clock the test sets."""
+
+    def __init__(self, members):
+        self.members = members
+        self.now_s = 100.0
+        self.knowledge = Knowledge(EventRecorder(), lambda: self.now_s)
+        self.revision = 0
+        for number, member in enumerate(members):
+            self.register(member, number)
+        own = members[0]
+        self.peers = PeerDirectory(
+            own.name, self.knowledge, lambda: self.now_s, own.zone, own.strength
+        )
+
+    def register(self, member, number):
+        address = Registration(f"10.9.0.{number}", 7000, member.zone, member.strength)
+        self._change(member.name, cbor2.dumps(msgspec.to_builtins(address)))
+
+    def leave(self, members):
+        for member in members:
+            self._change(member.name, None)
+
+    def come_back(self, members):
+        for member in members:
+            self.register(member, self.members.index(member))
+
+    def _change(self, name, value):
+        self.revision += 1
+        key = NODE_PREFIX + name
+        change = VersionedChange(key, self.revision, RecordChanged(key, value))
+        self.knowledge.apply(StateBatch(self.revision, (change,)), self.now_s)
+
+
+@given("a directory of {nodes:d} nodes in {zones:d} zones")
+def step_directory(context, nodes, zones):
+    context.directory = Directory(make_members(nodes, zones))
+
+
+@when("{count:d} of them leave the registrations and come back {seconds:g} seconds later")
+def step_leave(context, count, seconds):
+    directory = context.directory
+    left = directory.members[1 : 1 + count]
+    context.divisions = [directory.peers.division()]
+    directory.leave(left)
+    context.divisions.append(directory.peers.division())
+    directory.now_s += seconds
+    context.divisions.append(directory.peers.division())
+    context.num_nodes_meanwhile = directory.peers.num_nodes(1.0)
+    context.readers_meanwhile = choose_readers(directory.peers.members())
+    context.left = {one.name for one in left}
+    directory.come_back(left)
+    context.divisions.append(directory.peers.division())
+
+
+@then("the groups are the same all along")
+def step_same_groups(context):
+    assert all(one == context.divisions[0] for one in context.divisions)
+    assert len(context.divisions[0].groups) > 3
+
+
+@then("those that are gone are no readers and are not counted after a second")
+def step_not_counted(context):
+    assert not context.left & set(context.readers_meanwhile)
+    assert context.num_nodes_meanwhile == len(context.directory.members) - len(context.left)
+
+
+@when("{count:d} of them leave the registrations for good")
+def step_leave_for_good(context, count):
+    context.directory.leave(context.directory.members[1 : 1 + count])
+    context.num_left = count
+    context.directory.peers.division()
+
+
+@then("{seconds:g} seconds later the groups are those of the nodes that are left")
+def step_new_groups(context, seconds):
+    directory = context.directory
+    directory.now_s += seconds
+    left = [directory.members[0], *directory.members[1 + context.num_left :]]
+    assert directory.peers.division() == divide(left)
