--- a/src/weirscale/gateway/peer_messages.py
+++ b/src/weirscale/gateway/peer_messages.py
@@ -67,7 +67,7 @@
 
     tenant: str
     spent_per_s: int
-    asked_per_s: tuple[int, ...]
+    asked_per_s: tuple[int, int, int]
 
 
 REST_OF_FLEET = "*"
--- a/src/weirscale/gateway/usage.py
+++ b/src/weirscale/gateway/usage.py
@@ -25,6 +25,10 @@
 """Span of the rate that is told as asked for; it only divides what is left among priorities."""
 
 
+AskedRates = tuple[float, float, float]
+"""What is asked for a second, by priority; as many as `NUM_PRIORITIES`."""
+
+
 class TenantUsage(msgspec.Struct, frozen=True):
     """Rates of one tenant, in the unit of its quota.
 
@@ -34,17 +38,19 @@
     """
 
     spent_per_s: float = 0.0
-    asked_per_s: tuple[float, ...] = (0.0,) * NUM_PRIORITIES
+    asked_per_s: AskedRates = (0.0, 0.0, 0.0)
 
     def plus(self, other: "TenantUsage") -> "TenantUsage":
         """Return the sum."""
-        asked = tuple(a + b for a, b in zip(self.asked_per_s, other.asked_per_s, strict=True))
-        return TenantUsage(self.spent_per_s + other.spent_per_s, asked)
+        first, second, third = self.asked_per_s
+        a, b, c = other.asked_per_s
+        return TenantUsage(self.spent_per_s + other.spent_per_s, (first + a, second + b, third + c))
 
     def minus(self, other: "TenantUsage") -> "TenantUsage":
         """Return the difference."""
-        asked = tuple(a - b for a, b in zip(self.asked_per_s, other.asked_per_s, strict=True))
-        return TenantUsage(self.spent_per_s - other.spent_per_s, asked)
+        first, second, third = self.asked_per_s
+        a, b, c = other.asked_per_s
+        return TenantUsage(self.spent_per_s - other.spent_per_s, (first - a, second - b, third - c))
 
 
 NO_USAGE = TenantUsage()
@@ -93,7 +99,8 @@
 
     def now(self, now_s: float) -> TenantUsage:
         """Return the rates."""
-        asked = tuple(meter.per_s(now_s) for meter in self._asked)
+        first, second, third = self._asked
+        asked = (first.per_s(now_s), second.per_s(now_s), third.per_s(now_s))
         return TenantUsage(self._spent.per_s(now_s), asked)
 
 
@@ -142,6 +149,9 @@
         known.heard_at_s = now_s
         for tenant, told in usage:
             before = known.tenants.pop(tenant, None)
+            if before is not None and before.usage == told:
+                known.tenants[tenant] = _HeardUsage(told, now_s)
+                continue
             if told != NO_USAGE:
                 known.tenants[tenant] = _HeardUsage(told, now_s)
             self._change(tenant, told.minus(before.usage if before else NO_USAGE), now_s)
--- a/src/weirscale/gateway/usage_telling.py
+++ b/src/weirscale/gateway/usage_telling.py
@@ -35,11 +35,11 @@
 
 
 def _news(tenant: TenantName, usage: TenantUsage) -> UsageNews:
-    asked = tuple(round(per_s) for per_s in usage.asked_per_s)
+    first, second, third = usage.asked_per_s
+    asked = (round(first), round(second), round(third))
     return UsageNews(tenant, round(usage.spent_per_s), asked)
 
 
 def read_usage(news: UsageNews) -> tuple[TenantName, TenantUsage]:
     """Read what another node told."""
-    asked = tuple(float(per_s) for per_s in news.asked_per_s)
-    return TenantName(news.tenant), TenantUsage(float(news.spent_per_s), asked)
+    return TenantName(news.tenant), TenantUsage(news.spent_per_s, news.asked_per_s)
