--- a/src/weirscale/gateway/registrations.py
+++ b/src/weirscale/gateway/registrations.py
@@ -66,6 +66,7 @@
         self._addresses: dict[str, ListenAddress] = {}
         self._departed: dict[str, Registration] = {}
         """Nodes that left the registrations and still have a place in the groups."""
+        self._next_given_up_s = 0.0
         self._group_addresses: dict[str, ListenAddress] = {}
         self._division = divide((self._own,))
 
@@ -119,17 +120,17 @@
 
     def _forget_departed(self) -> None:
         """Give up the places of nodes that have not come back."""
-        if not self._departed:
+        if not self._departed or self._clock() < self._next_given_up_s:
             return
         since_s = self._clock() - DIVISION_MEMORY_S
-        gone = [name for name in self._departed if self._left_at_s[name] < since_s]
-        for name in gone:
+        for name in [one for one in self._departed if self._left_at_s[one] <= since_s]:
             del self._departed[name]
-        if gone:
-            self._divide()
+        self._divide()
 
     def _divide(self) -> None:
         placed = self._registrations | self._departed
+        first_left_s = min((self._left_at_s[name] for name in self._departed), default=0.0)
+        self._next_given_up_s = first_left_s + DIVISION_MEMORY_S
         self._group_addresses = _addresses(placed)
         division = divide([self._own, *(_member(name, one) for name, one in placed.items())])
         if division != self._division:
