Long prompts are told to the group at once

Hypothesis: within a group two nodes still send long prompts to the same runner, since news waits up to an interval (0.3 s at 12 groups).

Change: a prompt of which 2,000 tokens or more are to be read has the node's next message go out now (PeerTask.hurry); the regular interval begins anew, so messages hardly grow in number.

Test: gateway_groups.feature, a long and a short prompt over real datagrams with an interval of 5 s.

--- a/features/gateway_groups.feature
+++ b/features/gateway_groups.feature
@@ -119,3 +119,13 @@
       | 0       | chooses its group's    |
       | 1500    | chooses its group's    |
       | 20000   | chooses the foreign one |
+
+  Scenario Outline: A long prompt is told to the group at once, a short one with the next message
+    Given a gateway with a group of two whose messages go out each 5 seconds
+    When it sends a prompt of which <tokens> tokens are to be read
+    Then the other node hears of it <when>
+
+    Examples:
+      | tokens | when                |
+      | 9000   | within a second     |
+      | 500    | not within a second |
--- a/features/steps/gateway_groups_steps.py
+++ b/features/steps/gateway_groups_steps.py
@@ -8,23 +8,34 @@
 import msgspec
 from behave import given, then, when
 
+from features.support.loopback import free_address
 from features.support.platform_fleet import EventRecorder, Fleet, configuration, with_fleet
 from features.support.platform_runner import RunnerStandIn
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.back_ends import BackEnd, BackEndState, ServedModel
 from weirscale.gateway.cache_belief import CacheBelief
-from weirscale.gateway.choice import Candidate, ChoiceRules, PromptNeed, choose
+from weirscale.gateway.choice import Candidate, Choice, ChoiceRules, PromptNeed, choose
+from weirscale.gateway.exchange_context import ExchangeContext
 from weirscale.gateway.group_relay import GroupRelay, news_interval_s
 from weirscale.gateway.groups import Member, divide
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.load import FleetLoad, Load
-from weirscale.gateway.peer_messages import LoadingNews, PeerNews, SendNews, SuspectNews
+from weirscale.gateway.news_outbox import NewsOutbox
+from weirscale.gateway.peer_messages import (
+    LoadingNews,
+    LoadNews,
+    PeerNews,
+    SendNews,
+    SuspectNews,
+    decode_message,
+)
+from weirscale.gateway.peers import PeerTask
 from weirscale.gateway.ports import RecordChanged, StateBatch, VersionedChange
 from weirscale.gateway.prompt import CacheScope, Prompt, PromptPart
 from weirscale.gateway.quota import QuotaLedger
 from weirscale.gateway.registrations import NODE_PREFIX, PeerDirectory, Registration
 from weirscale.gateway.runner_shares import share_out
-from weirscale.gateway.settings import QuotaBounds
+from weirscale.gateway.settings import Bounds, ListenAddress, QuotaBounds
 from weirscale.gateway.state_relay import choose_readers
 
 SETTLE_S = 4.0
@@ -546,3 +557,97 @@
     directory.now_s += seconds
     left = [directory.members[0], *directory.members[1 + context.num_left :]]
     assert directory.peers.division() == divide(left)
+
+
+class SlowRelay:
+    """A group of two whose regular messages are far apart."""
+
+    def interval_s(self):
+        return 5.0
+
+    def group_peers(self):
+        return ("other",)
+
+    def must_show_life(self, timer):
+        return False
+
+    async def tell_own(self, news):
+        """There is one group only."""
+
+
+class OneOther:
+    """A directory with one other node."""
+
+    def __init__(self, address):
+        self.address = address
+
+    def group_addresses(self):
+        return {"other": self.address}
+
+
+@given("a gateway with a group of two whose messages go out each 5 seconds")
+def step_slow_group(context):
+    context.own_address = to_listen(free_address())
+    context.other_address = to_listen(free_address())
+
+
+def to_listen(address):
+    return ListenAddress(address.host, address.port)
+
+
+@when("it sends a prompt of which {tokens:d} tokens are to be read")
+def step_sends_prompt(context, tokens):
+    load, outbox = FleetLoad(), NewsOutbox("node")
+
+    def gather(_must_refresh):
+        for instance, one in load.take_changed().items():
+            outbox.add_load(
+                LoadNews(instance, one.num_requests, one.waiting_tokens, one.held_tokens)
+            )
+
+    async def main():
+        directory = OneOther(context.other_address)
+        peers = PeerTask(context.own_address, directory, SlowRelay(), outbox, None, gather)
+        end = BackEnd("r-1", "lm", "10.3.0.1:1", "hall-0", BackEndState.READY, 16)
+        choice = Choice(Candidate(end, Load(), False), read_tokens=tokens)
+        shared = exchange_context(load, peers.hurry)
+        async with (
+            await anyio.create_udp_socket(
+                local_host=context.other_address.host, local_port=context.other_address.port
+            ) as socket,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(peers.run)
+            await anyio.sleep(0.1)
+            shared.begin(choice, None, is_first=False)
+            context.heard = None
+            with anyio.move_on_after(1.0):
+                while context.heard is None or not context.heard.loads:
+                    datagram, _ = await socket.receive()
+                    context.heard = decode_message(datagram)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def exchange_context(load, tell_now):
+    """Return a context of requests of which only load and telling matter."""
+    parts = dict.fromkeys(
+        (
+            "knowledge", "dispatcher", "health", "budget", "quotas", "peers", "outbox", "contact",
+            "version_check", "port_of", "event_log", "metrics",
+        )
+    )  # fmt: skip
+    return ExchangeContext(
+        bounds=Bounds(), load=load, tell_now=tell_now, clock=anyio.current_time, **parts
+    )
+
+
+@then("the other node hears of it within a second")
+def step_hears_at_once(context):
+    assert context.heard is not None and context.heard.loads[0].instance == "r-1", context.heard
+
+
+@then("the other node hears of it not within a second")
+def step_hears_later(context):
+    assert context.heard is None or not context.heard.loads, context.heard
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -195,12 +195,18 @@
     def __init__(self, fleet, node):
         self._fleet = fleet
         self._node = node
+        self._hurried = anyio.Event()
 
     async def run(self):
         while True:
             self._node._gather_news(True)
             await self.flush()
-            await anyio.sleep(0.1)
+            with anyio.move_on_after(0.1):
+                await self._hurried.wait()
+            self._hurried = anyio.Event()
+
+    def hurry(self):
+        self._hurried.set()
 
     async def flush(self):
         news = self._node.outbox.take(with_empty=True)
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -53,6 +53,10 @@
 PAUSE_WEIGHT = 0.02
 """Weight of one pause in the usual pause: some 50 count."""
 
+LONG_READ_TOKENS = 2_000
+"""A prompt of which a runner reads this much, for some 50 ms, is told to this node's group at once:
+two such prompts at one runner make every stream there pause."""
+
 DEFAULT_MAX_PAUSE_S = 0.5
 BLAMED = frozenset({"no_answer", "other_answer", "body_broken", "too_slow", "no_seal"})
 """Ends without a verdict of the back end's own that count against it."""
@@ -71,6 +75,7 @@
         quotas: What tenants may spend.
         peers: Other nodes.
         outbox: What peers are told.
+        tell_now: Has peers told without waiting for the next regular message.
         contact: Whether this node is cut off.
         version_check: Asks runners that have other weights than believed.
         port_of: Returns the port of a back end.
@@ -90,6 +95,7 @@
         quotas: QuotaLedger,
         peers: PeerDirectory,
         outbox: NewsOutbox,
+        tell_now: Callable[[], None],
         contact: Contact,
         version_check: VersionCheck,
         port_of: Callable[[BackEnd], BackEndPort],
@@ -106,6 +112,7 @@
         self.quotas = quotas
         self._peers = peers
         self._outbox = outbox
+        self._tell_now = tell_now
         self.contact = contact
         self._version_check = version_check
         self.port_of = port_of
@@ -175,6 +182,8 @@
         if prompt is not None and choice.scope is not None:
             self.dispatcher.note_sent(choice, prompt)
             self._tell_send(choice, prompt, is_ready=False)
+        if choice.read_tokens >= LONG_READ_TOKENS:
+            self._tell_now()
 
     def first_event(self, choice: Choice, prompt: Prompt | None, took_s: float) -> None:
         """The first event of an attempt arrived: its prompt has been read."""
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -204,8 +204,8 @@
         self.contact = Contact(self.knowledge, self.quotas, event_log, clock)
         self.context = ExchangeContext(
             settings.bounds, self.knowledge, self.dispatcher, self.load, self.health, self.budget,
-            self.quotas, self.peers, self.outbox, self.contact, self.version_check, self.port_of,
-            event_log, self.metrics, clock,
+            self.quotas, self.peers, self.outbox, lambda: self.peer_task.hurry(), self.contact,
+            self.version_check, self.port_of, event_log, self.metrics, clock,
         )  # fmt: skip
         self.app = CallerApp(
             settings, self.context, dialect, self.is_ready, self.sends_callers_on,
--- a/src/weirscale/gateway/peers.py
+++ b/src/weirscale/gateway/peers.py
@@ -13,6 +13,9 @@
 from weirscale.gateway.registrations import PeerDirectory
 from weirscale.gateway.settings import ListenAddress
 
+LEAST_PAUSE_S = 0.01
+"""Between two messages, whatever the hurry."""
+
 
 class MessageReceiver:
     """Takes what peers tell; the node implements it."""
@@ -51,6 +54,7 @@
         self._gather = gather
         self._socket: UDPSocket | None = None
         self._sending = anyio.Lock()
+        self._hurried = anyio.Event()
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
@@ -74,7 +78,14 @@
             must_refresh = refresh.is_due(anyio.current_time())
             self._gather(must_refresh)
             await self.flush(shows_life=must_refresh or self._relay.must_show_life(life))
-            await anyio.sleep(self._relay.interval_s())
+            await anyio.sleep(LEAST_PAUSE_S)
+            with anyio.move_on_after(self._relay.interval_s() - LEAST_PAUSE_S):
+                await self._hurried.wait()
+            self._hurried = anyio.Event()
+
+    def hurry(self) -> None:
+        """Have the next message go out at once."""
+        self._hurried.set()
 
     async def flush(self, shows_life: bool = False) -> None:
         """Tell this node's group what there is to tell, now.
