--- a/src/weirscale/gateway/usage.py
+++ b/src/weirscale/gateway/usage.py
@@ -182,7 +182,8 @@
             if is_wanted(name):
                 num_nodes += source.num_nodes if source.heard_at_s >= since_s else 0
                 for tenant, heard in source.tenants.items():
-                    sums[tenant] = sums.get(tenant, NO_USAGE).plus(heard.usage)
+                    known = sums.get(tenant)
+                    sums[tenant] = heard.usage if known is None else known.plus(heard.usage)
         return num_nodes, sums
 
     def sources(self) -> tuple[str, ...]:
--- a/src/weirscale/gateway/usage_telling.py
+++ b/src/weirscale/gateway/usage_telling.py
@@ -21,17 +21,18 @@
 
         Args:
             outbox: Where it goes.
-            usage: What each tenant spends and asks for now.
+            usage: What each tenant spends and asks for now; who is not in it does neither.
             must_refresh: Whether to tell also what was told before and has not changed.
         """
-        for tenant in self._told.keys() | usage.keys():
-            news = _news(tenant, usage.get(tenant, NO_USAGE))
-            told = self._told.get(tenant, _news(tenant, NO_USAGE))
-            is_known = news == _news(tenant, NO_USAGE)
-            if news != told or (must_refresh and not is_known):
+        told: dict[TenantName, UsageNews] = {}
+        for tenant, one in usage.items():
+            news = _news(tenant, one)
+            told[tenant] = news
+            if must_refresh or news != self._told.get(tenant):
                 outbox.add_usage(news)
-            self._told[tenant] = news
-        self._told = {name: self._told[name] for name in usage}
+        for tenant in self._told.keys() - told.keys():
+            outbox.add_usage(_news(tenant, NO_USAGE))
+        self._told = told
 
 
 def _news(tenant: TenantName, usage: TenantUsage) -> UsageNews:
