--- /dev/null
+++ b/features/steps/gateway_runner_shares_steps.py
@@ -0,0 +1,99 @@
+"""Steps of `gateway_runner_shares.feature`."""
+
+from collections import Counter
+from random import Random
+
+from behave import given, then, when
+
+from features.steps.gateway_groups_steps import OWN, SCOPE, SHARED, make_members
+from weirscale.gateway.back_ends import BackEnd, BackEndState, ServedModel
+from weirscale.gateway.cache_belief import CacheBelief
+from weirscale.gateway.choice import Candidate, ChoiceRules, PromptNeed, choose
+from weirscale.gateway.group_relay import news_interval_s
+from weirscale.gateway.groups import divide
+from weirscale.gateway.load import Load
+from weirscale.gateway.prompt import Prompt
+from weirscale.gateway.runner_shares import share_out
+
+
+def make_runners(count, zones):
+    return [
+        BackEnd(
+            f"r-{number}", "lm", f"10.3.{number // 250}.{number % 250}:8080",
+            f"hall-{number % zones}", BackEndState.READY, 16, (ServedModel("m", 1),),
+        )
+        for number in range(count)
+    ]  # fmt: skip
+
+
+@when("{count:d} runners are shared out among their groups")
+def step_share_out(context, count):
+    zones = len({one.zone for one in context.members})
+    context.runners = make_runners(count, zones)
+    context.owners = share_out(context.runners, context.division)
+
+
+@then("every group of a zone has as many runners as the others there, or one less")
+def step_even(context):
+    groups = context.division.groups
+    if len(groups) == 1:
+        assert context.owners == {}
+        return
+    owned = Counter(context.owners.values())
+    for zone in {one.zone for one in context.runners}:
+        local = [owned[name] for name, group in groups.items() if group[0].zone == zone]
+        assert max(local) - min(local) <= 1, local
+    assert sum(owned.values()) == len(context.runners)
+
+
+@then("every order of the runners gives the same shares")
+def step_same_shares(context):
+    shuffled = list(context.runners)
+    for seed in range(3):
+        Random(seed).shuffle(shuffled)
+        assert share_out(shuffled, context.division) == context.owners
+
+
+@then("when one runner is gone, at most {most:d} of the others change hands")
+def step_moved(context, most):
+    moved = []
+    for gone in range(0, len(context.runners), max(1, len(context.runners) // 10)):
+        left = [one for number, one in enumerate(context.runners) if number != gone]
+        owners = share_out(left, context.division)
+        moved.append(sum(1 for name, owner in owners.items() if context.owners[name] != owner))
+    assert max(moved) <= most, moved
+
+
+@given("79 nodes in 3 zones of which one chooses between a runner of its group and a foreign one")
+def step_two_runners(context):
+    division = divide(make_members(79, 3))
+    runners = make_runners(45, 3)
+    owners = share_out(runners, division)
+    own_group = division.group_of["node-0"]
+    own = next(one for one in runners if owners[one.instance] == own_group)
+    foreign = next(one for one in runners if owners[one.instance] != own_group)
+    context.ends = (own, foreign)
+
+
+@when("its group's runner has {waiting:d} tokens waiting")
+def step_waiting(context, waiting):
+    rules = ChoiceRules(foreign_s=ChoiceRules().foreign_share * (news_interval_s(12) - 0.05))
+    own, foreign = context.ends
+    candidates = [
+        Candidate(own, Load(1, waiting, waiting), False, CacheBelief(80_000), 86_000, 1),
+        Candidate(foreign, Load(), False, CacheBelief(80_000), 86_000, 1, is_foreign=True),
+    ]
+    prompt = Prompt("m", (*SHARED, OWN), 1300, 20)
+    need = PromptNeed(prompt, {1: SCOPE})
+    choice = choose(candidates, need, [], own.zone, rules, Random(1))
+    context.chosen = choice.candidate.back_end
+
+
+@then("the node chooses its group's")
+def step_own_chosen(context):
+    assert context.chosen is context.ends[0]
+
+
+@then("the node chooses the foreign one")
+def step_foreign_chosen(context):
+    assert context.chosen is context.ends[1]
