--- a/features/gateway_quota.feature
+++ b/features/gateway_quota.feature
@@ -60,6 +60,22 @@
       | 8     |
       | 79    |
 
+  Scenario Outline: A node <event> gives no burst, only the rate from then on
+    Given a node alone with a tenant of 30000 tokens a second and a burst of 90000
+    When it <event>
+    Then of 20 requests of 9000 tokens at once none is let in
+    And 10 seconds later 8 to 10 of 20 are
+
+    Examples:
+      | event                            |
+      | starts                           |
+      | stands still for 8 s with a full bucket |
+
+  Scenario: Of requests that cost the same the more urgent are let in first
+    Given 8 nodes in 3 zones and a tenant with 29000 tokens a second and a burst of 69000
+    When half of its requests are urgent, all cost 900 tokens, and it sends 4 times its usual
+    Then its urgent requests are served more often than the others
+
   Scenario Outline: What a request costs
     Given a tenant's quota that counts <unit>, with 200 for what names no tokens
     Then a request that names <named> costs <cost>
--- a/features/steps/gateway_quota_steps.py
+++ b/features/steps/gateway_quota_steps.py
@@ -25,7 +25,7 @@
 )
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.model import Quota, QuotaUnit, Tenant
-from weirscale.gateway.quota import cost_of
+from weirscale.gateway.quota import QuotaLedger, cost_of
 from weirscale_platform.callers import Callers
 from weirscale_platform.configuration import read_configuration
 
@@ -274,6 +274,75 @@
     assert sum(sent) / len(sent) <= most, sum(sent) / len(sent)
 
 
+class LoneNode:
+    """A ledger of a fleet of one node, and its clock."""
+
+    def __init__(self, tenant):
+        self.now_s = 50.0
+        self.tenant = tenant
+        self.ledger = QuotaLedger(BOUNDS, lambda: 1, lambda: 0.05, Random(1), lambda: self.now_s)
+        self.ledger.set_tenants((tenant,))
+
+    def pass_time(self, seconds):
+        """Let the node run on."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += 0.05
+            self.ledger.tick()
+
+    def num_admitted(self, count, cost):
+        """Ask for requests at once and send those that are let in."""
+        num_admitted = 0
+        for _ in range(count):
+            if self.ledger.admit(self.tenant, cost, ORDINARY).is_admitted:
+                self.ledger.spend(self.tenant, cost)
+                num_admitted += 1
+        return num_admitted
+
+
+@given("a node alone with a tenant of {rate:d} tokens a second and a burst of {burst:d}")
+def step_lone_node(context, rate, burst):
+    context.node = LoneNode(make_tenant("a", rate, burst))
+
+
+@when("it starts")
+def step_starts(context):
+    pass
+
+
+@when("it stands still for {seconds:g} s with a full bucket")
+def step_stands_still(context, seconds):
+    context.node.pass_time(20.0)
+    assert context.node.ledger.levels()["a"] == context.node.tenant.quota.burst
+    context.node.now_s += seconds
+
+
+@then("of {count:d} requests of {cost:d} tokens at once none is let in")
+def step_none_admitted(context, count, cost):
+    context.cost = cost
+    assert context.node.num_admitted(count, cost) == 0
+
+
+@then("{seconds:g} seconds later {least:d} to {most:d} of {count:d} are")
+def step_admitted_later(context, seconds, least, most, count):
+    context.node.pass_time(seconds)
+    num_admitted = context.node.num_admitted(count, context.cost)
+    assert least <= num_admitted <= most, num_admitted
+
+
+@when(
+    "half of its requests are urgent, all cost {cost:d} tokens, and it sends {times:g} times"
+    " its usual"
+)
+def step_same_cost(context, cost, times):
+    fleet, tenant = context.fleet, context.tenant
+    fleet.costs = ((0.5, cost, URGENT), (0.5, cost, ORDINARY))
+    usual = tenant.quota.rate_per_s * USUAL_SHARE / cost
+    fleet.traffic[tenant.name] = (usual, None)
+    fleet.at(HOT_AT_S, lambda: fleet.traffic.__setitem__(tenant.name, (times * usual, None)))
+    fleet.run_until(END_S)
+
+
 @given("a tenant's quota that counts {unit}, with {unnamed:d} for what names no tokens")
 def step_quota(context, unit, unnamed):
     context.quota = Quota(1000.0, 0.0, QuotaUnit(unit), unnamed)
