--- a/features/gateway_runner_shares.feature
+++ b/features/gateway_runner_shares.feature
@@ -24,3 +24,9 @@
       | 0       | chooses its group's    |
       | 1500    | chooses its group's    |
       | 20000   | chooses the foreign one |
+
+  Scenario: What other groups prefer follows the runners and the groups
+    Given a node of 79 in 3 zones and 45 runners that it knows
+    Then the runners that it takes for foreign are those of other groups
+    When a runner is gone and another one comes
+    Then the runners that it takes for foreign are those of other groups
--- a/features/steps/gateway_runner_shares_steps.py
+++ b/features/steps/gateway_runner_shares_steps.py
@@ -5,15 +5,22 @@
 
 from behave import given, then, when
 
-from features.steps.gateway_groups_steps import OWN, SCOPE, SHARED, make_members
-from weirscale.gateway.back_ends import BackEnd, BackEndState, ServedModel
+from features.steps.gateway_groups_steps import (
+    OWN,
+    SCOPE,
+    SHARED,
+    RegisteredNodes,
+    make_members,
+)
+from weirscale.gateway.back_ends import BackEnd, BackEndDirectory, BackEndState, ServedModel
 from weirscale.gateway.cache_belief import CacheBelief
 from weirscale.gateway.choice import Candidate, ChoiceRules, PromptNeed, choose
 from weirscale.gateway.group_relay import news_interval_s
 from weirscale.gateway.groups import divide
 from weirscale.gateway.load import Load
 from weirscale.gateway.prompt import Prompt
-from weirscale.gateway.runner_shares import share_out
+from weirscale.gateway.registrations import PeerDirectory
+from weirscale.gateway.runner_shares import RunnerShares, share_out
 
 
 def make_runners(count, zones):
@@ -97,3 +104,31 @@
 @then("the node chooses the foreign one")
 def step_foreign_chosen(context):
     assert context.chosen is context.ends[1]
+
+
+@given("a node of 79 in 3 zones and 45 runners that it knows")
+def step_knowing_node(context):
+    nodes = RegisteredNodes(make_members(79, 3), 10.0)
+    own = nodes.members[0]
+    context.name = own.name
+    context.peers = PeerDirectory(own.name, nodes.knowledge, lambda: 10.0, own.zone, own.strength)
+    context.ends = BackEndDirectory()
+    for runner in make_runners(45, 3):
+        context.ends.put(runner)
+    context.shares = RunnerShares(own.name, context.peers, context.ends)
+
+
+@when("a runner is gone and another one comes")
+def step_runners_change(context):
+    context.ends.remove("r-0")
+    context.ends.put(make_runners(46, 3)[-1])
+
+
+@then("the runners that it takes for foreign are those of other groups")
+def step_foreign(context):
+    division = context.peers.division()
+    owners = share_out(context.ends.all(), division)
+    own_group = division.group_of[context.name]
+    foreign = {one for one, owner in owners.items() if owner != own_group}
+    assert set(context.shares.foreign()) == foreign
+    assert 0 < len(foreign) < 45, len(foreign)
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -73,7 +73,7 @@
         clock: Monotonic seconds.
         rules: Weights of the choice.
         news_delay_s: Returns how much later than at once news of other nodes' loads comes.
-        is_foreign: Tells whether another group of nodes prefers a runner.
+        foreign: Returns the runners that other groups of nodes prefer.
     """
 
     def __init__(
@@ -87,7 +87,7 @@
         clock: Callable[[], float],
         rules: ChoiceRules | None = None,
         news_delay_s: Callable[[], float] = lambda: 0.0,
-        is_foreign: Callable[[str], bool] = lambda instance: False,
+        foreign: Callable[[], Collection[str]] = tuple,
     ) -> None:
         self._zone = zone
         self._knowledge = knowledge
@@ -98,7 +98,7 @@
         self._clock = clock
         self._start_rules = rules or ChoiceRules()
         self._news_delay_s = news_delay_s
-        self._is_foreign = is_foreign
+        self._foreign = foreign
         self._models: dict[ServiceName, FirstEventModel] = {}
         self._caches: dict[str, CacheBelief] = {}
         self._kept_caches: dict[str, CacheBelief] = {}
@@ -178,7 +178,8 @@
         admitted = [one for one in calm if self._health.admits(one.instance, now_s)]
         # With every circuit open, a bad network is likelier than so many bad back ends.
         chosen = admitted or calm or settled
-        return [self._candidate(one, query.prompt, service, now_s) for one in chosen]
+        foreign = self._foreign()
+        return [self._candidate(one, query.prompt, service, foreign, now_s) for one in chosen]
 
     def _has_usable_weights(self, back_end: BackEnd, prompt: Prompt | None, now_s: float) -> bool:
         if prompt is None or not back_end.models:
@@ -206,7 +207,12 @@
         return young_key(model, version) in self._knowledge.records
 
     def _candidate(
-        self, back_end: BackEnd, prompt: Prompt | None, service: Service | None, now_s: float
+        self,
+        back_end: BackEnd,
+        prompt: Prompt | None,
+        service: Service | None,
+        foreign: Collection[str],
+        now_s: float,
     ) -> Candidate:
         load = self._load.total(back_end.instance, now_s)
         is_suspect = self._health.is_suspect(back_end.instance, now_s)
@@ -223,7 +229,7 @@
             capacity,
             version,
             has_old_weights=version is not None and newest is not None and version < newest,
-            is_foreign=self._is_foreign(back_end.instance),
+            is_foreign=back_end.instance in foreign,
         )
 
     def _cache(self, instance: str, capacity_tokens: int) -> CacheBelief:
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -164,7 +164,7 @@
             settings.zone, self.knowledge, self.load, self.health,
             bounds.weights_s - WEIGHTS_MARGIN_S, random, clock,
             news_delay_s=lambda: self.relay.delay_s(),
-            is_foreign=lambda instance: self.runner_shares.is_foreign(instance),
+            foreign=lambda: self.runner_shares.foreign(),
         )  # fmt: skip
         self.budget = SharedRetryBudget(
             settings.retry_budget, clock(), skips_first_window=not settings.is_first_start
--- a/src/weirscale/gateway/runner_shares.py
+++ b/src/weirscale/gateway/runner_shares.py
@@ -6,7 +6,7 @@
 other at once. It is a preference: what is busy there goes elsewhere.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from weirscale.gateway.back_ends import BackEnd, BackEndDirectory
 from weirscale.gateway.groups import Division, name_hash
@@ -28,18 +28,19 @@
         self._directory = directory
         self._division: Division | None = None
         self._num_changes = -1
-        self._owners: dict[str, str] = {}
+        self._foreign: frozenset[str] = frozenset()
 
-    def is_foreign(self, instance: str) -> bool:
-        """Whether another group of nodes prefers a back end."""
+    def foreign(self) -> Collection[str]:
+        """Return the runners that other groups of nodes prefer."""
         division = self._peers.division()
         if division is not self._division or self._directory.num_changes != self._num_changes:
             self._division = division
             self._num_changes = self._directory.num_changes
             runners = [one for one in self._directory.all() if one.models]
-            self._owners = share_out(runners, division)
-        own_group = division.group_of.get(self._name)
-        return self._owners.get(instance, own_group) != own_group
+            owners = share_out(runners, division)
+            own_group = division.group_of.get(self._name)
+            self._foreign = frozenset(one for one in owners if owners[one] != own_group)
+        return self._foreign
 
 
 def share_out(back_ends: Iterable[BackEnd], division: Division) -> dict[str, str]:
