--- a/src/weirscale/gateway/group_relay.py
+++ b/src/weirscale/gateway/group_relay.py
@@ -54,6 +54,16 @@
 """Sends a message to several nodes; any may miss it."""
 
 
+def _is_group(source: str) -> bool:
+    """Whether a source is the sum of one or more groups."""
+    return source.startswith(GROUP_SOURCE)
+
+
+def _is_member(source: str) -> bool:
+    """Whether a source is a node of this node's group."""
+    return not _is_group(source)
+
+
 def news_interval_s(num_groups: int) -> float:
     """Return the time between a node's messages to its group, and between a head's to others."""
     return min(MOST_INTERVAL_S, max(LEAST_INTERVAL_S, INTERVAL_S_A_GROUP * num_groups))
@@ -170,10 +180,10 @@
     def _forget_sums(self, is_head: bool) -> None:
         """A head hears of each group, other members of all at once: never count both."""
         for source in self._load.sources():
-            if source.startswith(GROUP_SOURCE) and (source == REST_SOURCE) == is_head:
+            if _is_group(source) and (source == REST_SOURCE) == is_head:
                 self._load.forget_source(source)
         for source in self._quotas.fleet.sources():
-            if source.startswith(GROUP_SOURCE) and (source == REST_SOURCE) == is_head:
+            if _is_group(source) and (source == REST_SOURCE) == is_head:
                 self._quotas.fleet.forget_source(source, self._clock())
 
     def source_of(self, news: PeerNews) -> str | None:
@@ -235,10 +245,10 @@
     def _gather(self, must_refresh: bool) -> None:
         """Put the sums that have changed, or all, into the outboxes."""
         now_s = self._clock()
-        own = self._load.sum_of(lambda source: not source.startswith(GROUP_SOURCE), now_s)
+        own = self._load.sum_of(_is_member, now_s)
         for instance in self._load.own_instances():
             own[instance] = own.get(instance, NO_LOAD).plus(self._load.own(instance))
-        rest = self._load.sum_of(lambda source: source.startswith(GROUP_SOURCE), now_s)
+        rest = self._load.sum_of(_is_group, now_s)
         self._add_sums(self._to_heads, "", own, must_refresh)
         self._add_sums(self._to_group, REST_OF_FLEET, rest, must_refresh)
         self._gather_usage(must_refresh)
@@ -249,8 +259,8 @@
     def _gather_usage(self, must_refresh: bool) -> None:
         fleet = self._quotas.fleet
         since_s = self._quotas.heard_since_s()
-        num_members, own = fleet.sum_of(lambda source: not source.startswith(GROUP_SOURCE), since_s)
-        num_others, rest = fleet.sum_of(lambda source: source.startswith(GROUP_SOURCE), since_s)
+        num_members, own = fleet.sum_of(_is_member, since_s)
+        num_others, rest = fleet.sum_of(_is_group, since_s)
         for tenant, usage in self._quotas.own_usage():
             own[tenant] = own.get(tenant, NO_USAGE).plus(usage)
         self._to_heads.set_num_nodes(1 + num_members)
