A transport on h11 relays streams; a stream's patience moves in steps

Change: H11Connection and H11Transport (ports): one write a request, no cancel scope for parts of a body where the caller bounds the time, only the connection that is to be used is looked at. A connection with bytes beyond a whole answer is not used again (the old transport left such bytes to the next answer's id check). Patience with a silent stream moves in steps of a tenth. The program hands time.monotonic to the node.

--- /dev/null
+++ b/features/steps/transport_connections_steps.py
@@ -0,0 +1,273 @@
+from random import Random
+
+import anyio
+import anyio.lowlevel
+import httpx
+from behave import given, then, when
+
+from features.support.loopback import free_address
+from features.support.scripted_server import ScriptedServer, in_chunks, with_length
+from weirscale.ports.h11_transport import H11Transport
+from weirscale.ports.http_client import was_never_sent
+
+TIMEOUTS = {"connect": 0.5, "read": 0.4, "write": 0.4, "pool": 0.2}
+SETTLE_S = 0.15
+FAIL_AFTER_S = 10.0
+KEEP_S = 5.0
+HUGE_BYTES = 32 * 1024 * 1024
+
+
+def run(script, does=None, **transport):
+    """Run `script(server, transport)` against a scripted server."""
+
+    async def main():
+        server = ScriptedServer(does)
+        made = H11Transport(transport.get("most", 4), transport.get("keep_s", KEEP_S))
+        with anyio.fail_after(FAIL_AFTER_S):
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(server.run)
+                try:
+                    return await script(server, made)
+                finally:
+                    await made.aclose()
+                    tasks.cancel_scope.cancel()
+
+    return anyio.run(main, backend_options={"use_uvloop": True})
+
+
+def request_to(address, body=b"question"):
+    url = f"http://{address}/path"
+    return httpx.Request("POST", url, content=body, extensions={"timeout": TIMEOUTS})
+
+
+async def ask(transport, address, body=b"question"):
+    """Return the body of the answer, or the name of what went wrong."""
+    try:
+        response = await transport.handle_async_request(request_to(address, body))
+    except httpx.HTTPError as error:
+        return type(error).__name__
+    try:
+        return (await response.aread()).decode()
+    except httpx.ReadTimeout:
+        return "ReadTimeout"
+    except httpx.HTTPError:
+        return "broken"
+    finally:
+        await response.aclose()
+
+
+@given('a server that "{does}"')
+def step_server(context, does):
+    context.does = does
+
+
+@when("two requests are sent to it, one after the other")
+def step_two_requests(context):
+    async def script(server, transport):
+        first = await ask(transport, server.address)
+        await anyio.sleep(SETTLE_S)
+        context.answers = [first, await ask(transport, server.address)]
+        context.server = server
+
+    run(script, context.does)
+
+
+@then('they get "{first}" and "{second}" over {count:d} connections')
+def step_they_get(context, first, second, count):
+    assert context.answers == [first, second], context.answers
+    assert context.server.num_connections == count, context.server.num_connections
+
+
+@when("a request of 32 MB is sent to it")
+def step_huge(context):
+    async def script(server, transport):
+        context.outcome = await ask(transport, server.address, bytes(HUGE_BYTES))
+        context.num_used = len(transport._used)
+
+    run(script, context.does)
+
+
+@then('it ends with "{outcome}" and its connection is closed')
+def step_ends_closed(context, outcome):
+    assert context.outcome == outcome, context.outcome
+    assert context.num_used == 0
+
+
+@given("an address where nobody listens")
+def step_nobody(context):
+    context.address = str(free_address())
+
+
+@when("a request is sent to it")
+def step_sent_to_nobody(context):
+    async def script(_server, transport):
+        try:
+            await transport.handle_async_request(request_to(context.address))
+        except httpx.HTTPError as error:
+            context.error = error
+
+    run(script, "answers with a length")
+
+
+@then('it ends with "{name}", which proves that it was never sent')
+@then('one ends with "{name}", which proves that it was never sent')
+def step_never_sent(context, name):
+    assert type(context.error).__name__ == name, context.error
+    assert was_never_sent(context.error)
+
+
+@when("three requests are sent at once over two connections")
+def step_three_at_once(context):
+    context.bodies = []
+
+    async def send(transport, address):
+        try:
+            response = await transport.handle_async_request(request_to(address))
+            context.bodies.append((await response.aread()).decode())
+        except httpx.PoolTimeout as error:
+            context.error = error
+
+    async def script(server, transport):
+        context.server = server
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(send, transport, server.address)
+            await anyio.sleep(TIMEOUTS["pool"] + 0.1)
+            server.told.set()
+
+    run(script, context.does, most=2)
+
+
+@then("the two others are answered once the server is told, over 2 connections")
+def step_two_answered(context):
+    assert sorted(context.bodies) == ["answer 1", "answer 2"], context.bodies
+    assert context.server.num_connections == 2
+
+
+async def leave(transport, address, how):
+    """Send a request and leave its answer."""
+    if how == "by cancellation":
+        with anyio.move_on_after(0.02):
+            response = await transport.handle_async_request(request_to(address))
+            await response.aread()
+            raise AssertionError("it was answered")
+        await response.aclose()
+        return
+    response = await transport.handle_async_request(request_to(address))
+    if how == "after a part of the body":
+        async for _ in response.stream:
+            break
+    if how == "by closing the transport":
+        await transport.aclose()
+    await response.aclose()
+
+
+@when("forty requests over two connections are left, some before and some in their answer")
+def step_many_left(context):
+    async def script(server, transport):
+        for number in range(40):
+            kinds = ("by cancellation", "after the head", "after a part of the body")
+            await leave(transport, server.address, kinds[number % 3])
+        server.told.set()
+        context.answers = []
+        async with anyio.create_task_group() as tasks:
+            for _ in range(2):
+                tasks.start_soon(collect, transport, server.address)
+
+    async def collect(transport, address):
+        context.answers.append(await ask(transport, address))
+
+    run(script, context.does, most=2)
+
+
+@then("two more requests can be sent at once")
+def step_two_more(context):
+    assert all(one.startswith("answer") for one in context.answers), context.answers
+
+
+@when('a request is left "{how}"')
+def step_left(context, how):
+    async def script(server, transport):
+        await leave(transport, server.address, how)
+        left_at_s = anyio.current_time()
+        await anyio.sleep(0.3)
+        context.ended_after_s = [one - left_at_s for one in server.ended_at_s]
+
+    run(script, context.does)
+
+
+@then("the server sees its connection end within {most_s:f} seconds")
+def step_sees_end(context, most_s):
+    assert len(context.ended_after_s) == 1, context.ended_after_s
+    assert context.ended_after_s[0] <= most_s, context.ended_after_s
+
+
+@when(
+    "two requests are sent to it {apart_s:f} seconds apart by a transport that keeps connections "
+    "for {keep_s:f}"
+)
+def step_apart(context, apart_s, keep_s):
+    async def script(server, transport):
+        first = await ask(transport, server.address)
+        await anyio.sleep(apart_s)
+        context.answers = [first, await ask(transport, server.address)]
+        await anyio.sleep(SETTLE_S)
+        context.server = server
+
+    run(script, context.does, keep_s=keep_s)
+
+
+@then("the server saw the first connection end before the second request")
+def step_first_ended(context):
+    server = context.server
+    assert server.ended_at_s, "no connection ended"
+    assert server.ended_at_s[0] <= server.asked_at_s[1] + SETTLE_S
+
+
+@given("200 answers drawn at random, each cut into random pieces")
+def step_random_answers(context):
+    random = Random(7)
+    context.bodies = []
+    context.pieces = []
+    for _ in range(200):
+        body = random.randbytes(random.choice((0, 1, 60, 5_000, 70_000)))
+        cuts = sorted(random.randrange(len(body) + 1) for _ in range(random.randrange(4)))
+        parts = [body[a:b] for a, b in zip([0, *cuts], [*cuts, len(body)], strict=True) if a < b]
+        wire = in_chunks(parts) if random.random() < 0.6 else with_length(body)
+        cuts = sorted(random.randrange(1, len(wire)) for _ in range(random.randrange(6)))
+        context.bodies.append(body)
+        context.pieces.append(
+            [wire[a:b] for a, b in zip([0, *cuts], [*cuts, len(wire)], strict=True)]
+        )
+
+
+@when("they are read over one connection")
+def step_read_all(context):
+    class PieceServer(ScriptedServer):
+        async def _serve_one(self, stream):
+            await self._read_request(stream)
+            for piece in context.pieces[self.num_requests]:
+                await stream.send(piece)
+                await anyio.lowlevel.checkpoint()
+            self.num_requests += 1
+            return True
+
+    async def main():
+        server, transport = PieceServer("drawn"), H11Transport(1, KEEP_S)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(server.run)
+            context.read = []
+            for _ in context.pieces:
+                response = await transport.handle_async_request(request_to(server.address))
+                context.read.append(await response.aread())
+            await transport.aclose()
+            tasks.cancel_scope.cancel()
+        context.num_connections = server.num_connections
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+@then("each body is as it was sent")
+def step_bodies_equal(context):
+    assert context.read == context.bodies
+    assert context.num_connections == 1
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -5,6 +5,7 @@
 attempt may have run; what is given up is answered at once.
 """
 
+import math
 from collections.abc import Callable, Collection
 
 import anyio
@@ -51,6 +52,9 @@
 MIN_ATTEMPT_S = 0.02
 """With less time left an attempt is not worth beginning."""
 
+STALL_STEP = 1.1
+"""A silent stream is left after its patience, or after up to this multiple of it."""
+
 MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest answer that is gathered before it is passed on."""
 
@@ -367,7 +371,7 @@
                 is_first = False
                 took_s = self._clock() - self._attempt_began_s
                 self._context.first_event(choice, self._request.prompt, took_s)
-            patience.deadline = self._clock() + self._stall_s()
+            self._extend_patience(patience)
             await self._begin_stream(answer)
             self._note_pause()
             await self._responder.part(events)
@@ -379,11 +383,22 @@
             await self._responder.part(rest)
         await self._responder.end()
 
-    def _stall_s(self) -> float:
+    def _extend_patience(self, patience: anyio.CancelScope) -> None:
+        """Bound the wait for the next event.
+
+        The bound moves in steps: to set it anew, and to ask whether there is a repeat to spend,
+        costs more than to pass an event on.
+        """
         assert self._route is not None and self._service is not None
+        now_s = self._clock()
+        stall_s = self._context.stall_patience_s(self._route, self._service)
+        latest_s = now_s + STALL_STEP * stall_s
+        if now_s + stall_s <= patience.deadline <= latest_s:
+            return
         if self._choice is None or not self._may_be_left(self._choice):
-            return float("inf")
-        return self._context.stall_patience_s(self._route, self._service)
+            latest_s = math.inf
+        if patience.deadline != latest_s:
+            patience.deadline = latest_s
 
     async def _begin_stream(self, answer: Answer) -> None:
         if not self._responder.has_begun:
--- a/src/weirscale/gateway/ports.py
+++ b/src/weirscale/gateway/ports.py
@@ -272,7 +272,10 @@
     def send(
         self, outbound: OutboundRequest
     ) -> AbstractAsyncContextManager[Result[Answer, SendFailure]]:
-        """Send a request; leaving the context before the body's end cancels it."""
+        """Send a request; leaving the context before the body's end cancels it.
+
+        Only the making of a connection has a time-out of its own; the caller bounds the rest.
+        """
         ...
 
     async def order(self, order: WeightOrder, timeout_s: float) -> OrderOutcome:
--- a/src/weirscale/gateway/program.py
+++ b/src/weirscale/gateway/program.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Callable, Mapping
 from random import Random
 from typing import Protocol
@@ -94,6 +95,8 @@
             adapter.dialect(),
             event_log,
             random,
+            # The event loop's clock, without the search for the running loop at each reading.
+            time.monotonic,
         )
         self.settings_watch = SettingsWatch(
             settings, adapter.settings, self.node.apply_settings, event_log
