Datagrams between nodes go through one plain socket, read in batches

Change: gateway/datagrams.py: a non-blocking socket; sending never waits, what waits is read in one turn. Ruled out: a pause before each reading so that batches grow (it makes news older). The tests of groups hold unchanged.

--- /dev/null
+++ b/src/weirscale/gateway/datagrams.py
@@ -0,0 +1,60 @@
+"""The socket for datagrams between nodes.
+
+A node hears some fifty datagrams a second and sends as many. Through anyio's own socket each of
+them costs a lock, a guard and a turn of the event loop; here all that wait are read in one turn,
+and what is sent goes out at once.
+"""
+
+import socket
+
+import anyio
+
+from weirscale.gateway.settings import ListenAddress
+
+MAX_DATAGRAM_BYTES = 65_535
+MAX_BATCH = 64
+"""Datagrams read in one turn; other tasks run between two turns."""
+
+Datagram = tuple[bytes, ListenAddress]
+"""What arrived, and from where."""
+
+
+class DatagramSocket:
+    """Sends and receives datagrams.
+
+    Args:
+        address: Where to listen.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+
+    def __init__(self, address: ListenAddress) -> None:
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind((address.host, address.port))
+
+    def send(self, data: bytes, address: ListenAddress) -> None:
+        """Send a datagram; one that does not fit the link now, or reaches nobody, is lost."""
+        try:
+            self._socket.sendto(data, (address.host, address.port))
+        except OSError:
+            # As lost as any datagram on the way: whoever needs an answer asks again.
+            return
+
+    async def receive(self) -> list[Datagram]:
+        """Wait for datagrams; returns those that have arrived."""
+        await anyio.wait_readable(self._socket)
+        datagrams: list[Datagram] = []
+        while len(datagrams) < MAX_BATCH:
+            try:
+                data, (host, port) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                # Nothing waits any more, or an earlier datagram reached nobody.
+                break
+            datagrams.append((data, ListenAddress(host, port)))
+        return datagrams
+
+    def close(self) -> None:
+        """Close the socket; nobody may be waiting for datagrams any more."""
+        self._socket.close()
--- a/src/weirscale/gateway/peers.py
+++ b/src/weirscale/gateway/peers.py
@@ -1,11 +1,10 @@
 """Exchanges small datagrams with the other nodes."""
 
-import contextlib
 from collections.abc import Callable, Iterable
 
 import anyio
-from anyio.abc import UDPSocket
 
+from weirscale.gateway.datagrams import DatagramSocket
 from weirscale.gateway.group_relay import GroupRelay, RefreshTimer
 from weirscale.gateway.news_outbox import NewsOutbox
 from weirscale.gateway.peer_messages import PeerMessage, decode_message, encode_message
@@ -52,25 +51,25 @@
         self._outbox = outbox
         self._receiver = receiver
         self._gather = gather
-        self._socket: UDPSocket | None = None
-        self._sending = anyio.Lock()
+        self._socket: DatagramSocket | None = None
         self._hurried = anyio.Event()
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
-        async with await anyio.create_udp_socket(
-            local_host=self._address.host, local_port=self._address.port
-        ) as socket:
-            self._socket = socket
+        socket = self._socket = DatagramSocket(self._address)
+        try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._receive, socket)
                 await self._flush_regularly()
+        finally:
+            socket.close()
 
-    async def _receive(self, socket: UDPSocket) -> None:
-        async for datagram, (host, port) in socket:
-            message = decode_message(datagram)
-            if message is not None:
-                await self._receiver.hear(message, ListenAddress(host, port))
+    async def _receive(self, socket: DatagramSocket) -> None:
+        while True:
+            for datagram, sender in await socket.receive():
+                message = decode_message(datagram)
+                if message is not None:
+                    await self._receiver.hear(message, sender)
 
     async def _flush_regularly(self) -> None:
         refresh, life = RefreshTimer(), RefreshTimer(LIFE_INTERVAL_S)
@@ -106,13 +105,5 @@
         if socket is None:
             return
         datagram = encode_message(message)
-        # Several tasks send; the socket takes one sender at a time.
-        async with self._sending:
-            for address in addresses:
-                await _send_to(socket, datagram, address)
-
-
-async def _send_to(socket: UDPSocket, datagram: bytes, address: ListenAddress) -> None:
-    """Send a datagram; a peer that cannot be reached misses it."""
-    with contextlib.suppress(OSError):
-        await socket.sendto(datagram, address.host, address.port)
+        for address in addresses:
+            socket.send(datagram, address)
