--- a/features/steps/gateway_rollout_steps.py
+++ b/features/steps/gateway_weights_rollout_steps.py
@@ -20,13 +20,13 @@
 from features.support.platform_runner import RunnerStandIn
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.node import rank_delay_s
-from weirscale.gateway.rollout import (
+from weirscale.gateway.timed_record import TURN_KEY
+from weirscale.gateway.weights_rollout import (
     LaggingRunner,
     LoadedRunners,
-    RolloutRules,
+    WeightsRolloutRules,
     runners_to_load,
 )
-from weirscale.gateway.timed_record import TURN_KEY
 
 NOW_S = 100.0
 NEVER_TAKEN = "weirscale/duties/placement_planner"
@@ -46,7 +46,7 @@
     "urgency from {urgent_s:g} s"
 )
 def step_rules(context, load_s, target_s, urgent_s):
-    context.rules = RolloutRules(load_s, 0.34, target_s, urgent_s)
+    context.rules = WeightsRolloutRules(load_s, 0.34, target_s, urgent_s)
 
 
 @given("{runners:d} runners of which {loading:d} load")
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -36,14 +36,14 @@
 from weirscale.gateway.quota import GONE_MEMORY_S, QuotaLedger
 from weirscale.gateway.registrations import PeerDirectory, Registration, RegistrationTask
 from weirscale.gateway.retry_budget import SharedRetryBudget
-from weirscale.gateway.rollout import RolloutRules
-from weirscale.gateway.rollout_task import RolloutTask
 from weirscale.gateway.runner_shares import RunnerShares
 from weirscale.gateway.settings import Bounds, GatewaySettings, ListenAddress
 from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
 from weirscale.gateway.timed_record import OrderTurn
 from weirscale.gateway.usage_telling import UsageTelling, read_usage
 from weirscale.gateway.version_check import VersionCheck
+from weirscale.gateway.weights_rollout import WeightsRolloutRules
+from weirscale.gateway.weights_rollout_task import WeightsRolloutTask
 from weirscale.leases.lease_task import KEY_PREFIX, DutyLeaseTask
 from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValuePort
@@ -88,8 +88,8 @@
     return RANK_DELAY_S * num_first + LATER_RANK_DELAY_S * (rank - num_first)
 
 
-def _rollout_rules(bounds: Bounds) -> RolloutRules:
-    return RolloutRules(
+def _weights_rollout_rules(bounds: Bounds) -> WeightsRolloutRules:
+    return WeightsRolloutRules(
         load_s=LOAD_S,
         share_at_once=SHARE_LOADING_AT_ONCE,
         target_s=ROLLOUT_TARGET_SHARE * bounds.weights_s,
@@ -97,7 +97,7 @@
     )
 
 
-class RolloutEligibility:
+class HolderEligibility:
     """Lets a node try for the duty once its key is gone, later by rank."""
 
     def __init__(
@@ -213,10 +213,10 @@
         )  # fmt: skip
         self._lease = self._make_lease(store, random)
         self._turn = OrderTurn(settings.name, store, self.knowledge, bounds.lease_s, clock)
-        self._rollout = RolloutTask(
+        self._rollout = WeightsRolloutTask(
             settings.name, self._lease, self.knowledge, self.port_of, self._announce_loading,
             lambda instance: self.load.total(instance, clock()).num_requests, self.health,
-            event_log, _rollout_rules(bounds), self._turn, store,
+            event_log, _weights_rollout_rules(bounds), self._turn, store,
         )  # fmt: skip
 
     def _make_lease(self, store: KeyValuePort, random: Random) -> DutyLeaseTask:
@@ -229,7 +229,7 @@
             retry_interval_s=0.1,
             standby_interval_s=0.5,
         )
-        eligibility = RolloutEligibility(self.knowledge, self.peers, duty, self._clock)
+        eligibility = HolderEligibility(self.knowledge, self.peers, duty, self._clock)
         node_id = NodeId(NodeName(self.settings.name), Incarnation(0))
         return DutyLeaseTask(
             duty, node_id, store, eligibility, random, rules, call_timeout_s=LEASE_CALL_TIMEOUT_S
@@ -242,7 +242,7 @@
         self.quotas.set_bounds(bounds.quota)
         self.context.set_bounds(bounds)
         self.dispatcher.set_weights_grace(bounds.weights_s - WEIGHTS_MARGIN_S)
-        self._rollout.set_rules(_rollout_rules(bounds))
+        self._rollout.set_rules(_weights_rollout_rules(bounds))
         self._turn.set_apart(bounds.lease_s)
 
     def is_ready(self) -> bool:
--- a/src/weirscale/gateway/rollout.py
+++ b/src/weirscale/gateway/weights_rollout.py
@@ -13,7 +13,7 @@
 import msgspec
 
 
-class RolloutRules(msgspec.Struct, frozen=True):
+class WeightsRolloutRules(msgspec.Struct, frozen=True):
     """Times of the rollout.
 
     Attributes:
@@ -68,7 +68,10 @@
 
 
 def runners_to_load(
-    lagging: Sequence[LaggingRunner], others: LoadedRunners, now_s: float, rules: RolloutRules
+    lagging: Sequence[LaggingRunner],
+    others: LoadedRunners,
+    now_s: float,
+    rules: WeightsRolloutRules,
 ) -> list[str]:
     """Return the runners that should begin to load now.
 
@@ -96,7 +99,7 @@
 
 
 def _is_needed(
-    order: Sequence[LaggingRunner], others: LoadedRunners, now_s: float, rules: RolloutRules
+    order: Sequence[LaggingRunner], others: LoadedRunners, now_s: float, rules: WeightsRolloutRules
 ) -> bool:
     """Whether too many requests run on older weights."""
     if now_s < others.last_load_s + rules.settle_s:
@@ -106,7 +109,7 @@
 
 
 def _must_begin(
-    order: Sequence[LaggingRunner], at_once: int, now_s: float, rules: RolloutRules
+    order: Sequence[LaggingRunner], at_once: int, now_s: float, rules: WeightsRolloutRules
 ) -> bool:
     """Whether waiting longer would make some runner in the order late."""
     for index, one in enumerate(order):
@@ -117,7 +120,7 @@
     return False
 
 
-def _num_needed(order: Sequence[LaggingRunner], now_s: float, rules: RolloutRules) -> int:
+def _num_needed(order: Sequence[LaggingRunner], now_s: float, rules: WeightsRolloutRules) -> int:
     """Return how many runners must load at once for none to be late.
 
     After lost time, somewhat larger waves now are better than all that is left at the end.
--- a/src/weirscale/gateway/rollout_task.py
+++ b/src/weirscale/gateway/weights_rollout_task.py
@@ -14,13 +14,13 @@
 from weirscale.gateway.health import BackEndHealth
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.ports import BackEndPort, OrderOutcome, RunnerReport, WeightOrder
-from weirscale.gateway.rollout import (
+from weirscale.gateway.timed_record import OrderTurn, write_timed_record, young_key
+from weirscale.gateway.weights_rollout import (
     LaggingRunner,
     LoadedRunners,
-    RolloutRules,
+    WeightsRolloutRules,
     runners_to_load,
 )
-from weirscale.gateway.timed_record import OrderTurn, write_timed_record, young_key
 from weirscale.leases.lease_task import DutyLeaseTask
 from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValuePort
@@ -53,7 +53,7 @@
 """The record of a newly named version vanishes a little before its age ends older weights' use."""
 
 
-class RolloutTask:
+class WeightsRolloutTask:
     """Gives orders; `run` must be running.
 
     Args:
@@ -80,7 +80,7 @@
         num_requests: Callable[[str], int],
         health: BackEndHealth,
         event_log: EventLog,
-        rules: RolloutRules,
+        rules: WeightsRolloutRules,
         turn: OrderTurn,
         store: KeyValuePort,
     ) -> None:
@@ -100,7 +100,7 @@
         self._recorded: dict[str, int] = {}
         self._token = 0
 
-    def set_rules(self, rules: RolloutRules) -> None:
+    def set_rules(self, rules: WeightsRolloutRules) -> None:
         """Change the times."""
         self._rules = rules
 
