--- /dev/null
+++ b/features/steps/rollout_rules_steps.py
@@ -0,0 +1,261 @@
+from random import Random
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from features.support.platform_fleet import EventRecorder
+from features.support.verdict_ways import LENGTH_S, Version, play
+from weirscale.gateway.back_ends import BackEnd, BackEndState
+from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.ports import RecordChanged, RolloutOrdered, StateBatch, VersionedChange
+from weirscale.gateway.rollouts.allowance import Allowance, ExposureBounds, start_credit
+from weirscale.gateway.rollouts.gate import Lane, RecordReader, VersionGate
+from weirscale.gateway.rollouts.order import Epoch, RolloutOrder
+from weirscale.gateway.rollouts.plan import RolloutFacts, next_step
+from weirscale.gateway.rollouts.record import RolloutRecord, Stage, encode_record, record_key
+from weirscale.gateway.rollouts.tallies import Counts, FleetTallies, RouteEvidence, TallyKey
+from weirscale.gateway.rollouts.verdict import AlarmTest, Judgement, Verdict, judge_end
+
+SHARE = 0.1
+EPOCH = Epoch(5)
+
+
+@given(
+    "{nodes:d} nodes that learn of an order, of which some are killed and started "
+    "{restarts:d} times"
+)
+def step_nodes(context, nodes, restarts):
+    context.num_nodes = nodes
+    context.restarts = restarts
+
+
+@when("they send {count:d} requests of the service in {histories:d} drawn histories")
+def step_histories(context, count, histories):
+    context.count = count
+    context.random = Random(3)
+    context.histories = histories
+
+
+def trials_of(context, tolerance):
+    """Return the trials of one drawn history."""
+    random = context.random
+    bounds = ExposureBounds(SHARE, tolerance, 5.0)
+
+    def new(has_seen_order):
+        credit = start_credit(bounds, context.num_nodes, has_seen_order, random.random())
+        return Allowance(SHARE, credit)
+
+    nodes = [new(True) for _ in range(context.num_nodes)]
+    kills = sorted(random.randrange(context.count) for _ in range(context.restarts))
+    trials = 0
+    for number in range(context.count):
+        if kills and number == kills[0]:
+            kills.pop(0)
+            nodes = [new(False) if random.random() < 0.7 else one for one in nodes]
+        node = random.choice(nodes)
+        trials += node.try_take()
+        node.earn()
+    return trials
+
+
+@then("no history has more trials than 0.1 of the requests and {tolerance:d} more")
+def step_within(context, tolerance):
+    context.trials = [trials_of(context, tolerance) for _ in range(context.histories)]
+    assert max(context.trials) <= SHARE * context.count + tolerance, max(context.trials)
+
+
+@then("on average they try at least {used:g} of the share")
+def step_used(context, used):
+    mean = sum(context.trials) / len(context.trials)
+    assert mean >= used * SHARE * context.count, mean
+
+
+@given("a node that earns for {count:d} requests and tries none")
+def step_earns(context, count):
+    context.allowance = Allowance(SHARE, 0.0)
+    for _ in range(count):
+        context.allowance.earn()
+
+
+@then("it may try {count:d} at once and no more")
+def step_may_try(context, count):
+    assert [context.allowance.try_take() for _ in range(count + 1)] == [True] * count + [False]
+
+
+@given("100 drawn histories of tallies that five nodes tell one another")
+def step_tallies(context):
+    context.excess = []
+    context.lacking = []
+    for seed in range(100):
+        _play_tallies(Random(seed), context)
+
+
+def _play_tallies(random, context):
+    names = [f"n{number}" for number in range(5)]
+    nodes = {name: FleetTallies() for name in names}
+    key = TallyKey("s", EPOCH, "r", "")
+    truth = Counts()
+    messages = []
+    for _ in range(60):
+        name = random.choice(names)
+        if random.random() < 0.6:
+            one = Counts(1, int(random.random() < 0.3), 0)
+            nodes[name].note(key, one)
+            truth = truth.plus(one)
+        else:
+            told = tuple(nodes[name].own.items())
+            messages += [(name, other, told) for other in names if other != name]
+        random.shuffle(messages)
+        for sender, receiver, told in messages[: random.randrange(4)]:
+            nodes[receiver].hear(sender, told)
+        if random.random() < 0.5:
+            messages = messages[random.randrange(3) :]
+        for node in nodes.values():
+            known = node.sum_of(lambda _: True, with_own=True).get(key, Counts())
+            if known.most(truth) != truth:
+                context.excess.append(known)
+    for name in names:
+        for other in names:
+            if other != name:
+                nodes[other].hear(name, tuple(nodes[name].own.items()))
+    for node in nodes.values():
+        if node.sum_of(lambda _: True, with_own=True).get(key, Counts()) != truth:
+            context.lacking.append(truth)
+
+
+@then("no node ever knew more than had happened")
+def step_no_excess(context):
+    assert not context.excess, context.excess[0]
+
+
+@then("after a last whole telling every node knew all")
+def step_all_known(context):
+    assert not context.lacking
+
+
+class LoneRunner(Version):
+    """A sound version one of whose runners fails."""
+
+    def draw(self, route, at_s, random):
+        if random.random() < 0.25:
+            return Counts(1, 1, 0)
+        return Counts(1, 0, 0)
+
+
+def version_of(share, how):
+    kinds = {
+        "everywhere": lambda: Version(share),
+        "on one route": lambda: Version(share, routes=("short",)),
+        "from 3 s on": lambda: Version(share, from_s=3.0),
+        "by being slow": lambda: Version(0.0, slow_share=share),
+        "on one runner": lambda: None,
+    }
+    return kinds[how]()
+
+
+@given("30 plays of a version of which {share:g} more answers are bad {how}")
+def step_plays(context, share, how):
+    random = Random(17)
+    context.found = 0
+    for _ in range(30):
+        test = AlarmTest(2 * LENGTH_S)
+        if how == "on one runner":
+            context.found += play_lone_runner(test, share, random)
+        else:
+            context.found += play(test, version_of(share, how), random)[3]
+
+
+def play_lone_runner(test, share, random):
+    """Let one of four runners fail a share of its answers."""
+    old, target = Counts(), {}
+    for step in range(30):
+        old = old.plus(Counts(16, int(random.random() < 0.3), 0))
+        for _ in range(2):
+            runner = f"r{random.randrange(4)}"
+            fails = runner == "r0" and random.random() < share
+            target[runner] = target.get(runner, Counts()).plus(Counts(1, int(fails), 0))
+        if test.look({"a": RouteEvidence(old, dict(target))}, 0.2 * step):
+            return True
+    return False
+
+
+@then(
+    "it is called bad before its 50th bad answer in at least {least:d} and at most {most:d} of them"
+)
+def step_found(context, least, most):
+    assert least <= context.found <= most, context.found
+
+
+@given("a route whose old version had 300 answers of which 6 were bad")
+def step_old(context):
+    context.old = Counts(300, 6, 0)
+
+
+@when("the target had {trials:d} trials of which {bad:d} were bad")
+def step_target(context, trials, bad):
+    target = {"r1": Counts(trials, bad, 0)} if trials else {}
+    context.verdict = judge_end({"a": RouteEvidence(context.old, target)}, None)
+
+
+@then('it is judged "{judged}"')
+def step_judged(context, judged):
+    assert context.verdict.judgement.value == judged, context.verdict
+
+
+def runner_of(version):
+    return BackEnd(f"i-{version}", "s", "10.0.0.1:1", "z", BackEndState.READY, 4, (), version)
+
+
+@given('a record at "{stage}" whose proof is {age:g} s old, and a return within 5 s')
+def step_record(context, stage, age):
+    now = SimpleNamespace(s=100.0)
+    log = EventRecorder()
+    knowledge = Knowledge(log, lambda: now.s)
+    knowledge.replace_all(StateBatch(1, ()), now.s - 50.0)
+    changes = [VersionedChange("order", int(EPOCH), RolloutOrdered("s", "v2", 12.0))]
+    earlier = RolloutRecord("s", Epoch(2), "v0", Stage.RETURNED, 1.0, 1, ("v0",))
+    record = earlier
+    if stage != "none":
+        unusable = {"completed": ("v0", "v1"), "returned": ("v0", "v2")}.get(stage, ("v0",))
+        record = RolloutRecord("s", EPOCH, "v2", Stage(stage), 1.0, 1, unusable)
+    value = encode_record(record)
+    changes.append(VersionedChange(record_key("s"), 6, RecordChanged(record_key("s"), value)))
+    knowledge.apply(StateBatch(6, tuple(changes)), now.s - age)
+    reader = RecordReader(knowledge, log)
+    context.gate = VersionGate(reader, knowledge, lambda: 5.0, lambda: False, lambda: SHARE)
+
+
+@then('usual requests may go to "{usual}" and trials to "{trial}"')
+def step_usable(context, usual, trial):
+    runners = [runner_of(version) for version in ("v0", "v1", "v2")]
+    for lane, expected in ((Lane.USUAL, usual), (Lane.TRIAL, trial)):
+        found = [one.software for one in context.gate.usable("s", runners, lane)]
+        assert found == ([] if expected == "-" else [expected]), (lane, found)
+
+
+@given('a rollout with a deadline of 12 s at "{stage}" for {elapsed:g} s, judged "{judged}"')
+def step_plan(context, stage, elapsed, judged):
+    context.order = RolloutOrder("s", "v2", 12.0, EPOCH, 0.0)
+    context.record = None
+    if stage != "none":
+        context.record = RolloutRecord("s", EPOCH, "v2", Stage(stage), 1.0, 1)
+    context.elapsed_s = elapsed
+    context.verdict = Verdict(Judgement(judged))
+
+
+@given(
+    "{slots:d} slots of the target beside 24, moved for {moved:g} s, {running:d} requests at old "
+    "versions, {in_stage:g} s at the stage"
+)
+def step_plan_facts(context, slots, moved, running, in_stage):
+    context.facts = RolloutFacts(
+        context.elapsed_s, context.verdict, target_slots=slots, old_slots=24,
+        has_moved_s=moved, old_requests=running, in_stage_s=in_stage, return_s=5.0,
+    )  # fmt: skip
+
+
+@then('the next stage is "{expected}"')
+def step_next(context, expected):
+    step = next_step(context.order, context.record, context.facts)
+    found = "stay" if step is None else step.stage.value
+    assert found == expected, step
--- a/features/support/verdict_ways.py
+++ b/features/support/verdict_ways.py
@@ -10,7 +10,6 @@
 import sys
 from random import Random
 
-from weirscale.gateway.rollouts.exact_test import _log_choose
 from weirscale.gateway.rollouts.tallies import Counts, RouteEvidence
 from weirscale.gateway.rollouts.verdict import AlarmTest, Judgement, _strata, judge_end
 
@@ -96,6 +95,12 @@
     return min(1.0, tail)
 
 
+def _log_choose(total, number):
+    if number < 0 or number > total:
+        return -math.inf
+    return math.lgamma(total + 1) - math.lgamma(number + 1) - math.lgamma(total - number + 1)
+
+
 def play(test, version, random, length_s=LENGTH_S, base=None):
     """Return the trials and bad answers until the alarm, or until the end, and the evidence."""
     base = base or Version(0.0, usual=version.usual)
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -277,6 +277,8 @@
         self._excluded.add(back_end.instance)
         self._context.begin(choice, self._request.prompt, self._is_first_send())
         self._spend(self._cost)
+        if self._num_attempts == 1:
+            self._context.trials.note_request(back_end.service)
         verdict = Verdict(AttemptEnd.UNCERTAIN, CANCELLED)
         patience = anyio.CancelScope()
         try:
@@ -290,6 +292,8 @@
             if self._attempt_pause_s is not None:
                 self._context.note_stream(back_end.service, self._route, self._attempt_pause_s)
             self._tell_version(choice, verdict)
+            if self._num_attempts == 1 and verdict.end is AttemptEnd.NEVER_SENT:
+                self._context.trials.note_unsent(back_end.service)
         if verdict.end in (AttemptEnd.NEVER_SENT, AttemptEnd.UNRUN):
             self._spend(-self._cost)
         if verdict.end is not AttemptEnd.NEVER_SENT:
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -189,7 +189,6 @@
         self._waiting[id(choice)] = choice.read_tokens
         if is_first:
             self._budget.note_request(back_end.service, self.clock())
-            self.trials.note_request(back_end.service)
         if prompt is not None and choice.scope is not None:
             self.dispatcher.note_sent(choice, prompt)
             self._tell_send(choice, prompt, is_ready=False)
--- a/src/weirscale/gateway/rollouts/allowance.py
+++ b/src/weirscale/gateway/rollouts/allowance.py
@@ -74,6 +74,10 @@
         """A request is sent on for the first time."""
         self._credit = min(max(MOST_SAVED, self._credit), self._credit + self._share)
 
+    def lose(self) -> None:
+        """A request that was sent on reached nobody."""
+        self._credit -= self._share
+
     def try_take(self) -> bool:
         """Spend one attempt; False if there is none."""
         if self._credit < 1.0:
--- a/src/weirscale/gateway/rollouts/exact_test.py
+++ b/src/weirscale/gateway/rollouts/exact_test.py
@@ -1,35 +1,73 @@
 """Arithmetic of shares that are drawn: no random numbers, no state."""
 
 import math
+from functools import lru_cache
 
 LIMIT_STEPS = 20
 """Halvings of the range of a share: to a millionth."""
 
+MOST_STEPS = 200
+CLOSE_ENOUGH = 1e-10
+TINY = 1e-30
+"""Of the continued fraction: some 20 steps do for shares near the middle, more near the ends."""
+
 LEAST_SHARE = 1e-6
 """Keeps logarithms finite."""
 
 
 def binomial_head(bad: int, num: int, share: float) -> float:
     """Return how likely at most `bad` bad ones among `num` are, where each is so by a share."""
-    if share <= 0.0:
+    if bad >= num or share <= 0.0:
         return 1.0
     if share >= 1.0:
-        return 1.0 if bad >= num else 0.0
-    head = 0.0
-    for number in range(min(bad, num) + 1):
-        log_ways = _log_choose(num, number)
-        head += math.exp(
-            log_ways + number * math.log(share) + (num - number) * math.log(1.0 - share)
-        )
-    return min(1.0, head)
+        return 0.0
+    return incomplete_beta(num - bad, bad + 1.0, 1.0 - share)
+
+
+def incomplete_beta(first: float, second: float, at: float) -> float:
+    """Return the regularized incomplete beta function, by its continued fraction.
+
+    W. H. Press et al., Numerical Recipes, section 6.4; Lentz's method. Its cost does not grow with
+    the numbers, as that of a sum over all of them would.
+    """
+    log_front = (
+        math.lgamma(first + second)
+        - math.lgamma(first)
+        - math.lgamma(second)
+        + first * math.log(at)
+        + second * math.log1p(-at)
+    )
+    front = math.exp(log_front)
+    if at < (first + 1.0) / (first + second + 2.0):
+        return min(1.0, front * _beta_fraction(first, second, at) / first)
+    return max(0.0, 1.0 - front * _beta_fraction(second, first, 1.0 - at) / second)
+
+
+def _beta_fraction(first: float, second: float, at: float) -> float:
+    ratio = 1.0
+    inverse = 1.0 / _not_zero(1.0 - (first + second) * at / (first + 1.0))
+    whole = inverse
+    for step in range(1, MOST_STEPS):
+        even = step * (second - step) * at
+        even /= (first + 2 * step - 1.0) * (first + 2 * step)
+        odd = -(first + step) * (first + second + step) * at
+        odd /= (first + 2 * step) * (first + 2 * step + 1.0)
+        change = 1.0
+        for part in (even, odd):
+            inverse = 1.0 / _not_zero(1.0 + part * inverse)
+            ratio = _not_zero(1.0 + part / ratio)
+            change = inverse * ratio
+            whole *= change
+        if abs(change - 1.0) < CLOSE_ENOUGH:
+            break
+    return whole
 
 
-def _log_choose(total: int, number: int) -> float:
-    if number < 0 or number > total:
-        return -math.inf
-    return math.lgamma(total + 1) - math.lgamma(number + 1) - math.lgamma(total - number + 1)
+def _not_zero(value: float) -> float:
+    return value if abs(value) > TINY else TINY
 
 
+@lru_cache(maxsize=512)
 def upper_limit(bad: int, num: int, error: float) -> float:
     """Return the share at which so few bad ones, or fewer, would be as unlikely as `error`.
 
--- a/src/weirscale/gateway/rollouts/gate.py
+++ b/src/weirscale/gateway/rollouts/gate.py
@@ -39,6 +39,8 @@
         stage: How far it is, or None before anybody began it.
         unusable: Versions that must not be used.
         target_serves: Whether the target served before its order, so that it needs no trial.
+        is_told_only: Whether only the status tells of its end: which versions it replaced is not
+            known any more.
     """
 
     epoch: Epoch
@@ -46,6 +48,7 @@
     stage: Stage | None
     unusable: frozenset[SoftwareVersion]
     target_serves: bool = False
+    is_told_only: bool = False
 
     def is_open(self) -> bool:
         """Whether the rollout has not ended."""
@@ -55,7 +58,9 @@
         """Whether a version serves requests without a trial."""
         if version == self.target:
             return self.target_serves or self.stage in (Stage.MOVING, Stage.COMPLETED)
-        return self.stage is not Stage.MOVING and version not in self.unusable
+        if self.stage is Stage.MOVING or (self.is_told_only and self.stage is Stage.COMPLETED):
+            return False
+        return version not in self.unusable
 
 
 class RecordReader:
@@ -99,12 +104,14 @@
             return view
         if order is None:
             return None
+        end = self._told_end(order)
         return RolloutView(
             order.epoch,
             order.target,
-            self._told_end(order),
+            end,
             unusable_after(record, order),
-            order.served_before or _serves_under(record, order.target),
+            end is None and (order.served_before or _serves_under(record, order.target)),
+            is_told_only=end is not None,
         )
 
     def _told_end(self, order: RolloutOrder) -> Stage | None:
--- a/src/weirscale/gateway/rollouts/holder_task.py
+++ b/src/weirscale/gateway/rollouts/holder_task.py
@@ -235,6 +235,8 @@
             elapsed_s=facts.elapsed_s, deadline_s=order.deadline_s,
             old_requests=facts.old_requests, **verdict_fields(facts.verdict),
         )  # fmt: skip
+        if is_written:
+            await self._tell_operators(record)
 
     async def _write(self, record: RolloutRecord) -> bool:
         """Write a record over the one that is known; False if that is not known to be done."""
--- a/src/weirscale/gateway/rollouts/trials.py
+++ b/src/weirscale/gateway/rollouts/trials.py
@@ -125,6 +125,12 @@
         if view is not None:
             self._allowance(service, view).earn()
 
+    def note_unsent(self, service: ServiceName) -> None:
+        """A request that was sent on for the first time reached nobody."""
+        view = self._open_view(service)
+        if view is not None:
+            self._allowance(service, view).lose()
+
     def note_end(self, back_end: BackEnd, route: Route, ending: Ending) -> None:
         """An attempt ended and tells of its back end's version."""
         view = self._open_view(back_end.service)
--- a/src/weirscale/gateway/ticks.py
+++ b/src/weirscale/gateway/ticks.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-TICK_S = 0.04
+TICK_S = 0.02
 """Time between two ticks: news of other nodes is some tenths of a second old anyway."""
 
 ROUNDING_S = 1e-6
