--- a/features/gateway_rollouts.feature
+++ b/features/gateway_rollouts.feature
@@ -85,3 +85,20 @@
     Given a record of which a holder knows an earlier revision
     When it writes the next stage
     Then the store's record is as before
+
+  Scenario: After a returned rollout the next target is tried like the first
+    Given a rollout of a version that is "failing always"
+    When it is returned, and then a version "v3" is ordered that fails half of its answers
+    Then no more requests tried "v3" than its share and the tolerance
+    And the operators read of "v3" "active, reverted"
+
+  Scenario: A stream that breaks at the target goes on at an old runner, whole and in order
+    Given runners of streams of two versions of which the newer breaks every stream
+    When 150 resumable streams are asked for while the newer is tried
+    Then some of them began at the newer version
+    And each caller got every event once and in order
+
+  Scenario: A version on trial is no room: what the old runners cannot take is refused as before
+    Given runners of streams of two versions of which the older is full
+    When a request that would wait too long asks while the newer is tried
+    Then it is told to come back, and the newer version got nothing
--- a/features/steps/gateway_rollouts_steps.py
+++ b/features/steps/gateway_rollouts_steps.py
@@ -5,13 +5,22 @@
 import anyio
 from behave import given, then, when
 
-from features.support.platform_fleet import with_fleet
+from features.support.platform_fleet import (
+    Fleet,
+    ask,
+    configuration,
+    generation_headers,
+    with_fleet,
+)
+from features.support.platform_runner import NUM_EVENTS, RunnerStandIn
 from features.support.rollouts_fleet import (
     CALM_S,
     DEADLINE_S,
     ORDER_KEY,
     RECORD_KEY,
+    SHARE,
     STATUS_KEY,
+    TOLERANCE,
     Badness,
     World,
     problems,
@@ -20,6 +29,8 @@
     states,
 )
 from features.support.virtual_time import run_in_virtual_time
+from weirscale.gateway.load import Load
+from weirscale.gateway.rollouts.allowance import ExposureBounds
 from weirscale.gateway.rollouts.order import Epoch
 from weirscale.gateway.rollouts.record import RolloutRecord, Stage, encode_record
 
@@ -310,3 +321,139 @@
 def step_as_before(context):
     assert not context.is_written
     assert context.value == context.expected
+
+
+@when('it is returned, and then a version "{target}" is ordered that fails half of its answers')
+def step_second(context, target):
+    world = context.world
+    world.badness[target] = Badness(0.5)
+
+    async def script(world):
+        await begin(world, context.version)
+        await anyio.sleep(5.0)
+        context.second_s = anyio.current_time()
+        world.order(target=target)
+        await anyio.sleep(RUNNERS_COME_S)
+        world.add_runners(target)
+
+    run_in_virtual_time(partial(world.play, script, 5.0 + DEADLINE_S))
+
+
+@then('no more requests tried "{target}" than its share and the tolerance')
+def step_second_exposure(context, target):
+    world = context.world
+    tried = [one for one in world.arrivals if one.version == target]
+    asked = [one for one in world.asked if one.at_s >= context.second_s]
+    assert tried and len(tried) <= SHARE * len(asked) + TOLERANCE, (len(tried), len(asked))
+
+
+@then('the operators read of "{target}" "{told}"')
+def step_second_read(context, target, told):
+    found = [state for one, state in states(context.world) if one == target]
+    assert ", ".join(found) == told, states(context.world)
+
+
+def stream_world(faults_of_new):
+    """Return a fleet with three old runners of streams, and what adds three of the target."""
+    fleet = Fleet(exposure=ExposureBounds(SHARE, TOLERANCE, 5.0))
+    fleet.store.put("op/config", configuration())
+    runners = {"v1": [], "v2": []}
+
+    def add(version, number, faults):
+        runner = StreamRunner(f"{version}-{number}", f"10.3.{version[1:]}.{number}:8080", "lm")
+        runner.version_name = version
+        runner.faults = faults
+        fleet.add_runner(runner)
+        runners[version].append(runner)
+
+    for number in range(3):
+        add("v1", number, [])
+
+    def add_target():
+        for number in range(3):
+            add("v2", number, list(faults_of_new))
+
+    return fleet, runners, add_target
+
+
+class StreamRunner(RunnerStandIn):
+    """A runner of streams of one version of the service's program."""
+
+    version_name = "v1"
+
+    def entry(self, state="ready"):
+        return super().entry(state) | {"version": self.version_name}
+
+
+async def order_and_wait(fleet, add_target):
+    for number in range(2):
+        await fleet.start_node(f"node-{number + 1}")
+    await anyio.sleep(CALM_S)
+    entry = {"service": "lm", "target_version": "v2", "deadline_s": DEADLINE_S}
+    fleet.store.put("op/rollout/lm", entry)
+    await anyio.sleep(RUNNERS_COME_S)
+    add_target()
+    await anyio.sleep(1.0)
+
+
+@given("runners of streams of two versions of which the newer breaks every stream")
+def step_breaking(context):
+    context.fleet, context.runners, context.add_target = stream_world(["break"] * 99)
+
+
+@when("{count:d} resumable streams are asked for while the newer is tried")
+def step_streams(context, count):
+    context.answers = []
+
+    async def one(node, number):
+        headers = generation_headers(f"q{number}", parts=f"a{number % 7}:300,b{number}:50")
+        context.answers.append(await ask(node, "/a/x", headers=headers))
+
+    async def body():
+        await order_and_wait(context.fleet, context.add_target)
+        async with anyio.create_task_group() as tasks:
+            for number in range(count):
+                node = context.fleet.nodes[f"node-{number % 2 + 1}"]
+                tasks.start_soon(one, node, number)
+                await anyio.sleep(0.05)
+
+    run_in_virtual_time(partial(with_fleet, context.fleet, body))
+
+
+@then("some of them began at the newer version")
+def step_some_began(context):
+    assert sum(len(one.runs) for one in context.runners["v2"]) >= 3
+
+
+@then("each caller got every event once and in order")
+def step_whole(context):
+    expected = b"".join(b"id: %d\ndata: token-%d\n\n" % (n, n) for n in range(1, NUM_EVENTS + 1))
+    for answer in context.answers:
+        assert answer.status == 200 and answer.is_complete and answer.body == expected, answer
+
+
+@given("runners of streams of two versions of which the older is full")
+def step_full(context):
+    context.fleet, context.runners, context.add_target = stream_world([])
+
+
+@when("a request that would wait too long asks while the newer is tried")
+def step_asks_full(context):
+    async def body():
+        await order_and_wait(context.fleet, context.add_target)
+        node = context.fleet.nodes["node-1"]
+        for runner in context.runners["v1"]:
+            node.load.hear("node-9", runner.instance, Load(40, 400_000, 90_000), node._clock())
+        # The allowance is there: only the room is not.
+        for _ in range(20):
+            node.trials.note_request("lm")
+        headers = generation_headers("full", x_deadline_ms=4000)
+        context.answer = await ask(node, "/a/x", headers=headers)
+
+    run_in_virtual_time(partial(with_fleet, context.fleet, body))
+
+
+@then("it is told to come back, and the newer version got nothing")
+def step_refused(context):
+    assert context.answer.status == 503 and context.answer.header("retry-after")
+    assert not any(one.arrivals for one in context.runners["v2"])
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -38,6 +38,9 @@
 
 NEVER_S = float("-inf")
 
+ESTABLISHED_S = 20.0
+"""A version of a service's program that registered longer ago needs no trial to be ordered."""
+
 LAPSE_S = 2.0
 """A registration that ends within this time after an outage of the store may have lapsed so."""
 
@@ -62,6 +65,8 @@
         self._lapsed_until_s: dict[str, float] = {}
         self._record_keys: dict[str, str] = {}
         self._versions: dict[tuple[str, str], int] = {}
+        self._versions_since_s: dict[tuple[ServiceName, SoftwareVersion], float] = {}
+        """When a version of a service's program was first seen; before all if it was there."""
         self.table: RouteTable | None = None
         self.directory = BackEndDirectory()
         self.weights = VersionBook()
@@ -177,6 +182,8 @@
             self._instance_keys.pop(displaced, None)
             self._lapsed_until_s.pop(displaced, None)
         self._instance_keys[back_end.instance] = key
+        since_s = self._clock() if self.has_read_all else NEVER_S
+        self._versions_since_s.setdefault((back_end.service, back_end.software), since_s)
         for served in back_end.models:
             self.learn_version(back_end.instance, served.name, served.version, "registration")
         if known is None or known.state is not back_end.state:
@@ -241,7 +248,7 @@
             Epoch(revision),
             self._clock(),
             was_there=not is_live,
-            served_before=is_live and change.target in self._usual_versions(change.service),
+            served_before=is_live and self._is_established(change.service, change.target),
         )
         self.rollouts.put_order(key, order)
         self._event_log.event(
@@ -250,11 +257,13 @@
             served_before=order.served_before,
         )  # fmt: skip
 
-    def _usual_versions(self, service: ServiceName) -> set[SoftwareVersion]:
-        """Return the versions of a service that got requests until now without a rollout."""
-        if service in self.rollouts.orders:
-            return set()
-        return {one.software for one in self.directory.of_service(service)}
+    def _is_established(self, service: ServiceName, version: SoftwareVersion) -> bool:
+        """Whether a version of a service's program has served for some time.
+
+        Runners that an operator starts just before ordering their version are not.
+        """
+        since_s = self._versions_since_s.get((service, version))
+        return since_s is not None and self._clock() - since_s >= ESTABLISHED_S
 
     def _withdraw_rollout(self, key: str) -> None:
         order = self.rollouts.withdraw(key)
--- a/src/weirscale/gateway/rollouts/gate.py
+++ b/src/weirscale/gateway/rollouts/gate.py
@@ -110,10 +110,20 @@
             order.target,
             end,
             unusable_after(record, order),
-            end is None and (order.served_before or _serves_under(record, order.target)),
+            end is None and self._serves_already(order, record),
             is_told_only=end is not None,
         )
 
+    def _serves_already(self, order: RolloutOrder, record: RolloutRecord | None) -> bool:
+        """Whether an order's target served before it, so that it needs no trial."""
+        if record is not None and not view_of(record).is_usual(order.target):
+            return False
+        if not order.was_there:
+            return order.served_before
+        # This node did not see what served before the order: what serves alone must have.
+        found = {one.software for one in self._knowledge.directory.of_service(order.service)}
+        return found == {order.target}
+
     def _told_end(self, order: RolloutOrder) -> Stage | None:
         """Return the end that operators have been told of an order whose record is gone."""
         seen = self._knowledge.rollouts.status_of(order.service)
@@ -133,11 +143,6 @@
     return RolloutView(record.epoch, record.target, record.stage, frozenset(record.unusable))
 
 
-def _serves_under(record: RolloutRecord | None, version: SoftwareVersion) -> bool:
-    """Whether a version served under the record of an earlier order."""
-    return record is not None and view_of(record).is_usual(version)
-
-
 def unusable_after(record: RolloutRecord | None, order: RolloutOrder) -> frozenset[SoftwareVersion]:
     """Return the versions that must not be used once a new order follows on a record.
 
