A silent stream is left only with a repeat in hand

The budget was asked while events still came, and its last repeat could be spent by another request before the patience ran out; the attempt was cut all the same and nothing could follow. Change: gateway/patience: one task looks at all attempts under way on ticks and takes the repeat before it ends one; without a repeat the stream is waited for. No timer and no question to the budget for each event any more. Ruled out: reserving a repeat for each stream (a few streams would hold all). Tests: gateway_overload, gateway_requests (85) passed.

--- a/features/gateway_overload.feature
+++ b/features/gateway_overload.feature
@@ -84,3 +84,8 @@
       | 0.0    | 0.0    | 1.0   | 1.0  |
       | 0.7    | 0.0    | 0.79  | 0.81 |
       | 0.0    | 0.6    | 1.0   | 1.0  |
+
+  Scenario: Of two streams that are overdue with one repeat left, one goes on elsewhere and neither is lost
+    Given a node with three runners of streams and one repeat to spend
+    When two resumable streams fall silent for 3 seconds at the same moment
+    Then both are answered whole, one of them by another runner
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -5,7 +5,6 @@
 attempt may have run; what is given up is answered at once.
 """
 
-import math
 from collections.abc import Callable, Collection
 
 import anyio
@@ -24,6 +23,7 @@
     judge_failure,
 )
 from weirscale.gateway.overload import come_back_s, should_come_back
+from weirscale.gateway.patience import Patience
 from weirscale.gateway.ports import Answer, BodyBrokenError, CallerRequest, Headers, OutboundRequest
 from weirscale.gateway.quota import QuotaDecision
 from weirscale.gateway.responder import Responder
@@ -60,9 +60,6 @@
 MIN_ATTEMPT_S = 0.02
 """With less time left an attempt is not worth beginning."""
 
-STALL_STEP = 1.1
-"""A silent stream is left after its patience, or after up to this multiple of it."""
-
 MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest answer that is gathered before it is passed on."""
 
@@ -112,6 +109,9 @@
         self._causes: list[str] = []
         self._cost = 0.0
         self._quota_refusal: QuotaDecision | None = None
+        self._may_be_tried_elsewhere = False
+        self._has_repeat = False
+        """Whether a repeat of the shared budget was taken for the next attempt."""
         self.stage = Stage.LEFT
 
     async def run(self) -> None:
@@ -262,13 +262,15 @@
         if len(self._tried) >= self._route.max_attempts:
             self._causes.append("max_attempts")
             return False
-        if not self._context.take_retry(self._service):
+        if not (self._has_repeat or self._context.take_retry(self._service)):
             self._causes.append("retry_budget")
             return False
+        self._has_repeat = False
         return True
 
     async def _attempt(self, choice: Choice) -> AttemptEnd:
         """Send the request to one back end and pass on what may be passed on."""
+        assert self._route is not None
         back_end = choice.candidate.back_end
         self._num_attempts += 1
         self._attempt_began_s = self._clock()
@@ -280,14 +282,18 @@
         if self._num_attempts == 1:
             self._context.trials.note_request(back_end.service)
         verdict = Verdict(AttemptEnd.UNCERTAIN, CANCELLED)
-        patience = anyio.CancelScope()
+        scope = anyio.CancelScope()
+        patience = Patience(scope, self._take_repeat)
+        self._may_be_tried_elsewhere = self._is_leavable(choice)
+        self._set_patience(patience, self._context.first_event_patience_s(self._route, choice))
+        self._context.patience.watch(patience)
         try:
-            with patience:
-                self._set_patience(patience, choice)
+            with scope:
                 verdict = await self._send(choice, patience)
-            if patience.cancelled_caught:
+            if scope.cancelled_caught:
                 verdict = Verdict(AttemptEnd.UNCERTAIN, "too_slow")
         finally:
+            self._context.patience.forget(patience)
             self._context.end(choice, self._request.prompt, verdict)
             if self._attempt_pause_s is not None:
                 self._context.note_stream(back_end.service, self._route, self._attempt_pause_s)
@@ -313,24 +319,24 @@
     def _is_first_send(self) -> bool:
         return not self._tried
 
-    def _set_patience(self, patience: anyio.CancelScope, choice: Choice) -> None:
-        """Bound the wait for the first event where the request may be tried elsewhere."""
-        assert self._route is not None
-        if not self._may_be_left(choice):
-            return
-        wait_s = self._context.first_event_patience_s(self._route, choice)
-        patience.deadline = self._clock() + wait_s
+    def _set_patience(self, patience: Patience, wait_s: float) -> None:
+        """Bound the wait for the next event where the request may be tried elsewhere."""
+        if self._may_be_tried_elsewhere:
+            patience.deadline_s = self._clock() + wait_s
 
-    def _may_be_left(self, choice: Choice) -> bool:
-        """Whether a silent back end may be left for another one."""
-        assert self._route is not None and self._service is not None
+    def _is_leavable(self, choice: Choice) -> bool:
+        """Whether a silent back end may be left for another one, given a repeat to spend."""
+        assert self._route is not None
         has_attempts = len(self._tried) + 1 < self._route.max_attempts
-        if not self._route.is_repeatable or not has_attempts or choice.num_candidates <= 1:
-            return False
-        # Without a repeat to spend, leaving a slow answer would only lose it.
-        return self._context.has_retry(self._service)
+        return self._route.is_repeatable and has_attempts and choice.num_candidates > 1
+
+    def _take_repeat(self) -> bool:
+        """Take a repeat of the shared budget before a silent back end is left."""
+        assert self._service is not None
+        self._has_repeat = self._context.take_retry(self._service)
+        return self._has_repeat
 
-    async def _send(self, choice: Choice, patience: anyio.CancelScope) -> Verdict:
+    async def _send(self, choice: Choice, patience: Patience) -> Verdict:
         outbound = self._outbound(choice)
         port = self._context.port_of(choice.candidate.back_end)
         async with port.send(outbound) as sent:
@@ -375,7 +381,7 @@
         return self._context.priority(tenant_priority, self._route.priority)
 
     async def _pass_on(
-        self, answer: Answer, verdict: Verdict, choice: Choice, patience: anyio.CancelScope
+        self, answer: Answer, verdict: Verdict, choice: Choice, patience: Patience
     ) -> Verdict:
         assert self._route is not None
         is_stream = self._route.kind is RequestKind.STREAMING
@@ -392,10 +398,9 @@
         await self._responder.whole(answer.status, answer.headers, body)
         return verdict
 
-    async def _relay_stream(
-        self, answer: Answer, choice: Choice, patience: anyio.CancelScope
-    ) -> None:
+    async def _relay_stream(self, answer: Answer, choice: Choice, patience: Patience) -> None:
         """Pass on whole events as they come; the head waits for the first of them."""
+        assert self._route is not None and self._service is not None
         cutter = self._cutter
         cutter.drop_rest()
         is_first = True
@@ -410,7 +415,7 @@
                 self._attempt_times.first_s = took_s
                 self._context.first_event(choice, self._request.prompt, took_s)
             self._attempt_times.num_parts += 1
-            self._extend_patience(patience)
+            self._set_patience(patience, self._context.stall_patience_s(self._route, self._service))
             await self._begin_stream(answer)
             self._note_pause()
             await self._responder.part(events)
@@ -422,23 +427,6 @@
             await self._responder.part(rest)
         await self._responder.end()
 
-    def _extend_patience(self, patience: anyio.CancelScope) -> None:
-        """Bound the wait for the next event.
-
-        The bound moves in steps: to set it anew, and to ask whether there is a repeat to spend,
-        costs more than to pass an event on.
-        """
-        assert self._route is not None and self._service is not None
-        now_s = self._clock()
-        stall_s = self._context.stall_patience_s(self._route, self._service)
-        latest_s = now_s + STALL_STEP * stall_s
-        if now_s + stall_s <= patience.deadline <= latest_s:
-            return
-        if self._choice is None or not self._may_be_left(self._choice):
-            latest_s = math.inf
-        if patience.deadline != latest_s:
-            patience.deadline = latest_s
-
     async def _begin_stream(self, answer: Answer) -> None:
         if not self._responder.has_begun:
             self._note_first_byte()
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -16,6 +16,7 @@
 from weirscale.gateway.node_metrics import NodeMetrics
 from weirscale.gateway.outcome import CANCELLED, AttemptEnd, Verdict, is_about_weights
 from weirscale.gateway.overload import QueueLimit
+from weirscale.gateway.patience import PatienceKeeper
 from weirscale.gateway.peer_messages import SendNews, SuspectNews
 from weirscale.gateway.ports import Answer, BackEndPort
 from weirscale.gateway.prompt import Prompt
@@ -130,6 +131,7 @@
         self._metrics = metrics
         self.clock = clock
         self.split = WeightedSplit()
+        self.patience = PatienceKeeper(clock)
         self._waiting: dict[int, int] = {}
         self._usual_pause_s: dict[ServiceName, float] = {}
         self._queue_limits: dict[ServiceName, QueueLimit] = {}
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -306,6 +306,7 @@
             tasks.start_soon(self._rollout.run)
             tasks.start_soon(self._rollout_holder.run)
             tasks.start_soon(self.version_check.run)
+            tasks.start_soon(self.context.patience.run)
             tasks.start_soon(self._probe_regularly, tasks)
             await anyio.sleep_forever()
 
