--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -151,10 +151,6 @@
         route = min(route_priority, PRIORITIES_A_TENANT - 1)
         return min(MAX_PRIORITY, max(0, tenant * PRIORITIES_A_TENANT + route))
 
-    def has_retry(self, service: ServiceName) -> bool:
-        """Whether the shared budget allows a repeat now."""
-        return self._budget.left(service, self._peers.num_nodes(), self.clock()) >= 1.0
-
     def take_retry(self, service: ServiceName) -> bool:
         """Spend one repeat of the shared budget."""
         return self._budget.try_take(service, self._peers.num_nodes(), self.clock())
