--- a/src/weirscale/gateway/rollouts/gate.py
+++ b/src/weirscale/gateway/rollouts/gate.py
@@ -1,13 +1,13 @@
 """Which versions of a service a request may go to now, as far as this node knows."""
 
 import enum
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 import xxhash
 
 from weirscale.domain.identifiers import ServiceName, SoftwareVersion
-from weirscale.gateway.back_ends import TAKES_WORK, BackEnd
+from weirscale.gateway.back_ends import BackEnd
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.rollouts.order import Epoch, RolloutOrder, RolloutState
 from weirscale.gateway.rollouts.record import RolloutRecord, Stage, decode_record, record_key
@@ -227,8 +227,3 @@
 
 def _rank(epoch: Epoch, instance: str) -> int:
     return xxhash.xxh64_intdigest(f"{epoch}|{instance}".encode())
-
-
-def versions_of(back_ends: Iterable[BackEnd]) -> frozenset[SoftwareVersion]:
-    """Return the versions of back ends that take work."""
-    return frozenset(one.software for one in back_ends if one.state in TAKES_WORK)
--- a/src/weirscale/gateway/rollouts/orders.py
+++ b/src/weirscale/gateway/rollouts/orders.py
@@ -1,7 +1,7 @@
 """The orders and statuses of rollouts as a node knows them; `Knowledge` is the only writer."""
 
-from weirscale.domain.identifiers import ServiceName, SoftwareVersion
-from weirscale.gateway.rollouts.order import Epoch, RolloutOrder, RolloutStatus, SeenStatus
+from weirscale.domain.identifiers import ServiceName
+from weirscale.gateway.rollouts.order import RolloutOrder, RolloutStatus, SeenStatus
 
 
 class RolloutBook:
@@ -12,11 +12,7 @@
         self.statuses: dict[ServiceName, SeenStatus] = {}
         self._order_keys: dict[str, ServiceName] = {}
 
-    def put_order(
-        self,
-        key: str,
-        order: RolloutOrder,
-    ) -> None:
+    def put_order(self, key: str, order: RolloutOrder) -> None:
         """Take an order; a later one replaces it."""
         self._order_keys[key] = order.service
         self.orders[order.service] = order
@@ -37,13 +33,3 @@
     def status_of(self, service: ServiceName) -> SeenStatus | None:
         """Return the status of a service's rollout."""
         return self.statuses.get(service)
-
-    def epoch_of(self, service: ServiceName) -> Epoch | None:
-        """Return the epoch of a service's order."""
-        order = self.orders.get(service)
-        return None if order is None else order.epoch
-
-    def target_of(self, service: ServiceName) -> SoftwareVersion | None:
-        """Return the target of a service's order."""
-        order = self.orders.get(service)
-        return None if order is None else order.target
