An order for the old version finds it usable at every stage

Change: the record names the versions that served when a rollout began; these need no trial when they are ordered. A version that no record names is tried.

--- a/features/gateway_rollouts_faults.feature
+++ b/features/gateway_rollouts_faults.feature
@@ -29,6 +29,8 @@
       | sound        | the order is written again      | 3.0 | any end   | 0.95   |
       | sound        | another target is ordered       | 3.0 | any end   | 0.95   |
       | sound        | the old version is ordered      | 3.0 | any end   | 0.95   |
+      | sound        | the old version is ordered      | 7.0 | any end   | 0.95   |
+      | sound        | all are killed, the old ordered | 7.0 | any end   | 0.75   |
       | failing half | the holder is killed            | 1.0 | reverted  | 0.93   |
       | failing half | the holder is cut off           | 1.0 | reverted  | 0.78   |
       | failing half | the store is down for 3 s       | 0.8 | reverted  | 0.93   |
--- a/features/steps/gateway_rollouts_steps.py
+++ b/features/steps/gateway_rollouts_steps.py
@@ -179,6 +179,12 @@
     world.add_runners("v3")
 
 
+@fault("all are killed, the old ordered")
+async def _kill_and_order_old(world):
+    world.order(target="v1")
+    await world.restart_all()
+
+
 @fault("the old version is ordered")
 async def _order_old(world):
     world.order(target="v1")
--- a/src/weirscale/gateway/rollouts/gate.py
+++ b/src/weirscale/gateway/rollouts/gate.py
@@ -116,8 +116,8 @@
 
     def _serves_already(self, order: RolloutOrder, record: RolloutRecord | None) -> bool:
         """Whether an order's target served before it, so that it needs no trial."""
-        if record is not None and not view_of(record).is_usual(order.target):
-            return False
+        if record is not None:
+            return _served_under(record, order.target)
         if not order.was_there:
             return order.served_before
         # This node did not see what served before the order: what serves alone must have.
@@ -143,6 +143,13 @@
     return RolloutView(record.epoch, record.target, record.stage, frozenset(record.unusable))
 
 
+def _served_under(record: RolloutRecord, version: SoftwareVersion) -> bool:
+    """Whether a version served under an earlier order, or would after its return."""
+    if record.stage is Stage.COMPLETED:
+        return version == record.target
+    return version in record.predecessors and version not in record.unusable
+
+
 def unusable_after(record: RolloutRecord | None, order: RolloutOrder) -> frozenset[SoftwareVersion]:
     """Return the versions that must not be used once a new order follows on a record.
 
--- a/src/weirscale/gateway/rollouts/holder_task.py
+++ b/src/weirscale/gateway/rollouts/holder_task.py
@@ -283,7 +283,7 @@
     unusable = (*record.unusable, record.target)
     return RolloutRecord(
         record.service, record.epoch, record.target, Stage.RETURNED, record.elapsed_s, token,
-        unusable, record.evidence, "withdrawn",
+        unusable, record.evidence, "withdrawn", record.predecessors,
     )  # fmt: skip
 
 
--- a/src/weirscale/gateway/rollouts/plan.py
+++ b/src/weirscale/gateway/rollouts/plan.py
@@ -139,8 +139,10 @@
     """
     if record is not None and record.epoch == order.epoch:
         unusable = set(record.unusable)
+        predecessors = record.predecessors
     else:
         unusable = set(unusable_after(record, order))
+        predecessors = tuple(one for one in facts.old_versions if one not in unusable)
     if step.stage is Stage.COMPLETED:
         unusable |= set(facts.old_versions)
     if step.stage is Stage.RETURNED:
@@ -155,6 +157,7 @@
         unusable=tuple(sorted(unusable)),
         evidence=facts.evidence,
         reason=step.reason,
+        predecessors=predecessors,
     )
 
 
--- a/src/weirscale/gateway/rollouts/record.py
+++ b/src/weirscale/gateway/rollouts/record.py
@@ -43,6 +43,7 @@
             rollout has replaced.
         evidence: What was known of target and predecessors when this was written.
         reason: Why the stage was entered.
+        predecessors: Versions that served when the rollout began.
     """
 
     service: ServiceName
@@ -54,6 +55,7 @@
     unusable: tuple[SoftwareVersion, ...] = ()
     evidence: Evidence = Evidence()
     reason: str = ""
+    predecessors: tuple[SoftwareVersion, ...] = ()
 
     def has_ended(self) -> bool:
         """Whether the rollout is over."""
