The last repeat goes to the stream that waits longest

Change: they are kept in the order in which they began. Ruled out: the machine's load (virtual time).

--- a/src/weirscale/gateway/patience.py
+++ b/src/weirscale/gateway/patience.py
@@ -52,15 +52,16 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._watched: set[Patience] = set()
+        self._watched: dict[Patience, None] = {}
+        """In the order in which they began: who waits longest gets the last repeat."""
 
     def watch(self, patience: Patience) -> None:
         """Look at an attempt from now on."""
-        self._watched.add(patience)
+        self._watched[patience] = None
 
     def forget(self, patience: Patience) -> None:
         """Look at an attempt no more."""
-        self._watched.discard(patience)
+        self._watched.pop(patience, None)
 
     async def run(self) -> None:
         """Look until cancelled."""
