The holder's facts are gathered in one pass; two needless wrappers go

Cause: the whole change read once more: the back ends of a service were gone through four times for one set of facts, which was then copied to add two fields; ExchangeContext.lane_of only called what callers reach anyway.

--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -230,7 +230,10 @@
         room for the others' requests in no case.
         """
         assert self._route is not None and self._service is not None
-        if self._num_attempts or self._context.lane_of(self._service, self._route) is Lane.USUAL:
+        if (
+            self._num_attempts
+            or self._context.trials.lane_of(self._service, self._route) is Lane.USUAL
+        ):
             return choice
         trial = self._context.dispatcher.choose(self._query((), Lane.TRIAL))
         if trial is None:
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -23,7 +23,6 @@
 from weirscale.gateway.quota import QuotaDecision, QuotaLedger
 from weirscale.gateway.registrations import PeerDirectory
 from weirscale.gateway.retry_budget import SharedRetryBudget
-from weirscale.gateway.rollouts.gate import Lane
 from weirscale.gateway.rollouts.pace import AttemptTimes
 from weirscale.gateway.rollouts.trials import Ending, RolloutTrials
 from weirscale.gateway.settings import Bounds
@@ -228,10 +227,6 @@
         elif verdict.end is AttemptEnd.FAILED or verdict.reason in BLAMED:
             self._health.failed(instance, verdict.reason, now_s)
 
-    def lane_of(self, service: ServiceName, route: Route) -> Lane:
-        """Return which versions of a service a request that was not sent yet is for."""
-        return self.trials.lane_of(service, route)
-
     def note_version(
         self,
         choice: Choice,
--- a/src/weirscale/gateway/rollouts/holder_task.py
+++ b/src/weirscale/gateway/rollouts/holder_task.py
@@ -8,11 +8,10 @@
 from collections.abc import Callable
 
 import anyio
-import msgspec
 from result import Err
 
-from weirscale.domain.identifiers import ServiceName, SoftwareVersion
-from weirscale.gateway.back_ends import TAKES_WORK
+from weirscale.domain.identifiers import ServiceName
+from weirscale.gateway.back_ends import TAKES_WORK, BackEnd
 from weirscale.gateway.knowledge import Knowledge
 from weirscale.gateway.ports import StateFeed
 from weirscale.gateway.rollouts.gate import RecordReader
@@ -157,34 +156,33 @@
         return is_time and self._lease.token() is not None
 
     def _facts(self, order: RolloutOrder, record: RolloutRecord | None) -> RolloutFacts:
-        ready = [
-            one
-            for one in self._knowledge.directory.of_service(order.service)
-            if one.state in TAKES_WORK
-        ]
-        old = [one for one in ready if one.software != order.target]
+        known = tuple(self._knowledge.directory.of_service(order.service))
+        old = [one for one in known if one.software != order.target]
+        target = [one for one in known if one.software == order.target]
+        # Those that leave take no new work, but what runs there must end too.
+        old_requests = sum(self._num_requests(one.instance) for one in old)
         routes = by_route(self._fleet_sums(), order.service, order.epoch)
         verdict, evidence = self._judge(order, record, routes)
-        old_requests = self._old_requests(order)
         view = self._reader.view(order.service)
-        facts = RolloutFacts(
+        has_moved_s, in_stage_s = 0.0, 0.0
+        if record is not None and record.stage is Stage.MOVING:
+            num_moved = self._num_moved(order.service, order.epoch)
+            has_moved = num_moved >= self._num_nodes() and old_requests == 0
+            has_moved_s = self._times.has_moved_s(record, has_moved)
+            in_stage_s = self._times.in_stage_s(record)
+        return RolloutFacts(
             elapsed_s=self._times.elapsed_s(order, record),
             verdict=verdict,
             evidence=evidence,
-            target_slots=sum(one.slots for one in ready if one.software == order.target),
-            old_slots=sum(one.slots for one in old),
-            old_versions=self._old_versions(order),
+            target_slots=_working_slots(target),
+            old_slots=_working_slots(old),
+            old_versions=tuple(sorted({one.software for one in old})),
+            has_moved_s=has_moved_s,
+            in_stage_s=in_stage_s,
             return_s=self._return_s(),
             old_requests=old_requests,
             target_serves=view is not None and view.target_serves,
         )
-        if record is None or record.stage is not Stage.MOVING:
-            return facts
-        num_moved = self._num_moved(order.service, order.epoch)
-        has_moved = num_moved >= self._num_nodes() and old_requests == 0
-        return _with_move(
-            facts, self._times.has_moved_s(record, has_moved), self._times.in_stage_s(record)
-        )
 
     def _judge(
         self,
@@ -201,22 +199,6 @@
             verdict = Verdict(Judgement.UNDECIDED, "restarted", evidence.target, evidence.old)
         return verdict, record.evidence
 
-    def _old_versions(self, order: RolloutOrder) -> tuple[SoftwareVersion, ...]:
-        versions = {
-            one.software
-            for one in self._knowledge.directory.of_service(order.service)
-            if one.software != order.target
-        }
-        return tuple(sorted(versions))
-
-    def _old_requests(self, order: RolloutOrder) -> int:
-        """Return the requests at back ends of older versions, leaving ones included."""
-        return sum(
-            self._num_requests(one.instance)
-            for one in self._knowledge.directory.of_service(order.service)
-            if one.software != order.target
-        )
-
     async def _enter(
         self,
         order: RolloutOrder,
@@ -287,5 +269,6 @@
     )  # fmt: skip
 
 
-def _with_move(facts: RolloutFacts, has_moved_s: float, in_stage_s: float) -> RolloutFacts:
-    return msgspec.structs.replace(facts, has_moved_s=has_moved_s, in_stage_s=in_stage_s)
+def _working_slots(back_ends: list[BackEnd]) -> int:
+    """Return the slots of those that take work."""
+    return sum(one.slots for one in back_ends if one.state in TAKES_WORK)
--- a/src/weirscale/gateway/rollouts/telling.py
+++ b/src/weirscale/gateway/rollouts/telling.py
@@ -133,7 +133,7 @@
             return
         now_s = self._clock()
         own = self._tallies.sum_of(lambda one: is_member(_node(one)), with_own=True)
-        rest = self._tallies.sum_of(lambda one: is_group(one))
+        rest = self._tallies.sum_of(is_group)
         self._to_heads.add_to(to_heads, own, must_refresh, now_s)
         self._to_group.add_to(to_group, rest, must_refresh, now_s)
         for key in self._moves():
