--- a/features/steps/gateway_choice_steps.py
+++ b/features/steps/gateway_choice_steps.py
@@ -80,7 +80,7 @@
         cache,
         CAPACITY,
         VERSION,
-        has_old_weights="newer named" in traits,
+        newest_version=VERSION + 1 if "newer named" in traits else None,
     )
 
 
--- /dev/null
+++ b/src/weirscale/gateway/ages.py
@@ -0,0 +1,10 @@
+"""How log lines tell the age of what a node knows."""
+
+import math
+
+MILLISECONDS_PER_S = 1000.0
+
+
+def age_ms(age_s: float) -> int | str:
+    """Return an age in whole milliseconds; what was never proved has none."""
+    return "never" if math.isinf(age_s) else round(age_s * MILLISECONDS_PER_S)
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -86,7 +86,8 @@
         capacity_tokens: Tokens that fit into its memory.
         weight_version: Version of the weights asked for, or None.
         load_age_s: Age of the oldest peer's news in the load.
-        has_old_weights: Whether newer weights than its own are named.
+        newest_version: The newest weights named, where its own are older; None otherwise.
+        owed_s: For how long weights newer than its own have been named.
         is_foreign: Whether another group of nodes prefers it.
         region: Where it stands.
         is_far: Whether it stands in another region than this node.
@@ -99,11 +100,17 @@
     capacity_tokens: int = 0
     weight_version: int | None = None
     load_age_s: float = 0.0
-    has_old_weights: bool = False
+    newest_version: int | None = None
+    owed_s: float = 0.0
     is_foreign: bool = False
     region: RegionName = NO_REGION
     is_far: bool = False
 
+    @property
+    def has_old_weights(self) -> bool:
+        """Whether newer weights than its own are named."""
+        return self.newest_version is not None
+
 
 class FetchSource(msgspec.Struct, frozen=True):
     """Where cached parts can be fetched.
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -29,6 +29,7 @@
 from weirscale.gateway.prompt import CacheScope, Prompt, PromptPart
 from weirscale.gateway.rollouts.gate import Lane
 from weirscale.gateway.timed_record import young_key
+from weirscale.gateway.weights import NamedVersion
 
 LOADING_MARK_LIFE_S = 7.0
 """A runner that was announced to load is used again after this, should the end go untold."""
@@ -267,7 +268,7 @@
             return Candidate(back_end, load, is_suspect, is_far=is_far)
         capacity = service.engine.cache_tokens
         version = self._knowledge.version_of(back_end.instance, prompt.model)
-        newest = self._knowledge.weights.newest(prompt.model)
+        owed = self._owed(prompt.model, version)
         return Candidate(
             back_end,
             load,
@@ -275,12 +276,17 @@
             self._cache(back_end.instance, capacity),
             capacity,
             version,
-            has_old_weights=version is not None and newest is not None and version < newest,
+            newest_version=None if owed is None else self._knowledge.weights.newest(prompt.model),
+            owed_s=0.0 if owed is None else now_s - owed.named_at_s,
             is_foreign=back_end.instance in foreign,
             region=self._places.region_of(back_end.zone),
             is_far=is_far,
         )
 
+    def _owed(self, model: str, version: int | None) -> NamedVersion | None:
+        """Return the first version newer than a runner's, or None."""
+        return None if version is None else self._knowledge.weights.first_newer(model, version)
+
     def _cache(self, instance: str, capacity_tokens: int) -> CacheBelief:
         cache = self._caches.get(instance)
         if cache is None:
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -1,9 +1,9 @@
 """What the requests of a node share: knowledge, choice, budgets, load, and the telling of it."""
 
-import math
 from collections.abc import Callable
 
 from weirscale.domain.identifiers import ServiceName
+from weirscale.gateway.ages import MILLISECONDS_PER_S, age_ms
 from weirscale.gateway.back_ends import BackEnd
 from weirscale.gateway.choice import Choice
 from weirscale.gateway.contact import Contact
@@ -35,7 +35,6 @@
 """Share of the bound on removed keys for which a proof of the configuration holds. A removal that
 is not known is younger than the proof, and a request is sent before it is admitted."""
 
-MILLISECONDS_PER_S = 1000.0
 MAX_PRIORITY = 9
 PRIORITIES_A_TENANT = 3
 DEFAULT_TENANT_PRIORITY = 1
@@ -278,7 +277,7 @@
             "attempts": summary.num_attempts,
             "ms": round(summary.duration_s * MILLISECONDS_PER_S, 1),
             "config": table.version if table else 0,
-            "config_age_ms": _age_ms(self.knowledge.age_s()),
+            "config_age_ms": age_ms(self.knowledge.age_s()),
         }
         if summary.first_byte_s is not None:
             fields["first_ms"] = round(summary.first_byte_s * MILLISECONDS_PER_S, 1)
@@ -299,11 +298,6 @@
         return fields
 
 
-def _age_ms(age_s: float) -> int | str:
-    """Return an age for the log; a configuration may never have been proved yet."""
-    return "never" if math.isinf(age_s) else round(age_s * MILLISECONDS_PER_S)
-
-
 def _quota_fields(decision: QuotaDecision) -> dict[str, object]:
     return {
         "quota_cost": round(decision.cost),
@@ -315,7 +309,7 @@
 
 def _choice_fields(choice: Choice) -> dict[str, object]:
     load = choice.candidate.load
-    return {
+    fields: dict[str, object] = {
         "instance": choice.candidate.back_end.instance,
         "weights": choice.candidate.weight_version or 0,
         "candidates": choice.num_candidates,
@@ -326,3 +320,7 @@
         "read": choice.read_tokens,
         "estimate_ms": round(choice.estimate_s * MILLISECONDS_PER_S, 1),
     }
+    if choice.candidate.has_old_weights:
+        fields["newest"] = choice.candidate.newest_version
+        fields["owed_ms"] = age_ms(choice.candidate.owed_s)
+    return fields
--- a/src/weirscale/gateway/follower.py
+++ b/src/weirscale/gateway/follower.py
@@ -7,6 +7,7 @@
 import anyio
 from result import Err, Result
 
+from weirscale.gateway.ages import age_ms
 from weirscale.gateway.knowledge import NEVER_S, Knowledge
 from weirscale.gateway.ports import StateBatch, StateFeed
 from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
@@ -183,6 +184,10 @@
         self._num_failures += 1
         if self._num_failures >= NUM_FAILURES_OF_OUTAGE:
             self._knowledge.disrupted_at_s = anyio.current_time()
+        if self._num_failures == NUM_FAILURES_OF_OUTAGE:
+            self._event_log.event(
+                "store_outage", kind=failure.kind.value, age_ms=age_ms(self._knowledge.age_s())
+            )
         if self._num_failures == 1:
             self._event_log.event(
                 "store_lost", kind=failure.kind.value, detail=failure.detail,
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from weirscale.domain.identifiers import ServiceName, SoftwareVersion
+from weirscale.gateway.ages import age_ms
 from weirscale.gateway.back_ends import (
     TAKES_WORK,
     BackEnd,
@@ -236,8 +237,12 @@
 
     def _name_weights(self, change: WeightsNamed) -> None:
         named_at_s = self._clock() if self.has_read_all else LONG_AGO_S
+        previous = self.weights.newest(change.model)
         if self.weights.name(change.model, change.version, named_at_s):
-            self._event_log.event("weights_named", model=change.model, version=change.version)
+            self._event_log.event(
+                "weights_named", model=change.model, version=change.version, previous=previous,
+                unproved_ms=age_ms(self.age_s()),
+            )  # fmt: skip
 
     def _order_rollout(self, key: str, change: RolloutOrdered, revision: int) -> None:
         is_live = self.has_read_all
