--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -58,6 +58,7 @@
     async def handle_async_request(self, request):
         address = f"{request.url.host}:{request.url.port}"
         self._fleet.asked.append((self._node_name, request.url.path))
+        await self._fleet.wait_while_frozen(self._node_name)
         if (self._node_name, address) in self._fleet.cuts:
             await anyio.sleep(0.3)
             raise httpx.ConnectTimeout("cut")
@@ -67,6 +68,7 @@
         if "target" in request.extensions:
             request.extensions["seen_target"] = request.extensions["target"]
         response = await target.handle(request)
+        await self._fleet.wait_while_frozen(self._node_name)
         response.stream = Guarded(self, response.stream)
         return response
 
@@ -111,6 +113,9 @@
         """Nodes whose datagrams to single nodes are lost; what they tell their group arrives."""
         self.mute = set()
         """Nodes all of whose datagrams are lost."""
+        self.frozen = {}
+        """By name: nodes that stand still, each with what it is told meanwhile."""
+        self.thawed = anyio.Event()
         self.asked = []
         self.nodes = {}
         self.num_datagrams = 0
@@ -178,6 +183,30 @@
         self.scopes[name].cancel()
         del self.nodes[name]
 
+    def freeze(self, name):
+        """Let a node stand still: it neither gets nor sends anything; what it is told waits."""
+        self.frozen[name] = []
+
+    async def thaw(self, name):
+        """Let a node go on; it first takes what waited for it."""
+        backlog = self.frozen.pop(name)
+        thawed, self.thawed = self.thawed, anyio.Event()
+        thawed.set()
+        for message, sender in backlog:
+            await self.nodes[name].hear(message, sender)
+
+    async def wait_while_frozen(self, name):
+        while name in self.frozen:
+            await self.thawed.wait()
+
+    async def deliver(self, node, message, sender):
+        """Hand a message to a node, or keep it until the node goes on."""
+        name = node.settings.name
+        if name in self.frozen:
+            self.frozen[name].append((message, sender))
+        else:
+            await node.hear(message, sender)
+
     async def tick(self):
         """Let time pass for runners: loads end and registrations follow."""
         while True:
@@ -199,6 +228,7 @@
 
     async def run(self):
         while True:
+            await self._fleet.wait_while_frozen(self._node.settings.name)
             self._node._gather_news(True)
             await self.flush()
             with anyio.move_on_after(0.1):
@@ -217,17 +247,18 @@
             is_peer = name in group_peers or len(division.groups) == 1
             is_lost = {name, self._node.settings.name} & self._fleet.mute
             if node is not self._node and is_peer and not is_lost:
-                await node.hear(news, self._node.settings.peers)
+                await self._fleet.deliver(node, news, self._node.settings.peers)
         await self._node.relay.tell_own(news)
 
     async def send(self, message, addresses):
         decoded = decode_message(encode_message(message))
         assert decoded == message, decoded
+        await self._fleet.wait_while_frozen(self._node.settings.name)
         for address in addresses:
             self._fleet.num_datagrams += 1
             for node in list(self._fleet.nodes.values()):
                 if node.settings.peers == address and self._fleet.hears(self._node, node):
-                    await node.hear(decoded, self._node.settings.peers)
+                    await self._fleet.deliver(node, decoded, self._node.settings.peers)
 
 
 async def with_fleet(fleet, body):
