--- a/features/gateway_start.feature
+++ b/features/gateway_start.feature
@@ -6,6 +6,11 @@
     Then that process has loaded no module outside the standard library and the adapter
     And a caller that connected meanwhile is connected
 
+  Scenario: A signal that settings have changed does not end a process that is still starting
+    Given a settings file with two free loopback addresses
+    When the platform's program is started and told that its settings have changed as soon as it listens
+    Then it ends for its incomplete settings, not for the signal
+
   Scenario Outline: Settings with <problem> open nothing, so that reading them again tells why
     Given a settings file with "<problem>" for its listeners
     When the first listeners are opened
--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -1,10 +1,13 @@
 """Steps of `gateway_start.feature`."""
 
+import contextlib
 import os
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 from random import Random
 from types import SimpleNamespace
@@ -31,6 +34,7 @@
 
 LOOPBACK = "127.0.0.1"
 ANSWER_S = 10.0
+EXIT_BAD_SETTINGS = 2
 SOURCES = ADAPTER.parent / "src"
 OWN_PACKAGES = {"weirscale", "weirscale_platform"}
 CHILD = """
@@ -139,6 +143,38 @@
     assert context.listeners == {}, context.listeners
 
 
+@when(
+    "the platform's program is started and told that its settings have changed as soon as it "
+    "listens"
+)
+def step_hup_at_start(context):
+    process = subprocess.Popen(
+        [sys.executable, str(ADAPTER / "run.py")],
+        env=os.environ | {SETTINGS_VARIABLE: str(context.path)},
+        stderr=subprocess.PIPE,
+    )
+    context.add_cleanup(process.stderr.close)
+    context.add_cleanup(process.kill)
+    wait_until_listening(context.ports[-1])
+    process.send_signal(signal.SIGHUP)
+    context.exit_code = process.wait(ANSWER_S)
+
+
+def wait_until_listening(port):
+    deadline_s = time.monotonic() + ANSWER_S
+    while time.monotonic() < deadline_s:
+        with contextlib.suppress(OSError):
+            socket.create_connection((LOOPBACK, port)).close()
+            return
+        time.sleep(0.002)
+    raise AssertionError("it never listened")
+
+
+@then("it ends for its incomplete settings, not for the signal")
+def step_ends_for_settings(context):
+    assert context.exit_code == EXIT_BAD_SETTINGS, context.exit_code
+
+
 @then("a program given them opens no other socket for these addresses")
 def step_program(context):
     adapter = SimpleNamespace(
