--- a/features/gateway_old_weights.feature
+++ b/features/gateway_old_weights.feature
@@ -46,6 +46,24 @@
     And generations are sent for 9 seconds
     Then no run began on version 1 later than 8 seconds after the first naming
 
+  # Requests wait at a runner before they begin. Near the end of the grace a request was sent where it
+  # was to be expected that it began too late; not seen by users, found while the cause was looked for.
+  Scenario Outline: Where requests wait for <wait_s> s at runners, older weights are left the earlier
+    Given 3 nodes and 4 runners
+    And nobody can give orders
+    And runners that need <wait_s> s to begin a request
+    When generations are sent for 20 seconds
+    And version 2 is named and there is "nothing else"
+    And generations are sent for 9 seconds
+    Then no request on version 1 had its first event later than 8 seconds after the naming
+    And the last one on version 1 was sent <least> seconds after the naming or later
+
+    Examples:
+      | wait_s | least |
+      | 0.1    | 6     |
+      | 1      | 3.5   |
+      | 2      | 1     |
+
   Scenario Outline: A node tells whose silence it was when it heard nothing of the store
     Given 3 nodes and 2 runners
     When "<still>" stand still for <still_s> seconds
--- a/features/steps/gateway_old_weights_steps.py
+++ b/features/steps/gateway_old_weights_steps.py
@@ -203,3 +203,33 @@
 def step_no_silence(context):
     log = context.play.run().fleet.logs["node-1"]
     assert not log.named("store_silence_judged") + log.named("store_silent")
+
+
+@given("runners that need {seconds:g} s to begin a request")
+def step_slow_to_begin(context, seconds):
+    async def action(play):
+        for runner in play.fleet.runners:
+            runner.read_s = seconds
+
+    context.play.actions.append(action)
+
+
+def runs_on(play, version):
+    return [run for one in play.fleet.runners for run in one.runs if run.version == version]
+
+
+@then(
+    "no request on version {version:d} had its first event later than {seconds:g} seconds after "
+    "the naming"
+)
+def step_no_late_event(context, version, seconds):
+    play = context.play.run()
+    took = [run.first_s - play.named_s for run in runs_on(play, version) if run.first_s]
+    assert took and max(took) <= seconds, max(took)
+
+
+@then("the last one on version {version:d} was sent {seconds:g} seconds after the naming or later")
+def step_sent_late(context, version, seconds):
+    play = context.play
+    sent_s = max(run.began_s for run in runs_on(play, version)) - play.named_s
+    assert sent_s >= seconds, sent_s
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -27,6 +27,8 @@
     headers: dict
     began_s: float
     ended_s: float | None = None
+    first_s: float | None = None
+    """When its first event was made: only then has it begun for good."""
 
 
 @dataclass
@@ -186,6 +188,7 @@
         self._runner.num_running += 1
         try:
             await anyio.sleep(self._runner.read_s)
+            self._run.first_s = anyio.current_time()
             for number in range(self._after + 1, NUM_EVENTS + 1):
                 event = f"id: {number}\ndata: token-{number}\n\n".encode()
                 if self._fault == "break" and number == 3:
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -4,6 +4,7 @@
 reading it costs the whole runner; fetching a part from another runner costs little.
 """
 
+import math
 from collections.abc import Sequence
 from random import Random
 
@@ -28,6 +29,16 @@
 """Makes one runner's share stand out from the others'."""
 
 
+START_MARGIN_S = 1.1
+"""Requests wait at a runner before they start: sending on old weights ends this much early, ..."""
+
+START_FACTOR = 3.0
+RECENT_FACTOR = 1.2
+"""... and where this multiple of the estimated wait, or of the longest one of late, is longer, that
+much. With runners that need 2 s to a first event, the last one on old weights came 0.6 s after
+their bound without it."""
+
+
 class ChoiceRules(msgspec.Struct, frozen=True):
     """Weights of the choice, with units.
 
@@ -88,6 +99,8 @@
         load_age_s: Age of the oldest peer's news in the load.
         newest_version: The newest weights named, where its own are older; None otherwise.
         owed_s: For how long weights newer than its own have been named.
+        begins_within_s: Until its weights are too old for a request to begin on.
+        recent_wait_s: Longest wait of this node's for a first event of late, at any runner.
         is_foreign: Whether another group of nodes prefers it.
         region: Where it stands.
         is_far: Whether it stands in another region than this node.
@@ -102,6 +115,8 @@
     load_age_s: float = 0.0
     newest_version: int | None = None
     owed_s: float = 0.0
+    begins_within_s: float = math.inf
+    recent_wait_s: float = 0.0
     is_foreign: bool = False
     region: RegionName = NO_REGION
     is_far: bool = False
@@ -270,7 +285,7 @@
     rules: ChoiceRules,
     random: Random,
 ) -> Choice | None:
-    """Return the candidate of least cost; among near equals, any.
+    """Return the candidate of least cost; among near equals, any; None if none can begin in time.
 
     Args:
         candidates: Back ends that may serve.
@@ -281,7 +296,8 @@
         random: Breaks ties, so that nodes do not all pick the same.
     """
     finder = None if need is None else _SourceFinder(need, sources, rules)
-    estimates = [_estimate(one, need, finder, zone, rules) for one in candidates]
+    found = (_estimate(one, need, finder, zone, rules) for one in candidates)
+    estimates = [estimate for estimate in found if _begins_in_time(estimate.choice)]
     if not estimates:
         return None
     least_s = min(estimate.cost_s for estimate in estimates)
@@ -293,6 +309,13 @@
     return msgspec.structs.replace(chosen.choice, num_candidates=len(candidates))
 
 
+def _begins_in_time(choice: Choice) -> bool:
+    """Whether a request would begin before its runner's weights are too old."""
+    candidate = choice.candidate
+    wait_s = max(START_FACTOR * choice.estimate_s, RECENT_FACTOR * candidate.recent_wait_s)
+    return wait_s <= candidate.begins_within_s
+
+
 def _estimate(
     candidate: Candidate,
     need: PromptNeed | None,
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -1,5 +1,6 @@
 """Chooses back ends for requests and keeps what the choice rests on: load, caches, health."""
 
+import math
 from collections.abc import Callable, Collection
 from random import Random
 from typing import Protocol
@@ -10,6 +11,7 @@
 from weirscale.gateway.back_ends import BackEnd
 from weirscale.gateway.cache_belief import CacheBelief
 from weirscale.gateway.choice import (
+    START_MARGIN_S,
     Candidate,
     Choice,
     ChoiceRules,
@@ -27,6 +29,7 @@
 from weirscale.gateway.overdue import OverdueAttempts
 from weirscale.gateway.places import ONE_PLACE, Places
 from weirscale.gateway.prompt import CacheScope, Prompt, PromptPart
+from weirscale.gateway.recent_waits import RecentWaits
 from weirscale.gateway.rollouts.gate import Lane
 from weirscale.gateway.weights import NamedVersion
 
@@ -136,6 +139,7 @@
         self._refused_until_s: dict[str, float] = {}
         self._slow_until_s: dict[str, float] = {}
         self._overdue = OverdueAttempts()
+        self._waits: dict[ServiceName, RecentWaits] = {}
 
     def set_weights_grace(self, weights_grace_s: float) -> None:
         """Change how long older weights may be sent requests."""
@@ -202,11 +206,12 @@
     def _candidates(self, query: DispatchQuery, service: Service | None) -> list[Candidate]:
         now_s = self._clock()
         ready = self._knowledge.ready_back_ends(query.service)
+        lowest = 0 if query.prompt is None else self._lowest_version(query.prompt.model, now_s)
         usable = [
             back_end
             for back_end in self._versions.usable(query.service, ready, query.lane)
             if back_end.instance not in query.excluded
-            and self._has_usable_weights(back_end, query.prompt, now_s)
+            and self._has_usable_weights(back_end, query.prompt, lowest)
         ]
         settled = [one for one in usable if not self._is_loading(one.instance, now_s)]
         calm = [one for one in settled if not self._has_refused(one.instance, now_s)]
@@ -230,13 +235,13 @@
             if one.instance not in chosen
         ]
 
-    def _has_usable_weights(self, back_end: BackEnd, prompt: Prompt | None, now_s: float) -> bool:
+    def _has_usable_weights(self, back_end: BackEnd, prompt: Prompt | None, lowest: int) -> bool:
         if prompt is None or not back_end.models:
             return True
         version = self._knowledge.version_of(back_end.instance, prompt.model)
         if version is None:
             return False
-        return version >= self._lowest_version(prompt.model, now_s)
+        return version >= lowest
 
     def _lowest_version(self, model: str, now_s: float) -> int:
         """Return the oldest weights that may be used.
@@ -244,11 +249,13 @@
         Nobody can bring new weights to the runners while the store answers no node, so the grace of
         old ones begins anew after that, and not after what befell this node alone.
         """
-        outage_ended_s = self._knowledge.continuity.outage_ended_s(now_s, self._num_others())
         return self._knowledge.weights.lowest_allowed(
-            model, now_s, self._weights_grace_s, outage_ended_s
+            model, now_s, self._weights_grace_s, self._outage_ended_s(now_s)
         )
 
+    def _outage_ended_s(self, now_s: float) -> float:
+        return self._knowledge.continuity.outage_ended_s(now_s, self._num_others())
+
     def _candidate(
         self,
         back_end: BackEnd,
@@ -274,11 +281,18 @@
             version,
             newest_version=None if owed is None else self._knowledge.weights.newest(prompt.model),
             owed_s=0.0 if owed is None else now_s - owed.named_after_s,
+            begins_within_s=math.inf if owed is None else self._begins_within_s(owed, now_s),
+            recent_wait_s=0.0 if owed is None else self._longest_wait_s(back_end.service, now_s),
             is_foreign=back_end.instance in foreign,
             region=self._places.region_of(back_end.zone),
             is_far=is_far,
         )
 
+    def _begins_within_s(self, owed: NamedVersion, now_s: float) -> float:
+        """Return the time until requests may not begin any more on weights older than a version."""
+        from_s = max(owed.named_after_s, self._outage_ended_s(now_s))
+        return from_s + self._weights_grace_s + START_MARGIN_S - now_s
+
     def _owed(self, model: str, version: int | None) -> NamedVersion | None:
         """Return the first version newer than a runner's, or None."""
         return None if version is None else self._knowledge.weights.first_newer(model, version)
@@ -339,12 +353,22 @@
         if choice.scope is None or choice.is_trial:
             return
         candidate = choice.candidate
+        self._waits_at(candidate.back_end.service).note(took_s, self._clock())
         model = self._models.setdefault(
             candidate.back_end.service, FirstEventModel(self._start_rules.rates)
         )
         reading_s = took_s - fetch_s(choice.fetched_tokens, self._start_rules)
         model.observe(reading_work(candidate, choice.read_tokens), reading_s)
 
+    def _longest_wait_s(self, service: ServiceName, now_s: float) -> float:
+        return self._waits_at(service).longest_s(now_s)
+
+    def _waits_at(self, service: ServiceName) -> RecentWaits:
+        waits = self._waits.get(service)
+        if waits is None:
+            waits = self._waits[service] = RecentWaits(self._clock())
+        return waits
+
     def _stores(self) -> list[KeptCacheStore]:
         table = self._knowledge.table
         services = table.kept_caches() if table else []
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -69,8 +69,8 @@
         self._record_keys: dict[str, str] = {}
         self._versions: dict[tuple[str, str], int] = {}
         self._versions_since_s: dict[tuple[ServiceName, SoftwareVersion], float] = {}
-        """When a version of a service's program was first seen. A node that starts does not know for
-        how long those have been there that it finds."""
+        """When a version of a service's program was first seen. A node that starts does not know
+        for how long those that it finds have been there."""
         self.table: RouteTable | None = None
         self.directory = BackEndDirectory()
         self.weights = VersionBook()
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -12,6 +12,7 @@
 from weirscale.gateway.age_exchange import AgeExchange
 from weirscale.gateway.back_ends import BackEnd
 from weirscale.gateway.caller_app import CallerApp
+from weirscale.gateway.choice import START_MARGIN_S
 from weirscale.gateway.contact import Contact
 from weirscale.gateway.counted_store import CountedFeed, CountedStore
 from weirscale.gateway.dispatcher import Dispatcher
@@ -60,9 +61,6 @@
 RUN_BITS = 32
 """Of the number that tells one run of a process from the next."""
 
-WEIGHTS_MARGIN_S = 1.1
-"""Requests wait at a runner before they start, so sending on old weights ends this much early."""
-
 ROLLOUT_TARGET_SHARE = 0.8
 """Share of the bound on weights by which every load should have begun."""
 
@@ -100,7 +98,7 @@
         load_s=LOAD_S,
         share_at_once=SHARE_LOADING_AT_ONCE,
         target_s=ROLLOUT_TARGET_SHARE * bounds.weights_s,
-        urgent_s=bounds.weights_s - WEIGHTS_MARGIN_S,
+        urgent_s=bounds.weights_s - START_MARGIN_S,
     )
 
 
@@ -175,7 +173,7 @@
         )  # fmt: skip
         self.dispatcher = Dispatcher(
             settings.zone, self.knowledge, self.load, self.health,
-            bounds.weights_s - WEIGHTS_MARGIN_S, random, clock,
+            bounds.weights_s - START_MARGIN_S, random, clock,
             news_delay_s=lambda: self.relay.delay_s(),
             foreign=lambda: self.runner_shares.foreign(),
             versions=self.version_gate,
@@ -282,7 +280,7 @@
         self.budget.set_rules(settings.retry_budget)
         self.quotas.set_bounds(bounds.quota)
         self.context.set_bounds(bounds)
-        self.dispatcher.set_weights_grace(bounds.weights_s - WEIGHTS_MARGIN_S)
+        self.dispatcher.set_weights_grace(bounds.weights_s - START_MARGIN_S)
         self._exposure = bounds.exposure
         self.trials.set_bounds(bounds.exposure)
         self._rollout.set_rules(_weights_rollout_rules(bounds))
