--- a/features/gateway_old_weights.feature
+++ b/features/gateway_old_weights.feature
@@ -64,19 +64,6 @@
       | 1      | 3.5   | 6.8  |
       | 2      | 1     | 5.6  |
 
-  Scenario Outline: A node tells whose silence it was when it heard nothing of the store
-    Given 3 nodes and 2 runners
-    When "<still>" stand still for <still_s> seconds
-    And 1 seconds later the store is out of reach for "<cut>" for <cut_s> seconds
-    And 14 seconds pass
-    Then node-1 tells the silence to be "<whose>"
-
-    Examples:
-      | still  | still_s | cut                  | cut_s | whose |
-      | node-1 | 4       |                      | 1     | own   |
-      |        | 0       | node-1,node-2,node-3 | 5     | store |
-      |        | 0       | node-1,node-2        | 5     |       |
-
   Scenario Outline: After an outage of the store for all nodes older weights count their grace anew, <beside>
     Given 3 nodes and 4 runners
     And nobody can give orders
@@ -106,30 +93,6 @@
       | 3     | 4     |
       | 6     | 0     |
 
-  Scenario Outline: Whose silence counts as an outage of the store
-    Given a node that knows of <others> others
-    When it learns "<answers>"
-    Then at <now> s the last outage has ended at "<ended>"
-
-    Examples: when what was learnt; spans of others' answers; two have to be heard, or a second passes
-      | others | answers                                    | now | ended |
-      | 0      | 0 own 0, 1 own 1                           | 2.9 | never |
-      | 0      | 0 own 0, 1 own 1                           | 5   | 5     |
-      | 0      | 0 own 0, 1 own 1, 7 own 7                  | 7   | 7     |
-      | 0      | 0 own 0, 1 own 1, 7 own 7, 14 own 14       | 14  | 14    |
-      | 2      | 0 own 0, 1 own 1, 7 own 7                  | 7.5 | never |
-      | 2      | 0 own 0, 1 own 1, 7 own 7                  | 8.1 | 7     |
-      | 2      | 0 own 0, 1 own 1, 7 own 7, 7.1 a 0-7       | 7.2 | never |
-      | 6      | 1 own 1, 7 own 7, 7.1 a 0-7, 7.1 b 0-7     | 9   | never |
-      | 6      | 1 own 1, 7 own 7, 7.1 a 7-7, 7.1 b 0-7     | 9   | never |
-      | 6      | 1 own 1, 7 own 7, 7.1 b 0-7, 7.1 a 7-7     | 9   | never |
-      | 6      | 1 own 1, 7 own 7, 7.1 a 6.8-7, 7.1 b 6.9-7 | 7.2 | 6.8   |
-      | 6      | 1 own 1, 7 own 7, 7.1 a 0-5.5, 7.1 b 0-1   | 7.2 | never |
-      | 6      | 1 own 1, 4 a 0-1.8, 4 b 0-1.4              | 5   | 5     |
-      | 6      | 1 own 1, 4 a 0-1.8, 4 b 0-1.4, 7 own 7     | 7   | 7     |
-      | 6      | 1 own 1, 4 a 0-4, 4 b 0-4, 5 own 5         | 5   | never |
-      | 1      | 1 own 1, 7 own 7, 7.1 a 6.9-7              | 7.2 | 6.9   |
-
   Scenario Outline: An answer of another node proves no younger age than there was when it was asked
     Given 2 nodes and 1 runners
     And nobody can give orders
--- a/features/steps/gateway_old_weights_steps.py
+++ b/features/steps/gateway_old_weights_steps.py
@@ -5,7 +5,6 @@
 
 from features.steps.gateway_weights_rollout_steps import name_version, restart_all
 from features.support.platform_fleet import MODEL, STORE_ADDRESS
-from weirscale.gateway.store_continuity import NEVER_S, Span, StoreContinuity
 
 LATE_S = 60.0
 MOST_EARLY_S = 1.3
@@ -131,32 +130,6 @@
     assert least <= took_s <= most, took_s
 
 
-@given("a node that knows of {others:d} others")
-def step_continuity(context, others):
-    context.continuity = StoreContinuity()
-    context.num_others = others
-
-
-@when('it learns "{answers}"')
-def step_learns(context, answers):
-    for answer in answers.split(", "):
-        at_s, who, what = answer.split(" ")
-        if who == "own":
-            context.continuity.prove(float(what), float(at_s))
-        else:
-            context.continuity.is_doubtful(float(at_s))
-            began_s, proved_at_s = what.split("-")
-            span = Span(float(began_s), float(proved_at_s))
-            context.continuity.hear(who, span, float(at_s))
-
-
-@then('at {now_s:g} s the last outage has ended at "{ended}"')
-def step_ended(context, now_s, ended):
-    expected_s = NEVER_S if ended == "never" else float(ended)
-    found_s = context.continuity.outage_ended_s(now_s, context.num_others)
-    assert found_s == expected_s, found_s
-
-
 @when("version {version:d} is named and an answer of the other node takes {delay_s:g} seconds")
 def step_late_answer(context, version, delay_s):
     async def action(play):
@@ -192,19 +165,6 @@
     assert play.named_s - MOST_EARLY_S <= named.named_after_s <= play.named_s, named
 
 
-@then('node-1 tells the silence to be "{whose}"')
-def step_whose(context, whose):
-    log = context.play.run().fleet.logs["node-1"]
-    assert [line["whose"] for line in log.named("store_silence_judged")] == [whose]
-    assert len(log.named("store_silent")) == 1
-
-
-@then('node-1 tells the silence to be ""')
-def step_no_silence(context):
-    log = context.play.run().fleet.logs["node-1"]
-    assert not log.named("store_silence_judged") + log.named("store_silent")
-
-
 @given("runners that need {seconds:g} s to begin a request")
 def step_slow_to_begin(context, seconds):
     async def action(play):
--- a/src/weirscale/gateway/age_exchange.py
+++ b/src/weirscale/gateway/age_exchange.py
@@ -94,7 +94,7 @@
         is_doubtful = continuity.is_doubtful(now_s)
         if is_doubtful == (self._outage_before_s is not None):
             return
-        ended_s = continuity.outage_ended_s(now_s, len(self._peers.addresses()))
+        ended_s = continuity.outage_ended_s(now_s)
         if self._outage_before_s is None:
             self._outage_before_s = ended_s
             self._event_log.event("store_silent", age_ms=age_ms(self._knowledge.age_s()))
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -100,7 +100,6 @@
         foreign: Returns the runners that other groups of nodes prefer.
         versions: Which versions of a service's program may be chosen.
         places: Which zones are far from one another.
-        num_others: Returns how many other nodes there are.
     """
 
     def __init__(
@@ -117,10 +116,8 @@
         foreign: Callable[[], Collection[str]] = tuple,
         versions: VersionRules | None = None,
         places: Places = ONE_PLACE,
-        num_others: Callable[[], int] = lambda: 0,
     ) -> None:
         self._places = places
-        self._num_others = num_others
         self._versions = versions or AllVersions()
         self._zone = zone
         self._knowledge = knowledge
@@ -254,7 +251,7 @@
         )
 
     def _outage_ended_s(self, now_s: float) -> float:
-        return self._knowledge.continuity.outage_ended_s(now_s, self._num_others())
+        return self._knowledge.continuity.outage_ended_s(now_s)
 
     def _candidate(
         self,
--- a/src/weirscale/gateway/follower.py
+++ b/src/weirscale/gateway/follower.py
@@ -7,7 +7,6 @@
 import anyio
 from result import Err, Result
 
-from weirscale.gateway.ages import age_ms
 from weirscale.gateway.knowledge import NEVER_S, Knowledge
 from weirscale.gateway.ports import StateBatch, StateFeed
 from weirscale.gateway.state_relay import ChangePublisher, StateSubscription
@@ -41,9 +40,6 @@
 ANSWER_SLACK_S = 1.5
 """How much longer than its wait a call may take before it is given up."""
 
-NUM_FAILURES_OF_OUTAGE = 2
-"""One call may fail for its connection's sake; more in a row mean that the store is cut off."""
-
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 """Pauses after failed calls double between these; random parts keep nodes from one step."""
@@ -182,12 +178,6 @@
             self._must_read_all = True
             return
         self._num_failures += 1
-        if self._num_failures >= NUM_FAILURES_OF_OUTAGE:
-            self._knowledge.disrupted_at_s = anyio.current_time()
-        if self._num_failures == NUM_FAILURES_OF_OUTAGE:
-            self._event_log.event(
-                "store_outage", kind=failure.kind.value, age_ms=age_ms(self._knowledge.age_s())
-            )
         if self._num_failures == 1:
             self._event_log.event(
                 "store_lost", kind=failure.kind.value, detail=failure.detail,
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -82,8 +82,6 @@
         self.revision = 0
         self.confirmed_at_s = NEVER_S
         """Everything acknowledged before this time is known."""
-        self.disrupted_at_s = NEVER_S
-        """When this node could last not reach the store; others may have."""
         self.continuity = StoreContinuity()
         self.named_at_s = NEVER_S
         """When this node last heard of newly named weights."""
@@ -220,9 +218,11 @@
             self._forget_back_end(instance)
 
     def _may_have_lapsed(self, back_end: BackEnd) -> bool:
-        return (
-            back_end.state is BackEndState.READY and self._clock() - self.disrupted_at_s <= LAPSE_S
-        )
+        return back_end.state is BackEndState.READY and self._outage_age_s() <= LAPSE_S
+
+    def _outage_age_s(self) -> float:
+        now_s = self._clock()
+        return now_s - self.continuity.outage_ended_s(now_s)
 
     def _keep_lapsed(self, back_end: BackEnd) -> None:
         lapsed = msgspec.structs.replace(back_end, state=BackEndState.LAPSED)
@@ -230,7 +230,7 @@
         self._lapsed_until_s[back_end.instance] = self._clock() + LAPSED_KEPT_S
         self._event_log.event(
             "back_end_lapsed", instance=back_end.instance, address=back_end.address,
-            outage_age_s=self._clock() - self.disrupted_at_s, kept_s=LAPSED_KEPT_S,
+            outage_age_s=self._outage_age_s(), kept_s=LAPSED_KEPT_S,
         )  # fmt: skip
 
     def forget_lapsed(self) -> None:
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -178,13 +178,13 @@
             foreign=lambda: self.runner_shares.foreign(),
             versions=self.version_gate,
             places=Places(settings.regions),
-            num_others=lambda: len(self.peers.addresses()),
         )  # fmt: skip
         self.budget = SharedRetryBudget(
             settings.retry_budget, clock(), skips_first_window=not settings.is_first_start
         )
         strength = settings.machine.strength()
         self.peers = PeerDirectory(settings.name, self.knowledge, clock, settings.zone, strength)
+        self.knowledge.continuity.num_others = lambda: len(self.peers.addresses())
         self.runner_shares = RunnerShares(settings.name, self.peers, self.knowledge.directory)
         self.outbox = NewsOutbox(settings.name)
         self.quotas = QuotaLedger(
--- a/src/weirscale/gateway/peer_messages.py
+++ b/src/weirscale/gateway/peer_messages.py
@@ -2,7 +2,8 @@
 
 `PeerNews` improves choices and nothing depends on it: a lost datagram costs a less good choice.
 Loads are absolute values, so a later message repairs an earlier loss. `StateQuery` and `StateReply`
-spread the platform's state from the nodes that read it to the others (`state_relay`).
+spread the platform's state from the nodes that read it to the others (`state_relay`); `AgesQuery`
+and `AgesReply` tell since when something holds (`age_exchange`).
 """
 
 import cbor2
--- a/src/weirscale/gateway/store_continuity.py
+++ b/src/weirscale/gateway/store_continuity.py
@@ -1,12 +1,15 @@
 """When the store last answered no node at all.
 
 While the store is away nobody can bring new weights to the runners, so the grace of older ones
-begins anew after an outage. That holds for an outage of all nodes alone: one that stands still,
-loses its own connections or is turned away sees the same silence while the store answers others,
-and would let older weights serve on after everybody else has stopped. So a node's own silence is
-only a claim, and what other nodes have proved meanwhile takes it back.
+begins anew after an outage; and registrations lapse with it. That holds for an outage of all nodes
+alone: one that stands still, loses its own connections or is turned away sees the same silence
+while the store answers others, and would let older weights and back ends that are gone serve on
+after everybody else has stopped. So a node's own silence is only a claim, and what other nodes have
+proved meanwhile takes it back.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
 NEVER_S = float("-inf")
@@ -36,9 +39,14 @@
 
 
 class StoreContinuity:
-    """Joins what this node and others have proved of the store; starts without any proof."""
+    """Joins what this node and others have proved of the store; starts without any proof.
+
+    Attributes:
+        num_others: Returns how many other nodes there are to ask.
+    """
 
     def __init__(self) -> None:
+        self.num_others: Callable[[], int] = lambda: 0
         self._span: Span | None = None
         self._own_span: Span | None = None
         self._gap_from_s: float | None = None
@@ -73,14 +81,9 @@
         """Whether there is, or was just now, a silence that others may contradict."""
         return self._is_silent(now_s) or self._gap_from_s is not None
 
-    def outage_ended_s(self, now_s: float, num_others: int) -> float:
-        """Return when the last outage of the store ended; now, while there is one.
-
-        Args:
-            now_s: Time.
-            num_others: How many other nodes there are to ask.
-        """
-        if not self.is_doubtful(now_s) or not self._is_agreed(now_s, num_others):
+    def outage_ended_s(self, now_s: float) -> float:
+        """Return when the last outage of the store ended; now, while there is one."""
+        if not self.is_doubtful(now_s) or not self._is_agreed(now_s):
             return self._settled_s
         assert self._span is not None
         return now_s if self._is_silent(now_s) else self._span.began_s
@@ -99,8 +102,8 @@
         self._notice(self._span.proved_at_s, now_s)
         return True
 
-    def _is_agreed(self, now_s: float, num_others: int) -> bool:
-        has_witnesses = len(self._witnesses) >= min(NUM_WITNESSES, num_others)
+    def _is_agreed(self, now_s: float) -> bool:
+        has_witnesses = len(self._witnesses) >= min(NUM_WITNESSES, self.num_others())
         return has_witnesses or now_s >= self._noticed_at_s + ALONE_S
 
     def _notice(self, gap_from_s: float, now_s: float) -> None:
