--- a/features/gateway_old_weights.feature
+++ b/features/gateway_old_weights.feature
@@ -93,6 +93,17 @@
       | 3     | 4     |
       | 6     | 0     |
 
+  # A node that had just started won the duty 0.4 s later and did not know yet how old the naming was. It
+  # took all runners for overdue and marked all as loading, three seconds before it could order any:
+  # 215 generations were refused.
+  Scenario: A holder that has just started loads no runner earlier than any other would
+    Given 3 nodes and 6 runners
+    And nobody can give orders
+    When version 2 is named and there is "nothing else"
+    And "node-1" starts anew after 0.5 seconds and gets the duty at once
+    And 1.5 seconds pass
+    Then node-1 has begun no load, as nobody needs the new weights yet
+
   Scenario Outline: An answer of another node proves no younger age than there was when it was asked
     Given 2 nodes and 1 runners
     And nobody can give orders
--- a/features/steps/gateway_old_weights_steps.py
+++ b/features/steps/gateway_old_weights_steps.py
@@ -3,7 +3,11 @@
 import anyio
 from behave import given, then, when
 
-from features.steps.gateway_weights_rollout_steps import name_version, restart_all
+from features.steps.gateway_weights_rollout_steps import (
+    NEVER_TAKEN,
+    name_version,
+    restart_all,
+)
 from features.support.platform_fleet import MODEL, STORE_ADDRESS
 
 LATE_S = 60.0
@@ -193,3 +197,23 @@
     play = context.play
     sent_s = max(run.began_s for run in runs_on(play, version)) - play.named_s
     assert least <= sent_s <= most, sent_s
+
+
+@when('"{name}" starts anew after {seconds:g} seconds and gets the duty at once')
+def step_start_as_holder(context, name, seconds):
+    async def action(play):
+        await anyio.sleep(seconds)
+        play.fleet.kill(name)
+        await play.fleet.start_node(name, is_first_start=False)
+        # By now it has registered, and who registered last comes first.
+        await anyio.sleep(0.4)
+        play.fleet.store.delete(NEVER_TAKEN)
+
+    context.play.actions.append(action)
+
+
+@then("{name} has begun no load, as nobody needs the new weights yet")
+def step_no_loads(context, name):
+    log = context.play.run().fleet.logs[name]
+    assert log.named("lease_won"), "it never got the duty"
+    assert not log.named("load_begun"), log.named("load_begun")
