--- a/features/steps/transport_connections_steps.py
+++ b/features/steps/transport_connections_steps.py
@@ -224,6 +224,51 @@
     assert server.ended_at_s[0] <= server.asked_at_s[1] + SETTLE_S
 
 
+class ResetStream:
+    """A stream whose socket the event loop has given up, as anyio shows it."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.is_closed = False
+
+    def extra(self, _attribute):
+        raise AttributeError("'NoneType' object has no attribute 'getpeername'")
+
+    async def aclose(self):
+        self.is_closed = True
+        await self._stream.aclose()
+
+
+@when("a connection to it is reset as it is made")
+def step_reset_as_made(context):
+    connect, made = anyio.connect_tcp, []
+
+    async def connect_once(*where):
+        made.append(ResetStream(await connect(*where)))
+        anyio.connect_tcp = connect
+        return made[0]
+
+    async def script(server, transport):
+        anyio.connect_tcp = connect_once
+        try:
+            await transport.handle_async_request(request_to(server.address))
+        except httpx.HTTPError as error:
+            context.error = error
+        finally:
+            anyio.connect_tcp = connect
+        context.answers = [await ask(transport, server.address)]
+
+    run(script, context.does)
+    context.is_closed = made[0].is_closed
+
+
+@then("the request was never sent, the connection is closed, and the next request is answered")
+def step_reset_error(context):
+    assert was_never_sent(context.error), context.error
+    assert context.is_closed
+    assert context.answers[0].startswith("answer"), context.answers
+
+
 @given("200 answers drawn at random, each cut into random pieces")
 def step_random_answers(context):
     random = Random(7)
--- a/features/transport_connections.feature
+++ b/features/transport_connections.feature
@@ -36,6 +36,14 @@
     When a request is sent to it
     Then it ends with "ConnectError", which proves that it was never sent
 
+  # The store's connections were reset while a node made a new one. The event loop had given the socket
+  # up, anyio asked None for the peer's name, and the error went through the task that read the store to
+  # the top: the process ended by itself.
+  Scenario: A connection that is reset as it is made is an error like any other
+    Given a server that "answers with a length"
+    When a connection to it is reset as it is made
+    Then the request was never sent, the connection is closed, and the next request is answered
+
   Scenario: No more connections than allowed are in use, and waiting for one proves that nothing was sent
     Given a server that "answers when told"
     When three requests are sent at once over two connections
--- a/src/weirscale/ports/h11_connection.py
+++ b/src/weirscale/ports/h11_connection.py
@@ -17,12 +17,15 @@
 
     Args:
         stream: The socket.
+
+    Raises:
+        ConnectionResetError: The server has reset the connection already.
     """
 
     def __init__(self, stream: SocketStream) -> None:
         self._stream = stream
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
-        self._poller = _poller(stream.extra(SocketAttribute.raw_socket))
+        self._poller = _poller(raw_socket(stream))
         self._has_body_ended = False
         self.unused_since_s = 0.0
 
@@ -161,6 +164,21 @@
             await self._stream.aclose()
 
 
+def raw_socket(stream: SocketStream) -> socket.socket:
+    """Return the socket under a stream.
+
+    A server may reset a connection as it is made. The event loop has given its socket up then, and
+    anyio asks None for the peer's name: unnoticed, that error ended the whole process.
+
+    Raises:
+        ConnectionResetError: There is none any more.
+    """
+    try:
+        return stream.extra(SocketAttribute.raw_socket)
+    except AttributeError as error:
+        raise ConnectionResetError("reset as it was made") from error
+
+
 def _poller(raw: socket.socket) -> select.poll:
     poller = select.poll()
     poller.register(raw.fileno(), select.POLLIN)
--- a/src/weirscale/ports/h11_transport.py
+++ b/src/weirscale/ports/h11_transport.py
@@ -12,9 +12,9 @@
 
 import anyio
 import httpx
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
 
-from weirscale.ports.h11_connection import H11Connection
+from weirscale.ports.h11_connection import H11Connection, raw_socket
 
 SocketOption = tuple[int, int, int]
 """Level, name and value, as `socket.setsockopt` takes them."""
@@ -91,14 +91,14 @@
             if not connection.has_input():
                 return connection
             await connection.close()
-        return H11Connection(await self._connect(url, timeout_s))
+        return await self._connect(url, timeout_s)
 
     async def _close_expired(self) -> None:
         since_s = anyio.current_time() - self._keepalive_s
         while self._unused and self._unused[0].unused_since_s <= since_s:
             await self._unused.popleft().close()
 
-    async def _connect(self, url: httpx.URL, timeout_s: float) -> SocketStream:
+    async def _connect(self, url: httpx.URL, timeout_s: float) -> H11Connection:
         try:
             with anyio.fail_after(timeout_s):
                 stream = await anyio.connect_tcp(url.host, url.port or 80)
@@ -106,10 +106,17 @@
             raise httpx.ConnectTimeout("no connection in time") from error
         except OSError as error:
             raise httpx.ConnectError(str(error)) from error
-        raw = stream.extra(SocketAttribute.raw_socket)
+        try:
+            return self._prepared(stream)
+        except OSError as error:
+            await anyio.aclose_forcefully(stream)
+            raise httpx.ConnectError(str(error)) from error
+
+    def _prepared(self, stream: SocketStream) -> H11Connection:
+        raw = raw_socket(stream)
         for option in self._socket_options:
             raw.setsockopt(*option)
-        return stream
+        return H11Connection(stream)
 
     async def leave(self, connection: H11Connection) -> None:
         """Take back a connection whose answer has been read, or is not wanted any more."""
