--- a/features/gateway_old_weights.feature
+++ b/features/gateway_old_weights.feature
@@ -104,6 +104,14 @@
     And 1.5 seconds pass
     Then node-1 has begun no load, as nobody needs the new weights yet
 
+  # A version that was named during an outage of the store may have been named at its beginning. Its
+  # runners passed for overdue when the store was back, and all were loaded at once: 113 refusals.
+  Scenario: After an outage of the store runners are loaded in waves again
+    Given 3 nodes and 6 runners
+    When the store is away for 7 seconds, and version 2 is named as it returns
+    And generations are sent for 2.5 seconds
+    Then at most 3 loads were begun within any 0.5 seconds
+
   Scenario Outline: An answer of another node proves no younger age than there was when it was asked
     Given 2 nodes and 1 runners
     And nobody can give orders
--- a/features/steps/gateway_old_weights_steps.py
+++ b/features/steps/gateway_old_weights_steps.py
@@ -217,3 +217,38 @@
     log = context.play.run().fleet.logs[name]
     assert log.named("lease_won"), "it never got the duty"
     assert not log.named("load_begun"), log.named("load_begun")
+
+
+@when("the store is away for {seconds:g} seconds, and version {version:d} is named as it returns")
+def step_named_at_return(context, seconds, version):
+    async def action(play):
+        play.fleet.store.is_down = True
+        await anyio.sleep(seconds)
+        name_version(play, version)
+        play.fleet.store.is_down = False
+        note_loads(play)
+
+    context.play.actions.append(action)
+
+
+def note_loads(play):
+    """Note when loads are begun from now on."""
+    play.loads_s = []
+    for log in play.fleet.logs.values():
+        tell = log.event
+
+        def event(name, tell=tell, **fields):
+            if name == "load_begun":
+                play.loads_s.append(anyio.current_time())
+            tell(name, **fields)
+
+        log.event = event
+
+
+@then("at most {count:d} loads were begun within any {seconds:g} seconds")
+def step_waves(context, count, seconds):
+    loads_s = context.play.run().loads_s
+    assert loads_s, "no load was begun"
+    for begun_s in loads_s:
+        num = sum(1 for one in loads_s if begun_s <= one <= begun_s + seconds)
+        assert num <= count, loads_s
--- a/src/weirscale/gateway/dispatcher.py
+++ b/src/weirscale/gateway/dispatcher.py
@@ -241,18 +241,11 @@
         return version >= lowest
 
     def _lowest_version(self, model: str, now_s: float) -> int:
-        """Return the oldest weights that may be used.
-
-        Nobody can bring new weights to the runners while the store answers no node, so the grace of
-        old ones begins anew after that, and not after what befell this node alone.
-        """
+        """Return the oldest weights that may be used."""
         return self._knowledge.weights.lowest_allowed(
-            model, now_s, self._weights_grace_s, self._outage_ended_s(now_s)
+            model, now_s, self._weights_grace_s, self._knowledge.outage_ended_s()
         )
 
-    def _outage_ended_s(self, now_s: float) -> float:
-        return self._knowledge.continuity.outage_ended_s(now_s)
-
     def _candidate(
         self,
         back_end: BackEnd,
@@ -287,8 +280,8 @@
 
     def _begins_within_s(self, owed: NamedVersion, now_s: float) -> float:
         """Return the time until requests may not begin any more on weights older than a version."""
-        from_s = max(owed.named_after_s, self._outage_ended_s(now_s))
-        return from_s + self._weights_grace_s + START_MARGIN_S - now_s
+        began_s = self._knowledge.grace_began_s(owed)
+        return began_s + self._weights_grace_s + START_MARGIN_S - now_s
 
     def _owed(self, model: str, version: int | None) -> NamedVersion | None:
         """Return the first version newer than a runner's, or None."""
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -35,7 +35,7 @@
 from weirscale.gateway.rollouts.orders import RolloutBook
 from weirscale.gateway.routes import RouteTable
 from weirscale.gateway.store_continuity import StoreContinuity
-from weirscale.gateway.weights import VersionBook
+from weirscale.gateway.weights import NamedVersion, VersionBook
 from weirscale.gateway.young_record import YoungRecord, read_young_record
 from weirscale.ports.event_log import EventLog
 
@@ -221,8 +221,19 @@
         return back_end.state is BackEndState.READY and self._outage_age_s() <= LAPSE_S
 
     def _outage_age_s(self) -> float:
-        now_s = self._clock()
-        return now_s - self.continuity.outage_ended_s(now_s)
+        return self._clock() - self.outage_ended_s()
+
+    def outage_ended_s(self) -> float:
+        """Return when the last outage of the store for all nodes ended; now, while there is one."""
+        return self.continuity.outage_ended_s(self._clock())
+
+    def grace_began_s(self, named: NamedVersion) -> float:
+        """Return from when runners with older weights count the time to take a version.
+
+        Nobody can bring new weights to the runners while the store answers no node, so it begins
+        anew after that, and not after what befell this node alone.
+        """
+        return max(named.named_after_s, self.outage_ended_s())
 
     def _keep_lapsed(self, back_end: BackEnd) -> None:
         lapsed = msgspec.structs.replace(back_end, state=BackEndState.LAPSED)
--- a/src/weirscale/gateway/weights_rollout_task.py
+++ b/src/weirscale/gateway/weights_rollout_task.py
@@ -203,7 +203,8 @@
                 return None
             num_requests = self._num_requests(runner.instance)
             is_suspect = self._health.is_suspect(runner.instance, anyio.current_time())
-            return LaggingRunner(runner.instance, owed.named_after_s, num_requests, is_suspect)
+            owed_since_s = self._knowledge.grace_began_s(owed)
+            return LaggingRunner(runner.instance, owed_since_s, num_requests, is_suspect)
 
         return lag
 
