--- a/features/gateway_old_weights.feature
+++ b/features/gateway_old_weights.feature
@@ -104,3 +104,30 @@
       | 0     |
       | 0.5   |
       | 5     |
+
+  # A node that stood still asked the store nothing meanwhile, so its silence proves nothing; with no
+  # other node that was awake, nobody contradicts it.
+  Scenario Outline: Nodes that all stand still after a naming begin no grace anew, <nodes> of them
+    Given <nodes> nodes and 4 runners
+    And nobody can give orders
+    When version 2 is named and there is "nothing else"
+    And 3 seconds pass
+    And "<names>" stand still for 4 seconds
+    And generations are sent for 9 seconds
+    Then no run began on version 1 later than 8 seconds after the naming
+
+    Examples:
+      | nodes | names                |
+      | 1     | node-1               |
+      | 2     | node-1,node-2        |
+      | 3     | node-1,node-2,node-3 |
+
+  # Nodes that started during the silence cannot know of it, and are counted among those who agree.
+  Scenario: A node that stands still while all others start anew begins no grace of its own
+    Given 3 nodes and 4 runners
+    And nobody can give orders
+    When version 2 is named and there is "nothing else"
+    And 1 seconds pass
+    And "node-1" stands still for 4 seconds while all others start anew
+    And generations are sent for 9 seconds
+    Then no run began on version 1 later than 8 seconds after the naming
--- a/features/gateway_store_silence.feature
+++ b/features/gateway_store_silence.feature
@@ -24,6 +24,10 @@
       | 6      | 1 own 1, 4 a 0-4, 4 b 0-4, 5 own 5         | 5   | never |
       | 1      | 1 own 1, 7 own 7, 7.1 a 6.9-7              | 7.2 | 6.9   |
 
+    Examples: a second silence before anybody was heard on the first
+      | others | answers                                               | now  | ended |
+      | 6      | 1 own 1, 7 own 7, 11 own 11, 11.1 a 0-11, 11.1 b 0-11 | 11.2 | never |
+
   Scenario Outline: A node tells whose silence it was when it heard nothing of the store
     Given 3 nodes and 2 runners
     When "<still>" stand still for <still_s> seconds
--- a/features/steps/gateway_old_weights_steps.py
+++ b/features/steps/gateway_old_weights_steps.py
@@ -56,6 +56,23 @@
     context.play.actions.append(action)
 
 
+@when('"{name}" stands still for {seconds:g} seconds while all others start anew')
+def step_others_start_anew(context, name, seconds):
+    async def action(play):
+        fleet = play.fleet
+        others = [one for one in fleet.nodes if one != name]
+        fleet.freeze(name)
+        for other in others:
+            fleet.kill(other)
+        await anyio.sleep(seconds - 1.0)
+        for other in others:
+            await fleet.start_node(other, is_first_start=False)
+        await anyio.sleep(1.0 - 0.1 * len(others))
+        await fleet.thaw(name)
+
+    context.play.actions.append(action)
+
+
 @when('"" stand still for {seconds:g} seconds')
 def step_nobody_stands_still(context, seconds):
     """All nodes are sound."""
