--- a/features/steps/gateway_old_weights_steps.py
+++ b/features/steps/gateway_old_weights_steps.py
@@ -60,6 +60,23 @@
     context.play.actions.append(action)
 
 
+@when('"{name}" stands still for {seconds:g} seconds while all others start anew')
+def step_others_start_anew(context, name, seconds):
+    async def action(play):
+        fleet = play.fleet
+        others = [one for one in fleet.nodes if one != name]
+        fleet.freeze(name)
+        for other in others:
+            fleet.kill(other)
+        await anyio.sleep(seconds - 1.0)
+        for other in others:
+            await fleet.start_node(other, is_first_start=False)
+        await anyio.sleep(1.0 - 0.1 * len(others))
+        await fleet.thaw(name)
+
+    context.play.actions.append(action)
+
+
 @when('"" stand still for {seconds:g} seconds')
 def step_nobody_stands_still(context, seconds):
     """All nodes are sound."""
@@ -111,6 +128,30 @@
     context.play.actions.append(action)
 
 
+@given("the lease of a naming's record comes {late_s:g} seconds late")
+def step_late_lease(context, late_s):
+    async def action(play):
+        for node in play.fleet.nodes.values():
+            node._rollout._store = LateLeases(node._rollout._store, late_s)
+
+    context.play.actions.append(action)
+
+
+class LateLeases:
+    """Passes calls to the store on, those for leases late."""
+
+    def __init__(self, store, late_s):
+        self._store = store
+        self._late_s = late_s
+
+    async def grant_lease(self, life_s):
+        await anyio.sleep(self._late_s)
+        return await self._store.grant_lease(life_s)
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+
 @when("all nodes start anew after {seconds:g} seconds")
 def step_all_anew(context, seconds):
     async def action(play):
--- a/features/steps/gateway_store_silence_steps.py
+++ b/features/steps/gateway_store_silence_steps.py
@@ -6,33 +6,68 @@
 from features.support.platform_fleet import STORE_ADDRESS
 from weirscale.gateway.store_continuity import NEVER_S, Span, StoreContinuity
 
+LOOK_INTERVAL_S = 0.4
+
 
 @given("a node that knows of {others:d} others")
 def step_continuity(context, others):
     context.continuity = StoreContinuity()
     context.continuity.num_others = lambda: others
+    context.now_s = 0.0
+
+
+def stay_awake(context, until_s):
+    """Let the node look at the time as often as it does when it does not stand still."""
+    while context.now_s < until_s:
+        context.now_s = min(until_s, context.now_s + LOOK_INTERVAL_S)
+        context.continuity.look(context.now_s)
 
 
 @when('it learns "{answers}"')
 def step_learns(context, answers):
     for answer in answers.split(", "):
         at_s, who, what = answer.split(" ")
+        if who == "still":
+            # It looks at nothing until then.
+            context.now_s = float(what)
+            continue
+        stay_awake(context, float(at_s))
         if who == "own":
             context.continuity.prove(float(what), float(at_s))
         else:
-            context.continuity.is_doubtful(float(at_s))
-            began_s, proved_at_s = what.split("-")
-            span = Span(float(began_s), float(proved_at_s))
-            context.continuity.hear(who, span, float(at_s))
+            asked_at_s = float(at_s)
+            if "@" in what:
+                what, asked = what.split("@")
+                asked_at_s = float(asked)
+            context.continuity.hear(who, read_span(what), asked_at_s, float(at_s))
+
+
+def read_span(text):
+    silent_from, _, span = text.rpartition("<")
+    began, proved_at = span.split("-")
+    return Span(float(began), float(proved_at), float(silent_from) if silent_from else None)
 
 
 @then('at {now_s:g} s the last outage has ended at "{ended}"')
 def step_ended(context, now_s, ended):
     expected_s = NEVER_S if ended == "never" else float(ended)
+    stay_awake(context, now_s)
     found_s = context.continuity.outage_ended_s(now_s)
     assert found_s == expected_s, found_s
 
 
+@when('the store and the others are out of reach for "{name}" for {seconds:g} seconds')
+def step_cut_off(context, name, seconds):
+    async def action(play):
+        play.fleet.cuts.add((name, STORE_ADDRESS))
+        play.fleet.mute.add(name)
+        await anyio.sleep(seconds)
+        play.fleet.cuts.clear()
+        play.fleet.mute.clear()
+
+    context.play.actions.append(action)
+
+
 @then('node-1 tells the silence to be "{whose}"')
 def step_whose(context, whose):
     log = context.play.run().fleet.logs["node-1"]
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -1,6 +1,7 @@
 """Gateways in virtual time on stand-ins of the platform, spoken to over the adapter."""
 
 import sys
+from contextvars import ContextVar
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -13,6 +14,7 @@
     sys.path.append(str(ADAPTER))
 
 from features.support.platform_store import StoreStandIn  # noqa: E402
+from weirscale.gateway import ticks  # noqa: E402
 from weirscale.gateway.node import GatewayNode  # noqa: E402
 from weirscale.gateway.peer_messages import decode_message, encode_message  # noqa: E402
 from weirscale.gateway.retry_budget import RetryBudgetRules  # noqa: E402
@@ -101,6 +103,27 @@
         return dict(self.headers).get(name.encode())
 
 
+RUNNING = ContextVar("RUNNING")
+"""The fleet and the name of the node whose task this is."""
+
+
+class StandingStill:
+    """Takes the place of `anyio` where nodes wait for ticks: one that stands still goes on late."""
+
+    current_time = staticmethod(anyio.current_time)
+
+    @staticmethod
+    async def sleep_until(at_s):
+        await anyio.sleep_until(at_s)
+        running = RUNNING.get(None)
+        if running is not None:
+            fleet, name = running
+            await fleet.wait_while_frozen(name)
+
+
+ticks.anyio = StandingStill
+
+
 class Fleet:
     """A store, runners and gateways."""
 
@@ -171,6 +194,7 @@
         return node
 
     async def _run_node(self, node, scope):
+        RUNNING.set((self, node.settings.name))
         with scope:
             await node.run()
 
--- a/src/weirscale/gateway/age_exchange.py
+++ b/src/weirscale/gateway/age_exchange.py
@@ -14,7 +14,7 @@
 from weirscale.gateway.peer_messages import AgesQuery, AgesReply, NamedNews, PeerMessage
 from weirscale.gateway.registrations import PeerDirectory
 from weirscale.gateway.settings import ListenAddress
-from weirscale.gateway.store_continuity import Span
+from weirscale.gateway.store_continuity import NEVER_S, Span
 from weirscale.gateway.ticks import sleep_to_tick
 from weirscale.gateway.weights import LONG_AGO_S
 from weirscale.ports.event_log import EventLog
@@ -31,6 +31,7 @@
 """The same after a naming: others may have had a later proof that the version was not named yet."""
 
 MAX_OPEN_QUERIES = 8
+NUMBER_BITS = 31
 MAX_TOLD_AGE_S = 30.0
 """Versions named longer ago are not told of: a node that does not know them takes them for old."""
 
@@ -67,10 +68,12 @@
         self._event_log = event_log
         self._random = random
         self._clock = clock
-        self._number = 0
+        # An answer to the process before must not pass for one to this.
+        self._number = random.getrandbits(NUMBER_BITS)
         self._asked_at_s: dict[int, float] = {}
-        self._outage_before_s: float | None = None
-        """End of the last outage before the silence that is in doubt."""
+        self._was_doubtful = False
+        self._outage_ended_s = NEVER_S
+        """End of the last outage that was known while there was no doubt."""
 
     async def run(self) -> None:
         """Ask until cancelled, while there is doubt."""
@@ -78,7 +81,8 @@
         began_s = self._clock()
         while True:
             now_s = self._clock()
-            self._knowledge.continuity.forget_doubt(now_s - DOUBT_S)
+            self._knowledge.continuity.look(now_s)
+            self._knowledge.continuity.end_doubt(now_s - DOUBT_S)
             self._tell_silence(now_s)
             if now_s <= began_s + DOUBT_S or self._is_doubtful(now_s):
                 await self._ask(now_s)
@@ -91,17 +95,16 @@
     def _tell_silence(self, now_s: float) -> None:
         """Log that a silence of the store is in doubt, and later whose silence it was."""
         continuity = self._knowledge.continuity
-        is_doubtful = continuity.is_doubtful(now_s)
-        if is_doubtful == (self._outage_before_s is not None):
+        was_doubtful, self._was_doubtful = self._was_doubtful, continuity.is_doubtful(now_s)
+        if self._was_doubtful:
+            if not was_doubtful:
+                self._event_log.event("store_silent", age_ms=age_ms(self._knowledge.age_s()))
             return
         ended_s = continuity.outage_ended_s(now_s)
-        if self._outage_before_s is None:
-            self._outage_before_s = ended_s
-            self._event_log.event("store_silent", age_ms=age_ms(self._knowledge.age_s()))
-            return
-        is_outage = ended_s > self._outage_before_s
-        self._outage_before_s = None
-        self._event_log.event("store_silence_judged", whose="store" if is_outage else "own")
+        if was_doubtful:
+            whose = "store" if ended_s > self._outage_ended_s else "own"
+            self._event_log.event("store_silence_judged", whose=whose)
+        self._outage_ended_s = ended_s
 
     async def _ask(self, now_s: float) -> None:
         addresses = list(self._peers.addresses().values())
@@ -114,15 +117,17 @@
 
     async def answer(self, query: AgesQuery, address: ListenAddress) -> None:
         """Answer a query; a node that has proved nothing itself is silent."""
+        now_s = self._clock()
+        self._knowledge.continuity.look(now_s)
         span = self._knowledge.continuity.own_span()
         if span is None:
             return
-        now_s = self._clock()
         reply = AgesReply(
             self._name,
             query.number,
             _whole_ms(now_s - span.began_s),
             _whole_ms(now_s - span.proved_at_s),
+            None if span.silent_from_s is None else _whole_ms(now_s - span.silent_from_s),
             tuple(self._named_lately(now_s)),
         )
         await self._send(reply, (address,))
@@ -138,11 +143,13 @@
         asked_at_s = self._asked_at_s.get(reply.number)
         if asked_at_s is None:
             return
+        silent_age_ms = reply.silent_age_ms
         span = Span(
             asked_at_s - reply.span_age_ms / MILLISECONDS_PER_S,
             asked_at_s - reply.proof_age_ms / MILLISECONDS_PER_S,
+            None if silent_age_ms is None else asked_at_s - silent_age_ms / MILLISECONDS_PER_S,
         )
-        self._knowledge.continuity.hear(reply.sender, span, self._clock())
+        self._knowledge.continuity.hear(reply.sender, span, asked_at_s, self._clock())
         for named in reply.named:
             named_after_s = asked_at_s - named.age_ms / MILLISECONDS_PER_S
             self._knowledge.weights.narrow(named.model, named.version, named_after_s)
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -32,7 +32,7 @@
 START_MARGIN_S = 1.1
 """Requests wait at a runner before they start: sending on old weights ends this much early, ..."""
 
-START_FACTOR = 3.0
+START_FACTOR = 1.5
 RECENT_FACTOR = 1.2
 """... and where this multiple of the estimated wait, or of the longest one of late, is longer, that
 much. With runners that need 2 s to a first event, the last one on old weights came 0.6 s after
--- a/src/weirscale/gateway/knowledge.py
+++ b/src/weirscale/gateway/knowledge.py
@@ -278,7 +278,7 @@
             change.target,
             change.deadline_s,
             Epoch(revision),
-            self._clock(),
+            self.confirmed_at_s if is_live else self._clock(),
             was_there=not is_live,
             served_before=is_live and self._is_established(change.service, change.target),
         )
--- a/src/weirscale/gateway/peer_messages.py
+++ b/src/weirscale/gateway/peer_messages.py
@@ -200,6 +200,8 @@
         number: Number of the query.
         span_age_ms: The store has answered the sender without a long pause since so long ago, ...
         proof_age_ms: ... and last so long ago.
+        silent_age_ms: Age of the answer before that time, where the sender was awake and heard
+            nothing for long in between; None otherwise.
         named: For how long versions have been named at most.
     """
 
@@ -207,6 +209,7 @@
     number: int
     span_age_ms: int
     proof_age_ms: int
+    silent_age_ms: int | None = None
     named: tuple[NamedNews, ...] = ()
 
 
--- a/src/weirscale/gateway/rollouts/holder_task.py
+++ b/src/weirscale/gateway/rollouts/holder_task.py
@@ -49,7 +49,7 @@
         self._moved_s: dict[Epoch, float] = {}
 
     def elapsed_s(self, order: RolloutOrder, record: RolloutRecord | None) -> float:
-        """Return the time since an order, at least."""
+        """Return the time since an order, or since the last proof before it."""
         elapsed_s = self._clock() - order.seen_at_s
         if record is None or not order.was_there:
             return elapsed_s
--- a/src/weirscale/gateway/rollouts/order.py
+++ b/src/weirscale/gateway/rollouts/order.py
@@ -19,7 +19,7 @@
         target: Version that its traffic is to move to.
         deadline_s: Time for it, from the order's acknowledgement on.
         epoch: Names the order.
-        seen_at_s: When this node learned of it, on its own clock.
+        seen_at_s: When this node last knew that it was not there; its own start, if it was there.
         was_there: Whether it was there before this node, so that its age is not known.
         served_before: Whether the target served without a trial when the order came.
     """
--- a/src/weirscale/gateway/state_relay.py
+++ b/src/weirscale/gateway/state_relay.py
@@ -51,6 +51,7 @@
 """How long after its last query a node is told changes unasked."""
 
 MAX_OPEN_QUERIES = 8
+NUMBER_BITS = 31
 MILLISECONDS_PER_S = 1000.0
 MAX_TOLD_AGE_MS = 1_000_000_000
 
@@ -180,7 +181,8 @@
         self._reader_since_s = NEVER_S
         self._avoided_until_s: dict[str, float] = {}
         self._open_queries: dict[int, float] = {}
-        self._number = 0
+        # An answer to the process before must not pass for one to this.
+        self._number = random.getrandbits(NUMBER_BITS)
         self._proved_at_s = NEVER_S
         self._reading_due = anyio.Event()
         self.on_reading_due: Callable[[], None] = lambda: None
--- a/src/weirscale/gateway/store_continuity.py
+++ b/src/weirscale/gateway/store_continuity.py
@@ -4,8 +4,9 @@
 begins anew after an outage; and registrations lapse with it. That holds for an outage of all nodes
 alone: one that stands still, loses its own connections or is turned away sees the same silence
 while the store answers others, and would let older weights and back ends that are gone serve on
-after everybody else has stopped. So a node's own silence is only a claim, and what other nodes have
-proved meanwhile takes it back.
+after everybody else has stopped. So a node's own silence is only a claim. It holds once other nodes
+say that they saw it too, and what any of them has proved meanwhile takes it back. Time in which a
+node itself did nothing is no silence: it asked nobody.
 """
 
 from collections.abc import Callable
@@ -19,11 +20,11 @@
 1.6 s at most: 1.1 s of patience and the next round of queries."""
 
 NUM_WITNESSES = 2
-"""So many other nodes must have answered before a silence counts as one of the store: several nodes
-may have stood still together."""
+"""So many other nodes must have seen a silence before it counts as one of the store, or all where
+there are fewer: one other may have lost its connections together with this node."""
 
-ALONE_S = 1.0
-"""A node that no other one answers for so long decides alone: nobody else serves its callers."""
+STANDSTILL_S = 1.0
+"""A node that has not looked at the time for so long stood still. It looks every 0.4 s."""
 
 
 class Span(msgspec.Struct, frozen=True):
@@ -32,10 +33,12 @@
     Attributes:
         began_s: Its first answer.
         proved_at_s: Its last answer so far.
+        silent_from_s: The answer before it, if a silence that was seen awake lies between.
     """
 
     began_s: float
     proved_at_s: float
+    silent_from_s: float | None = None
 
 
 class StoreContinuity:
@@ -48,92 +51,129 @@
     def __init__(self) -> None:
         self.num_others: Callable[[], int] = lambda: 0
         self._span: Span | None = None
+        """What is known of all nodes; `silent_from_s` where its beginning is in doubt."""
         self._own_span: Span | None = None
-        self._gap_from_s: float | None = None
-        """Last answer before the gap that precedes the span, if there is one."""
+        self._awake_at_s = NEVER_S
         self._noticed_at_s = NEVER_S
-        """When the silence after that answer was noticed."""
-        self._noticed_gap_from_s = NEVER_S
+        self._noticed_from_s = NEVER_S
+        """The last answer before the silence that was noticed last."""
         self._witnesses: set[str] = set()
         self._settled_s = NEVER_S
-        """End of the last outage before that gap."""
+        """End of the last outage that is not in doubt any more."""
 
     def prove(self, proved_at_s: float, now_s: float) -> None:
         """Learn that the store answered this node, directly or by way of a reader."""
+        self.look(now_s)
         own = self._own_span
-        if own is None or proved_at_s > own.proved_at_s + GAP_S:
+        if own is None:
             self._own_span = Span(proved_at_s, proved_at_s)
+        elif proved_at_s > own.proved_at_s + GAP_S:
+            self._own_span = Span(proved_at_s, proved_at_s, own.proved_at_s)
         elif proved_at_s > own.proved_at_s:
-            self._own_span = Span(own.began_s, proved_at_s)
+            self._own_span = msgspec.structs.replace(own, proved_at_s=proved_at_s)
         self._join(Span(proved_at_s, proved_at_s), now_s)
 
-    def hear(self, witness: str, span: Span, now_s: float) -> None:
-        """Learn from another node in which time the store has answered it."""
-        self._witnesses.add(witness)
-        if self._span is not None:
-            self._join(span, now_s)
+    def hear(self, witness: str, span: Span, asked_at_s: float, now_s: float) -> None:
+        """Learn from another node, asked at a time, in which time the store has answered it."""
+        self.look(now_s)
+        if self._span is None:
+            return
+        if asked_at_s >= self._noticed_at_s and self._has_seen_silence(span, asked_at_s):
+            self._witnesses.add(witness)
+        self._join(span, now_s)
 
     def own_span(self) -> Span | None:
         """Return what this node can tell others of its own knowledge."""
         return self._own_span
 
+    def look(self, now_s: float) -> None:
+        """Notice silences and standstills; to be called several times a second."""
+        self._leave_out_standstill(now_s)
+        if self._is_silent(now_s):
+            assert self._span is not None
+            self._notice(self._span.proved_at_s, now_s)
+
     def is_doubtful(self, now_s: float) -> bool:
         """Whether there is, or was just now, a silence that others may contradict."""
-        return self._is_silent(now_s) or self._gap_from_s is not None
+        return self._is_silent(now_s) or self._silent_from_s() is not None
 
     def outage_ended_s(self, now_s: float) -> float:
         """Return when the last outage of the store ended; now, while there is one."""
-        if not self.is_doubtful(now_s) or not self._is_agreed(now_s):
+        if self._span is None:
             return self._settled_s
-        assert self._span is not None
-        return now_s if self._is_silent(now_s) else self._span.began_s
-
-    def forget_doubt(self, before_s: float) -> None:
-        """Take a gap that ended before a time for settled: whoever was asked has answered."""
-        if self._span is None or self._gap_from_s is None or self._span.began_s > before_s:
-            return
-        self._settled_s = self._span.began_s
-        self._gap_from_s = None
+        if self._is_silent(now_s):
+            is_noticed = self._noticed_from_s == self._span.proved_at_s
+            is_awake = now_s <= self._awake_at_s + STANDSTILL_S
+            return now_s if is_noticed and is_awake and self._is_agreed() else self._settled_s
+        if self._silent_from_s() is not None and self._is_agreed():
+            return self._span.began_s
+        return self._settled_s
+
+    def end_doubt(self, before_s: float) -> None:
+        """Take a silence that ended before a time for judged: whoever was asked has answered."""
+        if self._span is not None and self._span.began_s <= before_s:
+            self._judge()
+
+    def _silent_from_s(self) -> float | None:
+        return None if self._span is None else self._span.silent_from_s
 
     def _is_silent(self, now_s: float) -> bool:
-        """Whether nobody has proved anything for too long; notes when that showed first."""
-        if self._span is None or now_s <= self._span.proved_at_s + GAP_S:
-            return False
-        self._notice(self._span.proved_at_s, now_s)
-        return True
-
-    def _is_agreed(self, now_s: float) -> bool:
-        has_witnesses = len(self._witnesses) >= min(NUM_WITNESSES, self.num_others())
-        return has_witnesses or now_s >= self._noticed_at_s + ALONE_S
-
-    def _notice(self, gap_from_s: float, now_s: float) -> None:
-        if self._noticed_gap_from_s != gap_from_s:
-            self._noticed_gap_from_s = gap_from_s
-            self._noticed_at_s = now_s
-            self._witnesses.clear()
+        return self._span is not None and now_s > self._span.proved_at_s + GAP_S
+
+    def _is_agreed(self) -> bool:
+        return len(self._witnesses) >= min(NUM_WITNESSES, self.num_others())
+
+    def _has_seen_silence(self, span: Span, asked_at_s: float) -> bool:
+        """Whether a node was awake in the silence that is in doubt and heard nothing either."""
+        is_silent = asked_at_s > span.proved_at_s + GAP_S
+        was_silent = span.silent_from_s is not None and span.began_s > self._noticed_from_s
+        return is_silent or was_silent
+
+    def _leave_out_standstill(self, now_s: float) -> None:
+        stood_still = now_s > self._awake_at_s + STANDSTILL_S
+        if stood_still and self._span is not None and not self._is_silent(self._awake_at_s):
+            proved_at_s = max(self._span.proved_at_s, now_s)
+            self._span = msgspec.structs.replace(self._span, proved_at_s=proved_at_s)
+            self._own_span = None
+        self._awake_at_s = max(self._awake_at_s, now_s)
+
+    def _notice(self, silent_from_s: float, now_s: float) -> None:
+        if 0.0 <= silent_from_s - self._noticed_from_s <= GAP_S:
+            # The same silence: another node had one more answer before it.
+            self._noticed_from_s = silent_from_s
+            return
+        self._judge()
+        self._noticed_from_s = silent_from_s
+        self._noticed_at_s = now_s
+        self._witnesses.clear()
+
+    def _judge(self) -> None:
+        """End the doubt about the silence before the span."""
+        if self._span is None or self._span.silent_from_s is None:
+            return
+        if self._is_agreed():
+            self._settled_s = self._span.began_s
+        self._span = msgspec.structs.replace(self._span, silent_from_s=None)
 
     def _join(self, span: Span, now_s: float) -> None:
         known = self._span
         if known is None:
-            self._span = span
+            self._span = Span(span.began_s, span.proved_at_s)
         elif span.began_s > known.proved_at_s + GAP_S:
-            self._begin_anew(known, span, now_s)
+            self._notice(known.proved_at_s, now_s)
+            self._span = Span(span.began_s, span.proved_at_s, known.proved_at_s)
         else:
-            self._join_overlapping(known, span)
-
-    def _begin_anew(self, known: Span, span: Span, now_s: float) -> None:
-        if self._gap_from_s is not None:
-            self._settled_s = known.began_s
-        self._notice(known.proved_at_s, now_s)
-        self._gap_from_s = known.proved_at_s
-        self._span = span
-
-    def _join_overlapping(self, known: Span, span: Span) -> None:
-        began_s = min(known.began_s, span.began_s)
-        if self._gap_from_s is not None and span.began_s <= self._gap_from_s + GAP_S:
-            # It begins before the gap: the store answered somebody at least at its beginning.
-            began_s = known.began_s
-            self._gap_from_s = max(self._gap_from_s, span.proved_at_s)
-            if self._gap_from_s >= known.began_s - GAP_S:
-                self._gap_from_s = None
-        self._span = Span(began_s, max(known.proved_at_s, span.proved_at_s))
+            self._span = _joined(known, span)
+
+
+def _joined(known: Span, span: Span) -> Span:
+    """Join a span that overlaps a known one, or what was before the silence in front of it."""
+    proved_at_s = max(known.proved_at_s, span.proved_at_s)
+    silent_from_s = known.silent_from_s
+    if silent_from_s is None or span.began_s > silent_from_s + GAP_S:
+        return Span(min(known.began_s, span.began_s), proved_at_s, silent_from_s)
+    # It begins before the silence: the store answered somebody at least at its beginning.
+    silent_from_s = max(silent_from_s, span.proved_at_s)
+    if silent_from_s >= known.began_s - GAP_S:
+        return Span(known.began_s, proved_at_s)
+    return Span(known.began_s, proved_at_s, silent_from_s)
--- a/src/weirscale/gateway/weights.py
+++ b/src/weirscale/gateway/weights.py
@@ -13,6 +13,9 @@
 MAX_EARLIER_VERSIONS = 32
 """Versions below the newest that a node reckons with when it does not know them."""
 
+MAX_KEPT_VERSIONS = 64
+"""Of one model; who names more within a grace has its oldest runners left out of use."""
+
 LONG_AGO_S = float("-inf")
 """The bound where nothing is known: the version may have been named at any time."""
 
@@ -52,6 +55,7 @@
         lowest = max(FIRST_VERSION, version - MAX_EARLIER_VERSIONS)
         first = max(lowest, versions[-1].version + 1) if versions else lowest
         versions.extend(NamedVersion(one, named_after_s) for one in range(first, version + 1))
+        del versions[:-MAX_KEPT_VERSIONS]
         return True
 
     def narrow(self, model: str, version: int, named_after_s: float) -> None:
@@ -82,8 +86,9 @@
             grace_s: How long an older version may serve after a newer one was named.
             not_before_s: The grace begins no earlier than this.
         """
-        allowed = 0
-        for named in self._named.get(model, ()):
+        versions = self._named.get(model, [])
+        allowed = versions[0].version if len(versions) == MAX_KEPT_VERSIONS else 0
+        for named in versions:
             if max(named.named_after_s, not_before_s) + grace_s <= now_s:
                 allowed = named.version
         return allowed
