--- a/features/gateway_choice.feature
+++ b/features/gateway_choice.feature
@@ -115,3 +115,16 @@
       | 1000  | 100000 | 0      |
       | 1000  | 1      | 3600   |
       | 1000  | 0      | 3600   |
+
+  Scenario Outline: A runner that has <left> s left for its old weights gets <what>
+    Given a runner with old weights where a request is to wait for 1 s
+    When its weights are too old in <left> s and the longest wait of late was <recent> s
+    Then it gets <what>
+
+    Examples:
+      | left | recent | what       |
+      | 2.5  | 0      | a request  |
+      | 1.6  | 0      | a request  |
+      | 1.4  | 0      | no request |
+      | 2.5  | 2      | a request  |
+      | 2.3  | 2      | no request |
--- a/features/gateway_old_weights.feature
+++ b/features/gateway_old_weights.feature
@@ -167,3 +167,23 @@
       | 0.9  | 5     |
       | 2.2  | 5     |
       | 4    | 6     |
+
+  Scenario: A later holder writes no younger record of a naming
+    Given 3 nodes and 4 runners
+    And no order reaches a runner
+    When version 2 is named and there is "nothing else"
+    And the holder is killed after 4.5 seconds
+    And all nodes start anew after 4.5 seconds
+    And generations are sent for 5 seconds
+    Then the last run on version 1 began 0 to 8 seconds after the naming
+
+  Scenario: What was not named yet at a time was not followed by higher versions either
+    Given versions 2 and 3 that were named no earlier than 1 s
+    When version 2 turns out to have been named no earlier than 5 s
+    Then version 3 was named no earlier than 5 s
+
+  Scenario: Nodes ask each other for the latest proof that a version was not named yet
+    Given 5 nodes and 1 runners
+    And nobody can give orders
+    When 8 versions are named, one each 3.1 seconds
+    Then each node takes them to be named at most 0.35 s too early on average
--- a/features/steps/gateway_choice_steps.py
+++ b/features/steps/gateway_choice_steps.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import anyio
+import msgspec
 from behave import given, then, when
 
 from features.support.platform_fleet import (
@@ -409,3 +410,27 @@
     for name in FirstEventRates.__struct_fields__:
         rate = getattr(context.model.rates, name)
         assert getattr(LEAST_RATES, name) <= rate <= getattr(MOST_RATES, name), (name, rate)
+
+
+@given("a runner with old weights where a request is to wait for {seconds:g} s")
+def step_waiting_runner(context, seconds):
+    waiting = int(seconds / START_RATES.waiting_token_s)
+    end = BackEnd("r", "lm", "10.0.1.1:1", "here", BackEndState.READY, SLOTS)
+    context.candidate = Candidate(
+        end, Load(0, waiting, 0), False, CacheBelief(CAPACITY), CAPACITY, VERSION,
+        newest_version=VERSION + 1,
+    )  # fmt: skip
+
+
+@when("its weights are too old in {left_s:g} s and the longest wait of late was {recent_s:g} s")
+def step_time_left(context, left_s, recent_s):
+    candidate = msgspec.structs.replace(
+        context.candidate, begins_within_s=left_s, recent_wait_s=recent_s
+    )
+    need = PromptNeed(PROMPT, {VERSION: SCOPE})
+    context.choice = choose([candidate], need, [], "here", ChoiceRules(), Random(1))
+
+
+@then("it gets {what} request")
+def step_gets(context, what):
+    assert (context.choice is not None) == (what == "a"), context.choice
--- a/features/steps/gateway_old_weights_steps.py
+++ b/features/steps/gateway_old_weights_steps.py
@@ -9,6 +9,7 @@
     restart_all,
 )
 from features.support.platform_fleet import MODEL, STORE_ADDRESS
+from weirscale.gateway.weights import VersionBook
 
 LATE_S = 60.0
 MOST_EARLY_S = 1.3
@@ -293,3 +294,52 @@
     for begun_s in loads_s:
         num = sum(1 for one in loads_s if begun_s <= one <= begun_s + seconds)
         assert num <= count, loads_s
+
+
+@when("the holder is killed after {seconds:g} seconds")
+def step_holder_killed(context, seconds):
+    async def action(play):
+        await anyio.sleep(seconds)
+        play.fleet.kill(play.holder().settings.name)
+
+    context.play.actions.append(action)
+
+
+@given("versions {first:d} and {second:d} that were named no earlier than {bound_s:g} s")
+def step_book(context, first, second, bound_s):
+    context.book = VersionBook()
+    for version in (first, second):
+        context.book.name(MODEL, version, bound_s)
+
+
+@when("version {version:d} turns out to have been named no earlier than {bound_s:g} s")
+def step_narrow(context, version, bound_s):
+    context.book.narrow(MODEL, version, bound_s)
+
+
+@then("version {version:d} was named no earlier than {bound_s:g} s")
+def step_bound(context, version, bound_s):
+    assert context.book.first_newer(MODEL, version - 1).named_after_s == bound_s
+
+
+@when("{count:d} versions are named, one each {seconds:g} seconds")
+def step_many_namings(context, count, seconds):
+    async def action(play):
+        play.early_s = {name: [] for name in play.fleet.nodes}
+        for version in range(2, 2 + count):
+            name_version(play, version)
+            await anyio.sleep(seconds)
+            for name, node in play.fleet.nodes.items():
+                named = node.knowledge.weights.newest_named(MODEL)
+                assert named.version == version
+                play.early_s[name].append(play.named_s - named.named_after_s)
+
+    context.play.actions.append(action)
+
+
+@then("each node takes them to be named at most {most_s:g} s too early on average")
+def step_early(context, most_s):
+    early_s = context.play.run().early_s
+    means = {name: sum(found) / len(found) for name, found in early_s.items()}
+    assert all(one >= 0.0 for found in early_s.values() for one in found), early_s
+    assert max(means.values()) <= most_s, means
