--- a/features/gateway_choice.feature
+++ b/features/gateway_choice.feature
@@ -123,8 +123,7 @@
 
     Examples:
       | left | recent | what       |
-      | 2.5  | 0      | a request  |
-      | 1.6  | 0      | a request  |
-      | 1.4  | 0      | no request |
-      | 2.5  | 2      | a request  |
-      | 2.3  | 2      | no request |
+      | 3.3  | 0      | a request  |
+      | 2.9  | 0      | no request |
+      | 3.7  | 3      | a request  |
+      | 3.5  | 3      | no request |
--- a/features/steps/gateway_overload_steps.py
+++ b/features/steps/gateway_overload_steps.py
@@ -37,8 +37,9 @@
 SHORT_OWN, SHORT_OUT = 400, 36
 SHARED_TOKENS, NUM_SHARED = 1500, 20
 LATE_WORTH = 0.3
-SEEDS = (1, 2, 3)
-"""One seed's goodput is some 10 in 100 off the mean."""
+SEEDS = (1, 2, 3, 4, 5, 6)
+"""One seed's goodput is some 10 in 100 off the mean: the same code has three in a row at 0.90 of the
+lighter load's goodput where sixteen have 0.97."""
 MEAN_OWN = (LONG_OWN + SHORT_OWN) / 2
 
 
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -32,6 +32,7 @@
 """behave processes at once; few enough for a small machine."""
 
 SLOW_FEATURES = (
+    "gateway_overload",
     "gateway_rollouts_faults",
     "gateway_rollouts",
     "membership_faults",
--- a/src/weirscale/gateway/choice.py
+++ b/src/weirscale/gateway/choice.py
@@ -32,10 +32,11 @@
 START_MARGIN_S = 1.1
 """Requests wait at a runner before they start: sending on old weights ends this much early, ..."""
 
-START_FACTOR = 1.5
+START_FACTOR = 3.0
 RECENT_FACTOR = 1.2
 """... and where this multiple of the estimated wait, or of the longest one of late, is longer, that
-much. A margin of 1.1 s alone is 0.6 s too short where runners need 2 s to a first event."""
+much. On days of three times the usual load, with every load of weights late, 1 to 6 requests of
+some 3,300 began too late with half the factor and none with this one, three days each."""
 
 
 class ChoiceRules(msgspec.Struct, frozen=True):
