--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,12 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 SEEDS ?= 200
+MINUTES ?= 5
+SEED ?= None
+NODES ?= 6
+INTERVAL ?= 1.5
 
-.PHONY: demo test bench soak real format clean
+.PHONY: demo test bench soak real faults format clean
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -28,6 +32,9 @@
 	$(PYTHON) -m bench.real_fleet tsehay --report=reports/real-tsehay
 	$(PYTHON) -m bench.real_fleet startgrid --report=reports/real-startgrid
 
+faults: $(STAMP)
+	$(PYTHON) -m bench.fault_soak run --minutes=$(MINUTES) --seed=$(SEED) --nodes=$(NODES) --interval=$(INTERVAL)
+
 format: $(STAMP)
 	$(VENV)/bin/ruff format src features bench scripts
 	$(VENV)/bin/ruff check --fix src features bench scripts
--- /dev/null
+++ b/bench/fault_soak/evidence.py
@@ -0,0 +1,182 @@
+"""Indexes of a history that rules look things up in."""
+
+from bisect import bisect_left, bisect_right
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from typing import TypeVar
+
+import msgspec
+
+from bench.fault_soak.history import (
+    AnyRecord,
+    ConfigurationAcknowledged,
+    Disturbance,
+    Disturbed,
+    FaultsEnded,
+    NodeEnded,
+    NodeErrors,
+    NodeName,
+    NodeSignalled,
+    NodeSlow,
+    NodeStarted,
+    OrderTaken,
+    Record,
+    RequestEnded,
+    RequestId,
+    RequestSent,
+    RunBegan,
+    RunBroken,
+    SignalName,
+    WeightsNamed,
+)
+
+_R = TypeVar("_R", bound=Record)
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Times that the deployment promises, in seconds.
+
+    Attributes:
+        contact_s: A node is in contact once nothing has disturbed it, nor the store, for so long.
+        stop_s: Longest planned stop.
+        configuration_s: A configuration is in force so long after its acknowledgement.
+        key_removal_s: A removed key works no longer than this, at any node.
+        weights_s: Older weights begin no request so long after newer ones were named.
+        unread_s: A stopping node may close a connection so soon after a request that it has not
+            handed on: the two passed each other.
+    """
+
+    contact_s: float = 3.0
+    stop_s: float = 8.0
+    configuration_s: float = 2.0
+    key_removal_s: float = 5.0
+    weights_s: float = 8.0
+    unread_s: float = 0.5
+
+
+class Evidence:
+    """A history, sorted by time, with look-ups.
+
+    Args:
+        records: The history, in any order.
+        bounds: What the deployment promises.
+    """
+
+    def __init__(self, records: Iterable[AnyRecord], bounds: Bounds) -> None:
+        self.bounds = bounds
+        self._records: list[AnyRecord] = sorted(records, key=lambda record: record.at_s)
+        self.sent: dict[RequestId, RequestSent] = {
+            record.request: record for record in self.all(RequestSent)
+        }
+        self.ended = self.all(RequestEnded)
+        self.runs: dict[RequestId, list[RunBegan]] = defaultdict(list)
+        for run in self.all(RunBegan):
+            self.runs[run.request].append(run)
+        self._broken_s: dict[RequestId, float] = {}
+        for broken in self.all(RunBroken):
+            self._broken_s.setdefault(broken.request, broken.at_s)
+        self.configurations = self.all(ConfigurationAcknowledged)
+        self.namings = self.all(WeightsNamed)
+        self.orders = self.all(OrderTaken)
+        self.errors = self.all(NodeErrors)
+        self.faults_ended_s = min((one.at_s for one in self.all(FaultsEnded)), default=None)
+        self._starts: dict[NodeName, list[float]] = defaultdict(list)
+        for start in self.all(NodeStarted):
+            self._starts[start.node].append(start.at_s)
+        self.node_ends: dict[NodeName, list[NodeEnded]] = defaultdict(list)
+        for end in self.all(NodeEnded):
+            self.node_ends[end.node].append(end)
+        self.signals: dict[NodeName, list[NodeSignalled]] = defaultdict(list)
+        for signal in self.all(NodeSignalled):
+            self.signals[signal.node].append(signal)
+        self._slow: dict[NodeName, list[NodeSlow]] = defaultdict(list)
+        for slow in self.all(NodeSlow):
+            self._slow[slow.node].append(slow)
+        self._disturbed = self.all(Disturbed)
+
+    def all(self, kind: type[_R]) -> list[_R]:
+        """Return the records of one kind in order of time."""
+        return [record for record in self._records if isinstance(record, kind)]
+
+    @property
+    def nodes(self) -> tuple[NodeName, ...]:
+        """The nodes that were ever started."""
+        return tuple(self._starts)
+
+    def is_run_broken(self, ended: RequestEnded) -> bool:
+        """Tell whether a back end broke an answer off before the request ended."""
+        return self._broken_s.get(ended.request, ended.at_s) < ended.at_s
+
+    def start_before(self, node: NodeName, at_s: float) -> float | None:
+        """Return when the process began that ran, or had last run, at a time."""
+        starts = self._starts.get(node, [])
+        index = bisect_right(starts, at_s)
+        return starts[index - 1] if index else None
+
+    def starts_between(self, node: NodeName, from_s: float, until_s: float) -> bool:
+        """Tell whether a process of a node began in a time."""
+        starts = self._starts.get(node, [])
+        return bisect_left(starts, from_s) < bisect_right(starts, until_s)
+
+    def signals_between(
+        self, node: NodeName, from_s: float, until_s: float, kinds: Sequence[SignalName]
+    ) -> list[NodeSignalled]:
+        """Return a node's signals of some kinds in a time."""
+        return [
+            signal
+            for signal in self.signals.get(node, ())
+            if from_s <= signal.at_s <= until_s and signal.signal in kinds
+        ]
+
+    def is_paused_at(self, node: NodeName, at_s: float) -> bool:
+        """Tell whether a node was paused at a time."""
+        is_paused = False
+        for signal in self.signals.get(node, ()):
+            if signal.at_s > at_s:
+                break
+            if signal.signal in (SignalName.PAUSE, SignalName.CONTINUE, SignalName.KILL):
+                is_paused = signal.signal is SignalName.PAUSE
+        return is_paused
+
+    def is_disturbed(
+        self, from_s: float, until_s: float, kinds: Sequence[Disturbance] = tuple(Disturbance)
+    ) -> bool:
+        """Tell whether anything of some kinds was disturbed in a time."""
+        return any(
+            one.what in kinds and one.at_s <= until_s and one.until_s >= from_s
+            for one in self._disturbed
+        )
+
+    def stable_since(self, at_s: float) -> float:
+        """Return when the store, at a time, had been quiet for the contact time; -inf: always."""
+        ends_s = [
+            one.until_s
+            for one in self._disturbed
+            if one.what in (Disturbance.STORE, Disturbance.HARNESS) and one.at_s <= at_s
+        ]
+        return max(ends_s, default=float("-inf")) + self.bounds.contact_s
+
+    def is_slow(self, node: NodeName, from_s: float, until_s: float) -> bool:
+        """Tell whether a node was slow to answer in a time."""
+        return any(
+            one.at_s <= until_s and one.until_s >= from_s for one in self._slow.get(node, ())
+        )
+
+    def is_struck(self, node: NodeName, from_s: float, until_s: float) -> bool:
+        """Tell whether a node was started, stopped, killed or paused in a time."""
+        kinds = (SignalName.TERMINATE, SignalName.KILL, SignalName.PAUSE, SignalName.CONTINUE)
+        return (
+            self.starts_between(node, from_s, until_s)
+            or bool(self.signals_between(node, from_s, until_s, kinds))
+            or self.is_paused_at(node, until_s)
+        )
+
+    def is_in_contact(self, node: NodeName, from_s: float, until_s: float) -> bool:
+        """Tell whether a node was in contact throughout a time."""
+        begins_s = from_s - self.bounds.contact_s
+        kinds = (Disturbance.STORE, Disturbance.HARNESS)
+        return (
+            not self.is_struck(node, begins_s, until_s)
+            and not self.is_slow(node, begins_s, until_s)
+            and not self.is_disturbed(begins_s, until_s, kinds)
+        )
--- /dev/null
+++ b/bench/fault_soak/run.py
@@ -0,0 +1,258 @@
+"""One soak: everything is started, struck, stopped and judged."""
+
+import asyncio
+import logging
+import os
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import anyio
+import httpx
+import msgspec
+from anyio.abc import TaskGroup
+
+from bench.fault_soak.back_ends import BackEndFleet
+from bench.fault_soak.callers import Caller, CallerClient, hold_connections
+from bench.fault_soak.evidence import Bounds
+from bench.fault_soak.history import (
+    AnyRecord,
+    FaultsEnded,
+    NodeErrors,
+    NodeName,
+    RequestEnded,
+    RequestSent,
+    write_history,
+)
+from bench.fault_soak.nodes import SoakNode
+from bench.fault_soak.operator import MarkerCaller, Operator
+from bench.fault_soak.platform_words import (
+    CONFIGURATION_BOUND_S,
+    CONTACT_S,
+    KEY_REMOVAL_S,
+    STOP_TIME_S,
+    WEIGHTS_BOUND_S,
+)
+from bench.fault_soak.recorder import Recorder
+from bench.fault_soak.rules import judge
+from bench.fault_soak.schedule import Fault, draw_schedule
+from bench.fault_soak.strikes import Striker
+from bench.fault_soak.violations import Violation
+from bench.real_fleet.collect import internal_errors
+from bench.real_fleet.processes import ProcessSet
+
+HISTORY_FILE = "history.jsonl"
+SCHEDULE_FILE = "schedule.json"
+VIOLATIONS_FILE = "violations.json"
+
+BOUNDS = Bounds(
+    contact_s=CONTACT_S,
+    stop_s=STOP_TIME_S,
+    configuration_s=CONFIGURATION_BOUND_S,
+    key_removal_s=KEY_REMOVAL_S,
+    weights_s=WEIGHTS_BOUND_S,
+)
+
+CALLERS_PER_NODE = 3
+MOST_CALLERS = 36
+NUM_ORDERING = 3
+NUM_GENERATING = 4
+ZONES = ("hall-a", "hall-b")
+RECOVERY_S = 40.0
+"""Longest wait for each node to serve again after the last fault."""
+
+CALM_S = 4.0
+POLL_S = 0.2
+HTTP_OK = 200
+END_S = 30.0
+"""Longest wait for what still runs at the end."""
+
+
+class SoakSettings(msgspec.Struct, frozen=True):
+    """What a soak is.
+
+    Attributes:
+        seed: Determines faults and requests; the order of what happens is the machine's.
+        duration_s: How long faults begin.
+        num_nodes: Node processes.
+        mean_interval_s: Mean time between the beginnings of two faults.
+    """
+
+    seed: int
+    duration_s: float
+    num_nodes: int
+    mean_interval_s: float
+
+
+class SoakOutcome(msgspec.Struct, frozen=True):
+    """What a soak showed."""
+
+    records: list[AnyRecord]
+    violations: list[Violation]
+
+
+class Soak:
+    """One soak.
+
+    Args:
+        settings: What it is.
+        directory: Where logs, settings files and the history go; it exists.
+
+    Attributes:
+        processes: Every process that was started; none runs once `run` has returned.
+    """
+
+    def __init__(self, settings: SoakSettings, directory: Path) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._recorder = Recorder()
+        self._random = Random(settings.seed)
+        self.processes = ProcessSet(directory)
+        self._network = _own_network()
+        self._nodes: list[SoakNode] = []
+
+    async def run(self) -> SoakOutcome:
+        """Soak, write everything down, and judge."""
+        settings = self._settings
+        logging.getLogger("httpx").setLevel(logging.WARNING)  # not a line for each request
+        asyncio.get_running_loop().set_exception_handler(_pass_over_cancelled)
+        schedule = draw_schedule(settings.seed, settings.duration_s, settings.mean_interval_s)
+        (self._directory / SCHEDULE_FILE).write_bytes(msgspec.json.encode(schedule))
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._recorder.watch_lateness)
+                await self._play(schedule, tasks)
+                tasks.cancel_scope.cancel()
+        finally:
+            self.processes.end_all()
+            self._note_errors()
+            write_history(self._directory / HISTORY_FILE, self._recorder.records)
+        violations = judge(self._recorder.records, BOUNDS)
+        (self._directory / VIOLATIONS_FILE).write_bytes(
+            msgspec.json.format(msgspec.json.encode(violations))
+        )
+        return SoakOutcome(self._recorder.records, violations)
+
+    async def _play(self, schedule: list[Fault], tasks: TaskGroup) -> None:
+        store_host = f"{self._network}.1"
+        back_ends = BackEndFleet(self._recorder, tasks, store_host)
+        operator = Operator(back_ends.store, self._recorder, self._random)
+        operator.configure()
+        operator.name_weights()
+        hosts = [
+            f"{self._network}.{10 + number}" for number in range(NUM_ORDERING + NUM_GENERATING)
+        ]
+        back_ends.start(hosts, NUM_ORDERING, self._random)
+        async with httpx.AsyncClient(trust_env=False) as prober, anyio.create_task_group() as nodes:
+            self._start_nodes(store_host, prober, nodes)
+            stop = anyio.Event()
+            async with anyio.create_task_group() as callers:
+                self._start_callers(operator, callers, stop)
+                await self._strike(
+                    schedule, Striker(self._nodes, back_ends, operator, self._recorder)
+                )
+                self._recorder.note(FaultsEnded(at_s=self._recorder.now_s()))
+                await self._wait_for_recovery()
+                # Callers send on while the nodes stop, until the processes are gone.
+                with anyio.move_on_after(END_S):
+                    await self._stop_nodes()
+                stop.set()
+            nodes.cancel_scope.cancel()
+
+    def _start_nodes(self, store_host: str, prober: httpx.AsyncClient, tasks: TaskGroup) -> None:
+        for number in range(self._settings.num_nodes):
+            node = SoakNode(
+                NodeName(f"node-{number + 1}"),
+                f"{self._network}.{100 + number}",
+                ZONES[number % len(ZONES)],
+                store_host,
+                self._directory,
+                self.processes,
+                self._recorder,
+            )
+            self._nodes.append(node)
+            tasks.start_soon(node.run, tasks, prober)
+
+    def _start_callers(self, operator: Operator, tasks: TaskGroup, stop: anyio.Event) -> None:
+        hosts = {node.name: node.host for node in self._nodes}
+        num_callers = min(MOST_CALLERS, CALLERS_PER_NODE * len(self._nodes))
+        for number in range(num_callers):
+            caller = Caller(
+                f"c{number}",
+                CallerClient(self._recorder, hosts),
+                Random(self._random.getrandbits(32)),
+                self._ready_nodes,
+                operator.newest_keys,
+            )
+            tasks.start_soon(caller.run, stop)
+        marker_caller = MarkerCaller(
+            "m",
+            operator,
+            CallerClient(self._recorder, hosts),
+            Random(self._random.getrandbits(32)),
+            self._ready_nodes,
+        )
+        tasks.start_soon(marker_caller.run, stop)
+        tasks.start_soon(hold_connections, list(hosts.values()), stop)
+
+    def _ready_nodes(self) -> list[NodeName]:
+        return [node.name for node in self._nodes if node.is_ready]
+
+    async def _strike(self, schedule: list[Fault], striker: Striker) -> None:
+        began_s = self._recorder.now_s()
+        async with anyio.create_task_group() as tasks:
+            for fault in schedule:
+                await anyio.sleep(max(0.0, began_s + fault.at_s - self._recorder.now_s()))
+                tasks.start_soon(striker.strike, fault)
+            await anyio.sleep(
+                max(0.0, began_s + self._settings.duration_s - self._recorder.now_s())
+            )
+
+    async def _wait_for_recovery(self) -> None:
+        """Wait until every node has served a request, as long as that may take."""
+        first = len(self._recorder.records)
+        await anyio.sleep(CALM_S)
+        with anyio.move_on_after(RECOVERY_S):
+            while True:
+                if len(self._served_since(first)) == len(self._nodes):
+                    return
+                await anyio.sleep(POLL_S)
+
+    def _served_since(self, first: int) -> set[NodeName]:
+        """Return the nodes that served a request sent after a number of records."""
+        records = self._recorder.records[first:]
+        sent = {one.request: one.node for one in records if isinstance(one, RequestSent)}
+        return {
+            sent[one.request]
+            for one in records
+            if isinstance(one, RequestEnded) and one.status == HTTP_OK and one.request in sent
+        }
+
+    async def _stop_nodes(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for node in self._nodes:
+                tasks.start_soon(node.stop_for_good)
+
+    def _note_errors(self) -> None:
+        for process in self.processes.started:
+            text = process.log_file.read_text(errors="replace")
+            for error in internal_errors(text.splitlines()):
+                self._recorder.note(
+                    NodeErrors(
+                        at_s=self._recorder.now_s(),
+                        node=NodeName(process.name),
+                        error=f"{error} in {process.log_file.name}",
+                    )
+                )
+
+
+def _pass_over_cancelled(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Pass over what a crashed stand-in's connections leave: the server cancels them."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
+def _own_network() -> str:
+    """Return the first three numbers of loopback addresses that no other soak uses now."""
+    pid = os.getpid()
+    return f"127.{100 + pid // 256 % 100}.{pid % 256}"
--- /dev/null
+++ b/bench/fault_soak/strikes.py
@@ -0,0 +1,234 @@
+"""Carries the faults of a schedule out."""
+
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from random import Random
+
+import anyio
+
+from bench.fault_soak.back_ends import BackEnd, BackEndFleet
+from bench.fault_soak.history import Disturbance, SignalName
+from bench.fault_soak.nodes import SoakNode
+from bench.fault_soak.operator import Operator
+from bench.fault_soak.recorder import Recorder
+from bench.fault_soak.schedule import Fault, FaultKind
+
+SERIES_LENGTH = 4
+SLOW_STORE_S = 0.8
+LATE_WRITES_S = 2.5
+LOST_SHARE = 0.5
+SECOND_SIGNAL_S = 0.5
+KILL_ALL_SPREAD_S = 0.1
+
+Strike = Callable[[Fault, Random], Awaitable[None]]
+
+
+class Striker:
+    """Knows how each kind of fault is done.
+
+    Args:
+        nodes: The nodes.
+        back_ends: Store and back ends.
+        operator: Configurations and weights.
+        recorder: Where disturbances of the store are noted.
+    """
+
+    def __init__(
+        self,
+        nodes: Sequence[SoakNode],
+        back_ends: BackEndFleet,
+        operator: Operator,
+        recorder: Recorder,
+    ) -> None:
+        self._nodes = nodes
+        self._back_ends = back_ends
+        self._operator = operator
+        self._recorder = recorder
+        self._strikes: Mapping[FaultKind, Strike] = {
+            FaultKind.STOP: self._stop,
+            FaultKind.STOP_SEVERAL: self._stop_several,
+            FaultKind.STOP_TWICE: self._stop_twice,
+            FaultKind.STOP_PAUSED: self._stop_paused,
+            FaultKind.KILL: self._kill,
+            FaultKind.KILL_STOPPING: self._kill_stopping,
+            FaultKind.KILL_ALL: self._kill_all,
+            FaultKind.PAUSE: self._pause,
+            FaultKind.PAUSE_SEVERAL: self._pause_several,
+            FaultKind.RELOAD: self._reload,
+            FaultKind.RELOAD_CHANGED: self._reload_changed,
+            FaultKind.CHANGE_UNTOLD: self._change_untold,
+            FaultKind.CONFIGURE: self._configure,
+            FaultKind.CONFIGURE_SERIES: self._configure_series,
+            FaultKind.NAME_WEIGHTS: self._name_weights,
+            FaultKind.CRASH_BACK_END: self._crash_back_end,
+            FaultKind.LEAVE_BACK_END: self._leave_back_end,
+            FaultKind.BREAK_ANSWERS: self._break_answers,
+            FaultKind.LATE_ORDERS: self._late_orders,
+            FaultKind.STORE_DOWN: self._store_down,
+            FaultKind.STORE_SLOW: self._store_slow,
+            FaultKind.STORE_LATE_WRITES: self._store_late_writes,
+            FaultKind.STORE_LOST_ANSWERS: self._store_lost_answers,
+            FaultKind.STORE_SILENT: self._store_silent,
+            FaultKind.STORE_CUT_WATCHES: self._store_cut_watches,
+            FaultKind.STORE_FORGETS: self._store_forgets,
+        }
+
+    async def strike(self, fault: Fault) -> None:
+        """Do one fault; returns when it is over."""
+        await self._strikes[fault.kind](fault, Random(fault.seed))
+
+    # Nodes.
+
+    def _half(self, random: Random) -> list[SoakNode]:
+        return random.sample(self._nodes, max(1, len(self._nodes) // 2))
+
+    async def _stop(self, _fault: Fault, random: Random) -> None:
+        await random.choice(self._nodes).stop()
+
+    async def _stop_several(self, _fault: Fault, random: Random) -> None:
+        async with anyio.create_task_group() as tasks:
+            for node in self._half(random):
+                tasks.start_soon(node.stop)
+
+    async def _stop_twice(self, _fault: Fault, random: Random) -> None:
+        node = random.choice(self._nodes)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(node.stop)
+            await anyio.sleep(SECOND_SIGNAL_S)
+            node.signal(SignalName.TERMINATE)
+
+    async def _stop_paused(self, fault: Fault, random: Random) -> None:
+        node = random.choice(self._nodes)
+        node.signal(SignalName.PAUSE)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(node.stop)
+            await anyio.sleep(fault.lasts_s)
+            node.signal(SignalName.CONTINUE)
+
+    async def _kill(self, _fault: Fault, random: Random) -> None:
+        random.choice(self._nodes).signal(SignalName.KILL)
+
+    async def _kill_stopping(self, fault: Fault, random: Random) -> None:
+        node = random.choice(self._nodes)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(node.stop)
+            await anyio.sleep(fault.lasts_s)
+            node.signal(SignalName.KILL)
+
+    async def _kill_all(self, _fault: Fault, random: Random) -> None:
+        for node in self._nodes:
+            node.signal(SignalName.KILL)
+            await anyio.sleep(random.uniform(0.0, KILL_ALL_SPREAD_S))
+
+    async def _pause(self, fault: Fault, random: Random) -> None:
+        node = random.choice(self._nodes)
+        node.signal(SignalName.PAUSE)
+        await anyio.sleep(fault.lasts_s)
+        node.signal(SignalName.CONTINUE)
+
+    async def _pause_several(self, fault: Fault, random: Random) -> None:
+        paused = self._half(random)
+        for node in paused:
+            node.signal(SignalName.PAUSE)
+        await anyio.sleep(fault.lasts_s)
+        for node in paused:
+            node.signal(SignalName.CONTINUE)
+
+    async def _reload(self, _fault: Fault, random: Random) -> None:
+        random.choice(self._nodes).signal(SignalName.RELOAD)
+
+    async def _reload_changed(self, _fault: Fault, _random: Random) -> None:
+        for node in self._nodes:
+            node.change_settings()
+            node.signal(SignalName.RELOAD)
+
+    async def _change_untold(self, _fault: Fault, _random: Random) -> None:
+        for node in self._nodes:
+            node.change_settings()
+
+    # Configurations and weights.
+
+    async def _configure(self, _fault: Fault, _random: Random) -> None:
+        self._operator.configure()
+
+    async def _configure_series(self, fault: Fault, _random: Random) -> None:
+        for _ in range(SERIES_LENGTH):
+            self._operator.configure()
+            await anyio.sleep(fault.lasts_s / SERIES_LENGTH)
+
+    async def _name_weights(self, _fault: Fault, _random: Random) -> None:
+        self._operator.name_weights()
+
+    # Back ends.
+
+    async def _crash_back_end(self, fault: Fault, random: Random) -> None:
+        await self._with_back_end(
+            random, lambda back_end: self._back_ends.crash(back_end, fault.lasts_s)
+        )
+
+    async def _leave_back_end(self, fault: Fault, random: Random) -> None:
+        await self._with_back_end(
+            random, lambda back_end: self._back_ends.leave(back_end, fault.lasts_s)
+        )
+
+    async def _with_back_end(
+        self, random: Random, do: Callable[[BackEnd], Awaitable[None]]
+    ) -> None:
+        """Do something with a back end that no other fault has hold of, if there is one."""
+        free = [back_end for back_end in self._back_ends.back_ends if not back_end.is_busy]
+        if not free:
+            return
+        back_end = random.choice(free)
+        back_end.is_busy = True
+        await do(back_end)
+        back_end.is_busy = False
+
+    async def _break_answers(self, _fault: Fault, random: Random) -> None:
+        self._back_ends.break_answers(random)
+
+    async def _late_orders(self, fault: Fault, random: Random) -> None:
+        await self._with_back_end(
+            random, lambda back_end: self._back_ends.take_orders_late(back_end, fault.lasts_s)
+        )
+
+    # The store.
+
+    async def _store_down(self, fault: Fault, _random: Random) -> None:
+        await self._disturb_store(lambda: self._back_ends.take_store_down(fault.lasts_s))
+
+    async def _store_slow(self, fault: Fault, _random: Random) -> None:
+        await self._disturb_store(
+            lambda: self._back_ends.set_in_store(fault.lasts_s, jitter_s=SLOW_STORE_S)
+        )
+
+    async def _store_late_writes(self, fault: Fault, _random: Random) -> None:
+        await self._disturb_store(
+            lambda: self._back_ends.set_in_store(fault.lasts_s, late_writes_s=LATE_WRITES_S)
+        )
+
+    async def _store_lost_answers(self, fault: Fault, _random: Random) -> None:
+        await self._disturb_store(
+            lambda: self._back_ends.set_in_store(fault.lasts_s, lose_share=LOST_SHARE)
+        )
+
+    async def _store_silent(self, fault: Fault, _random: Random) -> None:
+        await self._disturb_store(
+            lambda: self._back_ends.set_in_store(fault.lasts_s, is_silent=True)
+        )
+
+    async def _store_cut_watches(self, _fault: Fault, _random: Random) -> None:
+        began_s = self._recorder.now_s()
+        self._back_ends.store.cut_watches()
+        self._recorder.note_disturbed(Disturbance.STORE, began_s)
+
+    async def _store_forgets(self, _fault: Fault, _random: Random) -> None:
+        self._back_ends.store.compact()
+
+    async def _disturb_store(self, do: Callable[[], Awaitable[None]]) -> None:
+        """Disturb the store, unless another fault does."""
+        if self._back_ends.is_store_struck:
+            return
+        self._back_ends.is_store_struck = True
+        began_s = self._recorder.now_s()
+        await do()
+        self._recorder.note_disturbed(Disturbance.STORE, began_s)
+        self._back_ends.is_store_struck = False
--- /dev/null
+++ b/bench/fault_soak/violations.py
@@ -0,0 +1,42 @@
+"""What a rule finds."""
+
+import enum
+
+import msgspec
+
+
+class Rule(enum.Enum):
+    """What must hold in every soak."""
+
+    WHOLE_OWN_ANSWERS = "whole_own_answers"
+    """An answer that looks whole is a back end's whole answer to that request."""
+    RUNS_AT_MOST_ONCE = "runs_at_most_once"
+    REFUSED_DID_NOT_RUN = "refused_did_not_run"
+    EVENTS_IN_ORDER = "events_in_order"
+    STOP_CUTS_NOTHING = "stop_cuts_nothing"
+    STOP_ENDS_IN_TIME = "stop_ends_in_time"
+    ONLY_SENT_RUNS = "only_sent_runs"
+    CONFIGURATION_NEVER_REVERTS = "configuration_never_reverts"
+    CONFIGURATION_IN_TIME = "configuration_in_time"
+    REMOVED_KEYS_DO_NOT_RUN = "removed_keys_do_not_run"
+    WEIGHTS_IN_TIME = "weights_in_time"
+    ONE_HOLDER_OF_ORDERS = "one_holder_of_orders"
+    NODES_STAY_UP = "nodes_stay_up"
+    SERVES_AGAIN = "serves_again"
+    """Each node answers a request with success after the last fault."""
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A rule that was broken.
+
+    Attributes:
+        rule: The rule.
+        at_s: When, on the history's clock.
+        subject: The request, node or back end.
+        explanation: What was seen.
+    """
+
+    rule: Rule
+    at_s: float
+    subject: str
+    explanation: str
--- a/bench/real_fleet/processes.py
+++ b/bench/real_fleet/processes.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 import anyio
@@ -42,16 +42,29 @@
         name: What it is.
         log_file: Its standard output and error.
         started_at_s: Start on the monotonic clock.
+
+    Args:
+        name: What it is.
+        command: Program and arguments.
+        log_file: Where its output goes.
+        environment: Its variables; None hands on those of this process.
     """
 
-    def __init__(self, name: str, arguments: Sequence[str], log_file: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        command: Sequence[str],
+        log_file: Path,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.log_file = log_file
         self.started_at_s = time.monotonic()
         with log_file.open("wb") as log:
             # A session of its own: an interrupt of the terminal reaches the harness alone.
             self._process = subprocess.Popen(
-                [*COMMAND, *arguments],
+                command,
+                env=environment,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -118,8 +131,14 @@
 
     def start(self, name: str, arguments: Sequence[str]) -> RunningProcess:
         """Start one process of the product's command line."""
+        return self.start_program(name, [*COMMAND, *arguments])
+
+    def start_program(
+        self, name: str, command: Sequence[str], environment: Mapping[str, str] | None = None
+    ) -> RunningProcess:
+        """Start one process of any program; None hands on this process's environment."""
         log_file = self._directory / f"{len(self._started):02d}-{name}.log"
-        process = RunningProcess(name, arguments, log_file)
+        process = RunningProcess(name, command, log_file, environment)
         self._started.append(process)
         return process
 
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -14,6 +14,9 @@
 READ_S = 0.03
 HANG_S = 3600.0
 
+BREAKING = ("hang", "reset", "break", "stall")
+"""Faults after which an answer never ends."""
+
 
 @dataclass
 class Run:
@@ -55,6 +58,13 @@
     on_version: object = None
     load_mode: str = "block"
     num_running: int = 0
+    event_interval_s: float = EVENT_INTERVAL_S
+    names_request: bool = False
+    """Whether bodies and events name the request and the incarnation that they come from."""
+    on_run: object = None
+    """Called with each `Run` that begins, its target and its body."""
+    on_break: object = None
+    """Called with the id of each request whose answer this runner breaks off."""
 
     def entry(self, state="ready"):
         models = [{"name": self.model, "version": self.version, "adapters": []}]
@@ -107,6 +117,10 @@
             anyio.current_time(),
         )
         self.runs.append(run)
+        if self.on_run is not None:
+            self.on_run(run, request.extensions["target"], request.content)
+        if fault in BREAKING and self.on_break is not None:
+            self.on_break(request_id)
         if fault == "hang":
             await self._sleep_or_note(request_id, HANG_S)
         if fault == "reset":
@@ -123,8 +137,11 @@
         if self.model is None:
             await anyio.sleep(self.read_s)
             body = b"done by " + self.instance.encode()
+            if self.names_request:
+                body += b" for " + request_id.encode()
             if fault == "break":
                 return httpx.Response(200, headers=headers, stream=Broken([body[:4]]))
+            run.ended_s = anyio.current_time()
             return httpx.Response(200, headers=headers, content=body)
         headers["X-Weight-Versions"] = str(self.version)
         after = int(request.headers.get("last-event-id") or 0)
@@ -187,7 +204,7 @@
         try:
             await anyio.sleep(self._runner.read_s)
             for number in range(self._after + 1, NUM_EVENTS + 1):
-                event = f"id: {number}\ndata: token-{number}\n\n".encode()
+                event = f"id: {number}\ndata: {self._token(number)}\n\n".encode()
                 if self._fault == "break" and number == 3:
                     yield event[:9]
                     raise httpx.RemoteProtocolError("incomplete chunked read")
@@ -196,13 +213,18 @@
                 if self._fault.startswith("pause:") and number == 3:
                     await anyio.sleep(float(self._fault.removeprefix("pause:")))
                 yield event
-                await anyio.sleep(EVENT_INTERVAL_S)
+                await anyio.sleep(self._runner.event_interval_s)
             self._run.ended_s = anyio.current_time()
         finally:
             self._runner.num_running -= 1
             if self._run.ended_s is None:
                 self._runner.cancelled.append((anyio.current_time(), self._run.request_id))
 
+    def _token(self, number):
+        if self._runner.names_request:
+            return f"{self._run.request_id} {self._runner.instance}"
+        return f"token-{number}"
+
 
 class Broken(httpx.AsyncByteStream):
     """A body that ends early."""
