--- a/bench/fault_soak/__main__.py
+++ b/bench/fault_soak/__main__.py
@@ -1,4 +1,4 @@
-"""Command line: `python -m bench.fault_soak run --minutes 5 --seed 1`, `… judge DIRECTORY`."""
+"""Command line: `python -m bench.fault_soak run --minutes 5`, `… judge DIRECTORY`, `… planted`."""
 
 import signal
 import sys
@@ -11,6 +11,7 @@
 import fire
 
 from bench.fault_soak.history import AnyRecord, RequestEnded, RunBegan, read_history
+from bench.fault_soak.planted import Finding, plant, read_table
 from bench.fault_soak.rules import judge
 from bench.fault_soak.run import BOUNDS, HISTORY_FILE, Soak, SoakSettings
 from bench.fault_soak.violations import Violation
@@ -74,6 +75,29 @@
     sys.exit(EXIT_VIOLATIONS if violations else EXIT_OK)
 
 
+def planted(seed: int = 1, nodes: int = DEFAULT_NODES, only: str = "") -> None:
+    """Plant each fault of `planted.toml` in a copy of the product and tell whether it is found.
+
+    Args:
+        seed: First seed; each takes a minute, and five are tried.
+        nodes: Node processes.
+        only: Plants only faults whose name holds this text.
+    """
+    is_every_one_found = True
+    for fault in read_table():
+        if only in fault.name:
+            finding = plant(fault, seed, nodes)
+            is_every_one_found &= finding.is_found
+            print(f"{fault.name} ({fault.rule}): {_describe(finding)}", flush=True)
+    sys.exit(EXIT_OK if is_every_one_found else EXIT_VIOLATIONS)
+
+
+def _describe(finding: Finding) -> str:
+    seeds = ", ".join(map(str, finding.seeds))
+    rules = ", ".join(finding.rules) or "none"
+    return f"{'found' if finding.is_found else 'MISSED'}, seeds {seeds}; broken: {rules}"
+
+
 def _show(records: list[AnyRecord], violations: list[Violation]) -> None:
     ends = Counter(
         f"{one.outcome.value} {one.status}" for one in records if isinstance(one, RequestEnded)
@@ -97,7 +121,7 @@
 
 if __name__ == "__main__":
     try:
-        fire.Fire({"run": run, "judge": judge_directory})  # type: ignore[no-untyped-call]
+        fire.Fire({"run": run, "judge": judge_directory, "planted": planted})  # type: ignore[no-untyped-call]
     except KeyboardInterrupt:
         print("interrupted; every process is ended", file=sys.stderr)
         sys.exit(EXIT_INTERRUPTED)
--- a/bench/fault_soak/back_ends.py
+++ b/bench/fault_soak/back_ends.py
@@ -40,6 +40,7 @@
 LOAD_S = 0.6
 TICK_S = 0.05
 HEARTBEAT_S = 1.0
+NEVER_S = 3600.0
 LEAVE_EXTRA_S = 0.5
 MOST_HISTORY = 400
 """Changes that the store remembers: each watch looks through them all."""
@@ -230,6 +231,14 @@
         await anyio.sleep(lasts_s)
         stand_in.late_orders_s, stand_in.lose_order_answers = None, False
 
+    async def lose_orders(self, back_end: BackEnd, lasts_s: float) -> None:
+        """Let a back end keep silent to orders, and take none of them."""
+        stand_in = back_end.stand_in
+        stand_in.late_orders_s = NEVER_S
+        await anyio.sleep(lasts_s)
+        stand_in.late_orders_s = None
+        back_end.is_busy = False
+
     async def take_store_down(self, lasts_s: float) -> None:
         """Refuse connections to the store for a time."""
         await self._served_store.go_down()
--- a/bench/fault_soak/strikes.py
+++ b/bench/fault_soak/strikes.py
@@ -63,6 +63,7 @@
             FaultKind.LEAVE_BACK_END: self._leave_back_end,
             FaultKind.BREAK_ANSWERS: self._break_answers,
             FaultKind.LATE_ORDERS: self._late_orders,
+            FaultKind.LOST_ORDERS: self._lost_orders,
             FaultKind.STORE_DOWN: self._store_down,
             FaultKind.STORE_SLOW: self._store_slow,
             FaultKind.STORE_LATE_WRITES: self._store_late_writes,
@@ -190,6 +191,13 @@
             random, lambda back_end: self._back_ends.take_orders_late(back_end, fault.lasts_s)
         )
 
+    async def _lost_orders(self, fault: Fault, random: Random) -> None:
+        free = [one for one in self._back_ends.back_ends if not one.is_busy]
+        async with anyio.create_task_group() as tasks:
+            for back_end in random.sample(free, len(free) // 2):
+                back_end.is_busy = True
+                tasks.start_soon(self._back_ends.lose_orders, back_end, fault.lasts_s)
+
     # The store.
 
     async def _store_down(self, fault: Fault, _random: Random) -> None:
