--- a/bench/fault_soak/evidence.py
+++ b/bench/fault_soak/evidence.py
@@ -15,6 +15,7 @@
     FaultsEnded,
     NodeEnded,
     NodeErrors,
+    NodeListens,
     NodeName,
     NodeSignalled,
     NodeSlow,
@@ -83,6 +84,9 @@
         self._starts: dict[NodeName, list[float]] = defaultdict(list)
         for start in self.all(NodeStarted):
             self._starts[start.node].append(start.at_s)
+        self._listens: dict[NodeName, list[float]] = defaultdict(list)
+        for listens in self.all(NodeListens):
+            self._listens[listens.node].append(listens.at_s)
         self.node_ends: dict[NodeName, list[NodeEnded]] = defaultdict(list)
         for end in self.all(NodeEnded):
             self.node_ends[end.node].append(end)
@@ -113,6 +117,13 @@
         index = bisect_right(starts, at_s)
         return starts[index - 1] if index else None
 
+    def has_listened(self, node: NodeName, at_s: float) -> bool:
+        """Tell whether the process that ran at a time had begun to listen."""
+        began_s = self.start_before(node, at_s)
+        return began_s is not None and any(
+            began_s <= listened_s <= at_s for listened_s in self._listens.get(node, ())
+        )
+
     def starts_between(self, node: NodeName, from_s: float, until_s: float) -> bool:
         """Tell whether a process of a node began in a time."""
         starts = self._starts.get(node, [])
--- a/bench/fault_soak/history.py
+++ b/bench/fault_soak/history.py
@@ -126,6 +126,12 @@
     node: NodeName
 
 
+class NodeListens(Record, frozen=True, kw_only=True):
+    """A process that was started took a first connection: the program had begun to run."""
+
+    node: NodeName
+
+
 class NodeSignalled(Record, frozen=True, kw_only=True):
     """A node was sent a signal.
 
@@ -201,6 +207,7 @@
     | RunBegan
     | RunBroken
     | NodeStarted
+    | NodeListens
     | NodeSignalled
     | NodeEnded
     | NodeSlow
--- a/bench/fault_soak/nodes.py
+++ b/bench/fault_soak/nodes.py
@@ -11,6 +11,7 @@
 
 from bench.fault_soak.history import (
     NodeEnded,
+    NodeListens,
     NodeName,
     NodeSignalled,
     NodeSlow,
@@ -31,6 +32,7 @@
 COMMAND = (sys.executable, str(ROOT / "platform" / "run.py"))
 RESTART_S = 0.3
 PROBE_INTERVAL_S = 0.4
+LISTENING_INTERVAL_S = 0.02
 PROBE_TIMEOUT_S = 1.0
 FIRST_EXTRA = 54
 """Extra repeats in the settings; each change adds one."""
@@ -95,6 +97,7 @@
             self._start(is_first_start)
             is_first_start = False
             assert self._process is not None
+            tasks.start_soon(self._note_listening, self._process)
             code = await self._process.wait()
             self.is_ready = False
             self._recorder.note(
@@ -109,6 +112,17 @@
         environment = {**ENVIRONMENT, SETTINGS_VARIABLE: str(self._settings_file)}
         self._process = self._processes.start_program(self.name, COMMAND, environment)
 
+    async def _note_listening(self, process: RunningProcess) -> None:
+        while process.is_running:
+            try:
+                stream = await anyio.connect_tcp(self.host, READY_PORT)
+            except OSError:
+                await anyio.sleep(LISTENING_INTERVAL_S)
+                continue
+            self._recorder.note(NodeListens(at_s=self._recorder.now_s(), node=self.name))
+            await stream.aclose()
+            return
+
     def _write_settings(self, is_first_start: bool) -> None:
         text = node_settings(
             self.name,
--- a/features/fault_soak.feature
+++ b/features/fault_soak.feature
@@ -57,12 +57,13 @@
       | a run on old weights after a pause                 | weights_in_time             |
 
     Examples: Orders and processes
-      | what                                | rule                 |
-      | two holders under one fencing token | one_holder_of_orders |
-      | a process that ends by itself       | nodes_stay_up        |
-      | a process that SIGHUP ends          | nodes_stay_up        |
-      | an unexpected error in a log        | nodes_stay_up        |
-      | a node that never serves again      | serves_again         |
+      | what                                       | rule                 |
+      | two holders under one fencing token        | one_holder_of_orders |
+      | a process that ends by itself              | nodes_stay_up        |
+      | a process that SIGHUP ends                 | nodes_stay_up        |
+      | a process that SIGHUP ends while it starts | nodes_stay_up        |
+      | an unexpected error in a log               | nodes_stay_up        |
+      | a node that never serves again             | serves_again         |
 
   Scenario: A stop that takes a fresh request with it breaks two rules
     When a sound history of a soak also has a stop that SIGKILL ends with a fresh run
@@ -100,6 +101,7 @@
       | a run on old weights just after a pause             |
       | two holders one after another                       |
       | a process that is killed                            |
+      | a process that SIGHUP ends before it listens        |
 
   Scenario: A kept history is judged the same way
     When a sound history of a soak also has a run on old weights
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -7,6 +7,7 @@
     FaultsEnded,
     NodeEnded,
     NodeErrors,
+    NodeListens,
     NodeSignalled,
     NodeSlow,
     NodeStarted,
@@ -33,6 +34,7 @@
         configured(0.0, 1, KEY_1, KEY_2),
         WeightsNamed(at_s=0.0, version=1),
         NodeStarted(at_s=1.0, node=NODE),
+        NodeListens(at_s=1.1, node=NODE),
         *plain(10.0, "q1"),
         *streamed(11.0, "q2"),
         configured(20.0, 2, KEY_2, KEY_3),
@@ -307,6 +309,14 @@
         signalled(29.9, SignalName.RELOAD), NodeEnded(at_s=30.0, node=NODE, exit_code=-1),
         NodeStarted(at_s=30.3, node=NODE),
     ],
+    "a process that SIGHUP ends before it listens": [
+        *stopped(30.0), signalled(33.4, SignalName.RELOAD),
+        NodeEnded(at_s=33.5, node=NODE, exit_code=-1), NodeStarted(at_s=33.8, node=NODE),
+    ],
+    "a process that SIGHUP ends while it starts": [
+        *stopped(30.0), NodeListens(at_s=33.35, node=NODE), signalled(33.4, SignalName.RELOAD),
+        NodeEnded(at_s=33.5, node=NODE, exit_code=-1), NodeStarted(at_s=33.8, node=NODE),
+    ],
     "a process that is killed": [
         signalled(29.9, SignalName.KILL), NodeEnded(at_s=30.0, node=NODE, exit_code=-9),
         NodeStarted(at_s=30.3, node=NODE),
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -32,6 +32,7 @@
 """behave processes at once; few enough for a small machine."""
 
 SLOW_FEATURES = (
+    "fault_soak",
     "gateway_rollouts_faults",
     "gateway_rollouts",
     "membership_faults",
