--- a/bench/fault_soak/back_ends.py
+++ b/bench/fault_soak/back_ends.py
@@ -219,10 +219,10 @@
         back_end.start()
 
     def break_answers(self, random: Random) -> None:
-        """Spoil the next answers of one back end."""
-        back_end = random.choice(self.back_ends)
-        number = random.randint(1, MOST_ANSWER_FAULTS)
-        back_end.stand_in.faults.extend(random.choices(ANSWER_FAULTS, k=number))
+        """Spoil the next answers of half of the back ends."""
+        for back_end in random.sample(self.back_ends, len(self.back_ends) // 2):
+            number = random.randint(1, MOST_ANSWER_FAULTS)
+            back_end.stand_in.faults.extend(random.choices(ANSWER_FAULTS, k=number))
 
     async def take_orders_late(self, back_end: BackEnd, lasts_s: float) -> None:
         """Let a back end take orders late, and lose the answers to them."""
--- a/bench/fault_soak/schedule.py
+++ b/bench/fault_soak/schedule.py
@@ -39,7 +39,7 @@
     CRASH_BACK_END = "crash_back_end"
     LEAVE_BACK_END = "leave_back_end"
     BREAK_ANSWERS = "break_answers"
-    """The next answers of one back end are crossed, unsigned, cut, refused or failures."""
+    """The next answers of half of the back ends are crossed, unsigned, cut, refused or failures."""
     LATE_ORDERS = "late_orders"
     """One back end takes orders late, and loses the answers to them."""
     LOST_ORDERS = "lost_orders"
@@ -87,7 +87,7 @@
     FaultRow(FaultKind.NAME_WEIGHTS, 2.5),
     FaultRow(FaultKind.CRASH_BACK_END, 1.5, 0.3, 6),
     FaultRow(FaultKind.LEAVE_BACK_END, 1, 3, 5),
-    FaultRow(FaultKind.BREAK_ANSWERS, 2),
+    FaultRow(FaultKind.BREAK_ANSWERS, 4),
     FaultRow(FaultKind.LATE_ORDERS, 1, 2, 8),
     FaultRow(FaultKind.LOST_ORDERS, 1, 6, 16),
     FaultRow(FaultKind.STORE_DOWN, 1, 0.5, 6),
