--- a/bench/fault_soak/run.py
+++ b/bench/fault_soak/run.py
@@ -190,6 +190,7 @@
             operator,
             CallerClient(self._recorder, hosts),
             Random(self._random.getrandbits(32)),
+            list(hosts),
             self._ready_nodes,
         )
         tasks.start_soon(marker_caller.run, stop)
--- a/bench/fault_soak/schedule.py
+++ b/bench/fault_soak/schedule.py
@@ -26,6 +26,8 @@
     KILL_ALL = "kill_all"
     PAUSE = "pause"
     PAUSE_SEVERAL = "pause_several"
+    PAUSE_UNAWARE = "pause_unaware"
+    """Half of the nodes are paused, and configurations and newer weights come meanwhile."""
     RELOAD = "reload"
     """SIGHUP without a change."""
     RELOAD_CHANGED = "reload_changed"
@@ -79,6 +81,7 @@
     FaultRow(FaultKind.KILL_ALL, 0.5),
     FaultRow(FaultKind.PAUSE, 4, 0.2, 6),
     FaultRow(FaultKind.PAUSE_SEVERAL, 1, 0.5, 5),
+    FaultRow(FaultKind.PAUSE_UNAWARE, 1.5, 5.5, 10),
     FaultRow(FaultKind.RELOAD, 1),
     FaultRow(FaultKind.RELOAD_CHANGED, 1),
     FaultRow(FaultKind.CHANGE_UNTOLD, 1),
--- a/bench/fault_soak/strikes.py
+++ b/bench/fault_soak/strikes.py
@@ -53,6 +53,7 @@
             FaultKind.KILL_ALL: self._kill_all,
             FaultKind.PAUSE: self._pause,
             FaultKind.PAUSE_SEVERAL: self._pause_several,
+            FaultKind.PAUSE_UNAWARE: self._pause_unaware,
             FaultKind.RELOAD: self._reload,
             FaultKind.RELOAD_CHANGED: self._reload_changed,
             FaultKind.CHANGE_UNTOLD: self._change_untold,
@@ -134,6 +135,17 @@
         for node in paused:
             node.signal(SignalName.CONTINUE)
 
+    async def _pause_unaware(self, fault: Fault, random: Random) -> None:
+        paused = self._half(random)
+        for node in paused:
+            node.signal(SignalName.PAUSE)
+        for _ in range(SERIES_LENGTH):
+            self._operator.configure()
+        self._operator.name_weights()
+        await anyio.sleep(fault.lasts_s)
+        for node in paused:
+            node.signal(SignalName.CONTINUE)
+
     async def _reload(self, _fault: Fault, random: Random) -> None:
         random.choice(self._nodes).signal(SignalName.RELOAD)
 
--- a/features/fault_soak.feature
+++ b/features/fault_soak.feature
@@ -87,6 +87,7 @@
       | a stop of a paused node that cuts a run             |
       | a node that is killed under a run                   |
       | a stop while the soak was late                      |
+      | a stop of a node that is held up                    |
       | a stop before the process had read anything         |
       | an older configuration beside a newer one           |
       | an older configuration at a node that started again |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -223,6 +223,11 @@
         signalled(38.0, SignalName.KILL, ends_stop=True),
         NodeEnded(at_s=38.0, node=NODE, exit_code=-9), NodeStarted(at_s=38.3, node=NODE),
     ],
+    "a stop of a node that is held up": [
+        signalled(30.0, SignalName.TERMINATE), NodeSlow(at_s=31.0, node=NODE, until_s=33.0),
+        signalled(38.0, SignalName.KILL, ends_stop=True),
+        NodeEnded(at_s=38.0, node=NODE, exit_code=-9), NodeStarted(at_s=38.3, node=NODE),
+    ],
     "a stop before the process had read anything": [
         *stopped(30.0),
         signalled(33.4, SignalName.TERMINATE),
