--- a/bench/fault_soak/platform_words.py
+++ b/bench/fault_soak/platform_words.py
@@ -11,6 +11,7 @@
 from bench.fault_soak.history import (
     ConfigurationVersion,
     InstanceName,
+    Outcome,
     RequestEnded,
     RequestId,
     RequestKind,
@@ -36,6 +37,11 @@
 TIMEOUT_S = 4.0
 MILLISECONDS_PER_S = 1000
 
+REQUIRED_FIELDS = frozenset({"id", "data"})
+EVENT_FIELDS = REQUIRED_FIELDS | {"x-weight-versions"}
+MALFORMED = -1
+"""In place of the number of an event that has no proper form."""
+
 CONFIGURATION_KEY = "op/config"
 WEIGHTS_KEY = f"op/version/{MODEL}"
 RUNNERS_KEY = "servers/"
@@ -181,20 +187,25 @@
 
 
 def parse_events(body: str) -> tuple[tuple[int, ...], tuple[str, ...]]:
-    """Return number and origin of each event that arrived whole."""
+    """Return number and origin of each event that arrived whole; MALFORMED of any other bytes."""
     numbers, origins = [], []
     for event in body.split("\n\n")[:-1]:
         lines = [line.partition(": ") for line in event.split("\n")]
-        fields = {name: value for name, _, value in lines}
-        if "data" in fields:
-            numbers.append(int(fields.get("id", "0")))
-            origins.append(fields["data"])
+        fields = {name.lower(): value for name, _, value in lines}
+        is_whole = len(fields) == len(lines) and REQUIRED_FIELDS <= fields.keys() <= EVENT_FIELDS
+        numbers.append(int(fields["id"]) if is_whole and fields["id"].isdigit() else MALFORMED)
+        origins.append(fields.get("data", ""))
     return tuple(numbers), tuple(origins)
 
 
 def with_events(ended: RequestEnded) -> RequestEnded:
-    """Return a stream's end with its events read from the body."""
+    """Return a stream's end with its events read from the body.
+
+    Bytes after the last event are part of one if the stream broke off, else they are malformed.
+    """
     numbers, origins = parse_events(ended.body)
+    if ended.outcome is Outcome.ANSWERED and not ended.body.endswith("\n\n") and ended.body:
+        numbers = (*numbers, MALFORMED)
     return msgspec.structs.replace(ended, event_numbers=numbers, event_origins=origins)
 
 
--- a/features/fault_soak.feature
+++ b/features/fault_soak.feature
@@ -104,6 +104,21 @@
       | a process that is killed                            |
       | a process that SIGHUP ends before it listens        |
 
+  Scenario Outline: Events are read strictly, so that torn ones show
+    Then a stream that ends as <outcome> with "<body>" has the events "<events>"
+
+    Examples:
+      | outcome  | body                                       | events |
+      | answered | id: 1;data: q i;;id: 2;data: q i;;         | 1, 2   |
+      | answered | X-Weight-Versions: 3;id: 1;data: q i;;     | 1      |
+      | answered | id: 1;datid: 1;data: q i;;                 | -1     |
+      | answered | id: 1;data: q i;;id: 2;da                  | 1, -1  |
+      | broken   | id: 1;data: q i;;id: 2;da                  | 1      |
+      | answered | id: 1;id: 1;data: q i;;                    | -1     |
+      | answered | data: q i;;                                | -1     |
+      | answered | id: x;data: q i;;                          | -1     |
+      | answered | id: 1;data: q i;;;;                        | 1, -1  |
+
   Scenario: A kept history is judged the same way
     When a sound history of a soak also has a run on old weights
     And the history is written down and read again
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -9,11 +9,13 @@
     ConfigurationAcknowledged,
     NodeEnded,
     NodeStarted,
+    Outcome,
     RequestEnded,
     SignalName,
     read_history,
     write_history,
 )
+from bench.fault_soak.platform_words import with_events
 from bench.fault_soak.rules import judge
 from bench.fault_soak.run import BOUNDS, Soak, SoakSettings
 from bench.fault_soak.schedule import FaultKind, draw_schedule
@@ -30,6 +32,13 @@
     context.history = soak_histories.sound() + soak_histories.ADDED[what]
 
 
+@then('a stream that ends as {outcome} with "{body}" has the events "{events}"')
+def step_events(context, outcome, body, events):
+    ended = soak_histories.ended(1.0, "q", Outcome(outcome), body=body.replace(";", "\n"))
+    numbers = with_events(ended).event_numbers
+    assert ", ".join(map(str, numbers)) == events, numbers
+
+
 @when("the history is written down and read again")
 def step_written(context):
     with tempfile.TemporaryDirectory() as directory:
