--- a/bench/fault_soak/schedule.py
+++ b/bench/fault_soak/schedule.py
@@ -45,7 +45,7 @@
     LATE_ORDERS = "late_orders"
     """One back end takes orders late, and loses the answers to them."""
     LOST_ORDERS = "lost_orders"
-    """Orders to half of the back ends get no answer and are never taken: old weights stay."""
+    """Newer weights are named, and orders to half or all of the back ends are never taken."""
     STORE_DOWN = "store_down"
     STORE_SLOW = "store_slow"
     STORE_LATE_WRITES = "store_late_writes"
@@ -92,7 +92,7 @@
     FaultRow(FaultKind.LEAVE_BACK_END, 1, 3, 5),
     FaultRow(FaultKind.BREAK_ANSWERS, 4),
     FaultRow(FaultKind.LATE_ORDERS, 1, 2, 8),
-    FaultRow(FaultKind.LOST_ORDERS, 1, 6, 16),
+    FaultRow(FaultKind.LOST_ORDERS, 2, 9, 16),
     FaultRow(FaultKind.STORE_DOWN, 1, 0.5, 6),
     FaultRow(FaultKind.STORE_SLOW, 1, 1, 5),
     FaultRow(FaultKind.STORE_LATE_WRITES, 1, 1, 5),
--- a/bench/fault_soak/strikes.py
+++ b/bench/fault_soak/strikes.py
@@ -205,8 +205,10 @@
 
     async def _lost_orders(self, fault: Fault, random: Random) -> None:
         free = [one for one in self._back_ends.back_ends if not one.is_busy]
+        number = random.choice((len(free) // 2, len(free)))
+        self._operator.name_weights()
         async with anyio.create_task_group() as tasks:
-            for back_end in random.sample(free, len(free) // 2):
+            for back_end in random.sample(free, number):
                 back_end.is_busy = True
                 tasks.start_soon(self._back_ends.lose_orders, back_end, fault.lasts_s)
 
