--- a/bench/fault_soak/back_ends.py
+++ b/bench/fault_soak/back_ends.py
@@ -31,7 +31,10 @@
 from features.support.platform_runner import RunnerStandIn
 from features.support.platform_store import StoreStandIn
 
-ANSWER_FAULTS = ("cross", "unsealed", "error", "unproved", "refuse", "break", "hang")
+ANSWER_FAULTS = (
+    *("cross", "unsealed", "error", "unproved", "refuse", "hang"),
+    *("break", "break", "break"),
+)
 MOST_ANSWER_FAULTS = 6
 ORDERING_RUN_S = 0.15
 EVENT_INTERVALS_S = (0.02, 0.1, 0.4)
