--- a/bench/fault_soak/__main__.py
+++ b/bench/fault_soak/__main__.py
@@ -10,7 +10,14 @@
 import anyio
 import fire
 
-from bench.fault_soak.history import AnyRecord, RequestEnded, RunBegan, read_history
+from bench.fault_soak.history import (
+    AnyRecord,
+    Disturbance,
+    Disturbed,
+    RequestEnded,
+    RunBegan,
+    read_history,
+)
 from bench.fault_soak.planted import Finding, plant, read_table
 from bench.fault_soak.rules import judge
 from bench.fault_soak.run import BOUNDS, HISTORY_FILE, Soak, SoakSettings
@@ -105,6 +112,13 @@
     num_runs = sum(isinstance(one, RunBegan) for one in records)
     print(f"requests: {', '.join(f'{count} {name}' for name, count in ends.most_common())}")
     print(f"runs: {num_runs}")
+    late_s = sum(
+        one.until_s - one.at_s
+        for one in records
+        if isinstance(one, Disturbed) and one.what is Disturbance.HARNESS
+    )
+    lasted_s = max(one.at_s for one in records) - min(one.at_s for one in records)
+    print(f"the soak itself was late for {late_s:.1f} of {lasted_s:.1f} s")
     for violation in violations[:MOST_SHOWN]:
         print(
             f"{violation.at_s:.3f} {violation.rule.value} {violation.subject}: "
--- a/bench/fault_soak/evidence.py
+++ b/bench/fault_soak/evidence.py
@@ -166,6 +166,10 @@
             for one in self._disturbed
         )
 
+    def is_long_late_after(self, at_s: float) -> bool:
+        """Tell whether the soak itself was long late at any time after a time."""
+        return any(_is_long_lateness(one) and one.until_s >= at_s for one in self._disturbed)
+
     def stable_since(self, at_s: float) -> float:
         """Return when the store, at a time, had been quiet for the contact time; -inf: always."""
         ends_s = [
--- a/bench/fault_soak/rules.py
+++ b/bench/fault_soak/rules.py
@@ -353,8 +353,11 @@
 
 
 def serves_again(evidence: Evidence) -> Iterator[Violation]:
-    """Check that each node served a request that was sent after the last fault."""
-    if evidence.faults_ended_s is None:
+    """Check that each node served a request that was sent after the last fault.
+
+    The store and the back ends are part of the soak: where it was late, so were they.
+    """
+    if evidence.faults_ended_s is None or evidence.is_long_late_after(evidence.faults_ended_s):
         return
     served = set()
     for ended in evidence.ended:
--- a/features/fault_soak.feature
+++ b/features/fault_soak.feature
@@ -105,6 +105,7 @@
       | a run on old weights after the soak was late        |
       | two holders one after another                       |
       | a process that is killed                            |
+      | a node that serves nothing while the soak is late   |
       | a process that SIGHUP ends before it listens        |
 
   Scenario Outline: Events are read strictly, so that torn ones show
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -337,5 +337,8 @@
     ],
     "an unexpected error in a log": [NodeErrors(at_s=60.0, node=NODE, error="KeyError: 'x'")],
     "a node that never serves again": [NodeStarted(at_s=2.0, node="node-2")],
+    "a node that serves nothing while the soak is late": [
+        NodeStarted(at_s=2.0, node="node-2"), disturbed(60.0, 60.8, Disturbance.HARNESS),
+    ],
     "nothing else": [],
 }  # fmt: skip
