--- a/bench/fault_soak/back_ends.py
+++ b/bench/fault_soak/back_ends.py
@@ -17,7 +17,11 @@
     ServiceName,
     WeightsVersion,
 )
-from bench.fault_soak.platform_words import (
+from bench.fault_soak.recorder import Recorder
+from bench.fault_soak.served_stand_in import ServedStandIn
+from features.support.platform_runner import RunnerStandIn
+from features.support.platform_store import StoreStandIn
+from features.support.platform_words import (
     GENERATING,
     MODEL,
     ORDERING,
@@ -26,10 +30,6 @@
     STORE_PORT,
     fence_of,
 )
-from bench.fault_soak.recorder import Recorder
-from bench.fault_soak.served_stand_in import ServedStandIn
-from features.support.platform_runner import RunnerStandIn
-from features.support.platform_store import StoreStandIn
 
 ANSWER_FAULTS = (
     *("cross", "unsealed", "error", "unproved", "refuse", "hang"),
@@ -124,14 +124,14 @@
         if self.stand_in.version != version:
             self.register()
         for _, order in self.stand_in.orders:
-            holder, fence_token = fence_of(order)
+            holder, fencing_token = fence_of(order)
             recorder = self._fleet.recorder
             recorder.note(
                 OrderTaken(
                     at_s=recorder.now_s(),
                     instance=self.stand_in.instance,
                     holder=holder,
-                    fence_token=fence_token,
+                    fencing_token=fencing_token,
                 )
             )
         self.stand_in.orders.clear()
--- a/bench/fault_soak/callers.py
+++ b/bench/fault_soak/callers.py
@@ -15,7 +15,8 @@
     RequestKind,
     RequestSent,
 )
-from bench.fault_soak.platform_words import (
+from bench.fault_soak.recorder import Recorder
+from features.support.platform_words import (
     CALLER_PORT,
     KEYED_PATH,
     PATHS,
@@ -24,7 +25,6 @@
     request_headers,
     with_events,
 )
-from bench.fault_soak.recorder import Recorder
 
 PATIENCE_S = 6.0
 """Longer than a request's time: an answer that its node owes arrives before the caller gives up."""
--- a/bench/fault_soak/history.py
+++ b/bench/fault_soak/history.py
@@ -189,7 +189,7 @@
 
     instance: InstanceName
     holder: str
-    fence_token: int
+    fencing_token: int
 
 
 class Disturbed(Record, frozen=True, kw_only=True):
--- a/bench/fault_soak/nodes.py
+++ b/bench/fault_soak/nodes.py
@@ -18,15 +18,15 @@
     NodeStarted,
     SignalName,
 )
-from bench.fault_soak.platform_words import (
+from bench.fault_soak.recorder import Recorder
+from bench.real_fleet.processes import ProcessSet, RunningProcess
+from features.support.platform_words import (
     READY_PATH,
     READY_PORT,
     SETTINGS_VARIABLE,
     STOP_TIME_S,
     node_settings,
 )
-from bench.fault_soak.recorder import Recorder
-from bench.real_fleet.processes import ProcessSet, RunningProcess
 
 ROOT = Path(__file__).resolve().parents[2]
 COMMAND = (sys.executable, str(ROOT / "platform" / "run.py"))
--- a/bench/fault_soak/operator.py
+++ b/bench/fault_soak/operator.py
@@ -16,14 +16,14 @@
     WeightsNamed,
     WeightsVersion,
 )
-from bench.fault_soak.platform_words import (
+from bench.fault_soak.recorder import Recorder
+from features.support.platform_words import (
     CONFIGURATION_KEY,
     KEYED_PATH,
     WEIGHTS_KEY,
     configuration,
     naming,
 )
-from bench.fault_soak.recorder import Recorder
 
 NUM_KEYS = 2
 """Keys of one configuration: each new one adds a key and removes the oldest."""
--- a/bench/fault_soak/rules.py
+++ b/bench/fault_soak/rules.py
@@ -24,8 +24,8 @@
     RunBegan,
     SignalName,
 )
-from bench.fault_soak.platform_words import TENANT, signature_of, whole_body
 from bench.fault_soak.violations import Rule, Violation
+from features.support.platform_words import TENANT, signature_of, whole_body
 
 HTTP_OK = 200
 REFUSALS = (408, 421, 429, 503)
@@ -327,9 +327,9 @@
     """Check that no two holders give orders under one fencing token."""
     holders: dict[int, str] = {}
     for order in evidence.orders:
-        holder = holders.setdefault(order.fence_token, order.holder)
+        holder = holders.setdefault(order.fencing_token, order.holder)
         if holder != order.holder:
-            explanation = f"{holder} and {order.holder} share fencing token {order.fence_token}"
+            explanation = f"{holder} and {order.holder} share fencing token {order.fencing_token}"
             yield Violation(Rule.ONE_HOLDER_OF_ORDERS, order.at_s, order.instance, explanation)
 
 
--- a/bench/fault_soak/run.py
+++ b/bench/fault_soak/run.py
@@ -26,13 +26,6 @@
 )
 from bench.fault_soak.nodes import SoakNode
 from bench.fault_soak.operator import MarkerCaller, Operator
-from bench.fault_soak.platform_words import (
-    CONFIGURATION_BOUND_S,
-    CONTACT_S,
-    KEY_REMOVAL_S,
-    STOP_TIME_S,
-    WEIGHTS_BOUND_S,
-)
 from bench.fault_soak.recorder import Recorder
 from bench.fault_soak.rules import judge
 from bench.fault_soak.schedule import Fault, draw_schedule
@@ -40,6 +33,13 @@
 from bench.fault_soak.violations import Violation
 from bench.real_fleet.collect import internal_errors
 from bench.real_fleet.processes import ProcessSet
+from features.support.platform_words import (
+    CONFIGURATION_BOUND_S,
+    CONTACT_S,
+    KEY_REMOVAL_S,
+    STOP_TIME_S,
+    WEIGHTS_BOUND_S,
+)
 
 HISTORY_FILE = "history.jsonl"
 SCHEDULE_FILE = "schedule.json"
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -15,11 +15,11 @@
     read_history,
     write_history,
 )
-from bench.fault_soak.platform_words import with_events
 from bench.fault_soak.rules import judge
 from bench.fault_soak.run import BOUNDS, Soak, SoakSettings
 from bench.fault_soak.schedule import FaultKind, draw_schedule
 from features.support import soak_histories
+from features.support.platform_words import with_events
 
 HOUR_S = 3600.0
 SOAK_NODES = 4
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -309,12 +309,12 @@
     ],
     # Orders, processes.
     "two holders under one fencing token": [
-        OrderTaken(at_s=30.0, instance=ENGINE, holder="node-1", fence_token=7),
-        OrderTaken(at_s=31.0, instance=ENGINE, holder="node-2", fence_token=7),
+        OrderTaken(at_s=30.0, instance=ENGINE, holder="node-1", fencing_token=7),
+        OrderTaken(at_s=31.0, instance=ENGINE, holder="node-2", fencing_token=7),
     ],
     "two holders one after another": [
-        OrderTaken(at_s=30.0, instance=ENGINE, holder="node-1", fence_token=7),
-        OrderTaken(at_s=31.0, instance=ENGINE, holder="node-2", fence_token=8),
+        OrderTaken(at_s=30.0, instance=ENGINE, holder="node-1", fencing_token=7),
+        OrderTaken(at_s=31.0, instance=ENGINE, holder="node-2", fencing_token=8),
     ],
     "a process that ends by itself": [
         NodeEnded(at_s=30.0, node=NODE, exit_code=1), NodeStarted(at_s=30.3, node=NODE),
