--- a/src/weirscale/gateway/age_exchange.py
+++ b/src/weirscale/gateway/age_exchange.py
@@ -11,12 +11,12 @@
 
 from weirscale.gateway.ages import MILLISECONDS_PER_S, age_ms
 from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.open_queries import OpenQueries
 from weirscale.gateway.peer_messages import AgesQuery, AgesReply, NamedNews, PeerMessage
 from weirscale.gateway.registrations import PeerDirectory
 from weirscale.gateway.settings import ListenAddress
 from weirscale.gateway.store_continuity import NEVER_S, Span
 from weirscale.gateway.ticks import sleep_to_tick
-from weirscale.gateway.weights import LONG_AGO_S
 from weirscale.ports.event_log import EventLog
 
 ASK_INTERVAL_S = 0.4
@@ -30,8 +30,6 @@
 NAMING_DOUBT_S = 1.0
 """The same after a naming: others may have had a later proof that the version was not named yet."""
 
-MAX_OPEN_QUERIES = 8
-NUMBER_BITS = 31
 MAX_TOLD_AGE_S = 30.0
 """Versions named longer ago are not told of: a node that does not know them takes them for old."""
 
@@ -68,9 +66,7 @@
         self._event_log = event_log
         self._random = random
         self._clock = clock
-        # An answer to the process before must not pass for one to this.
-        self._number = random.getrandbits(NUMBER_BITS)
-        self._asked_at_s: dict[int, float] = {}
+        self._queries = OpenQueries(random)
         self._was_doubtful = False
         self._outage_ended_s = NEVER_S
         """End of the last outage that was known while there was no doubt."""
@@ -109,11 +105,7 @@
     async def _ask(self, now_s: float) -> None:
         addresses = list(self._peers.addresses().values())
         asked = self._random.sample(addresses, min(NUM_ASKED, len(addresses)))
-        self._number += 1
-        self._asked_at_s[self._number] = now_s
-        while len(self._asked_at_s) > MAX_OPEN_QUERIES:
-            del self._asked_at_s[next(iter(self._asked_at_s))]
-        await self._send(AgesQuery(self._name, self._number), asked)
+        await self._send(AgesQuery(self._name, self._queries.open(now_s)), asked)
 
     async def answer(self, query: AgesQuery, address: ListenAddress) -> None:
         """Answer a query; a node that has proved nothing itself is silent."""
@@ -135,12 +127,12 @@
     def _named_lately(self, now_s: float) -> Iterable[NamedNews]:
         for model, named in self._knowledge.weights.all():
             age_s = now_s - named.named_after_s
-            if named.named_after_s != LONG_AGO_S and age_s <= MAX_TOLD_AGE_S:
+            if age_s <= MAX_TOLD_AGE_S:
                 yield NamedNews(model, named.version, _whole_ms(age_s))
 
     def hear(self, reply: AgesReply) -> None:
         """Take over an answer to a query that is still open."""
-        asked_at_s = self._asked_at_s.get(reply.number)
+        asked_at_s = self._queries.asked_at_s(reply.number)
         if asked_at_s is None:
             return
         silent_age_ms = reply.silent_age_ms
--- a/src/weirscale/gateway/state_relay.py
+++ b/src/weirscale/gateway/state_relay.py
@@ -20,6 +20,7 @@
 from weirscale.domain.identifiers import RegionName
 from weirscale.gateway.groups import Member, head_rank
 from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.open_queries import OpenQueries
 from weirscale.gateway.peer_messages import (
     MAX_REPLY_BYTES,
     PeerMessage,
@@ -51,8 +52,6 @@
 SUBSCRIBED_S = 1.5
 """How long after its last query a node is told changes unasked."""
 
-MAX_OPEN_QUERIES = 8
-NUMBER_BITS = 31
 MILLISECONDS_PER_S = 1000.0
 MAX_TOLD_AGE_MS = 1_000_000_000
 
@@ -181,9 +180,7 @@
         self._reader: str | None = None
         self._reader_since_s = NEVER_S
         self._avoided_until_s: dict[str, float] = {}
-        self._open_queries: dict[int, float] = {}
-        # An answer to the process before must not pass for one to this.
-        self._number = random.getrandbits(NUMBER_BITS)
+        self._queries = OpenQueries(random)
         self._proved_at_s = NEVER_S
         self._reading_due = anyio.Event()
         self.on_reading_due: Callable[[], None] = lambda: None
@@ -217,7 +214,7 @@
 
     def hear(self, reply: StateReply) -> None:
         """Take over a reply, or changes that were told unasked."""
-        asked_at_s = self._open_queries.pop(reply.number, None)
+        asked_at_s = self._queries.close(reply.number)
         if reply.is_left_out or reply.after_revision > self._knowledge.revision:
             # What was told unasked may follow on something that got lost: the next query mends it.
             if asked_at_s is not None and reply.revision > self._knowledge.revision:
@@ -237,11 +234,8 @@
         reader = self._choose_reader()
         if reader is None:
             return
-        self._number += 1
-        self._open_queries[self._number] = self._clock()
-        while len(self._open_queries) > MAX_OPEN_QUERIES:
-            del self._open_queries[next(iter(self._open_queries))]
-        query = StateQuery(self._name, self._number, self._knowledge.revision)
+        number = self._queries.open(self._clock())
+        query = StateQuery(self._name, number, self._knowledge.revision)
         await self._send(query, (self._peers.addresses()[reader],))
 
     def _choose_reader(self) -> str | None:
