A failing scenario: a request that crashes its back ends is sent on and on

Ruled out by the record: a node's own repeats (attempts, causes), crashes for another reason (no crash without such a try; two prompt sizes in 20).

The runner stand-in learns to crash under its runs.

--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -67,6 +67,8 @@
     """Called with each `Run` that begins, its target and its body."""
     on_break: object = None
     """Called with the id of each request whose answer this runner breaks off."""
+    is_crashed: bool = False
+    """Whether the process has ended: all that it was at work on is cut."""
 
     def entry(self, state="ready"):
         models = [{"name": self.model, "version": self.version, "adapters": []}]
@@ -138,6 +140,7 @@
             return httpx.Response(503, headers=headers, content=b"maybe")
         if self.model is None:
             await anyio.sleep(self.read_s)
+            self.check_alive()
             body = b"done by " + self.instance.encode()
             if self.names_request:
                 body += b" for " + request_id.encode()
@@ -150,6 +153,11 @@
         stream = Events(self, run, after, fault)
         return httpx.Response(200, headers=headers, stream=stream)
 
+    def check_alive(self):
+        """Cut the connection of whoever waits for a process that has ended."""
+        if self.is_crashed:
+            raise httpx.ReadError("connection reset")
+
     async def _sleep_or_note(self, request_id, seconds):
         try:
             await anyio.sleep(seconds)
@@ -205,6 +213,7 @@
         self._runner.num_running += 1
         try:
             await anyio.sleep(self._runner.read_s)
+            self._runner.check_alive()
             self._run.first_s = anyio.current_time()
             for number in range(self._after + 1, NUM_EVENTS + 1):
                 event = f"id: {number}\ndata: {self._token(number)}\n\n".encode()
@@ -217,6 +226,7 @@
                     await anyio.sleep(float(self._fault.removeprefix("pause:")))
                 yield event
                 await anyio.sleep(self._runner.event_interval_s)
+                self._runner.check_alive()
             self._run.ended_s = anyio.current_time()
         finally:
             self._runner.num_running -= 1
