Sight: tries that lost their back end tell which request they are of

No logic of routing is changed. gateway_log.feature: two new rows; the list of events is now read from all folders of the gateway (none was missing).

--- a/features/gateway_log.feature
+++ b/features/gateway_log.feature
@@ -45,3 +45,14 @@
   Scenario: The metrics tell calls to the store by kind and result
     Given a gateway whose store is down for a while after the start
     Then the metrics tell calls "follow" and "revision" that succeeded and some that failed
+
+  # Tries of one request came to other nodes and under other ids; no line told that they were one.
+  Scenario Outline: Tries that lost their back end are told to be of one request
+    Given two back ends of which the one asked first does "<fault>" once
+    When <kind> request is sent
+    Then its line tells which request it is
+
+    Examples:
+      | kind     | fault |
+      | a single | break |
+      | an order | reset |
--- a/features/steps/gateway_log_steps.py
+++ b/features/steps/gateway_log_steps.py
@@ -12,6 +12,7 @@
 from features.support.platform_fleet import Fleet, configuration, with_fleet
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.line_log import MAX_QUEUED_LINES, LineLog
+from weirscale.gateway.quarantine.fingerprint import read_fingerprint
 
 ROOT = Path(__file__).resolve().parents[2]
 GATEWAY = ROOT / "src" / "weirscale" / "gateway"
@@ -141,6 +142,12 @@
     assert line["outcome"] == outcome and "causes" not in line, line
 
 
+@then("its line tells which request it is")
+def step_line_request(context):
+    line = request_line(context)
+    assert read_fingerprint(line["request"]) is not None, line
+
+
 @then("its line has the fields of the table in the operators' page")
 def step_fields(context):
     page = PAGE.read_text()
@@ -150,7 +157,7 @@
 
 @given("the source files of the gateway")
 def step_gateway_files(context):
-    context.sources = [file.read_text() for file in GATEWAY.glob("*.py")]
+    context.sources = [file.read_text() for file in GATEWAY.rglob("*.py")]
 
 
 @then("each event name that they log stands in the operators' page")
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -16,7 +16,9 @@
 from weirscale.gateway.exchange_context import ExchangeContext
 from weirscale.gateway.model import RequestKind, Route, Tenant
 from weirscale.gateway.outcome import (
+    BODY_BROKEN,
     CANCELLED,
+    CONNECTION_LOST,
     AttemptEnd,
     Verdict,
     judge_answer,
@@ -25,6 +27,7 @@
 from weirscale.gateway.overload import come_back_s, should_come_back
 from weirscale.gateway.patience import Patience
 from weirscale.gateway.ports import Answer, BodyBrokenError, CallerRequest, Headers, OutboundRequest
+from weirscale.gateway.quarantine.fingerprint import RequestFingerprint, fingerprint_of
 from weirscale.gateway.quota import QuotaDecision
 from weirscale.gateway.responder import Responder
 from weirscale.gateway.rollouts.gate import Lane
@@ -112,6 +115,7 @@
         self._may_be_tried_elsewhere = False
         self._has_repeat = False
         """Whether a repeat of the shared budget was taken for the next attempt."""
+        self._known_fingerprint: RequestFingerprint | None = None
         self.stage = Stage.LEFT
 
     async def run(self) -> None:
@@ -309,10 +313,18 @@
             self._tried.add(back_end.instance)
         if verdict.end in (AttemptEnd.UNCERTAIN, AttemptEnd.FAILED):
             self._may_have_run = True
+        if verdict.reason in CONNECTION_LOST:
+            self._fingerprint()
         if verdict.end is not AttemptEnd.ANSWERED:
             self._causes.append(f"{back_end.instance}:{verdict.reason}")
         return verdict.end
 
+    def _fingerprint(self) -> RequestFingerprint:
+        """Return what the request is recognised by; worked out for the few that need it."""
+        if self._known_fingerprint is None:
+            self._known_fingerprint = fingerprint_of(self._request, self._tenant, self._body)
+        return self._known_fingerprint
+
     def _tell_version(self, choice: Choice, verdict: Verdict) -> None:
         """Count the attempt for the version of its back end, where a rollout is under way."""
         assert self._route is not None
@@ -353,7 +365,7 @@
             try:
                 return await self._pass_on(answer, verdict, choice, patience)
             except BodyBrokenError:
-                return Verdict(AttemptEnd.UNCERTAIN, "body_broken")
+                return Verdict(AttemptEnd.UNCERTAIN, BODY_BROKEN)
 
     def _outbound(self, choice: Choice) -> OutboundRequest:
         prompt = self._request.prompt
@@ -490,6 +502,7 @@
             duration_s=self._clock() - self._arrived_at_s,
             tenant=self._tenant.name if self._tenant else None,
             quota=self._quota_refusal,
+            fingerprint=self._known_fingerprint,
         )
         self._context.tell_end(summary)
 
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -293,6 +293,8 @@
         if summary.quota is not None:
             fields["tenant"] = summary.tenant
             fields.update(_quota_fields(summary.quota))
+        if summary.fingerprint is not None:
+            fields["request"] = summary.fingerprint
         if summary.causes:
             fields["causes"] = ",".join(summary.causes)
         return fields
--- a/src/weirscale/gateway/outcome.py
+++ b/src/weirscale/gateway/outcome.py
@@ -42,11 +42,17 @@
 """Reason of an attempt that its exchange ended: the caller left, or the time was over."""
 
 
+NO_ANSWER = "no_answer"
+BODY_BROKEN = "body_broken"
+CONNECTION_LOST = frozenset({NO_ANSWER, BODY_BROKEN})
+"""Reasons of attempts whose connection ended before their answer did: the back end may be gone."""
+
+
 def judge_failure(failure: SendFailure) -> Verdict:
     """Judge an attempt without an answer."""
     if failure.kind is SendFailureKind.NEVER_SENT:
         return Verdict(AttemptEnd.NEVER_SENT, "connect")
-    return Verdict(AttemptEnd.UNCERTAIN, "no_answer")
+    return Verdict(AttemptEnd.UNCERTAIN, NO_ANSWER)
 
 
 def judge_answer(answer: Answer, request_id: str, instance: str) -> Verdict:
--- /dev/null
+++ b/src/weirscale/gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which back ends crash: recognised when they come again, and kept from the rest."""
--- /dev/null
+++ b/src/weirscale/gateway/quarantine/fingerprint.py
@@ -0,0 +1,45 @@
+"""Recognises a request that comes again, at whichever node and under whatever id."""
+
+from hashlib import blake2b
+from typing import NewType
+
+from weirscale.gateway.model import Tenant
+from weirscale.gateway.ports import CallerRequest
+
+RequestFingerprint = NewType("RequestFingerprint", str)
+"""Digest of what a caller asks: alike for all its tries, on all nodes."""
+
+FINGERPRINT_BYTES = 16
+LENGTH_BYTES = 8
+
+
+def fingerprint_of(
+    request: CallerRequest, tenant: Tenant | None, body: bytes
+) -> RequestFingerprint:
+    """Return the fingerprint of a request.
+
+    The caller is part of it, so that nobody can have another's requests refused; therefore the
+    digest is one that collisions cannot be made for.
+    """
+    caller = tenant.name if tenant is not None else request.key or ""
+    digest = blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (request.method, request.host, caller):
+        _add(digest, part.encode())
+    _add(digest, request.target)
+    _add(digest, body)
+    return RequestFingerprint(digest.hexdigest())
+
+
+def _add(digest: blake2b, part: bytes) -> None:
+    # With its length before it no part can pass for the end of the one before.
+    digest.update(len(part).to_bytes(LENGTH_BYTES))
+    digest.update(part)
+
+
+def read_fingerprint(text: str) -> RequestFingerprint | None:
+    """Return a fingerprint that was written as text; None for any other text."""
+    try:
+        is_whole = len(bytes.fromhex(text)) == FINGERPRINT_BYTES
+    except ValueError:
+        return None
+    return RequestFingerprint(text) if is_whole else None
--- a/src/weirscale/gateway/summary.py
+++ b/src/weirscale/gateway/summary.py
@@ -8,6 +8,7 @@
 from weirscale.gateway.choice import Choice
 from weirscale.gateway.model import Route
 from weirscale.gateway.ports import CallerRequest
+from weirscale.gateway.quarantine.fingerprint import RequestFingerprint
 from weirscale.gateway.quota import QuotaDecision
 
 OVERLOADED = "overloaded"
@@ -48,6 +49,8 @@
     duration_s: float
     tenant: TenantName | None = None
     quota: QuotaDecision | None = None
+    fingerprint: RequestFingerprint | None = None
+    """What tells that tries belong to one request; None where nothing asked for it."""
 
     def is_late(self) -> bool:
         """Whether it was answered later, or with a longer pause, than its route aims at."""
