Requests that crash back ends are quarantined, whichever node they come to

Class: a failure is blamed on where it happened, not on what was asked. Change: a digest of caller, method, host, path and body; a check that tells a crash from lost answers and planned ends (refused connection or another run, and no word of leaving); nodes tell one another crashes under requests and answers that clear them; after the third crash, not all at one stroke, 503 with Retry-After, written to the store under a lease of ten minutes so that nodes that start know it. A crash found so also opens the runner's circuit at all nodes at once. A back end's start (born) tells its runs apart.

--- a/features/steps/gateway_group_places_steps.py
+++ b/features/steps/gateway_group_places_steps.py
@@ -161,7 +161,7 @@
     parts = dict.fromkeys(
         (
             "knowledge", "dispatcher", "health", "budget", "quotas", "peers", "outbox", "contact",
-            "version_check", "trials", "port_of", "event_log", "metrics",
+            "version_check", "trials", "quarantine", "port_of", "event_log", "metrics",
         )
     )  # fmt: skip
     return ExchangeContext(
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -66,7 +66,7 @@
             raise httpx.ConnectTimeout("cut")
         target = self._fleet.targets.get(address)
         if target is None:
-            raise httpx.ConnectError("refused")
+            raise httpx.ConnectError("refused") from ConnectionRefusedError()
         if "target" in request.extensions:
             request.extensions["seen_target"] = request.extensions["target"]
         response = await target.handle(request)
--- a/src/weirscale/gateway/back_ends.py
+++ b/src/weirscale/gateway/back_ends.py
@@ -2,11 +2,15 @@
 
 import enum
 from collections.abc import Iterable
+from typing import NewType
 
 import msgspec
 
 from weirscale.domain.identifiers import ServiceName, SoftwareVersion, ZoneName
 
+RunId = NewType("RunId", str)
+"""One run of a back end's process."""
+
 
 class BackEndState(enum.Enum):
     """Whether a back end takes new work."""
@@ -42,6 +46,7 @@
         slots: Requests it works on at once.
         models: Models and versions, for runners.
         software: Version of its program.
+        started_ms: Unix time of its start, or None if it does not tell.
     """
 
     instance: str
@@ -52,6 +57,12 @@
     slots: int
     models: tuple[ServedModel, ...] = ()
     software: SoftwareVersion = SoftwareVersion("")
+    started_ms: int | None = None
+
+    @property
+    def run_id(self) -> RunId:
+        """What tells this run of the process from others, also under one instance name."""
+        return RunId(f"{self.instance}@{self.started_ms or 0}")
 
     def version_of(self, model: str) -> int | None:
         """Return the version of a model's weights as last registered."""
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -10,6 +10,7 @@
 import anyio
 
 from weirscale.domain.identifiers import ServiceName
+from weirscale.gateway.back_ends import BackEnd
 from weirscale.gateway.choice import Choice
 from weirscale.gateway.dispatcher import DispatchQuery
 from weirscale.gateway.events import EventCutter
@@ -19,6 +20,7 @@
     BODY_BROKEN,
     CANCELLED,
     CONNECTION_LOST,
+    WHOLE_SUCCESS,
     AttemptEnd,
     Verdict,
     judge_answer,
@@ -36,6 +38,7 @@
     NEVER_IN_QUOTA,
     OVER_QUOTA,
     OVERLOADED,
+    QUARANTINED,
     ExchangeSummary,
     Stage,
 )
@@ -116,6 +119,8 @@
         self._has_repeat = False
         """Whether a repeat of the shared budget was taken for the next attempt."""
         self._known_fingerprint: RequestFingerprint | None = None
+        self._has_lost_back_end = False
+        self._come_back_after_s = NO_BACK_END_RETRY_S
         self.stage = Stage.LEFT
 
     async def run(self) -> None:
@@ -199,6 +204,9 @@
 
     async def _attempt_until_done(self) -> None:
         while True:
+            if self._is_quarantined():
+                await self._give_up()
+                return
             choice = self._choose()
             if choice is None:
                 self._causes.append("no_back_end")
@@ -219,6 +227,18 @@
                 await self._give_up()
                 return
 
+    def _is_quarantined(self) -> bool:
+        """Whether back ends have crashed under the request, at whichever node it came before."""
+        quarantine = self._context.quarantine
+        if not quarantine.is_watching():
+            return False
+        remaining_s = quarantine.remaining_s(self._fingerprint())
+        if remaining_s is None:
+            return False
+        self._come_back_after_s = remaining_s
+        self._causes.append(QUARANTINED)
+        return True
+
     def _choose(self) -> Choice | None:
         assert self._service is not None
         chosen = self._context.dispatcher.choose(self._query(self._excluded))
@@ -288,6 +308,7 @@
         self._spend(self._cost)
         if self._num_attempts == 1:
             self._context.trials.note_request(back_end.service)
+        came_again = self._comes_again()
         verdict = Verdict(AttemptEnd.UNCERTAIN, CANCELLED)
         scope = anyio.CancelScope()
         patience = Patience(scope, self._take_repeat)
@@ -313,12 +334,26 @@
             self._tried.add(back_end.instance)
         if verdict.end in (AttemptEnd.UNCERTAIN, AttemptEnd.FAILED):
             self._may_have_run = True
-        if verdict.reason in CONNECTION_LOST:
-            self._fingerprint()
+        self._judge_request(back_end, verdict, came_again)
         if verdict.end is not AttemptEnd.ANSWERED:
             self._causes.append(f"{back_end.instance}:{verdict.reason}")
         return verdict.end
 
+    def _comes_again(self) -> bool:
+        """Whether a back end is known to have crashed under the request before it is sent on."""
+        quarantine = self._context.quarantine
+        if self._has_lost_back_end or not quarantine.is_watching():
+            return self._has_lost_back_end
+        return quarantine.is_suspect(self._fingerprint())
+
+    def _judge_request(self, back_end: BackEnd, verdict: Verdict, came_again: bool) -> None:
+        """Have found out whether the back end crashed, or note that it did not."""
+        if verdict.reason in CONNECTION_LOST:
+            self._has_lost_back_end = True
+            self._context.note_lost(back_end, self._fingerprint(), came_again)
+        elif verdict == WHOLE_SUCCESS and self._context.quarantine.is_watching():
+            self._context.quarantine.note_answered(self._fingerprint())
+
     def _fingerprint(self) -> RequestFingerprint:
         """Return what the request is recognised by; worked out for the few that need it."""
         if self._known_fingerprint is None:
@@ -400,7 +435,7 @@
     ) -> Verdict:
         assert self._route is not None
         is_stream = self._route.kind is RequestKind.STREAMING
-        if is_stream and verdict.reason == "ok":
+        if is_stream and verdict == WHOLE_SUCCESS:
             await self._relay_stream(answer, choice, patience)
             return verdict
         body = await _gather(answer)
@@ -474,7 +509,7 @@
             self.stage = Stage.FAILED
             await self._responder.refuse(HTTP_BAD_GATEWAY)
         else:
-            await self._refuse(HTTP_UNAVAILABLE, NO_BACK_END_RETRY_S)
+            await self._refuse(HTTP_UNAVAILABLE, self._come_back_after_s)
 
     async def _time_out(self) -> None:
         self.stage = Stage.TIMED_OUT
--- a/src/weirscale/gateway/exchange_context.py
+++ b/src/weirscale/gateway/exchange_context.py
@@ -20,6 +20,9 @@
 from weirscale.gateway.peer_messages import SendNews, SuspectNews
 from weirscale.gateway.ports import Answer, BackEndPort
 from weirscale.gateway.prompt import Prompt
+from weirscale.gateway.quarantine.crash_check import CrashCheck, LostRequest
+from weirscale.gateway.quarantine.fingerprint import RequestFingerprint
+from weirscale.gateway.quarantine.keeper import Quarantine
 from weirscale.gateway.quota import QuotaDecision, QuotaLedger
 from weirscale.gateway.registrations import PeerDirectory
 from weirscale.gateway.retry_budget import SharedRetryBudget
@@ -85,6 +88,7 @@
         contact: Whether this node is cut off.
         version_check: Asks runners that have other weights than believed.
         trials: Rollouts of services' programs.
+        quarantine: Requests that crash back ends.
         port_of: Returns the port of a back end.
         event_log: Decisions.
         metrics: Figures.
@@ -106,6 +110,7 @@
         contact: Contact,
         version_check: VersionCheck,
         trials: RolloutTrials,
+        quarantine: Quarantine,
         port_of: Callable[[BackEnd], BackEndPort],
         event_log: EventLog,
         metrics: NodeMetrics,
@@ -124,6 +129,8 @@
         self.contact = contact
         self._version_check = version_check
         self.trials = trials
+        self.quarantine = quarantine
+        self.crash_check = CrashCheck(knowledge, port_of, self._take_crash)
         self.port_of = port_of
         self._event_log = event_log
         self._metrics = metrics
@@ -226,6 +233,22 @@
         elif verdict.end is AttemptEnd.FAILED or verdict.reason in BLAMED:
             self._health.failed(instance, verdict.reason, now_s)
 
+    def note_lost(self, back_end: BackEnd, request: RequestFingerprint, came_again: bool) -> None:
+        """The connection to a back end ended under a request: it may have crashed."""
+        self.crash_check.request(back_end, LostRequest(request, came_again))
+
+    def _take_crash(self, back_end: BackEnd, lost: tuple[LostRequest, ...]) -> None:
+        """A back end crashed: nothing more is sent there, and peers are told at once."""
+        self._event_log.event(
+            "back_end_crashed", instance=back_end.instance, run=back_end.run_id,
+            requests=len(lost),
+        )  # fmt: skip
+        self._health.unreachable(back_end.instance, "crashed", self.clock())
+        self._outbox.add_suspect(SuspectNews(back_end.instance))
+        for one in lost:
+            self.quarantine.note_crash(one.fingerprint, back_end.run_id, one.came_again)
+        self._tell_now()
+
     def note_version(
         self,
         choice: Choice,
--- a/src/weirscale/gateway/group_relay.py
+++ b/src/weirscale/gateway/group_relay.py
@@ -234,6 +234,10 @@
             outbox.add_loading(loading)
         for suspect in news.suspects:
             outbox.add_suspect(suspect)
+        for crash in news.crashes:
+            outbox.add_crash(crash)
+        for answered in news.answered:
+            outbox.add_answered(answered)
         # What was unreachable to one node is soon told by many: that waits for the next message.
         if news.loading:
             await self.flush()
--- a/src/weirscale/gateway/news_outbox.py
+++ b/src/weirscale/gateway/news_outbox.py
@@ -1,6 +1,8 @@
 """Gathers what a node is to tell others, until the next message."""
 
 from weirscale.gateway.peer_messages import (
+    AnsweredNews,
+    CrashNews,
     LoadingNews,
     LoadNews,
     MovedNews,
@@ -12,6 +14,11 @@
 )
 
 MAX_SENDS_A_MESSAGE = 64
+MAX_CRASHES_A_MESSAGE = 64
+"""The others wait for the next message."""
+
+MAX_WAITING_CRASHES = 4096
+"""Beyond it the oldest are dropped: more crash at once only where a region is lost."""
 
 
 class NewsOutbox:
@@ -33,6 +40,8 @@
         self._num_nodes = 1
         self._trials: dict[tuple[int, str, str], TrialNews] = {}
         self._moved: dict[int, MovedNews] = {}
+        self._crashes: dict[tuple[str, str], CrashNews] = {}
+        self._answered: dict[str, AnsweredNews] = {}
         self.run = 0
         """Told along: counts of one run of a process begin anew with the next."""
 
@@ -69,6 +78,20 @@
         """Tell of an unreachable back end."""
         self._suspects[news.instance] = news
 
+    def add_crash(self, news: CrashNews) -> None:
+        """Tell of a crash under a request."""
+        self._crashes[(news.request, news.run)] = news
+        if len(self._crashes) > MAX_WAITING_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
+
+    def add_answered(self, news: AnsweredNews) -> None:
+        """Tell of a request that crashes nothing after all."""
+        self._answered[news.request] = news
+
+    def _take_crashes(self) -> tuple[CrashNews, ...]:
+        taken = list(self._crashes)[:MAX_CRASHES_A_MESSAGE]
+        return tuple(self._crashes.pop(key) for key in taken)
+
     def take(self, group: str | None = None, with_empty: bool = False) -> PeerNews | None:
         """Return the message and begin the next; None if there is nothing to tell.
 
@@ -76,6 +99,8 @@
             group: Whose news it is, if not the outbox's own group.
             with_empty: Whether to return a message that tells nothing but that the node lives.
         """
+        if not with_empty and not self._tells_anything():
+            return None
         news = PeerNews(
             self._sender,
             tuple(self._loads.values()),
@@ -89,9 +114,9 @@
             tuple(self._trials.values()),
             tuple(self._moved.values()),
             self.run,
+            self._take_crashes(),
+            tuple(self._answered.values()),
         )
-        if not with_empty and not _tells_anything(news):
-            return None
         self._loads = {}
         self._sends = []
         self._loading = []
@@ -99,16 +124,18 @@
         self._usage = {}
         self._trials = {}
         self._moved = {}
+        self._answered = {}
         return news
 
-
-def _tells_anything(news: PeerNews) -> bool:
-    return bool(
-        news.loads
-        or news.sends
-        or news.loading
-        or news.suspects
-        or news.usage
-        or news.trials
-        or news.moved
-    )
+    def _tells_anything(self) -> bool:
+        return bool(
+            self._loads
+            or self._sends
+            or self._loading
+            or self._suspects
+            or self._usage
+            or self._trials
+            or self._moved
+            or self._crashes
+            or self._answered
+        )
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -37,6 +37,7 @@
 from weirscale.gateway.peers import MessageReceiver, PeerTask
 from weirscale.gateway.places import Places
 from weirscale.gateway.ports import BackEndConnector, BackEndPort, CallerDialect, StateFeed
+from weirscale.gateway.quarantine.keeper import Quarantine
 from weirscale.gateway.quota import GONE_MEMORY_S, QuotaLedger
 from weirscale.gateway.registrations import PeerDirectory, Registration, RegistrationTask
 from weirscale.gateway.retry_budget import SharedRetryBudget
@@ -231,10 +232,15 @@
             self.knowledge, self.port_of, self.outbox.add_loading, clock
         )
         self.contact = Contact(self.knowledge, self.quotas, event_log, clock)
+        self.quarantine = Quarantine(
+            settings.name, self.knowledge, store, lambda: rank_delay_s(self.peers.rank()),
+            event_log, clock,
+        )  # fmt: skip
         self.context = ExchangeContext(
             settings.bounds, self.knowledge, self.dispatcher, self.load, self.health, self.budget,
             self.quotas, self.peers, self.outbox, lambda: self.peer_task.hurry(), self.contact,
-            self.version_check, self.trials, self.port_of, event_log, self.metrics, clock,
+            self.version_check, self.trials, self.quarantine, self.port_of, event_log, self.metrics,
+            clock,
         )  # fmt: skip
         self.app = CallerApp(
             settings, self.context, dialect, self.is_ready, self.sends_callers_on,
@@ -307,6 +313,8 @@
             tasks.start_soon(self._rollout.run)
             tasks.start_soon(self._rollout_holder.run)
             tasks.start_soon(self.version_check.run)
+            tasks.start_soon(self.context.crash_check.run)
+            tasks.start_soon(self.quarantine.run)
             tasks.start_soon(self.context.patience.run)
             tasks.start_soon(self._probe_regularly, tasks)
             await anyio.sleep_forever()
@@ -372,6 +380,7 @@
                 self.dispatcher.note_parts(send.instance, send.scope, send.parts, send.is_ready)
         for loading in news.loading:
             self._hear_loading(loading)
+        self.quarantine.hear(news)
         for suspect in news.suspects:
             if self.knowledge.directory.get(suspect.instance) is not None:
                 self.health.unreachable(suspect.instance, "told_by_peer", now_s)
@@ -402,6 +411,7 @@
         changed = self.load.take_changed()
         if must_refresh:
             changed.update({one: self.load.own(one) for one in self.load.own_instances()})
+        self.quarantine.add_to(self.outbox, must_refresh)
         self.quotas.tick()
         self._usage_telling.add_to(self.outbox, dict(self.quotas.own_usage()), must_refresh)
         for instance, load in changed.items():
--- a/src/weirscale/gateway/outcome.py
+++ b/src/weirscale/gateway/outcome.py
@@ -38,6 +38,9 @@
     reason: str
 
 
+WHOLE_SUCCESS = Verdict(AttemptEnd.ANSWERED, "ok")
+"""A success; what comes after its head may still break off."""
+
 CANCELLED = "cancelled"
 """Reason of an attempt that its exchange ended: the caller left, or the time was over."""
 
@@ -69,7 +72,7 @@
         return Verdict(AttemptEnd.UNCERTAIN, "other_instance")
     if HTTP_OK <= answer.status < HTTP_MULTIPLE_CHOICES:
         if answer.is_sealed:
-            return Verdict(AttemptEnd.ANSWERED, "ok")
+            return WHOLE_SUCCESS
         return Verdict(AttemptEnd.UNCERTAIN, "no_seal")
     if is_promise(answer.status):
         return Verdict(AttemptEnd.UNCERTAIN, f"unproved_{answer.status}")
--- a/src/weirscale/gateway/peer_messages.py
+++ b/src/weirscale/gateway/peer_messages.py
@@ -107,6 +107,30 @@
     num_nodes: int
 
 
+class CrashNews(msgspec.Struct, frozen=True, array_like=True):
+    """A back end crashed under a request.
+
+    Attributes:
+        request: The request's fingerprint.
+        run: The back end's run.
+        came_again: Whether it was sent there when an earlier crash under it was known.
+    """
+
+    request: str
+    run: str
+    came_again: bool
+
+
+class AnsweredNews(msgspec.Struct, frozen=True, array_like=True):
+    """A back end answered a request under which others had crashed.
+
+    Attributes:
+        request: The request's fingerprint.
+    """
+
+    request: str
+
+
 REST_OF_FLEET = "*"
 """Names all groups but the receiver's own in `PeerNews.group`."""
 
@@ -128,6 +152,8 @@
         trials: How requests under rollouts ended, of the same nodes.
         moved: How many of these nodes have moved.
         run: Drawn at the sender's start: its counts begin anew with each.
+        crashes: Crashes of back ends and what they were at work on.
+        answered: Requests that crash nothing after all.
     """
 
     sender: str
@@ -142,6 +168,8 @@
     trials: tuple[TrialNews, ...] = ()
     moved: tuple[MovedNews, ...] = ()
     run: int = 0
+    crashes: tuple[CrashNews, ...] = ()
+    answered: tuple[AnsweredNews, ...] = ()
 
 
 class StateQuery(msgspec.Struct, frozen=True, array_like=True, tag="query"):
--- a/src/weirscale/gateway/ports.py
+++ b/src/weirscale/gateway/ports.py
@@ -306,6 +306,17 @@
     num_queued: int
 
 
+class RunState(enum.Enum):
+    """Whether the run of a back end that is meant goes on."""
+
+    LIVES = "lives"
+    """It answered."""
+    ENDED = "ended"
+    """Nobody listens at its address, or another run answered."""
+    UNKNOWN = "unknown"
+    """No answer came, or one that does not tell whose it is."""
+
+
 class BackEndPort(Protocol):
     """Calls to one incarnation of a back end."""
 
@@ -330,6 +341,10 @@
         """Whether the same incarnation answers its health check."""
         ...
 
+    async def run_state(self, path: str, timeout_s: float) -> RunState:
+        """Find out by its health check, whatever that says, whether the same incarnation runs."""
+        ...
+
     async def close(self) -> None:
         """Close idle connections."""
         ...
--- /dev/null
+++ b/src/weirscale/gateway/quarantine/crash_check.py
@@ -0,0 +1,107 @@
+"""Finds out whether a back end crashed when a connection to it ended before the answer did.
+
+Answers are lost, spoilt and reset by back ends that live, and those that leave cut what they have
+not finished. A crash is told apart by two things: the back end had not said that it would leave,
+and nobody answers at its address any more, or another run of a process does.
+"""
+
+from collections.abc import Callable
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from weirscale.gateway.back_ends import TAKES_WORK, BackEnd, BackEndState, RunId
+from weirscale.gateway.knowledge import Knowledge
+from weirscale.gateway.ports import BackEndPort, RunState
+from weirscale.gateway.quarantine.fingerprint import RequestFingerprint
+
+CHECK_PAUSES_S = (0.0, 0.1, 0.2, 0.4, 0.8, 0.8)
+"""Before each look: a process that has just ended may take a moment to let go of its address. What
+cannot be told after all of them is not held against the requests."""
+
+CHECK_TIMEOUT_S = 0.3
+MAX_WAITING = 256
+"""Back ends to look at; more than that are gone at once only where a whole region is."""
+
+
+class LostRequest(msgspec.Struct, frozen=True):
+    """A request whose back end may have crashed under it.
+
+    Attributes:
+        fingerprint: The request.
+        came_again: Whether an earlier crash under it was known when it was sent.
+    """
+
+    fingerprint: RequestFingerprint
+    came_again: bool
+
+
+Crashed = Callable[[BackEnd, tuple[LostRequest, ...]], None]
+"""Takes a back end that crashed and the requests that it was at work on."""
+
+
+class CrashCheck:
+    """Looks at back ends; `run` must be running.
+
+    Args:
+        knowledge: Registrations.
+        port_of: Returns the port of a back end.
+        on_crash: Told of each crash.
+    """
+
+    def __init__(
+        self, knowledge: Knowledge, port_of: Callable[[BackEnd], BackEndPort], on_crash: Crashed
+    ) -> None:
+        self._knowledge = knowledge
+        self._port_of = port_of
+        self._on_crash = on_crash
+        self._lost: dict[RunId, list[LostRequest]] = {}
+        self._send, self._receive = anyio.create_memory_object_stream[BackEnd](MAX_WAITING)
+
+    def request(self, back_end: BackEnd, lost: LostRequest) -> None:
+        """Look at a back end whose connection ended under a request."""
+        known = self._knowledge.directory.get(back_end.instance)
+        if known is None or known.state not in TAKES_WORK:
+            # Its end was told before the connection's.
+            return
+        if back_end.run_id in self._lost:
+            self._lost[back_end.run_id].append(lost)
+            return
+        try:
+            self._send.send_nowait(back_end)
+        except anyio.WouldBlock:
+            return
+        self._lost[back_end.run_id] = [lost]
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            async for back_end in self._receive:
+                self._check_in(tasks, back_end)
+
+    def _check_in(self, tasks: TaskGroup, back_end: BackEnd) -> None:
+        tasks.start_soon(self._check, back_end)
+
+    async def _check(self, back_end: BackEnd) -> None:
+        state = RunState.UNKNOWN
+        for pause_s in CHECK_PAUSES_S:
+            await anyio.sleep(pause_s)
+            state = await self._look(back_end)
+            if state is not RunState.UNKNOWN:
+                break
+        lost = tuple(self._lost.pop(back_end.run_id))
+        if state is RunState.ENDED:
+            self._on_crash(back_end, lost)
+
+    async def _look(self, back_end: BackEnd) -> RunState:
+        known = self._knowledge.directory.get(back_end.instance)
+        if known is None or known.run_id != back_end.run_id:
+            # It was to take work when its connection ended, so it did not leave as planned.
+            return RunState.ENDED
+        if known.state is BackEndState.LEAVING:
+            return RunState.LIVES
+        table = self._knowledge.table
+        service = table.service(known.service) if table else None
+        path = service.health_path if service else "/"
+        return await self._port_of(known).run_state(path, CHECK_TIMEOUT_S)
--- a/src/weirscale/gateway/summary.py
+++ b/src/weirscale/gateway/summary.py
@@ -22,6 +22,10 @@
 """Cause of a refusal of a request that alone costs more than the quota ever holds."""
 
 
+QUARANTINED = "quarantined"
+"""Cause of a refusal because back ends crashed under the request."""
+
+
 class Stage(enum.Enum):
     """How a request ended, for logs and metrics."""
 
--- a/src/weirscale/ports/http_client.py
+++ b/src/weirscale/ports/http_client.py
@@ -38,6 +38,18 @@
     return ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 
 
+def was_refused(error: httpx.HTTPError) -> bool:
+    """Whether a client's error proves that nobody listens at an address that can be reached."""
+    if not isinstance(error, httpx.ConnectError):
+        return False
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, ConnectionRefusedError):
+            return True
+        cause = cause.__cause__
+    return False
+
+
 def was_never_sent(error: httpx.HTTPError) -> bool:
     """Whether a client's error proves that the request was not sent."""
     return isinstance(error, httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout)
