What a node learnt before its machine was suspended is as old as it really is

Cause: proofs, leases and marks were aged by the clock that event loops set timers by; a suspended machine's does not count the time. After 5 s of suspension a holder took its lease of 3 s for held and its configuration for proved.

--- a/features/steps/gateway_state_steps.py
+++ b/features/steps/gateway_state_steps.py
@@ -501,7 +501,13 @@
             is_current=lambda: False, is_reading_due=lambda: False, has_read=lambda: None
         )
         follower = StateFollower(
-            context.feed, knowledge, EventRecorder(), Random(1), publisher, subscription
+            context.feed,
+            knowledge,
+            EventRecorder(),
+            Random(1),
+            publisher,
+            subscription,
+            anyio.current_time,
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follower.run)
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -139,6 +139,8 @@
         self.frozen = {}
         """By name: nodes that stand still, each with what it is told meanwhile."""
         self.thawed = anyio.Event()
+        self.suspended_s = {}
+        """By name: for how long a node's machine was suspended, which the loop's clock leaves out."""
         self.asked = []
         self.nodes = {}
         self.num_datagrams = 0
@@ -183,6 +185,7 @@
         node = GatewayNode(
             settings, store, store, RunnerConnector(transport), Callers(), log,
             Random(self.seed + number),
+            lambda: anyio.current_time() + self.suspended_s.get(name, 0.0),
         )  # fmt: skip
         node.peer_task = InMemoryPeers(self, node)
         self.nodes[name] = node
@@ -211,6 +214,10 @@
         """Let a node stand still: it neither gets nor sends anything; what it is told waits."""
         self.frozen[name] = []
 
+    def suspend(self, name, seconds):
+        """Suspend a node's machine: to it, and to the loop's clock, no time passes."""
+        self.suspended_s[name] = self.suspended_s.get(name, 0.0) + seconds
+
     async def thaw(self, name):
         """Let a node go on; it first takes what waited for it."""
         backlog = self.frozen.pop(name)
--- a/src/weirscale/gateway/exchange.py
+++ b/src/weirscale/gateway/exchange.py
@@ -42,6 +42,7 @@
     ExchangeSummary,
     Stage,
 )
+from weirscale.ports.boot_clock import loop_deadline_s
 
 HTTP_UNAUTHORIZED = 401
 HTTP_NOT_FOUND = 404
@@ -133,7 +134,8 @@
                 return
             if not await self._is_within_quota():
                 return
-            with anyio.CancelScope(deadline=self._deadline_s) as time_left:
+            deadline_s = loop_deadline_s(self._deadline_s, self._clock)
+            with anyio.CancelScope(deadline=deadline_s) as time_left:
                 await self._attempt_until_done()
             if time_left.cancelled_caught:
                 await self._time_out()
--- a/src/weirscale/gateway/follower.py
+++ b/src/weirscale/gateway/follower.py
@@ -2,6 +2,7 @@
 store has forgotten its history. It rests while another node that reads the store tells the changes.
 """
 
+from collections.abc import Callable
 from random import Random
 
 import anyio
@@ -56,6 +57,7 @@
         random: Spreads retries.
         publisher: Tells other nodes what changes.
         subscription: Keeps this node current while another one reads the store.
+        clock: Monotonic seconds.
     """
 
     def __init__(
@@ -66,7 +68,9 @@
         random: Random,
         publisher: ChangePublisher,
         subscription: StateSubscription,
+        clock: Callable[[], float],
     ) -> None:
+        self._clock = clock
         self._feed = feed
         self._knowledge = knowledge
         self._publisher = publisher
@@ -101,7 +105,7 @@
         return not self._must_read_all and self._subscription.is_current()
 
     async def _step(self) -> KeyValueFailure | None:
-        asked_at_s = anyio.current_time()
+        asked_at_s = self._clock()
         if self._must_read_all or self._subscription.is_reading_due():
             read = await self._feed.read_all()
             if isinstance(read, Err):
@@ -118,7 +122,7 @@
             if isinstance(followed, Err):
                 return followed.err_value
             self._knowledge.apply(followed.ok_value, NEVER_S)
-            pause_s = self._next_pause_s(anyio.current_time() - asked_at_s)
+            pause_s = self._next_pause_s(self._clock() - asked_at_s)
         await self._publisher.publish()
         await anyio.sleep(pause_s)
         return None
@@ -146,7 +150,7 @@
                 await self._subscription.wait_until_not_current()
             if self._must_read_all:
                 continue
-            asked_at_s = anyio.current_time()
+            asked_at_s = self._clock()
             with anyio.move_on_after(ANSWER_SLACK_S):
                 await self._prove(asked_at_s)
 
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -220,7 +220,7 @@
             settings.name, self.knowledge, self.peers, self._send, event_log, random, clock
         )
         self.follower = StateFollower(
-            feed, self.knowledge, event_log, random, self.publisher, self.subscription
+            feed, self.knowledge, event_log, random, self.publisher, self.subscription, clock
         )
         self.registration = RegistrationTask(
             settings.name,
@@ -252,6 +252,7 @@
             settings.name, self._lease, self.knowledge, self.port_of, self._announce_loading,
             lambda instance: self.load.total(instance, clock()).num_requests, self.health,
             event_log, _weights_rollout_rules(bounds), self._turn, store, self.version_gate.serves,
+            clock,
         )  # fmt: skip
         self._rollout_holder = RolloutHolderTask(
             self._lease, self.knowledge, self._records, store, feed, self._rollout_sums,
@@ -277,8 +278,9 @@
         eligibility = HolderEligibility(self.knowledge, self.peers, duty, self._clock)
         node_id = NodeId(NodeName(self.settings.name), Incarnation(0))
         return DutyLeaseTask(
-            duty, node_id, store, eligibility, random, rules, sleep_to_tick, LEASE_CALL_TIMEOUT_S
-        )
+            duty, node_id, store, eligibility, random, rules, sleep_to_tick,
+            LEASE_CALL_TIMEOUT_S, self._clock,
+        )  # fmt: skip
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Put changed bounds and a changed retry budget in force."""
--- a/src/weirscale/gateway/program.py
+++ b/src/weirscale/gateway/program.py
@@ -4,7 +4,6 @@
 import signal
 import socket
 import sys
-import time
 from collections.abc import Callable, Mapping
 from random import Random
 from typing import Protocol
@@ -16,6 +15,7 @@
 from weirscale.gateway.ports import BackEndConnector, CallerDialect, StateFeed
 from weirscale.gateway.settings import GatewaySettings, ListenAddress
 from weirscale.gateway.settings_watch import SettingsWatch
+from weirscale.ports.boot_clock import boot_time_s
 from weirscale.ports.event_log import EventLog
 from weirscale.ports.http_server import ConnectionLimits, serve_on_listeners
 from weirscale.ports.key_value import KeyValuePort
@@ -95,8 +95,8 @@
             adapter.dialect(),
             event_log,
             random,
-            # The event loop's clock, without the search for the running loop at each reading.
-            time.monotonic,
+            # What was learnt before a suspension of the machine is as old as it really is.
+            boot_time_s,
         )
         self.settings_watch = SettingsWatch(
             settings, adapter.settings, self.node.apply_settings, event_log
--- a/src/weirscale/gateway/quarantine/keeper.py
+++ b/src/weirscale/gateway/quarantine/keeper.py
@@ -218,7 +218,12 @@
         crashes = ",".join(self._book.crashes(fingerprint))
         value = f"{self._name} {crashes}".encode()
         await write_timed_record(
-            self._store, quarantine_key(fingerprint), value, QUARANTINE_S, WRITE_WITHIN_S
+            self._store,
+            quarantine_key(fingerprint),
+            value,
+            QUARANTINE_S,
+            WRITE_WITHIN_S,
+            self._clock,
         )
 
     async def _delete(self, fingerprint: RequestFingerprint) -> None:
--- a/src/weirscale/gateway/state_relay.py
+++ b/src/weirscale/gateway/state_relay.py
@@ -34,6 +34,7 @@
 from weirscale.gateway.settings import ListenAddress
 from weirscale.gateway.store_continuity import NEVER_S
 from weirscale.gateway.ticks import sleep_to_tick
+from weirscale.ports.boot_clock import loop_deadline_s
 from weirscale.ports.event_log import EventLog
 
 MIN_READERS = 2
@@ -200,7 +201,8 @@
     async def wait_until_not_current(self) -> None:
         """Return once this node has to read the store itself."""
         while self.is_current():
-            with anyio.CancelScope(deadline=self._proved_at_s + PATIENCE_S):
+            deadline_s = loop_deadline_s(self._proved_at_s + PATIENCE_S, self._clock)
+            with anyio.CancelScope(deadline=deadline_s):
                 await self._reading_due.wait()
 
     def is_reading_due(self) -> bool:
--- a/src/weirscale/gateway/timed_record.py
+++ b/src/weirscale/gateway/timed_record.py
@@ -19,17 +19,23 @@
 
 
 async def write_timed_record(
-    store: KeyValuePort, key: str, value: bytes, life_s: float, within_s: float
+    store: KeyValuePort,
+    key: str,
+    value: bytes,
+    life_s: float,
+    within_s: float,
+    clock: Callable[[], float],
 ) -> int:
     """Write a record that vanishes after `life_s`; returns its lease, 0 if it was not written.
 
     It is not written either if the lease was granted later than `within_s` from now.
     """
-    asked_at_s = anyio.current_time()
+    asked_at_s = clock()
     granted = await store.grant_lease(life_s)
     # A lease runs from the call's arrival. The call may wait for a connection, or its node may
-    # stand still, for longer than a time-out: the record would then outlive the age that it tells.
-    if isinstance(granted, Err) or anyio.current_time() > asked_at_s + within_s:
+    # stand still or be suspended, for longer than a time-out: the record would then outlive the age
+    # that it tells.
+    if isinstance(granted, Err) or clock() > asked_at_s + within_s:
         return 0
     swapped = await store.compare_and_swap(key, 0, value, granted.ok_value)
     if isinstance(swapped, Err) or not swapped.ok_value.succeeded:
--- a/src/weirscale/gateway/weights_rollout_task.py
+++ b/src/weirscale/gateway/weights_rollout_task.py
@@ -75,6 +75,7 @@
         turn: Keeps orders apart from another holder's.
         store: Takes the records of newly named versions.
         serves: Whether a back end gets requests; the others are loaded apart from them.
+        clock: Monotonic seconds.
     """
 
     def __init__(
@@ -91,7 +92,9 @@
         turn: OrderTurn,
         store: KeyValuePort,
         serves: Callable[[BackEnd], bool],
+        clock: Callable[[], float],
     ) -> None:
+        self._clock = clock
         self._serves = serves
         self._holder = holder
         self._lease = lease
@@ -139,11 +142,17 @@
             return
         self._recorded[model] = named.version
         life_s = YOUNG_SHARE * self._rules.urgent_s
-        left_s = named.named_after_s + life_s - anyio.current_time()
+        left_s = named.named_after_s + life_s - self._clock()
         if left_s > MIN_YOUNG_S:
             record = YoungRecord(model, named.version, life_s + WRITE_DELAY_S)
             tasks.start_soon(
-                write_timed_record, self._store, record.key(), record.value(), left_s, WRITE_DELAY_S
+                write_timed_record,
+                self._store,
+                record.key(),
+                record.value(),
+                left_s,
+                WRITE_DELAY_S,
+                self._clock,
             )
 
     def _begin_loads(self, model: str, tasks: TaskGroup) -> None:
@@ -159,7 +168,7 @@
     def _begin_waves(self, model: str, runners: list[BackEnd], tasks: TaskGroup) -> None:
         lagging = [one for one in map(self._lag_of(model), runners) if one is not None]
         others = self._others(model, runners, lagging)
-        for instance in runners_to_load(lagging, others, anyio.current_time(), self._rules):
+        for instance in runners_to_load(lagging, others, self._clock(), self._rules):
             runner = self._knowledge.directory.get(instance)
             if runner is not None:
                 self._loading.add(instance)
@@ -180,7 +189,7 @@
         self, model: str, runners: list[BackEnd], lagging: list[LaggingRunner]
     ) -> LoadedRunners:
         behind = {one.instance for one in lagging} | self._loading
-        now_s = anyio.current_time()
+        now_s = self._clock()
         loaded = [runner.instance for runner in runners if runner.instance not in behind]
         return LoadedRunners(
             num_runners=len(runners),
@@ -204,7 +213,7 @@
             if owed is None:
                 return None
             num_requests = self._num_requests(runner.instance)
-            is_suspect = self._health.is_suspect(runner.instance, anyio.current_time())
+            is_suspect = self._health.is_suspect(runner.instance, self._clock())
             owed_since_s = self._knowledge.grace_began_s(owed)
             return LaggingRunner(runner.instance, owed_since_s, num_requests, is_suspect)
 
@@ -219,7 +228,7 @@
                 await self._order_until_done(runner, model)
         finally:
             self._loading.discard(runner.instance)
-            self._last_load_s[model] = anyio.current_time()
+            self._last_load_s[model] = self._clock()
             version = self._knowledge.version_of(runner.instance, model) or 0
             with anyio.CancelScope(shield=True):
                 await self._announce(runner.instance, model, version, True)
@@ -240,17 +249,17 @@
             report = await port.report(CALL_TIMEOUT_S)
             num_silent = num_silent + 1 if report is None else 0
             if num_silent >= MAX_SILENT_REPORTS:
-                self._health.unreachable(runner.instance, "report", anyio.current_time())
+                self._health.unreachable(runner.instance, "report", self._clock())
                 return
             if report is not None and not report.is_ordered:
                 if self._has_version(runner, model, wanted, report):
                     return
-                has_waited = anyio.current_time() - ordered_at_s >= TAKEN_BY_S
+                has_waited = self._clock() - ordered_at_s >= TAKEN_BY_S
                 if ordered_sequence != report.sequence or has_waited:
                     wanted = self._knowledge.weights.newest(model) or 0
                     if await self._order(port, runner, model, wanted, report.sequence):
                         ordered_sequence = report.sequence
-                        ordered_at_s = anyio.current_time()
+                        ordered_at_s = self._clock()
             await anyio.sleep(REPORT_INTERVAL_S)
 
     def _has_version(self, runner: BackEnd, model: str, wanted: int, report: RunnerReport) -> bool:
--- a/src/weirscale/leases/lease_task.py
+++ b/src/weirscale/leases/lease_task.py
@@ -67,6 +67,7 @@
         rules: Durations.
         sleep: Replaced by experiments that freeze nodes.
         call_timeout_s: A call that takes longer counts as failed.
+        clock: Monotonic seconds; where machines are suspended, one that counts that time.
     """
 
     def __init__(
@@ -79,7 +80,9 @@
         rules: LeaseRules | None = None,
         sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
         call_timeout_s: float = CALL_TIMEOUT_S,
+        clock: Callable[[], float] = anyio.current_time,
     ) -> None:
+        self._clock = clock
         self.duty = duty
         self.state = LeaseState()
         self._own_name = own_id.name.encode()
@@ -95,7 +98,7 @@
 
     def is_held(self) -> bool:
         """Whether this node certainly holds the duty now, by its own clock; ask before each use."""
-        return self.state.is_held(anyio.current_time())
+        return self.state.is_held(self._clock())
 
     def token(self) -> int | None:
         """Return the fencing token to send along, None unless the duty is held now."""
@@ -104,7 +107,7 @@
     async def run(self) -> None:
         """Take and keep the lease until cancelled or released."""
         while not self._is_released:
-            operation = next_operation(self.state, anyio.current_time())
+            operation = next_operation(self.state, self._clock())
             if operation is not None and self._may_go_on():
                 await self._step(operation)
             else:
@@ -114,7 +117,7 @@
         """Give the duty up for good; best effort towards the service, at once on this node."""
         lease_id = self.state.lease_id
         self._is_released = True
-        self.state = after_release(anyio.current_time(), self._rules)
+        self.state = after_release(self._clock(), self._rules)
         if lease_id:
             with anyio.move_on_after(self._call_timeout_s):
                 await self._key_value.revoke_lease(lease_id)
@@ -125,11 +128,11 @@
 
     async def _step(self, operation: LeaseOperation) -> None:
         state = self.state
-        sent_at_s = anyio.current_time()
+        sent_at_s = self._clock()
         answer = await self._ask(operation, state.lease_id)
         if self._is_released or self.state is not state:
             return
-        now_s = anyio.current_time()
+        now_s = self._clock()
         next_state = after_answer(state, answer, sent_at_s, now_s, self._rules)
         self._num_failures = self._num_failures + 1 if isinstance(answer, CallFailed) else 0
         self.state = self._spread(next_state, now_s)
--- a/src/weirscale/ports/h11_transport.py
+++ b/src/weirscale/ports/h11_transport.py
@@ -8,7 +8,7 @@
 """
 
 from collections import deque
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 
 import anyio
 import httpx
@@ -31,6 +31,7 @@
         max_connections: Most connections in use at once.
         keepalive_s: How long an unused connection is kept.
         socket_options: Set on each connection.
+        clock: Monotonic seconds, for how long a connection has been unused.
     """
 
     def __init__(
@@ -38,7 +39,9 @@
         max_connections: int,
         keepalive_s: float,
         socket_options: Iterable[SocketOption] = (),
+        clock: Callable[[], float] = anyio.current_time,
     ) -> None:
+        self._clock = clock
         self._keepalive_s = keepalive_s
         self._socket_options = tuple(socket_options)
         self._places = anyio.Semaphore(max_connections, fast_acquire=True)
@@ -94,7 +97,7 @@
         return await self._connect(url, timeout_s)
 
     async def _close_expired(self) -> None:
-        since_s = anyio.current_time() - self._keepalive_s
+        since_s = self._clock() - self._keepalive_s
         while self._unused and self._unused[0].unused_since_s <= since_s:
             await self._unused.popleft().close()
 
@@ -122,7 +125,7 @@
         """Take back a connection whose answer has been read, or is not wanted any more."""
         if connection not in self._used:
             return
-        if connection.begin_anew(anyio.current_time()):
+        if connection.begin_anew(self._clock()):
             self._used.discard(connection)
             self._unused.append(connection)
             self._places.release()
