--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -67,12 +67,15 @@
     """Called with each `Run` that begins, its target and its body."""
     on_break: object = None
     """Called with the id of each request whose answer this runner breaks off."""
+    born_ms: int | None = None
+    """When its process started, if it tells."""
     is_crashed: bool = False
     """Whether the process has ended: all that it was at work on is cut."""
 
     def entry(self, state="ready"):
         models = [{"name": self.model, "version": self.version, "adapters": []}]
-        return {
+        born = {} if self.born_ms is None else {"born": self.born_ms}
+        return born | {
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -34,6 +34,7 @@
 SLOW_FEATURES = (
     "fault_soak",
     "gateway_overload",
+    "gateway_quarantine",
     "gateway_rollouts_faults",
     "gateway_rollouts",
     "membership_faults",
--- a/src/weirscale/ports/boot_clock.py
+++ b/src/weirscale/ports/boot_clock.py
@@ -9,9 +9,8 @@
 
 import anyio
 
-
 ROUNDING_S = 1e-6
-"""A scope that ends by rounding just before its time would be entered again at once, without end."""
+"""A scope that ends just before its time, by rounding, would be entered again without end."""
 
 
 def boot_time_s() -> float:
