A stop closes no connection on which a request has just come

Ruled out: the notice and the end of the time for a stop (the request ran 19 ms). Change: the server's connection looks once more at the moment of closing, and drops what was read just before. server_stop.feature: of 20 requests sent 2 to 8 turns after a stop had begun 20 were begun and 0 answered; now each is answered whole or never begun.

--- /dev/null
+++ b/features/steps/server_stop_steps.py
@@ -0,0 +1,110 @@
+"""Steps of `server_stop.feature`."""
+
+import anyio
+import anyio.lowlevel
+from behave import given, then, when
+
+from weirscale.ports.http_server import serve_on_listeners
+from weirscale.ports.listeners import open_listener, port_of
+
+LOOPBACK = "127.0.0.1"
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+BODY = b"whole"
+RUNS_S = 0.05
+FINISH_S = 3.0
+
+
+class SlowApp:
+    """Answers after a while, unless its caller leaves."""
+
+    def __init__(self):
+        self.num_begun = 0
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] != "http":
+            return
+        self.num_begun += 1
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_when_left, receive, tasks.cancel_scope)
+            await anyio.sleep(RUNS_S)
+            headers = [(b"content-length", str(len(BODY)).encode())]
+            await send({"type": "http.response.start", "status": 200, "headers": headers})
+            await send({"type": "http.response.body", "body": BODY, "more_body": False})
+            tasks.cancel_scope.cancel()
+
+    async def _cancel_when_left(self, receive, scope):
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        scope.cancel()
+
+
+async def answers(connections):
+    """Return how many connections give a whole answer before they end."""
+    whole = []
+
+    async def read(connection):
+        data = b""
+        try:
+            while not data.endswith(BODY):
+                data += await connection.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return
+        whole.append(connection)
+
+    async with anyio.create_task_group() as tasks:
+        for connection in connections:
+            tasks.start_soon(read, connection)
+    return len(whole)
+
+
+async def stop_and_send(num_connections, num_turns):
+    """Return how many requests were begun, and how many answered, of those after the stop."""
+    app = SlowApp()
+    listener = open_listener(LOOPBACK, 0)
+    port = port_of(listener)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve_on_listeners, app, [listener], stop, FINISH_S)
+        connections = [await anyio.connect_tcp(LOOPBACK, port) for _ in range(num_connections)]
+        for connection in connections:
+            await connection.send(REQUEST)
+        assert await answers(connections) == num_connections
+        num_before = app.num_begun
+        stop.set()
+        for _ in range(num_turns):
+            await anyio.lowlevel.checkpoint()
+        for connection in connections:
+            # The stream's own `send` would take a turn for each.
+            connection._transport.write(REQUEST)
+        num_whole = await answers(connections)
+        for connection in connections:
+            await connection.aclose()
+    return app.num_begun - num_before, num_whole
+
+
+@given('a server with {num:d} kept connections on the event loop "{loop}"')
+def step_server(context, num, loop):
+    context.num_connections = num
+    context.options = {"use_uvloop": loop == "uvloop"}
+
+
+@when(
+    "it is stopped, and after each number of turns from {first:d} to {last:d} a request comes on each"
+)
+def step_stop(context, first, last):
+    context.ends = [
+        anyio.run(stop_and_send, context.num_connections, turns, backend_options=context.options)
+        for turns in range(first, last + 1)
+    ]
+
+
+@then("each request that was begun has its whole answer")
+def step_whole(context):
+    assert all(begun == whole for begun, whole in context.ends), context.ends
+
+
+@then("some were begun, and some never")
+def step_both(context):
+    num_begun = [begun for begun, _ in context.ends]
+    assert max(num_begun) == context.num_connections, context.ends
+    assert min(num_begun) == 0, context.ends
--- a/src/weirscale/ports/http_server.py
+++ b/src/weirscale/ports/http_server.py
@@ -87,6 +87,9 @@
     """
     from hypercorn.asyncio import serve
 
+    from weirscale.ports import idle_close
+
+    idle_close.install()
     config = _configuration(listeners, finish_timeout_s, limits)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_stop_when_cancelled, stop)
