--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -39,6 +39,19 @@
       | 3     | 9         | 3     | 5        |
       | 7     | 9         | 2     | 0.5      |
 
+  Scenario Outline: It is the same for requests that may be repeated, run once, or be taken up again
+    Given 3 nodes before 6 back ends of each service
+    When a request that crashes back ends comes to "<path>" each 0.7 seconds for 15 seconds
+    Then it reaches at most 3 back ends later than 3 seconds after the third crash
+    And the last 4 tries get 503
+
+    Examples:
+      | path |
+      | /s/1 |
+      | /o/1 |
+      | /a/1 |
+      | /f/1 |
+
   Scenario Outline: Who comes again meets any node
     Given 4 nodes before 8 back ends
     When <what> while a request that crashes back ends comes again
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -107,6 +107,37 @@
     context.play.actions.append(action)
 
 
+@given("{num_nodes:d} nodes before {num_runners:d} back ends of each service")
+def step_each_service(context, num_nodes, num_runners):
+    context.play = Play(num_nodes, num_runners)
+
+    async def action(play):
+        play.runners.start_all("orders", "10.2.0")
+        await anyio.sleep(1.0)
+
+    context.play.actions.append(action)
+
+
+@when(
+    'a request that crashes back ends comes to "{path}" each {interval_s:g} seconds for '
+    "{seconds:g} seconds"
+)
+def step_comes_to_path(context, path, interval_s, seconds):
+    async def action(play):
+        for number in range(int(seconds / interval_s)):
+            nodes = play.nodes()
+            await play.comes(nodes[number % len(nodes)], path=path)
+            await anyio.sleep(interval_s)
+
+    context.play.actions.append(action)
+
+
+@then("the last {num:d} tries get 503")
+def step_last_refused(context, num):
+    answers = context.play.run().fatal_answers
+    assert [one.status for one in answers[-num:]] == [503] * num
+
+
 @when(
     "a request that crashes back ends comes {times:d} at a time each {interval_s:g} seconds for "
     "{seconds:g} seconds"
--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -41,10 +41,10 @@
         self.crashes = []
         """When runners crashed, and which."""
 
-    def start_all(self, service="lm"):
+    def start_all(self, service="lm", network="10.3.0"):
         """Start the runners of a service."""
         for number in range(1, self.num_runners + 1):
-            self.start(f"10.3.0.{number}:8080", service)
+            self.start(f"{network}.{number}:8080", service)
 
     def start(self, address, service, name=None):
         """Start an incarnation at an address."""
--- a/src/weirscale/gateway/metrics.py
+++ b/src/weirscale/gateway/metrics.py
@@ -95,6 +95,19 @@
         )  # fmt: skip
         self._tenant_labels: set[str] = set()
 
+        self._suspects = Gauge(
+            "weirscale_crash_suspects", "Requests that back ends crashed under of late",
+            registry=self.registry,
+        )  # fmt: skip
+        self._quarantined = Gauge(
+            "weirscale_quarantined_requests", "Requests that are refused for their crashes",
+            registry=self.registry,
+        )  # fmt: skip
+        self._quarantine_refusals = Counter(
+            "weirscale_quarantine_refusals", "Tries that were refused for earlier crashes",
+            ("kind",), registry=self.registry,
+        )  # fmt: skip
+
         self._rollout_requests = Counter(
             "weirscale_rollout_requests", "Attempts under a rollout of a service's program",
             ("service", "side", "end"), registry=self.registry,
@@ -117,6 +130,7 @@
         self._attempts.inc(summary.num_attempts)
         self._late_answers.labels(kind).inc(summary.is_late())
         self._overload_refusals.labels(kind).inc(summary.is_overload_refusal())
+        self._quarantine_refusals.labels(kind).inc(summary.is_quarantine_refusal())
         self._deadlines_passed.labels(kind).inc(summary.deadline_passed_after_sending())
         if summary.tenant is not None and summary.is_quota_refusal():
             self._quota_refusals.labels(self._tenant_label(summary.tenant)).inc()
@@ -147,6 +161,8 @@
         for tenant, left in figures.quota_levels.items():
             if self._tenant_label(tenant) == tenant:
                 self._quota_left.labels(tenant).set(left)
+        self._suspects.set(figures.num_suspects)
+        self._quarantined.set(figures.num_quarantined)
         self._rollout_stage.clear()
         for service, stage in figures.rollout_stages.items():
             self._rollout_stage.labels(service, stage).set(1)
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -466,5 +466,7 @@
                 retries_left={one: self.budget.left(one, num_nodes, now_s) for one in services},
                 quota_levels=self.quotas.levels(),
                 rollout_stages=self.trials.stages(),
+                num_suspects=self.quarantine.num_suspects(),
+                num_quarantined=self.quarantine.num_quarantined(),
             )
         )
--- a/src/weirscale/gateway/node_metrics.py
+++ b/src/weirscale/gateway/node_metrics.py
@@ -26,6 +26,8 @@
         queue_shares: Share of the bound on queues that is in force, by service.
         quota_levels: What is left of each quota, in its unit, by tenant.
         rollout_stages: How far each service's rollout is.
+        num_suspects: Requests that back ends crashed under of late.
+        num_quarantined: Requests that are refused for that.
     """
 
     knowledge_age_s: float
@@ -36,6 +38,8 @@
     queue_shares: Mapping[ServiceName, float]
     quota_levels: Mapping[TenantName, float]
     rollout_stages: Mapping[ServiceName, str] = {}
+    num_suspects: int = 0
+    num_quarantined: int = 0
 
 
 class NodeMetrics(Protocol):
--- a/src/weirscale/gateway/quarantine/keeper.py
+++ b/src/weirscale/gateway/quarantine/keeper.py
@@ -29,6 +29,9 @@
 """How long a request is refused; then it is tried again, and one more crash begins the next
 quarantine. The longest life that the store gives a lease."""
 
+RECORD_MARGIN_S = 5.0
+"""The record's end counts; a node's own reckoning ends later, for where none could be written."""
+
 TELL_FOR_S = 3.0
 """A crash is told again each second for this long: single datagrams are lost."""
 
@@ -91,7 +94,7 @@
             return None
         left_s = until_s - self._clock()
         if left_s > 0.0:
-            return left_s
+            return min(left_s, QUARANTINE_S)
         self._end(fingerprint, "time_over")
         return None
 
@@ -99,6 +102,10 @@
         """Whether a back end has crashed under a request since it was last answered."""
         return self._book.is_suspect(fingerprint)
 
+    def num_suspects(self) -> int:
+        """Return how many requests are remembered for crashes."""
+        return len(self._book)
+
     def num_quarantined(self) -> int:
         """Return how many requests are refused."""
         return len(self._until_s)
@@ -166,7 +173,7 @@
         return True
 
     def _begin(self, fingerprint: RequestFingerprint, source: str) -> None:
-        self._until_s[fingerprint] = self._clock() + QUARANTINE_S
+        self._until_s[fingerprint] = self._clock() + QUARANTINE_S + RECORD_MARGIN_S
         self._event_log.event(
             "request_quarantined", request=fingerprint, source=source, for_s=QUARANTINE_S,
             runs=",".join(self._book.crashes(fingerprint)),
--- a/src/weirscale/gateway/summary.py
+++ b/src/weirscale/gateway/summary.py
@@ -72,6 +72,10 @@
         """Whether it was refused for its tenant's quota."""
         return self.stage is Stage.REFUSED and self.quota is not None
 
+    def is_quarantine_refusal(self) -> bool:
+        """Whether it was not sent on, or no more, for the crashes under it."""
+        return QUARANTINED in self.causes
+
     def deadline_passed_after_sending(self) -> bool:
         """Whether a runner worked on it, or let it wait, until its time was over."""
         return self.stage is Stage.TIMED_OUT and self.num_attempts > 0
