Quarantine: a run that several nodes know counts as the latest of them knew it

Found by reading: a crash that a node had heard of was not told by it, though its own try had come after another crash was known and the other node's had not: the verdict would have waited for one crash more. Deletions of records are tried again after a second, not each 0.2 s.

--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -111,3 +111,26 @@
       | a quarantine goes on for 610 seconds        | 1   |
       | an operator deletes the record          | 1   |
       | the back ends are mended and 610 seconds pass | 6   |
+
+  Scenario Outline: What is taken for the cause
+    Given a book of the requests that back ends crashed under
+    When it is told "<news>"
+    Then the request is the cause: <cause>
+
+    Examples: runs that ended, with "+" where the request was sent when another was known; "ok": it was answered
+      | news                 | cause |
+      | a b                  | no    |
+      | a b c                | no    |
+      | a b c+               | yes   |
+      | a b c c+             | yes   |
+      | a+ a+ a+             | no    |
+      | a b+ b+ b+           | no    |
+      | a b+ c ok            | no    |
+      | a b+ ok c d+         | no    |
+      | a b+ ok a b c+       | no    |
+      | a b+ ok c d+ e       | yes   |
+      | a b+ c over          | no    |
+      | a b+ c over a        | no    |
+      | a b+ c over d        | yes   |
+      | a b+ c over d ok     | no    |
+      | a b+ c over ok d     | no    |
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -9,6 +9,7 @@
 from features.support.platform_fleet import configuration, route, with_fleet
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.quarantine.record import QUARANTINE_PREFIX
+from weirscale.gateway.quarantine.suspects import SuspectBook
 
 SETTLE_S = 2.0
 COMES_AGAIN_S = 25.0
@@ -475,3 +476,24 @@
     play = context.play.run()
     found = len(play.runners.crashes) - play.num_crashes + play.num_answered
     assert found == num, found
+
+
+@given("a book of the requests that back ends crashed under")
+def step_book(context):
+    context.book = SuspectBook()
+
+
+@when('it is told "{news}"')
+def step_told_news(context, news):
+    for number, word in enumerate(news.split()):
+        if word == "ok":
+            context.book.note_answered("request")
+        elif word == "over":
+            context.book.note_quarantine_over("request", float(number))
+        else:
+            context.book.note_crash("request", word.rstrip("+"), word.endswith("+"), float(number))
+
+
+@then("the request is the cause: {cause}")
+def step_cause(context, cause):
+    assert context.book.is_cause("request") == (cause == "yes")
--- a/src/weirscale/gateway/quarantine/keeper.py
+++ b/src/weirscale/gateway/quarantine/keeper.py
@@ -77,7 +77,7 @@
         self._recorded: frozenset[RequestFingerprint] = frozenset()
         self._num_record_changes = -1
         self._write_at_s: dict[RequestFingerprint, float] = {}
-        self._to_delete: set[RequestFingerprint] = set()
+        self._delete_at_s: dict[RequestFingerprint, float] = {}
         self._untold: list[CrashNews | AnsweredNews] = []
         self._told: list[tuple[CrashNews | AnsweredNews, float]] = []
 
@@ -119,7 +119,7 @@
         """A back end has answered a request to its end: it is not what crashes them."""
         if self._take_answered(fingerprint):
             self._untold.append(AnsweredNews(fingerprint))
-            self._to_delete.add(fingerprint)
+            self._delete_at_s[fingerprint] = self._clock()
 
     def hear(self, news: PeerNews) -> None:
         """Take over what another node has seen."""
@@ -149,9 +149,9 @@
             await sleep_to_tick(WRITE_INTERVAL_S)
             self._look_at_records()
             self._book.forget_old(self._clock())
-            for fingerprint in self._due():
+            for fingerprint in self._due(self._write_at_s):
                 await self._write(fingerprint)
-            for fingerprint in tuple(self._to_delete):
+            for fingerprint in self._due(self._delete_at_s):
                 await self._delete(fingerprint)
 
     def _take_crash(
@@ -216,9 +216,9 @@
                 self._end(fingerprint, "record_gone")
         self._recorded = recorded
 
-    def _due(self) -> Iterable[RequestFingerprint]:
+    def _due(self, at_s: dict[RequestFingerprint, float]) -> Iterable[RequestFingerprint]:
         now_s = self._clock()
-        return [one for one, at_s in self._write_at_s.items() if at_s <= now_s]
+        return [one for one, due_s in at_s.items() if due_s <= now_s]
 
     async def _write(self, fingerprint: RequestFingerprint) -> None:
         self._write_at_s[fingerprint] = self._clock() + WRITE_AGAIN_S
@@ -235,13 +235,14 @@
 
     async def _delete(self, fingerprint: RequestFingerprint) -> None:
         key = quarantine_key(fingerprint)
+        self._delete_at_s[fingerprint] = self._clock() + WRITE_AGAIN_S
         if key not in self._knowledge.records:
-            self._to_delete.discard(fingerprint)
+            del self._delete_at_s[fingerprint]
             return
         revision = self._knowledge.revision_of(key)
         deleted = await self._store.compare_and_swap(key, revision, None)
         if not isinstance(deleted, Err):
-            self._to_delete.discard(fingerprint)
+            self._delete_at_s.pop(fingerprint, None)
 
 
 def _add_all(outbox: NewsOutbox, news: Iterable[CrashNews | AnsweredNews]) -> None:
--- a/src/weirscale/gateway/quarantine/suspects.py
+++ b/src/weirscale/gateway/quarantine/suspects.py
@@ -80,8 +80,11 @@
         if suspect is None:
             suspect = self._suspects[fingerprint] = Suspect(set(), set(), False, False, now_s)
             self._forget_beyond_bound()
-        if run in suspect.crashed or run in suspect.forgiven:
+        if run in suspect.forgiven:
             return False
+        if run in suspect.crashed and suspect.came_again >= came_again:
+            return False
+        # Several nodes may have had the request at one run, some before they knew of another crash.
         suspect.crashed.add(run)
         suspect.came_again |= came_again
         suspect.crashed_at_s = now_s
