Sight: what a back end says of itself in an answer is read and logged

Cause: the logs could not tell what an answer said of its back end; only the registration was logged. Change: the adapter reads 'leaving' and the time of rest from every answer (requests, orders, reports, health checks) and hands it to one place, which logs it; nothing follows from it yet. back_end_seen and back_end_leaving have a field `source`; two events are new.

--- a/features/steps/gateway_instances_steps.py
+++ b/features/steps/gateway_instances_steps.py
@@ -153,7 +153,7 @@
 
     async def main():
         end = BackEnd("earlier", "lm", "10.3.0.1:8080", "z", BackEndState.READY, 4)
-        port = BackEndClientConnector(transport)(end, 4)
+        port = BackEndClientConnector(transport)(end, 4, lambda *_: None)
         order = WeightOrder(MODEL, 2, "n", 7, 0, "earlier")
         context.outcome = await port.order(order, 1.0)
 
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -217,7 +217,7 @@
 
     async def body():
         end = BackEnd("o-1", "orders", "10.2.0.1:8080", "hall-a", BackEndState.READY, 4)
-        port = BackEndClientConnector(make)(end, 4)
+        port = BackEndClientConnector(make)(end, 4, lambda *_: None)
         async with port.send(outbound_request(1)), port.send(outbound_request(2)):
             assert not context.transports[0].is_closed
         context.was_closed = [one.is_closed for one in context.transports]
@@ -237,7 +237,7 @@
 
     async def body():
         end = BackEnd("o-1", "orders", "10.2.0.1:8080", "hall-a", BackEndState.READY, 4)
-        port = BackEndClientConnector(make)(end, 4)
+        port = BackEndClientConnector(make)(end, 4, lambda *_: None)
         for number in range(count):
             async with port.send(outbound_request(number)) as sent:
                 assert sent.is_err()
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -73,6 +73,10 @@
     """When its process started, if it tells."""
     is_crashed: bool = False
     """Whether the process has ended: all that it was at work on is cut."""
+    is_leaving: bool = False
+    """Whether all its answers say that it leaves."""
+    rests: tuple = ()
+    """While it has any, it turns all requests away and writes these times of rest."""
 
     def entry(self, state="ready"):
         models = [{"name": self.model, "version": self.version, "adapters": []}]
@@ -88,6 +92,12 @@
         }
 
     async def handle(self, request):
+        response = await self._answer(request)
+        if self.is_leaving:
+            response.headers["Server-Leaving"] = "1"
+        return response
+
+    async def _answer(self, request):
         await anyio.sleep(0.001)
         path = request.url.path
         if path == "/v1/report":
@@ -111,6 +121,9 @@
         wanted = request.headers.get("x-expect-version")
         if wanted is not None and int(wanted) != self.version:
             return httpx.Response(421, headers={"X-Not-Executed": "1"})
+        if self.rests:
+            rests = [("Retry-After", rest) for rest in self.rests]
+            return httpx.Response(503, headers=[("X-Not-Executed", "1"), *rests])
         if fault == "refuse" or self.is_loading:
             return httpx.Response(503, headers={"X-Not-Executed": "1"})
         return await self._run(request, request_id, fault)
--- a/features/support/recorded_forms.py
+++ b/features/support/recorded_forms.py
@@ -450,7 +450,7 @@
     transport = RecordingTransport()
     if name in _RUNNER_CALLS:
         made = _RUNNER_CALLS[name]
-        client = BackEndClient(_back_ends()[0], 5, lambda *_: transport)
+        client = BackEndClient(_back_ends()[0], 5, lambda *_: None, lambda *_: transport)
     elif name in _FEED_CALLS:
         made = _FEED_CALLS[name]
         client = StateFeedAdapter(StoreClient("10.0.0.1:7000", lambda *_: transport))
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -15,6 +15,7 @@
 from weirscale.gateway.ports.state_feed import StateFeed
 from weirscale.gateway.rollouts.gate import VersionGate
 from weirscale.gateway.rollouts.view import RecordReader
+from weirscale.gateway.routing.back_end_notices import BackEndNotices
 from weirscale.gateway.routing.back_end_ports import BackEndPorts
 from weirscale.gateway.routing.back_end_upkeep import BackEndUpkeep
 from weirscale.gateway.routing.choice_rules import START_MARGIN_S
@@ -109,7 +110,8 @@
             versions=self.version_gate,
             peers=PeerView(self._gossip_pace.delay_s, self.engine_shares.of_other_groups),
         )  # fmt: skip
-        self._ports = BackEndPorts(connect, self.cluster, self.load)
+        self._notices = BackEndNotices(self._event_log)
+        self._ports = BackEndPorts(connect, self.cluster, self.load, self._notices.take)
         self._upkeep = BackEndUpkeep(self.cluster, self.health, self._ports, clock)
         self.cluster.back_ends.observe_gone(self._forget_back_end)
         self.cluster.engine_versions.observe(self._forget_cache)
--- a/src/weirscale/gateway/ports/back_end.py
+++ b/src/weirscale/gateway/ports/back_end.py
@@ -1,7 +1,7 @@
 """The interface to one back end: requests, orders, reports, and how each may end."""
 
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
@@ -68,6 +68,24 @@
     body: AsyncIterator[bytes]
 
 
+class AnswerNotice(msgspec.Struct, frozen=True):
+    """What a back end says of itself in the head of an answer, whatever it answers.
+
+    Attributes:
+        is_leaving: Whether it says that it will end: it wants no new work.
+        rest_s: Seconds from this answer for which it wants nothing from this node; 0 for none.
+        unreadable_rest: A time of rest that could not be read, as it was written; empty for none.
+    """
+
+    is_leaving: bool = False
+    rest_s: float = 0.0
+    unreadable_rest: str = ""
+
+
+TakeNotice = Callable[[BackEnd, AnswerNotice], None]
+"""Takes what a back end says of itself, at the moment at which the head of its answer is here."""
+
+
 class BodyBrokenError(Exception):
     """An answer ended before it was whole."""
 
@@ -192,6 +210,14 @@
 class BackEndConnector(Protocol):
     """Makes the port of a back end."""
 
-    def __call__(self, back_end: BackEnd, max_connections: int) -> BackEndPort:
-        """Return a port; no connection is opened yet."""
+    def __call__(
+        self, back_end: BackEnd, max_connections: int, take_notice: TakeNotice
+    ) -> BackEndPort:
+        """Return a port; no connection is opened yet.
+
+        Args:
+            back_end: The run that is meant.
+            max_connections: Most connections to it.
+            take_notice: Called with what each answer says of the back end that gave it.
+        """
         ...
--- a/src/weirscale/gateway/state/back_end_registry.py
+++ b/src/weirscale/gateway/state/back_end_registry.py
@@ -91,6 +91,7 @@
             address=back_end.address,
             zone=back_end.zone,
             software=back_end.software,
+            source="registration",
         )
 
     def end(self, instance: InstanceId) -> None:
