--- /dev/null
+++ b/features/support/speaking_back_ends.py
@@ -0,0 +1,131 @@
+"""Plays nodes before back ends that say of themselves that they leave, or want a rest."""
+
+import itertools
+
+import anyio
+import httpx
+
+from features.support.platform_fleet import (
+    Fleet,
+    ask,
+    configuration,
+    generation_headers,
+    request_headers,
+    with_fleet,
+)
+from features.support.platform_runner import RunnerStandIn
+from features.support.virtual_time import run_in_virtual_time
+
+SETTLE_S = 2.0
+"""Until the nodes know one another and the back ends."""
+
+
+class SpeakingBackEnds:
+    """Gathers what is to happen, plays it once, and tells who got what when."""
+
+    def __init__(self, num_nodes, num_back_ends, num_zones=1):
+        self.num_nodes = num_nodes
+        self.num_zones = num_zones
+        self.fleet = Fleet()
+        self.back_ends = {}
+        for number in range(1, num_back_ends + 1):
+            self._add(f"lm-{number}", f"10.3.0.{number}:8080", "lm", "m")
+            self._add(f"o-{number}", f"10.2.0.{number}:8080", "orders", None)
+        self.path = "/a/1"
+        self.background = []
+        self.actions = []
+        self.answers = []
+        self.told_s = {}
+        """When a node was first answered that a back end leaves, by their names."""
+        self.rests_s = {}
+        """By node and back end: when each rest was asked for, and for how long."""
+        self.arrived_s = {}
+        """By node and back end: when requests arrived."""
+        self.num_asked = itertools.count(1)
+        self._has_run = False
+
+    def _add(self, instance, address, service, model):
+        self.back_ends[instance] = RunnerStandIn(instance, address, service, model=model)
+
+    def node_names(self):
+        return [f"node-{number}" for number in range(1, self.num_nodes + 1)]
+
+    def logged(self, name, node=None):
+        logs = self.fleet.logs
+        found = [logs[node]] if node is not None else logs.values()
+        return [fields for log in found for fields in log.named(name)]
+
+    def play(self):
+        """Play what was gathered, once."""
+        if not self._has_run:
+            self._has_run = True
+            run_in_virtual_time(self._main)
+        return self
+
+    async def _main(self):
+        await with_fleet(self.fleet, self._body)
+
+    async def _body(self):
+        self.fleet.store.put("op/config", configuration())
+        for back_end in self.back_ends.values():
+            self.fleet.add_runner(back_end)
+            self.watch(back_end)
+        for number, name in enumerate(self.node_names()):
+            zone = f"hall-{number % self.num_zones}"
+            await self.fleet.start_node(name, is_first_start=False, zone=zone)
+        await anyio.sleep(SETTLE_S)
+        for action in self.background:
+            self.fleet.tasks.start_soon(action)
+        for action in self.actions:
+            await action()
+
+    def watch(self, back_end):
+        """Note what arrives at a back end and what its answers say."""
+        self.fleet.targets[back_end.address] = Watched(self, back_end)
+
+    async def ask_nodes(self, interval_s, for_s):
+        """Ask each node in turn, over and over."""
+        until_s = anyio.current_time() + for_s
+        while anyio.current_time() < until_s:
+            for name in list(self.fleet.nodes):
+                if name in self.fleet.nodes:
+                    self.fleet.tasks.start_soon(self.ask_node, name)
+            await anyio.sleep(interval_s)
+        await anyio.sleep(SETTLE_S)
+
+    async def ask_node(self, name, path=None):
+        number = next(self.num_asked)
+        path = path or self.path
+        request_id = f"q{name}-{number}"
+        if path.startswith(("/o/", "/s/")):
+            headers = request_headers(request_id)
+        else:
+            # Prompts that share nothing draw requests to no back end more than to another.
+            headers = generation_headers(request_id, parts=f"a{number}:800,b{number}:200")
+        answer = await ask(self.fleet.nodes[name], path, headers=headers)
+        answer.asked_by = name
+        self.answers.append(answer)
+        return answer
+
+
+class Watched:
+    """A back end whose arrivals and answers are noted by node."""
+
+    def __init__(self, play, back_end):
+        self._play = play
+        self._back_end = back_end
+
+    async def handle(self, request):
+        name = self._back_end.instance
+        request_id = request.headers.get("x-attempt-id")
+        node = None if request_id is None else request_id[1:].rpartition("-")[0]
+        key = (node, name)
+        if node is not None:
+            self._play.arrived_s.setdefault(key, []).append(anyio.current_time())
+        response: httpx.Response = await self._back_end.handle(request)
+        now_s = anyio.current_time()
+        if node is not None and self._back_end.is_leaving:
+            self._play.told_s.setdefault(key, now_s)
+        if node is not None and response.status_code == 503 and self._back_end.rests:
+            self._play.rests_s.setdefault(key, []).append(now_s)
+        return response
