A back end that says in an answer that it leaves gets no new work, from any node

What callers saw: nothing yet, but a back end that was about to end went on being sent requests, 12.6 s after it had said in an answer that it leaves, as long as the store could not be told. Cause: whether a back end leaves was read off its registration alone; nobody read what its answers say. Class: what a server says of itself in an answer is not heard. Change: every answer's head is heard where it is read (requests, orders, reports, health checks, whatever becomes of the answer). The registry marks the run as leaving; the mark stands against any registration of the same run and ends with it, since only another run has another id. The other nodes are told by gossip, in a last field that an older release ignores. Back ends that take no work are not probed either. Why it holds: all who choose back ends or order them ask the registry, which has the one mark. Recorded forms: gossip has one more field at its end; the forms of before stay as messages that must be read, and a reader without the field must read the rest.

--- a/features/recorded_forms.feature
+++ b/features/recorded_forms.feature
@@ -23,6 +23,21 @@
       | ages_reply            |
       | ages_reply_silent     |
 
+  Scenario Outline: A message of an earlier release is read
+    Given the recorded forms of "messages"
+    When a node gets the recorded "<message>" of an earlier release
+    Then it reads what that release says
+
+    Examples:
+      | message                      |
+      | news_empty_before_leaving    |
+      | news_full_before_leaving     |
+      | news_of_group_before_leaving |
+
+  Scenario: A node of the release before reads all that it knows of a message
+    When a node that knows of no back ends that leave gets the message "news_full"
+    Then it reads the same message without them
+
   Scenario Outline: A record in the store has exactly the recorded key and value
     Given the recorded forms of "records"
     When the gateway writes the record "<record>"
--- a/features/steps/recorded_forms_steps.py
+++ b/features/steps/recorded_forms_steps.py
@@ -1,5 +1,6 @@
 """Steps of `recorded_forms.feature`."""
 
+import msgspec
 from behave import given, then, when
 
 from features.support import recorded_forms
@@ -29,6 +30,33 @@
     assert decode_message(context.recorded_bytes) == context.message
 
 
+@when('a node gets the recorded "{name}" of an earlier release')
+def step_earlier(context, name):
+    context.message = recorded_forms.earlier_messages()[name]
+    context.read_message = decode_message(bytes.fromhex(context.recorded[name]))
+
+
+@then("it reads what that release says")
+def step_earlier_read(context):
+    assert context.read_message == context.message, context.read_message
+
+
+@when('a node that knows of no back ends that leave gets the message "{name}"')
+def step_release_before(context, name):
+    context.message = recorded_forms.messages()[name]
+    encoded = encode_message(context.message)
+    context.read_message = recorded_forms.read_by_release_before_leaving(encoded)
+
+
+@then("it reads the same message without them")
+def step_release_before_read(context):
+    assert context.message.leaving
+    known = msgspec.structs.asdict(context.read_message)
+    expected = msgspec.structs.asdict(context.message)
+    del expected["leaving"]
+    assert known == expected, known
+
+
 @when('the gateway writes the record "{name}"')
 def step_write(context, name):
     context.written = recorded_forms.record(name)
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -74,7 +74,9 @@
     is_crashed: bool = False
     """Whether the process has ended: all that it was at work on is cut."""
     is_leaving: bool = False
-    """Whether all its answers say that it leaves."""
+    """Whether its answers say that it leaves."""
+    leaving_path: str | None = None
+    """The only path whose answers say so; None for all."""
     rests: tuple = ()
     """While it has any, it turns all requests away and writes these times of rest."""
 
@@ -93,7 +95,7 @@
 
     async def handle(self, request):
         response = await self._answer(request)
-        if self.is_leaving:
+        if self.is_leaving and self.leaving_path in (None, request.url.path):
             response.headers["Server-Leaving"] = "1"
         return response
 
--- a/features/support/recorded_forms.py
+++ b/features/support/recorded_forms.py
@@ -13,6 +13,7 @@
 import anyio
 import cbor2
 import httpx
+import msgspec
 from result import Ok
 
 from features.support.platform_fleet import ADAPTER, EventRecorder
@@ -53,6 +54,7 @@
     CanaryGossip,
     CrashGossip,
     Gossip,
+    LeavingGossip,
     LoadGossip,
     LoadingGossip,
     MovedGossip,
@@ -217,6 +219,7 @@
         sender_run=3_735_928_559,
         crashes=(CrashGossip(FINGERPRINT, RUNS[0], True), CrashGossip(FINGERPRINT, RUNS[1], False)),
         answered=(AnsweredGossip(FINGERPRINT),),
+        leaving=(LeavingGossip(RUNS[1]),),
     )
     return {
         "news_empty": Gossip("node-1"),
@@ -237,6 +240,28 @@
     }
 
 
+def earlier_messages():
+    """Return what a message of an earlier release says, by the name of its recording."""
+    now = messages()
+    return {
+        f"{name}_before_leaving": msgspec.structs.replace(now[name], leaving=())
+        for name in ("news_empty", "news_full", "news_of_group")
+    }
+
+
+def read_by_release_before_leaving(encoded):
+    """Read a gossip message as a release does that knows of no back ends that leave."""
+    fields = [
+        (one.name, one.type, one.default)
+        for one in msgspec.structs.fields(Gossip)
+        if one.name not in ("sender", "leaving")
+    ]
+    earlier = msgspec.defstruct(
+        "EarlierGossip", [("sender", str), *fields], frozen=True, array_like=True, tag="news"
+    )
+    return msgspec.convert(cbor2.loads(encoded), earlier, builtin_types=(bytes,))
+
+
 class RecordingStore:
     """A key-value service that takes everything and keeps what was written."""
 
--- a/features/support/speaking_back_ends.py
+++ b/features/support/speaking_back_ends.py
@@ -37,6 +37,8 @@
         self.answers = []
         self.told_s = {}
         """When a node was first answered that a back end leaves, by their names."""
+        self.said_s = {}
+        """When a back end last said in any answer that it leaves, by its name."""
         self.rests_s = {}
         """By node and back end: when each rest was asked for, and for how long."""
         self.arrived_s = {}
@@ -50,10 +52,26 @@
     def node_names(self):
         return [f"node-{number}" for number in range(1, self.num_nodes + 1)]
 
-    def logged(self, name, node=None):
-        logs = self.fleet.logs
-        found = [logs[node]] if node is not None else logs.values()
-        return [fields for log in found for fields in log.named(name)]
+    def logged(self, name):
+        """Return the events of a name in the nodes' logs, by node."""
+        return {node: log.named(name) for node, log in self.fleet.logs.items()}
+
+    def arrivals_s(self, name):
+        """Return when requests arrived at a back end."""
+        found = [at_s for (_, to), all_s in self.arrived_s.items() if to == name for at_s in all_s]
+        return sorted(found)
+
+    def all_nodes(self):
+        return list(self.fleet.nodes.values())
+
+    async def until_said(self, name, node=None, path=None):
+        """Ask until a back end says that it leaves; from then on it does not say so any more."""
+        back_end = self.back_ends[name]
+        back_end.is_leaving = True
+        while name not in self.said_s:
+            self.fleet.tasks.start_soon(self.ask_node, node or self.node_names()[0], path)
+            await anyio.sleep(0.1)
+        back_end.is_leaving = False
 
     def play(self):
         """Play what was gathered, once."""
@@ -93,7 +111,7 @@
             await anyio.sleep(interval_s)
         await anyio.sleep(SETTLE_S)
 
-    async def ask_node(self, name, path=None):
+    async def ask_node(self, name, path=None, **more):
         number = next(self.num_asked)
         path = path or self.path
         request_id = f"q{name}-{number}"
@@ -102,7 +120,7 @@
         else:
             # Prompts that share nothing draw requests to no back end more than to another.
             headers = generation_headers(request_id, parts=f"a{number}:800,b{number}:200")
-        answer = await ask(self.fleet.nodes[name], path, headers=headers)
+        answer = await ask(self.fleet.nodes[name], path, headers=headers, **more)
         answer.asked_by = name
         self.answers.append(answer)
         return answer
@@ -124,8 +142,10 @@
             self._play.arrived_s.setdefault(key, []).append(anyio.current_time())
         response: httpx.Response = await self._back_end.handle(request)
         now_s = anyio.current_time()
-        if node is not None and self._back_end.is_leaving:
-            self._play.told_s.setdefault(key, now_s)
+        if "server-leaving" in response.headers:
+            self._play.said_s[name] = now_s
+            if node is not None:
+                self._play.told_s.setdefault(key, now_s)
         if node is not None and response.status_code == 503 and self._back_end.rests:
             self._play.rests_s.setdefault(key, []).append(now_s)
         return response
--- a/src/weirscale/gateway/gossip/group_relay.py
+++ b/src/weirscale/gateway/gossip/group_relay.py
@@ -178,6 +178,8 @@
             outbox.add_crash(crash)
         for answered in gossip.answered:
             outbox.add_answered(answered)
+        for leaving in gossip.leaving:
+            outbox.add_leaving(leaving)
         # An engine that loads weights must get no request now. A back end that cannot be reached is
         # soon reported by several nodes, so that waits for the next message.
         if gossip.loading:
--- a/src/weirscale/gateway/gossip/inbox.py
+++ b/src/weirscale/gateway/gossip/inbox.py
@@ -6,6 +6,8 @@
 from weirscale.gateway.gossip.group_relay import GroupRelay
 from weirscale.gateway.limits.quota import QuotaLedger
 from weirscale.gateway.limits.usage_reporter import read_usage
+from weirscale.gateway.model.back_ends import LeavingSource
+from weirscale.gateway.model.identifiers import RunId
 from weirscale.gateway.peers.messages import (
     AgesQuery,
     AgesReply,
@@ -40,7 +42,7 @@
     """Hands the contents of a gossip message to the parts that use them.
 
     Args:
-        cluster: Learns which weights engines have.
+        cluster: Learns which weights engines have, and which back ends leave.
         relay: Tells whose loads and counts a message holds.
         load: Takes loads.
         quotas: Takes tenants' usage.
@@ -87,6 +89,8 @@
         for suspect in gossip.suspects:
             if self._cluster.directory.get(suspect.instance) is not None:
                 self._health.unreachable(suspect.instance, "told_by_peer", now_s)
+        for leaving in gossip.leaving:
+            self._cluster.back_ends.mark_leaving(RunId(leaving.run), LeavingSource.PEER)
 
     def _receive_counts(self, source: str, gossip: Gossip, now_s: float) -> None:
         """Take over loads and counts, which hold for the sender or for groups of nodes."""
--- a/src/weirscale/gateway/model/back_ends.py
+++ b/src/weirscale/gateway/model/back_ends.py
@@ -20,6 +20,17 @@
     """Its registration ended with an outage of the store; it has some time to register again."""
 
 
+class LeavingSource(enum.Enum):
+    """How a node knows that a back end leaves, for the log."""
+
+    REGISTRATION = "registration"
+    """Its registration says so."""
+    ANSWER = "answer"
+    """It said so in an answer to this node."""
+    PEER = "peer"
+    """It said so in an answer to another node."""
+
+
 TAKES_WORK = frozenset({BackEndState.READY, BackEndState.LAPSED})
 """States in which a back end is sent new requests."""
 
--- a/src/weirscale/gateway/peers/messages.py
+++ b/src/weirscale/gateway/peers/messages.py
@@ -61,6 +61,16 @@
     instance: InstanceId
 
 
+class LeavingGossip(msgspec.Struct, frozen=True, array_like=True):
+    """A back end has said in an answer that it leaves.
+
+    Attributes:
+        run: The back end's run.
+    """
+
+    run: str
+
+
 class UsageGossip(msgspec.Struct, frozen=True, array_like=True):
     """What a tenant with a quota spends and asks for, in its quota's units a second.
 
@@ -159,6 +169,7 @@
         sender_run: Drawn at random when the sender's process starts; counts begin at 0 in each run.
         crashes: Crashes of back ends and what they were at work on.
         answered: Requests that crash nothing after all.
+        leaving: Back ends that said that they leave. Releases without this field ignore it.
     """
 
     sender: str
@@ -175,6 +186,7 @@
     sender_run: int = 0
     crashes: tuple[CrashGossip, ...] = ()
     answered: tuple[AnsweredGossip, ...] = ()
+    leaving: tuple[LeavingGossip, ...] = ()
 
 
 class StateQuery(msgspec.Struct, frozen=True, array_like=True, tag="query"):
--- a/src/weirscale/gateway/peers/outbox.py
+++ b/src/weirscale/gateway/peers/outbox.py
@@ -6,6 +6,7 @@
     CanaryGossip,
     CrashGossip,
     Gossip,
+    LeavingGossip,
     LoadGossip,
     LoadingGossip,
     MovedGossip,
@@ -52,6 +53,7 @@
         self._canary_counts: dict[tuple[int, str, InstanceId], CanaryGossip] = {}
         self._moved_nodes: dict[int, MovedGossip] = {}
         self._answered: dict[str, AnsweredGossip] = {}
+        self._leaving: dict[str, LeavingGossip] = {}
 
     def add_usage(self, gossip: UsageGossip) -> None:
         """Add what a tenant spends; replaces what waits for this tenant."""
@@ -96,6 +98,10 @@
         """Add a request that was answered after crashes under it."""
         self._answered[gossip.request] = gossip
 
+    def add_leaving(self, gossip: LeavingGossip) -> None:
+        """Add a back end that leaves."""
+        self._leaving[gossip.run] = gossip
+
     def _take_crashes(self) -> tuple[CrashGossip, ...]:
         taken = list(self._crashes)[:MAX_CRASHES_PER_MESSAGE]
         return tuple(self._crashes.pop(key) for key in taken)
@@ -123,6 +129,7 @@
             sender_run=self._sender_run,
             crashes=self._take_crashes(),
             answered=tuple(self._answered.values()),
+            leaving=tuple(self._leaving.values()),
         )
         self._clear()
         return gossip
@@ -138,4 +145,5 @@
             or self._moved_nodes
             or self._crashes
             or self._answered
+            or self._leaving
         )
--- a/src/weirscale/gateway/routing/back_end_notices.py
+++ b/src/weirscale/gateway/routing/back_end_notices.py
@@ -1,8 +1,11 @@
 """What back ends say of themselves in their answers: one place that takes it all."""
 
-from weirscale.gateway.model.back_ends import BackEnd
+from collections.abc import Callable
+
+from weirscale.gateway.model.back_ends import BackEnd, LeavingSource
+from weirscale.gateway.model.identifiers import RunId
 from weirscale.gateway.ports.back_end import AnswerNotice
-from weirscale.gateway.state.leaving_runs import LeavingRuns
+from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale.ports.event_log import EventLog
 
 
@@ -10,28 +13,43 @@
     """Takes the notices of all answers.
 
     Args:
+        cluster: Learns which back ends leave.
         event_log: Where notices are logged.
     """
 
-    def __init__(self, event_log: EventLog) -> None:
+    def __init__(self, cluster: ClusterState, event_log: EventLog) -> None:
+        self._cluster = cluster
         self._event_log = event_log
-        self._leaving = LeavingRuns()
+        self._observers: list[Callable[[RunId], None]] = []
+
+    def observe_leaving(self, observer: Callable[[RunId], None]) -> None:
+        """Have a function called with each run that first tells this node that it leaves."""
+        self._observers.append(observer)
 
     def take(self, back_end: BackEnd, notice: AnswerNotice) -> None:
         """Take what an answer says of its back end."""
-        if notice.is_leaving and self._leaving.add(back_end.run_id):
-            self._event_log.event(
-                "back_end_leaving", instance=back_end.instance, service=back_end.service,
-                address=back_end.address, zone=back_end.zone, software=back_end.software,
-                source="answer",
-            )  # fmt: skip
+        # A process that started again under its name answers on the client that the earlier one
+        # had: the run that speaks is the one that is registered now.
+        speaker = self._cluster.directory.get(back_end.instance) or back_end
+        if notice.is_leaving:
+            self._take_leaving(speaker)
         if notice.rest_s > 0.0:
             self._event_log.event(
-                "back_end_rest", instance=back_end.instance, address=back_end.address,
+                "back_end_rest", instance=speaker.instance, address=speaker.address,
                 asked_s=notice.rest_s,
             )  # fmt: skip
         if notice.unreadable_rest:
             self._event_log.event(
-                "back_end_rest_unreadable", instance=back_end.instance,
+                "back_end_rest_unreadable", instance=speaker.instance,
                 value=notice.unreadable_rest, remedy="have the back end write seconds",
             )  # fmt: skip
+
+    def _take_leaving(self, speaker: BackEnd) -> None:
+        """Keep new work from a back end at once, and tell the other nodes.
+
+        Its registration cannot say so while the store is away, and a node that was not answered by
+        it since would go on sending to a process that is about to end.
+        """
+        if self._cluster.back_ends.mark_leaving(speaker.run_id, LeavingSource.ANSWER):
+            for observer in self._observers:
+                observer(speaker.run_id)
--- a/src/weirscale/gateway/routing/back_end_upkeep.py
+++ b/src/weirscale/gateway/routing/back_end_upkeep.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from weirscale.gateway.model.back_ends import TAKES_WORK
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.routing.back_end_ports import BackEndPorts
 from weirscale.gateway.routing.health import BackEndHealth
@@ -58,6 +59,8 @@
         if back_end is None or table is None:
             self._health.forget(instance)
             return
+        if back_end.state not in TAKES_WORK:
+            return
         service = table.service(back_end.service)
         path = service.health_path if service else DEFAULT_HEALTH_PATH
         if await self._ports.port_of(back_end).is_healthy(path, PROBE_TIMEOUT_S):
--- a/src/weirscale/gateway/state/back_end_registry.py
+++ b/src/weirscale/gateway/state/back_end_registry.py
@@ -5,9 +5,16 @@
 import msgspec
 
 from weirscale.domain.identifiers import ServiceName, SoftwareVersion
-from weirscale.gateway.model.back_ends import TAKES_WORK, BackEnd, BackEndDirectory, BackEndState
-from weirscale.gateway.model.identifiers import InstanceId
+from weirscale.gateway.model.back_ends import (
+    TAKES_WORK,
+    BackEnd,
+    BackEndDirectory,
+    BackEndState,
+    LeavingSource,
+)
+from weirscale.gateway.model.identifiers import InstanceId, RunId
 from weirscale.gateway.state.engine_versions import EngineVersions
+from weirscale.gateway.state.leaving_runs import LeavingRuns
 from weirscale.gateway.state.store_outages import StoreOutageDetector
 from weirscale.ports.event_log import EventLog
 
@@ -31,6 +38,10 @@
     A registration that ends just after an outage of the store may have lapsed with it: its back end
     is used a little longer, unless it had said that it leaves.
 
+    A back end also says in its answers that it leaves, and while the store is away only there. That
+    word stands against every registration of the same run: one that says ready was written, or is
+    read, late. Only the next run of the back end takes new work.
+
     Args:
         directory: The back ends; this is its only writer.
         engine_versions: Which weights engines have.
@@ -54,6 +65,7 @@
         self._clock = clock
         self._keys: dict[InstanceId, str] = {}
         self._lapsed_until_s: dict[InstanceId, float] = {}
+        self._leaving = LeavingRuns()
         self._first_seen_s: dict[tuple[ServiceName, SoftwareVersion], float] = {}
         """When this node first saw a service version: how long those have been there that it finds
         at its start it cannot know."""
@@ -65,6 +77,8 @@
 
     def register(self, key: str, back_end: BackEnd) -> None:
         """Take over a registration under a key of the store."""
+        if back_end.run_id in self._leaving:
+            back_end = _leaving(back_end)
         known = self._directory.get(back_end.instance)
         self._lapsed_until_s.pop(back_end.instance, None)
         for displaced in self._directory.put(back_end):
@@ -81,9 +95,23 @@
                 back_end.instance, served.name, served.version, "registration"
             )
         if known is None or known.state is not back_end.state:
-            self._log_seen(back_end)
+            self._log_seen(back_end, LeavingSource.REGISTRATION)
+
+    def mark_leaving(self, run: RunId, source: LeavingSource) -> bool:
+        """Take that a run of a back end has said in an answer that it leaves.
 
-    def _log_seen(self, back_end: BackEnd) -> None:
+        Returns:
+            Whether it was not known of this run.
+        """
+        if not self._leaving.add(run):
+            return False
+        for back_end in tuple(self._directory.all()):
+            if back_end.run_id == run and back_end.state is not BackEndState.LEAVING:
+                self._directory.put(_leaving(back_end))
+                self._log_seen(_leaving(back_end), source)
+        return True
+
+    def _log_seen(self, back_end: BackEnd, source: LeavingSource) -> None:
         self._event_log.event(
             "back_end_seen" if back_end.state is BackEndState.READY else "back_end_leaving",
             instance=back_end.instance,
@@ -91,7 +119,7 @@
             address=back_end.address,
             zone=back_end.zone,
             software=back_end.software,
-            source="registration",
+            source=source.value,
         )
 
     def end(self, instance: InstanceId) -> None:
@@ -161,3 +189,8 @@
             return True
         since_s = self._first_seen_s.get((service, version))
         return since_s is not None and self._clock() - since_s >= ESTABLISHED_S
+
+
+def _leaving(back_end: BackEnd) -> BackEnd:
+    """Return a back end as one that takes no new work."""
+    return msgspec.structs.replace(back_end, state=BackEndState.LEAVING)
