A back end that asks for rest gets nothing until the rest has passed

What callers saw: 10 to 17 of 35 to 52 a second got 503 for seven seconds, though six of nine back ends had room. Cause: the time that a back end named as it turned a request away was not read; each refusal was followed by one pause of 0.15 s. Idle as it was, the back end then looked best and was tried first. Class: what a server says of itself in an answer is not heard (as with leaving). Change: each node keeps the rests that it was asked for, by run; a back end at rest is no candidate, not even for want of others, and is not probed. Where all rest, callers are refused at once, with the time that is left and a cause of its own. Ends of rests are spread. Only numbers of seconds are read; anything else is logged, and the usual pause holds. Why it holds: candidates are found in one place for first attempts, repeats, resumed streams and canaries.

--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -79,6 +79,14 @@
     """The only path whose answers say so; None for all."""
     rests: tuple = ()
     """While it has any, it turns all requests away and writes these times of rest."""
+    refusal_status: int = 503
+    """The status with which it then does so."""
+    proves_refusals: bool = True
+    """Whether it then says that it does not run what it turns away."""
+    probe_rests: tuple = ()
+    """While it has any, it turns health checks away and writes these times of rest."""
+    probed_s: list = field(default_factory=list)
+    """When it was asked for its health."""
 
     def entry(self, state="ready"):
         models = [{"name": self.model, "version": self.version, "adapters": []}]
@@ -107,6 +115,9 @@
         if path == "/v1/order":
             return await self._order(request)
         if path == "/healthz":
+            self.probed_s.append(anyio.current_time())
+            if self.probe_rests:
+                return self._turn_away(self.probe_rests)
             return httpx.Response(200, headers={"X-Instance-Id": self.instance})
         return await self._request(request)
 
@@ -124,12 +135,17 @@
         if wanted is not None and int(wanted) != self.version:
             return httpx.Response(421, headers={"X-Not-Executed": "1"})
         if self.rests:
-            rests = [("Retry-After", rest) for rest in self.rests]
-            return httpx.Response(503, headers=[("X-Not-Executed", "1"), *rests])
+            return self._turn_away(self.rests)
         if fault == "refuse" or self.is_loading:
             return httpx.Response(503, headers={"X-Not-Executed": "1"})
         return await self._run(request, request_id, fault)
 
+    def _turn_away(self, rests):
+        headers = [("Retry-After", rest) for rest in rests]
+        if self.proves_refusals:
+            headers.append(("X-Not-Executed", "1"))
+        return httpx.Response(self.refusal_status, headers=headers)
+
     async def _run(self, request, request_id, fault):
         run = Run(
             request_id,
--- a/features/support/speaking_back_ends.py
+++ b/features/support/speaking_back_ends.py
@@ -121,7 +121,7 @@
             # Prompts that share nothing draw requests to no back end more than to another.
             headers = generation_headers(request_id, parts=f"a{number}:800,b{number}:200")
         answer = await ask(self.fleet.nodes[name], path, headers=headers, **more)
-        answer.asked_by = name
+        answer.at_s = anyio.current_time() - answer.took_s
         self.answers.append(answer)
         return answer
 
@@ -146,6 +146,6 @@
             self._play.said_s[name] = now_s
             if node is not None:
                 self._play.told_s.setdefault(key, now_s)
-        if node is not None and response.status_code == 503 and self._back_end.rests:
+        if node is not None and "retry-after" in response.headers:
             self._play.rests_s.setdefault(key, []).append(now_s)
         return response
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -110,9 +110,10 @@
             versions=self.version_gate,
             peers=PeerView(self._gossip_pace.delay_s, self.engine_shares.of_other_groups),
         )  # fmt: skip
-        self._notices = BackEndNotices(self.cluster, self._event_log)
+        rests = self.dispatcher.rests
+        self._notices = BackEndNotices(self.cluster, rests, self._event_log, clock)
         self._ports = BackEndPorts(connect, self.cluster, self.load, self._notices.take)
-        self._upkeep = BackEndUpkeep(self.cluster, self.health, self._ports, clock)
+        self._upkeep = BackEndUpkeep(self.cluster, self.health, rests, self._ports, clock)
         self.cluster.back_ends.observe_gone(self._forget_back_end)
         self.cluster.engine_versions.observe(self._forget_cache)
 
--- a/src/weirscale/gateway/requests/back_end_selector.py
+++ b/src/weirscale/gateway/requests/back_end_selector.py
@@ -32,6 +32,10 @@
             chosen = self._dispatcher.choose(_query(admitted, ()))
         return chosen
 
+    def rest_left_s(self, admitted: AdmittedRequest) -> float | None:
+        """Return until when all that might get a request rest; None if none of them does."""
+        return self._dispatcher.rest_left_s(_query(admitted, ()))
+
     def prefer_canary(
         self, admitted: AdmittedRequest, history: AttemptHistory, choice: Choice
     ) -> Choice:
--- a/src/weirscale/gateway/requests/request_handler.py
+++ b/src/weirscale/gateway/requests/request_handler.py
@@ -96,7 +96,7 @@
                 return
             choice = self._context.selector.choose(admitted, self._history)
             if choice is None:
-                await self._give_up(RequestCause.NO_BACK_END)
+                await self._give_up_without_back_end(admitted)
                 return
             self._choice = choice
             if self._is_overloaded(admitted, choice):
@@ -147,6 +147,14 @@
         else:
             await self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, retry_s)
 
+    async def _give_up_without_back_end(self, admitted: AdmittedRequest) -> None:
+        """Tell the caller when a back end will be there again, where one has said so."""
+        rest_s = self._context.selector.rest_left_s(admitted)
+        if rest_s is None:
+            await self._give_up(RequestCause.NO_BACK_END)
+        else:
+            await self._give_up(RequestCause.RESTING, rest_s)
+
     async def _refuse_for_overload(self, choice: Choice) -> None:
         self._history.causes.append(RequestCause.OVERLOADED)
         wait_s = retry_after_s(choice, self._request.timeout_s, NO_BACK_END_RETRY_S)
--- a/src/weirscale/gateway/routing/back_end_notices.py
+++ b/src/weirscale/gateway/routing/back_end_notices.py
@@ -5,6 +5,7 @@
 from weirscale.gateway.model.back_ends import BackEnd, LeavingSource
 from weirscale.gateway.model.identifiers import RunId
 from weirscale.gateway.ports.back_end import AnswerNotice
+from weirscale.gateway.routing.back_end_rests import BackEndRests
 from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale.ports.event_log import EventLog
 
@@ -14,12 +15,22 @@
 
     Args:
         cluster: Learns which back ends leave.
+        rests: Learns which back ends want a rest.
         event_log: Where notices are logged.
+        clock: Monotonic seconds that count suspensions of the machine.
     """
 
-    def __init__(self, cluster: ClusterState, event_log: EventLog) -> None:
+    def __init__(
+        self,
+        cluster: ClusterState,
+        rests: BackEndRests,
+        event_log: EventLog,
+        clock: Callable[[], float],
+    ) -> None:
         self._cluster = cluster
+        self._rests = rests
         self._event_log = event_log
+        self._clock = clock
         self._observers: list[Callable[[RunId], None]] = []
 
     def observe_leaving(self, observer: Callable[[RunId], None]) -> None:
@@ -34,10 +45,7 @@
         if notice.is_leaving:
             self._take_leaving(speaker)
         if notice.rest_s > 0.0:
-            self._event_log.event(
-                "back_end_rest", instance=speaker.instance, address=speaker.address,
-                asked_s=notice.rest_s,
-            )  # fmt: skip
+            self._take_rest(speaker, notice.rest_s)
         if notice.unreadable_rest:
             self._event_log.event(
                 "back_end_rest_unreadable", instance=speaker.instance,
@@ -53,3 +61,15 @@
         if self._cluster.back_ends.mark_leaving(speaker.run_id, LeavingSource.ANSWER):
             for observer in self._observers:
                 observer(speaker.run_id)
+
+    def _take_rest(self, speaker: BackEnd, asked_s: float) -> None:
+        """Send nothing to a back end that has turned a request away until the time it names.
+
+        The other nodes are not told: it speaks to each of them for itself.
+        """
+        rest_s = self._rests.begin(speaker.run_id, asked_s, self._clock())
+        if rest_s is not None:
+            self._event_log.event(
+                "back_end_rest", instance=speaker.instance, address=speaker.address,
+                asked_s=asked_s, rest_s=rest_s,
+            )  # fmt: skip
--- a/src/weirscale/gateway/routing/back_end_upkeep.py
+++ b/src/weirscale/gateway/routing/back_end_upkeep.py
@@ -7,6 +7,7 @@
 from weirscale.gateway.model.back_ends import TAKES_WORK
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.routing.back_end_ports import BackEndPorts
+from weirscale.gateway.routing.back_end_rests import BackEndRests
 from weirscale.gateway.routing.health import BackEndHealth
 from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale.gateway.ticks import sleep_to_tick
@@ -27,6 +28,7 @@
     Args:
         cluster: Registered back ends.
         health: Tells whom to probe, and takes the outcome.
+        rests: Back ends that want nothing from this node, probes included.
         ports: Clients of back ends.
         clock: Monotonic seconds.
     """
@@ -35,11 +37,13 @@
         self,
         cluster: ClusterState,
         health: BackEndHealth,
+        rests: BackEndRests,
         ports: BackEndPorts,
         clock: Callable[[], float],
     ) -> None:
         self._cluster = cluster
         self._health = health
+        self._rests = rests
         self._ports = ports
         self._clock = clock
 
@@ -59,7 +63,7 @@
         if back_end is None or table is None:
             self._health.forget(instance)
             return
-        if back_end.state not in TAKES_WORK:
+        if back_end.state not in TAKES_WORK or self._rests.left_s(back_end.run_id, self._clock()):
             return
         service = table.service(back_end.service)
         path = service.health_path if service else DEFAULT_HEALTH_PATH
--- a/src/weirscale/gateway/routing/candidates.py
+++ b/src/weirscale/gateway/routing/candidates.py
@@ -1,9 +1,9 @@
 """Which back ends may get a request now, and what is known of each.
 
 A back end may get a request if the platform lists it as ready, its version of the program is one
-that the request may go to, and its weights are new enough. Of these, engines that load weights are
-left out; so are those that have just refused and those whose circuit is open, unless no other is
-left.
+that the request may go to, its weights are new enough, and it has not asked this node for a rest.
+Of these, engines that load weights are left out; so are those that have just refused and those
+whose circuit is open, unless no other is left.
 """
 
 import math
@@ -19,6 +19,7 @@
 from weirscale.gateway.model.topology import Location
 from weirscale.gateway.rollouts.gate import Track
 from weirscale.gateway.routing.attempt_learning import AttemptLearning
+from weirscale.gateway.routing.back_end_rests import BackEndRests
 from weirscale.gateway.routing.cache_beliefs import CacheBeliefs
 from weirscale.gateway.routing.candidate import Candidate
 from weirscale.gateway.routing.choice_rules import START_MARGIN_S
@@ -33,9 +34,9 @@
 of the end be lost. Not measured."""
 
 REFUSAL_PAUSE_S = 0.15
-"""Seconds in which a back end that refused a request unrun gets none, unless nothing else serves:
-it may be full, about to leave, or loading weights, and its load looks small meanwhile. Not measured
-apart from the changes that came with it."""
+"""Seconds in which a back end that refused a request unrun, and did not say when to come back, gets
+none, unless nothing else serves: it may be full, about to leave, or loading weights, and its load
+looks small meanwhile. Not measured apart from the changes that came with it."""
 
 
 class DispatchQuery(msgspec.Struct, frozen=True):
@@ -69,6 +70,7 @@
         weights_grace_s: How long older weights may be sent requests.
         versions: Which versions of a service's program may be chosen.
         engines_of_other_groups: Returns the engines that other groups of nodes prefer.
+        rests: Back ends that want nothing from this node.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         weights_grace_s: float,
         versions: VersionRules,
         engines_of_other_groups: Callable[[], Collection[InstanceId]],
+        rests: BackEndRests,
     ) -> None:
         self._location = location
         self._cluster = cluster
@@ -92,19 +95,19 @@
         self.weights_grace_s = weights_grace_s
         self._versions = versions
         self._engines_of_other_groups = engines_of_other_groups
+        self._rests = rests
         self._loading_until_s: dict[InstanceId, float] = {}
         self._refused_until_s: dict[InstanceId, float] = {}
 
     def find(self, query: DispatchQuery, service: Service | None, now_s: float) -> list[Candidate]:
         """Return the back ends that may get a request now."""
-        ready = self._cluster.back_ends.ready(query.service)
-        lowest = 0 if query.prompt is None else self._lowest_version(query.prompt.model, now_s)
-        usable = [
-            back_end
-            for back_end in self._versions.usable(query.service, ready, query.track)
-            if back_end.instance not in query.excluded
-            and self._has_usable_weights(back_end, query.prompt, lowest)
-        ]
+        usable = self._usable(query, now_s)
+        resting = self._rests.resting(now_s)
+        if resting:
+            # One that runs nothing looks idle, and would be tried first all the time, only to turn
+            # callers away whom others would have served. So it is not tried for want of others
+            # either: it has said when.
+            usable = [one for one in usable if one.run_id not in resting]
         settled = [one for one in usable if not self.is_loading(one.instance, now_s)]
         calm = [one for one in settled if not self._has_refused(one.instance, now_s)]
         admitted = [one for one in calm if self._health.admits(one.instance, now_s)]
@@ -113,6 +116,22 @@
         others = self._engines_of_other_groups()
         return [self._candidate(one, query.prompt, service, others, now_s) for one in found]
 
+    def rest_left_s(self, query: DispatchQuery, now_s: float) -> float | None:
+        """Return until when all that might get a request rest; None if none of them does."""
+        rests_s = [self._rests.left_s(one.run_id, now_s) for one in self._usable(query, now_s)]
+        return min((rest_s for rest_s in rests_s if rest_s > 0.0), default=None)
+
+    def _usable(self, query: DispatchQuery, now_s: float) -> list[BackEnd]:
+        """Return the ready back ends of a version and with weights that the request may go to."""
+        ready = self._cluster.back_ends.ready(query.service)
+        lowest = 0 if query.prompt is None else self._lowest_version(query.prompt.model, now_s)
+        return [
+            back_end
+            for back_end in self._versions.usable(query.service, ready, query.track)
+            if back_end.instance not in query.excluded
+            and self._has_usable_weights(back_end, query.prompt, lowest)
+        ]
+
     def of_other_versions(
         self, query: DispatchQuery, service: Service, now_s: float
     ) -> list[Candidate]:
--- a/src/weirscale/gateway/routing/dispatcher.py
+++ b/src/weirscale/gateway/routing/dispatcher.py
@@ -18,6 +18,7 @@
 from weirscale.gateway.model.topology import Location
 from weirscale.gateway.rollouts.gate import Track
 from weirscale.gateway.routing.attempt_learning import AttemptLearning
+from weirscale.gateway.routing.back_end_rests import BackEndRests
 from weirscale.gateway.routing.cache_beliefs import CacheBeliefs
 from weirscale.gateway.routing.candidate import Candidate, Choice, FetchSource, PromptNeed
 from weirscale.gateway.routing.candidates import Candidates, DispatchQuery
@@ -84,9 +85,11 @@
         self._peers = peers
         self.beliefs = CacheBeliefs(cluster, location.topology)
         self.learning = AttemptLearning(self._start_rules, self.beliefs)
+        self.rests = BackEndRests(random)
         self.candidates = Candidates(
             location, cluster, load, health, self.beliefs, self.learning, weights_grace_s,
             versions or AllVersions(), peers.engines_of_other_groups,
+            self.rests,
         )  # fmt: skip
 
     def choose(self, query: DispatchQuery) -> Choice | None:
@@ -108,6 +111,10 @@
         choice = choose(candidates, need, sources, self._location.zone, rules, self._random)
         return None if choice is None else self._with_load_age(choice, query.track, now_s)
 
+    def rest_left_s(self, query: DispatchQuery) -> float | None:
+        """Return until when all that might get a request rest; None if none of them does."""
+        return self.candidates.rest_left_s(query, self._clock())
+
     def rules(self, service: ServiceName) -> ChoiceRules:
         """Return the weights of the choice as they are now.
 
--- a/src/weirscale/gateway/telemetry/request_summary.py
+++ b/src/weirscale/gateway/telemetry/request_summary.py
@@ -32,6 +32,8 @@
     """Back ends crashed under the request."""
     NO_BACK_END = "no_back_end"
     """No back end takes work."""
+    RESTING = "resting"
+    """All back ends that might take it have asked for a rest."""
     OVERLOADED = "overloaded"
     """The queues are too long."""
     NO_TIME = "no_time"
