A live back end is used whoever else is registered at its address

Cause: whoever's entry came last owned an address, and the other one was forgotten with its key. The entry of an ended run that comes once more so displaced its live successor for good, for the successor has nothing more to say. Class: what is registered and who is used were one thing. Change: every registration stays known until it ends; the owner of its address is derived from all of them by proofs (another run answered there; a crash that was seen; an answer; the stated start; an earlier end; the order of sight). A refusal as the wrong run, by a request, an order, a report or a health check, takes the run out of use here at once and at the others by gossip, in a last field that older releases ignore. When the owner goes, the next one takes its place.

--- a/features/steps/gateway_rest_steps.py
+++ b/features/steps/gateway_rest_steps.py
@@ -6,7 +6,7 @@
 import httpx
 from behave import given, then, when
 
-from weirscale.gateway.model.identifiers import RunId
+from weirscale.gateway.model.identifiers import InstanceId, RunId
 from weirscale.gateway.routing.back_end_rests import BackEndRests
 from weirscale_platform.answer_notices import notice_of
 
@@ -183,7 +183,8 @@
 def step_long(context, rest):
     response = httpx.Response(503, headers={"Retry-After": rest})
     context.rests = BackEndRests(Random(1))
-    context.rests.begin(RunId("lm-1@0"), notice_of(response).rest_s, 0.0)
+    notice = notice_of(response, InstanceId("lm-1"), is_version_meant=True)
+    context.rests.begin(RunId("lm-1@0"), notice.rest_s, 0.0)
 
 
 @then("the run has its rest from {from_s:g} to {to_s:g} seconds")
--- a/features/steps/recorded_forms_steps.py
+++ b/features/steps/recorded_forms_steps.py
@@ -50,10 +50,10 @@
 
 @then("it reads the same message without them")
 def step_release_before_read(context):
-    assert context.message.leaving
     known = msgspec.structs.asdict(context.read_message)
     expected = msgspec.structs.asdict(context.message)
-    del expected["leaving"]
+    for name in recorded_forms.FIELDS_SINCE_THEN:
+        assert expected.pop(name), name
     assert known == expected, known
 
 
--- a/features/support/recorded_forms.py
+++ b/features/support/recorded_forms.py
@@ -53,6 +53,7 @@
     AnsweredGossip,
     CanaryGossip,
     CrashGossip,
+    EndedGossip,
     Gossip,
     LeavingGossip,
     LoadGossip,
@@ -220,6 +221,7 @@
         crashes=(CrashGossip(FINGERPRINT, RUNS[0], True), CrashGossip(FINGERPRINT, RUNS[1], False)),
         answered=(AnsweredGossip(FINGERPRINT),),
         leaving=(LeavingGossip(RUNS[1]),),
+        ended=(EndedGossip(RUNS[0]),),
     )
     return {
         "news_empty": Gossip("node-1"),
@@ -240,11 +242,15 @@
     }
 
 
+FIELDS_SINCE_THEN = ("leaving", "ended")
+"""Fields of gossip that a release before back ends that leave were told does not know."""
+
+
 def earlier_messages():
     """Return what a message of an earlier release says, by the name of its recording."""
     now = messages()
     return {
-        f"{name}_before_leaving": msgspec.structs.replace(now[name], leaving=())
+        f"{name}_before_leaving": msgspec.structs.replace(now[name], leaving=(), ended=())
         for name in ("news_empty", "news_full", "news_of_group")
     }
 
@@ -254,7 +260,7 @@
     fields = [
         (one.name, one.type, one.default)
         for one in msgspec.structs.fields(Gossip)
-        if one.name not in ("sender", "leaving")
+        if one.name not in ("sender", *FIELDS_SINCE_THEN)
     ]
     earlier = msgspec.defstruct(
         "EarlierGossip", [("sender", str), *fields], frozen=True, array_like=True, tag="news"
--- a/src/weirscale/gateway/gossip/group_relay.py
+++ b/src/weirscale/gateway/gossip/group_relay.py
@@ -180,6 +180,8 @@
             outbox.add_answered(answered)
         for leaving in gossip.leaving:
             outbox.add_leaving(leaving)
+        for ended in gossip.ended:
+            outbox.add_ended(ended)
         # An engine that loads weights must get no request now. A back end that cannot be reached is
         # soon reported by several nodes, so that waits for the next message.
         if gossip.loading:
--- a/src/weirscale/gateway/gossip/inbox.py
+++ b/src/weirscale/gateway/gossip/inbox.py
@@ -27,6 +27,7 @@
 from weirscale.gateway.routing.health import BackEndHealth
 from weirscale.gateway.routing.load import FleetLoad, Load
 from weirscale.gateway.settings import ListenAddress
+from weirscale.gateway.state.back_end_registry import OwnerProof
 from weirscale.gateway.state.cluster_state import ClusterState
 
 
@@ -42,7 +43,7 @@
     """Hands the contents of a gossip message to the parts that use them.
 
     Args:
-        cluster: Learns which weights engines have, and which back ends leave.
+        cluster: Learns which weights engines have, and which back ends leave or have ended.
         relay: Tells whose loads and counts a message holds.
         load: Takes loads.
         quotas: Takes tenants' usage.
@@ -91,6 +92,8 @@
                 self._health.unreachable(suspect.instance, "told_by_peer", now_s)
         for leaving in gossip.leaving:
             self._cluster.back_ends.mark_leaving(RunId(leaving.run), LeavingSource.PEER)
+        for ended in gossip.ended:
+            self._cluster.back_ends.mark_other_run(RunId(ended.run), OwnerProof.PEER)
 
     def _receive_counts(self, source: str, gossip: Gossip, now_s: float) -> None:
         """Take over loads and counts, which hold for the sender or for groups of nodes."""
--- a/src/weirscale/gateway/model/back_ends.py
+++ b/src/weirscale/gateway/model/back_ends.py
@@ -81,32 +81,28 @@
 
 
 class BackEndDirectory:
-    """Back ends by instance, as the platform registers them.
+    """Back ends by instance: those that own their addresses, one for each.
 
-    A later instance at an address displaces the earlier one, since the address now belongs to
-    another process, maybe of another service.
+    Which of several registered instances that is, `BackEndRegistry` decides.
     """
 
     def __init__(self) -> None:
         self._by_instance: dict[InstanceId, BackEnd] = {}
         self._by_service: dict[ServiceName, dict[InstanceId, BackEnd]] = {}
+        self._by_address: dict[Address, InstanceId] = {}
         self.num_changes = 0
         """Rises when an instance comes or goes, for readers that keep what they made of these."""
 
-    def put(self, back_end: BackEnd) -> tuple[InstanceId, ...]:
-        """Take a registration; returns the instances that it displaces."""
-        displaced = tuple(
-            other.instance
-            for other in self._by_instance.values()
-            if other.address == back_end.address and other.instance != back_end.instance
-        )
-        for instance in displaced:
-            self.remove(instance)
+    def put(self, back_end: BackEnd) -> None:
+        """Take an instance, or what has changed of it, in place of any other at its address."""
+        other = self._by_address.get(back_end.address)
+        if other is not None and other != back_end.instance:
+            self.remove(other)
         if self._drop(back_end.instance) is None:
             self.num_changes += 1
         self._by_instance[back_end.instance] = back_end
         self._by_service.setdefault(back_end.service, {})[back_end.instance] = back_end
-        return displaced
+        self._by_address[back_end.address] = back_end.instance
 
     def remove(self, instance: InstanceId) -> BackEnd | None:
         """Forget an instance; returns what was known of it."""
@@ -119,12 +115,18 @@
         known = self._by_instance.pop(instance, None)
         if known is not None:
             del self._by_service[known.service][instance]
+            del self._by_address[known.address]
         return known
 
     def get(self, instance: InstanceId) -> BackEnd | None:
         """Return an instance."""
         return self._by_instance.get(instance)
 
+    def at(self, address: Address) -> BackEnd | None:
+        """Return the instance at an address."""
+        instance = self._by_address.get(address)
+        return None if instance is None else self._by_instance[instance]
+
     def of_service(self, service: ServiceName) -> Iterable[BackEnd]:
         """Return all instances of a service, leaving ones included."""
         return self._by_service.get(service, {}).values()
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -12,7 +12,7 @@
 from weirscale.gateway.gossip.sources import is_group, is_member
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.node_parts import NodeParts
-from weirscale.gateway.peers.messages import LeavingGossip, LoadingGossip, PeerMessage
+from weirscale.gateway.peers.messages import EndedGossip, LeavingGossip, LoadingGossip, PeerMessage
 from weirscale.gateway.peers.outbox import GossipOutbox
 from weirscale.gateway.peers.rank_delay import rank_delay_s
 from weirscale.gateway.ports.back_end import BackEndConnector
@@ -125,6 +125,7 @@
         )  # fmt: skip
         self.outbox = GossipOutbox(settings.name, sender_run=self._random.getrandbits(RUN_BITS))
         self._notices.observe_leaving(lambda run: self.outbox.add_leaving(LeavingGossip(run)))
+        self._notices.observe_ended(lambda run: self.outbox.add_ended(EndedGossip(run)))
         self.gatherer = GossipGatherer(
             self.outbox, self.load, self.quotas, self.canary_traffic, self.rollout_reporter,
             self.quarantine,
--- a/src/weirscale/gateway/peers/messages.py
+++ b/src/weirscale/gateway/peers/messages.py
@@ -71,6 +71,16 @@
     run: str
 
 
+class EndedGossip(msgspec.Struct, frozen=True, array_like=True):
+    """A back end has ended: another run answered at its address.
+
+    Attributes:
+        run: The back end's run.
+    """
+
+    run: str
+
+
 class UsageGossip(msgspec.Struct, frozen=True, array_like=True):
     """What a tenant with a quota spends and asks for, in its quota's units a second.
 
@@ -170,6 +180,7 @@
         crashes: Crashes of back ends and what they were at work on.
         answered: Requests that crash nothing after all.
         leaving: Back ends that said that they leave. Releases without this field ignore it.
+        ended: Back ends at whose address another run answered. As `leaving`.
     """
 
     sender: str
@@ -187,6 +198,7 @@
     crashes: tuple[CrashGossip, ...] = ()
     answered: tuple[AnsweredGossip, ...] = ()
     leaving: tuple[LeavingGossip, ...] = ()
+    ended: tuple[EndedGossip, ...] = ()
 
 
 class StateQuery(msgspec.Struct, frozen=True, array_like=True, tag="query"):
--- a/src/weirscale/gateway/peers/outbox.py
+++ b/src/weirscale/gateway/peers/outbox.py
@@ -5,6 +5,7 @@
     AnsweredGossip,
     CanaryGossip,
     CrashGossip,
+    EndedGossip,
     Gossip,
     LeavingGossip,
     LoadGossip,
@@ -54,6 +55,7 @@
         self._moved_nodes: dict[int, MovedGossip] = {}
         self._answered: dict[str, AnsweredGossip] = {}
         self._leaving: dict[str, LeavingGossip] = {}
+        self._ended: dict[str, EndedGossip] = {}
 
     def add_usage(self, gossip: UsageGossip) -> None:
         """Add what a tenant spends; replaces what waits for this tenant."""
@@ -102,6 +104,10 @@
         """Add a back end that leaves."""
         self._leaving[gossip.run] = gossip
 
+    def add_ended(self, gossip: EndedGossip) -> None:
+        """Add a back end in whose place another run answered."""
+        self._ended[gossip.run] = gossip
+
     def _take_crashes(self) -> tuple[CrashGossip, ...]:
         taken = list(self._crashes)[:MAX_CRASHES_PER_MESSAGE]
         return tuple(self._crashes.pop(key) for key in taken)
@@ -130,6 +136,7 @@
             crashes=self._take_crashes(),
             answered=tuple(self._answered.values()),
             leaving=tuple(self._leaving.values()),
+            ended=tuple(self._ended.values()),
         )
         self._clear()
         return gossip
@@ -146,4 +153,5 @@
             or self._crashes
             or self._answered
             or self._leaving
+            or self._ended
         )
--- a/src/weirscale/gateway/ports/back_end.py
+++ b/src/weirscale/gateway/ports/back_end.py
@@ -72,11 +72,14 @@
     """What a back end says of itself in the head of an answer, whatever it answers.
 
     Attributes:
+        is_other_run: Whether another run than the one that is meant answered at the address; the
+            rest then says nothing of the one that is meant.
         is_leaving: Whether it says that it will end: it wants no new work.
         rest_s: Seconds from this answer for which it wants nothing from this node; 0 for none.
         unreadable_rest: A time of rest that could not be read, as it was written; empty for none.
     """
 
+    is_other_run: bool = False
     is_leaving: bool = False
     rest_s: float = 0.0
     unreadable_rest: str = ""
--- a/src/weirscale/gateway/requests/back_end_verdicts.py
+++ b/src/weirscale/gateway/requests/back_end_verdicts.py
@@ -65,6 +65,7 @@
         now_s = self._clock()
         if verdict.end is AttemptEnd.ANSWERED:
             self._health.succeeded(instance, now_s)
+            self._cluster.back_ends.mark_answered(instance)
         elif verdict.end is AttemptEnd.UNRUN:
             self._dispatcher.request_refused(instance)
             if is_about_weights(verdict):
--- a/src/weirscale/gateway/requests/crash_reports.py
+++ b/src/weirscale/gateway/requests/crash_reports.py
@@ -42,6 +42,7 @@
         clock: Callable[[], float],
     ) -> None:
         self.quarantine = quarantine
+        self._cluster = cluster
         self.crash_check = CrashCheck(cluster, port_of, self._report_crash)
         self._health = health
         self._outbox = outbox
@@ -56,6 +57,7 @@
             requests=len(lost),
         )  # fmt: skip
         self._health.unreachable(back_end.instance, "crashed", self._clock())
+        self._cluster.back_ends.mark_crashed(back_end.run_id)
         self._outbox.add_suspect(SuspectGossip(back_end.instance))
         for one in lost:
             self.quarantine.note_crash(one.fingerprint, back_end.run_id, one.was_sent_after_crash)
--- a/src/weirscale/gateway/routing/back_end_notices.py
+++ b/src/weirscale/gateway/routing/back_end_notices.py
@@ -6,6 +6,7 @@
 from weirscale.gateway.model.identifiers import RunId
 from weirscale.gateway.ports.back_end import AnswerNotice
 from weirscale.gateway.routing.back_end_rests import BackEndRests
+from weirscale.gateway.state.back_end_registry import OwnerProof
 from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale.ports.event_log import EventLog
 
@@ -14,7 +15,7 @@
     """Takes the notices of all answers.
 
     Args:
-        cluster: Learns which back ends leave.
+        cluster: Learns which back ends leave, and which have ended.
         rests: Learns which back ends want a rest.
         event_log: Where notices are logged.
         clock: Monotonic seconds that count suspensions of the machine.
@@ -31,17 +32,25 @@
         self._rests = rests
         self._event_log = event_log
         self._clock = clock
-        self._observers: list[Callable[[RunId], None]] = []
+        self._leaving_observers: list[Callable[[RunId], None]] = []
+        self._ended_observers: list[Callable[[RunId], None]] = []
 
     def observe_leaving(self, observer: Callable[[RunId], None]) -> None:
         """Have a function called with each run that first tells this node that it leaves."""
-        self._observers.append(observer)
+        self._leaving_observers.append(observer)
+
+    def observe_ended(self, observer: Callable[[RunId], None]) -> None:
+        """Have a function called with each run that this node first finds replaced."""
+        self._ended_observers.append(observer)
 
     def take(self, back_end: BackEnd, notice: AnswerNotice) -> None:
         """Take what an answer says of its back end."""
         # A process that started again under its name answers on the client that the earlier one
         # had: the run that speaks is the one that is registered now.
         speaker = self._cluster.directory.get(back_end.instance) or back_end
+        if notice.is_other_run:
+            self._take_other_run(speaker)
+            return
         if notice.is_leaving:
             self._take_leaving(speaker)
         if notice.rest_s > 0.0:
@@ -59,9 +68,19 @@
         it since would go on sending to a process that is about to end.
         """
         if self._cluster.back_ends.mark_leaving(speaker.run_id, LeavingSource.ANSWER):
-            for observer in self._observers:
+            for observer in self._leaving_observers:
                 observer(speaker.run_id)
 
+    def _take_other_run(self, meant: BackEnd) -> None:
+        """Use a run no more at whose address another one answers, and tell the other nodes.
+
+        Whoever else is registered there takes its place at once: before, a live back end whose
+        address an ended one's late entry had taken was lost to all nodes for good.
+        """
+        if self._cluster.back_ends.mark_other_run(meant.run_id, OwnerProof.OTHER_RUN):
+            for observer in self._ended_observers:
+                observer(meant.run_id)
+
     def _take_rest(self, speaker: BackEnd, asked_s: float) -> None:
         """Send nothing to a back end that has turned a request away until the time it names.
 
--- a/src/weirscale/gateway/state/cluster_state.py
+++ b/src/weirscale/gateway/state/cluster_state.py
@@ -189,7 +189,7 @@
 
     @_take.register
     def _take_registration(self, change: BackEndRegistered, versioned: VersionedChange) -> None:
-        self.back_ends.register(versioned.key, change.back_end)
+        self.back_ends.register(versioned.key, change.back_end, versioned.revision)
 
     @_take.register
     def _take_end(self, change: BackEndGone, _: VersionedChange) -> None:
