Operators' times for unused connections and for request heads are in force

What callers saw: nothing; operators who set an idle or a header timeout got the server's fixed 75 s. Cause: both were decoded and read by nothing, for the server took its limits once, at its start. Change: the server's limits are one value that may change while it runs; each new configuration sets it. A longer idle time holds for connections that rest already, a shorter one from their next use on. A head that takes too long gets 408 (not run, come again). Times of 0 or less change nothing. Not in force still: the configured size of a head (the server's 64 KiB is).

--- a/features/steps/gateway_connection_limits_steps.py
+++ b/features/steps/gateway_connection_limits_steps.py
@@ -1,5 +1,7 @@
 """Steps of `gateway_connection_limits.feature`."""
 
+import json
+from base64 import b64encode
 from random import Random
 from types import SimpleNamespace
 
@@ -18,9 +20,11 @@
     Transport,
     configuration,
 )
+from weirscale.gateway.ports.state_feed import StateBatch
 from weirscale.gateway.program import GatewayProgram
 from weirscale.gateway.settings import GatewaySettings, ListenAddress
 from weirscale.ports.listeners import open_listener, port_of
+from weirscale_platform.items import StoreItem, read_item
 
 LOOPBACK = "127.0.0.1"
 REQUEST = b"GET /none HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -59,39 +63,101 @@
     return GatewayProgram(adapter, settings, EventRecorder(), Random(1))
 
 
-async def idle_s_before_close(limits):
-    """Return for how long a node keeps a caller's unused connection; None for `MOST_S` or more."""
+async def with_caller(limits, talk):
+    """Return what a talk over a caller's connection to a node's program returns."""
     program = make_program(limits)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(program.run, anyio.Event())
         with anyio.fail_after(START_S):
             await program.node.cluster.wait_until_read()
         caller = await anyio.connect_tcp(LOOPBACK, program.node.settings.callers.port)
-        await caller.send(REQUEST)
-        answer = await caller.receive()
-        assert answer.startswith(b"HTTP/1.1 404"), answer
-        assert b"connection: close" not in answer.lower(), answer
-        answered_s = anyio.current_time()
-        closed_after_s = None
-        with anyio.move_on_after(MOST_S):
-            try:
-                while True:
-                    await caller.receive()
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                closed_after_s = anyio.current_time() - answered_s
+        result = await talk(program.node, caller)
         await caller.aclose()
         tasks.cancel_scope.cancel()
-    return closed_after_s
+    return result
+
+
+async def be_answered(caller):
+    await caller.send(REQUEST)
+    answer = await caller.receive()
+    assert answer.startswith(b"HTTP/1.1 404"), answer
+    assert b"connection: close" not in answer.lower(), answer
+
+
+async def s_until_close(caller):
+    """Return after how long a connection is closed; None for `MOST_S` or more."""
+    began_s = anyio.current_time()
+    with anyio.move_on_after(MOST_S):
+        try:
+            while True:
+                await caller.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return anyio.current_time() - began_s
+    return None
+
+
+async def rest(_, caller):
+    await be_answered(caller)
+    return await s_until_close(caller)
+
+
+def limits(**more):
+    return {"max_body_bytes": 100, **more}
 
 
 @given("a node's program whose operators configure an idle timeout of {seconds:g} s")
 def step_limits(context, seconds):
-    context.limits = {"max_body_bytes": 100, "idle_timeout_ms": 1000 * seconds}
+    context.limits = limits(idle_timeout_ms=1000 * seconds)
+
+
+@given("a node's program whose operators configure a header timeout of {seconds:g} s")
+def step_header_limits(context, seconds):
+    context.limits = limits(header_timeout_ms=1000 * seconds)
 
 
 @when("a caller is answered and then leaves its connection unused")
 def step_unused(context):
-    context.closed_after_s = anyio.run(idle_s_before_close, context.limits)
+    context.closed_after_s = anyio.run(with_caller, context.limits, rest)
+
+
+@when("a caller is answered, and {later_s:g} s later the idle timeout becomes {seconds:g} s")
+def step_longer(context, later_s, seconds):
+    longer = configuration(version=2, limits=limits(idle_timeout_ms=1000 * seconds))
+
+    async def talk(node, caller):
+        await be_answered(caller)
+        await anyio.sleep(later_s)
+        item = StoreItem(
+            "op/config", node.cluster.revision + 1, b64encode(json.dumps(longer).encode()).decode()
+        )
+        batch = StateBatch(item.revision, (read_item(item),))
+        node.cluster.apply(batch, anyio.current_time())
+        closed_after_s = await s_until_close(caller)
+        return None if closed_after_s is None else later_s + closed_after_s
+
+    context.closed_after_s = anyio.run(with_caller, context.limits, talk)
+
+
+@when("a caller sends a part of a request head each {interval_s:g} s")
+def step_slow_head(context, interval_s):
+    async def talk(_, caller):
+        began_s = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send_slowly, caller, interval_s)
+            answer = await caller.receive()
+            took_s = anyio.current_time() - began_s
+            tasks.cancel_scope.cancel()
+        return answer, took_s, await s_until_close(caller)
+
+    context.answer, context.answered_s, context.closed_after_s = anyio.run(
+        with_caller, context.limits, talk
+    )
+
+
+async def send_slowly(caller, interval_s):
+    for byte in REQUEST:
+        await caller.send(bytes([byte]))
+        await anyio.sleep(interval_s)
 
 
 @then("the node closes the connection after {least:g} s to {most:g} s")
@@ -99,3 +165,15 @@
     closed_after_s = context.closed_after_s
     assert closed_after_s is not None, f"it is still open after {MOST_S} s"
     assert least <= closed_after_s <= most, closed_after_s
+
+
+@then("the node keeps the connection open")
+def step_open(context):
+    assert context.closed_after_s is None, context.closed_after_s
+
+
+@then("it gets {status:d} after {least:g} s to {most:g} s, and the connection is closed")
+def step_told(context, status, least, most):
+    assert context.answer.startswith(f"HTTP/1.1 {status}".encode()), context.answer
+    assert least <= context.answered_s <= most, context.answered_s
+    assert context.closed_after_s is not None
--- a/features/steps/path_protocols_steps.py
+++ b/features/steps/path_protocols_steps.py
@@ -9,7 +9,7 @@
 from features.support.path_engine import ScriptedEngine
 from features.support.path_node import API_KEY, PathNode, generation_body
 from features.support.path_sockets import GUARD_S, LOOPBACK, serving
-from weirscale.ports.http_server import DEFAULT_LIMITS
+from weirscale.ports.connection_limits import ConnectionLimits
 
 END_MARKER = "data: [DONE]"
 
@@ -34,7 +34,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(context.node.canceller.run)
             async with (
-                serving(context.node.app, DEFAULT_LIMITS) as port,
+                serving(context.node.app, ConnectionLimits()) as port,
                 httpx.AsyncClient(
                     http1=not is_http2, http2=is_http2, trust_env=False, timeout=GUARD_S
                 ) as client,
--- a/src/weirscale/gateway/model/configuration.py
+++ b/src/weirscale/gateway/model/configuration.py
@@ -121,11 +121,11 @@
     """Limits on what callers may send and how long their connections may be unused.
 
     Attributes:
-        max_header_bytes: Size of a request's head. Not in force: the server's limits are fixed
+        max_header_bytes: Size of a request's head. Not in force: the server's limit is fixed
             (`ports.http_server`).
         max_body_bytes: Size of a request's body; a larger one is refused.
-        header_timeout_s: Time for a whole request head. Not in force either.
-        idle_timeout_s: Time without a request on an open connection. Not in force either.
+        header_timeout_s: Time for a whole request head; a slower one is refused.
+        idle_timeout_s: Time without a request on an open connection, which then is closed.
     """
 
     max_header_bytes: int = 16_384
--- a/src/weirscale/gateway/program.py
+++ b/src/weirscale/gateway/program.py
@@ -5,11 +5,13 @@
 import socket
 import sys
 from collections.abc import Callable, Mapping
+from functools import partial
 from random import Random
 from typing import Protocol
 
 import anyio
 
+from weirscale.gateway.model.routes import RouteTable
 from weirscale.gateway.node import GatewayNode
 from weirscale.gateway.ports.back_end import BackEndConnector
 from weirscale.gateway.ports.callers import RequestCodec
@@ -18,8 +20,9 @@
 from weirscale.gateway.settings_watch import SettingsWatch
 from weirscale.gateway.telemetry.line_log import LineLog
 from weirscale.ports.boot_clock import boot_time_s
+from weirscale.ports.connection_limits import ConnectionLimits
 from weirscale.ports.event_log import EventLog
-from weirscale.ports.http_server import ConnectionLimits, serve_on_listeners
+from weirscale.ports.http_server import serve_on_listeners
 from weirscale.ports.key_value import KeyValuePort
 from weirscale.ports.listeners import open_listener
 
@@ -118,6 +121,7 @@
             tasks.start_soon(self.node.run)
             tasks.start_soon(self.settings_watch.run)
             limits = ConnectionLimits()
+            self.node.cluster.observe_table(partial(_take_limits, limits))
             finish_s = settings.bounds.stop_s - NOTICE_S - STOP_MARGIN_S
             async with anyio.create_task_group() as serving:
                 serving.start_soon(
@@ -144,6 +148,15 @@
         closed.set()
 
 
+def _take_limits(limits: ConnectionLimits, table: RouteTable) -> None:
+    """Put the operators' limits on connections in force; a time that is none changes nothing."""
+    configured = table.configuration.limits
+    if configured.idle_timeout_s > 0.0:
+        limits.keep_alive_s = configured.idle_timeout_s
+    if configured.header_timeout_s > 0.0:
+        limits.head_s = configured.header_timeout_s
+
+
 def _relieve_garbage_collector() -> None:
     """Exempt what was made at the start from collection, and collect less often."""
     gc.collect()
--- a/src/weirscale/ports/http_server.py
+++ b/src/weirscale/ports/http_server.py
@@ -8,22 +8,14 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import msgspec
 
 from weirscale.ports.asgi import AsgiApp
+from weirscale.ports.connection_limits import ConnectionLimits
 from weirscale.ports.listeners import LISTEN_BACKLOG
 
 if TYPE_CHECKING:
     from hypercorn.config import Config
 
-KEEP_ALIVE_S = 75.0
-"""Longer than clients keep idle connections, so that the client closes them. Also the longest that
-the headers of a request may take: the server has no other limit for them."""
-
-SILENCE_S = 3660.0
-"""A minute more than the longest deadline of a caller. The only limit for a client that opens
-HTTP/2 and then sends nothing: the server counts such a connection as busy."""
-
 MAX_HEAD_BYTES = 64 * 1024
 """Request line and headers that may wait for their end, in HTTP/1.1 and HTTP/2; chunk headers of a
 body as well. Twice the default limit of callers' headers, so that the usual excess is answered by
@@ -40,27 +32,12 @@
 """Parts of a body, each of one read, that wait for the application; reading pauses meanwhile."""
 
 
-class ConnectionLimits(msgspec.Struct, frozen=True):
-    """How long connections may be unused.
-
-    Attributes:
-        keep_alive_s: Time without a whole request head while nothing else runs.
-        silence_s: Time without a byte from the client, also while it waits for an answer.
-    """
-
-    keep_alive_s: float = KEEP_ALIVE_S
-    silence_s: float = SILENCE_S
-
-
-DEFAULT_LIMITS = ConnectionLimits()
-
-
 async def serve_asgi(
     app: AsgiApp,
     listener: socket.socket,
     stop: anyio.Event,
     finish_timeout_s: float,
-    limits: ConnectionLimits = DEFAULT_LIMITS,
+    limits: ConnectionLimits | None = None,
 ) -> None:
     """Serve one listener; see `serve_on_listeners`."""
     await serve_on_listeners(app, [listener], stop, finish_timeout_s, limits)
@@ -71,7 +48,7 @@
     listeners: Sequence[socket.socket],
     stop: anyio.Event,
     finish_timeout_s: float,
-    limits: ConnectionLimits = DEFAULT_LIMITS,
+    limits: ConnectionLimits | None = None,
 ) -> None:
     """Serve until `stop` is set or the task is cancelled; the listeners are closed at the end.
 
@@ -83,14 +60,14 @@
         listeners: Listening sockets; owned by the server from here on.
         stop: Ends the serving.
         finish_timeout_s: How long open requests and connections may go on after the stop.
-        limits: How long connections may be unused.
+        limits: How long connections may be unused; changes of it count at once.
     """
     from hypercorn.asyncio import serve
 
-    from weirscale.ports import idle_close
+    from weirscale.ports import limited_connections
 
-    idle_close.install()
-    config = _configuration(listeners, finish_timeout_s, limits)
+    limited_connections.install()
+    config = _configuration(listeners, finish_timeout_s, limits or ConnectionLimits())
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_stop_when_cancelled, stop)
         with anyio.CancelScope(shield=True):
@@ -100,16 +77,13 @@
 def _configuration(
     listeners: Sequence[socket.socket], finish_timeout_s: float, limits: ConnectionLimits
 ) -> "Config":
-    from hypercorn.config import Config
+    from weirscale.ports.limited_connections import LimitedConfig
 
-    config = Config()
+    config = LimitedConfig(limits)
     config.bind = [f"fd://{listener.detach()}" for listener in listeners]
     config.accesslog = None
     config.errorlog = None
     config.backlog = LISTEN_BACKLOG
-    config.keep_alive_timeout = limits.keep_alive_s
-    # Bodies have a shorter limit in the application, which can answer.
-    config.read_timeout = limits.silence_s  # type: ignore[assignment]  # passed on as it is
     config.graceful_timeout = finish_timeout_s
     config.h11_max_incomplete_size = MAX_HEAD_BYTES
     config.h2_max_header_list_size = MAX_HEAD_BYTES
