A request is not sent to a back end again that was not there just now

What callers saw: nothing wrong; their node connected some thousand times a second for one request, until its time was over, where a back end had failed it and then nobody was left. Cause: an attempt that reaches nobody is followed at once; with nobody else left, by one at the same. Change: back ends that could not be reached when last asked are left out of the second round.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -188,3 +188,13 @@
       | 10000  | 60000  | stream |
       | 60000  | 60000  | 503    |
       | 60000  | 1000   | 503    |
+
+  # A node spent its processor on one request: a back end had failed it and then ended, and nobody else
+  # was left; the node tried to connect some thousand times a second until the request's time was over.
+  # Cause: an attempt that reaches nobody costs nothing and is followed at once; with nobody else left,
+  # by one at a back end that has just not been there.
+  # Found by a test of another fault, which never ended.
+  Scenario: A request whose back ends have all gone is given up at once
+    Given two back ends of which one fails a request, and which then cannot be reached
+    When a status request is sent
+    Then it is over within 0.1 seconds, after at most 3 attempts
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -47,6 +47,19 @@
     prepare(context, ["error"] * 1000)
 
 
+@given("two back ends of which one fails a request, and which then cannot be reached")
+def step_all_gone(context):
+    prepare(context, ["error"] + ["connect"] * 100_000)
+
+
+@then("it is over within {bound_s:g} seconds, after at most {most:d} attempts")
+def step_over(context, bound_s, most):
+    num_attempts = sum(len(runner.arrivals) for runner in context.fleet.runners)
+    assert num_attempts <= most, num_attempts
+    assert context.answer.took_s <= bound_s, context.answer.took_s
+    assert context.answer.status == 500, context.answer
+
+
 @given("no back end")
 def step_none(context):
     prepare(context, None)
--- a/src/weirscale/gateway/requests/back_end_selector.py
+++ b/src/weirscale/gateway/requests/back_end_selector.py
@@ -25,11 +25,14 @@
         self._canary_traffic = canary_traffic
 
     def choose(self, admitted: AdmittedRequest, history: AttemptHistory) -> Choice | None:
-        """Return the best back end that was not asked yet, else the best one; None without any."""
+        """Return the best back end that was not asked yet, else one that may have recovered.
+
+        One that was not there just now is not asked again: its refusals take a millisecond, and a
+        request would do nothing but connect until its time is over.
+        """
         chosen = self._dispatcher.choose(_query(admitted, history.asked))
         if chosen is None and history.reached:
-            # Nobody else serves: the same back end may have recovered.
-            chosen = self._dispatcher.choose(_query(admitted, ()))
+            chosen = self._dispatcher.choose(_query(admitted, history.gone))
         return chosen
 
     def rest_left_s(self, admitted: AdmittedRequest) -> float | None:
--- a/src/weirscale/gateway/requests/retry_decision.py
+++ b/src/weirscale/gateway/requests/retry_decision.py
@@ -1,6 +1,7 @@
 """What may follow an attempt: whether a request is sent again or given up, in one place.
 
-An attempt that never reached a back end costs nothing, so another one follows while time is left.
+An attempt that never reached a back end costs nothing, so another one follows while time is left
+and a back end is left that was not found gone.
 Any other one is followed only if
 
 - time is left,
@@ -51,6 +52,7 @@
         num_attempts: Attempts begun.
         asked: Back ends of all attempts; another attempt prefers others.
         reached: Those of them that a connection was made to.
+        gone: Those of them that could not be reached when they were last asked.
         may_have_run: Whether any attempt may have run the request.
         holds_retry: Whether a retry of the shared budget was taken for the next attempt.
         failed_answer: The last answer that the request failed at a back end.
@@ -60,6 +62,7 @@
     num_attempts: int = 0
     asked: set[InstanceId] = msgspec.field(default_factory=set)
     reached: set[InstanceId] = msgspec.field(default_factory=set)
+    gone: set[InstanceId] = msgspec.field(default_factory=set)
     may_have_run: bool = False
     holds_retry: bool = False
     failed_answer: FailedAnswer | None = None
@@ -67,8 +70,11 @@
 
     def add_verdict(self, instance: InstanceId, verdict: Verdict) -> None:
         """Take in how an attempt at a back end ended."""
-        if verdict.end is not AttemptEnd.NEVER_SENT:
+        if verdict.end is AttemptEnd.NEVER_SENT:
+            self.gone.add(instance)
+        else:
             self.reached.add(instance)
+            self.gone.discard(instance)
         if verdict.end in (AttemptEnd.UNCERTAIN, AttemptEnd.FAILED):
             self.may_have_run = True
         if verdict.end is not AttemptEnd.ANSWERED:
