What was said of one address or one run says nothing of another; displacements are counted

Cause: a run that was refused at one address would have stayed out at the next one that it registers, and one that states no start would have stayed out under its next run. Found by reading the change. Change: a write for another address clears what was said; without a start the run is tried once more.

--- a/features/gateway_displaced.feature
+++ b/features/gateway_displaced.feature
@@ -106,14 +106,27 @@
     When the registration of "A" ends
     Then "A" was told as gone twice, and nobody is used
 
-  Scenario: A run in whose place another one answered is not used again, whatever comes
+  Scenario: A run in whose place another one answered gives way, and is not restored
     Given a registry in which "A" is registered, and then "B" at its address
     When another run than "B" answers there
     Then "B" was told as gone once, and "A" is used
     When the registration of "A" ends
     Then "A" was told as gone twice, and nobody is used
-    When "B" registers again
-    Then "B" was told as gone once, and nobody is used
+
+  Scenario Outline: What was said of one address or one run says nothing of another
+    Given a registry in which "A" is registered <start>
+    When another run than "A" answers there
+    Then nobody is used
+    When "A" registers again, <how>
+    Then "<used>" is used there
+
+    Examples:
+      | start                | how                          | used   |
+      | with its start       | as before                    | nobody |
+      | with its start       | at another address           | A      |
+      | with its start       | with a later start           | A      |
+      | with its start       | with an earlier start        | nobody |
+      | and states no start  | as before                    | A      |
 
   Scenario: Whoever is registered and answers is used, and who is gone never is
     Given any sequence of starts, crashes, late entries, ends and requests at two addresses
--- a/features/steps/gateway_displaced_steps.py
+++ b/features/steps/gateway_displaced_steps.py
@@ -5,6 +5,7 @@
 from hypothesis import given as given_examples
 from hypothesis import settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from features.support.platform_fleet import (
     MODEL,
@@ -297,14 +298,44 @@
 
 @when('another run than "{instance}" answers there')
 def step_other(context, instance):
-    run = back_end_named(instance).run_id
+    run = context.world.directory.get(InstanceId(instance)).run_id
     assert context.world.registry.mark_other_run(run, OwnerProof.OTHER_RUN)
     assert not context.world.registry.mark_other_run(run, OwnerProof.PEER)
 
 
-@when('"{instance}" registers again')
-def step_again(context, instance):
-    context.world.register(back_end_named(instance))
+START_MS = 1_700_000_000_000
+STARTS = {"with its start": START_MS, "and states no start": None}
+OTHER_ADDRESS = "10.2.0.9:8080"
+AGAIN = {
+    "as before": lambda one: one,
+    "at another address": lambda one: replace(one, address=BackEndAddress(OTHER_ADDRESS)),
+    "with a later start": lambda one: replace(one, started_ms=START_MS + 1),
+    "with an earlier start": lambda one: replace(one, started_ms=START_MS - 1),
+}
+
+
+@given('a registry in which "{instance}" is registered {start}')
+def step_registry_of_one(context, instance, start):
+    context.world = World()
+    context.registered = back_end_named(instance, started_ms=STARTS[start])
+    context.world.register(context.registered)
+
+
+@when('"{instance}" registers again, {how}')
+def step_again_how(context, instance, how):
+    context.again = AGAIN[how](context.registered)
+    context.world.register(context.again)
+
+
+@then("nobody is used")
+def step_nobody(context):
+    assert context.world.used() is None, context.world.used()
+
+
+@then('"{used}" is used there')
+def step_used_there(context, used):
+    found = context.world.used(context.again.address)
+    assert found == (None if used == "nobody" else used), found
 
 
 TIMES = {"once": 1, "twice": 2}
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -306,6 +306,7 @@
                 retries_left={one: self.budget.left(one, num_nodes, now_s) for one in services},
                 quota_levels=self.quotas.levels(),
                 rollout_stages=self.canary_traffic.stages(),
+                num_displaced=self.cluster.back_ends.num_displaced,
                 num_suspects=self.quarantine.num_suspects(),
                 num_quarantined=self.quarantine.num_quarantined(),
             )
--- a/src/weirscale/gateway/state/address_claims.py
+++ b/src/weirscale/gateway/state/address_claims.py
@@ -98,7 +98,7 @@
         known = self._claims.get(back_end.instance)
         if known is not None and known.back_end.run_id == back_end.run_id:
             self._drop(back_end.instance)
-            self._add(msgspec.structs.replace(known, key=key, back_end=back_end))
+            self._add(_rewritten(known, key, back_end))
             return
         if known is not None and _started_before(back_end, known.back_end):
             return  # An earlier run of the same instance, written or delivered late.
@@ -169,6 +169,17 @@
             del self._ended[next(iter(self._ended))]
 
 
+def _rewritten(known: Claim, key: str, back_end: BackEnd) -> Claim:
+    """Return a registration as it is after another write for the same run."""
+    claim = msgspec.structs.replace(known, key=key, back_end=back_end)
+    if back_end.address != known.back_end.address:
+        claim.standing = Standing.SOUND  # What spoke against it was said of another address.
+    elif back_end.started_ms is None:
+        # It may be the next run under the same id: it is tried once more.
+        claim.standing = max(claim.standing, Standing.CRASHED)
+    return claim
+
+
 def _started_before(one: BackEnd, other: BackEnd) -> bool:
     """Whether both state their start and one started earlier."""
     if one.started_ms is None or other.started_ms is None:
--- a/src/weirscale/gateway/telemetry/metrics.py
+++ b/src/weirscale/gateway/telemetry/metrics.py
@@ -94,6 +94,10 @@
         )
         self._configuration_version = gauge("weirscale_configuration_version", "Version in force")
         self._back_ends = gauge("weirscale_back_ends", "Registered back ends")
+        self._displaced = gauge(
+            "weirscale_back_ends_displaced",
+            "Times since the start that another run was taken for the process at an address",
+        )
         self._lease_held = gauge("weirscale_rollout_lease_held", "Whether this node gives orders")
         self._retry_budget_left = gauge(
             "weirscale_retry_budget_left", "Repeats that may be spent now", ("service",)
@@ -124,6 +128,7 @@
         self._state_age.set(min(figures.state_age_s, NEVER_PROVED_AGE_S))
         self._configuration_version.set(figures.configuration_version)
         self._back_ends.set(figures.num_back_ends)
+        self._displaced.set(figures.num_displaced)
         self._lease_held.set(1 if figures.holds_lease else 0)
         for service, share in figures.queue_shares.items():
             self._queue_share.labels(service).set(share)
--- a/src/weirscale/gateway/telemetry/node_metrics.py
+++ b/src/weirscale/gateway/telemetry/node_metrics.py
@@ -15,7 +15,9 @@
     Attributes:
         state_age_s: Time since the platform's state was proved current.
         configuration_version: Version in force, 0 for none.
-        num_back_ends: Registered back ends.
+        num_back_ends: Back ends in use: registered, one for each address.
+        num_displaced: Times since the start that a back end was not used any more because another
+            run was taken for the process at its address.
         holds_lease: Whether this node gives orders.
         retries_left: Retries that may be spent now, by service.
         queue_shares: Share of the limit on queues that is in force, by service.
@@ -33,6 +35,7 @@
     queue_shares: Mapping[ServiceName, float]
     quota_levels: Mapping[TenantName, float]
     rollout_stages: Mapping[ServiceName, str] = {}
+    num_displaced: int = 0
     num_suspects: int = 0
     num_quarantined: int = 0
 
