Soak: back ends say in answers that they leave, and ask for rest; two rules

Cause: the soak's back ends said neither, so real processes were never shown to heed them. Rules leaving_gets_nothing and rest_is_kept, with histories that break each and such that just don't, and two planted faults.

--- a/bench/fault_soak/back_ends.py
+++ b/bench/fault_soak/back_ends.py
@@ -1,6 +1,7 @@
 """Back ends and the store of a soak: the project's stand-ins on real sockets, with their faults."""
 
 from collections.abc import Sequence
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -10,8 +11,10 @@
 from bench.fault_soak.history import (
     Disturbance,
     InstanceName,
+    LeavingSaid,
     OrderTaken,
     RequestId,
+    RestAsked,
     RunBegan,
     RunBroken,
     ServiceName,
@@ -40,6 +43,9 @@
 EVENT_INTERVALS_S = (0.02, 0.1, 0.4)
 """A stream of the slowest back end takes two seconds: it runs on while its node stops."""
 
+REFUSAL_REST_S = 1.5
+"""What a back end asks for as it refuses a request."""
+
 LOAD_S = 0.6
 TICK_S = 0.05
 HEARTBEAT_S = 1.0
@@ -93,6 +99,8 @@
             names_request=True,
             on_run=self._note_run,
             on_break=lambda request: self._note_broken(request, instance),
+            refusal_rest=str(REFUSAL_REST_S),
+            on_said=partial(self._note_said, instance),
         )
         self._served = ServedStandIn(self.stand_in, self._host, RUNNER_PORT)
         self._fleet.tasks.start_soon(self._served.run)
@@ -152,6 +160,19 @@
             )
         )
 
+    def _note_said(
+        self, instance: InstanceName, request: str, is_leaving: bool, rest: str | None
+    ) -> None:
+        recorder = self._fleet.recorder
+        now_s, request_id = recorder.now_s(), RequestId(request)
+        if is_leaving:
+            recorder.note(LeavingSaid(at_s=now_s, request=request_id, instance=instance))
+        if rest is not None:
+            rest_s = float(rest)
+            recorder.note(
+                RestAsked(at_s=now_s, request=request_id, instance=instance, rest_s=rest_s)
+            )
+
     def _note_broken(self, request: str, instance: InstanceName) -> None:
         recorder = self._fleet.recorder
         recorder.note(
@@ -213,7 +234,11 @@
         self.recorder.note_disturbed(Disturbance.BACK_END, began_s)
 
     async def leave(self, back_end: BackEnd, lasts_s: float) -> None:
-        """Let a back end say that it leaves, serve on for a while, end, and come back."""
+        """Let a back end say that it leaves, serve on for a while, end, and come back.
+
+        It says so in its answers too, and while the store is silent only there.
+        """
+        back_end.stand_in.is_leaving = True
         back_end.register("draining")
         await anyio.sleep(lasts_s)
         back_end.unregister()
--- a/bench/fault_soak/evidence.py
+++ b/bench/fault_soak/evidence.py
@@ -13,6 +13,7 @@
     Disturbance,
     Disturbed,
     FaultsEnded,
+    LeavingSaid,
     NodeEnded,
     NodeErrors,
     NodeListens,
@@ -25,6 +26,7 @@
     RequestEnded,
     RequestId,
     RequestSent,
+    RestAsked,
     RunBegan,
     RunBroken,
     SignalName,
@@ -45,6 +47,9 @@
         configuration_s: A configuration is in force so long after its acknowledgement.
         key_removal_s: A removed key works no longer than this, at any node.
         weights_s: Older weights begin no request so long after newer ones were named.
+        leaving_s: A node may send a back end work so long after an answer told it that it leaves.
+        rest_slack_s: What a node had sent, or was sending, when it was asked for rest may arrive so
+            long after the answer.
         unread_s: A stopping node may close a connection so soon after a request that it has not
             handed on: the two passed each other.
     """
@@ -54,6 +59,8 @@
     configuration_s: float = 2.0
     key_removal_s: float = 5.0
     weights_s: float = 8.0
+    leaving_s: float = 2.0
+    rest_slack_s: float = 0.5
     unread_s: float = 0.5
 
 
@@ -84,6 +91,8 @@
         self._broken_s: dict[RequestId, float] = {}
         for broken in self.all(RunBroken):
             self._broken_s.setdefault(broken.request, broken.at_s)
+        self.leaving = self.all(LeavingSaid)
+        self.rests = self.all(RestAsked)
         self.configurations = self.all(ConfigurationAcknowledged)
         self.namings = self.all(WeightsNamed)
         self.orders = self.all(OrderTaken)
@@ -194,6 +203,20 @@
             or self.is_paused_at(node, until_s)
         )
 
+    def could_heed(self, node: NodeName, from_s: float, until_s: float) -> bool:
+        """Tell whether a node ran on throughout a time, so that it knew what it had been told.
+
+        The store need not have been there: what a back end says, it says to the node itself.
+        """
+        return not (
+            self.is_struck(node, from_s, until_s)
+            or self.is_slow(node, from_s, until_s)
+            or any(
+                _is_long_lateness(one) and one.at_s <= until_s and one.until_s >= from_s
+                for one in self._disturbed
+            )
+        )
+
     def is_in_contact(self, node: NodeName, from_s: float, until_s: float) -> bool:
         """Tell whether a node was in contact throughout a time."""
         begins_s = from_s - self.bounds.contact_s
--- a/bench/fault_soak/history.py
+++ b/bench/fault_soak/history.py
@@ -122,6 +122,21 @@
     instance: InstanceName
 
 
+class LeavingSaid(Record, frozen=True, kw_only=True):
+    """A back end said in its answer to a request that it leaves."""
+
+    request: RequestId
+    instance: InstanceName
+
+
+class RestAsked(Record, frozen=True, kw_only=True):
+    """A back end turned a request away and wants nothing from its node for `rest_s` seconds."""
+
+    request: RequestId
+    instance: InstanceName
+    rest_s: float
+
+
 class NodeStarted(Record, frozen=True, kw_only=True):
     """A process of a node was started."""
 
@@ -208,6 +223,8 @@
     | RequestEnded
     | RunBegan
     | RunBroken
+    | LeavingSaid
+    | RestAsked
     | NodeStarted
     | NodeListens
     | NodeSignalled
--- a/features/fault_soak.feature
+++ b/features/fault_soak.feature
@@ -67,6 +67,12 @@
       | an unexpected error in a log               | nodes_stay_up        |
       | a node that never serves again             | serves_again         |
 
+    Examples: What back ends say of themselves
+      | what                                                                  | rule                 |
+      | a run at a back end that said that it leaves                          | leaving_gets_nothing |
+      | a run at a back end that said that it leaves while the store was down | leaving_gets_nothing |
+      | three requests within a rest                                          | rest_is_kept         |
+
   Scenario: A stop that takes a fresh request with it breaks two rules
     When a sound history of a soak also has a stop that SIGKILL ends with a fresh run
     Then the soak finds "stop_cuts_nothing" and "stop_ends_in_time" broken
@@ -107,6 +113,12 @@
       | a process that is killed                            |
       | a node that serves nothing while the soak is late   |
       | a process that SIGHUP ends before it listens        |
+      | a run at a back end that has just said that it leaves     |
+      | a run of another node at a back end that leaves           |
+      | a run at a back end that leaves after a pause of the node |
+      | two requests within a rest                                |
+      | three requests just after a rest was asked for            |
+      | three requests within a rest after the node started again |
 
   Scenario Outline: Events are read strictly, so that torn ones show
     Then a stream that ends as <outcome> with "<body>" has the events "<events>"
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -77,6 +77,11 @@
     """Whether its answers say that it leaves."""
     leaving_path: str | None = None
     """The only path whose answers say so; None for all."""
+    refusal_rest: str | None = None
+    """The time of rest that it asks for where a fault has it refuse one request."""
+    on_said: object = None
+    """Called with the id of each request in whose answer it says that it leaves or wants a rest,
+    whether it leaves, and the rest as written or None."""
     rests: tuple = ()
     """While it has any, it turns all requests away and writes these times of rest."""
     refusal_status: int = 503
@@ -105,8 +110,16 @@
         response = await self._answer(request)
         if self.is_leaving and self.leaving_path in (None, request.url.path):
             response.headers["Server-Leaving"] = "1"
+        self._note_said(request, response)
         return response
 
+    def _note_said(self, request, response):
+        request_id = request.headers.get("x-attempt-id")
+        is_leaving = "server-leaving" in response.headers
+        rest = response.headers.get("retry-after")
+        if self.on_said is not None and request_id is not None and (is_leaving or rest):
+            self.on_said(request_id, is_leaving, rest)
+
     async def _answer(self, request):
         await anyio.sleep(0.001)
         path = request.url.path
@@ -136,6 +149,8 @@
             return httpx.Response(421, headers={"X-Not-Executed": "1"})
         if self.rests:
             return self._turn_away(self.rests)
+        if fault == "refuse" and self.refusal_rest is not None:
+            return self._turn_away((self.refusal_rest,))
         if fault == "refuse" or self.is_loading:
             return httpx.Response(503, headers={"X-Not-Executed": "1"})
         return await self._run(request, request_id, fault)
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -5,6 +5,7 @@
     Disturbance,
     Disturbed,
     FaultsEnded,
+    LeavingSaid,
     NodeEnded,
     NodeErrors,
     NodeListens,
@@ -16,6 +17,7 @@
     RequestEnded,
     RequestKind,
     RequestSent,
+    RestAsked,
     RunBegan,
     RunBroken,
     SignalName,
@@ -25,6 +27,7 @@
 NODE = "node-1"
 ENGINE = "lm-1"
 SERVICE = "orders-1"
+OTHER_SERVICE = "orders-2"
 KEY_1, KEY_2, KEY_3 = "key-1", "key-2", "key-3"
 
 
@@ -89,6 +92,15 @@
     ]
 
 
+def at_other(at_s, request, **more):
+    """Return a request that another back end answers."""
+    return [
+        sent(at_s, request, **more),
+        ran(at_s + 0.1, request, OTHER_SERVICE),
+        ended(at_s + 0.2, request, instance=OTHER_SERVICE),
+    ]
+
+
 def marker(at_s, request, version, **more):
     return plain(at_s, request, RequestKind.REPEATABLE, f"/marker-{version}/", **more)
 
@@ -316,6 +328,57 @@
         OrderTaken(at_s=30.0, instance=ENGINE, holder="node-1", fencing_token=7),
         OrderTaken(at_s=31.0, instance=ENGINE, holder="node-2", fencing_token=8),
     ],
+    "a run at a back end that said that it leaves": [
+        LeavingSaid(at_s=30.0, request="q1", instance=SERVICE),
+        *plain(32.5, "qx"),
+    ],
+    "a run at a back end that has just said that it leaves": [
+        LeavingSaid(at_s=30.0, request="q1", instance=OTHER_SERVICE),
+        *at_other(31.9, "qx"),
+    ],
+    "a run of another node at a back end that leaves": [
+        LeavingSaid(at_s=30.0, request="q1", instance=OTHER_SERVICE),
+        NodeStarted(at_s=25.0, node="node-2"),
+        *at_other(32.5, "qx", node="node-2"),
+        *at_other(52.0, "qy", node="node-2"),
+    ],
+    "a run at a back end that said that it leaves while the store was down": [
+        disturbed(29.0, 40.0, Disturbance.STORE),
+        LeavingSaid(at_s=30.0, request="q1", instance=SERVICE),
+        *plain(32.5, "qx"),
+    ],
+    "a run at a back end that leaves after a pause of the node": [
+        LeavingSaid(at_s=30.0, request="q1", instance=SERVICE),
+        signalled(31.0, SignalName.PAUSE),
+        signalled(32.0, SignalName.CONTINUE),
+        *plain(32.5, "qx"),
+    ],
+    "three requests within a rest": [
+        RestAsked(at_s=30.0, request="q1", instance=SERVICE, rest_s=2.0),
+        *plain(30.6, "qx"),
+        *plain(31.0, "qy"),
+        *plain(31.5, "qz"),
+    ],
+    "two requests within a rest": [
+        RestAsked(at_s=30.0, request="q1", instance=SERVICE, rest_s=2.0),
+        *plain(30.6, "qx"),
+        *plain(31.0, "qy"),
+    ],
+    "three requests just after a rest was asked for": [
+        RestAsked(at_s=30.0, request="q1", instance=SERVICE, rest_s=2.0),
+        *plain(30.1, "qx"),
+        *plain(30.2, "qy"),
+        *plain(30.3, "qz"),
+    ],
+    "three requests within a rest after the node started again": [
+        RestAsked(at_s=30.0, request="q1", instance=SERVICE, rest_s=2.0),
+        signalled(30.3, SignalName.KILL),
+        NodeEnded(at_s=30.4, node=NODE, exit_code=-9),
+        NodeStarted(at_s=30.5, node=NODE),
+        *plain(31.0, "qx"),
+        *plain(31.2, "qy"),
+        *plain(31.4, "qz"),
+    ],
     "a process that ends by itself": [
         NodeEnded(at_s=30.0, node=NODE, exit_code=1), NodeStarted(at_s=30.3, node=NODE),
     ],
