--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -89,3 +89,25 @@
       | a silent node has lost its proof       | moving    | 13.5    | good      | 24    | 0     | 0       | 7.1      | completed |
       | an end stays: completed                | completed | 9.0     | bad       | 24    | 0     | 0       | 1.0      | stay      |
       | an end stays: returned                 | returned  | 9.0     | good      | 24    | 2.0   | 0       | 1.0      | stay      |
+
+  Scenario Outline: Which versions the record of a new stage calls unusable
+    Given a rollout with a deadline of 12 s at "canary" for 7 s, judged "good"
+    And 24 slots of the target beside 24, moved for 0 s, 5 requests at old versions, 7 s at the stage
+    When the holder enters the stage "<stage>"
+    Then its record calls "<unusable>" unusable
+
+    Examples:
+      | stage     | unusable |
+      | moving    | none     |
+      | completed | v1       |
+      | returned  | v2       |
+
+  Scenario Outline: A node whose own counts raise an alarm tries the target no more
+    Given a node that may send the target requests, and has <alarm>
+    When a request that may be repeated comes
+    Then it is for the "<track>" versions
+
+    Examples: whatever the holder's record still says
+      | alarm                     | track  |
+      | no alarm                  | canary |
+      | an alarm about the target | stable |
--- a/features/steps/rollout_rules_steps.py
+++ b/features/steps/rollout_rules_steps.py
@@ -2,6 +2,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from msgspec.structs import replace
 
 from features.support.platform_fleet import EventRecorder
 from features.support.verdict_ways import LENGTH_S, Version, play
@@ -14,12 +15,13 @@
     VersionedChange,
 )
 from weirscale.gateway.rollouts.allowance import Allowance, start_credit
+from weirscale.gateway.rollouts.canary_traffic import CanaryTraffic
 from weirscale.gateway.rollouts.gate import Track, VersionGate
-from weirscale.gateway.rollouts.plan import RolloutFacts, next_step
+from weirscale.gateway.rollouts.plan import RolloutFacts, Step, next_record, next_step
 from weirscale.gateway.rollouts.record import RolloutRecord, Stage, encode_record, record_key
 from weirscale.gateway.rollouts.tallies import Counts, FleetTallies, RouteEvidence, TallyKey
 from weirscale.gateway.rollouts.verdict import AlarmTest, Judgement, Verdict, judge_end
-from weirscale.gateway.rollouts.view import RecordReader
+from weirscale.gateway.rollouts.view import RecordReader, RolloutView
 from weirscale.gateway.settings import CanaryLimits
 from weirscale.gateway.state.cluster_state import ClusterState
 
@@ -266,3 +268,47 @@
     step = next_step(context.order, context.record, context.facts)
     found = "stay" if step is None else step.stage.value
     assert found == expected, step
+
+
+@when('the holder enters the stage "{stage}"')
+def step_enters(context, stage):
+    facts = replace(context.facts, old_versions=("v1",))
+    step = Step(Stage(stage), "for the test")
+    context.next_record = next_record(context.order, context.record, step, facts, token=7)
+
+
+@then('its record calls "{unusable}" unusable')
+def step_unusable(context, unusable):
+    expected = () if unusable == "none" else (unusable,)
+    assert context.next_record.unusable == expected, context.next_record
+
+
+ALARMS = {
+    "no alarm": None,
+    "an alarm about the target": Verdict(Judgement.BAD, "all"),
+}
+
+
+@given("a node that may send the target requests, and has {alarm}")
+def step_node_with_alarm(context, alarm):
+    view = RolloutView(EPOCH, "v2", Stage.CANARY, frozenset())
+    alarms = SimpleNamespace(alarm=lambda epoch: ALARMS[alarm], known=lambda epoch: {})
+    orders = SimpleNamespace(rollouts=SimpleNamespace(orders={}))
+    context.traffic = CanaryTraffic(
+        CanaryLimits(1.0, 50, 5.0), orders, SimpleNamespace(open_view=lambda service: view),
+        SimpleNamespace(allows_canary=lambda view: True), lambda: 1, alarms, FleetTallies(),
+        Random(1), lambda: 0.0, lambda *counted: None,
+    )  # fmt: skip
+
+
+@when("a request that may be repeated comes")
+def step_repeatable(context):
+    route = SimpleNamespace(name="r", is_retryable=True)
+    for _ in range(20):
+        context.traffic.note_request("s")
+    context.track = context.traffic.track_of("s", route)
+
+
+@then('it is for the "{track}" versions')
+def step_track(context, track):
+    assert context.track is Track[track.upper()], context.track
