Sight: request limits that back ends state in answers are read, kept and logged

Cause: the logs could not tell what an answer said of a limit. Change: the adapter reads the limit from every answer and, from the successful answer to a request, that there is none; one owner keeps the latest statement of each run and logs what changes (back_end_limit). A header of the same kind that is not known is logged once for each name: this is the third word in answers that nobody read. Nothing follows from a limit yet.

--- a/features/architecture_layers.feature
+++ b/features/architecture_layers.feature
@@ -29,7 +29,8 @@
       | peers       | peers state ports model settings ticks                                                                               |
       | limits      | limits peers state model settings                                                                                    |
       | rollouts    | rollouts peers state ports model settings ticks                                                                      |
-      | routing     | routing rollouts peers state ports model ticks                                                                       |
+      | request_limits | request_limits peers state ports model settings ticks durations                                                  |
+      | routing     | routing request_limits rollouts peers state ports model ticks                                                        |
       | quarantine  | quarantine peers state ports model ticks                                                                             |
       | weights     | weights routing peers state ports model ticks                                                                        |
       | replication | replication peers state ports model settings ticks durations                                                         |
--- a/src/weirscale/cli/trace.py
+++ b/src/weirscale/cli/trace.py
@@ -36,6 +36,7 @@
         "back_end_doubted",
         "back_end_restored",
         "back_end_rest",
+        "back_end_limit",
         "back_end_suspected",
         "back_end_recovered",
         "version_believed",
--- a/src/weirscale/gateway/model/back_ends.py
+++ b/src/weirscale/gateway/model/back_ends.py
@@ -80,6 +80,11 @@
         return None
 
 
+def instance_of(run: RunId) -> InstanceId:
+    """Return the instance that a run is one of."""
+    return InstanceId(run.rpartition("@")[0])
+
+
 class BackEndDirectory:
     """Back ends by instance: those that own their addresses, one for each.
 
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -13,6 +13,7 @@
 from weirscale.gateway.peers.registrations import PeerDirectory, Registration, RegistrationTask
 from weirscale.gateway.ports.back_end import BackEndConnector
 from weirscale.gateway.ports.state_feed import StateFeed
+from weirscale.gateway.request_limits.stated_limits import StatedLimits
 from weirscale.gateway.rollouts.gate import VersionGate
 from weirscale.gateway.rollouts.view import RecordReader
 from weirscale.gateway.routing.back_end_notices import BackEndNotices
@@ -111,7 +112,10 @@
             peers=PeerView(self._gossip_pace.delay_s, self.engine_shares.of_other_groups),
         )  # fmt: skip
         rests = self.dispatcher.rests
-        self._notices = BackEndNotices(self.cluster, rests, self._event_log, clock)
+        self.stated_limits = StatedLimits(self._event_log)
+        self._notices = BackEndNotices(
+            self.cluster, rests, self.stated_limits, self._event_log, clock
+        )
         self._ports = BackEndPorts(connect, self.cluster, self.load, self._notices.take)
         self._upkeep = BackEndUpkeep(self.cluster, self.health, rests, self._ports, clock)
         self.cluster.back_ends.observe_gone(self._forget_back_end)
@@ -119,6 +123,7 @@
 
     def _forget_back_end(self, back_end: BackEnd) -> None:
         self._ports.retire(back_end.instance)
+        self._notices.forget(back_end.instance)
         self.dispatcher.forget(back_end.instance)
 
     def _forget_cache(self, instance: InstanceId, model: str, version: int) -> None:
--- a/src/weirscale/gateway/ports/back_end.py
+++ b/src/weirscale/gateway/ports/back_end.py
@@ -77,12 +77,21 @@
         is_leaving: Whether it says that it will end: it wants no new work.
         rest_s: Seconds from this answer for which it wants nothing from this node; 0 for none.
         unreadable_rest: A time of rest that could not be read, as it was written; empty for none.
+        limit_per_s: Requests a second that it takes from all nodes together; None if it names none.
+        unreadable_limit: A limit that could not be read, as it was written; empty for none.
+        unlimited_since_s: For the successful answer to a request that names no limit: how many
+            seconds ago that request was sent. None for any other answer.
+        unknown_names: Headers by which it says of itself what this release does not know.
     """
 
     is_other_run: bool = False
     is_leaving: bool = False
     rest_s: float = 0.0
     unreadable_rest: str = ""
+    limit_per_s: float | None = None
+    unreadable_limit: str = ""
+    unlimited_since_s: float | None = None
+    unknown_names: tuple[str, ...] = ()
 
 
 TakeNotice = Callable[[BackEnd, AnswerNotice], None]
--- a/src/weirscale/gateway/routing/back_end_notices.py
+++ b/src/weirscale/gateway/routing/back_end_notices.py
@@ -3,13 +3,17 @@
 from collections.abc import Callable
 
 from weirscale.gateway.model.back_ends import BackEnd, LeavingSource
-from weirscale.gateway.model.identifiers import RunId
+from weirscale.gateway.model.identifiers import InstanceId, RunId
 from weirscale.gateway.ports.back_end import AnswerNotice
+from weirscale.gateway.request_limits.stated_limits import StatedLimits
 from weirscale.gateway.routing.back_end_rests import BackEndRests
 from weirscale.gateway.state.back_end_registry import OwnerProof
 from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale.ports.event_log import EventLog
 
+MAX_UNKNOWN_NAMES = 64
+"""Names of unknown headers that are remembered, each of which is logged once."""
+
 
 class BackEndNotices:
     """Takes the notices of all answers.
@@ -17,6 +21,7 @@
     Args:
         cluster: Learns which back ends leave, and which have ended.
         rests: Learns which back ends want a rest.
+        limits: Learns which back ends state a request limit.
         event_log: Where notices are logged.
         clock: Monotonic seconds that count suspensions of the machine.
     """
@@ -25,15 +30,21 @@
         self,
         cluster: ClusterState,
         rests: BackEndRests,
+        limits: StatedLimits,
         event_log: EventLog,
         clock: Callable[[], float],
     ) -> None:
         self._cluster = cluster
         self._rests = rests
+        self._limits = limits
         self._event_log = event_log
         self._clock = clock
         self._leaving_observers: list[Callable[[RunId], None]] = []
         self._ended_observers: list[Callable[[RunId], None]] = []
+        self._unknown_names: set[str] = set()
+        self._unreadable_limits: dict[InstanceId, str] = {}
+        """The last limit of each back end that could not be read: a back end repeats it in all its
+        answers."""
 
     def observe_leaving(self, observer: Callable[[RunId], None]) -> None:
         """Have a function called with each run that first tells this node that it leaves."""
@@ -60,6 +71,40 @@
                 "back_end_rest_unreadable", instance=speaker.instance,
                 value=notice.unreadable_rest, remedy="have the back end write seconds",
             )  # fmt: skip
+        self._take_limit(speaker, notice)
+        for name in notice.unknown_names:
+            self._log_unknown(speaker, name)
+
+    def _take_limit(self, speaker: BackEnd, notice: AnswerNotice) -> None:
+        now_s = self._clock()
+        if notice.limit_per_s is not None:
+            self._limits.stated(speaker.run_id, notice.limit_per_s, now_s)
+        elif notice.unlimited_since_s is not None:
+            self._limits.not_stated(speaker.run_id, now_s - notice.unlimited_since_s, now_s)
+        value = notice.unreadable_limit
+        if value and self._unreadable_limits.get(speaker.instance) != value:
+            self._unreadable_limits[speaker.instance] = value
+            self._event_log.event(
+                "back_end_limit_unreadable", instance=speaker.instance, value=value,
+                remedy="have the back end write requests a second",
+            )  # fmt: skip
+
+    def forget(self, instance: InstanceId) -> None:
+        """Forget a back end that is gone."""
+        self._unreadable_limits.pop(instance, None)
+
+    def _log_unknown(self, speaker: BackEnd, name: str) -> None:
+        """Tell once of a header by which back ends say what this release does not know.
+
+        Nobody would see it otherwise: what is not known goes on to the caller.
+        """
+        if name in self._unknown_names or len(self._unknown_names) >= MAX_UNKNOWN_NAMES:
+            return
+        self._unknown_names.add(name)
+        self._event_log.event(
+            "back_end_header_unknown", instance=speaker.instance, header=name,
+            remedy="see whether a newer release knows it",
+        )  # fmt: skip
 
     def _take_leaving(self, speaker: BackEnd) -> None:
         """Keep new work from a back end at once, and tell the other nodes.
