--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -88,6 +88,10 @@
     """The status with which it then does so."""
     proves_refusals: bool = True
     """Whether it then says that it does not run what it turns away."""
+    limits: tuple = ()
+    """The request limits that all its answers state, as written."""
+    limited_path: str | None = None
+    """The only path whose answers state them; None for all."""
     probe_rests: tuple = ()
     """While it has any, it turns health checks away and writes these times of rest."""
     probed_s: list = field(default_factory=list)
@@ -110,6 +114,9 @@
         response = await self._answer(request)
         if self.is_leaving and self.leaving_path in (None, request.url.path):
             response.headers["Server-Leaving"] = "1"
+        if self.limits and self.limited_path in (None, request.url.path):
+            stated = [("Server-Limit", limit) for limit in self.limits]
+            response.headers = httpx.Headers([*response.headers.multi_items(), *stated])
         self._note_said(request, response)
         return response
 
--- a/features/support/speaking_back_ends.py
+++ b/features/support/speaking_back_ends.py
@@ -1,4 +1,4 @@
-"""Plays nodes before back ends that say of themselves that they leave, or want a rest."""
+"""Plays nodes before back ends that say of themselves that they leave, want a rest, or are limited."""
 
 import itertools
 
@@ -41,6 +41,8 @@
         """When a back end last said in any answer that it leaves, by its name."""
         self.rests_s = {}
         """By node and back end: when each rest was asked for, and for how long."""
+        self.limits = []
+        """What was stated of limits, in order: each `(at_s, node, back end, limit as written)`."""
         self.arrived_s = {}
         """By node and back end: when requests arrived."""
         self.num_asked = itertools.count(1)
@@ -148,4 +150,7 @@
                 self._play.told_s.setdefault(key, now_s)
         if node is not None and "retry-after" in response.headers:
             self._play.rests_s.setdefault(key, []).append(now_s)
+        limit = response.headers.get("server-limit")
+        if node is not None and limit is not None:
+            self._play.limits.append((now_s, node, name, limit))
         return response
