A back end that states a request limit gets no more than that from all nodes together

What callers saw: nothing, but two back ends in need, which had asked for 1.1 and 1.2 requests a second in their answers, went on getting 3 to 4. Cause: the limit was read by nobody. Class: a word of a back end in its answers is not heard until somebody misses it. Change: a node sends such a back end a request only with a permit. A node fetches permits ahead; its requests go to other back ends meanwhile, or wait up to 0.3 s where there is none. Statements are ordered by when they were made; other nodes are told in a last field of gossip that earlier releases ignore.

--- a/features/architecture_layers.feature
+++ b/features/architecture_layers.feature
@@ -34,7 +34,7 @@
       | quarantine  | quarantine peers state ports model ticks                                                                             |
       | weights     | weights routing peers state ports model ticks                                                                        |
       | replication | replication peers state ports model settings ticks durations                                                         |
-      | gossip      | gossip replication quarantine routing rollouts limits peers state model settings ticks                               |
+      | gossip      | gossip replication quarantine routing request_limits rollouts limits peers state model settings ticks                |
       | telemetry   | telemetry quarantine routing limits ports model settings ticks                                                       |
       | requests    | requests telemetry quarantine weights routing rollouts limits peers state ports model settings ticks durations       |
 
--- a/features/recorded_forms.feature
+++ b/features/recorded_forms.feature
@@ -22,6 +22,9 @@
       | ages_query            |
       | ages_reply            |
       | ages_reply_silent     |
+      | permit_query          |
+      | permit_reply          |
+      | permit_reply_none     |
 
   Scenario Outline: A message of an earlier release is read
     Given the recorded forms of "messages"
@@ -33,11 +36,19 @@
       | news_empty_before_leaving    |
       | news_full_before_leaving     |
       | news_of_group_before_leaving |
+      | news_empty_before_limits     |
+      | news_full_before_limits      |
+      | news_of_group_before_limits  |
 
-  Scenario: A node of the release before reads all that it knows of a message
-    When a node that knows of no back ends that leave gets the message "news_full"
+  Scenario Outline: A node of the release before reads all that it knows of a message
+    When a node of the release before "<came>" gets the message "news_full"
     Then it reads the same message without them
 
+    Examples:
+      | came    |
+      | leaving |
+      | limits  |
+
   Scenario Outline: A record in the store has exactly the recorded key and value
     Given the recorded forms of "records"
     When the gateway writes the record "<record>"
--- a/features/steps/recorded_forms_steps.py
+++ b/features/steps/recorded_forms_steps.py
@@ -41,18 +41,19 @@
     assert context.read_message == context.message, context.read_message
 
 
-@when('a node that knows of no back ends that leave gets the message "{name}"')
-def step_release_before(context, name):
+@when('a node of the release before "{came}" gets the message "{name}"')
+def step_release_before(context, came, name):
+    context.came = came
     context.message = recorded_forms.messages()[name]
     encoded = encode_message(context.message)
-    context.read_message = recorded_forms.read_by_release_before_leaving(encoded)
+    context.read_message = recorded_forms.read_by_release_before(came, encoded)
 
 
 @then("it reads the same message without them")
 def step_release_before_read(context):
     known = msgspec.structs.asdict(context.read_message)
     expected = msgspec.structs.asdict(context.message)
-    for name in recorded_forms.FIELDS_SINCE_THEN:
+    for name in recorded_forms.FIELDS_SINCE[context.came]:
         assert expected.pop(name), name
     assert known == expected, known
 
--- /dev/null
+++ b/features/steps/request_limit_rules_steps.py
@@ -0,0 +1,97 @@
+"""Steps of `request_limit_rules.feature`."""
+
+from behave import given, then, when
+
+from features.support.permit_fleet import NoLog, PermitFleet
+from weirscale.gateway.model.identifiers import RunId
+from weirscale.gateway.request_limits.stated_limits import LimitStatement, StatedLimits
+
+RUN = RunId("lm-1@0")
+NOW_S = 100.0
+
+
+@given("a node that knows of a limit of {limit:g}, stated {ago_s:g} seconds ago")
+def step_known(context, limit, ago_s):
+    context.limits = StatedLimits(NoLog())
+    context.limits.stated(RUN, limit, NOW_S - ago_s)
+
+
+@given("a node that knows of no limit")
+def step_unknown(context):
+    context.limits = StatedLimits(NoLog())
+
+
+@when("an answer states {limit:g}")
+def step_states(context, limit):
+    context.limits.stated(RUN, limit, NOW_S)
+
+
+@when("a success names none, asked for {ago_s:g} seconds ago")
+def step_none(context, ago_s):
+    context.limits.not_stated(RUN, NOW_S - ago_s, NOW_S)
+
+
+@when("a peer tells of {limit}, stated {ago_s:g} seconds ago")
+def step_peer(context, limit, ago_s):
+    limit_per_s = None if limit == "none" else float(limit)
+    context.limits.told_by_peer(RUN, LimitStatement(limit_per_s, NOW_S - ago_s))
+
+
+@when("{num:d} runs state limits")
+def step_many(context, num):
+    context.runs = [RunId(f"lm-{number}@0") for number in range(num)]
+    for run in context.runs:
+        context.limits.stated(run, 1.0, NOW_S)
+
+
+@then("the limit is {limit}")
+def step_limit(context, limit):
+    expected = None if limit == "none" else float(limit)
+    assert context.limits.limit_per_s(RUN) == expected, context.limits.limit_per_s(RUN)
+
+
+@then("nothing is remembered")
+def step_nothing(context):
+    assert context.limits.statement(RUN) is None
+
+
+@then("{num:d} of them are remembered")
+def step_bounded(context, num):
+    known = [run for run in context.runs if context.limits.statement(run) is not None]
+    assert known == context.runs[-num:], len(known)
+
+
+@given("{num:d} nodes that keep a limit of {limit:g}, told one another without the network")
+def step_fleet(context, num, limit):
+    context.fleet = PermitFleet(num, limit)
+
+
+@when("callers ask them for {seconds:d} seconds, {asked_per_s:g} times a second, {where}")
+def step_ask(context, seconds, asked_per_s, where):
+    context.seconds = seconds
+    context.asked_per_s = asked_per_s
+    context.fleet.play(seconds, asked_per_s, at_one_node=where == "at one node")
+
+
+@when(
+    "a third of their messages is lost, and callers ask them {asked_per_s:g} times a second for "
+    "{seconds:d} seconds"
+)
+def step_lossy(context, asked_per_s, seconds):
+    context.fleet.loss = 1.0 / 3.0
+    context.fleet.play(seconds, asked_per_s)
+
+
+@then("in any 4 seconds at most {most:d} requests are sent")
+def step_bound(context, most):
+    assert context.fleet.sent_s, "nothing was sent"
+    assert context.fleet.most_in_window() <= most, context.fleet.most_in_window()
+
+
+@then(
+    "from {from_s:d} seconds on {share:g} of what the limit and the callers allow is sent, or more"
+)
+def step_used(context, from_s, share):
+    sent = sum(at_s >= from_s for at_s in context.fleet.sent_s) / (context.seconds - from_s)
+    allowed = min(context.fleet.limit_per_s, context.asked_per_s)
+    assert sent >= share * allowed, (sent, allowed)
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -90,6 +90,8 @@
     """Whether it then says that it does not run what it turns away."""
     limits: tuple = ()
     """The request limits that all its answers state, as written."""
+    unknown_header: str | None = None
+    """A header of the same kind in all its answers that no release knows."""
     limited_path: str | None = None
     """The only path whose answers state them; None for all."""
     probe_rests: tuple = ()
@@ -117,6 +119,8 @@
         if self.limits and self.limited_path in (None, request.url.path):
             stated = [("Server-Limit", limit) for limit in self.limits]
             response.headers = httpx.Headers([*response.headers.multi_items(), *stated])
+        if self.unknown_header is not None:
+            response.headers[self.unknown_header] = "1"
         self._note_said(request, response)
         return response
 
--- a/features/support/recorded_forms.py
+++ b/features/support/recorded_forms.py
@@ -56,9 +56,12 @@
     EndedGossip,
     Gossip,
     LeavingGossip,
+    LimitGossip,
     LoadGossip,
     LoadingGossip,
     MovedGossip,
+    PermitQuery,
+    PermitReply,
     SendGossip,
     StateQuery,
     StateReply,
@@ -222,6 +225,7 @@
         answered=(AnsweredGossip(FINGERPRINT),),
         leaving=(LeavingGossip(RUNS[1]),),
         ended=(EndedGossip(RUNS[0]),),
+        limits=(LimitGossip(RUNS[0], 1.1), LimitGossip(RUNS[1], None)),
     )
     return {
         "news_empty": Gossip("node-1"),
@@ -239,28 +243,35 @@
         "ages_reply_silent": AgesReply(
             "node-1", 6, 5000, 120, 9000, (TargetVersionGossip("m", 4, 350),)
         ),
+        "permit_query": PermitQuery("node-2", 7, RUNS[0], 2, 1.1, 350),
+        "permit_reply": PermitReply("node-1", 7, RUNS[0], 1, 0, 1.1, 40),
+        "permit_reply_none": PermitReply("node-1", 7, RUNS[0], 0, 900, None, 40),
     }
 
 
-FIELDS_SINCE_THEN = ("leaving", "ended")
-"""Fields of gossip that a release before back ends that leave were told does not know."""
+FIELDS_SINCE = {
+    "leaving": {"leaving": (), "ended": (), "limits": ()},
+    "limits": {"limits": ()},
+}
+"""By what came with a release: the fields of gossip that the release before does not know."""
 
 
 def earlier_messages():
     """Return what a message of an earlier release says, by the name of its recording."""
     now = messages()
     return {
-        f"{name}_before_leaving": msgspec.structs.replace(now[name], leaving=(), ended=())
+        f"{name}_before_{came}": msgspec.structs.replace(now[name], **fields)
+        for came, fields in FIELDS_SINCE.items()
         for name in ("news_empty", "news_full", "news_of_group")
     }
 
 
-def read_by_release_before_leaving(encoded):
-    """Read a gossip message as a release does that knows of no back ends that leave."""
+def read_by_release_before(came, encoded):
+    """Read a gossip message as the release does before something came."""
     fields = [
         (one.name, one.type, one.default)
         for one in msgspec.structs.fields(Gossip)
-        if one.name not in ("sender", *FIELDS_SINCE_THEN)
+        if one.name not in ("sender", *FIELDS_SINCE[came])
     ]
     earlier = msgspec.defstruct(
         "EarlierGossip", [("sender", str), *fields], frozen=True, array_like=True, tag="news"
--- a/features/support/speaking_back_ends.py
+++ b/features/support/speaking_back_ends.py
@@ -42,7 +42,7 @@
         self.rests_s = {}
         """By node and back end: when each rest was asked for, and for how long."""
         self.limits = []
-        """What was stated of limits, in order: each `(at_s, node, back end, limit as written)`."""
+        """What was stated of limits, in order: each `(at_s, node or None, back end, as written)`."""
         self.arrived_s = {}
         """By node and back end: when requests arrived."""
         self.num_asked = itertools.count(1)
@@ -151,6 +151,6 @@
         if node is not None and "retry-after" in response.headers:
             self._play.rests_s.setdefault(key, []).append(now_s)
         limit = response.headers.get("server-limit")
-        if node is not None and limit is not None:
+        if limit is not None:
             self._play.limits.append((now_s, node, name, limit))
         return response
--- a/src/weirscale/gateway/gossip/group_relay.py
+++ b/src/weirscale/gateway/gossip/group_relay.py
@@ -182,6 +182,8 @@
             outbox.add_leaving(leaving)
         for ended in gossip.ended:
             outbox.add_ended(ended)
+        for limit in gossip.limits:
+            outbox.add_limit(limit)
         # An engine that loads weights must get no request now. A back end that cannot be reached is
         # soon reported by several nodes, so that waits for the next message.
         if gossip.loading:
--- a/src/weirscale/gateway/gossip/inbox.py
+++ b/src/weirscale/gateway/gossip/inbox.py
@@ -14,6 +14,8 @@
     Gossip,
     LoadingGossip,
     PeerMessage,
+    PermitQuery,
+    PermitReply,
     SendGossip,
     StateQuery,
     StateReply,
@@ -22,6 +24,9 @@
 from weirscale.gateway.replication.age_exchange import AgeExchange
 from weirscale.gateway.replication.publisher import ChangePublisher
 from weirscale.gateway.replication.subscription import StateSubscription
+from weirscale.gateway.request_limits.permit_exchange import PermitExchange
+from weirscale.gateway.request_limits.request_permits import RequestPermits
+from weirscale.gateway.request_limits.stated_limits import LimitStatement, StatedLimits
 from weirscale.gateway.rollouts.reporter import RolloutReporter
 from weirscale.gateway.routing.dispatcher import Dispatcher
 from weirscale.gateway.routing.health import BackEndHealth
@@ -44,6 +49,7 @@
 
     Args:
         cluster: Learns which weights engines have, and which back ends leave or have ended.
+        limits: Learns which back ends state a request limit.
         relay: Tells whose loads and counts a message holds.
         load: Takes loads.
         quotas: Takes tenants' usage.
@@ -57,6 +63,7 @@
     def __init__(
         self,
         cluster: ClusterState,
+        limits: StatedLimits,
         relay: GroupRelay,
         load: FleetLoad,
         quotas: QuotaLedger,
@@ -67,6 +74,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._cluster = cluster
+        self._limits = limits
         self._relay = relay
         self._load = load
         self._quotas = quotas
@@ -94,6 +102,9 @@
             self._cluster.back_ends.mark_leaving(RunId(leaving.run), LeavingSource.PEER)
         for ended in gossip.ended:
             self._cluster.back_ends.mark_other_run(RunId(ended.run), OwnerProof.PEER)
+        for limit in gossip.limits:
+            statement = LimitStatement(limit.limit_per_s, now_s)
+            self._limits.told_by_peer(RunId(limit.run), statement)
 
     def _receive_counts(self, source: str, gossip: Gossip, now_s: float) -> None:
         """Take over loads and counts, which hold for the sender or for groups of nodes."""
@@ -128,6 +139,8 @@
         publisher: Answers nodes that ask for changes.
         subscription: Takes changes that this node asked for.
         ages: Asks and answers for ages of target versions and of the store's answers.
+        permit_exchange: Answers nodes that ask for permits.
+        permits: Takes permits that this node asked for.
     """
 
     def __init__(
@@ -137,12 +150,16 @@
         publisher: ChangePublisher,
         subscription: StateSubscription,
         ages: AgeExchange,
+        permit_exchange: PermitExchange,
+        permits: RequestPermits,
     ) -> None:
         self._gossip = gossip
         self._relay = relay
         self._publisher = publisher
         self._subscription = subscription
         self._ages = ages
+        self._permit_exchange = permit_exchange
+        self._permits = permits
 
     async def receive(self, message: PeerMessage, address: ListenAddress) -> None:
         """Take over, or answer, one message that came from an address."""
@@ -155,6 +172,10 @@
                 await self._ages.answer(message, address)
             case AgesReply():
                 self._ages.receive(message)
+            case PermitQuery():
+                await self._permit_exchange.answer(message, address)
+            case PermitReply():
+                self._permits.receive(message)
             case Gossip():
                 self._gossip.receive(message)
                 await self._relay.receive(message)
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -12,7 +12,13 @@
 from weirscale.gateway.gossip.sources import is_group, is_member
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.node_parts import NodeParts
-from weirscale.gateway.peers.messages import EndedGossip, LeavingGossip, LoadingGossip, PeerMessage
+from weirscale.gateway.peers.messages import (
+    EndedGossip,
+    LeavingGossip,
+    LimitGossip,
+    LoadingGossip,
+    PeerMessage,
+)
 from weirscale.gateway.peers.outbox import GossipOutbox
 from weirscale.gateway.peers.rank_delay import rank_delay_s
 from weirscale.gateway.ports.back_end import BackEndConnector
@@ -23,6 +29,7 @@
 from weirscale.gateway.replication.follower import StateFollower
 from weirscale.gateway.replication.publisher import ChangePublisher
 from weirscale.gateway.replication.subscription import StateSubscription
+from weirscale.gateway.request_limits.permit_exchange import PermitExchange
 from weirscale.gateway.requests.admission import AdmissionControl
 from weirscale.gateway.requests.attempt_records import AttemptRecords
 from weirscale.gateway.requests.attempt_timeout import AttemptTimeoutWatch
@@ -126,6 +133,9 @@
         self.outbox = GossipOutbox(settings.name, sender_run=self._random.getrandbits(RUN_BITS))
         self._notices.observe_leaving(lambda run: self.outbox.add_leaving(LeavingGossip(run)))
         self._notices.observe_ended(lambda run: self.outbox.add_ended(EndedGossip(run)))
+        self._notices.observe_limit(
+            lambda run, limit_per_s: self.outbox.add_limit(LimitGossip(run, limit_per_s))
+        )
         self.gatherer = GossipGatherer(
             self.outbox, self.load, self.quotas, self.canary_traffic, self.rollout_reporter,
             self.quarantine,
@@ -150,10 +160,17 @@
             self._feed, self.cluster, log, self._random, self.publisher, self.subscription, clock
         )
         receiver = GossipReceiver(
-            self.cluster, self.relay, self.load, self.quotas, self.dispatcher, self.health,
-            self.rollout_reporter, self.quarantine, clock,
+            self.cluster, self.stated_limits, self.relay, self.load, self.quotas, self.dispatcher,
+            self.health, self.rollout_reporter, self.quarantine, clock,
+        )  # fmt: skip
+        self._permit_exchange = PermitExchange(
+            settings.name, self.stated_limits, self.permits, self._permit_issuer,
+            self.peers.group_addresses, self._send, clock,
+        )  # fmt: skip
+        self.inbox = PeerInbox(
+            receiver, self.relay, self.publisher, self.subscription, self.ages,
+            self._permit_exchange, self.permits,
         )  # fmt: skip
-        self.inbox = PeerInbox(receiver, self.relay, self.publisher, self.subscription, self.ages)
         self.gossip_task = GossipTask(
             settings.peers, self.peers, self.relay, self.outbox, self.inbox, self.gatherer.gather
         )
@@ -234,7 +251,8 @@
         async with anyio.create_task_group() as tasks:
             for task in (
                 self.follower, self.subscription, self.ages, self.registration,
-                self.gossip_task, self.relay, self._lease, self._weights_rollout,
+                self.gossip_task, self.relay, self._permit_exchange, self._lease,
+                self._weights_rollout,
                 self._rollout_holder, self.version_check, self.context.crashes.crash_check,
                 self.quarantine, self.context.timeouts, self._upkeep,
             ):  # fmt: skip
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -13,6 +13,9 @@
 from weirscale.gateway.peers.registrations import PeerDirectory, Registration, RegistrationTask
 from weirscale.gateway.ports.back_end import BackEndConnector
 from weirscale.gateway.ports.state_feed import StateFeed
+from weirscale.gateway.request_limits.issuers import PermitIssuers
+from weirscale.gateway.request_limits.permit_issuer import PermitIssuer
+from weirscale.gateway.request_limits.request_permits import RequestPermits
 from weirscale.gateway.request_limits.stated_limits import StatedLimits
 from weirscale.gateway.rollouts.gate import VersionGate
 from weirscale.gateway.rollouts.view import RecordReader
@@ -66,6 +69,7 @@
         self._store = CountedStore(store, self.metrics.count_store_call)
         self._make_state()
         self._make_limits()
+        self._make_permits()
         self._make_routing(connect)
 
     def _make_state(self) -> None:
@@ -96,6 +100,16 @@
         )
         self.isolation = IsolationDetector(self.cluster, self.quotas, self._event_log, clock)
 
+    def _make_permits(self) -> None:
+        """Make what keeps the request limits that back ends state."""
+        name, clock = self.settings.name, self._clock
+        self.stated_limits = StatedLimits(self._event_log)
+        self.permit_issuers = PermitIssuers(name, lambda: self.peers.division().group_of)
+        self._permit_issuer = PermitIssuer(self.stated_limits, self.permit_issuers, clock)
+        self.permits = RequestPermits(
+            name, self.stated_limits, self.permit_issuers, self._permit_issuer, self._random, clock
+        )
+
     def _make_routing(self, connect: BackEndConnector) -> None:
         """Make what chooses back ends, and what looks after them."""
         settings, clock = self.settings, self._clock
@@ -109,15 +123,16 @@
             Location(settings.zone, self._topology), self.cluster, self.load, self.health,
             settings.bounds.weights_s - START_MARGIN_S, self._random, clock,
             versions=self.version_gate,
-            peers=PeerView(self._gossip_pace.delay_s, self.engine_shares.of_other_groups),
+            peers=PeerView(
+                self._gossip_pace.delay_s, self.engine_shares.of_other_groups, self.permits
+            ),
         )  # fmt: skip
-        rests = self.dispatcher.rests
-        self.stated_limits = StatedLimits(self._event_log)
+        back_pressure = self.dispatcher.back_pressure
         self._notices = BackEndNotices(
-            self.cluster, rests, self.stated_limits, self._event_log, clock
+            self.cluster, back_pressure.rests, self.stated_limits, self._event_log, clock
         )
         self._ports = BackEndPorts(connect, self.cluster, self.load, self._notices.take)
-        self._upkeep = BackEndUpkeep(self.cluster, self.health, rests, self._ports, clock)
+        self._upkeep = BackEndUpkeep(self.cluster, self.health, back_pressure, self._ports, clock)
         self.cluster.back_ends.observe_gone(self._forget_back_end)
         self.cluster.engine_versions.observe(self._forget_cache)
 
--- a/src/weirscale/gateway/peers/messages.py
+++ b/src/weirscale/gateway/peers/messages.py
@@ -81,6 +81,18 @@
     run: str
 
 
+class LimitGossip(msgspec.Struct, frozen=True, array_like=True):
+    """A back end has just stated another request limit in an answer, or none any more.
+
+    Attributes:
+        run: The back end's run.
+        limit_per_s: Requests a second that it takes from all nodes together; None for any.
+    """
+
+    run: str
+    limit_per_s: float | None
+
+
 class UsageGossip(msgspec.Struct, frozen=True, array_like=True):
     """What a tenant with a quota spends and asks for, in its quota's units a second.
 
@@ -181,6 +193,7 @@
         answered: Requests that crash nothing after all.
         leaving: Back ends that said that they leave. Releases without this field ignore it.
         ended: Back ends at whose address another run answered. As `leaving`.
+        limits: Request limits that back ends stated. As `leaving`.
     """
 
     sender: str
@@ -199,6 +212,7 @@
     answered: tuple[AnsweredGossip, ...] = ()
     leaving: tuple[LeavingGossip, ...] = ()
     ended: tuple[EndedGossip, ...] = ()
+    limits: tuple[LimitGossip, ...] = ()
 
 
 class StateQuery(msgspec.Struct, frozen=True, array_like=True, tag="query"):
@@ -270,7 +284,49 @@
     target_versions: tuple[TargetVersionGossip, ...] = ()
 
 
-PeerMessage = Gossip | StateQuery | StateReply | AgesQuery | AgesReply
+class PermitQuery(msgspec.Struct, frozen=True, array_like=True, tag="permits?"):
+    """A node asks for permits to send requests to a back end that states a limit.
+
+    Attributes:
+        sender: The node that asks.
+        number: Returned in the reply; the sender knows when it asked.
+        run: The back end's run.
+        num_wanted: Permits that it can use within their life.
+        limit_per_s: The limit that it knows of.
+        age_ms: How long ago the back end stated it.
+    """
+
+    sender: str
+    number: int
+    run: str
+    num_wanted: int
+    limit_per_s: float
+    age_ms: int
+
+
+class PermitReply(msgspec.Struct, frozen=True, array_like=True, tag="permits"):
+    """Permits, or how long to wait before asking again.
+
+    Attributes:
+        sender: The node that answers.
+        number: Number of the query.
+        run: The back end's run.
+        num_permits: Requests that may be sent to it.
+        wait_ms: Where that is 0: time until asking again makes sense.
+        limit_per_s: The limit that the sender knows of; None if it has ended.
+        age_ms: How long ago the back end stated it.
+    """
+
+    sender: str
+    number: int
+    run: str
+    num_permits: int
+    wait_ms: int
+    limit_per_s: float | None
+    age_ms: int
+
+
+PeerMessage = Gossip | StateQuery | StateReply | AgesQuery | AgesReply | PermitQuery | PermitReply
 
 SendMessage = Callable[[PeerMessage, Iterable[ListenAddress]], Awaitable[None]]
 """Sends a message to several nodes; any of them may miss it."""
--- a/src/weirscale/gateway/peers/outbox.py
+++ b/src/weirscale/gateway/peers/outbox.py
@@ -8,6 +8,7 @@
     EndedGossip,
     Gossip,
     LeavingGossip,
+    LimitGossip,
     LoadGossip,
     LoadingGossip,
     MovedGossip,
@@ -56,6 +57,7 @@
         self._answered: dict[str, AnsweredGossip] = {}
         self._leaving: dict[str, LeavingGossip] = {}
         self._ended: dict[str, EndedGossip] = {}
+        self._limits: dict[str, LimitGossip] = {}
 
     def add_usage(self, gossip: UsageGossip) -> None:
         """Add what a tenant spends; replaces what waits for this tenant."""
@@ -108,6 +110,10 @@
         """Add a back end in whose place another run answered."""
         self._ended[gossip.run] = gossip
 
+    def add_limit(self, gossip: LimitGossip) -> None:
+        """Add a request limit; replaces one that waits for this run."""
+        self._limits[gossip.run] = gossip
+
     def _take_crashes(self) -> tuple[CrashGossip, ...]:
         taken = list(self._crashes)[:MAX_CRASHES_PER_MESSAGE]
         return tuple(self._crashes.pop(key) for key in taken)
@@ -137,6 +143,7 @@
             answered=tuple(self._answered.values()),
             leaving=tuple(self._leaving.values()),
             ended=tuple(self._ended.values()),
+            limits=tuple(self._limits.values()),
         )
         self._clear()
         return gossip
@@ -154,4 +161,5 @@
             or self._answered
             or self._leaving
             or self._ended
+            or self._limits
         )
--- a/src/weirscale/gateway/request_limits/stated_limits.py
+++ b/src/weirscale/gateway/request_limits/stated_limits.py
@@ -85,7 +85,7 @@
             now_s: When the answer was read.
         """
         known = self._statements.get(run)
-        if known is None or known.limit_per_s is None or asked_at_s <= known.made_at_s:
+        if known is None or asked_at_s <= known.made_at_s:
             return False
         return self._replace(run, LimitStatement(None, now_s), StatementSource.ANSWER)
 
--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -106,6 +106,7 @@
         history.num_attempts += 1
         self._began_s = self._context.clock()
         history.asked.add(self._back_end.instance)
+        self._context.selector.request_sent(self._back_end)
         self._records.record_start(self._choice, self._prompt, is_unreached=not history.reached)
         self._context.admission.charge(self._admitted)
         if history.num_attempts == 1:
--- a/src/weirscale/gateway/requests/back_end_selector.py
+++ b/src/weirscale/gateway/requests/back_end_selector.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Collection
 
+from weirscale.gateway.model.back_ends import BackEnd
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.requests.admission import AdmittedRequest
 from weirscale.gateway.requests.retry_decision import AttemptHistory
 from weirscale.gateway.rollouts.canary_traffic import CanaryTraffic
 from weirscale.gateway.rollouts.gate import Track
+from weirscale.gateway.routing.back_pressure import Return
 from weirscale.gateway.routing.candidate import Choice
 from weirscale.gateway.routing.candidates import DispatchQuery
 from weirscale.gateway.routing.dispatcher import Dispatcher
@@ -35,9 +37,19 @@
             chosen = self._dispatcher.choose(_query(admitted, history.gone))
         return chosen
 
-    def rest_left_s(self, admitted: AdmittedRequest) -> float | None:
-        """Return until when all that might get a request rest; None if none of them does."""
-        return self._dispatcher.rest_left_s(_query(admitted, ()))
+    async def wait_for_permit(
+        self, admitted: AdmittedRequest, history: AttemptHistory, most_s: float
+    ) -> bool:
+        """Wait for a back end that states a request limit; returns whether to choose again."""
+        return await self._dispatcher.wait_for_permit(_query(admitted, history.gone), most_s)
+
+    def first_return(self, admitted: AdmittedRequest) -> Return | None:
+        """Return when the first of those that ask to be spared a request takes one again."""
+        return self._dispatcher.first_return(_query(admitted, ()))
+
+    def request_sent(self, back_end: BackEnd) -> None:
+        """Use a permit for a request that is sent to a back end now, if it takes one."""
+        self._dispatcher.back_pressure.request_sent(back_end.run_id)
 
     def prefer_canary(
         self, admitted: AdmittedRequest, history: AttemptHistory, choice: Choice
--- a/src/weirscale/gateway/requests/request_handler.py
+++ b/src/weirscale/gateway/requests/request_handler.py
@@ -36,6 +36,11 @@
 """Seconds after which a refused caller should come back where nothing says more. Callers honour up
 to a third of the time that they have left (published protocol of the platform). Not measured."""
 
+MAX_PERMIT_WAIT_S = 0.3
+"""Seconds that a request may wait until a back end with a request limit takes one more, where no
+other one is there. About what it takes to ask another node; a caller that is refused returns
+later."""
+
 
 class RequestHandler:
     """Runs one request.
@@ -66,6 +71,7 @@
         self._admission: AdmittedRequest | Refusal | None = None
         self._guard: CrashGuard | None = None
         self._choice: Choice | None = None
+        self._permit_wait_until_s: float | None = None
         self._outcome = RequestOutcome.LEFT
 
     async def run(self) -> None:
@@ -96,6 +102,8 @@
                 return
             choice = self._context.selector.choose(admitted, self._history)
             if choice is None:
+                if await self._wait_for_permit(admitted):
+                    continue
                 await self._give_up_without_back_end(admitted)
                 return
             self._choice = choice
@@ -120,6 +128,14 @@
                 await self._give_up(give_up_reason.value)
                 return
 
+    async def _wait_for_permit(self, admitted: AdmittedRequest) -> bool:
+        """Wait, for a short time in all, until a back end with a limit may be sent the request."""
+        now_s = self._context.clock()
+        if self._permit_wait_until_s is None:
+            self._permit_wait_until_s = now_s + MAX_PERMIT_WAIT_S
+        left_s = self._permit_wait_until_s - now_s
+        return await self._context.selector.wait_for_permit(admitted, self._history, left_s)
+
     def _is_overloaded(self, admitted: AdmittedRequest, choice: Choice) -> bool:
         """Whether the request should be refused because of the queues; not once it was sent."""
         if self._history.reached:
@@ -149,11 +165,13 @@
 
     async def _give_up_without_back_end(self, admitted: AdmittedRequest) -> None:
         """Tell the caller when a back end will be there again, where one has said so."""
-        rest_s = self._context.selector.rest_left_s(admitted)
-        if rest_s is None:
+        first = self._context.selector.first_return(admitted)
+        if first is None:
             await self._give_up(RequestCause.NO_BACK_END)
+        elif first.is_limited:
+            await self._give_up(RequestCause.LIMITED, max(NO_BACK_END_RETRY_S, first.after_s))
         else:
-            await self._give_up(RequestCause.RESTING, rest_s)
+            await self._give_up(RequestCause.RESTING, first.after_s)
 
     async def _refuse_for_overload(self, choice: Choice) -> None:
         self._history.causes.append(RequestCause.OVERLOADED)
--- a/src/weirscale/gateway/routing/back_end_notices.py
+++ b/src/weirscale/gateway/routing/back_end_notices.py
@@ -41,6 +41,7 @@
         self._clock = clock
         self._leaving_observers: list[Callable[[RunId], None]] = []
         self._ended_observers: list[Callable[[RunId], None]] = []
+        self._limit_observers: list[Callable[[RunId, float | None], None]] = []
         self._unknown_names: set[str] = set()
         self._unreadable_limits: dict[InstanceId, str] = {}
         """The last limit of each back end that could not be read: a back end repeats it in all its
@@ -54,6 +55,10 @@
         """Have a function called with each run that this node first finds replaced."""
         self._ended_observers.append(observer)
 
+    def observe_limit(self, observer: Callable[[RunId, float | None], None]) -> None:
+        """Have a function called with each limit that a run first states to this node, or None."""
+        self._limit_observers.append(observer)
+
     def take(self, back_end: BackEnd, notice: AnswerNotice) -> None:
         """Take what an answer says of its back end."""
         # A process that started again under its name answers on the client that the earlier one
@@ -76,11 +81,20 @@
             self._log_unknown(speaker, name)
 
     def _take_limit(self, speaker: BackEnd, notice: AnswerNotice) -> None:
-        now_s = self._clock()
+        """Send a back end no more than it states, and tell the other nodes, for whom it holds too.
+
+        Otherwise each of them would send on until its own next answer from it: as many requests
+        too many as there are nodes.
+        """
+        run, now_s = speaker.run_id, self._clock()
+        has_changed = False
         if notice.limit_per_s is not None:
-            self._limits.stated(speaker.run_id, notice.limit_per_s, now_s)
+            has_changed = self._limits.stated(run, notice.limit_per_s, now_s)
         elif notice.unlimited_since_s is not None:
-            self._limits.not_stated(speaker.run_id, now_s - notice.unlimited_since_s, now_s)
+            has_changed = self._limits.not_stated(run, now_s - notice.unlimited_since_s, now_s)
+        if has_changed:
+            for observer in self._limit_observers:
+                observer(run, self._limits.limit_per_s(run))
         value = notice.unreadable_limit
         if value and self._unreadable_limits.get(speaker.instance) != value:
             self._unreadable_limits[speaker.instance] = value
--- a/src/weirscale/gateway/routing/back_end_upkeep.py
+++ b/src/weirscale/gateway/routing/back_end_upkeep.py
@@ -7,7 +7,7 @@
 from weirscale.gateway.model.back_ends import TAKES_WORK
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.routing.back_end_ports import BackEndPorts
-from weirscale.gateway.routing.back_end_rests import BackEndRests
+from weirscale.gateway.routing.back_pressure import BackPressure
 from weirscale.gateway.routing.health import BackEndHealth
 from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale.gateway.ticks import sleep_to_tick
@@ -28,7 +28,7 @@
     Args:
         cluster: Registered back ends.
         health: Tells whom to probe, and takes the outcome.
-        rests: Back ends that want nothing from this node, probes included.
+        back_pressure: Back ends that ask to be spared, probes included.
         ports: Clients of back ends.
         clock: Monotonic seconds.
     """
@@ -37,13 +37,13 @@
         self,
         cluster: ClusterState,
         health: BackEndHealth,
-        rests: BackEndRests,
+        back_pressure: BackPressure,
         ports: BackEndPorts,
         clock: Callable[[], float],
     ) -> None:
         self._cluster = cluster
         self._health = health
-        self._rests = rests
+        self._back_pressure = back_pressure
         self._ports = ports
         self._clock = clock
 
@@ -63,8 +63,11 @@
         if back_end is None or table is None:
             self._health.forget(instance)
             return
-        if back_end.state not in TAKES_WORK or self._rests.left_s(back_end.run_id, self._clock()):
+        if back_end.state not in TAKES_WORK:
             return
+        if not self._back_pressure.admitted([back_end], self._clock()):
+            return
+        self._back_pressure.request_sent(back_end.run_id)
         service = table.service(back_end.service)
         path = service.health_path if service else DEFAULT_HEALTH_PATH
         if await self._ports.port_of(back_end).is_healthy(path, PROBE_TIMEOUT_S):
--- a/src/weirscale/gateway/routing/candidates.py
+++ b/src/weirscale/gateway/routing/candidates.py
@@ -1,7 +1,7 @@
 """Which back ends may get a request now, and what is known of each.
 
 A back end may get a request if the platform lists it as ready, its version of the program is one
-that the request may go to, its weights are new enough, and it has not asked this node for a rest.
+that the request may go to, its weights are new enough, and it has not asked to be spared it.
 Of these, engines that load weights are left out; so are those that have just refused and those
 whose circuit is open, unless no other is left.
 """
@@ -19,7 +19,7 @@
 from weirscale.gateway.model.topology import Location
 from weirscale.gateway.rollouts.gate import Track
 from weirscale.gateway.routing.attempt_learning import AttemptLearning
-from weirscale.gateway.routing.back_end_rests import BackEndRests
+from weirscale.gateway.routing.back_pressure import BackPressure, Return
 from weirscale.gateway.routing.cache_beliefs import CacheBeliefs
 from weirscale.gateway.routing.candidate import Candidate
 from weirscale.gateway.routing.choice_rules import START_MARGIN_S
@@ -70,7 +70,7 @@
         weights_grace_s: How long older weights may be sent requests.
         versions: Which versions of a service's program may be chosen.
         engines_of_other_groups: Returns the engines that other groups of nodes prefer.
-        rests: Back ends that want nothing from this node.
+        back_pressure: Back ends that ask to be spared.
     """
 
     def __init__(
@@ -84,7 +84,7 @@
         weights_grace_s: float,
         versions: VersionRules,
         engines_of_other_groups: Callable[[], Collection[InstanceId]],
-        rests: BackEndRests,
+        back_pressure: BackPressure,
     ) -> None:
         self._location = location
         self._cluster = cluster
@@ -95,20 +95,13 @@
         self.weights_grace_s = weights_grace_s
         self._versions = versions
         self._engines_of_other_groups = engines_of_other_groups
-        self._rests = rests
+        self._back_pressure = back_pressure
         self._loading_until_s: dict[InstanceId, float] = {}
         self._refused_until_s: dict[InstanceId, float] = {}
 
     def find(self, query: DispatchQuery, service: Service | None, now_s: float) -> list[Candidate]:
         """Return the back ends that may get a request now."""
-        usable = self._usable(query, now_s)
-        resting = self._rests.resting(now_s)
-        if resting:
-            # One that runs nothing looks idle, and would be tried first all the time, only to turn
-            # callers away whom others would have served: 186 of them within 5 s at seven nodes, by
-            # three of nine engines that had asked for 3 s (a recorded day). It is not tried for
-            # want of others either: it has said when.
-            usable = [one for one in usable if one.run_id not in resting]
+        usable = self._back_pressure.admitted(self._usable(query, now_s), now_s)
         settled = [one for one in usable if not self.is_loading(one.instance, now_s)]
         calm = [one for one in settled if not self._has_refused(one.instance, now_s)]
         admitted = [one for one in calm if self._health.admits(one.instance, now_s)]
@@ -117,10 +110,9 @@
         others = self._engines_of_other_groups()
         return [self._candidate(one, query.prompt, service, others, now_s) for one in found]
 
-    def rest_left_s(self, query: DispatchQuery, now_s: float) -> float | None:
-        """Return until when all that might get a request rest; None if none of them does."""
-        rests_s = [self._rests.left_s(one.run_id, now_s) for one in self._usable(query, now_s)]
-        return min((rest_s for rest_s in rests_s if rest_s > 0.0), default=None)
+    def first_return(self, query: DispatchQuery, now_s: float) -> Return | None:
+        """Return when the first of those that ask to be spared a request takes one again."""
+        return self._back_pressure.first_return(self._usable(query, now_s), now_s)
 
     def _usable(self, query: DispatchQuery, now_s: float) -> list[BackEnd]:
         """Return the ready back ends of a version and with weights that the request may go to."""
--- a/src/weirscale/gateway/routing/dispatcher.py
+++ b/src/weirscale/gateway/routing/dispatcher.py
@@ -16,9 +16,11 @@
 from weirscale.gateway.model.identifiers import Address, InstanceId
 from weirscale.gateway.model.prompt import CacheScope, Prompt, PromptBlock
 from weirscale.gateway.model.topology import Location
+from weirscale.gateway.request_limits.request_permits import RequestPermits
 from weirscale.gateway.rollouts.gate import Track
 from weirscale.gateway.routing.attempt_learning import AttemptLearning
 from weirscale.gateway.routing.back_end_rests import BackEndRests
+from weirscale.gateway.routing.back_pressure import BackPressure, Return
 from weirscale.gateway.routing.cache_beliefs import CacheBeliefs
 from weirscale.gateway.routing.candidate import Candidate, Choice, FetchSource, PromptNeed
 from weirscale.gateway.routing.candidates import Candidates, DispatchQuery
@@ -36,10 +38,13 @@
     Attributes:
         gossip_delay_s: Returns how many seconds late other nodes' loads are known.
         engines_of_other_groups: Returns the engines that other groups of nodes prefer.
+        permits: What this node may send to back ends that state a request limit; None for a node
+            that knows of none.
     """
 
     gossip_delay_s: Callable[[], float] = lambda: 0.0
     engines_of_other_groups: Callable[[], Collection[InstanceId]] = tuple
+    permits: RequestPermits | None = None
 
 
 NO_PEERS = PeerView()
@@ -85,11 +90,11 @@
         self._peers = peers
         self.beliefs = CacheBeliefs(cluster, location.topology)
         self.learning = AttemptLearning(self._start_rules, self.beliefs)
-        self.rests = BackEndRests(random)
+        self.back_pressure = BackPressure(BackEndRests(random), peers.permits)
         self.candidates = Candidates(
             location, cluster, load, health, self.beliefs, self.learning, weights_grace_s,
             versions or AllVersions(), peers.engines_of_other_groups,
-            self.rests,
+            self.back_pressure,
         )  # fmt: skip
 
     def choose(self, query: DispatchQuery) -> Choice | None:
@@ -111,9 +116,14 @@
         choice = choose(candidates, need, sources, self._location.zone, rules, self._random)
         return None if choice is None else self._with_load_age(choice, query.track, now_s)
 
-    def rest_left_s(self, query: DispatchQuery) -> float | None:
-        """Return until when all that might get a request rest; None if none of them does."""
-        return self.candidates.rest_left_s(query, self._clock())
+    async def wait_for_permit(self, query: DispatchQuery, most_s: float) -> bool:
+        """Wait for a back end that states a request limit; returns whether to choose again."""
+        first = self.first_return(query)
+        return first is not None and await self.back_pressure.wait_for_permit(first, most_s)
+
+    def first_return(self, query: DispatchQuery) -> Return | None:
+        """Return when the first of those that ask to be spared a request takes one again."""
+        return self.candidates.first_return(query, self._clock())
 
     def rules(self, service: ServiceName) -> ChoiceRules:
         """Return the weights of the choice as they are now.
--- a/src/weirscale/gateway/telemetry/request_summary.py
+++ b/src/weirscale/gateway/telemetry/request_summary.py
@@ -34,6 +34,8 @@
     """No back end takes work."""
     RESTING = "resting"
     """All back ends that might take it have asked for a rest."""
+    LIMITED = "limited"
+    """All back ends that might take it get as much as they state, or rest."""
     OVERLOADED = "overloaded"
     """The queues are too long."""
     NO_TIME = "no_time"
