--- a/src/weirscale/gateway/request_limits/issuers.py
+++ b/src/weirscale/gateway/request_limits/issuers.py
@@ -6,7 +6,7 @@
 from weirscale.domain.rendezvous import rendezvous_key, rendezvous_weight
 from weirscale.gateway.model.identifiers import RunId
 
-NUM_ISSUERS = 3
+NUM_ISSUERS = 2
 """Nodes that issue permits for a run. Each has an equal, fixed share of the limit, so that the sum
 holds whatever they know of one another; one that is dead or cut off costs its share until it has
 lost its place."""
--- a/src/weirscale/gateway/request_limits/permit_bucket.py
+++ b/src/weirscale/gateway/request_limits/permit_bucket.py
@@ -2,15 +2,23 @@
 
 import msgspec
 
+BURST = 1.5
+"""Permits that a bucket gathers, whatever the limit. A bucket that held no more than one would lose
+what gathers between the moment at which it is full and the next asker."""
+
 BURST_S = 0.75
-"""Seconds for which a bucket that holds a permit goes on gathering. All issuers' bursts, and the
-permits that are out, stay below what a back end bears beyond its limit for some seconds: half as
-much again and 5 requests."""
+"""Seconds for which it gathers beyond that. The bursts of all issuers, and the permits that are
+out, stay below what a back end bears beyond its limit for some seconds: half as much again and 5
+requests."""
 
-WAIT_FACTOR = 0.15
+WAIT_FACTOR = 0.05
 """Multiple, without unit, of the time in which all who wait before an asker are served that the
 asker is told to wait: some of them will not come back."""
 
+MIN_WAIT_S = 0.02
+"""Shortest time in seconds that an asker is told to wait: with none it would ask over and over for
+a permit that is all but there."""
+
 MAX_WAIT_S = 15.0
 """Longest time in seconds that an asker is told to wait."""
 
@@ -72,7 +80,7 @@
 
     def _fill(self, rate_per_s: float, now_s: float) -> None:
         filled = self._level + rate_per_s * max(0.0, now_s - self._at_s)
-        self._level = min(filled, 1.0 + BURST_S * rate_per_s)
+        self._level = min(filled, BURST + BURST_S * rate_per_s)
         self._at_s = now_s
 
     def _wait_s(self, asker: str, rate_per_s: float, now_s: float) -> float:
@@ -83,6 +91,7 @@
             if until_s > now_s and name != asker
         }
         next_s = (1.0 - self._level) / rate_per_s
-        wait_s = min(MAX_WAIT_S, next_s + WAIT_FACTOR * len(others) / rate_per_s)
+        after_others_s = next_s + WAIT_FACTOR * len(others) / rate_per_s
+        wait_s = min(MAX_WAIT_S, max(MIN_WAIT_S, after_others_s))
         self._waiting_until_s = others | {asker: now_s + wait_s}
         return wait_s
