--- a/features/gateway_displaced.feature
+++ b/features/gateway_displaced.feature
@@ -128,6 +128,12 @@
       | with its start       | with an earlier start        | nobody |
       | and states no start  | as before                    | A      |
 
+  Scenario: What was answered before a later run came proves nothing against it
+    Given a registry in which "A" is registered, and then "B" at its address
+    When "A" has answered since
+    And then "C" registers there
+    Then "A" was told as gone twice, and "C" is used
+
   Scenario: Whoever is registered and answers is used, and who is gone never is
     Given any sequence of starts, crashes, late entries, ends and requests at two addresses
     Then each process that is registered is used after as many requests as runs are registered
--- a/features/gateway_request_limits.feature
+++ b/features/gateway_request_limits.feature
@@ -159,6 +159,7 @@
     And the store is silent for 9 seconds, after which all registrations of nodes have ended
     And each node is asked each 0.3 seconds for 16 seconds
     Then no limit is exceeded
+    And the same nodes issue permits for "lm-1" all the while
 
   Scenario: With all back ends limited callers get what the limits allow, the others a refusal at once
     Given 7 nodes of 4 zones before 3 back ends that speak
@@ -180,12 +181,14 @@
       | 1   | 4     | 0.5        | 0.4     |
       | 3   | 6     | 1.5        | 0.5     |
       | 3   | 60    | 0.5        | 0.2     |
+      | 3   | 2     | 2          | 0.6     |
 
   Scenario: Attempts that fail and health checks take permits as well
     Given 1 node before 2 back ends that speak
     When "lm-1" states the limits "0.5" from the start and soon cannot be reached
     And each node is asked each 0.1 seconds for 12 seconds
     Then "lm-1" gets at most 8 requests and health checks in any 4 seconds
+    And "lm-1" gets at most 8 requests and health checks in all
 
   Scenario: A header of the same kind that is not known is told once
     Given 2 nodes of 1 zones before 2 back ends that speak
--- a/features/gateway_rest.feature
+++ b/features/gateway_rest.feature
@@ -57,6 +57,16 @@
       | 5000                             |
       | 99999999999999999999999999999999 |
 
+  Scenario Outline: Of two rests that a run asks for the one that ends later holds
+    Given a rest of "<first>" seconds that is asked for
+    When a rest of "<second>" seconds is asked for 1 second later
+    Then the run has its rest from <from_s> to <to_s> seconds
+
+    Examples:
+      | first | second | from_s | to_s |
+      | 8     | 1      | 8      | 9    |
+      | 1     | 8      | 9      | 10   |
+
   Scenario Outline: It is the same for every kind of request and of refusal
     Given 1 node before 3 back ends that speak
     When "<name>" turns everything away, <how>, and asks for "3" seconds of rest
--- a/features/request_limit_rules.feature
+++ b/features/request_limit_rules.feature
@@ -53,6 +53,18 @@
       | 400 | 1.1   | 1200        | evenly      | 40      | 11   | 0.5   |
       | 400 | 1.1   | 4           | at one node | 40      | 11   | 0.6   |
 
+  Scenario: After a quiet time no more is sent at once than at any time
+    Given 7 nodes that keep a limit of 1.1, told one another without the network
+    When nobody asks them for 60 seconds
+    And callers ask them for 20 seconds, 32 times a second, evenly
+    Then in any 4 seconds at most 11 requests are sent
+
+  Scenario: Permits that are not used do not gather
+    Given 64 nodes that keep a limit of 1.1, told one another without the network
+    When callers of all nodes want permits for 60 seconds and do not use them
+    And all nodes send as many requests as they may
+    Then in any 4 seconds at most 11 requests are sent
+
   Scenario Outline: Lost messages lose permits and add none
     Given <num> nodes that keep a limit of 1.1, told one another without the network
     When a third of their messages is lost, and callers ask them 32 times a second for 40 seconds
--- a/features/steps/gateway_displaced_steps.py
+++ b/features/steps/gateway_displaced_steps.py
@@ -296,6 +296,17 @@
     context.world.registry.end(InstanceId(instance))
 
 
+@when('"{instance}" has answered since')
+def step_answered_since(context, instance):
+    context.world.registry.mark_answered(InstanceId(instance))
+    assert context.world.used() == instance, context.world.used()
+
+
+@when('then "{instance}" registers there')
+def step_registers_there(context, instance):
+    context.world.register(back_end_named(instance))
+
+
 @when('another run than "{instance}" answers there')
 def step_other(context, instance):
     run = context.world.directory.get(InstanceId(instance)).run_id
--- a/features/steps/gateway_request_limits_steps.py
+++ b/features/steps/gateway_request_limits_steps.py
@@ -7,6 +7,7 @@
 
 from features.steps.gateway_leaving_steps import FAULTS, HEARD_S, MANY_FAULTS, PATHS
 from features.support.platform_fleet import MODEL
+from weirscale.gateway.model.identifiers import RunId
 
 CONTACT_S = 3.0
 """From so long after a limit was first stated it has to be kept."""
@@ -21,6 +22,12 @@
 LIMIT_EXTRA = 5
 """What a back end may get in a window: this multiple of its limit, and so many requests more."""
 
+AFTER_OUTAGE_S = 3.0
+LOOK_INTERVAL_S = 0.02
+"""For how long, and how often, it is looked whom nodes take for issuers after an outage."""
+
+LIMITED_RUN = RunId("lm-1@0")
+
 HUGE = "9" * 400
 SERVICE = "lm"
 
@@ -197,7 +204,14 @@
         play.fleet.store.is_silent = True
         await anyio.sleep(seconds)
         play.fleet.store.is_silent = False
-        play.num_registered = sum("weirscale/nodes/" in key for key in play.fleet.store.items)
+        play.issuers = []
+        play.num_registered = []
+        until_s = anyio.current_time() + AFTER_OUTAGE_S
+        while anyio.current_time() < until_s:
+            for node in play.all_nodes():
+                play.issuers.append(frozenset(node.permit_issuers.issuers(LIMITED_RUN)))
+                play.num_registered.append(len(node.peers.members()))
+            await anyio.sleep(LOOK_INTERVAL_S)
 
     play.background.append(outage)
 
@@ -304,6 +318,21 @@
     assert most_in_window(arrived) <= most, most_in_window(arrived)
 
 
+@then('"{name}" gets at most {most:d} requests and health checks in all')
+def step_most_in_all(context, name, most):
+    back_end = context.play.play().back_ends[name]
+    num = len(back_end.arrivals) + len(back_end.probed_s)
+    assert num <= most, num
+
+
+@then('the same nodes issue permits for "{name}" all the while')
+def step_same_issuers(context, name):
+    play = context.play.play()
+    assert f"{name}@0" == LIMITED_RUN
+    assert min(play.num_registered) < len(play.all_nodes()), "no registration ended"
+    assert len(set(play.issuers)) == 1, set(play.issuers)
+
+
 @then('"{name}" gets at most {most:d} request within {within_s:g} seconds after that answer')
 def step_few_after(context, name, most, within_s):
     play = context.play.play()
--- a/features/steps/gateway_rest_steps.py
+++ b/features/steps/gateway_rest_steps.py
@@ -187,6 +187,11 @@
     context.rests.begin(RunId("lm-1@0"), notice.rest_s, 0.0)
 
 
+@when('a rest of "{rest}" seconds is asked for {later_s:g} second later')
+def step_once_more(context, rest, later_s):
+    context.rests.begin(RunId("lm-1@0"), float(rest), later_s)
+
+
 @then("the run has its rest from {from_s:g} to {to_s:g} seconds")
 def step_lasts(context, from_s, to_s):
     assert from_s <= context.rests.left_s(RunId("lm-1@0"), 0.0) <= to_s
--- a/features/steps/request_limit_rules_steps.py
+++ b/features/steps/request_limit_rules_steps.py
@@ -73,6 +73,23 @@
     context.fleet.play(seconds, asked_per_s, at_one_node=where == "at one node")
 
 
+@when("nobody asks them for {seconds:d} seconds")
+def step_quiet(context, seconds):
+    # The buckets are made by the first that asks.
+    context.fleet.play(1.0, 32.0)
+    context.fleet.play(seconds, 0.0)
+
+
+@when("callers of all nodes want permits for {seconds:d} seconds and do not use them")
+def step_unused(context, seconds):
+    context.fleet.play(seconds, 640.0, uses_permits=False)
+
+
+@when("all nodes send as many requests as they may")
+def step_all_at_once(context):
+    context.fleet.send_all()
+
+
 @when(
     "a third of their messages is lost, and callers ask them {asked_per_s:g} times a second for "
     "{seconds:d} seconds"
--- a/features/support/permit_fleet.py
+++ b/features/support/permit_fleet.py
@@ -65,15 +65,15 @@
         }
         self._arriving = []
 
-    def play(self, for_s, asked_per_s, at_one_node=False):
+    def play(self, for_s, asked_per_s, at_one_node=False, uses_permits=True):
         """Let callers ask for some time."""
         names = list(self._nodes)
-        for tick in range(int(for_s / TICK_S)):
-            self._now_s = tick * TICK_S
+        for _ in range(int(for_s / TICK_S)):
+            self._now_s += TICK_S
             self._deliver()
             for _ in range(self._num_asked(asked_per_s)):
                 name = names[0] if at_one_node else self._random.choice(names)
-                self._ask(self._nodes[name])
+                self._ask(self._nodes[name], uses_permits)
             for node in self._nodes.values():
                 for due in node.permits.due_queries():
                     self._send(due.issuer, due.query)
@@ -82,8 +82,14 @@
         expected = asked_per_s * TICK_S
         return int(expected) + (self._random.random() < expected % 1.0)
 
-    def _ask(self, node):
-        if node.permits.admits(RUN):
+    def send_all(self):
+        """Have each node send as many requests as it may, in one moment."""
+        for node in self._nodes.values():
+            while node.permits.admits(RUN):
+                self._ask(node)
+
+    def _ask(self, node, uses_permits=True):
+        if node.permits.admits(RUN) and uses_permits:
             node.permits.take(RUN)
             self.sent_s.append(self._now_s)
 
