Sight: a transport test's time-out tells whether its process stood still

Change: the runner of these tests watches its event loop and the collector, and notes both on the error. Result: behave features/transport_connections.feature: 29 passed; a loop held for 0.7 s is noted as 0.700 s.

--- a/features/steps/transport_connections_steps.py
+++ b/features/steps/transport_connections_steps.py
@@ -5,6 +5,7 @@
 import httpx
 from behave import given, then, when
 
+from features.support.loop_watch import LoopWatch
 from features.support.loopback import free_address
 from features.support.scripted_server import ScriptedServer, in_chunks, with_length
 from weirscale.ports.h11_transport import H11Transport
@@ -19,6 +20,7 @@
 
 def run(script, does=None, **transport):
     """Run `script(server, transport)` against a scripted server."""
+    watch = LoopWatch()
 
     async def main():
         server = ScriptedServer(does)
@@ -26,8 +28,12 @@
         with anyio.fail_after(FAIL_AFTER_S):
             async with anyio.create_task_group() as tasks:
                 await tasks.start(server.run)
+                tasks.start_soon(watch.run)
                 try:
                     return await script(server, made)
+                except httpx.HTTPError as error:
+                    error.add_note(str(watch))
+                    raise
                 finally:
                     await made.aclose()
                     tasks.cancel_scope.cancel()
