--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -189,6 +189,27 @@
       | 60000  | 60000  | 503    |
       | 60000  | 1000   | 503    |
 
+  # A caller got the beginning of an answer, and its connection was closed 1.35 s before its time was over.
+  # Order of events: the first engine's stream ended after 1 s; the second one was asked 2 ms later,
+  # held the request for 2 s and refused it unrun; the route allows two attempts, and both were used.
+  # Cause: a refusal that proves that nothing ran counted as an attempt like one that ran, also for an
+  # answer that has begun and that cannot be refused any more.
+  # Evidence: the line of the request: `200 cut`, `refused_503`, `max_attempts`, with time left.
+  Scenario Outline: A stream that has begun goes on after a refusal
+    Given two back ends of which those asked do "<faults>"
+    When a resumable request is sent
+    Then the caller gets "<answer>"
+    And the request has run <runs> times
+
+    Examples: a route of two attempts; at most three refusals count as none
+      | faults                                 | answer | runs |
+      | break, refuse                          | stream | 2    |
+      | break, refuse, refuse, refuse          | stream | 2    |
+      | break, refuse, refuse, refuse, refuse  | cut    | 1    |
+      | break, refuse, break                   | cut    | 2    |
+      | break, break                           | cut    | 2    |
+      | refuse, break                          | stream | 2    |
+
   # A node spent its processor on one request: a back end had failed it and then ended, and nobody else
   # was left; the node tried to connect some thousand times a second until the request's time was over.
   # Cause: an attempt that reaches nobody costs nothing and is followed at once; with nobody else left,
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -42,6 +42,11 @@
     prepare(context, [fault])
 
 
+@given('two back ends of which those asked do "{faults}"')
+def step_faults(context, faults):
+    prepare(context, faults.split(", "))
+
+
 @given("two back ends that fail each request")
 def step_all_fail(context):
     prepare(context, ["error"] * 1000)
