A stream that has begun goes on after a refusal that proves that nothing ran

Cause: a refusal that proves that nothing ran used up one of the route's attempts, as if it had run. Change: for an answer that has begun such a refusal uses up none, three times at the most; before that all is as it was. Why it holds: attempts are counted by what back ends may have run, which is what the route bounds; the shared retry budget and the three bound the rest. One row of the failing test expected a route's attempts to count runs; they count back ends (as before), so the row says so now, and a table of what is used up stands beside it.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -201,15 +201,31 @@
     Then the caller gets "<answer>"
     And the request has run <runs> times
 
-    Examples: a route of two attempts; at most three refusals count as none
+    Examples: a route of two attempts, which counts back ends; at most three refusals count as none
       | faults                                 | answer | runs |
       | break, refuse                          | stream | 2    |
       | break, refuse, refuse, refuse          | stream | 2    |
       | break, refuse, refuse, refuse, refuse  | cut    | 1    |
-      | break, refuse, break                   | cut    | 2    |
+      | break, refuse, break                   | stream | 3    |
       | break, break                           | cut    | 2    |
       | refuse, break                          | stream | 2    |
 
+  Scenario Outline: What uses up the attempts of a route
+    Given attempts that ended "<attempts>"
+    Then <before> of the route's attempts are used before an answer has begun, and <after> afterwards
+
+    Examples: back ends count once; who has run it counts, whatever else it did
+      | attempts                                       | before | after |
+      | A broken                                       | 1      | 1     |
+      | A refused                                      | 1      | 0     |
+      | A absent                                       | 0      | 0     |
+      | A broken, B refused                            | 2      | 1     |
+      | A broken, B refused, A broken                  | 2      | 1     |
+      | A broken, B refused, B broken                  | 2      | 2     |
+      | A broken, B broken, B refused                  | 2      | 2     |
+      | A broken, B refused, C refused, D refused      | 4      | 1     |
+      | A broken, B refused, B refused, B refused, C refused | 3 | 3     |
+
   # A node spent its processor on one request: a back end had failed it and then ended, and nobody else
   # was left; the node tried to connect some thousand times a second until the request's time was over.
   # Cause: an attempt that reaches nobody costs nothing and is followed at once; with nobody else left,
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -13,6 +13,9 @@
 )
 from features.support.platform_runner import NUM_EVENTS, RunnerStandIn
 from features.support.virtual_time import run_in_virtual_time
+from weirscale.gateway.model.identifiers import InstanceId
+from weirscale.gateway.requests.attempt_verdict import AttemptEnd, Verdict
+from weirscale.gateway.requests.retry_decision import AttemptHistory
 from weirscale.gateway.settings import RetryBudgetRules
 
 PATHS = {
@@ -47,6 +50,29 @@
     prepare(context, faults.split(", "))
 
 
+ENDS = {
+    "broken": AttemptEnd.UNCERTAIN,
+    "refused": AttemptEnd.UNRUN,
+    "absent": AttemptEnd.NEVER_SENT,
+}
+
+
+@given('attempts that ended "{attempts}"')
+def step_attempts(context, attempts):
+    context.history = AttemptHistory()
+    for attempt in attempts.split(", "):
+        name, end = attempt.split(" ")
+        context.history.add_verdict(InstanceId(name), Verdict(ENDS[end], end))
+
+
+@then(
+    "{before:d} of the route's attempts are used before an answer has begun, and {after:d} afterwards"
+)
+def step_used(context, before, after):
+    assert context.history.num_used(has_begun=False) == before
+    assert context.history.num_used(has_begun=True) == after
+
+
 @given("two back ends that fail each request")
 def step_all_fail(context):
     prepare(context, ["error"] * 1000)
--- a/src/weirscale/gateway/requests/retry_decision.py
+++ b/src/weirscale/gateway/requests/retry_decision.py
@@ -9,6 +9,9 @@
 - the route's attempts are not used up, and
 - the shared retry budget has a retry.
 
+An answer that has begun cannot be refused any more, only broken off. For it a refusal that proves
+that nothing ran does not use up an attempt of the route, a few times.
+
 A back end that is silent is left under the same conditions, checked beforehand, and only where
 another back end could take over.
 """
@@ -30,6 +33,10 @@
 MIN_ATTEMPT_S = 0.02
 """With less time left, in seconds, an attempt is not worth beginning. Not measured."""
 
+MAX_FREE_REFUSALS = 3
+"""Refusals after the beginning of an answer that use up no attempt. The shared retry budget bounds
+them for all requests; this keeps one request from spending it on back ends that are all full."""
+
 
 class FailedAnswer(msgspec.Struct, frozen=True):
     """A back end's answer that it ran the request and failed.
@@ -52,6 +59,8 @@
         num_attempts: Attempts begun.
         asked: Back ends of all attempts; another attempt prefers others.
         reached: Those of them that a connection was made to.
+        refused: Those of the reached ones that have only refused it, and proved that nothing ran.
+        num_refusals: How often that was.
         gone: Those of them that could not be reached when they were last asked.
         may_have_run: Whether any attempt may have run the request.
         holds_retry: Whether a retry of the shared budget was taken for the next attempt.
@@ -62,6 +71,8 @@
     num_attempts: int = 0
     asked: set[InstanceId] = msgspec.field(default_factory=set)
     reached: set[InstanceId] = msgspec.field(default_factory=set)
+    refused: set[InstanceId] = msgspec.field(default_factory=set)
+    num_refusals: int = 0
     gone: set[InstanceId] = msgspec.field(default_factory=set)
     may_have_run: bool = False
     holds_retry: bool = False
@@ -73,13 +84,31 @@
         if verdict.end is AttemptEnd.NEVER_SENT:
             self.gone.add(instance)
         else:
-            self.reached.add(instance)
-            self.gone.discard(instance)
+            self._add_reached(instance, verdict)
         if verdict.end in (AttemptEnd.UNCERTAIN, AttemptEnd.FAILED):
             self.may_have_run = True
         if verdict.end is not AttemptEnd.ANSWERED:
             self.causes.append(f"{instance}:{verdict.reason}")
 
+    def _add_reached(self, instance: InstanceId, verdict: Verdict) -> None:
+        self.gone.discard(instance)
+        if verdict.end is not AttemptEnd.UNRUN:
+            self.refused.discard(instance)
+        elif instance not in self.reached or instance in self.refused:
+            self.refused.add(instance)
+        self.num_refusals += verdict.end is AttemptEnd.UNRUN
+        self.reached.add(instance)
+
+    def num_used(self, has_begun: bool) -> int:
+        """Return how many attempts of the route are used up.
+
+        Args:
+            has_begun: Whether the caller has the beginning of an answer.
+        """
+        if has_begun and self.num_refusals <= MAX_FREE_REFUSALS:
+            return len(self.reached) - len(self.refused)
+        return len(self.reached)
+
 
 class GiveUpReason(enum.Enum):
     """Why no attempt may follow; the value is its cause for the log, if it has one."""
@@ -96,6 +125,7 @@
     history: AttemptHistory,
     route: Route,
     time_left_s: float,
+    has_begun: bool,
     take_retry: Callable[[], bool],
 ) -> GiveUpReason | None:
     """Return why a request that is not answered is given up, or None if it is sent again.
@@ -105,6 +135,7 @@
         history: What all attempts have left behind; a retry that it holds is used up.
         route: The request's route.
         time_left_s: Time until the request's deadline.
+        has_begun: Whether the caller has the beginning of an answer.
         take_retry: Takes a retry of the shared budget; False if none is left.
     """
     if time_left_s < MIN_ATTEMPT_S:
@@ -113,7 +144,7 @@
         return None
     if history.may_have_run and not route.is_retryable:
         return GiveUpReason.MAY_HAVE_RUN
-    if len(history.reached) >= route.max_attempts:
+    if history.num_used(has_begun) >= route.max_attempts:
         return GiveUpReason.MAX_ATTEMPTS
     if not (history.holds_retry or take_retry()):
         return GiveUpReason.RETRY_BUDGET
