--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -37,6 +37,12 @@
         self.is_deaf = False
         self.next_lease = 100
         self.num_cuts = 0
+        self.era = 0
+        """How often it has come back from a copy; named in its answers from the first time on."""
+        self.copy = None
+        self.late_answers = []
+        """Paths of calls whose next answer is kept back until `hand_out` is called, in order."""
+        self.handed_out = anyio.Event()
 
     # What tests do directly, as the operator or a runner.
 
@@ -61,6 +67,25 @@
         self.num_cuts += 1
         self._wake()
 
+    def take_copy(self):
+        """Copy all items; what hangs on a lease is not in it."""
+        kept = {key: item for key, item in self.items.items() if not item["lease"]}
+        self.copy = (kept, self.revision)
+
+    def restore(self):
+        """Come back from the copy: what was written since is gone, and so are all leases."""
+        kept, self.revision = self.copy
+        self.items = dict(kept)
+        self.leases.clear()
+        self.era += 1
+        self.compact()
+        self.cut_watches()
+
+    def hand_out(self):
+        """Give the answers that were kept back."""
+        handed_out, self.handed_out = self.handed_out, anyio.Event()
+        handed_out.set()
+
     def _change(self, key, raw, lease):
         self.revision += 1
         made = self.items[key]["made"] if key in self.items else self.revision
@@ -104,7 +129,13 @@
             raise httpx.ConnectError("refused")
         await anyio.sleep(0.004 + self.jitter_s * self.random.random())
         self._expire()
-        return await self._answer(request, path, body)
+        response = await self._answer(request, path, body)
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
+        if path in self.late_answers:
+            self.late_answers.remove(path)
+            await self.handed_out.wait()
+        return response
 
     async def _answer(self, request, path, body):
         if path == "/v1/kv-range":
@@ -131,7 +162,7 @@
             while True:
                 if self.num_cuts != num_cuts:
                     raise httpx.ReadError("connection reset")
-                if after < self.oldest:
+                if after < self.oldest or after > self.revision:
                     return reply(410, {})
                 prefix = parameters["path_prefix"]
                 events = [
