A store that comes back from a copy: positions order its history, what it lost counts on, nobody orders for a while

What callers saw: see the story in the feature: changes after a copy were in force nowhere, while nodes took themselves for current. Cause: revisions, which are given out again, ordered everything. Change: a revision is a position, the era (from the store's answers) above the revision in one number, decoded once in the adapter; answers of an earlier era count as none; watches, conditions and leases of another era end. What the first reading of a new era lacks counts on: back ends as lapsed, orders of rollouts and the nodes' own records for 6 s; quarantine records are written again; the order fence is written by nobody for 6 s, and by a node that starts later without that wait once the record weirscale/settled_era names the era. Why it holds: positions rise across copies, so that each comparison, token and condition of before goes on as it was.

--- a/features/architecture_layers.feature
+++ b/features/architecture_layers.feature
@@ -47,6 +47,10 @@
     Given the modules of the gateway and of its adapter
     Then no module has over 350 lines, no function over 50 and no constructor over 10 arguments
 
+  Scenario: Each mutation changes one place of the code as it is
+    Given the table of mutations
+    Then what each replaces stands once in its file, and its features are there
+
   Scenario Outline: Rules do no input or output and read no clock
     Given the modules of "weirscale.domain"
     When all their imports are listed
--- a/features/gateway_store_restored.feature
+++ b/features/gateway_store_restored.feature
@@ -73,6 +73,33 @@
     And all other nodes are cut off from it, a node starts, and weights 3 are named at once
     Then no two nodes order within 3 seconds
 
+  Scenario: Whatever the copy lacks, nobody may order before the last orders are settled
+    Given 3 nodes before a store of which a copy was taken
+    When 5 changes later the store comes back from the copy
+    And a node asks all the while whether it may order
+    Then it may from 5.5 to 7.5 seconds after the copy on, and others that ask then at once
+
+  Scenario: A node that starts later orders as soon as ever
+    Given 3 nodes before a store of which a copy was taken
+    When weights 2 are named and ordered, and the store comes back from the copy
+    And weights 3 are named at once
+    And all other nodes are killed, a node starts, and weights 4 are named at once
+    Then the first order of weights 4 comes within 5.5 seconds of that
+    And no order has a lower fencing token than the one before it
+
+  Scenario Outline: An order to move traffic that the store lost counts on for a while
+    Given a node that knows an order to move traffic to "v2"
+    When the store comes back from a copy without it
+    And <later_s> seconds later <what>
+    Then the order to move traffic <stands>
+
+    Examples:
+      | later_s | what                | stands         |
+      | 5       | nothing has come    | still stands   |
+      | 6.1     | nothing has come    | is withdrawn   |
+      | 3       | it is written again | still stands   |
+      | 7       | it is written again | stands again   |
+
   Scenario: A request in quarantine stays there, and its record is written again
     Given 3 nodes before a store of which a copy was taken
     When a request is quarantined, and the store comes back from the copy
@@ -102,6 +129,7 @@
     When a key is written, the store comes back from the copy, and the key has the same revision again
     And <seen> the client <does>
     Then <outcome>
+    And where it had seen the copy, it knows at once and changes nothing in the store
 
     Examples:
       | seen                          | does                            | outcome                          |
--- a/features/steps/architecture_layers_steps.py
+++ b/features/steps/architecture_layers_steps.py
@@ -1,5 +1,6 @@
 import ast
 import functools
+import tomllib
 from pathlib import Path
 
 from behave import given, then, when
@@ -135,3 +136,20 @@
             if is_long or is_wide:
                 found.append(f"{module}:{function.lineno} {function.name}")
     assert not found, found
+
+
+@given("the table of mutations")
+def step_mutations(context):
+    context.mutations = tomllib.loads((Path("bench") / "mutations.toml").read_text())["mutation"]
+
+
+@then("what each replaces stands once in its file, and its features are there")
+def step_mutations_stand(context):
+    stale = [
+        f"{one['rule']}: {one['find']}"
+        for one in context.mutations
+        if not Path(one["file"]).exists()
+        or Path(one["file"]).read_text().count(one["find"]) != 1
+        or any(not Path("features", f"{name}.feature").exists() for name in one["features"])
+    ]
+    assert not stale, stale
--- a/features/steps/gateway_store_restored_steps.py
+++ b/features/steps/gateway_store_restored_steps.py
@@ -7,12 +7,16 @@
 from behave import given, then, when
 from result import Err, Ok
 
-from features.support.platform_fleet import MODEL, STORE_ADDRESS
+from features.support.platform_fleet import MODEL, STORE_ADDRESS, EventRecorder
 from features.support.platform_store import StoreStandIn, reply
 from features.support.restored_store import RestoredStore, keyed_configuration
 from features.support.virtual_time import run_in_virtual_time
+from weirscale.domain.identifiers import ServiceName, SoftwareVersion
 from weirscale.gateway.model.identifiers import RunId
+from weirscale.gateway.model.store_positions import StoreEra, position
+from weirscale.gateway.ports.state_feed import RolloutOrdered, StateBatch, VersionedChange
 from weirscale.gateway.quarantine.fingerprint import read_fingerprint
+from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale.ports.key_value import KeyValueFailureKind
 from weirscale_platform.key_value import KeyValueAdapter
 from weirscale_platform.state_feed import StateFeedAdapter
@@ -21,6 +25,8 @@
 FINGERPRINT = read_fingerprint("0123456789abcdef0123456789abcdef")
 GAP_S = 3.0
 AFTER_ORDER_S = 0.3
+FENCE_LIFE_S = 8.0
+"""Within which the record of a node that orders no more is gone."""
 LATE_CALLS = {"reading": "/v1/kv-range", "revision": "/v1/kv-range", "change": "/v1/kv-txn"}
 
 
@@ -185,6 +191,102 @@
     play.actions.append(act)
 
 
+@when("a node asks all the while whether it may order")
+def step_may_order(context):
+    play = context.play
+
+    async def act():
+        first, second, _ = play.fleet.nodes.values()
+        while not await first.order_fence.acquire():  # noqa: ASYNC110 - the fence tells nobody
+            await anyio.sleep(0.1)
+        play.first_may_s = anyio.current_time() - play.restored_s
+        # The second one finds the record of the first; that is gone once it is not renewed.
+        await anyio.sleep(FENCE_LIFE_S)
+        assert second.order_fence.is_settled()
+        assert await second.order_fence.acquire()
+
+    play.actions.append(act)
+
+
+@then(
+    "it may from {from_s:g} to {to_s:g} seconds after the copy on, and others that ask then at once"
+)
+def step_may_from(context, from_s, to_s):
+    play = context.play.play()
+    assert from_s <= play.first_may_s <= to_s, play.first_may_s
+
+
+@when("all other nodes are killed, a node starts, and weights 4 are named at once")
+def step_killed(context):
+    play = context.play
+
+    async def act():
+        for name in list(play.fleet.nodes):
+            play.fleet.kill(name)
+        await play.fleet.start_node("node-9", is_first_start=False)
+        name_weights(play, 4)
+        play.written_s = anyio.current_time()
+        await anyio.sleep(12.0)
+
+    play.actions.append(act)
+
+
+@then("the first order of weights 4 comes within {within_s:g} seconds of that")
+def step_first_order(context, within_s):
+    play = context.play.play()
+    at_s = next(at_s for at_s, order in play.orders() if order["version"] == 4)
+    assert at_s - play.written_s <= within_s, at_s - play.written_s
+
+
+ORDER_KEY = "op/rollout/lm"
+
+
+class OneClusterState:
+    """A node's state, and its clock."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.cluster = ClusterState(EventRecorder(), lambda: self.now_s)
+
+    def read(self, revision, *changes):
+        """Take over a reading of everything."""
+        self.cluster.replace_all(StateBatch(revision, changes), self.now_s)
+
+
+def traffic_order(revision):
+    change = RolloutOrdered(ServiceName("lm"), SoftwareVersion("v2"), 60.0)
+    return VersionedChange(ORDER_KEY, revision, change)
+
+
+@given('a node that knows an order to move traffic to "v2"')
+def step_traffic_order(context):
+    context.world = OneClusterState()
+    context.world.read(7, traffic_order(7))
+
+
+@when("the store comes back from a copy without it")
+def step_without_it(context):
+    context.world.read(position(StoreEra(1), 3))
+
+
+@when("{later_s:g} seconds later {what}")
+def step_later(context, later_s, what):
+    world = context.world
+    world.now_s += later_s
+    world.cluster.forget_lost()
+    if what == "it is written again":
+        revision = position(StoreEra(1), 4)
+        world.cluster.apply(StateBatch(revision, (traffic_order(revision),)), world.now_s)
+        world.now_s += 10.0
+        world.cluster.forget_lost()
+
+
+@then("the order to move traffic {stands}")
+def step_stands(context, stands):
+    order = context.world.cluster.rollouts.orders.get(ServiceName("lm"))
+    assert (order is None) == (stands == "is withdrawn"), order
+
+
 @when("a request is quarantined, and the store comes back from the copy")
 def step_quarantine(context):
     play = context.play
@@ -419,11 +521,26 @@
             "watches from its revision": lambda: one.feed.follow(known, 0.5),
             "renews its lease": lambda: one.keys.keep_lease_alive(lease),
         }
+        one.has_seen = has_seen
+        one.num_calls = len(one.store.calls)
+        lease_ends_s, began_s = one.store.leases[lease], anyio.current_time()
         one.outcome = await actions[does]()
+        one.took_s = anyio.current_time() - began_s
+        one.keeps_lease = one.store.leases[lease] == lease_ends_s
 
     one.run(script)
 
 
+@then("where it had seen the copy, it knows at once and changes nothing in the store")
+def step_nothing_changed(context):
+    one = context.client
+    if one.has_seen:
+        assert one.took_s < 0.1, one.took_s
+        assert one.keeps_lease
+        paths = [path for _, path in one.store.calls[one.num_calls :]]
+        assert "/v1/kv-txn" not in paths, paths
+
+
 @then("the key is as it was")
 def step_as_it_was(context):
     outcome = context.client.outcome
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -217,10 +217,10 @@
         self._lease = new_holder_lease(
             name, bounds.min_lease_s, store, self.cluster, self.peers, self._random, clock
         )
-        self._order_fence = OrderFence(name, store, self.cluster, bounds.lease_s, clock)
+        self.order_fence = OrderFence(name, store, self.cluster, bounds.lease_s, clock)
         term = HolderTerm(name, self._lease, log)
         loader = EngineLoader(
-            OrderSender(term, self._order_fence, log), self.cluster, self._ports.port_of,
+            OrderSender(term, self.order_fence, log), self.cluster, self._ports.port_of,
             self._announce_loading, self._num_requests, self.health, clock,
         )  # fmt: skip
         self._weights_rollout = WeightsRolloutTask(
@@ -274,7 +274,7 @@
         self.dispatcher.set_weights_grace(bounds.weights_s - START_MARGIN_S)
         self.canary_traffic.set_limits(bounds.canary)
         self._weights_rollout.set_rules(load_rules(bounds.weights_s))
-        self._order_fence.set_least_gap(bounds.lease_s)
+        self.order_fence.set_least_gap(bounds.lease_s)
 
     def is_ready(self) -> bool:
         """Whether new connections are welcome: a configuration is known, and none is closed."""
--- a/src/weirscale/gateway/quarantine/keeper.py
+++ b/src/weirscale/gateway/quarantine/keeper.py
@@ -179,3 +179,6 @@
         for fingerprint in changes.gone:
             if fingerprint in self._until_s:
                 self._end(fingerprint, "record_gone")
+        for fingerprint in changes.lost:
+            if fingerprint in self._until_s:
+                self._records.write_after(fingerprint, self._delay_s())
--- a/src/weirscale/gateway/quarantine/record.py
+++ b/src/weirscale/gateway/quarantine/record.py
@@ -1,6 +1,6 @@
 """The records of quarantines in the store, which outlive the nodes that know of the crashes."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 from result import Err
@@ -42,15 +42,22 @@
     Attributes:
         added: Requests that have a record now.
         gone: Requests that have none any more: its time is over, or it was deleted.
+        lost: Requests whose record the store lost as it came back from a copy.
     """
 
     added: frozenset[RequestFingerprint] = frozenset()
     gone: frozenset[RequestFingerprint] = frozenset()
+    lost: frozenset[RequestFingerprint] = frozenset()
 
 
 NO_CHANGES = RecordChanges()
 
 
+def _requests(keys: Iterable[str]) -> frozenset[RequestFingerprint]:
+    found = (read_quarantine_key(key) for key in keys)
+    return frozenset(one for one in found if one is not None)
+
+
 class QuarantineRecords:
     """Reads, writes and deletes the records.
 
@@ -78,11 +85,12 @@
         if self._num_changes_seen == self._cluster.records.num_changes:
             return NO_CHANGES
         self._num_changes_seen = self._cluster.records.num_changes
-        keys = (
-            read_quarantine_key(key) for key, _ in self._cluster.records.under(QUARANTINE_PREFIX)
-        )
-        before, self._recorded = self._recorded, frozenset(one for one in keys if one is not None)
-        changes = RecordChanges(self._recorded - before, before - self._recorded)
+        records = self._cluster.records
+        keys = [key for key, _ in records.under(QUARANTINE_PREFIX)]
+        lost = _requests(key for key in keys if records.is_lost(key))
+        before, self._recorded = self._recorded, _requests(keys) - lost
+        gone = before - self._recorded
+        changes = RecordChanges(self._recorded - before, gone - lost, gone & lost)
         for fingerprint in changes.added:
             self.cancel_write(fingerprint)
         return changes
--- a/src/weirscale/gateway/replication/follower.py
+++ b/src/weirscale/gateway/replication/follower.py
@@ -10,6 +10,7 @@
 import anyio
 from result import Err, Result
 
+from weirscale.gateway.model.store_positions import era_of
 from weirscale.gateway.ports.state_feed import StateBatch, StateFeed
 from weirscale.gateway.replication.publisher import ChangePublisher
 from weirscale.gateway.replication.subscription import StateSubscription
@@ -171,6 +172,11 @@
             # The watch may not notice by itself that its connection is dead.
             self._watch_scope.cancel()
             return
+        if era_of(self._cluster.revision) < era_of(read.ok_value):
+            # The watch can bring nothing of a store that came back from a copy.
+            self._must_read_all = True
+            self._watch_scope.cancel()
+            return
         if self._cluster.revision < read.ok_value:
             await anyio.sleep(LATE_CHANGE_S)
         if self._cluster.revision < read.ok_value:
--- a/src/weirscale/gateway/routing/back_end_upkeep.py
+++ b/src/weirscale/gateway/routing/back_end_upkeep.py
@@ -53,6 +53,7 @@
             while True:
                 await sleep_to_tick(INTERVAL_S)
                 self._cluster.back_ends.forget_lapsed()
+                self._cluster.forget_lost()
                 self._ports.close_unused(tasks)
                 for instance in self._health.to_probe(self._clock()):
                     tasks.start_soon(self._probe, instance)
--- a/src/weirscale/gateway/state/back_end_registry.py
+++ b/src/weirscale/gateway/state/back_end_registry.py
@@ -14,8 +14,10 @@
     LeavingSource,
 )
 from weirscale.gateway.model.identifiers import Address, InstanceId, RunId
+from weirscale.gateway.model.store_positions import era_of
 from weirscale.gateway.state.address_claims import AddressClaims, Claim, Standing
 from weirscale.gateway.state.engine_versions import EngineVersions
+from weirscale.gateway.state.lapsed_back_ends import LAPSED_KEPT_S, LapsedBackEnds
 from weirscale.gateway.state.leaving_runs import LeavingRuns
 from weirscale.gateway.state.store_outages import StoreOutageDetector
 from weirscale.ports.event_log import EventLog
@@ -24,15 +26,6 @@
 """Seconds after its first registration from which a service version counts as proved, so that a
 rollout to it needs no canary. Not measured."""
 
-LAPSE_S = 2.0
-"""Seconds after an outage of the store within which the end of a registration is taken for a lapse:
-the back end could not renew it. Not measured."""
-
-LAPSED_KEPT_S = 1.7
-"""Seconds for which a lapsed back end is still used. Those that live register again within some two
-seconds of the store's return; one that is gone must get no new work two seconds after its
-registration ended, and the rest is for a change's way to this node. Not measured."""
-
 
 class OwnerProof(enum.Enum):
     """What decided who is taken for the process at an address, for the log."""
@@ -84,11 +77,10 @@
     ) -> None:
         self._directory = directory
         self._engine_versions = engine_versions
-        self._store_outages = store_outages
         self._event_log = event_log
         self._clock = clock
         self._claims = AddressClaims()
-        self._lapsed_until_s: dict[InstanceId, float] = {}
+        self._lapsed = LapsedBackEnds(store_outages, clock)
         self._leaving = LeavingRuns()
         self._first_seen_s: dict[tuple[ServiceName, SoftwareVersion], float] = {}
         """When this node first saw a service version: how long those have been there that it finds
@@ -104,6 +96,8 @@
     def register(self, key: str, back_end: BackEnd, revision: int) -> None:
         """Take over a registration under a key of the store, as written at a revision."""
         earlier = self._claims.get(back_end.instance)
+        if earlier is not None and _is_taken_back(earlier, back_end, revision):
+            self._leaving.add(back_end.run_id)
         self._claims.put(key, back_end, revision)
         self._first_seen_s.setdefault((back_end.service, back_end.software), self._clock())
         if earlier is not None and earlier.back_end.address != back_end.address:
@@ -129,7 +123,7 @@
         listed = self._directory.at(address)
         owner = self._claims.owner(address)
         if listed is not None and (owner is None or owner.back_end.instance != listed.instance):
-            if owner is None and listed.instance in self._lapsed_until_s:
+            if owner is None and listed.instance in self._lapsed:
                 return
             self._displace(listed, None if owner is None else owner.back_end, proof)
         if owner is not None:
@@ -141,7 +135,7 @@
         if back_end.run_id in self._leaving:
             back_end = _leaving(back_end)
         known = self._directory.get(back_end.instance)
-        self._lapsed_until_s.pop(back_end.instance, None)
+        self._lapsed.discard(back_end.instance)
         self._directory.put(back_end)
         for served in back_end.models:
             self._engine_versions.learn(
@@ -235,7 +229,7 @@
             self._claims.end(instance)
             self._log_gone(claim.back_end)
             return
-        if self._may_have_lapsed(known):
+        if self._lapsed.may_include(known):
             self._claims.lapse(instance)
             if self._claims.owner(known.address) is None:
                 self._keep_lapsed(known)
@@ -252,35 +246,51 @@
             if claim.key not in keys:
                 self.end(claim.back_end.instance)
 
-    def _may_have_lapsed(self, back_end: BackEnd) -> bool:
-        return back_end.state is BackEndState.READY and self._outage_age_s() <= LAPSE_S
+    def lapse_missing(self, keys: Collection[str]) -> list[InstanceId]:
+        """Take the registrations that a store lost as it came back from a copy for lapsed.
 
-    def _outage_age_s(self) -> float:
-        now_s = self._clock()
-        return now_s - self._store_outages.outage_ended_s(now_s)
+        Back ends that live register again as after an outage.
+
+        Args:
+            keys: Keys of a reading of everything.
+
+        Returns:
+            Who has lapsed.
+        """
+        lapsed: list[InstanceId] = []
+        for claim in self._claims.all():
+            known = self._directory.get(claim.back_end.instance)
+            if claim.key in keys:
+                continue
+            if known is None or known.state is not BackEndState.READY:
+                self.end(claim.back_end.instance)
+                continue
+            self._claims.lapse(known.instance)
+            if self._claims.owner(known.address) is None:
+                self._keep_lapsed(known)
+                lapsed.append(known.instance)
+        return lapsed
 
     def _keep_lapsed(self, back_end: BackEnd) -> None:
         lapsed = msgspec.structs.replace(back_end, state=BackEndState.LAPSED)
         self._directory.put(lapsed)
-        self._lapsed_until_s[back_end.instance] = self._clock() + LAPSED_KEPT_S
+        self._lapsed.add(back_end.instance)
         self._event_log.event(
             "back_end_lapsed", instance=back_end.instance, address=back_end.address,
-            outage_age_s=self._outage_age_s(), kept_s=LAPSED_KEPT_S,
+            outage_age_s=self._lapsed.outage_age_s(), kept_s=LAPSED_KEPT_S,
         )  # fmt: skip
 
     def forget_lapsed(self) -> None:
         """Forget the lapsed back ends that have not registered again in time."""
-        now_s = self._clock()
-        for instance, until_s in list(self._lapsed_until_s.items()):
-            if until_s <= now_s:
-                known = self._directory.get(instance)
-                if known is not None:
-                    self._remove(known)
-                    self._log_gone(known)
+        for instance in self._lapsed.overdue():
+            known = self._directory.get(instance)
+            if known is not None:
+                self._remove(known)
+                self._log_gone(known)
 
     def _remove(self, back_end: BackEnd) -> None:
         """Take a back end out of use: all that is kept of it elsewhere goes."""
-        self._lapsed_until_s.pop(back_end.instance, None)
+        self._lapsed.discard(back_end.instance)
         self._directory.remove(back_end.instance)
         self._engine_versions.forget(back_end.instance)
         for observer in self._observers:
@@ -291,8 +301,7 @@
 
     def ready(self, service: ServiceName) -> list[BackEnd]:
         """Return the back ends of a service that take new work."""
-        if self._lapsed_until_s:
-            self.forget_lapsed()
+        self.forget_lapsed()
         return [
             back_end
             for back_end in self._directory.of_service(service)
@@ -311,6 +320,16 @@
         return since_s is not None and self._clock() - since_s >= ESTABLISHED_S
 
 
+def _is_taken_back(earlier: Claim, back_end: BackEnd, revision: int) -> bool:
+    """Whether a run that leaves is ready again only because the store came back from a copy."""
+    return (
+        earlier.back_end.state is BackEndState.LEAVING
+        and back_end.state is BackEndState.READY
+        and earlier.back_end.run_id == back_end.run_id
+        and era_of(revision) > era_of(earlier.first_revision)
+    )
+
+
 def _name_of(back_end: BackEnd | None) -> str:
     """Return the instance of a back end, empty for none."""
     return "" if back_end is None else back_end.instance
--- a/src/weirscale/gateway/state/cluster_state.py
+++ b/src/weirscale/gateway/state/cluster_state.py
@@ -8,7 +8,7 @@
 dropped, whichever way they arrive.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import singledispatchmethod
 
 import anyio
@@ -17,6 +17,7 @@
 from weirscale.gateway.model.back_ends import BackEndDirectory
 from weirscale.gateway.model.rollout_order import Epoch, RolloutOrder
 from weirscale.gateway.model.routes import RouteTable
+from weirscale.gateway.model.store_positions import StoreEra, era_of, revision_at
 from weirscale.gateway.ports.state_feed import (
     BackEndGone,
     BackEndRegistered,
@@ -40,6 +41,11 @@
 from weirscale.gateway.state.target_versions import TargetVersion, TargetVersions
 from weirscale.ports.event_log import EventLog
 
+LOST_KEPT_S = 6.0
+"""Seconds for which what the store lost as it came back from a copy counts on. Operators and back
+ends write again what they had written, and nodes what is theirs: registrations within their life of
+6 s. It is longer than what keeps the orders of two holders apart as well."""
+
 
 class ClusterState:
     """The platform's state as this node knows it.
@@ -62,6 +68,7 @@
         store_outages: When the store was away for all nodes.
         has_read_all: Whether everything has been read once.
         target_changed_at_s: When this node last learnt of a new target version.
+        lacks_until_s: Until when it may lack what the store lost as it came back from a copy.
     """
 
     def __init__(self, event_log: EventLog, clock: Callable[[], float]) -> None:
@@ -85,6 +92,8 @@
         self.revision = 0
         self.confirmed_at_s = NEVER_S
         self.target_changed_at_s = NEVER_S
+        self.lacks_until_s = NEVER_S
+        self._lost_orders: set[str] = set()
         self.has_read_all = False
 
     def observe_table(self, observer: Callable[[RouteTable], None]) -> None:
@@ -111,15 +120,52 @@
             asked_at_s: When the store was asked.
         """
         present = {change.key for change in batch.changes}
-        self.back_ends.end_missing(present)
-        for key in [key for key in self.rollouts.order_keys() if key not in present]:
-            self._withdraw_rollout(key)
-        self.records.remove_missing(present)
+        if era_of(batch.revision) > self.era():
+            self._lose_missing(batch, present)
+        else:
+            self._remove_missing(present)
         self.log.begin(batch.revision)
         self.apply(batch, asked_at_s)
         self.has_read_all = True
         self._first_read.set()
 
+    def _remove_missing(self, present: Collection[str]) -> None:
+        self.back_ends.end_missing(present)
+        for key in self._missing_orders(present):
+            self._withdraw_rollout(key)
+        self.records.remove_missing(present)
+
+    def _missing_orders(self, present: Collection[str]) -> list[str]:
+        return [key for key in self.rollouts.order_keys() if key not in present]
+
+    def _lose_missing(self, batch: StateBatch, present: Collection[str]) -> None:
+        """Keep for a while what a store that came back from a copy has lost.
+
+        It was not taken away: whoever wrote it writes it again. A node that finds such a store at
+        its start knows of nothing that was lost; it waits as long before it gives orders.
+        """
+        now_s = self._clock()
+        self.lacks_until_s = now_s + LOST_KEPT_S
+        if not self.has_read_all:
+            return
+        lapsed = self.back_ends.lapse_missing(present)
+        lost = self.records.lose_missing(present, self.lacks_until_s)
+        self._lost_orders.update(self._missing_orders(present))
+        self._event_log.event(
+            "store_restored", era=era_of(batch.revision), previous_era=self.era(),
+            revision=revision_at(batch.revision), previous_revision=revision_at(self.revision),
+            lost_back_ends=len(lapsed), lost_records=len(lost), lost_orders=len(self._lost_orders),
+        )  # fmt: skip
+
+    def forget_lost(self) -> None:
+        """Give up what the store lost and nobody has written again in time."""
+        now_s = self._clock()
+        self.records.forget_lost(now_s)
+        if self._lost_orders and now_s >= self.lacks_until_s:
+            for key in self._lost_orders:
+                self._withdraw_rollout(key)
+            self._lost_orders.clear()
+
     def apply(self, batch: StateBatch, asked_at_s: float) -> None:
         """Take over changes.
 
@@ -149,6 +195,10 @@
         """Return the proof age: how long ago this state was last proved current."""
         return self._clock() - self.confirmed_at_s
 
+    def era(self) -> StoreEra:
+        """Return how often the store has come back from a copy, as far as this node knows."""
+        return era_of(self.revision)
+
     def revision_of(self, key: str) -> int:
         """Return the revision of a key's last change, 0 if it is not known."""
         return self._revisions.get(key, 0)
@@ -220,6 +270,7 @@
             was_there=not is_live,
             served_before=is_live and self.back_ends.is_established(change.service, change.target),
         )
+        self._lost_orders.discard(versioned.key)
         self.rollouts.put_order(versioned.key, order)
         self._event_log.event(
             "rollout_ordered", service=order.service, target=order.target, epoch=order.epoch,
--- a/src/weirscale/gateway/weights/order_fence.py
+++ b/src/weirscale/gateway/weights/order_fence.py
@@ -3,6 +3,10 @@
 A holder renews the record before it sends orders, and the record outlives its last order by the
 least time between the orders of two holders. The next holder waits until the record is gone. Owns
 the record and its lease; relies on the store's leases and on `ClusterState` to see the record.
+
+A store that comes back from a copy has lost the record. So nobody orders until what was lost counts
+no more, by when the holder of before has stopped and its last order is old enough. Whoever orders
+first then writes that the store's era is settled: nodes that start later need not wait.
 """
 
 from collections.abc import Callable
@@ -10,6 +14,7 @@
 import anyio
 from result import Err
 
+from weirscale.gateway.model.store_positions import FIRST_ERA, StoreEra, era_of
 from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale.ports.key_value import KeyValueFailureKind, KeyValuePort
 
@@ -19,6 +24,9 @@
 
 FENCE_KEY = "weirscale/orders"
 
+SETTLED_KEY = "weirscale/settled_era"
+"""Names the last era of the store whose first orders were given as they should be."""
+
 
 class OrderFence:
     """Permits this node's orders while no other holder's can be under way.
@@ -76,14 +84,32 @@
         return self._is_renewed()
 
     async def _create(self) -> bool:
-        if FENCE_KEY in self._cluster.records:
+        if FENCE_KEY in self._cluster.records or self._may_be_lost():
             return False
         granted = await self._store.grant_lease(self._life_s)
         if isinstance(granted, Err):
             return False
         self._lease_id = granted.ok_value
         self._is_written = False
-        return await self._write()
+        is_written = await self._write()
+        if is_written and not self.is_settled():
+            await self._settle()
+        return is_written
+
+    def _may_be_lost(self) -> bool:
+        """Whether another holder's record may be one that the store has lost."""
+        return self._clock() < self._cluster.lacks_until_s and not self.is_settled()
+
+    def is_settled(self) -> bool:
+        """Whether the holders of all earlier eras have stopped."""
+        era = self._cluster.era()
+        return era == FIRST_ERA or self._cluster.records.get(SETTLED_KEY) == _settled_value(era)
+
+    async def _settle(self) -> None:
+        """Write that they have; without it nodes that start wait longer, and nothing else."""
+        records, value = self._cluster.records, _settled_value(self._cluster.era())
+        revision = self._cluster.revision_of(SETTLED_KEY) if SETTLED_KEY in records else 0
+        await self._store.compare_and_swap(SETTLED_KEY, revision, value)
 
     async def _keep_lease(self) -> bool:
         renewed = await self._store.keep_lease_alive(self._lease_id)
@@ -108,9 +134,17 @@
         swapped = await self._store.compare_and_swap(FENCE_KEY, 0, value, self._lease_id)
         if isinstance(swapped, Err):
             return False
+        if era_of(swapped.ok_value.revision) > self._cluster.era():
+            # The store came back from a copy, and this node has not seen what it lacks.
+            self._lease_id = 0
+            return False
         current = swapped.ok_value.current
         self._is_written = current is not None and current.value == value
         return self._is_written
 
     def _is_renewed(self) -> bool:
         return self._clock() - self._renewed_at_s <= RENEWAL_LIFE_S
+
+
+def _settled_value(era: StoreEra) -> bytes:
+    return str(era).encode()
