A foreign entry names no back end, and harms nothing beside it

Change: a registration must have all that each one has, in its form (service, address, zone, version, slots from 1, ready or draining, a whole non-negative start); any other is refused as a whole, told once, and its back end gets nothing new, as if the entry had ended; deep nesting ends no task. One row of platform_adapter.feature expected an entry without version and slots to be taken; it expects a whole one now, and the old one to be refused. Left: a start in the future, a counter, foreign entries under the nodes' own keys.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -65,7 +65,8 @@
       | op/config    | {                                                                  | Unreadable           |
       | op/version/m | {"model":"m","version":2}                                          | TargetVersionChanged |
       | op/version/m | {"model":"m"}                                                      | Unreadable           |
-      | servers/i-1  | {"service":"s","address":"10.0.0.1:1","zone":"z","state":"ready"}  | BackEndRegistered    |
+      | servers/i-1  | {"service":"s","address":"10.0.0.1:1","zone":"z","version":"v","slots":1,"state":"ready"} | BackEndRegistered |
+      | servers/i-1  | {"service":"s","address":"10.0.0.1:1","zone":"z","state":"ready"}  | Unreadable           |
       | servers/i-1  | {"service":"s"}                                                    | Unreadable           |
       | servers/i-1  | gone                                                               | BackEndGone          |
       | weirscale/x  | anything                                                           | RecordChanged        |
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -104,6 +104,7 @@
         born = {} if self.born_ms is None else {"born": self.born_ms}
         return born | {
             "service": self.service,
+            "version": "",
             "address": self.address,
             "zone": self.zone,
             "slots": 4,
--- a/src/weirscale/gateway/ports/state_feed.py
+++ b/src/weirscale/gateway/ports/state_feed.py
@@ -73,11 +73,19 @@
     value: bytes | None
 
 
-class Unreadable(msgspec.Struct, frozen=True, tag="Unreadable"):
-    """An entry that could not be parsed; the last good state stays."""
+class Unreadable(msgspec.Struct, frozen=True, tag="Unreadable", omit_defaults=True):
+    """An entry that could not be parsed: another writer's, or damaged.
+
+    Attributes:
+        key: Its key.
+        problem: What is wrong with it.
+        instance: The back end that registers under the key, which is used no more; None for any
+            other entry, whose last good state stays.
+    """
 
     key: str
     problem: str
+    instance: InstanceId | None = None
 
 
 StateChange = (
--- a/src/weirscale/gateway/state/cluster_state.py
+++ b/src/weirscale/gateway/state/cluster_state.py
@@ -299,9 +299,12 @@
 
     @_take.register
     def _take_unreadable(self, change: Unreadable, _: VersionedChange) -> None:
+        is_back_end = change.instance is not None
+        if change.instance is not None:
+            # Whoever stood there may have ended: as if its entry had, it gets nothing new.
+            self.back_ends.end(change.instance)
         self._event_log.event(
-            "state_unreadable",
-            key=change.key,
-            problem=change.problem,
-            remedy="mend the entry in the store; the last good state stays in force",
-        )
+            "state_unreadable", key=change.key, problem=change.problem,
+            remedy="mend the entry in the store; until then "
+            + ("nothing is sent there" if is_back_end else "the last good state stays in force"),
+        )  # fmt: skip
