--- a/src/weirscale/gateway/request_limits/permit_issuer.py
+++ b/src/weirscale/gateway/request_limits/permit_issuer.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 
 from weirscale.gateway.model.identifiers import RunId
+from weirscale.gateway.model.run_memory import RunMemory
 from weirscale.gateway.request_limits.issuers import PermitIssuers
 from weirscale.gateway.request_limits.permit_bucket import PermitBucket, PermitGrant
-from weirscale.gateway.request_limits.stated_limits import MAX_REMEMBERED_RUNS, StatedLimits
+from weirscale.gateway.request_limits.stated_limits import StatedLimits
 
 MIN_LIMIT_PER_S = 0.1
 """Least requests a second that are sent, whatever is stated: a back end that takes none could not
@@ -31,13 +32,13 @@
         self._limits = limits
         self._issuers = issuers
         self._clock = clock
-        self._buckets: dict[RunId, PermitBucket] = {}
+        self._buckets: RunMemory[PermitBucket] = RunMemory()
 
     def issue(self, run: RunId, asker: str, num_wanted: int) -> PermitGrant:
         """Return the permits that a node gets for a run; none are needed where it has no limit."""
         limit_per_s = self._limits.limit_per_s(run)
         if limit_per_s is None:
-            self._buckets.pop(run, None)
+            self._buckets.pop(run)
             return PermitGrant(0)
         if not self._issuers.issues(run):
             return PermitGrant(0, NO_ISSUER_WAIT_S)
@@ -47,7 +48,6 @@
     def _bucket(self, run: RunId) -> PermitBucket:
         bucket = self._buckets.get(run)
         if bucket is None:
-            bucket = self._buckets[run] = PermitBucket(self._clock())
-            if len(self._buckets) > MAX_REMEMBERED_RUNS:
-                del self._buckets[next(iter(self._buckets))]
+            bucket = PermitBucket(self._clock())
+            self._buckets.put(run, bucket)
         return bucket
--- a/src/weirscale/gateway/request_limits/stated_limits.py
+++ b/src/weirscale/gateway/request_limits/stated_limits.py
@@ -11,6 +11,7 @@
 
 from weirscale.gateway.model.back_ends import instance_of
 from weirscale.gateway.model.identifiers import RunId
+from weirscale.gateway.model.run_memory import RunMemory
 from weirscale.ports.event_log import EventLog
 
 UNLIMITED_PER_S = 1e6
@@ -20,10 +21,6 @@
 """Seconds that a statement may have been on its way from another node, over two heads of groups. By
 as much it may be older than it seems."""
 
-MAX_REMEMBERED_RUNS = 4096
-"""Runs that are remembered; beyond it the oldest are forgotten, and state their limits anew in
-their next answers. More than all back ends of the size designed for."""
-
 
 class StatementSource(enum.Enum):
     """How a node knows of a limit, for the log."""
@@ -55,7 +52,7 @@
 
     def __init__(self, event_log: EventLog) -> None:
         self._event_log = event_log
-        self._statements: dict[RunId, LimitStatement] = {}
+        self._statements: RunMemory[LimitStatement] = RunMemory()
 
     def statement(self, run: RunId) -> LimitStatement | None:
         """Return what a run said last; None if it never stated a limit."""
@@ -66,10 +63,6 @@
         statement = self._statements.get(run)
         return None if statement is None else statement.limit_per_s
 
-    def limited_runs(self) -> list[RunId]:
-        """Return the runs that have a limit."""
-        return [run for run, one in self._statements.items() if one.limit_per_s is not None]
-
     def stated(self, run: RunId, limit_per_s: float, now_s: float) -> bool:
         """Take a limit that an answer states now; returns whether it changes what holds."""
         limit = None if limit_per_s >= UNLIMITED_PER_S else limit_per_s
@@ -107,9 +100,7 @@
 
     def _replace(self, run: RunId, statement: LimitStatement, source: StatementSource) -> bool:
         previous = self.limit_per_s(run)
-        self._statements[run] = statement
-        if len(self._statements) > MAX_REMEMBERED_RUNS:
-            del self._statements[next(iter(self._statements))]
+        self._statements.put(run, statement)
         if statement.limit_per_s == previous:
             return False
         self._event_log.event(
--- a/src/weirscale/gateway/state/address_claims.py
+++ b/src/weirscale/gateway/state/address_claims.py
@@ -13,10 +13,7 @@
 
 from weirscale.gateway.model.back_ends import BackEnd
 from weirscale.gateway.model.identifiers import Address, InstanceId, RunId
-
-MAX_ENDED_RUNS = 4096
-"""Ended runs that are remembered; beyond it the oldest are forgotten, so that their entries count
-like any other should they come once more. Not measured."""
+from weirscale.gateway.model.run_memory import RunMemory
 
 NEVER_ANSWERED_S = float("-inf")
 
@@ -69,7 +66,7 @@
     def __init__(self) -> None:
         self._claims: dict[InstanceId, Claim] = {}
         self._at: dict[Address, dict[InstanceId, Claim]] = {}
-        self._ended: dict[RunId, Standing] = {}
+        self._ended: RunMemory[Standing] = RunMemory()
         """What is known of runs that have ended, should their entries come once more."""
 
     def get(self, instance: InstanceId) -> Claim | None:
@@ -105,7 +102,8 @@
         self._drop(back_end.instance)
         claim = Claim(key, back_end, revision)
         claim.has_ended = back_end.run_id in self._ended
-        claim.standing = self._ended.get(back_end.run_id, Standing.SOUND)
+        ended = self._ended.get(back_end.run_id)
+        claim.standing = Standing.SOUND if ended is None else ended
         if not claim.has_ended:
             self._forget_answers(back_end)
         self._add(claim)
@@ -163,10 +161,8 @@
         if back_end.started_ms is None:
             # Its next run may come under the same id, and must not be kept out for good.
             standing = max(standing, Standing.CRASHED)
-        standing = min(standing, self._ended.pop(back_end.run_id, standing))
-        self._ended[back_end.run_id] = standing
-        if len(self._ended) > MAX_ENDED_RUNS:
-            del self._ended[next(iter(self._ended))]
+        known = self._ended.get(back_end.run_id)
+        self._ended.put(back_end.run_id, standing if known is None else min(standing, known))
 
 
 def _rewritten(known: Claim, key: str, back_end: BackEnd) -> Claim:
