--- a/features/request_limit_rules.feature
+++ b/features/request_limit_rules.feature
@@ -53,11 +53,18 @@
       | 400 | 1.1   | 1200        | evenly      | 40      | 11   | 0.5   |
       | 400 | 1.1   | 4           | at one node | 40      | 11   | 0.6   |
 
-  Scenario: After a quiet time no more is sent at once than at any time
-    Given 7 nodes that keep a limit of 1.1, told one another without the network
+  Scenario Outline: After a quiet time no more is sent at once than at any time
+    Given <num> nodes that keep a limit of <limit>, told one another without the network
     When nobody asks them for 60 seconds
-    And callers ask them for 20 seconds, 32 times a second, evenly
-    Then in any 4 seconds at most 11 requests are sent
+    And callers ask them for 20 seconds, <asked_per_s> times a second, evenly
+    Then in any 4 seconds at most <most> requests are sent
+
+    Examples: where limit and nodes are as many, each node may begin to send without a permit
+      | num | limit | asked_per_s | most |
+      | 7   | 1.1   | 32          | 11   |
+      | 7   | 7     | 100         | 47   |
+      | 64  | 64    | 600         | 389  |
+      | 64  | 63    | 600         | 383  |
 
   Scenario: Permits that are not used do not gather
     Given 64 nodes that keep a limit of 1.1, told one another without the network
