--- a/bench/fault_soak/back_ends.py
+++ b/bench/fault_soak/back_ends.py
@@ -12,6 +12,8 @@
     Disturbance,
     InstanceName,
     LeavingSaid,
+    LimitChanged,
+    LimitStated,
     OrderTaken,
     RequestId,
     RestAsked,
@@ -46,6 +48,11 @@
 REFUSAL_REST_S = 1.5
 """What a back end asks for as it refuses a request."""
 
+LIMIT_PER_S = 1.5
+LIMIT_PERIOD_S = 15.0
+LIMITED_FROM_S = 5.0
+"""One back end of each service states a limit from this time to the end of each period."""
+
 LOAD_S = 0.6
 TICK_S = 0.05
 HEARTBEAT_S = 1.0
@@ -101,6 +108,7 @@
             on_break=lambda request: self._note_broken(request, instance),
             refusal_rest=str(REFUSAL_REST_S),
             on_said=partial(self._note_said, instance),
+            on_limit=partial(self._note_limit, instance),
         )
         self._served = ServedStandIn(self.stand_in, self._host, RUNNER_PORT)
         self._fleet.tasks.start_soon(self._served.run)
@@ -173,6 +181,23 @@
                 RestAsked(at_s=now_s, request=request_id, instance=instance, rest_s=rest_s)
             )
 
+    def set_limit(self, limit_per_s: float | None) -> None:
+        """State a request limit in all answers from now on, or none."""
+        limits = () if limit_per_s is None else (str(limit_per_s),)
+        if limits == self.stand_in.limits:
+            return
+        self.stand_in.limits = limits
+        recorder, instance = self._fleet.recorder, InstanceName(self.stand_in.instance)
+        recorder.note(
+            LimitChanged(at_s=recorder.now_s(), instance=instance, limit_per_s=limit_per_s)
+        )
+
+    def _note_limit(self, instance: InstanceName, request: str) -> None:
+        recorder = self._fleet.recorder
+        recorder.note(
+            LimitStated(at_s=recorder.now_s(), request=RequestId(request), instance=instance)
+        )
+
     def _note_broken(self, request: str, instance: InstanceName) -> None:
         recorder = self._fleet.recorder
         recorder.note(
@@ -211,10 +236,17 @@
         while True:
             for back_end in self.back_ends:
                 back_end.tick()
+            self._set_limits()
             if len(self.store.history) > MOST_HISTORY:
                 self._forget_oldest()
             await anyio.sleep(TICK_S)
 
+    def _set_limits(self) -> None:
+        """Let the first and the last back end state a limit for a part of each period."""
+        is_limited = self.recorder.now_s() % LIMIT_PERIOD_S >= LIMITED_FROM_S
+        for back_end in (self.back_ends[0], self.back_ends[-1]):
+            back_end.set_limit(LIMIT_PER_S if is_limited else None)
+
     def _forget_oldest(self) -> None:
         history = self.store.history
         num_forgotten = len(history) // 2
--- a/bench/fault_soak/evidence.py
+++ b/bench/fault_soak/evidence.py
@@ -14,6 +14,8 @@
     Disturbed,
     FaultsEnded,
     LeavingSaid,
+    LimitChanged,
+    LimitStated,
     NodeEnded,
     NodeErrors,
     NodeListens,
@@ -50,6 +52,8 @@
         leaving_s: A node may send a back end work so long after an answer told it that it leaves.
         rest_slack_s: What a node had sent, or was sending, when it was asked for rest may arrive so
             long after the answer.
+        limit_window_s: Requests to a back end with a limit are counted over this time.
+        limit_told_s: A node counts from so long after an answer told it of the limit.
         unread_s: A stopping node may close a connection so soon after a request that it has not
             handed on: the two passed each other.
     """
@@ -61,6 +65,8 @@
     weights_s: float = 8.0
     leaving_s: float = 2.0
     rest_slack_s: float = 0.5
+    limit_window_s: float = 4.0
+    limit_told_s: float = 0.5
     unread_s: float = 0.5
 
 
@@ -93,6 +99,8 @@
             self._broken_s.setdefault(broken.request, broken.at_s)
         self.leaving = self.all(LeavingSaid)
         self.rests = self.all(RestAsked)
+        self.limits_stated = self.all(LimitStated)
+        self.limits_changed = self.all(LimitChanged)
         self.configurations = self.all(ConfigurationAcknowledged)
         self.namings = self.all(WeightsNamed)
         self.orders = self.all(OrderTaken)
--- a/bench/fault_soak/history.py
+++ b/bench/fault_soak/history.py
@@ -137,6 +137,24 @@
     rest_s: float
 
 
+class LimitStated(Record, frozen=True, kw_only=True):
+    """A back end stated its request limit in its answer to a request."""
+
+    request: RequestId
+    instance: InstanceName
+
+
+class LimitChanged(Record, frozen=True, kw_only=True):
+    """A back end states another request limit from now on, or none.
+
+    Attributes:
+        limit_per_s: Requests a second from all nodes together; None for no limit.
+    """
+
+    instance: InstanceName
+    limit_per_s: float | None
+
+
 class NodeStarted(Record, frozen=True, kw_only=True):
     """A process of a node was started."""
 
@@ -225,6 +243,8 @@
     | RunBroken
     | LeavingSaid
     | RestAsked
+    | LimitStated
+    | LimitChanged
     | NodeStarted
     | NodeListens
     | NodeSignalled
--- a/bench/fault_soak/rules.py
+++ b/bench/fault_soak/rules.py
@@ -10,20 +10,18 @@
 
 import msgspec
 
+from bench.fault_soak.back_end_rules import leaving_gets_nothing, limits_are_kept, rest_is_kept
 from bench.fault_soak.evidence import Bounds, Evidence
 from bench.fault_soak.history import (
     AnyRecord,
     ConfigurationAcknowledged,
     Disturbance,
-    InstanceName,
     NodeEnded,
-    NodeName,
     NodeSignalled,
     Outcome,
     RequestEnded,
     RequestKind,
     RequestSent,
-    RestAsked,
     RunBegan,
     SignalName,
 )
@@ -336,46 +334,6 @@
             yield Violation(Rule.ONE_HOLDER_OF_ORDERS, order.at_s, order.instance, explanation)
 
 
-def leaving_gets_nothing(evidence: Evidence) -> Iterator[Violation]:
-    """Check that a node sends nothing to a back end that has told it that it leaves."""
-    told_s: dict[tuple[NodeName, InstanceName], float] = {}
-    for said in evidence.leaving:
-        sent = evidence.sent.get(said.request)
-        if sent is not None:
-            told_s.setdefault((sent.node, said.instance), said.at_s)
-    for run in evidence.all(RunBegan):
-        sent = evidence.sent.get(run.request)
-        at_s = None if sent is None else told_s.get((sent.node, run.instance))
-        if sent is None or at_s is None or sent.at_s <= at_s + evidence.bounds.leaving_s:
-            continue
-        if evidence.could_heed(sent.node, at_s, run.at_s):
-            explanation = f"{run.instance} ran it {run.at_s - at_s:.3f} s after it said so"
-            yield Violation(Rule.LEAVING_GETS_NOTHING, run.at_s, run.request, explanation)
-
-
-MOST_IN_REST = 2
-"""Requests of a node that may come to a back end within the rest that it asked for."""
-
-
-def rest_is_kept(evidence: Evidence) -> Iterator[Violation]:
-    """Check that a node sends next to nothing to a back end that asked it for rest."""
-    arrivals: dict[tuple[NodeName, InstanceName], list[float]] = defaultdict(list)
-    arrived: list[RunBegan | RestAsked] = [*evidence.all(RunBegan), *evidence.rests]
-    for one in arrived:
-        sent = evidence.sent.get(one.request)
-        if sent is not None:
-            arrivals[sent.node, one.instance].append(one.at_s)
-    for rest in evidence.rests:
-        sent = evidence.sent.get(rest.request)
-        if sent is None:
-            continue
-        from_s, until_s = rest.at_s + evidence.bounds.rest_slack_s, rest.at_s + rest.rest_s
-        early = [at_s for at_s in arrivals[sent.node, rest.instance] if from_s < at_s < until_s]
-        if len(early) > MOST_IN_REST and evidence.could_heed(sent.node, rest.at_s, until_s):
-            explanation = f"{len(early)} requests from {sent.node} within {rest.rest_s:.1f} s of it"
-            yield Violation(Rule.REST_IS_KEPT, rest.at_s, rest.instance, explanation)
-
-
 def nodes_stay_up(evidence: Evidence) -> Iterator[Violation]:
     """Check that no process ended unasked, and that no log shows an unexpected error.
 
@@ -428,6 +386,7 @@
     one_holder_of_orders,
     leaving_gets_nothing,
     rest_is_kept,
+    limits_are_kept,
     nodes_stay_up,
     serves_again,
 )
--- a/bench/fault_soak/violations.py
+++ b/bench/fault_soak/violations.py
@@ -25,6 +25,8 @@
     """A node sends nothing to a back end some time after an answer told it that it leaves."""
     REST_IS_KEPT = "rest_is_kept"
     """A node sends next to nothing to a back end that asked it for rest, until that has passed."""
+    LIMITS_ARE_KEPT = "limits_are_kept"
+    """A back end gets no more than its request limit from all nodes that it has told of it."""
     NODES_STAY_UP = "nodes_stay_up"
     SERVES_AGAIN = "serves_again"
     """Each node answers a request with success after the last fault."""
--- a/features/fault_soak.feature
+++ b/features/fault_soak.feature
@@ -72,6 +72,7 @@
       | a run at a back end that said that it leaves                          | leaving_gets_nothing |
       | a run at a back end that said that it leaves while the store was down | leaving_gets_nothing |
       | three requests within a rest                                          | rest_is_kept         |
+      | more requests than a limit allows                                     | limits_are_kept      |
 
   Scenario: A stop that takes a fresh request with it breaks two rules
     When a sound history of a soak also has a stop that SIGKILL ends with a fresh run
@@ -119,6 +120,11 @@
       | two requests within a rest                                |
       | three requests just after a rest was asked for            |
       | three requests within a rest after the node started again |
+      | as many requests as a limit allows                                |
+      | more requests than a limit allows just after it was first stated  |
+      | more requests than a limit allows after it has ended              |
+      | more requests than a limit allows at a node that was not told     |
+      | more requests than a limit allows after a pause of the node       |
 
   Scenario Outline: Events are read strictly, so that torn ones show
     Then a stream that ends as <outcome> with "<body>" has the events "<events>"
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -82,6 +82,8 @@
     on_said: object = None
     """Called with the id of each request in whose answer it says that it leaves or wants a rest,
     whether it leaves, and the rest as written or None."""
+    on_limit: object = None
+    """Called with the id of each request in whose answer it states a request limit."""
     rests: tuple = ()
     """While it has any, it turns all requests away and writes these times of rest."""
     refusal_status: int = 503
@@ -120,6 +122,9 @@
         if self.limits and self.limited_path in (None, request.url.path):
             stated = [("Server-Limit", limit) for limit in self.limits]
             response.headers = httpx.Headers([*response.headers.multi_items(), *stated])
+        request_id = request.headers.get("x-attempt-id")
+        if self.on_limit is not None and request_id and "server-limit" in response.headers:
+            self.on_limit(request_id)
         if self.unknown_header is not None:
             response.headers[self.unknown_header] = "1"
         self._note_said(request, response)
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -6,6 +6,8 @@
     Disturbed,
     FaultsEnded,
     LeavingSaid,
+    LimitChanged,
+    LimitStated,
     NodeEnded,
     NodeErrors,
     NodeListens,
@@ -66,6 +68,19 @@
     )
 
 
+def limited(at_s, limit_per_s, told_after_s):
+    """Return that a back end states a limit, and tells the node of it in an answer."""
+    return [
+        LimitChanged(at_s=at_s, instance=SERVICE, limit_per_s=limit_per_s),
+        LimitStated(at_s=at_s + told_after_s, request="q1", instance=SERVICE),
+    ]
+
+
+def many(at_s, num):
+    """Return requests that come close together."""
+    return [one for number in range(num) for one in plain(at_s + 0.1 * number, f"ql{number}")]
+
+
 def ended(at_s, request, outcome=Outcome.ANSWERED, status=200, instance=SERVICE, **more):
     fields = {
         "signature": f"seal-{instance}",
@@ -379,6 +394,29 @@
         *plain(31.2, "qy"),
         *plain(31.4, "qz"),
     ],
+    "more requests than a limit allows": [
+        *limited(30.0, 1.0, 1.0), *many(34.0, 12),
+    ],
+    "as many requests as a limit allows": [
+        *limited(30.0, 1.0, 1.0), *many(34.0, 11),
+    ],
+    "more requests than a limit allows just after it was first stated": [
+        *limited(30.0, 1.0, 1.0), *many(31.5, 12),
+    ],
+    "more requests than a limit allows after it has ended": [
+        *limited(30.0, 1.0, 1.0),
+        LimitChanged(at_s=33.9, instance=SERVICE, limit_per_s=None),
+        *many(34.0, 12),
+    ],
+    "more requests than a limit allows at a node that was not told": [
+        LimitChanged(at_s=30.0, instance=SERVICE, limit_per_s=1.0), *many(34.0, 12),
+    ],
+    "more requests than a limit allows after a pause of the node": [
+        *limited(30.0, 1.0, 1.0),
+        signalled(32.0, SignalName.PAUSE),
+        signalled(33.0, SignalName.CONTINUE),
+        *many(34.0, 12),
+    ],
     "a process that ends by itself": [
         NodeEnded(at_s=30.0, node=NODE, exit_code=1), NodeStarted(at_s=30.3, node=NODE),
     ],
