Request limits: no more requests wait for a permit than permits may be hoped for

Cause: with all back ends of a service limited every refused caller was held for up to 0.3 s: some query was always open. Change: at each node as many wait as the limits allow within 0.3 s, divided by the nodes, or one; the others are refused at once.

--- a/features/gateway_request_limits.feature
+++ b/features/gateway_request_limits.feature
@@ -169,6 +169,7 @@
     And at least 60 of the callers from 8 seconds on are answered
     And the others get 503 within 0.35 seconds, with a time to come back of at most 2 seconds
     And these are told as "limited" in the log of each node
+    And most of them are refused within 0.05 seconds
 
   Scenario Outline: A limit above the traffic of a single back end costs its callers nothing but a moment
     Given <num> nodes of 1 zones before 1 back ends that speak
--- a/features/steps/gateway_request_limits_steps.py
+++ b/features/steps/gateway_request_limits_steps.py
@@ -403,6 +403,12 @@
         assert 0.0 < float(answer.header("retry-after")) <= most_s, answer.headers
 
 
+@then("most of them are refused within {bound_s:g} seconds")
+def step_most_at_once(context, bound_s):
+    took_s = sorted(one.took_s for one in context.play.play().answers if one.status != 200)
+    assert took_s[len(took_s) // 2] <= bound_s, took_s
+
+
 @then('these are told as "{cause}" in the log of each node')
 def step_cause(context, cause):
     for node, lines in context.play.play().logged("request_ended").items():
--- a/src/weirscale/gateway/request_limits/request_permits.py
+++ b/src/weirscale/gateway/request_limits/request_permits.py
@@ -11,7 +11,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 import anyio
@@ -186,6 +186,14 @@
             return True
         return self._issuer_to_ask(run, permits) is not None
 
+    def expected(self, runs: Iterable[RunId], within_s: float) -> float:
+        """Return how many permits for some limited runs may be hoped for within a time.
+
+        Other nodes' callers want them as well.
+        """
+        limits = [self._limits.limit_per_s(run) or 0.0 for run in runs]
+        return within_s * sum(limits) / self._issuers.num_nodes()
+
     async def wait_until_wanted(self) -> None:
         """Wait until a permit is wanted."""
         await self._wanted.wait()
--- a/src/weirscale/gateway/requests/request_handler.py
+++ b/src/weirscale/gateway/requests/request_handler.py
@@ -24,6 +24,7 @@
 from weirscale.gateway.requests.request_context import RequestContext
 from weirscale.gateway.requests.responder import Responder
 from weirscale.gateway.requests.retry_decision import AttemptHistory, reason_to_give_up
+from weirscale.gateway.routing.back_pressure import MAX_PERMIT_WAIT_S
 from weirscale.gateway.routing.candidate import Choice
 from weirscale.gateway.telemetry.request_summary import (
     RequestCause,
@@ -36,11 +37,6 @@
 """Seconds after which a refused caller should come back where nothing says more. Callers honour up
 to a third of the time that they have left (published protocol of the platform). Not measured."""
 
-MAX_PERMIT_WAIT_S = 0.3
-"""Seconds that a request may wait until a back end with a request limit takes one more, where no
-other one is there. About what it takes to ask another node; a caller that is refused returns
-later."""
-
 
 class RequestHandler:
     """Runs one request.
--- a/src/weirscale/gateway/routing/back_pressure.py
+++ b/src/weirscale/gateway/routing/back_pressure.py
@@ -1,6 +1,6 @@
 """What back ends ask this node to spare them: rests, and request limits for all nodes together."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import anyio
 import msgspec
@@ -10,6 +10,11 @@
 from weirscale.gateway.request_limits.request_permits import RequestPermits
 from weirscale.gateway.routing.back_end_rests import BackEndRests
 
+MAX_PERMIT_WAIT_S = 0.3
+"""Seconds that a request may wait until a back end with a request limit takes one more, where no
+other one is there. About what it takes to ask another node; a caller that is refused returns
+later."""
+
 
 class Return(msgspec.Struct, frozen=True):
     """When a back end that may not be sent a request now may be sent one again.
@@ -34,6 +39,8 @@
     def __init__(self, rests: BackEndRests, permits: RequestPermits | None) -> None:
         self.rests = rests
         self._permits = permits
+        self._num_waiting = 0
+        """Requests that wait for a permit at this node."""
 
     def admitted(self, back_ends: Iterable[BackEnd], now_s: float) -> list[BackEnd]:
         """Return those that may be sent a request now; permits are fetched for limited ones.
@@ -60,17 +67,30 @@
         found = [one for one in returns if one is not None]
         return min(found, key=lambda one: one.after_s, default=None)
 
-    async def wait_for_permit(self, first: Return, most_s: float) -> bool:
-        """Wait until a permit may be there; returns whether that is worth trying.
+    async def wait_for_permit(
+        self, back_ends: Sequence[BackEnd], now_s: float, most_s: float
+    ) -> bool:
+        """Wait until a permit may be there; returns whether that was worth trying.
+
+        As many requests wait as permits may be hoped for, or one: the others are not held.
 
         Args:
-            first: Who comes back first.
+            back_ends: Those that might be sent the request.
+            now_s: The time.
             most_s: Longest wait in seconds that makes sense.
         """
-        if self._permits is None or not first.is_limited or not 0.0 < most_s >= first.after_s:
+        first = self.first_return(back_ends, now_s)
+        if self._permits is None or first is None or not first.is_limited:
+            return False
+        hoped_for = self._permits.expected((one.run_id for one in back_ends), MAX_PERMIT_WAIT_S)
+        if not 0.0 < most_s >= first.after_s or self._num_waiting >= max(1.0, hoped_for):
             return False
-        with anyio.move_on_after(first.after_s or most_s):
-            await self._permits.wait_for_reply()
+        self._num_waiting += 1
+        try:
+            with anyio.move_on_after(first.after_s or most_s):
+                await self._permits.wait_for_reply()
+        finally:
+            self._num_waiting -= 1
         return True
 
     def _return(self, run: RunId, now_s: float) -> Return | None:
--- a/src/weirscale/gateway/routing/candidates.py
+++ b/src/weirscale/gateway/routing/candidates.py
@@ -101,7 +101,7 @@
 
     def find(self, query: DispatchQuery, service: Service | None, now_s: float) -> list[Candidate]:
         """Return the back ends that may get a request now."""
-        usable = self._back_pressure.admitted(self._usable(query, now_s), now_s)
+        usable = self._back_pressure.admitted(self.usable(query, now_s), now_s)
         settled = [one for one in usable if not self.is_loading(one.instance, now_s)]
         calm = [one for one in settled if not self._has_refused(one.instance, now_s)]
         admitted = [one for one in calm if self._health.admits(one.instance, now_s)]
@@ -112,9 +112,9 @@
 
     def first_return(self, query: DispatchQuery, now_s: float) -> Return | None:
         """Return when the first of those that ask to be spared a request takes one again."""
-        return self._back_pressure.first_return(self._usable(query, now_s), now_s)
+        return self._back_pressure.first_return(self.usable(query, now_s), now_s)
 
-    def _usable(self, query: DispatchQuery, now_s: float) -> list[BackEnd]:
+    def usable(self, query: DispatchQuery, now_s: float) -> list[BackEnd]:
         """Return the ready back ends of a version and with weights that the request may go to."""
         ready = self._cluster.back_ends.ready(query.service)
         lowest = 0 if query.prompt is None else self._lowest_version(query.prompt.model, now_s)
--- a/src/weirscale/gateway/routing/dispatcher.py
+++ b/src/weirscale/gateway/routing/dispatcher.py
@@ -118,8 +118,9 @@
 
     async def wait_for_permit(self, query: DispatchQuery, most_s: float) -> bool:
         """Wait for a back end that states a request limit; returns whether to choose again."""
-        first = self.first_return(query)
-        return first is not None and await self.back_pressure.wait_for_permit(first, most_s)
+        now_s = self._clock()
+        back_ends = self.candidates.usable(query, now_s)
+        return await self.back_pressure.wait_for_permit(back_ends, now_s, most_s)
 
     def first_return(self, query: DispatchQuery) -> Return | None:
         """Return when the first of those that ask to be spared a request takes one again."""
