--- a/features/steps/gateway_request_limits_steps.py
+++ b/features/steps/gateway_request_limits_steps.py
@@ -6,6 +6,7 @@
 from behave import then, when
 
 from features.steps.gateway_leaving_steps import FAULTS, HEARD_S, MANY_FAULTS, PATHS
+from features.steps.gateway_rest_steps import end_and_come_again, start_again
 from features.support.platform_fleet import MODEL
 from weirscale.gateway.model.identifiers import RunId
 
@@ -145,20 +146,13 @@
     await anyio.sleep(HEARD_S)
 
 
-async def start_again(play, back_end):
+async def start_again_without_limit(play, back_end):
     back_end.limits = ()
-    back_end.born_ms = 1_700_000_000_000
-    play.fleet.store.put(f"servers/{back_end.instance}", back_end.entry())
-
-
-async def end_and_come_again(play, back_end):
-    play.fleet.store.delete(f"servers/{back_end.instance}")
-    await anyio.sleep(0.5)
-    play.fleet.store.put(f"servers/{back_end.instance}", back_end.entry())
+    await start_again(play, back_end)
 
 
 AFTERWARDS = {
-    "its process starts again under its name": start_again,
+    "its process starts again under its name": start_again_without_limit,
     "its registration ends and comes again as ready": end_and_come_again,
 }
 
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -11,10 +11,9 @@
     generation_headers,
     request_headers,
     route,
-    with_fleet,
 )
 from features.support.platform_runner import RunnerStandIn
-from features.support.virtual_time import run_in_virtual_time
+from features.support.played_once import PlayedOnce
 
 SETTLE_S = 2.5
 """Until the nodes know one another, the back ends and who holds the duty."""
@@ -37,7 +36,7 @@
     return configuration(version, routes, [TENANT | {"api_keys": list(keys)}])
 
 
-class RestoredStore:
+class RestoredStore(PlayedOnce):
     """Gathers what is to happen, plays it once, and keeps what was seen."""
 
     def __init__(self, num_nodes=3):
@@ -49,19 +48,8 @@
         self.answers = []
         self.views = []
         """What nodes knew at each look: `(at_s, node, back ends, nodes, configuration)`."""
-        self._has_run = False
         self._num_asked = 0
 
-    def play(self):
-        """Play what was gathered, once."""
-        if not self._has_run:
-            self._has_run = True
-            run_in_virtual_time(self._main)
-        return self
-
-    async def _main(self):
-        await with_fleet(self.fleet, self._body)
-
     async def _body(self):
         fleet = self.fleet
         fleet.store.put("op/config", keyed_configuration(3))
--- a/features/support/speaking_back_ends.py
+++ b/features/support/speaking_back_ends.py
@@ -11,16 +11,15 @@
     configuration,
     generation_headers,
     request_headers,
-    with_fleet,
 )
 from features.support.platform_runner import RunnerStandIn
-from features.support.virtual_time import run_in_virtual_time
+from features.support.played_once import PlayedOnce
 
 SETTLE_S = 2.0
 """Until the nodes know one another and the back ends."""
 
 
-class SpeakingBackEnds:
+class SpeakingBackEnds(PlayedOnce):
     """Gathers what is to happen, plays it once, and tells who got what when."""
 
     def __init__(self, num_nodes, num_back_ends, num_zones=1):
@@ -46,7 +45,6 @@
         self.arrived_s = {}
         """By node and back end: when requests arrived."""
         self.num_asked = itertools.count(1)
-        self._has_run = False
 
     def _add(self, instance, address, service, model):
         self.back_ends[instance] = RunnerStandIn(instance, address, service, model=model)
@@ -75,16 +73,6 @@
             await anyio.sleep(0.1)
         back_end.is_leaving = False
 
-    def play(self):
-        """Play what was gathered, once."""
-        if not self._has_run:
-            self._has_run = True
-            run_in_virtual_time(self._main)
-        return self
-
-    async def _main(self):
-        await with_fleet(self.fleet, self._body)
-
     async def _body(self):
         self.fleet.store.put("op/config", configuration())
         for back_end in self.back_ends.values():
--- a/src/weirscale/gateway/routing/back_pressure.py
+++ b/src/weirscale/gateway/routing/back_pressure.py
@@ -45,11 +45,9 @@
     def admitted(self, back_ends: Iterable[BackEnd], now_s: float) -> list[BackEnd]:
         """Return those that may be sent a request now; permits are fetched for limited ones.
 
-        One that runs little looks idle and would be tried first all the time. One that rests turns
-        callers away whom others would have served: 186 of them within 5 s at seven nodes, by three
-        of nine engines that had asked for 3 s (a recorded day). One with a limit would get as much
-        as before: 3 to 4 requests a second at a limit of 1.1 (another one). Neither is tried for
-        want of others: it has said when, or how often.
+        One that runs little looks idle and would be tried first all the time: while it rests, only
+        to turn callers away whom others would have served; with a limit, as often as without one.
+        Neither is tried for want of others: it has said when, or how often.
         """
         resting = self.rests.resting(now_s)
         return [
--- a/src/weirscale/gateway/state/lapsed_back_ends.py
+++ b/src/weirscale/gateway/state/lapsed_back_ends.py
@@ -8,12 +8,12 @@
 
 LAPSE_S = 2.0
 """Seconds after an outage of the store within which the end of a registration is taken for a lapse:
-the back end could not renew it. Not measured."""
+the back end could not renew it."""
 
 LAPSED_KEPT_S = 1.7
 """Seconds for which a lapsed back end is still used. Those that live register again within some two
 seconds of the store's return; one that is gone must get no new work two seconds after its
-registration ended, and the rest is for a change's way to this node. Not measured."""
+registration ended, and the rest is for a change's way to this node."""
 
 
 class LapsedBackEnds:
