--- a/features/gateway_request_limits.feature
+++ b/features/gateway_request_limits.feature
@@ -171,6 +171,13 @@
     And these are told as "limited" in the log of each node
     And most of them are refused within 0.05 seconds
 
+  Scenario: Of callers that come together one waits, the others are told at once
+    Given 7 nodes of 4 zones before 2 back ends that speak
+    When all back ends of the service state a limit of "4" from the start
+    And 12 callers come at once to a node each 0.7 seconds for 14 seconds
+    Then no limit is exceeded
+    And at most 1 of 4 refused callers was held for over 0.05 seconds
+
   Scenario Outline: A limit above the traffic of a single back end costs its callers nothing but a moment
     Given <num> nodes of 1 zones before 1 back ends that speak
     When all back ends of the service state a limit of "<limit>" from the start
--- a/features/steps/gateway_request_limits_steps.py
+++ b/features/steps/gateway_request_limits_steps.py
@@ -97,6 +97,20 @@
         back_end.unknown_header = "Server-Wish"
 
 
+@when("{num:d} callers come at once to a node each {interval_s:g} seconds for {for_s:g} seconds")
+def step_at_once(context, num, interval_s, for_s):
+    play = context.play
+
+    async def act():
+        for _ in range(int(for_s / interval_s)):
+            for _ in range(num):
+                play.fleet.tasks.start_soon(play.ask_node, play.node_names()[0])
+            await anyio.sleep(interval_s)
+        await anyio.sleep(1.0)
+
+    play.actions.append(act)
+
+
 async def until_stated(play, name, limit, node=None, path=None):
     """Ask until a back end has stated a limit; from then on it states none, nor an end of it."""
     back_end = play.back_ends[name]
@@ -397,6 +411,14 @@
         assert 0.0 < float(answer.header("retry-after")) <= most_s, answer.headers
 
 
+@then("at most 1 of {num:d} refused callers was held for over {bound_s:g} seconds")
+def step_one_held(context, num, bound_s):
+    refused = [one.took_s for one in context.play.play().answers if one.status != 200]
+    held = [took_s for took_s in refused if took_s > bound_s]
+    assert len(refused) > 20, len(refused)
+    assert len(held) * num <= len(refused), (len(held), len(refused))
+
+
 @then("most of them are refused within {bound_s:g} seconds")
 def step_most_at_once(context, bound_s):
     took_s = sorted(one.took_s for one in context.play.play().answers if one.status != 200)
