--- a/features/steps/gateway_settings_steps.py
+++ b/features/steps/gateway_settings_steps.py
@@ -46,7 +46,7 @@
         "retry_extra": node.budget._rules.extra,
         "revoke_ms": node.context.admission._key_removal_s,
         "version_ms": node.dispatcher.candidates.weights_grace_s,
-        "lease_ms": node._order_fence._life_s,
+        "lease_ms": node.order_fence._life_s,
     }[field]
 
 
--- a/features/steps/gateway_suspension_steps.py
+++ b/features/steps/gateway_suspension_steps.py
@@ -21,11 +21,11 @@
 def step_suspend(context, seconds):
     async def action(play):
         play.node = play.holder()
-        await play.node._order_fence.acquire()
+        await play.node.order_fence.acquire()
         play.fleet.suspend(play.node.settings.name, seconds)
         play.at_once = {
             "holds the duty": play.node._lease.is_held(),
-            "holds a turn to order": play.node._order_fence._is_renewed(),
+            "holds a turn to order": play.node.order_fence._is_renewed(),
             "has a proof of its configuration": play.node.cluster.age_s() < 1.0,
         }
 
--- a/features/steps/gateway_weights_rollout_steps.py
+++ b/features/steps/gateway_weights_rollout_steps.py
@@ -471,7 +471,7 @@
         node = await fleet.start_node()
 
         async def ask_turn():
-            context.taken.append(await node._order_fence.acquire())
+            context.taken.append(await node.order_fence.acquire())
 
         for _ in range(seconds):
             async with anyio.create_task_group() as tasks:
