What a store lost counts on also where everything is read again meanwhile

Cause: found on reading the change: a second reading of everything within the 6 s (a compaction, a watch that is late) took for taken away what the first reading of a new era had kept. Change: readings leave lost records and orders to their time. Result: features/gateway_store_restored.feature: 41 passed (the row 'everything is read again', 3 s, failed before); with each of the two conditions taken out the feature fails (one tried by hand). In era 0 nothing changes: nothing is ever lost there.

--- a/features/gateway_store_restored.feature
+++ b/features/gateway_store_restored.feature
@@ -59,6 +59,13 @@
     Then each node knows 3 nodes all the while
     And each node has registered again
 
+  Scenario: What was lost counts on also where everything is read again
+    Given 3 nodes before a store of which a copy was taken
+    When the nodes register after the copy, and the store comes back from the copy
+    And the store forgets its history 0.2 and 0.5 seconds later
+    And callers ask for 8 seconds
+    Then each node knows 3 nodes all the while
+
   Scenario: Orders go on with higher fencing tokens, and not before the last ones are settled
     Given 3 nodes before a store of which a copy was taken
     When weights 2 are named and ordered, and the store comes back from the copy
@@ -97,9 +104,23 @@
       | later_s | what                | stands         |
       | 5       | nothing has come    | still stands   |
       | 6.1     | nothing has come    | is withdrawn   |
+      | 3       | everything is read again | still stands |
+      | 6.1     | everything is read again | is withdrawn |
       | 3       | it is written again | still stands   |
       | 7       | it is written again | stands again   |
 
+  Scenario Outline: A record of the nodes that the store lost counts on for a while
+    Given a node that knows a record of the nodes
+    When the store comes back from a copy without it
+    And <later_s> seconds later <what>
+    Then the record <stands>
+
+    Examples:
+      | later_s | what                     | stands       |
+      | 5       | nothing has come         | still stands |
+      | 3       | everything is read again | still stands |
+      | 6.1     | everything is read again | is gone      |
+
   Scenario: A request in quarantine stays there, and its record is written again
     Given 3 nodes before a store of which a copy was taken
     When a request is quarantined, and the store comes back from the copy
--- a/features/steps/gateway_store_restored_steps.py
+++ b/features/steps/gateway_store_restored_steps.py
@@ -14,7 +14,12 @@
 from weirscale.domain.identifiers import ServiceName, SoftwareVersion
 from weirscale.gateway.model.identifiers import RunId
 from weirscale.gateway.model.store_positions import StoreEra, position
-from weirscale.gateway.ports.state_feed import RolloutOrdered, StateBatch, VersionedChange
+from weirscale.gateway.ports.state_feed import (
+    RecordChanged,
+    RolloutOrdered,
+    StateBatch,
+    VersionedChange,
+)
 from weirscale.gateway.quarantine.fingerprint import read_fingerprint
 from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale.ports.key_value import KeyValueFailureKind
@@ -148,6 +153,19 @@
     play.actions.append(act)
 
 
+@when("the store forgets its history {first_s:g} and {second_s:g} seconds later")
+def step_compact(context, first_s, second_s):
+    play = context.play
+
+    async def act():
+        await anyio.sleep(first_s)
+        play.fleet.store.compact()
+        await anyio.sleep(second_s - first_s)
+        play.fleet.store.compact()
+
+    play.actions.append(act)
+
+
 @when("weights 2 are named and ordered, and the store comes back from the copy")
 def step_named(context):
     play = context.play
@@ -264,6 +282,21 @@
     context.world.read(7, traffic_order(7))
 
 
+RECORD_KEY = "weirscale/x"
+
+
+@given("a node that knows a record of the nodes")
+def step_known_record(context):
+    context.world = OneClusterState()
+    context.world.read(7, VersionedChange(RECORD_KEY, 7, RecordChanged(RECORD_KEY, b"value")))
+
+
+@then("the record {stands}")
+def step_record_stands(context, stands):
+    is_there = RECORD_KEY in context.world.cluster.records
+    assert is_there == (stands == "still stands")
+
+
 @when("the store comes back from a copy without it")
 def step_without_it(context):
     context.world.read(position(StoreEra(1), 3))
@@ -274,6 +307,9 @@
     world = context.world
     world.now_s += later_s
     world.cluster.forget_lost()
+    if what == "everything is read again":
+        world.read(position(StoreEra(1), 4))
+        world.cluster.forget_lost()
     if what == "it is written again":
         revision = position(StoreEra(1), 4)
         world.cluster.apply(StateBatch(revision, (traffic_order(revision),)), world.now_s)
--- a/src/weirscale/gateway/state/cluster_state.py
+++ b/src/weirscale/gateway/state/cluster_state.py
@@ -132,7 +132,8 @@
     def _remove_missing(self, present: Collection[str]) -> None:
         self.back_ends.end_missing(present)
         for key in self._missing_orders(present):
-            self._withdraw_rollout(key)
+            if key not in self._lost_orders:
+                self._withdraw_rollout(key)
         self.records.remove_missing(present)
 
     def _missing_orders(self, present: Collection[str]) -> list[str]:
--- a/src/weirscale/gateway/state/stored_records.py
+++ b/src/weirscale/gateway/state/stored_records.py
@@ -72,6 +72,6 @@
             self.put(key, None)
 
     def remove_missing(self, keys: Collection[str]) -> None:
-        """Remove the records whose keys are not in a reading of everything."""
-        for key in [key for key in self._values if key not in keys]:
+        """Remove the records whose keys are not in a reading of everything, but not lost ones."""
+        for key in [key for key in self._values if key not in keys and not self.is_lost(key)]:
             self.put(key, None)
