An attempt is not ended while its engine reads the prompts of others

What callers saw: under load streams paused longer and more first-time callers were refused, because nodes sent streams that were running to other engines, which read the whole prompts once more.

Cause: an attempt was ended by its own silence alone.

Why it holds: the node knows both halves, events of other streams of the engine within the timeout, and unread prompts of others there. A dead engine makes no events, an idle one has no prompts to read: both are left as early as before. After three timeouts the attempt is ended in any case, as its own connection may have gone silent.

--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -115,14 +115,18 @@
 
     def _set_timeout(self, scope: anyio.CancelScope) -> AttemptTimeout:
         """Limit the wait for the first event where the request may go on elsewhere."""
-        timeout = AttemptTimeout(scope, self._take_retry)
+        timeout = AttemptTimeout(scope, self._take_retry, self._reads_for_others)
         route, choice = self._admitted.route, self._choice
         if may_leave_when_silent(self._history, route, choice.num_candidates):
             self._timeout = timeout
             wait_s = self._context.pauses.first_event_timeout_s(route, choice)
-            timeout.deadline_s = self._context.clock() + wait_s
+            timeout.start(self._context.clock(), wait_s)
         return timeout
 
+    def _reads_for_others(self, since_s: float) -> bool:
+        """Whether the back end has worked since a time and has other prompts to read."""
+        return self._records.reads_for_others(self._choice, since_s)
+
     def _take_retry(self) -> bool:
         """Take a retry of the shared budget before a silent back end is left."""
         self._history.holds_retry = self._context.retry_budget.try_take(self._admitted.service)
@@ -191,7 +195,7 @@
         if self._timeout is not None:
             admitted = self._admitted
             wait_s = self._context.pauses.stall_timeout_s(admitted.route, admitted.service)
-            self._timeout.deadline_s = self._context.clock() + wait_s
+            self._timeout.start(self._context.clock(), wait_s)
 
     def paused(self, pause_s: float, began_s: float) -> None:
         """Learn from a pause between two events."""
--- a/src/weirscale/gateway/requests/attempt_timeout.py
+++ b/src/weirscale/gateway/requests/attempt_timeout.py
@@ -1,8 +1,10 @@
 """Ends attempts whose back end is silent for too long, where the request may go on elsewhere.
 
 An attempt is ended only with a retry of the shared budget in hand: an answer that was broken off
-and cannot go on would be lost, while a slow one may still come. One task checks all attempts on
-ticks; a timer for each event of each stream would cost more than passing the event on.
+and cannot go on would be lost, while a slow one may still come. Nor is it ended while its engine
+reads the prompts of others: another engine would have to read this one's prompt once more, which
+makes the streams there silent as well. One task checks all attempts on ticks; a timer for each
+event of each stream would cost more than passing the event on.
 """
 
 import math
@@ -17,7 +19,11 @@
 the check wakes no process by itself. Not measured apart from the change to ticks."""
 
 RECHECK_S = 0.25
-"""An attempt that cannot be ended for lack of a retry is checked again after this. Not measured."""
+"""An overdue attempt that is not ended is checked again after this."""
+
+READING_FACTOR = 3.0
+"""An attempt whose engine reads for others is ended after this multiple of its timeout all the
+same: a connection of its own may have gone silent while the engine works."""
 
 
 class AttemptTimeout:
@@ -26,22 +32,40 @@
     Args:
         scope: Cancelled when the attempt is ended.
         take_retry: Takes a retry of the shared budget; False if none is left.
+        reads_for_others: Returns whether the attempt's engine has worked since a time, and has
+            prompts of other requests to read.
     """
 
-    def __init__(self, scope: anyio.CancelScope, take_retry: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        scope: anyio.CancelScope,
+        take_retry: Callable[[], bool],
+        reads_for_others: Callable[[float], bool],
+    ) -> None:
         self.scope = scope
-        self.deadline_s = math.inf
         self._take_retry = take_retry
+        self._reads_for_others = reads_for_others
+        self._timeout_s = math.inf
+        self._deadline_s = math.inf
+        self._last_deadline_s = math.inf
+
+    def start(self, now_s: float, timeout_s: float) -> None:
+        """Wait for the next event from now on."""
+        self._timeout_s = timeout_s
+        self._deadline_s = now_s + timeout_s
+        self._last_deadline_s = now_s + READING_FACTOR * timeout_s
 
     def check(self, now_s: float) -> None:
         """End the attempt if it is overdue and the request can go on."""
-        if now_s < self.deadline_s:
+        if now_s < self._deadline_s:
             return
-        if self._take_retry():
+        if now_s < self._last_deadline_s and self._reads_for_others(now_s - self._timeout_s):
+            self._deadline_s = now_s + RECHECK_S
+        elif self._take_retry():
             self.scope.cancel()
-            self.deadline_s = math.inf
+            self._deadline_s = math.inf
         else:
-            self.deadline_s = now_s + RECHECK_S
+            self._deadline_s = now_s + RECHECK_S
 
 
 class AttemptTimeoutWatch:
--- a/src/weirscale/gateway/routing/attempt_learning.py
+++ b/src/weirscale/gateway/routing/attempt_learning.py
@@ -56,6 +56,10 @@
         """An engine has made an event, so it lives."""
         self._overdue.engine_alive(instance, now_s)
 
+    def has_worked_since(self, instance: InstanceId, since_s: float) -> bool:
+        """Whether an engine has made an event for this node after a time."""
+        return self._overdue.is_alive_since(instance, since_s)
+
     def wait_ended(self, choice: Choice) -> None:
         """An attempt has had its first event, or has ended without one."""
         self._overdue.wait_ended(choice)
--- a/src/weirscale/gateway/routing/dispatcher.py
+++ b/src/weirscale/gateway/routing/dispatcher.py
@@ -227,6 +227,19 @@
         """An engine has made an event, so it lives."""
         self.learning.event_received(instance, self._clock())
 
+    def reads_for_others(self, choice: Choice, own_tokens: int, since_s: float) -> bool:
+        """Return whether an engine has made an event since a time and has others' prompts to read.
+
+        Args:
+            choice: The engine, as a request chose it.
+            own_tokens: Prompt tokens of that request itself that are still to be read.
+            since_s: The time.
+        """
+        instance = choice.candidate.back_end.instance
+        if not self.learning.has_worked_since(instance, since_s):
+            return False
+        return self._load.total(instance, self._clock()).waiting_tokens > own_tokens
+
     def first_event_received(self, choice: Choice, took_s: float) -> None:
         """Learn how long a first event took."""
         self.learning.first_event_received(choice, took_s, self._clock())
--- a/src/weirscale/gateway/routing/overdue.py
+++ b/src/weirscale/gateway/routing/overdue.py
@@ -47,6 +47,10 @@
         """An engine has made an event."""
         self._alive_at_s[instance] = now_s
 
+    def is_alive_since(self, instance: InstanceId, since_s: float) -> bool:
+        """Whether an engine has made an event after a time."""
+        return self._alive_at_s.get(instance, 0.0) > since_s
+
     def forget_engine(self, instance: InstanceId) -> None:
         """Forget an engine that is gone."""
         self._alive_at_s.pop(instance, None)
@@ -64,6 +68,6 @@
             waited_s = now_s - attempt.began_s
             attempt.due_s = attempt.began_s + OVERDUE_FACTOR * waited_s
             instance = attempt.choice.candidate.back_end.instance
-            if self._alive_at_s.get(instance, 0.0) > attempt.began_s:
+            if self.is_alive_since(instance, attempt.began_s):
                 due.append((attempt.choice, waited_s))
         return due
