Attempts are not ended for silence in the first check after a standstill

What callers would see: a node that stood still for longer than an attempt's time-out sent its streams elsewhere, though their events lay in its sockets, and engines read the prompts again. Not seen outside tests.

A back end that was silent all the while is left then.

Test: gateway_silent_engines.feature, "A node that stood still looks first at what has arrived": its first row fails without the rule (mutation "standstills", noticed), the three others hold that silence is noticed as before.

--- a/features/gateway_silent_engines.feature
+++ b/features/gateway_silent_engines.feature
@@ -20,3 +20,16 @@
       | made no event                | 2000   | 0.75 |
       | made events until 0.5 s      | 2000   | 1.25 |
       | has read for others by 1.1 s | 2000   | 1.25 |
+
+  # Guards against streams that were sent elsewhere because their own node had stood still.
+  Scenario Outline: A node that stood still looks first at what has arrived
+    Given a watch of attempts that are checked on ticks
+    When the node stands still for <still> seconds, <apart> s before an event of an attempt that may be silent for 0.75 seconds
+    Then the attempt is "<ended>"
+
+    Examples: the event came while the node stood still, or never
+      | still | apart | ended |
+      | 2.0   | 0.081 | kept  |
+      | 2.0   | 9.0   | ended |
+      | 0.0   | 0.5   | kept  |
+      | 0.0   | 9.0   | ended |
--- a/features/steps/gateway_silent_engines_steps.py
+++ b/features/steps/gateway_silent_engines_steps.py
@@ -17,7 +17,7 @@
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.model.back_ends import BackEnd, BackEndState
 from weirscale.gateway.model.topology import Location
-from weirscale.gateway.requests.attempt_timeout import AttemptTimeout
+from weirscale.gateway.requests.attempt_timeout import AttemptTimeout, AttemptTimeoutWatch
 from weirscale.gateway.routing.candidate import Candidate, Choice
 from weirscale.gateway.routing.dispatcher import Dispatcher
 from weirscale.gateway.routing.load import FleetLoad, Load
@@ -120,3 +120,43 @@
 @then("it is left after {seconds:g} seconds")
 def step_left_after(context, seconds):
     assert abs(context.left_s - seconds) <= 2 * CHECK_INTERVAL_S, context.left_s
+
+
+@given("a watch of attempts that are checked on ticks")
+def step_watch(context):
+    context.still_s = 0.0
+
+
+@when(
+    "the node stands still for {still:g} seconds, {apart:g} s before an event of an attempt that may "
+    "be silent for {timeout_s:g} seconds"
+)
+def step_stand_still(context, still, apart, timeout_s):
+    def clock():
+        return anyio.current_time() + context.still_s
+
+    async def main():
+        watch = AttemptTimeoutWatch(clock)
+        scope = anyio.CancelScope()
+        timeout = AttemptTimeout(scope, lambda: True, lambda _since_s: False)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch.run)
+            await anyio.sleep(0.5)
+            timeout.start(clock(), timeout_s)
+            watch.watch(timeout)
+            await anyio.sleep(0.2)
+            # The ticks' own clock does not see a standstill; the node's does.
+            context.still_s = still
+            with anyio.move_on_after(2.0):
+                await anyio.sleep(apart)
+                timeout.start(clock(), timeout_s)
+                await anyio.sleep(0.5)
+            context.ended = scope.cancel_called
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(main)
+
+
+@then('the attempt is "{ended}"')
+def step_ended(context, ended):
+    assert context.ended == (ended == "ended"), context.ended
--- a/src/weirscale/gateway/requests/attempt_timeout.py
+++ b/src/weirscale/gateway/requests/attempt_timeout.py
@@ -21,6 +21,9 @@
 RECHECK_S = 0.25
 """An overdue attempt that is not ended is checked again after this."""
 
+STANDSTILL_S = 0.25
+"""Seconds. A check that comes this much late shows that the process stood still."""
+
 READING_FACTOR = 3.0
 """An attempt whose engine reads for others is ended after this multiple of its timeout all the
 same: a connection of its own may have gone silent while the engine works."""
@@ -90,8 +93,14 @@
 
     async def run(self) -> None:
         """Check until cancelled."""
+        checked_at_s = self._clock()
         while True:
             await sleep_to_tick(CHECK_INTERVAL_S)
             now_s = self._clock()
+            stood_still = now_s - checked_at_s > CHECK_INTERVAL_S + STANDSTILL_S
+            checked_at_s = now_s
+            if stood_still:
+                # What arrived meanwhile has not been looked at yet: nobody was silent.
+                continue
             for timeout in tuple(self._watched):
                 timeout.check(now_s)
