First events for other nodes show as well that an engine works

What callers saw: as in "An attempt is not ended while its engine reads the prompts of others", where the prompts had come to another node: a node with a single stream at an engine heard no other events from there and sent the stream elsewhere.

Cause: only this node's own events counted as signs of life.

Why it holds: that a prompt has been read is gossiped already, for beliefs about caches; it now counts as an event of the engine. It is late by the gossip's delay, and life is asked for within the attempt's time-out, so a dead engine is left some tenths later at most.

--- a/features/gateway_silent_engines.feature
+++ b/features/gateway_silent_engines.feature
@@ -2,11 +2,16 @@
 
   # Guards against streams that were left for a pause that reading explains: their prompts were read
   # once more elsewhere, which made the streams there pause as well.
-  Scenario: Streams whose engines read many prompts are not read once more elsewhere
-    Given a node before 2 runners that read 14000 tokens a second
-    When a stream has begun at each and 16 prompts of 2000 tokens come at once
+  Scenario Outline: Streams whose engines read many prompts that come to <where> are not read once more elsewhere
+    Given 2 nodes before 2 runners that read 14000 tokens a second
+    When a stream has begun at each runner and 16 prompts of 2000 tokens come at once to <where>
     Then every request has run once and is answered whole
 
+    Examples: a node hears of prompts that were read for others by gossip
+      | where          |
+      | the same node  |
+      | the other node |
+
   # Guards against waiting for a dead engine, or for one connection that went silent alone.
   Scenario Outline: When a silent attempt is left
     Given an engine that <worked> since the attempt's last event, with <others> tokens of others to read
--- a/features/steps/gateway_silent_engines_steps.py
+++ b/features/steps/gateway_silent_engines_steps.py
@@ -30,7 +30,7 @@
 ENGINE = BackEnd("r-1", "lm", "10.3.0.1:8080", "here", BackEndState.READY, 4)
 
 
-@given("a node before {count:d} runners that read {rate:d} tokens a second")
+@given("2 nodes before {count:d} runners that read {rate:d} tokens a second")
 def step_runners(context, count, rate):
     context.runners = [
         ReadingRunner(f"r-{number}", f"10.3.0.{number}:8080", "lm", tokens_per_s=rate)
@@ -38,8 +38,11 @@
     ]
 
 
-@when("a stream has begun at each and {count:d} prompts of {tokens:d} tokens come at once")
-def step_prompts(context, count, tokens):
+@when(
+    "a stream has begun at each runner and {count:d} prompts of {tokens:d} tokens come at once to "
+    "{where}"
+)
+def step_prompts(context, count, tokens, where):
     fleet = context.fleet = Fleet()
     context.answers = []
 
@@ -56,14 +59,16 @@
         for runner in context.runners:
             fleet.add_runner(runner)
             fleet.tasks.start_soon(runner.work)
-        node = await fleet.start_node()
-        await anyio.sleep(0.5)
+        node = await fleet.start_node("node-1")
+        other = await fleet.start_node("node-2")
+        await anyio.sleep(1.0)
         async with anyio.create_task_group() as callers:
             for number in range(len(context.runners)):
                 callers.start_soon(call, node, f"a{number:x}", 400, STREAM_OUT)
                 await anyio.sleep(0.04)
             for number in range(count):
-                callers.start_soon(call, node, f"b{number:x}", tokens, PROMPT_OUT)
+                asked = node if where == "the same node" else other
+                callers.start_soon(call, asked, f"b{number:x}", tokens, PROMPT_OUT)
 
     async def main():
         await with_fleet(fleet, body)
--- a/src/weirscale/gateway/gossip/inbox.py
+++ b/src/weirscale/gateway/gossip/inbox.py
@@ -121,6 +121,9 @@
             self._dispatcher.record_shared_blocks(send.instance, send.scope, send.blocks)
         else:
             self._dispatcher.record_blocks(send.instance, send.scope, send.blocks, send.is_ready)
+            if send.is_ready:
+                # A first event for another node shows as well that the engine lives.
+                self._dispatcher.event_received(send.instance)
 
     def _receive_loading(self, loading: LoadingGossip) -> None:
         self._dispatcher.mark_loading(loading.instance, loading.is_done)
