--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -32,10 +32,10 @@
 """Least urgent priority that back ends know (published protocol of the platform)."""
 
 PRIORITIES_A_TENANT = 3
-"""Priorities of routes that are told apart within one of a tenant. Not measured."""
+"""Priorities of routes that are told apart within one of a tenant."""
 
 DEFAULT_TENANT_PRIORITY = 1
-"""Priority of a request without a tenant, or whose tenant has none. Not measured."""
+"""Priority of a request without a tenant, or whose tenant has none."""
 
 
 class Attempt:
--- a/src/weirscale/gateway/requests/attempt_timeout.py
+++ b/src/weirscale/gateway/requests/attempt_timeout.py
@@ -16,7 +16,7 @@
 
 CHECK_INTERVAL_S = 0.08
 """Seconds between checks, so the most that an attempt may outlive its timeout. Two ticks, so that
-the check wakes no process by itself. Not measured apart from the change to ticks."""
+the check wakes no process by itself."""
 
 RECHECK_S = 0.25
 """An overdue attempt that is not ended is checked again after this."""
--- a/src/weirscale/gateway/requests/overload.py
+++ b/src/weirscale/gateway/requests/overload.py
@@ -19,29 +19,25 @@
 from weirscale.gateway.routing.candidate import Choice
 
 OBJECTIVE_SHARE = 0.8
-"""A first event estimated later than this multiple of the route's objective is not waited for.
-Paired plays of overloaded days at two sites: worth 0.655 and 0.672 with 0.8, 0.622 and 0.665 with
-1.25."""
+"""A first event estimated later than this multiple of the route's objective is not waited for."""
 
 RETURNING_FACTOR = 3.0
-"""A returning caller may wait for this many times as long, because a second refusal loses it.
-Worth of plays whose engines read at half their speed: 0.357 with 3, 0.319 with 6."""
+"""A returning caller may wait for this many times as long, because a second refusal loses it."""
 
 IDLE_WAIT_S = 0.05
-"""Seconds. A wait that others cause is no reason for a refusal up to this: the back end is idle.
-Not measured."""
+"""Seconds. A wait that others cause is no reason for a refusal up to this: the back end is idle."""
 
 FIRST_TRY_SHARE = 0.99
 """A caller that states this share of its route's time-out, and no more than all of it, asks for
-the first time. One that states more may have asked before. Not measured."""
+the first time. One that states more may have asked before."""
 
 MIN_RETRY_AFTER_SHARE = 0.02
 """Smallest share of its time that a caller is sent away for. It must exceed 1 - FIRST_TRY_SHARE, so
-that the caller is known to return. Not measured."""
+that the caller is known to return."""
 
 MAX_RETRY_AFTER_SHARE = 0.3
 """Largest share of its time that a caller is sent away for. Callers honour up to a third of the
-time that they have left (published protocol of the platform). Not measured."""
+time that they have left (published protocol of the platform)."""
 
 STALL_COST_PER_S = 1.0
 """What a second in which all engines stall takes from the limit and its reserve."""
@@ -58,8 +54,7 @@
 what it takes engines that keep nothing yet to read what their first callers share."""
 
 MIN_LIMIT_SHARE = 0.05
-"""The share never falls below this, so that some streams go on showing how things are. Not
-measured."""
+"""The share never falls below this, so that some streams go on showing how things are."""
 
 
 class QueueLimit(msgspec.Struct):
--- a/src/weirscale/gateway/requests/stream_pauses.py
+++ b/src/weirscale/gateway/requests/stream_pauses.py
@@ -19,10 +19,10 @@
 two sites: worth 0.663 and 0.694 with 1.2, 0.655 and 0.672 with 0.6."""
 
 FIRST_EVENT_ESTIMATE_FACTOR = 3.0
-"""The first-event timeout is at least this multiple of the estimated time. Not measured."""
+"""The first-event timeout is at least this multiple of the estimated time."""
 
 STALL_FACTOR = 1.5
-"""Stall timeout as a multiple of the longest pause that the route allows. Not measured."""
+"""Stall timeout as a multiple of the longest pause that the route allows."""
 
 USUAL_PAUSE_FACTOR = 3.0
 """The stall timeout is at least this multiple of the usual pause: where all engines read long
@@ -31,10 +31,10 @@
 (`docs/design/0015-overload.md`)."""
 
 PAUSE_WEIGHT = 0.02
-"""Weight of one pause in the usual pause, so that some 50 pauses count. Not measured."""
+"""Weight of one pause in the usual pause, so that some 50 pauses count."""
 
 DEFAULT_MAX_PAUSE_S = 0.5
-"""Longest pause in seconds that a route allows that does not say. Not measured."""
+"""Longest pause in seconds that a route allows that does not say."""
 
 
 class _EngineStreams(msgspec.Struct):
--- a/src/weirscale/gateway/routing/attempt_learning.py
+++ b/src/weirscale/gateway/routing/attempt_learning.py
@@ -11,11 +11,10 @@
 
 SLOW_SOURCE_S = 0.25
 """Seconds. A first event this much later than estimated, after a fetch from a store, makes the
-store suspect: a dead one delays every request that names it. Not measured."""
+store suspect: a dead one delays every request that names it."""
 
 SLOW_SOURCE_PAUSE_S = 2.0
-"""Seconds in which a suspect store is not fetched from; one request then tries it again. Not
-measured."""
+"""Seconds in which a suspect store is not fetched from; one request then tries it again."""
 
 
 class AttemptLearning:
--- a/src/weirscale/gateway/routing/first_event_model.py
+++ b/src/weirscale/gateway/routing/first_event_model.py
@@ -18,8 +18,7 @@
 import msgspec
 
 FORGETTING = 0.99
-"""Weight of the past at each observation, without unit: some 100 observations count. Not measured
-against other figures."""
+"""Weight of the past at each observation, without unit: some 100 observations count."""
 
 LEAST_NOISE_S = 0.02
 """Fixed part, in seconds, of the spread of the times about the line. Measured together with
--- a/src/weirscale/gateway/routing/overdue.py
+++ b/src/weirscale/gateway/routing/overdue.py
@@ -13,11 +13,10 @@
 
 OVERDUE_FACTOR = 1.5
 """Multiple, without unit, of the expected wait after which an attempt is overdue; it is reported
-again each time that the wait has grown by this factor. Not measured against other factors."""
+again each time that the wait has grown by this factor."""
 
 LEAST_OVERDUE_S = 0.1
-"""Seconds below which no wait is overdue: a busy node reads events that much late itself. Not
-measured."""
+"""Seconds below which no wait is overdue: a busy node reads events that much late itself."""
 
 
 class _OpenAttempt(msgspec.Struct):
