--- a/src/weirscale/gateway/routing/attempt_learning.py
+++ b/src/weirscale/gateway/routing/attempt_learning.py
@@ -55,7 +55,7 @@
         self._overdue.engine_alive(instance, now_s)
 
     def has_worked_since(self, instance: InstanceId, since_s: float) -> bool:
-        """Whether an engine has made an event for this node after a time."""
+        """Whether an engine has made an event after a time, as far as this node knows."""
         return self._overdue.is_alive_since(instance, since_s)
 
     def wait_ended(self, choice: Choice) -> None:
--- a/src/weirscale/gateway/routing/overdue.py
+++ b/src/weirscale/gateway/routing/overdue.py
@@ -31,7 +31,8 @@
     def __init__(self) -> None:
         self._open: dict[int, _OpenAttempt] = {}
         self._alive_at_s: dict[InstanceId, float] = {}
-        """When an engine last made an event for this node."""
+        """When an engine last made an event for this node, or a first one for a node of its group,
+        as far as gossip tells."""
 
     def attempt_sent(self, choice: Choice, now_s: float) -> None:
         """An attempt goes out and waits for its first event."""
