Pauses within what a route allows cost no look-up

Found on reading the change once more: learn_stall runs for each event of each stream, and looked up its engine before it knew that there was nothing to learn. Behaviour is the same. gateway_queue_limit, gateway_silent_engines: 25 passed; "whatever the order" and "Only pauses" pass; mutations "stalls": 5 noticed; type check clean.

--- a/src/weirscale/gateway/requests/stream_pauses.py
+++ b/src/weirscale/gateway/requests/stream_pauses.py
@@ -104,9 +104,11 @@
             pause_s: How long it was silent until now.
             now_s: The time.
         """
+        too_long_s = pause_s - (route.max_pause_s or DEFAULT_MAX_PAUSE_S)
+        if too_long_s <= 0.0:
+            return
         engines = self._engines[engine.service]
         streams = engines[engine.instance]
-        too_long_s = pause_s - (route.max_pause_s or DEFAULT_MAX_PAUSE_S)
         stalled_s = now_s - max(now_s - too_long_s, streams.stalled_until_s)
         if stalled_s > 0.0:
             streams.stalled_until_s = now_s
