The line of a request tells which stream it takes up, and from which versions it came

No choice changes. Measured: behave features/gateway_log.feature gateway_requests.feature platform_adapter.feature recorded_forms.feature architecture_layers.feature: all pass (before: the two new scenarios fail).

--- a/features/gateway_log.feature
+++ b/features/gateway_log.feature
@@ -60,3 +60,15 @@
       | kind     | fault |
       | a single | break |
       | an order | reset |
+
+  # Without these fields, a try that takes a stream up looks like any other, and an answer of two
+  # versions of a service like one of a single version.
+  Scenario: The log line of a resumed stream tells its versions, and which try it takes up
+    Given two back ends of one version of which the one asked first does "break" once
+    When a resumable request is sent that breaks off and goes on
+    Then the request's log line has "began_at=v1" and "software=v1"
+
+  Scenario: The log line of a try that takes a stream up tells which try and event it names
+    Given two back ends of which the one asked first does "none" once
+    When a resumable request is sent that takes up the stream of "q0" after event 1
+    Then the request's log line has "resumes=q0" and "after=1"
--- a/features/steps/gateway_log_steps.py
+++ b/features/steps/gateway_log_steps.py
@@ -9,6 +9,7 @@
 import anyio
 from behave import given, then, when
 
+from features.steps.gateway_requests_steps import prepare, send
 from features.support.platform_fleet import Fleet, configuration, with_fleet
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.quarantine.fingerprint import read_fingerprint
@@ -148,6 +149,31 @@
     assert read_fingerprint(line["request"]) is not None, line
 
 
+@given('two back ends of one version of which the one asked first does "break" once')
+def step_one_version(context):
+    prepare(context, ["break"])
+    context.software = "v1"
+
+
+@when("a resumable request is sent that breaks off and goes on")
+def step_send_broken(context):
+    send(context, "a resumable")
+
+
+@when('a resumable request is sent that takes up the stream of "{try_id}" after event {event:d}')
+def step_send_taking_up(context, try_id, event):
+    extra = [(b"resumes", try_id.encode()), (b"last-event-id", str(event).encode())]
+    send(context, "a resumable", extra=extra)
+
+
+@then('the request\'s log line has "{first}" and "{second}"')
+def step_line_has(context, first, second):
+    line = request_line(context)
+    for field in (first, second):
+        name, _, value = field.partition("=")
+        assert line[name] == value, line
+
+
 @then("the operators' page has the name of each field of the request's log line")
 def step_fields(context):
     page = PAGE.read_text()
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -119,6 +119,7 @@
         )
         runner = RunnerStandIn(f"r-{number}", f"10.3.0.{number}:8080", "lm", faults=faults)
         runner.read_s = context.read_s or runner.read_s
+        runner.software = getattr(context, "software", "")
         fleet.add_runner(runner)
 
 
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -70,6 +70,8 @@
     """Called with each `Run` that begins, its target and its body."""
     on_break: object = None
     """Called with the id of each request whose answer this runner will not complete."""
+    software: str = ""
+    """The version of its program, as the registration states it."""
     born_ms: int | None = None
     """The start time of its process, if the registration states it."""
     is_crashed: bool = False
@@ -119,7 +121,7 @@
         born = {} if self.born_ms is None else {"born": self.born_ms}
         return born | {
             "service": self.service,
-            "version": "",
+            "version": self.software,
             "address": self.address,
             "zone": self.zone,
             "slots": 4,
--- a/src/weirscale/gateway/ports/callers.py
+++ b/src/weirscale/gateway/ports/callers.py
@@ -27,6 +27,8 @@
         num_tokens: Stated sum of the prompt's tokens and the answer's maximum, or None.
         resume_after: Id of the last event that the caller has received, or None.
         headers: Header fields that are forwarded to the back end.
+        resumes: If the caller takes a stream up, the id of its try that received the stream's first
+            event; None if it names none.
     """
 
     request_id: RequestId
@@ -40,6 +42,7 @@
     num_tokens: int | None
     resume_after: str | None
     headers: Headers
+    resumes: RequestId | None = None
 
 
 class RequestCodec(Protocol):
--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -191,6 +191,8 @@
         """Record that events arrived, and restart the timeout for the next event."""
         self._context.traffic.heard()
         self._records.dispatcher.event_received(self._back_end.instance)
+        if self._history.stream_version is None:
+            self._history.stream_version = self._back_end.software
         if self._times.first_event_s is None:
             took_s = self._context.clock() - self._began_s
             self._times.first_event_s = took_s
--- a/src/weirscale/gateway/requests/request_handler.py
+++ b/src/weirscale/gateway/requests/request_handler.py
@@ -222,4 +222,5 @@
             tenant=tenant.name if tenant else None,
             quota=admission.quota if isinstance(admission, Refusal) else None,
             fingerprint=self._guard.known_fingerprint if self._guard else None,
+            stream_version=self._history.stream_version,
         )
--- a/src/weirscale/gateway/requests/request_log.py
+++ b/src/weirscale/gateway/requests/request_log.py
@@ -10,6 +10,9 @@
 from weirscale.gateway.telemetry.request_summary import RequestSummary
 from weirscale.ports.event_log import EventLog
 
+MAX_LOGGED_ID_CHARS = 64
+"""Maximum number of characters of a caller's ids in a log line."""
+
 
 class RequestLog:
     """Logs and counts requests that have ended.
@@ -61,6 +64,7 @@
         if summary.choice is not None:
             fields.update(_choice_fields(summary.choice))
             fields.update(self._service_fields(summary, summary.choice))
+        fields.update(_stream_fields(summary))
         if summary.quota is not None:
             fields["tenant"] = summary.tenant
             fields.update(_quota_fields(summary.quota))
@@ -82,6 +86,22 @@
         return fields
 
 
+def _stream_fields(summary: RequestSummary) -> dict[str, object]:
+    """Return which versions a resumable stream came from, and what a try that resumes one names."""
+    fields: dict[str, object] = {}
+    request, choice, route = summary.request, summary.choice, summary.route
+    if request.resumes is not None:
+        fields["resumes"] = request.resumes[:MAX_LOGGED_ID_CHARS]
+    if request.resume_after is not None:
+        fields["after"] = request.resume_after[:MAX_LOGGED_ID_CHARS]
+    if route is None or not route.is_resumable or choice is None:
+        return fields
+    if summary.stream_version is not None and (summary.num_attempts > 1 or fields):
+        fields["began_at"] = summary.stream_version
+    fields["software"] = choice.candidate.back_end.software
+    return fields
+
+
 def _quota_fields(decision: QuotaDecision) -> dict[str, object]:
     return {
         "quota_cost": round(decision.cost),
--- a/src/weirscale/gateway/requests/retry_decision.py
+++ b/src/weirscale/gateway/requests/retry_decision.py
@@ -23,7 +23,7 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import ServiceName
+from weirscale.domain.identifiers import ServiceName, SoftwareVersion
 from weirscale.gateway.limits.retry_budget import SharedRetryBudget
 from weirscale.gateway.model.configuration import Route
 from weirscale.gateway.model.identifiers import InstanceId
@@ -69,6 +69,7 @@
         may_have_run: Whether any attempt may have run the request.
         holds_retry: Whether a retry of the shared budget was already taken for the next attempt.
         failed_answer: Last answer of a back end that ran the request and failed.
+        stream_version: Service version that made the first event of the stream; None before.
         causes: Why the request was not answered, for the log.
     """
 
@@ -81,6 +82,7 @@
     may_have_run: bool = False
     holds_retry: bool = False
     failed_answer: FailedAnswer | None = None
+    stream_version: SoftwareVersion | None = None
     causes: list[str] = msgspec.field(default_factory=list)
 
     def add_verdict(self, instance: InstanceId, verdict: Verdict) -> None:
--- a/src/weirscale/gateway/telemetry/request_summary.py
+++ b/src/weirscale/gateway/telemetry/request_summary.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import ServiceName, TenantName
+from weirscale.domain.identifiers import ServiceName, SoftwareVersion, TenantName
 from weirscale.gateway.limits.quota import QuotaDecision
 from weirscale.gateway.model.configuration import Route
 from weirscale.gateway.ports.callers import CallerRequest
@@ -84,6 +84,7 @@
         quota: Quota decision, if the quota refused the request.
         fingerprint: Fingerprint, the same each time that a caller sends this request; None if it
             was not computed.
+        stream_version: Service version that made the stream's first event; None for no stream.
     """
 
     request: CallerRequest
@@ -100,6 +101,7 @@
     tenant: TenantName | None = None
     quota: QuotaDecision | None = None
     fingerprint: RequestFingerprint | None = None
+    stream_version: SoftwareVersion | None = None
 
     def is_late(self) -> bool:
         """Return whether the answer missed the route's objective for delay or pauses."""
