--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -193,6 +193,12 @@
         """Nodes whose datagrams to single nodes are lost, while their gossip to their group arrives."""
         self.mute = set()
         """Nodes whose datagrams are all lost, gossip included."""
+        self.deaf_to = ()
+        """Message types that nodes of `old_builds` neither send nor understand."""
+        self.old_builds = set()
+        self.datagram_loss = 0.0
+        """Share of the single datagrams between nodes that are lost; gossip to a group arrives."""
+        self.datagram_luck = Random(seed)
         self.frozen = {}
         """By name: frozen nodes, each with the messages that arrived meanwhile."""
         self.thawed = anyio.Event()
@@ -219,8 +225,8 @@
         if self.targets.get(runner.address) is runner:
             del self.targets[runner.address]
 
-    async def start_node(self, name="node-1", is_first_start=True, zone="hall-a"):
-        number = len(self.nodes) + 1
+    async def start_node(self, name="node-1", is_first_start=True, zone="hall-a", number=None):
+        number = number or len(self.nodes) + 1
         address = ListenAddress(f"10.1.0.{number}", CALLER_PORT)
         settings = GatewaySettings(
             name=name,
@@ -267,8 +273,14 @@
     def can_deliver(self, sender, receiver):
         """Return whether datagrams between two nodes arrive."""
         names = {sender.settings.name, receiver.settings.name}
+        if self.datagram_loss and self.datagram_luck.random() < self.datagram_loss:
+            return False
         return not names & (self.silent | self.mute)
 
+    def is_understood(self, message, *names):
+        """Return whether the builds of all these nodes have a type of message."""
+        return not (isinstance(message, self.deaf_to) and self.old_builds & set(names))
+
     def kill(self, name):
         self.scopes[name].cancel()
         del self.nodes[name]
@@ -355,10 +367,15 @@
         decoded = decode_message(encode_message(message))
         assert decoded == message, decoded
         await self._fleet.wait_while_frozen(self._node.settings.name)
+        own_name = self._node.settings.name
         for address in addresses:
             self._fleet.num_datagrams += 1
-            for node in list(self._fleet.nodes.values()):
-                if node.settings.peers == address and self._fleet.can_deliver(self._node, node):
+            for name, node in list(self._fleet.nodes.items()):
+                if node.settings.peers != address or not self._fleet.is_understood(
+                    message, own_name, name
+                ):
+                    continue
+                if self._fleet.can_deliver(self._node, node):
                     await self._fleet.deliver(node, decoded, self._node.settings.peers)
 
 
@@ -382,13 +399,15 @@
     leave_after_s=None,
     on_body_part=None,
     part_delay_s=0.0,
+    answer=None,
 ):
     """Send one request to a node's application.
 
     The caller disconnects after `leave_after_s`. `on_body_part` is called for each part of the
-    answer's body, and the caller waits `part_delay_s` before it accepts the next part.
+    answer's body, and the caller waits `part_delay_s` before it accepts the next part. What arrives
+    is added to `answer`, so that it is known even if the call is cancelled.
     """
-    answer = Answer()
+    answer = answer or Answer()
     began_s = anyio.current_time()
     sent_body = False
     raw_path, _, query = path.partition("?")
