A broken stream goes on within its answer only at the service version that began it

What callers saw: one answer with events of two versions of a service's back ends. Change: the version of the attempt that brought the first event binds the later attempts; a silent attempt is left only if another back end of that version may take over; without one the answer is broken off visibly (version_gone). While a rollout moves traffic, replaced versions continue their streams; the target's streams in the canary stage need an attempt of the canary's allowance. The scenario 'A stream that breaks at the target resumes at an old runner, complete and in order' demanded the fault. What replaces it is as strict: events complete and in order, of one version, no cut answer looks complete, streams of the older version all complete, the canary's allowance kept; it fails on the code before.

--- a/features/gateway_rollouts.feature
+++ b/features/gateway_rollouts.feature
@@ -75,11 +75,13 @@
     Then the states of the target "v1" were "active, completed"
     And at least 0.97 of the requests succeeded
 
-  Scenario: A stream that breaks at the target resumes at an old runner, complete and in order
+  Scenario: A stream that breaks at the target goes on there or is broken off, and others are complete
     Given streaming runners of two versions, of which the newer breaks every stream
     When 150 resumable streams are requested while the newer version is a canary
     Then some streams began at the newer version
-    And each caller got every event once and in order
+    And each caller got events of one version only, once and in order, and no cut answer looks complete
+    And each stream that the older version began is complete
+    And the newer version got no more requests than its allowance
 
   Scenario: A canary version is no spare capacity: requests beyond the old runners' capacity are refused
     Given streaming runners of two versions, of which the older is full
--- a/features/steps/gateway_stream_versions_steps.py
+++ b/features/steps/gateway_stream_versions_steps.py
@@ -54,7 +54,8 @@
 def step_break(context, count):
     simulation = context.simulation
     for back_end in simulation.back_ends:
-        back_end.faults = ["break", "none"] * count
+        back_end.faults = ["break", "none", "none", "none"] * count
+    simulation.max_tries = 1
     simulation.actions.append(lambda: simulation.send_streams(STREAMS_PER_S, count / STREAMS_PER_S))
 
 
@@ -62,6 +63,8 @@
 def step_crash(context, count):
     simulation = context.simulation
 
+    simulation.max_tries = 1
+
     async def crash_some():
         for number in (0, 2):
             await anyio.sleep(1.0)
--- a/features/support/stream_callers.py
+++ b/features/support/stream_callers.py
@@ -103,6 +103,7 @@
             self.make_back_end(version, number)
         self.actions = []
         self.streams = []
+        self.max_tries = MAX_TRIES
         self.names_first_try = True
         """Whether callers that take a stream up name the try that brought its first event."""
         self.tries_at = {}
@@ -147,13 +148,13 @@
                 tasks.start_soon(self.run_stream)
                 await anyio.sleep(1.0 / per_s)
 
-    async def run_stream(self, max_tries=MAX_TRIES, prefer=None):
+    async def run_stream(self):
         """Run one stream: take it up at another node each time that it breaks off."""
         stream = Stream()
         self.streams.append(stream)
         deadline_s = anyio.current_time() + DEADLINE_MS / 1000.0
-        while len(stream.tries) < max_tries and anyio.current_time() < deadline_s:
-            node = prefer if prefer and not stream.tries else self._choose_node(stream)
+        while len(stream.tries) < self.max_tries and anyio.current_time() < deadline_s:
+            node = self._choose_node(stream)
             if node is None:
                 break
             last = await self.send_try(stream, node)
--- a/src/weirscale/gateway/model/back_ends.py
+++ b/src/weirscale/gateway/model/back_ends.py
@@ -85,6 +85,11 @@
     return InstanceId(run.rpartition("@")[0])
 
 
+def of_version(back_ends: Iterable[BackEnd], version: SoftwareVersion) -> list[BackEnd]:
+    """Return the back ends of a service version."""
+    return [back_end for back_end in back_ends if back_end.software == version]
+
+
 class BackEndDirectory:
     """Stores the back ends in use, one for each address.
 
--- a/src/weirscale/gateway/requests/request_handler.py
+++ b/src/weirscale/gateway/requests/request_handler.py
@@ -177,9 +177,10 @@
 
     async def _give_up_without_back_end(self, admitted: AdmittedRequest) -> None:
         """Refuse the request, with the time until a back end is available again, if known."""
-        availability = self._context.selector.next_availability(admitted)
+        availability = self._context.selector.next_availability(admitted, self._history)
         if availability is None:
-            await self._give_up(RequestCause.NO_BACK_END)
+            is_bound = self._history.stream_version is not None
+            await self._give_up(RequestCause.VERSION_GONE if is_bound else RequestCause.NO_BACK_END)
         elif availability.is_full:
             await self._give_up(RequestCause.FULL, availability.after_s)
         elif availability.is_limited:
--- a/src/weirscale/gateway/rollouts/canary_traffic.py
+++ b/src/weirscale/gateway/rollouts/canary_traffic.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import ServiceName
+from weirscale.domain.identifiers import ServiceName, SoftwareVersion
 from weirscale.gateway.model.back_ends import BackEnd
 from weirscale.gateway.model.configuration import Route
 from weirscale.gateway.model.rollout_order import Epoch
@@ -122,6 +122,18 @@
             return Track.STABLE
         return Track.CANARY if allowance.try_take() else Track.STABLE
 
+    def try_continue(self, service: ServiceName, version: SoftwareVersion) -> bool:
+        """Spend an attempt of the allowance on a stream that a version began, if it is a canary.
+
+        Returns:
+            Whether the version is a canary and had an attempt left.
+        """
+        view = self._reader.open_view(service)
+        if view is None or version != view.target:
+            return False
+        is_sound = self._gate.allows_canary(view) and self._alarms.alarm(view.epoch) is None
+        return is_sound and self._allowance(service, view).try_take()
+
     def _has_priority(self, route: Route, epoch: Epoch) -> bool:
         """Return whether no other route needs canary requests more than this one."""
         evidence = self._alarms.evidence(epoch)
--- a/src/weirscale/gateway/rollouts/gate.py
+++ b/src/weirscale/gateway/rollouts/gate.py
@@ -11,8 +11,8 @@
 
 import xxhash
 
-from weirscale.domain.identifiers import ServiceName
-from weirscale.gateway.model.back_ends import BackEnd
+from weirscale.domain.identifiers import ServiceName, SoftwareVersion
+from weirscale.gateway.model.back_ends import BackEnd, of_version
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.model.rollout_order import Epoch
 from weirscale.gateway.rollouts.record import Stage
@@ -75,6 +75,24 @@
             return []
         return [back_end for back_end in back_ends if view.is_stable(back_end.software)]
 
+    def continuing(
+        self,
+        service: ServiceName,
+        back_ends: list[BackEnd],
+        track: Track,
+        version: SoftwareVersion,
+    ) -> list[BackEnd]:
+        """Return the back ends that may continue a stream that a version began.
+
+        While traffic moves to the target, the versions that it replaces get no new requests, but
+        continue their streams until the rollout has ended.
+        """
+        view = self._reader.view(service)
+        if view is not None and track is Track.STABLE and view.is_replaced(version):
+            is_recent = self._cluster.age_s() <= self._rollback_s()
+            return of_version(back_ends, version) if is_recent else []
+        return of_version(self.usable(service, back_ends, track), version)
+
     def allows_canary(self, view: RolloutView) -> bool:
         """Return whether the target may get canary requests now."""
         return view.stage is Stage.CANARY and self._is_state_fresh()
--- a/src/weirscale/gateway/rollouts/view.py
+++ b/src/weirscale/gateway/rollouts/view.py
@@ -38,6 +38,12 @@
         """Return whether the rollout has not ended."""
         return self.stage not in (Stage.COMPLETED, Stage.ROLLED_BACK)
 
+    def is_replaced(self, version: SoftwareVersion) -> bool:
+        """Return whether a version still runs but gets no new requests, since traffic moves."""
+        return (
+            self.stage is Stage.MOVING and version != self.target and version not in self.unusable
+        )
+
     def is_stable(self, version: SoftwareVersion) -> bool:
         """Return whether a version serves requests of the stable track."""
         if version == self.target:
--- a/src/weirscale/gateway/routing/candidates.py
+++ b/src/weirscale/gateway/routing/candidates.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import ServiceName
+from weirscale.domain.identifiers import ServiceName, SoftwareVersion
 from weirscale.gateway.model.back_ends import BackEnd
 from weirscale.gateway.model.configuration import Service, Tenant
 from weirscale.gateway.model.identifiers import InstanceId
@@ -48,6 +48,8 @@
         tenant: The tenant if the route is keyed; None otherwise.
         excluded: Instances that may not be chosen.
         track: Selects the service versions that may be chosen.
+        stream_version: Service version that began the stream which the request continues; None for
+            a request that continues none.
     """
 
     service: ServiceName
@@ -55,6 +57,7 @@
     tenant: Tenant | None
     excluded: Collection[InstanceId]
     track: Track = Track.STABLE
+    stream_version: SoftwareVersion | None = None
 
 
 class Candidates:
@@ -135,7 +138,7 @@
         )
         return [
             back_end
-            for back_end in self._versions.usable(query.service, ready, query.track)
+            for back_end in self._of_allowed_versions(query, ready)
             if back_end.instance not in query.excluded
             and self._has_usable_weights(back_end, query.prompt, lowest_version)
         ]
@@ -148,7 +151,7 @@
         They may have cached blocks that the request can use.
         """
         ready = self._cluster.back_ends.ready(query.service)
-        usable = self._versions.usable(query.service, ready, query.track)
+        usable = self._of_allowed_versions(query, ready)
         if len(usable) == len(ready):
             return []
         usable_instances = {back_end.instance for back_end in usable}
@@ -158,6 +161,11 @@
             if back_end.instance not in usable_instances
         ]
 
+    def _of_allowed_versions(self, query: DispatchQuery, ready: list[BackEnd]) -> list[BackEnd]:
+        if query.stream_version is None:
+            return self._versions.usable(query.service, ready, query.track)
+        return self._versions.continuing(query.service, ready, query.track, query.stream_version)
+
     def mark_loading(self, instance: InstanceId, now_s: float) -> None:
         """Mark an engine that is about to load weights."""
         self._loading_until_s[instance] = now_s + LOADING_MARK_LIFE_S
--- a/src/weirscale/gateway/routing/dispatcher.py
+++ b/src/weirscale/gateway/routing/dispatcher.py
@@ -129,6 +129,10 @@
         )
         return None if choice is None else self._with_load_age(choice, query.track, now_s)
 
+    def has_usable(self, query: DispatchQuery) -> bool:
+        """Return whether any back end has a service version and weights allowed for a request."""
+        return bool(self.candidates.usable(query, self._clock()))
+
     async def wait_for_permit(self, query: DispatchQuery, max_wait_s: float) -> bool:
         """Wait at most `max_wait_s` for a permit of a back end that states a request limit.
 
--- a/src/weirscale/gateway/routing/version_rules.py
+++ b/src/weirscale/gateway/routing/version_rules.py
@@ -2,8 +2,8 @@
 
 from typing import Protocol
 
-from weirscale.domain.identifiers import ServiceName
-from weirscale.gateway.model.back_ends import BackEnd
+from weirscale.domain.identifiers import ServiceName, SoftwareVersion
+from weirscale.gateway.model.back_ends import BackEnd, of_version
 from weirscale.gateway.rollouts.gate import Track
 
 
@@ -14,6 +14,16 @@
         """Return the back ends of a list that a request on a track may be sent to."""
         ...
 
+    def continuing(
+        self,
+        service: ServiceName,
+        back_ends: list[BackEnd],
+        track: Track,
+        version: SoftwareVersion,
+    ) -> list[BackEnd]:
+        """Return the back ends of a list that may continue a stream that a version began."""
+        ...
+
 
 class AllVersions:
     """Allows every version."""
@@ -21,3 +31,13 @@
     def usable(self, service: ServiceName, back_ends: list[BackEnd], track: Track) -> list[BackEnd]:
         """Return all back ends."""
         return back_ends
+
+    def continuing(
+        self,
+        service: ServiceName,
+        back_ends: list[BackEnd],
+        track: Track,
+        version: SoftwareVersion,
+    ) -> list[BackEnd]:
+        """Return all back ends of the version."""
+        return of_version(back_ends, version)
--- a/src/weirscale/gateway/telemetry/request_summary.py
+++ b/src/weirscale/gateway/telemetry/request_summary.py
@@ -33,6 +33,8 @@
     """Back ends crashed while serving the request."""
     NO_BACK_END = "no_back_end"
     """No back end accepts requests."""
+    VERSION_GONE = "version_gone"
+    """No back end of the service version that began the stream accepts requests."""
     RESTING = "resting"
     """All back ends that could run the request have asked for a rest."""
     LIMITED = "limited"
