Callers take streams up at any node only at the service version that began them

What callers saw: a stream whose node was lost, or had broken it off, went on at another node at another version of the service's back ends. Resumes was read by nobody. Change: before the first event of a resumable stream goes out, its origin (service, version) goes to 5 nodes by hash of tenant and id (StreamBegan, 32 bytes). A try with Last-Event-Id or Resumes is bound to what this node or one of 8 others knows (OriginQuery, OriginReply), else to the only version that the service is proved to have had, else refused with 503, unrun. A route's split service is bound likewise. Evidence: features/gateway_stream_versions.feature, 23 scenarios. The caller of two streams under one id now sends another prompt for the second, so that it meets the other version; a take-up of a stream that had all events counts as going on. Recordings gain five messages, one event, one metric; nothing of before changes. Command: behave features/gateway_stream_versions.feature recorded_forms architecture_layers gateway_log

--- a/features/architecture_layers.feature
+++ b/features/architecture_layers.feature
@@ -37,10 +37,11 @@
       | quarantine  | quarantine peers state ports model ticks                                                                             |
       | weights     | weights routing peers state ports model ticks                                                                        |
       | replication | replication peers state ports model settings ticks durations                                                         |
-      | gossip      | gossip replication quarantine routing request_limits rollouts limits peers state model settings ticks                |
+      | gossip      | gossip streams replication quarantine routing request_limits rollouts limits peers state model settings ticks        |
       | telemetry   | telemetry quarantine routing limits ports model settings ticks                                                       |
       | paths       | paths peers state ports model settings ticks                                                                         |
-      | requests    | requests telemetry quarantine weights routing rollouts limits paths peers state ports model settings ticks durations |
+      | streams     | streams peers state ports model settings ticks                                                                       |
+      | requests    | requests streams telemetry quarantine weights routing rollouts limits paths peers state ports model settings ticks durations |
 
   Scenario: The modules of the gateway and of its adapter have no cyclic imports
     Given the modules of the gateway and of its adapter
--- a/features/gateway_stream_versions.feature
+++ b/features/gateway_stream_versions.feature
@@ -29,3 +29,58 @@
       | four of the nodes are killed at once                           |
       | nodes are killed while the store is down                       |
       | nodes are killed and a third of the datagrams is lost          |
+
+  Scenario Outline: A take-up whose version is not known is refused at once, unrun, <case>
+    Given 7 nodes before back ends of the versions "v1 v1 v2 v2 v2"
+    When a stream is taken up <case>
+    Then the take-up is refused with 503 and Retry-After within 0.5 seconds
+    And no back end has run the take-up
+    And a log line and a metric tell "<known_by>"
+
+    Examples:
+      | case                                              | known_by |
+      | that no node has seen                             | unknown  |
+      | without naming the try that began it              | unknown  |
+      | at a node whose datagrams are all lost            | unknown  |
+      | whose id another caller used at another version   | conflict |
+
+  Scenario Outline: Without the word of a node, a take-up goes on while one version is proved to be the only one
+    Given 4 nodes before back ends of the versions "<versions>"
+    When <before>, and a stream is taken up that no node has seen
+    Then the take-up <end>
+
+    Examples:
+      | versions | before                                           | end                    |
+      | v1 v1 v1 | 12 seconds pass                                  | goes on                |
+      | v1 v1 v1 | 12 seconds pass and the store is then down       | is refused and not run |
+      | v1 v1 v1 | 1 second passes                                  | is refused and not run |
+      | v1 v1 v1 | a v2 was there for 2 seconds, 5 seconds ago      | is refused and not run |
+      | v1 v1 v1 | a v2 was there for 2 seconds, 12 seconds ago     | goes on                |
+
+  Scenario Outline: A stream whose version has no back end left <end>
+    Given 4 nodes before back ends of the versions "v1 v2 v2"
+    When a stream of "v1" loses the only back end of its version, <when>
+    Then no stream has events of two versions, or events missing or twice
+    And the stream <end> within 0.5 seconds
+
+    Examples:
+      | when               | end                                             |
+      | within one answer  | is broken off visibly                           |
+      | before its take-up | is refused with 503 and Retry-After, and unrun  |
+
+  Scenario: A stream begun by a node of the release before is not guessed at by newer nodes
+    Given 7 nodes before back ends of the versions "v1 v1 v2 v2 v2", of which 3 are of the release before
+    When streams are sent to all nodes, and a node of this release is killed every second
+    Then no stream that nodes of this release alone took part in has events of two versions
+    And take-ups at nodes of this release of streams that they began go on at nine tenths of the rate of new ones
+
+  Scenario: A taken-up stream goes on at the service of a split that began it
+    Given 4 nodes before a route that is split evenly between two services
+    When 40 streams are broken off by their node and taken up at another
+    Then no stream has events of two services
+    And at least 0.9 of the streams are complete
+
+  Scenario: Word of many streams uses a bounded amount of memory, and the oldest is forgotten first
+    Given a store of stream origins
+    When 100000 streams begin
+    Then at most 20000 origins are stored, and they are the latest
--- a/features/recorded_forms.feature
+++ b/features/recorded_forms.feature
@@ -25,6 +25,11 @@
       | permit_query          |
       | permit_reply          |
       | permit_reply_none     |
+      | stream_began          |
+      | origin_query          |
+      | origin_reply          |
+      | origin_reply_unknown  |
+      | origin_reply_conflict |
 
   Scenario Outline: A message of an earlier release is read
     Given the recorded forms of "messages"
--- a/features/steps/gateway_stream_versions_steps.py
+++ b/features/steps/gateway_stream_versions_steps.py
@@ -141,7 +141,8 @@
 @when("streams are sent to all nodes, and a node of this release is killed every second")
 def step_kill_new(context):
     simulation = context.simulation
-    send_during(context, lambda: kill_each_second(simulation, simulation.node_names()[:4]))
+    names = simulation.node_names()[:4] * 2
+    send_during(context, lambda: kill_each_second(simulation, names), 10.0)
 
 
 async def wait_for_events(stream):
@@ -338,13 +339,18 @@
     assert num_complete >= share * len(streams), f"{num_complete} of {len(streams)}"
 
 
+def goes_on(answer):
+    """Return whether a take-up brought events, or the end of a stream that had them all."""
+    return answer.status == HTTP_OK and (answer.body or answer.is_complete)
+
+
 def rates(streams, counts=lambda one: True):
     """Return the share of first tries that began, and of take-ups that went on, and their number."""
     first = [stream.tries[0] for stream in streams if not stream.tries[0].was_cut]
     began = sum(1 for one in first if one.events()[0])
     later = [one for stream in streams for one in stream.take_ups() if counts(one)]
     later = [one for one in later if not one.was_cut]
-    went_on = sum(1 for one in later if one.events()[0])
+    went_on = sum(1 for one in later if goes_on(one.answer))
     return began / len(first), went_on / max(1, len(later)), len(later)
 
 
--- a/features/support/recorded_forms.py
+++ b/features/support/recorded_forms.py
@@ -67,10 +67,13 @@
     AgesQuery,
     AgesReply,
     Gossip,
+    OriginQuery,
+    OriginReply,
     PermitQuery,
     PermitReply,
     StateQuery,
     StateReply,
+    StreamBegan,
 )
 from weirscale.gateway.peers.registrations import Registration, RegistrationTask
 from weirscale.gateway.ports.back_end import LoadMode, OutboundRequest, WeightOrder
@@ -250,6 +253,11 @@
         "permit_query": PermitQuery("node-2", 7, RUNS[0], 2, 1.1, 350),
         "permit_reply": PermitReply("node-1", 7, RUNS[0], 1, 0, 1.1, 40),
         "permit_reply_none": PermitReply("node-1", 7, RUNS[0], 0, 900, None, 40),
+        "stream_began": StreamBegan(2**63 + 5, "paddock-lm", "v1.1"),
+        "origin_query": OriginQuery("node-2", 2**63 + 5),
+        "origin_reply": OriginReply("node-1", 2**63 + 5, "paddock-lm", "v1.1"),
+        "origin_reply_unknown": OriginReply("node-1", 2**63 + 5),
+        "origin_reply_conflict": OriginReply("node-1", 2**63 + 5, is_conflict=True),
     }
 
 
--- a/features/support/stream_callers.py
+++ b/features/support/stream_callers.py
@@ -111,6 +111,7 @@
         self.cut_nodes = set()
         """Nodes that callers do not go to."""
         self.numbers = itertools.count(1)
+        self.prompts = itertools.count(1)
 
     def make_back_end(self, version, number):
         back_end = VersionedBackEnd(f"{version}-{number}", f"10.3.0.{number + 1}:8080", "lm")
@@ -172,8 +173,9 @@
         """Send the next try of a stream to a node, and return it."""
         number = next(self.numbers)
         one = StreamTry(f"q{number}", node, anyio.current_time())
+        prompt = next(self.prompts)
         headers = generation_headers(
-            one.request_id, parts=f"a{number}:800,b{number}:200", x_deadline_ms=DEADLINE_MS
+            one.request_id, parts=f"a{prompt}:800,b{prompt}:200", x_deadline_ms=DEADLINE_MS
         )
         headers += [*self._resume_headers(stream), *extra]
         stream.tries.append(one)
--- a/src/weirscale/gateway/gossip/inbox.py
+++ b/src/weirscale/gateway/gossip/inbox.py
@@ -13,11 +13,14 @@
     AgesQuery,
     AgesReply,
     Gossip,
+    OriginQuery,
+    OriginReply,
     PeerMessage,
     PermitQuery,
     PermitReply,
     StateQuery,
     StateReply,
+    StreamBegan,
 )
 from weirscale.gateway.quarantine.keeper import Quarantine
 from weirscale.gateway.replication.age_exchange import AgeExchange
@@ -33,6 +36,7 @@
 from weirscale.gateway.settings import ListenAddress
 from weirscale.gateway.state.back_end_registry import OwnerProof
 from weirscale.gateway.state.cluster_state import ClusterState
+from weirscale.gateway.streams.origin_exchange import OriginExchange
 
 
 class MessageReceiver(Protocol):
@@ -145,6 +149,7 @@
         ages: Sends and answers queries for ages of target versions and of the store's answers.
         permit_exchange: Answers queries for permits.
         permits: Receives the permits that this node has queried.
+        origins: Receives and answers messages about the origins of streams.
     """
 
     def __init__(
@@ -156,6 +161,7 @@
         ages: AgeExchange,
         permit_exchange: PermitExchange,
         permits: RequestPermits,
+        origins: OriginExchange,
     ) -> None:
         self._gossip = gossip
         self._relay = relay
@@ -164,6 +170,7 @@
         self._ages = ages
         self._permit_exchange = permit_exchange
         self._permits = permits
+        self._origins = origins
 
     async def receive(self, message: PeerMessage, address: ListenAddress) -> None:
         """Process or answer one message from an address."""
@@ -180,6 +187,12 @@
                 await self._permit_exchange.answer(message, address)
             case PermitReply():
                 self._permits.receive(message)
+            case StreamBegan():
+                self._origins.receive_began(message)
+            case OriginQuery():
+                await self._origins.answer(message, address)
+            case OriginReply():
+                self._origins.receive(message)
             case Gossip():
                 self._gossip.receive(message)
                 await self._relay.receive(message)
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -45,6 +45,7 @@
 from weirscale.gateway.requests.request_log import RequestLog
 from weirscale.gateway.requests.retry_decision import NodeRetryBudget
 from weirscale.gateway.requests.stream_pauses import StreamPauses
+from weirscale.gateway.requests.stream_resumption import StreamResumption
 from weirscale.gateway.rollouts.alarms import RolloutAlarms
 from weirscale.gateway.rollouts.canary_traffic import CanaryTraffic
 from weirscale.gateway.rollouts.facts import FactsReader, FleetSources, RolloutClock
@@ -54,6 +55,9 @@
 from weirscale.gateway.rollouts.tallies import FleetTallies, Tallies
 from weirscale.gateway.routing.choice_rules import START_MARGIN_S
 from weirscale.gateway.settings import GatewaySettings, ListenAddress
+from weirscale.gateway.streams.keepers import OriginKeepers
+from weirscale.gateway.streams.origin_exchange import OriginExchange
+from weirscale.gateway.streams.sole_version import SoleVersionProof
 from weirscale.gateway.weights.age_markers import AgeMarkerWriter
 from weirscale.gateway.weights.engine_load import EngineLoader
 from weirscale.gateway.weights.holder_lease import new_holder_lease
@@ -174,9 +178,14 @@
             settings.name, self.stated_limits, self.permits, self._permit_issuer,
             self.peers.group_addresses, self._send, clock,
         )  # fmt: skip
+        self._origin_exchange = OriginExchange(
+            settings.name, self.origins,
+            OriginKeepers(settings.name, lambda: self.peers.division().group_of),
+            self.peers.group_addresses, self._send,
+        )  # fmt: skip
         self.inbox = PeerInbox(
             receiver, self.relay, self.publisher, self.subscription, self.ages,
-            self._permit_exchange, self.permits,
+            self._permit_exchange, self.permits, self._origin_exchange,
         )  # fmt: skip
         self.gossip_task = GossipTask(
             settings.peers, self.peers, self.relay, self.outbox, self.inbox, self.gatherer.gather
@@ -206,6 +215,10 @@
                 self.dispatcher, self.load, self.budget, self.outbox, self._send_gossip_now,
                 pauses, verdicts, clock,
             ),
+            streams=StreamResumption(
+                self.origins, self._origin_exchange, SoleVersionProof(self.cluster, clock),
+                self._event_log, self.metrics, clock,
+            ),
             crash_reporter=CrashReporter(
                 self.cluster, port_of, self.quarantine, self.health, self.outbox,
                 self._send_gossip_now, self._event_log, clock,
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -37,6 +37,7 @@
 from weirscale.gateway.routing.load import FleetLoad
 from weirscale.gateway.settings import GatewaySettings
 from weirscale.gateway.state.cluster_state import ClusterState
+from weirscale.gateway.streams.origin_store import OriginStore
 from weirscale.gateway.telemetry.metrics_choice import new_metrics
 from weirscale.gateway.telemetry.store_calls import CountedFeed, CountedStore
 from weirscale.ports.event_log import EventLog
@@ -99,6 +100,7 @@
             settings.peers.host, settings.peers.port, settings.zone, capacity, self._relay_token
         )
         self.registration = RegistrationTask(settings.name, own, self._store, self._event_log)
+        self.origins = OriginStore(clock)
         self.load = FleetLoad()
         self.health = BackEndHealth(self._event_log, self._random)
 
--- a/src/weirscale/gateway/peers/messages.py
+++ b/src/weirscale/gateway/peers/messages.py
@@ -4,7 +4,8 @@
 are absolute values, so a later message makes up for a lost one. `StateQuery` and `StateReply`
 distribute the platform's state from the nodes that read the store to the others
 (`replication.subscription`). `AgesQuery` and `AgesReply` carry bounds on ages
-(`replication.age_exchange`).
+(`replication.age_exchange`). `StreamBegan`, `OriginQuery` and `OriginReply` find the service
+version that began a stream (`streams.origin_exchange`).
 """
 
 from collections.abc import Awaitable, Callable, Iterable
@@ -195,7 +196,62 @@
     age_ms: int
 
 
-PeerMessage = Gossip | StateQuery | StateReply | AgesQuery | AgesReply | PermitQuery | PermitReply
+class StreamBegan(msgspec.Struct, frozen=True, array_like=True, tag="began"):
+    """States which service version made the first event of a stream.
+
+    Attributes:
+        key: Key of the stream, by `streams.resumption.stream_key`.
+        service: The service.
+        version: Its service version.
+    """
+
+    key: int
+    service: str
+    version: str
+
+
+class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag="origin?"):
+    """Asks what another node has been told about a stream.
+
+    Attributes:
+        sender: The querying node.
+        key: As in `StreamBegan`.
+    """
+
+    sender: str
+    key: int
+
+
+class OriginReply(msgspec.Struct, frozen=True, array_like=True, tag="origin"):
+    """States what a node has been told about a stream.
+
+    Attributes:
+        sender: The replying node.
+        key: As in `StreamBegan`.
+        service: The service; empty if the node knows nothing, or in a conflict.
+        version: Its service version.
+        is_conflict: Whether streams of several versions began under the key.
+    """
+
+    sender: str
+    key: int
+    service: str = ""
+    version: str = ""
+    is_conflict: bool = False
+
+
+PeerMessage = (
+    Gossip
+    | StateQuery
+    | StateReply
+    | AgesQuery
+    | AgesReply
+    | PermitQuery
+    | PermitReply
+    | StreamBegan
+    | OriginQuery
+    | OriginReply
+)
 
 SendMessage = Callable[[PeerMessage, Iterable[ListenAddress]], Awaitable[None]]
 """Sends a message to several nodes; any of them may miss it."""
--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -193,8 +193,6 @@
         """Record that events arrived, and restart the timeout for the next event."""
         self._context.traffic.heard()
         self._records.dispatcher.event_received(self._back_end.instance)
-        if self._history.stream_version is None:
-            self._history.stream_version = self._back_end.software
         if self._times.first_event_s is None:
             took_s = self._context.clock() - self._began_s
             self._times.first_event_s = took_s
@@ -205,6 +203,12 @@
             wait_s = self._context.pauses.stall_timeout_s(admitted.route, admitted.service)
             self._timeout.start(self._context.clock(), wait_s)
 
+    async def stream_begins(self) -> None:
+        """Bind the stream to this back end's service version, unless it is taken up."""
+        if self._history.stream_version is None:
+            self._history.stream_version = self._back_end.software
+            await self._context.streams.announce(self._admitted, self._back_end.software)
+
     def paused(self, pause_s: float, began_s: float) -> None:
         """Record a pause between two events."""
         # A pause that began before this attempt was not caused by its back end.
--- a/src/weirscale/gateway/requests/relay.py
+++ b/src/weirscale/gateway/requests/relay.py
@@ -24,6 +24,10 @@
         """Handle the arrival of complete events that are about to be relayed."""
         ...
 
+    async def stream_begins(self) -> None:
+        """Handle that the first event of the whole answer is about to be relayed."""
+        ...
+
     def paused(self, pause_s: float, began_s: float) -> None:
         """Handle a pause of the stream.
 
@@ -85,6 +89,7 @@
                 continue
             observer.events_arrived()
             if not responder.has_begun:
+                await observer.stream_begins()
                 await self._send_head(answer)
             self._measure_pause(observer)
             await responder.send_part(events)
--- a/src/weirscale/gateway/requests/request_context.py
+++ b/src/weirscale/gateway/requests/request_context.py
@@ -15,6 +15,7 @@
 from weirscale.gateway.requests.request_log import RequestLog
 from weirscale.gateway.requests.retry_decision import NodeRetryBudget
 from weirscale.gateway.requests.stream_pauses import StreamPauses
+from weirscale.gateway.requests.stream_resumption import StreamResumption
 
 
 class RequestContext(msgspec.Struct, frozen=True):
@@ -30,6 +31,7 @@
         pauses: Timeouts and queue limits derived from the pauses of streams.
         traffic: Detects that all back ends are silent.
         records: Records attempts.
+        streams: Finds the service versions of streams that callers take up.
         crash_reporter: Reports crashes of back ends.
         log: Logs and counts requests that have ended.
     """
@@ -43,5 +45,6 @@
     pauses: StreamPauses
     traffic: TrafficWatch
     records: AttemptRecords
+    streams: StreamResumption
     crash_reporter: CrashReporter
     log: RequestLog
--- a/src/weirscale/gateway/requests/request_handler.py
+++ b/src/weirscale/gateway/requests/request_handler.py
@@ -5,6 +5,7 @@
 - refusal before an attempt: `admission.py`, `overload.py`, `crash_reports.py` (quarantine);
 - what the end of an attempt proves: `attempt_verdict.py`;
 - retrying or giving up: `retry_decision.py`;
+- at which service version a caller's try takes up a stream: `stream_resumption.py`;
 - abandoning a silent back end: `attempt_timeout.py`, `stream_pauses.py`.
 
 The caller gets a complete response only from a complete answer that belongs to its request. A
@@ -15,6 +16,7 @@
 from http import HTTPStatus
 
 import anyio
+import msgspec
 
 from weirscale.gateway.ports.callers import CallerRequest
 from weirscale.gateway.requests.admission import AdmittedRequest, Refusal
@@ -25,6 +27,7 @@
 from weirscale.gateway.requests.request_context import RequestContext
 from weirscale.gateway.requests.responder import Responder
 from weirscale.gateway.requests.retry_decision import AttemptHistory, reason_to_give_up
+from weirscale.gateway.requests.stream_resumption import is_service_of, takes_up_stream
 from weirscale.gateway.routing.back_pressure import MAX_PERMIT_WAIT_S
 from weirscale.gateway.routing.candidate import Choice
 from weirscale.gateway.telemetry.request_summary import (
@@ -88,12 +91,33 @@
             guard = self._guard = CrashGuard(self._context.crash_reporter, admitted)
             deadline_s = loop_deadline_s(admitted.deadline_s, self._context.clock)
             with anyio.CancelScope(deadline=deadline_s) as deadline_scope:
-                await self._attempt_until_done(admitted, guard)
+                bound = await self._bind_to_origin(admitted)
+                if bound is not None:
+                    self._admission = bound
+                    await self._attempt_until_done(bound, guard)
             if deadline_scope.cancelled_caught:
                 await self._time_out()
         finally:
             self._context.log.add(self._summary())
 
+    async def _bind_to_origin(self, admitted: AdmittedRequest) -> AdmittedRequest | None:
+        """Bind a request that takes up a stream to the service and version that began it.
+
+        Returns:
+            The request, or None if it was refused.
+        """
+        if not takes_up_stream(admitted):
+            return admitted
+        origin = (await self._context.streams.find(admitted)).origin
+        if origin is None:
+            await self._give_up(RequestCause.STREAM_UNKNOWN)
+            return None
+        if not is_service_of(admitted, origin.service):
+            await self._give_up(RequestCause.VERSION_GONE)
+            return None
+        self._history.stream_version = origin.version
+        return msgspec.structs.replace(admitted, service=origin.service)
+
     async def _attempt_until_done(self, admitted: AdmittedRequest, guard: CrashGuard) -> None:
         while True:
             quarantined_for_s = guard.quarantined_for_s()
@@ -146,10 +170,10 @@
     def _is_overloaded(self, admitted: AdmittedRequest, choice: Choice) -> bool:
         """Return whether to refuse the request because of the queues.
 
-        A request that has reached a back end is not refused. For others, the share of idle engines
-        is recorded first.
+        A request that has reached a back end, or that takes up a stream, is not refused. For
+        others, the share of idle engines is recorded first.
         """
-        if self._history.reached:
+        if self._history.reached or self._history.stream_version is not None:
             return False
         limit = self._context.pauses.queue_limit(admitted.service)
         limit.record_idle_share(choice.idle_share, self._context.clock())
--- a/src/weirscale/gateway/requests/request_log.py
+++ b/src/weirscale/gateway/requests/request_log.py
@@ -7,12 +7,9 @@
 from weirscale.gateway.routing.candidate import Choice
 from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale.gateway.telemetry.node_metrics import NodeMetrics
-from weirscale.gateway.telemetry.request_summary import RequestSummary
+from weirscale.gateway.telemetry.request_summary import MAX_LOGGED_ID_CHARS, RequestSummary
 from weirscale.ports.event_log import EventLog
 
-MAX_LOGGED_ID_CHARS = 64
-"""Maximum number of characters of a caller's ids in a log line."""
-
 
 class RequestLog:
     """Logs and counts requests that have ended.
--- a/src/weirscale/gateway/state/back_end_registry.py
+++ b/src/weirscale/gateway/state/back_end_registry.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from weirscale.domain.identifiers import ServiceName, SoftwareVersion
+from weirscale.domain.identifiers import ServiceName
 from weirscale.gateway.model.back_ends import (
     ACCEPTING_STATES,
     BackEnd,
@@ -19,13 +19,10 @@
 from weirscale.gateway.state.engine_versions import EngineVersions
 from weirscale.gateway.state.lapsed_back_ends import LAPSED_RETENTION_S, LapsedBackEnds
 from weirscale.gateway.state.leaving_runs import LeavingRuns
+from weirscale.gateway.state.service_versions import ServiceVersions
 from weirscale.gateway.state.store_outages import StoreOutageDetector
 from weirscale.ports.event_log import EventLog
 
-ESTABLISHED_S = 20.0
-"""Seconds after its first registration from which a service version counts as established, so that
-a rollout to it needs no canary."""
-
 
 class OwnerProof(enum.Enum):
     """The evidence that decided which run owns an address, for the log."""
@@ -83,9 +80,7 @@
         self._claims = AddressClaims()
         self._lapsed = LapsedBackEnds(store_outages, clock)
         self._leaving = LeavingRuns()
-        self._first_seen_s: dict[tuple[ServiceName, SoftwareVersion], float] = {}
-        """When this node first saw each service version. The age of versions that existed before
-        the node started is unknown."""
+        self.versions = ServiceVersions(directory, self._claims, clock)
         self._observers: list[Callable[[BackEnd], None]] = []
         self.num_displaced = 0
         """How often the directory replaced or removed the run that owned an address."""
@@ -100,7 +95,7 @@
         if previous is not None and _is_reverted_by_restore(previous, back_end, revision):
             self._leaving.add(back_end.run_id)
         self._claims.put(key, back_end, revision)
-        self._first_seen_s.setdefault((back_end.service, back_end.software), self._clock())
+        self.versions.record_seen(back_end)
         if previous is not None and previous.back_end.address != back_end.address:
             self._update_owner(
                 previous.back_end.address, OwnerProof.REGISTRATION, back_end.instance
@@ -227,7 +222,9 @@
         """Process the end of a registration."""
         claim = self._claims.get(instance)
         if claim is None:
+            self.versions.record_unread_ended()
             return
+        self.versions.record_ended(claim.back_end)
         back_end = self._directory.get(instance)
         if back_end is None:
             self._claims.end(instance)
@@ -294,6 +291,7 @@
 
     def _remove(self, back_end: BackEnd) -> None:
         """Remove a back end from the directory, and notify the parts that hold data about it."""
+        self.versions.record_ended(back_end)
         self._lapsed.discard(back_end.instance)
         self._directory.remove(back_end.instance)
         self._engine_versions.forget(back_end.instance)
@@ -312,17 +310,6 @@
             if back_end.state in ACCEPTING_STATES
         ]
 
-    def is_established(self, service: ServiceName, version: SoftwareVersion) -> bool:
-        """Return whether a service version has served for `ESTABLISHED_S` or is the only version.
-
-        Back ends that an operator starts just before a rollout to their version do not establish
-        it. Neither do back ends that this node found when it started shortly before the rollout.
-        """
-        if {back_end.software for back_end in self._directory.of_service(service)} == {version}:
-            return True
-        since_s = self._first_seen_s.get((service, version))
-        return since_s is not None and self._clock() - since_s >= ESTABLISHED_S
-
 
 def _is_reverted_by_restore(previous: Claim, back_end: BackEnd, revision: int) -> bool:
     """Return whether a leaving run is ready again only because the store was restored."""
--- a/src/weirscale/gateway/state/cluster_state.py
+++ b/src/weirscale/gateway/state/cluster_state.py
@@ -9,6 +9,7 @@
 is dropped, from whatever source it arrives.
 """
 
+import math
 from collections.abc import Callable, Collection
 from functools import singledispatchmethod
 
@@ -68,6 +69,7 @@
         revision: Highest store revision that has been received.
         confirmed_at_s: The state includes everything that the store acknowledged before this time.
         store_outages: Detects when the store was unavailable to all nodes.
+        followed_since_s: This node has missed no change since the store answered this read.
         has_read_all: Whether a full read has been completed.
         target_changed_at_s: When this node last received a new target version.
         incomplete_until_s: Until this time, the state may lack entries that the store lost when it
@@ -97,6 +99,7 @@
         self.target_changed_at_s = NEVER_S
         self.incomplete_until_s = NEVER_S
         self._lost_orders: set[str] = set()
+        self.followed_since_s = math.inf
         self.has_read_all = False
 
     def observe_table(self, observer: Callable[[RouteTable], None]) -> None:
@@ -129,6 +132,7 @@
             self._remove_missing(present)
         self.log.begin(batch.revision)
         self.apply(batch, asked_at_s)
+        self.followed_since_s = asked_at_s
         self.has_read_all = True
         self._first_read.set()
 
@@ -276,7 +280,8 @@
             Epoch(versioned.revision),
             self.confirmed_at_s if is_live else self._clock(),
             predates_node=not is_live,
-            served_before=is_live and self.back_ends.is_established(change.service, change.target),
+            served_before=is_live
+            and self.back_ends.versions.is_established(change.service, change.target),
         )
         self._lost_orders.discard(versioned.key)
         self.rollouts.put_order(versioned.key, order)
--- a/src/weirscale/gateway/telemetry/metrics.py
+++ b/src/weirscale/gateway/telemetry/metrics.py
@@ -187,6 +187,10 @@
             "weirscale_rollout_requests", "Attempts under a rollout of a service's program",
             ("service", "side", "end"), registry=self.registry,
         )  # fmt: skip
+        self._resumed_streams = Counter(
+            "weirscale_streams_resumed", "Streams that callers take up, by how they are known",
+            ("known_by",), registry=self.registry,
+        )  # fmt: skip
         self._relayed_connections = Counter(
             "weirscale_relayed_connections", "Connections to back ends opened through other nodes",
             registry=self.registry,
@@ -204,6 +208,10 @@
         """Count an attempt during a rollout by the side it went to and how it ended."""
         self._rollout_requests.labels(service, side, end).inc()
 
+    def count_resumed_stream(self, known_by: str) -> None:
+        """Count a stream that a caller takes up, by how its origin is known."""
+        self._resumed_streams.labels(known_by).inc()
+
     def count_relayed_connection(self) -> None:
         """Count a connection to a back end that was opened through another node."""
         self._relayed_connections.inc()
--- a/src/weirscale/gateway/telemetry/node_metrics.py
+++ b/src/weirscale/gateway/telemetry/node_metrics.py
@@ -61,6 +61,10 @@
         """Count an attempt during a rollout by the side it went to and how it ended."""
         ...
 
+    def count_resumed_stream(self, known_by: str) -> None:
+        """Count a stream that a caller takes up, by how its origin is known."""
+        ...
+
     def count_relayed_connection(self) -> None:
         """Count a connection to a back end that was opened through another node."""
         ...
@@ -82,6 +86,9 @@
     def count_rollout_end(self, service: ServiceName, side: str, end: str) -> None:
         """Do nothing."""
 
+    def count_resumed_stream(self, known_by: str) -> None:
+        """Do nothing."""
+
     def count_relayed_connection(self) -> None:
         """Do nothing."""
 
--- a/src/weirscale/gateway/telemetry/request_summary.py
+++ b/src/weirscale/gateway/telemetry/request_summary.py
@@ -11,6 +11,9 @@
 from weirscale.gateway.quarantine.fingerprint import RequestFingerprint
 from weirscale.gateway.routing.candidate import Choice
 
+MAX_LOGGED_ID_CHARS = 64
+"""Maximum number of characters of a caller's ids in a log line."""
+
 
 class RequestCause(enum.StrEnum):
     """Why a request was refused, given up or timed out; listed in the log field `causes`.
@@ -33,6 +36,8 @@
     """Back ends crashed while serving the request."""
     NO_BACK_END = "no_back_end"
     """No back end accepts requests."""
+    STREAM_UNKNOWN = "stream_unknown"
+    """The service version that began the stream which the caller takes up is not known."""
     VERSION_GONE = "version_gone"
     """No back end of the service version that began the stream accepts requests."""
     RESTING = "resting"
