Soak: versions side by side, callers that take streams up at any node, and two rules on them

Back ends come back as the other of two service versions each third start; callers of resumable streams lose their connections or are broken off, and come again at any node with Resumes. Rules: streams_have_one_version (all nodes, any time, no stream excepted), taken_up_streams_go_on (nodes in contact, two back ends of the version serving: half of the rate of new ones).

--- a/bench/fault_soak/back_ends.py
+++ b/bench/fault_soak/back_ends.py
@@ -47,6 +47,10 @@
 EVENT_INTERVALS_S = (0.02, 0.1, 0.4)
 """A stream of the slowest back end takes two seconds, so that it runs on while its node stops."""
 
+SOFTWARE_VERSIONS = ("v1", "v2")
+STARTS_PER_VERSION = 3
+"""A back end comes back as the other version each so many starts."""
+
 REFUSAL_REST_S = 1.5
 """Rest that a back end asks for when it refuses a request."""
 
@@ -90,7 +94,7 @@
         self.service = service
         self._host = host
         self._fleet = fleet
-        self._num_starts = 0
+        self._num_starts = random.randrange(2 * STARTS_PER_VERSION)
         self._version = WeightsVersion(1)
         self._event_interval_s = random.choice(EVENT_INTERVALS_S)
         self._open: set[RequestId] = set()
@@ -108,12 +112,14 @@
         self._num_starts += 1
         instance = InstanceName(f"{self._name}-{self._num_starts}")
         is_generating = self.service == GENERATING
+        software = SOFTWARE_VERSIONS[self._num_starts // STARTS_PER_VERSION % 2]
         self.stand_in = RunnerStandIn(
             instance=instance,
             address=f"{self._host}:{RUNNER_PORT}",
             service=self.service,
             model=MODEL if is_generating else None,
             version=self._version,
+            software=software,
             read_s=ORDERING_RUN_S,
             load_s=LOAD_S,
             event_interval_s=self._event_interval_s,
@@ -189,6 +195,7 @@
                 path=target.decode("latin-1"),
                 body=body.decode("latin-1"),
                 weights=run.version if self.service == GENERATING else None,
+                software=self.stand_in.software,
                 tenant=run.tenant,
                 has_key="authorization" in run.headers,
             )
--- a/bench/fault_soak/callers.py
+++ b/bench/fault_soak/callers.py
@@ -34,6 +34,13 @@
 NO_NODE_PAUSE_S = 0.2
 DISCONNECT_SHARE = 0.04
 MAX_DISCONNECT_DELAY_S = 0.4
+TAKEN_UP_SHARE = 0.5
+MAX_TAKEN_UP_DELAY_S = 1.2
+"""Callers of resumable streams lose their connections more often, and take the streams up."""
+
+MAX_TAKE_UPS = 2
+MAX_TAKE_UP_PAUSE_S = 0.2
+HTTP_OK = 200
 SWITCH_SHARE = 0.1
 """How often a caller switches to another node although its own still answers."""
 
@@ -53,6 +60,8 @@
     key: str | None = None
     deadline_s: float = TIMEOUT_S
     disconnect_after_s: float | None = None
+    resumes: RequestId | None = None
+    after: int = 0
 
 
 class _PartialResponse(msgspec.Struct):
@@ -93,6 +102,8 @@
                 body=call.body,
                 key=call.key,
                 deadline_s=min(call.deadline_s, TIMEOUT_S),
+                resumes=call.resumes,
+                after=call.after,
             )
         )
         response = _PartialResponse()
@@ -115,7 +126,9 @@
 
     async def _exchange(self, node: NodeName, call: Call, response: _PartialResponse) -> Outcome:
         url = f"http://{self._hosts[node]}:{CALLER_PORT}{call.path}"
-        headers = request_headers(call.request, call.kind, call.deadline_s, call.key)
+        headers = request_headers(
+            call.request, call.kind, call.deadline_s, call.key, call.resumes, call.after
+        )
         try:
             async with self._client.stream(
                 "POST", url, headers=headers, content=call.body
@@ -169,11 +182,34 @@
             if node is None:
                 await anyio.sleep(NO_NODE_PAUSE_S)
                 continue
-            ended = await self._client.send(node, self._make_call())
+            ended = await self._send_with_take_ups(node, self._make_call())
             if ended.outcome in (Outcome.BROKEN, Outcome.NOT_CONNECTED):
                 node = None
             await anyio.sleep(self._random.expovariate(1.0 / MEAN_PAUSE_S))
 
+    async def _send_with_take_ups(self, node: NodeName, call: Call) -> RequestEnded:
+        """Send a request; take its stream up at any node while it ends before its last event.
+
+        Returns:
+            How the request ended at the first node.
+        """
+        first = ended = await self._client.send(node, call)
+        for _ in range(MAX_TAKE_UPS):
+            call = msgspec.structs.replace(call, after=call.after + len(ended.event_numbers))
+            other = self._choose_node()
+            if not call.after or other is None or not _may_take_up(call, ended):
+                break
+            self._num_requests += 1
+            call = msgspec.structs.replace(
+                call,
+                request=RequestId(f"{self._name}-{self._num_requests}"),
+                resumes=call.resumes or call.request,
+                disconnect_after_s=None,
+            )
+            await anyio.sleep(self._random.uniform(0.0, MAX_TAKE_UP_PAUSE_S))
+            ended = await self._client.send(other, call)
+        return first
+
     def _choose_node(self) -> NodeName | None:
         nodes = self._ready_nodes()
         return self._random.choice(nodes) if nodes else None
@@ -181,7 +217,10 @@
     def _make_call(self) -> Call:
         self._num_requests += 1
         path = self._random.choice(list(PATHS))
-        disconnects = self._random.random() < DISCONNECT_SHARE
+        is_resumable = PATHS[path] is RequestKind.RESUMABLE_STREAM
+        share = TAKEN_UP_SHARE if is_resumable else DISCONNECT_SHARE
+        max_delay_s = MAX_TAKEN_UP_DELAY_S if is_resumable else MAX_DISCONNECT_DELAY_S
+        disconnects = self._random.random() < share
         return Call(
             request=RequestId(f"{self._name}-{self._num_requests}"),
             kind=PATHS[path],
@@ -189,12 +228,16 @@
             body="x" * self._random.choice(BODY_SIZES),
             key=self._random.choice(self._newest_keys()) if path == KEYED_PATH else None,
             deadline_s=self._random.choice(DEADLINES_S),
-            disconnect_after_s=self._random.uniform(0.0, MAX_DISCONNECT_DELAY_S)
-            if disconnects
-            else None,
+            disconnect_after_s=self._random.uniform(0.0, max_delay_s) if disconnects else None,
         )
 
 
+def _may_take_up(call: Call, ended: RequestEnded) -> bool:
+    """Return whether a caller comes again for the rest of a stream."""
+    is_whole = ended.outcome is Outcome.ANSWERED and ended.status == HTTP_OK
+    return call.kind is RequestKind.RESUMABLE_STREAM and not is_whole
+
+
 async def hold_connections(hosts: Sequence[str], stop: anyio.Event) -> None:
     """Keep an idle connection open to each node; open another whenever the node closes it."""
     async with anyio.create_task_group() as tasks:
--- a/bench/fault_soak/history.py
+++ b/bench/fault_soak/history.py
@@ -79,6 +79,10 @@
     key: str | None = None
     deadline_s: float
     """Time for the request: the shorter of the caller's and the route's."""
+    resumes: RequestId | None = None
+    """The try that received the first event of the stream which this one takes up."""
+    after: int = 0
+    """Number of the last event that the caller has."""
 
 
 class RequestEnded(Record, frozen=True, kw_only=True):
@@ -110,6 +114,7 @@
     path: str
     body: str
     weights: WeightsVersion | None = None
+    software: str = ""
     tenant: str | None = None
     has_key: bool = False
     """Whether the caller's key was passed on to the back end."""
--- a/bench/fault_soak/rules.py
+++ b/bench/fault_soak/rules.py
@@ -32,6 +32,7 @@
     SignalName,
 )
 from bench.fault_soak.path_rules import lost_paths_are_served
+from bench.fault_soak.stream_rules import streams_have_one_version, taken_up_streams_go_on
 from bench.fault_soak.violations import Rule, Violation
 from features.support.platform_words import TENANT, signature_of, whole_body
 
@@ -108,10 +109,10 @@
 
 def _stream_problem(sent: RequestSent, ended: RequestEnded) -> str:
     numbers = ended.event_numbers
-    if numbers != tuple(range(1, len(numbers) + 1)):
-        return f"events {numbers}"
-    if ended.outcome is Outcome.ANSWERED and len(numbers) != NUM_EVENTS:
-        return f"looks complete after {len(numbers)} of {NUM_EVENTS} events"
+    if numbers != tuple(range(sent.after + 1, sent.after + len(numbers) + 1)):
+        return f"events {numbers} after event {sent.after}"
+    if ended.outcome is Outcome.ANSWERED and sent.after + len(numbers) != NUM_EVENTS:
+        return f"looks complete after {sent.after + len(numbers)} of {NUM_EVENTS} events"
     foreign = [origin for origin in ended.event_origins if origin.split(" ")[0] != ended.request]
     if foreign:
         return f"event of another request: {foreign[0]}"
@@ -424,6 +425,8 @@
     limits_are_kept,
     brittle_back_ends_stand,
     lost_paths_are_served,
+    streams_have_one_version,
+    taken_up_streams_go_on,
     nodes_stay_up,
     serves_again,
 )
--- a/features/fault_soak.feature
+++ b/features/fault_soak.feature
@@ -31,6 +31,9 @@
       | a stream that ends normally too early | events_in_order |
       | a stream with another request's event | events_in_order |
       | events of two runs in one stream      | events_in_order |
+      | a stream of two versions in one answer | streams_have_one_version |
+      | a stream that another version continues at another node | streams_have_one_version |
+      | streams taken up that are refused | taken_up_streams_go_on |
 
     Examples: Stops
       | change                                                | rule              |
@@ -110,6 +113,8 @@
       | a refusal of a repeatable request that had run                                 |
       | a stream that breaks off                                                       |
       | a resumed stream of two runs                                                   |
+      | a stream that its version continues at another node |
+      | eleven streams taken up that are refused |
       | a stop that crosses a request on the connection                                |
       | a stop with a back end that broke off its answer before                        |
       | a stop of a paused node that cuts off a run                                    |
--- a/features/support/platform_words.py
+++ b/features/support/platform_words.py
@@ -142,9 +142,14 @@
 
 
 def request_headers(
-    request: RequestId, kind: RequestKind, deadline_s: float, key: str | None
+    request: RequestId,
+    kind: RequestKind,
+    deadline_s: float,
+    key: str | None,
+    resumes: RequestId | None = None,
+    after: int = 0,
 ) -> dict[str, str]:
-    """Return the header fields of a request of a caller."""
+    """Return the header fields of a request of a caller, which may take up a stream."""
     headers = {
         "Host": HOST,
         "X-Attempt-Id": request,
@@ -156,6 +161,9 @@
         headers["X-Model"] = MODEL
         headers["X-Token-Usage"] = "1000,20"
         headers["X-Prefix-Hash"] = f"aa:800,{prompt_hash(request):x}:200"
+    if resumes is not None:
+        headers["Resumes"] = resumes
+        headers["Last-Event-Id"] = str(after)
     return headers
 
 
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -1,5 +1,7 @@
 """Synthetic histories of a soak test: a valid one, and changes that violate or just obey a rule."""
 
+import msgspec
+
 from bench.fault_soak.history import (
     BrittleFell,
     BrittlePeriod,
@@ -159,6 +161,50 @@
     ]  # fmt: skip
 
 
+def two_versions_in_one_answer(at_s):
+    """Return a resumed stream whose second back end is of another service version."""
+    request = "qx"
+    began, ran_first, end = streamed(
+        at_s, request, RequestKind.RESUMABLE_STREAM,
+        origins=[f"{request} {ENGINE}"] * 2 + [f"{request} lm-2"] * 3, weights=2,
+    )  # fmt: skip
+    ran_second = ran(at_s + 0.3, request, "lm-2", "/f/1", weights=2, software="v2")
+    return [began, msgspec.structs.replace(ran_first, software="v1"), ran_second, end]
+
+
+def taken_up(at_s, version, number=0):
+    """Return a stream of v1 that breaks off, and its take-up at the other node.
+
+    The take-up goes on at a back end of `version`, or is refused if that is None.
+    """
+    first, second = f"qa{number}", f"qb{number}"
+    began, ran_first, end = streamed(
+        at_s, first, RequestKind.RESUMABLE_STREAM, (1, 2), weights=2, outcome=Outcome.BROKEN
+    )
+    resumed = sent(
+        at_s + 1.0, second, RequestKind.RESUMABLE_STREAM, "/f/1",
+        node=OTHER_NODE, resumes=first, after=2,
+    )  # fmt: skip
+    serving = ran(at_s, f"qc{number}", "lm-3", "/f/1", weights=2, software="v1")
+    other = sent(at_s - 0.1, f"qc{number}", RequestKind.RESUMABLE_STREAM, "/f/1")
+    records = [
+        NodeStarted(at_s=1.0, node=OTHER_NODE),
+        *answered(51.5, f"qd{number}", node=OTHER_NODE),
+        began, msgspec.structs.replace(ran_first, software="v1"), end, resumed, other, serving,
+    ]  # fmt: skip
+    if version is None:
+        return [*records, refused(at_s + 1.1, second, 503)]
+    origins = (f"{second} lm-2",) * 3
+    return [
+        *records,
+        ran(at_s + 1.1, second, "lm-2", "/f/1", weights=2, software=version),
+        ended(
+            at_s + 1.5, second, instance="lm-2", body="",
+            event_numbers=(3, 4, 5), event_origins=origins,
+        ),
+    ]  # fmt: skip
+
+
 def signalled(at_s, signal, **fields):
     return NodeSignalled(at_s=at_s, node=NODE, signal=signal, **fields)
 
@@ -259,6 +305,15 @@
     "events of two runs in one stream": streamed(
         30.0, "qx", origins=["qx lm-1"] * 2 + ["qx lm-2"] * 3, weights=2
     ),
+    "a stream of two versions in one answer": two_versions_in_one_answer(30.0),
+    "a stream that another version continues at another node": taken_up(30.0, "v2"),
+    "a stream that its version continues at another node": taken_up(30.0, "v1"),
+    "streams taken up that are refused": [
+        record for number in range(14) for record in taken_up(30.0 + number / 10, None, number)
+    ],
+    "eleven streams taken up that are refused": [
+        record for number in range(11) for record in taken_up(30.0 + number / 10, None, number)
+    ],
     "a resumed stream of two runs": streamed(
         30.0, "qx", RequestKind.RESUMABLE_STREAM, origins=["qx lm-1"] * 2 + ["qx lm-2"] * 3,
         weights=2,
