--- a/features/server_stop.feature
+++ b/features/server_stop.feature
@@ -16,3 +16,14 @@
       | loop    |
       | uvloop  |
       | asyncio |
+
+  # Guards against a report of an unexpected error for each connection that outlives the time for a stop.
+  Scenario Outline: Connections that are cut at the end of the time for a stop are not reported as errors
+    Given a server with 5 kept-alive connections on the event loop "<loop>"
+    When it is stopped while each connection has a request that does not end
+    Then the event loop reported no error
+
+    Examples:
+      | loop    |
+      | uvloop  |
+      | asyncio |
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -1,5 +1,7 @@
 """Steps of `server_stop.feature`."""
 
+import asyncio
+
 import anyio
 import anyio.lowlevel
 from behave import given, then, when
@@ -12,6 +14,7 @@
 BODY = b"whole"
 RUN_TIME_S = 0.05
 FINISH_S = 3.0
+SHORT_FINISH_S = 0.2
 
 
 class SlowApp:
@@ -109,3 +112,39 @@
     num_begun = [begun for begun, _ in context.ends]
     assert max(num_begun) == context.num_connections, context.ends
     assert min(num_begun) == 0, context.ends
+
+
+async def endless_app(scope, receive, send):
+    """Answer no request, and take no notice of its caller's end."""
+    if scope["type"] == "http":
+        await anyio.sleep_forever()
+
+
+async def stop_while_busy(num_connections, reported):
+    """Stop a server whose requests do not end, and add what the event loop reports."""
+    loop = asyncio.get_running_loop()
+    loop.default_exception_handler = reported.append
+    listener = open_listener(LOOPBACK, 0)
+    port = port_of(listener)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve_on_listeners, endless_app, [listener], stop, SHORT_FINISH_S)
+        connections = [await anyio.connect_tcp(LOOPBACK, port) for _ in range(num_connections)]
+        for connection in connections:
+            await connection.send(REQUEST)
+        await anyio.sleep(SHORT_FINISH_S)
+        stop.set()
+    await anyio.sleep(SHORT_FINISH_S)
+
+
+@when("it is stopped while each connection has a request that does not end")
+def step_stop_busy(context):
+    context.reported = []
+    anyio.run(
+        stop_while_busy, context.num_connections, context.reported, backend_options=context.options
+    )
+
+
+@then("the event loop reported no error")
+def step_no_report(context):
+    assert not context.reported, context.reported
