--- a/src/weirscale/ports/http_server.py
+++ b/src/weirscale/ports/http_server.py
@@ -3,12 +3,12 @@
 It uses hypercorn's Python API, because hypercorn's command would start worker processes.
 """
 
-import asyncio
 import socket
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
 import anyio
+from anyio.lowlevel import current_token
 
 from weirscale.ports.asgi import AsgiApp
 from weirscale.ports.connection_limits import ConnectionLimits
@@ -69,7 +69,8 @@
     from weirscale.ports import limited_connections
 
     limited_connections.install()
-    asyncio.get_running_loop().set_exception_handler(_report_unless_cancelled)
+    loop: Any = current_token().native_token
+    loop.set_exception_handler(_report_unless_cancelled)
     config = _configuration(listeners, finish_timeout_s, limits or ConnectionLimits())
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_stop_when_cancelled, stop)
@@ -96,13 +97,13 @@
     return config
 
 
-def _report_unless_cancelled(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+def _report_unless_cancelled(loop: Any, context: Mapping[str, object]) -> None:
     """Report an error of a callback, unless it is the cancellation of a connection's task.
 
     At the end of the time for a stop, hypercorn cancels the connections that are still open.
-    asyncio's streams report each of them as an error.
+    The event loop's streams report each of them as an error.
     """
-    if not isinstance(context.get("exception"), asyncio.CancelledError):
+    if not isinstance(context.get("exception"), anyio.get_cancelled_exc_class()):
         loop.default_exception_handler(context)
 
 
