A broken stream whose events have no ids is not begun again within its answer

What callers would have seen: events once more from the first one, in an answer that looks complete. Cause: with no id of a last event the next attempt ran from the beginning, although events had been relayed: what goes on from a state has to know the state. Change: after the first relayed event another attempt follows only if the last event has an id; the answer is broken off visibly otherwise (no_event_id), and a silent back end is not left for another.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -75,6 +75,13 @@
     And the second back end was asked to resume after event 2
     And the answer has the headers of the back end tried first
 
+  # Without the id of the last event, another back end would start from the first event again.
+  Scenario: A stream whose events have no ids is broken off rather than begun again
+    Given two back ends of which the one asked first does "break" once
+    And the back ends' events have no ids
+    When a resumable request is sent
+    Then the caller gets each event at most once, and an answer that looks incomplete
+
   Scenario: A run is cancelled when its caller disconnects
     Given two back ends of which the one asked first does "hang" once
     When a single request is sent and its caller disconnects after 0.2 seconds
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -89,6 +89,18 @@
     assert context.answer.status == 500, context.answer
 
 
+@given("the back ends' events have no ids")
+def step_no_ids(context):
+    context.numbers_events = False
+
+
+@then("the caller gets each event at most once, and an answer that looks incomplete")
+def step_at_most_once(context):
+    events = context.answer.body.split(b"\n\n")[:-1]
+    assert events and len(events) == len(set(events)), context.answer
+    assert not context.answer.is_complete
+
+
 @given("no back end")
 def step_none(context):
     prepare(context, None)
@@ -120,6 +132,7 @@
         runner = RunnerStandIn(f"r-{number}", f"10.3.0.{number}:8080", "lm", faults=faults)
         runner.read_s = context.read_s or runner.read_s
         runner.software = getattr(context, "software", "")
+        runner.numbers_events = getattr(context, "numbers_events", True)
         fleet.add_runner(runner)
 
 
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -66,6 +66,8 @@
     event_interval_s: float = EVENT_INTERVAL_S
     names_request: bool = False
     """Whether bodies and events contain the id of the request and the name of this instance."""
+    numbers_events: bool = True
+    """Whether its events have ids."""
     on_run: object = None
     """Called with each `Run` that begins, its target and its body."""
     on_break: object = None
@@ -326,7 +328,9 @@
             await self._runner.take_time(self._runner.read_s)
             self._run.first_event_s = anyio.current_time()
             for number in range(self._after + 1, NUM_EVENTS + 1):
-                event = f"id: {number}\ndata: {self._token(number)}\n\n".encode()
+                event = f"data: {self._token(number)}\n\n".encode()
+                if self._runner.numbers_events:
+                    event = f"id: {number}\n".encode() + event
                 if self._fault == "break" and number == 3:
                     yield event[:9]
                     raise httpx.RemoteProtocolError("incomplete chunked read")
--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -131,7 +131,8 @@
 
     def _take_retry(self) -> bool:
         """Take a retry from the shared budget before a silent attempt is abandoned."""
-        if not self._context.selector.has_other(self._admitted, self._history):
+        can_continue = self._relay.can_continue
+        if not (can_continue and self._context.selector.has_other(self._admitted, self._history)):
             return False
         self._history.holds_retry = self._context.retry_budget.try_take(self._admitted.service)
         return self._history.holds_retry
--- a/src/weirscale/gateway/requests/relay.py
+++ b/src/weirscale/gateway/requests/relay.py
@@ -70,6 +70,14 @@
         """Id of the last relayed event that has one; None before the first."""
         return self._splitter.last_id
 
+    @property
+    def can_continue(self) -> bool:
+        """Whether another attempt can go on where the answer ends now.
+
+        Once events have been relayed, this takes the id of the last one.
+        """
+        return not self.has_begun or self.last_event_id is not None
+
     async def relay_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer to the caller."""
         self._set_first_byte()
--- a/src/weirscale/gateway/requests/request_handler.py
+++ b/src/weirscale/gateway/requests/request_handler.py
@@ -146,7 +146,7 @@
                 self._history,
                 admitted.route,
                 admitted.deadline_s - self._context.clock(),
-                self._responder.has_begun,
+                self._relay,
                 lambda: self._context.retry_budget.try_take(admitted.service),
             )
             if give_up_reason is not None:
--- a/src/weirscale/gateway/requests/retry_decision.py
+++ b/src/weirscale/gateway/requests/retry_decision.py
@@ -7,6 +7,7 @@
 
 - time is left,
 - the request cannot have run, or its route allows it to run twice,
+- nothing was relayed, or the last relayed event has an id from which a stream can go on,
 - the route's maximum number of attempts is not reached, and
 - the shared retry budget has a retry left.
 
@@ -20,6 +21,7 @@
 
 import enum
 from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 
@@ -116,6 +118,20 @@
         return len(self.reached)
 
 
+class RelayState(Protocol):
+    """What has been relayed to the caller."""
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller has received the beginning of an answer."""
+        ...
+
+    @property
+    def can_continue(self) -> bool:
+        """Whether another attempt can go on where the answer ends now."""
+        ...
+
+
 class GiveUpReason(enum.Enum):
     """Why no further attempt may follow; the value is the cause for the log, or None."""
 
@@ -123,6 +139,7 @@
     MAY_HAVE_RUN = None
     """The request may have run, and its route does not allow it to run twice. The log has only the
     attempt's own reason."""
+    NO_EVENT_ID = RequestCause.NO_EVENT_ID
     MAX_ATTEMPTS = RequestCause.MAX_ATTEMPTS
     RETRY_BUDGET = RequestCause.RETRY_BUDGET
 
@@ -132,7 +149,7 @@
     history: AttemptHistory,
     route: Route,
     time_left_s: float,
-    has_begun: bool,
+    relay: RelayState,
     take_retry: Callable[[], bool],
 ) -> GiveUpReason | None:
     """Return why an unanswered request is given up, or None if it is retried.
@@ -142,7 +159,7 @@
         history: Results of all attempts. If it holds a retry, a decision to retry uses that up.
         route: The request's route.
         time_left_s: Time until the request's deadline.
-        has_begun: Whether the caller has received the beginning of an answer.
+        relay: What has been relayed to the caller.
         take_retry: Takes a retry from the shared budget; returns False if none is left.
     """
     if time_left_s < MIN_ATTEMPT_S:
@@ -151,7 +168,9 @@
         return None
     if history.may_have_run and not route.is_retryable:
         return GiveUpReason.MAY_HAVE_RUN
-    if history.num_used_attempts(has_begun) >= route.max_attempts:
+    if not relay.can_continue:
+        return GiveUpReason.NO_EVENT_ID
+    if history.num_used_attempts(relay.has_begun) >= route.max_attempts:
         return GiveUpReason.MAX_ATTEMPTS
     if not (history.holds_retry or take_retry()):
         return GiveUpReason.RETRY_BUDGET
--- a/src/weirscale/gateway/telemetry/request_summary.py
+++ b/src/weirscale/gateway/telemetry/request_summary.py
@@ -50,6 +50,8 @@
     """The queues are too long."""
     NO_TIME = "no_time"
     """Too little time is left until the deadline for another attempt."""
+    NO_EVENT_ID = "no_event_id"
+    """The stream's events have no ids, so no other attempt can go on with it."""
     MAX_ATTEMPTS = "max_attempts"
     RETRY_BUDGET = "retry_budget"
     """The shared retry budget is used up."""
