--- a/features/relayed_connections.feature
+++ b/features/relayed_connections.feature
@@ -37,6 +37,7 @@
     Given a server that "answers when allowed"
     When a node closes its relayed connection in the middle of an answer
     Then the server sees the end within 0.5 seconds
+    And the relay has no open connection left
 
   Scenario: A relay that stops lets the answers that it relays end
     Given a server that "answers when allowed"
--- a/features/steps/relayed_connections_steps.py
+++ b/features/steps/relayed_connections_steps.py
@@ -170,10 +170,16 @@
         await answer_while(setting, leave)
         await anyio.sleep(0.5)
         context.ended_at_s = setting.server.ended_at_s
+        context.num_open = setting.gate.num_open
 
     run(context.behaviour, script)
 
 
+@then("the relay has no open connection left")
+def step_none_open(context):
+    assert context.num_open == 0, context.num_open
+
+
 @then("the server sees the end within {seconds:g} seconds")
 def step_sees_end(context, seconds):
     assert context.ended_at_s, "the server still has the connection"
