A node of a system that starts for the first time has missed no version of before

What callers would see: a stream taken up without Resumes, or whose origin is forgotten, was refused during the first twice the route's timeout of a new system although no second version had ever been there. Cause: the proof of a sole version needs a history of that length at this node; at the whole system's first start there is none to miss. Change: the first read at the system's first start counts from ever; restarted nodes as before. Evidence: gateway_stream_versions.feature, 'Without the word of a node', three rows: one failed before.

--- a/features/gateway_stream_versions.feature
+++ b/features/gateway_stream_versions.feature
@@ -53,7 +53,9 @@
       | versions | before                                           | end                    |
       | v1 v1 v1 | 12 seconds pass                                  | goes on                |
       | v1 v1 v1 | 12 seconds pass and the store is then down       | is refused and not run |
-      | v1 v1 v1 | 1 second passes                                  | is refused and not run |
+      | v1 v1 v1 | 1 second passes after the system's first start   | goes on                |
+      | v1 v1 v1 | 1 second passes after a restart of the node      | is refused and not run |
+      | v1 v1 v1 | 12 seconds pass after a restart of the node      | goes on                |
       | v1 v1 v1 | a v2 was there for 2 seconds, 5 seconds ago      | is refused and not run |
       | v1 v1 v1 | a v2 was there for 2 seconds, 12 seconds ago     | goes on                |
 
--- a/features/steps/gateway_stream_versions_steps.py
+++ b/features/steps/gateway_stream_versions_steps.py
@@ -229,6 +229,11 @@
         after()
 
 
+async def restart(simulation, ago_s):
+    await simulation.restart_node("node-2")
+    await anyio.sleep(ago_s)
+
+
 async def let_version_serve(simulation, ago_s):
     await anyio.sleep(12.0)
     back_end = simulation.make_back_end("v2", 9)
@@ -241,7 +246,9 @@
 
 BEFORE = {
     "12 seconds pass": lambda simulation: pass_time(simulation, 12.0),
-    "1 second passes": lambda simulation: pass_time(simulation, 1.0),
+    "1 second passes after the system's first start": lambda simulation: pass_time(simulation, 1.0),
+    "1 second passes after a restart of the node": lambda simulation: restart(simulation, 1.0),
+    "12 seconds pass after a restart of the node": lambda simulation: restart(simulation, 12.0),
     "12 seconds pass and the store is then down": lambda simulation: pass_time(
         simulation, 12.0, lambda: setattr(simulation.fleet.store, "is_down", True)
     ),
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -92,7 +92,7 @@
         """Create the cluster state, the peer directory, and the load and health of back ends."""
         settings, clock = self.settings, self._clock
         capacity = settings.machine.capacity()
-        self.cluster = ClusterState(self._event_log, clock)
+        self.cluster = ClusterState(self._event_log, clock, settings.is_first_start)
         self.peers = PeerDirectory(settings.name, self.cluster, clock, settings.zone, capacity)
         self.cluster.store_outages.num_others = lambda: len(self.peers.addresses())
         self._relay_token = secrets.token_hex(RELAY_TOKEN_BYTES)
--- a/src/weirscale/gateway/state/cluster_state.py
+++ b/src/weirscale/gateway/state/cluster_state.py
@@ -56,6 +56,7 @@
     Args:
         event_log: Receives an event for each change.
         clock: Monotonic seconds.
+        is_first_start: Whether the whole system starts for the first time.
 
     Attributes:
         table: Routes, services, tenants and limits; None until a configuration has been read.
@@ -76,7 +77,9 @@
             was restored from a backup.
     """
 
-    def __init__(self, event_log: EventLog, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, event_log: EventLog, clock: Callable[[], float], is_first_start: bool = False
+    ) -> None:
         self._event_log = event_log
         self._clock = clock
         self._created_at_s = clock()
@@ -99,6 +102,7 @@
         self.target_changed_at_s = NEVER_S
         self.incomplete_until_s = NEVER_S
         self._lost_orders: set[str] = set()
+        self._is_first_start = is_first_start
         self.followed_since_s = math.inf
         self.has_read_all = False
 
@@ -132,10 +136,17 @@
             self._remove_missing(present)
         self.log.begin(batch.revision)
         self.apply(batch, asked_at_s)
-        self.followed_since_s = asked_at_s
+        self.followed_since_s = self._first_change_s(asked_at_s)
         self.has_read_all = True
         self._first_read.set()
 
+    def _first_change_s(self, asked_at_s: float) -> float:
+        """Return from which time on a full read and what follows it hide no earlier change.
+
+        No registration ends as early as the first read of a system that has never run before.
+        """
+        return NEVER_S if self._is_first_start and not self.has_read_all else asked_at_s
+
     def _remove_missing(self, present: Collection[str]) -> None:
         self.back_ends.end_missing(present)
         for key in self._missing_orders(present):
