--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -71,6 +71,22 @@
       | completed | 9.0 | v2     | -      |
       | returned  | 9.0 | v1     | -      |
 
+  Scenario Outline: At the stage <stage> with state proved current <age> s ago, streams go on at their own version
+    Given a record at the stage "<stage>", proved current <age> s ago, and a rollback within 5 s
+    Then streams of "v0", "v1", "v2" may go on at "<v0>", "<v1>", "<v2>", the latter as canaries "<canary>"
+
+    Examples: v0 is unusable since an earlier rollout
+      | stage     | age | v0 | v1 | v2 | canary |
+      | none      | 0.5 | -  | v1 | -  | -      |
+      | canary    | 0.5 | -  | v1 | -  | v2     |
+      | canary    | 1.6 | -  | v1 | -  | -      |
+      | canary    | 5.5 | -  | -  | -  | -      |
+      | moving    | 0.5 | -  | v1 | v2 | -      |
+      | moving    | 1.6 | -  | v1 | -  | -      |
+      | moving    | 5.5 | -  | -  | -  | -      |
+      | completed | 9.0 | -  | -  | v2 | -      |
+      | returned  | 9.0 | -  | v1 | -  | -      |
+
   Scenario Outline: The next stage of a rollout: <case>
     Given a rollout with a deadline of 12 s, ordered <elapsed> s ago, at the stage "<stage>" and judged "<judged>"
     And <slots> target slots and 24 old slots, all nodes moved for <moved> s, <running> requests at old versions, and <in_stage> s at the stage
--- a/features/steps/rollout_rules_steps.py
+++ b/features/steps/rollout_rules_steps.py
@@ -247,6 +247,25 @@
         assert versions == ([] if expected == "-" else [expected]), (track, versions)
 
 
+@then(
+    'streams of "v0", "v1", "v2" may go on at "{v0}", "{v1}", "{v2}", the latter as canaries '
+    '"{canary}"'
+)
+def step_continuing(context, v0, v1, v2, canary):
+    runners = [runner_of(version) for version in ("v0", "v1", "v2")]
+    expected = {
+        ("v0", Track.STABLE): v0,
+        ("v1", Track.STABLE): v1,
+        ("v2", Track.STABLE): v2,
+        ("v1", Track.CANARY): "-",
+        ("v2", Track.CANARY): canary,
+    }
+    for (version, track), allowed in expected.items():
+        found = context.gate.continuing("s", runners, track, version)
+        versions = [runner.software for runner in found]
+        assert versions == ([] if allowed == "-" else [allowed]), (version, track, versions)
+
+
 @given(
     'a rollout with a deadline of 12 s, ordered {elapsed:g} s ago, at the stage "{stage}" and judged '
     '"{judged}"'
