--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -89,7 +89,7 @@
         self._make_routing(connect)
 
     def _make_state(self) -> None:
-        """Create the cluster state, the peer directory, and the records of back ends and streams."""
+        """Create the cluster state, the peers, and the records of back ends and streams."""
         settings, clock = self.settings, self._clock
         capacity = settings.machine.capacity()
         self.cluster = ClusterState(self._event_log, clock, settings.is_first_start)
