One ranking for permits and origins, one handler of cancelled connections, one NEVER_S

Read once more: keepers of origins ranked nodes as issuers of permits do (now domain/rendezvous.py: rendezvous_ranking); the soak's own handler of cancelled connections is dead since its servers install the product's; service_versions had a NEVER_S of its own; a doc line named a module that doesn't exist.

--- a/bench/fault_soak/run.py
+++ b/bench/fault_soak/run.py
@@ -1,11 +1,9 @@
 """Runs a soak test: starts processes, injects faults, stops the nodes and judges the history."""
 
-import asyncio
 import logging
 import os
 from pathlib import Path
 from random import Random
-from typing import Any
 
 import anyio
 import httpx
@@ -127,7 +125,6 @@
         """Run the soak test, write its history, and judge it."""
         settings = self._settings
         logging.getLogger("httpx").setLevel(logging.WARNING)  # no log line for each request
-        asyncio.get_running_loop().set_exception_handler(_ignore_cancelled)
         schedule = draw_schedule(settings.seed, settings.duration_s, settings.mean_interval_s)
         (self._directory / SCHEDULE_FILE).write_bytes(msgspec.json.encode(schedule))
         try:
@@ -264,12 +261,6 @@
                 )
 
 
-def _ignore_cancelled(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-    """Ignore cancelled connections of a crashed stand-in, which its server cancels."""
-    if not isinstance(context.get("exception"), asyncio.CancelledError):
-        loop.default_exception_handler(context)
-
-
 def _choose_network() -> str:
     """Return the first three numbers of loopback addresses that no other soak test uses now."""
     pid = os.getpid()
--- a/src/weirscale/domain/rendezvous.py
+++ b/src/weirscale/domain/rendezvous.py
@@ -3,6 +3,8 @@
 When a name is added or removed, only the keys assigned to that name move.
 """
 
+import heapq
+from collections.abc import Iterable
 from functools import lru_cache
 
 import xxhash
@@ -22,6 +24,11 @@
     return xxhash.xxh3_64_intdigest(_name_bytes(name), key)
 
 
+def rendezvous_ranking(names: Iterable[str], key: int, num: int) -> list[str]:
+    """Return the `num` names with the highest weights for a key, the highest first."""
+    return heapq.nlargest(num, names, lambda name: rendezvous_weight(name, key))
+
+
 def rendezvous_score(key: int, name: str) -> float:
     """Return the weight as a score, uniform in [0, 1)."""
     return rendezvous_weight(name, key) / _MAX_HASH
--- a/src/weirscale/gateway/peers/messages.py
+++ b/src/weirscale/gateway/peers/messages.py
@@ -200,7 +200,7 @@
     """States which service version made the first event of a stream.
 
     Attributes:
-        key: Key of the stream, by `streams.resumption.stream_key`.
+        key: Key of the stream, by `requests.stream_resumption.stream_key`.
         service: The service.
         version: Its service version.
     """
--- a/src/weirscale/gateway/request_limits/issuers.py
+++ b/src/weirscale/gateway/request_limits/issuers.py
@@ -1,9 +1,8 @@
 """Selects the nodes that issue the permits for a back end that states a request limit."""
 
-import heapq
 from collections.abc import Callable, Collection
 
-from weirscale.domain.rendezvous import rendezvous_key, rendezvous_weight
+from weirscale.domain.rendezvous import rendezvous_key, rendezvous_ranking
 from weirscale.gateway.model.identifiers import RunId
 
 NUM_ISSUERS = 2
@@ -39,8 +38,7 @@
             self._cached_names = names
             self._issuers_by_run = {}
         if run not in self._issuers_by_run:
-            key = rendezvous_key(run)
-            ranked = heapq.nlargest(NUM_ISSUERS, names, lambda name: rendezvous_weight(name, key))
+            ranked = rendezvous_ranking(names, rendezvous_key(run), NUM_ISSUERS)
             self._issuers_by_run[run] = ranked
         return self._issuers_by_run[run]
 
--- a/src/weirscale/gateway/state/service_versions.py
+++ b/src/weirscale/gateway/state/service_versions.py
@@ -5,13 +5,12 @@
 from weirscale.domain.identifiers import ServiceName, SoftwareVersion
 from weirscale.gateway.model.back_ends import BackEnd, BackEndDirectory
 from weirscale.gateway.state.address_claims import AddressClaims
+from weirscale.gateway.state.store_outages import NEVER_S
 
 ESTABLISHED_S = 20.0
 """Seconds after its first registration from which a service version counts as established, so that
 a rollout to it needs no canary."""
 
-NEVER_S = float("-inf")
-
 
 class ServiceVersions:
     """Stores since when each service version has been seen, and when it last lost a back end.
--- a/src/weirscale/gateway/streams/keepers.py
+++ b/src/weirscale/gateway/streams/keepers.py
@@ -1,9 +1,8 @@
 """Selects the nodes that store the origin of a stream."""
 
-import heapq
 from collections.abc import Callable, Collection
 
-from weirscale.domain.rendezvous import rendezvous_weight
+from weirscale.domain.rendezvous import rendezvous_ranking
 
 NUM_KEEPERS = 5
 """Number of nodes that are told of a stream, so that its origin survives the loss of six nodes in
@@ -35,5 +34,5 @@
         return self._ranked(key, NUM_ASKED)
 
     def _ranked(self, key: int, num: int) -> list[str]:
-        ranked = heapq.nlargest(num, self._node_names(), lambda name: rendezvous_weight(name, key))
+        ranked = rendezvous_ranking(self._node_names(), key, num)
         return [name for name in ranked if name != self._name]
