Log which shared blocks an interrupted request had, and how long it had been writing

Cause: of requests that are no two alike, the log has a digest and nothing that several of them may share, so the hypotheses of the incident cannot be told apart beyond "each request is new". How long an interrupted request had been writing took a join of two events.

--- a/src/weirscale/gateway/model/prompt.py
+++ b/src/weirscale/gateway/model/prompt.py
@@ -32,6 +32,11 @@
     num_tokens: int
     max_output_tokens: int
 
+    @property
+    def shared_blocks(self) -> tuple[PromptBlock, ...]:
+        """The blocks that other requests may have too: all but the last."""
+        return self.blocks[:-1]
+
 
 class CacheScope(msgspec.Struct, frozen=True):
     """The scope within which a cached block may be reused.
--- a/src/weirscale/gateway/quarantine/crash_check.py
+++ b/src/weirscale/gateway/quarantine/crash_check.py
@@ -36,10 +36,15 @@
         fingerprint: Fingerprint of the request.
         was_sent_after_crash: Whether an earlier crash during the request was known when it was
             sent to this back end.
+        blocks: The shared blocks of its prompt, in order.
+        writing_s: Seconds from the first event of its answer to the end of the connection; None if
+            no event arrived.
     """
 
     fingerprint: RequestFingerprint
     was_sent_after_crash: bool
+    blocks: tuple[str, ...] = ()
+    writing_s: float | None = None
 
 
 CrashHandler = Callable[[BackEnd, tuple[InterruptedRequest, ...]], None]
--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -99,7 +99,9 @@
         if verdict.end in (AttemptEnd.NEVER_SENT, AttemptEnd.NOT_RUN):
             self._context.admission.refund(self._admitted)
         self._history.add_verdict(self._back_end.instance, verdict)
-        self._guard.add_verdict(self._back_end, verdict, was_crash_suspect)
+        self._guard.add_verdict(
+            self._back_end, verdict, was_crash_suspect, self._times.writing_s(took_s)
+        )
         return verdict.end
 
     def _start(self) -> bool:
--- a/src/weirscale/gateway/requests/crash_reports.py
+++ b/src/weirscale/gateway/requests/crash_reports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from weirscale.gateway.durations import MILLISECONDS_PER_S
 from weirscale.gateway.model.back_ends import BackEnd
 from weirscale.gateway.peers.gossip_entries import SuspectGossip
 from weirscale.gateway.peers.outbox import GossipOutbox
@@ -13,6 +14,7 @@
 from weirscale.gateway.requests.attempt_verdict import CONNECTION_LOST, SUCCESS, Verdict
 from weirscale.gateway.routing.health import BackEndHealth
 from weirscale.gateway.state.cluster_state import ClusterState
+from weirscale.gateway.telemetry.request_summary import MAX_LOGGED_ID_CHARS
 from weirscale.ports.event_log import EventLog
 
 
@@ -62,11 +64,20 @@
         self._cluster.back_ends.mark_crashed(back_end.run_id)
         self._outbox.add_suspect(SuspectGossip(back_end.instance))
         for request in interrupted:
+            self._log_interrupted(back_end, request)
             self.quarantine.note_crash(
                 request.fingerprint, back_end.run_id, request.was_sent_after_crash
             )
         self._send_gossip_now()
 
+    def _log_interrupted(self, back_end: BackEnd, request: InterruptedRequest) -> None:
+        writing_s = request.writing_s
+        self._event_log.event(
+            "request_interrupted", request=request.fingerprint, run=back_end.run_id,
+            blocks=",".join(block[:MAX_LOGGED_ID_CHARS] for block in request.blocks),
+            writing_ms="none" if writing_s is None else round(writing_s * MILLISECONDS_PER_S),
+        )  # fmt: skip
+
 
 class CrashGuard:
     """Tracks whether one request may have crashed back ends.
@@ -99,21 +110,36 @@
             return self._has_lost_back_end
         return self._quarantine.is_suspect(self._fingerprint())
 
-    def add_verdict(self, back_end: BackEnd, verdict: Verdict, was_crash_suspect: bool) -> None:
+    def add_verdict(
+        self,
+        back_end: BackEnd,
+        verdict: Verdict,
+        was_crash_suspect: bool,
+        writing_s: float | None = None,
+    ) -> None:
         """Request a crash check if the connection was lost, or record that the request succeeded.
 
         Args:
             back_end: Back end of the attempt.
             verdict: How the attempt ended.
             was_crash_suspect: Result of `is_crash_suspect` before the attempt.
+            writing_s: Seconds from the first event to the end; None if no event arrived.
         """
         if verdict.reason in CONNECTION_LOST:
             self._has_lost_back_end = True
-            interrupted = InterruptedRequest(self._fingerprint(), was_crash_suspect)
+            interrupted = InterruptedRequest(
+                self._fingerprint(), was_crash_suspect, self._shared_blocks(), writing_s
+            )
             self._reporter.crash_check.request(back_end, interrupted)
         elif verdict == SUCCESS and self._quarantine.is_tracking_requests():
             self._quarantine.note_answered(self._fingerprint())
 
+    def _shared_blocks(self) -> tuple[str, ...]:
+        prompt = self._admitted.request.prompt
+        if prompt is None:
+            return ()
+        return tuple(block.block_id for block in prompt.shared_blocks)
+
     def _fingerprint(self) -> RequestFingerprint:
         if self.known_fingerprint is None:
             admitted = self._admitted
--- a/src/weirscale/gateway/rollouts/pace.py
+++ b/src/weirscale/gateway/rollouts/pace.py
@@ -52,6 +52,14 @@
     first_event_s: float | None = None
     num_parts: int = 0
 
+    def writing_s(self, ended_s: float) -> float | None:
+        """Return the seconds from the first event to the end; None if no event arrived.
+
+        Args:
+            ended_s: Seconds from the start of the attempt to its end.
+        """
+        return None if self.first_event_s is None else ended_s - self.first_event_s
+
     def answer_times(self, ended_s: float, expected_s: float | None) -> AnswerTimes:
         """Return the times of an attempt that has ended.
 
--- a/src/weirscale/gateway/routing/dispatcher.py
+++ b/src/weirscale/gateway/routing/dispatcher.py
@@ -172,7 +172,7 @@
         Returns None if there is no such store, or if it presumably has all shared blocks. The last
         block belongs to the prompt alone, and saving only this block is not worth the transfer.
         """
-        shared = prompt.blocks[:-1]
+        shared = prompt.shared_blocks
         store = self.cache_index.regional_store(choice.candidate.back_end.zone)
         if store is None or not shared or choice.scope is None:
             return None
