--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -31,6 +31,7 @@
 
     def __init__(self, fleet=None, num_runners=NUM_RUNNERS, restart_delay_s=RESTART_DELAY_S):
         self.fleet = fleet or Fleet()
+        self.crash_delay_s = CRASH_DELAY_S
         self.keeps_names = False
         """Whether a runner that restarts has the same name, with a later start time."""
         self.is_fixed = False
@@ -56,14 +57,18 @@
         runner = RunnerStandIn(name, address, service, model=model)
         if self.keeps_names:
             runner.born_ms = int(anyio.current_time() * 1000.0) + 1
-        runner.on_run = lambda run, target, body: self._begin(runner, body)
+        runner.on_run = lambda run, target, body: self._begin(runner, run, body)
         self.fleet.add_runner(runner)
         return runner
 
-    def _begin(self, runner, body):
-        if body.startswith(FATAL_BODY) and not self.is_fixed:
+    def is_fatal(self, run, body):
+        """Return whether a run ends the process of its runner."""
+        return body.startswith(FATAL_BODY)
+
+    def _begin(self, runner, run, body):
+        if self.is_fatal(run, body) and not self.is_fixed:
             self.fatal_runs.append(anyio.current_time())
-            self.fleet.tasks.start_soon(self.crash, runner, CRASH_DELAY_S)
+            self.fleet.tasks.start_soon(self.crash, runner, self.crash_delay_s)
 
     async def shut_down(self, runner):
         """End a runner as planned: registered as draining first, but before its requests end."""
