Quarantine prompt blocks that crash back ends, whatever requests hold them

Cause: crashes were counted by whole requests, and no two of these were alike. Change: a crash is charged to the shared blocks of the requests that had begun to be answered less than a second before, at all nodes by gossip (BlocksCrash, AnsweredBlock). Five crashes under two requests or more, with no whole answer to a request with the block since, quarantine it (503, not run) at all nodes, by a record in the store also at those that start later. Blocks that crashed alike are blamed together: only requests with all of them are refused, so that sound ones with the same first block go on and show which one it is. Blocks that were answered before are blamed only for crashes that others cannot explain, and not by a node that hears less than half of the others.

--- a/features/recorded_forms.feature
+++ b/features/recorded_forms.feature
@@ -47,6 +47,9 @@
       | news_empty_before_brittle    |
       | news_full_before_brittle     |
       | news_of_group_before_brittle |
+      | news_empty_before_blocks     |
+      | news_full_before_blocks      |
+      | news_of_group_before_blocks  |
 
   Scenario Outline: A node of an earlier release reads all fields of a message that its release supports
     When a node of the release before "<addition>" receives the message "news_full"
@@ -57,6 +60,7 @@
       | leaving  |
       | limits   |
       | brittle  |
+      | blocks   |
 
   Scenario Outline: A record in the store has exactly the recorded key and value
     Given the recorded forms of "records"
@@ -69,6 +73,7 @@
       | duty               |
       | order_turn         |
       | quarantine         |
+      | quarantined_blocks |
       | weights_age        |
       | rollout            |
       | rollout_begun      |
@@ -84,6 +89,7 @@
       | registration  |
       | registration_before_relays |
       | quarantine    |
+      | quarantined_blocks |
       | weights_age   |
       | rollout       |
       | rollout_begun |
--- a/features/support/fatal_blocks.py
+++ b/features/support/fatal_blocks.py
@@ -34,6 +34,8 @@
         self.fatal = set(fatal)
         self.crash_delay_s = CRASH_DELAY_S
         self.stopped = []
+        self.other_crashes = []
+        """Times of the crashes that no block caused."""
 
     def start(self, *args, **more):
         runner = super().start(*args, **more)
@@ -43,6 +45,15 @@
     def is_fatal(self, run, body):
         return bool(self.fatal & set(shared_blocks(run.headers["x-prefix-hash"])))
 
+    async def crash_for_other_reasons(self, runner):
+        """End the process of a runner, whatever it serves."""
+        if not runner.is_crashed:
+            self.other_crashes.append(anyio.current_time())
+            num_crashes = len(self.crashes)
+            self.fleet.tasks.start_soon(self.crash, runner)
+            await anyio.sleep(0.0)
+            del self.crashes[num_crashes:]
+
     async def crash(self, runner, after_s=0.0):
         self.stopped.append(runner)
         await super().crash(runner, after_s)
@@ -68,6 +79,8 @@
         self.random = Random(seed)
         self.numbers = itertools.count(1)
         self.first_blocks = ("a1", "a2", "a3")
+        self.place = "under a frequent first block"
+        """Where the fatal block stands in prompts."""
         self.seconds = 0.0
         self.streams = []
         """Coroutine functions that send requests until the end."""
@@ -150,9 +163,17 @@
         first = first or self.random.choice(self.first_blocks)
         return [first, f"{first}-{self.random.randrange(NUM_SHARED)}"]
 
-    def fatal_parts(self, first=None):
-        """Return the shared blocks of a request with a fatal block."""
-        return [first or self.random.choice(self.first_blocks), *sorted(self.runners.fatal)]
+    def fatal_parts(self):
+        """Return the shared blocks of a request with the fatal block."""
+        own = f"d{self.random.randrange(NUM_SHARED)}"
+        (dead,) = self.runners.fatal
+        return {
+            "under a frequent first block": ["a1", dead],
+            "under any first block": [self.random.choice(self.first_blocks), dead],
+            "under a first block of its own": ["own", dead],
+            "first": [dead, own],
+            "above blocks of its own": ["a1", dead, own],
+        }[self.place]
 
     def crashed_s(self, number):
         """Return the time of a crash by its number from 1; the last one if there were fewer."""
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -198,6 +198,8 @@
         self.old_builds = set()
         self.datagram_loss = 0.0
         """Share of the single datagrams between nodes that are lost; gossip to a group arrives."""
+        self.gossip_loss = 0.0
+        """Share of the gossip to members of a group that is lost."""
         self.datagram_luck = Random(seed)
         self.frozen = {}
         """By name: frozen nodes, each with the messages that arrived meanwhile."""
@@ -277,6 +279,10 @@
             return False
         return not names & (self.silent | self.mute)
 
+    def loses_gossip(self):
+        """Return whether one message of gossip to a member of a group is lost."""
+        return self.gossip_loss > 0.0 and self.datagram_luck.random() < self.gossip_loss
+
     def is_understood(self, message, *names):
         """Return whether the builds of all these nodes have a type of message."""
         return not (isinstance(message, self.deaf_to) and self.old_builds & set(names))
@@ -359,6 +365,7 @@
             # Nodes of one group exchange gossip even before they have read the registrations.
             is_peer = name in group_peers or len(division.groups) == 1
             is_lost = {name, self._node.settings.name} & self._fleet.mute
+            is_lost = is_lost or self._fleet.loses_gossip()
             if node is not self._node and is_peer and not is_lost:
                 await self._fleet.deliver(node, gossip, self._node.settings.peers)
         await self._node.relay.forward_own(gossip)
--- a/features/support/recorded_forms.py
+++ b/features/support/recorded_forms.py
@@ -47,7 +47,9 @@
 from weirscale.gateway.model.prompt import Prompt, PromptBlock
 from weirscale.gateway.model.rollout_order import Epoch, RolloutState, RolloutStatus
 from weirscale.gateway.peers.gossip_entries import (
+    AnsweredBlockGossip,
     AnsweredGossip,
+    BlocksCrashGossip,
     BrittleGossip,
     CanaryGossip,
     CrashGossip,
@@ -90,9 +92,12 @@
     Unreadable,
     VersionedChange,
 )
+from weirscale.gateway.quarantine.block_keeper import BlockQuarantine
+from weirscale.gateway.quarantine.block_key import BlockKey
+from weirscale.gateway.quarantine.block_suspects import BlocksCrash
 from weirscale.gateway.quarantine.fingerprint import RequestFingerprint
 from weirscale.gateway.quarantine.keeper import Quarantine
-from weirscale.gateway.quarantine.record import read_quarantine_key
+from weirscale.gateway.quarantine.record import BLOCK_RECORDS, REQUEST_RECORDS
 from weirscale.gateway.rollouts.record import (
     RolloutRecord,
     Stage,
@@ -120,6 +125,7 @@
     ADAPTER,
 )
 FINGERPRINT = RequestFingerprint("00112233445566778899aabbccddeeff")
+BLOCKS = (BlockKey("5c1e07a2"), BlockKey("91bd3f06"))
 RUNS = ("i-1@0", "i-2@1700000000001", "i-3@0")
 LEASE_ID = 7
 WRITTEN_WITHIN_S = 20.0
@@ -233,6 +239,8 @@
         ended=(EndedGossip(RUNS[0]),),
         limits=(LimitGossip(RUNS[0], 1.1), LimitGossip(RUNS[1], None)),
         brittle=(BrittleGossip(RUNS[0], 2.0), BrittleGossip(RUNS[1], 0.5, 12, True)),
+        blocks_crashes=(BlocksCrashGossip(RUNS[0], FINGERPRINT, ("5c1e07a2", "91bd3f06"), True),),
+        answered_blocks=(AnsweredBlockGossip("5c1e07a2"), AnsweredBlockGossip("91bd3f06", True)),
     )
     return {
         "news_empty": Gossip("node-1"),
@@ -261,10 +269,13 @@
     }
 
 
+_BLOCK_FIELDS = {"blocks_crashes": (), "answered_blocks": ()}
+
 FIELDS_SINCE = {
-    "leaving": {"leaving": (), "ended": (), "limits": (), "brittle": ()},
-    "limits": {"limits": (), "brittle": ()},
-    "brittle": {"brittle": ()},
+    "leaving": {"leaving": (), "ended": (), "limits": (), "brittle": (), **_BLOCK_FIELDS},
+    "limits": {"limits": (), "brittle": (), **_BLOCK_FIELDS},
+    "brittle": {"brittle": (), **_BLOCK_FIELDS},
+    "blocks": _BLOCK_FIELDS,
 }
 """By the name of an addition to gossip: its fields, which earlier releases do not support, empty."""
 
@@ -387,6 +398,21 @@
     return _written_by(start)
 
 
+def _quarantined_blocks():
+    async def start(store, tasks):
+        clock = anyio.current_time
+        cluster = ClusterState(EventRecorder(), clock)
+        quarantine = BlockQuarantine(
+            "node-1", cluster, store, lambda: 0.0, lambda: True, EventRecorder(), clock
+        )
+        for number in range(5):
+            request = RequestFingerprint(f"{number:032x}")
+            quarantine.note_crash(BlocksCrash(RunId(f"i-{number}@0"), request, BLOCKS, True))
+        tasks.start_soon(quarantine.run)
+
+    return _written_by(start)
+
+
 def _weights_age():
     return WeightsAgeMarker("m", 4, 2.5)
 
@@ -422,6 +448,7 @@
         "duty": _duty,
         "order_turn": _order_fence,
         "quarantine": _quarantine,
+        "quarantined_blocks": _quarantined_blocks,
         "rollout_status": _rollout_status,
     }
     return makers[name]()
@@ -434,7 +461,9 @@
     if name == "weights_age":
         return read_weights_age_marker(key, value), _weights_age()
     if name == "quarantine":
-        return read_quarantine_key(key), FINGERPRINT
+        return REQUEST_RECORDS.read(key.removeprefix(REQUEST_RECORDS.prefix)), FINGERPRINT
+    if name == "quarantined_blocks":
+        return BLOCK_RECORDS.read(key.removeprefix(BLOCK_RECORDS.prefix)), frozenset(BLOCKS)
     read = msgspec.convert(cbor2.loads(value), Registration)
     token = "" if name == "registration_before_relays" else "5f2c"
     return read, Registration("10.0.0.2", 7340, "z", 85, token)
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -36,6 +36,7 @@
     "gateway_overload",
     "gateway_lost_paths",
     "gateway_brittle",
+    "gateway_shared_blocks",
     "gateway_quarantine",
     "gateway_rollouts_faults",
     "gateway_rollouts",
--- a/src/weirscale/gateway/gossip/gatherer.py
+++ b/src/weirscale/gateway/gossip/gatherer.py
@@ -4,7 +4,7 @@
 from weirscale.gateway.limits.usage_reporter import UsageReporter
 from weirscale.gateway.peers.gossip_entries import LoadGossip
 from weirscale.gateway.peers.outbox import GossipOutbox
-from weirscale.gateway.quarantine.keeper import Quarantine
+from weirscale.gateway.quarantine.quarantines import Quarantines
 from weirscale.gateway.rollouts.canary_traffic import CanaryTraffic
 from weirscale.gateway.rollouts.reporter import RolloutReporter
 from weirscale.gateway.routing.load import FleetLoad
@@ -19,7 +19,7 @@
         quotas: Usage of tenants with a quota.
         canaries: Requests during rollouts.
         rollouts: Tallies and moves of rollouts.
-        quarantine: Requests during which back ends crashed.
+        quarantines: Requests and prompt blocks with which back ends crashed.
     """
 
     def __init__(
@@ -29,14 +29,14 @@
         quotas: QuotaLedger,
         canaries: CanaryTraffic,
         rollouts: RolloutReporter,
-        quarantine: Quarantine,
+        quarantines: Quarantines,
     ) -> None:
         self._outbox = outbox
         self._load = load
         self._quotas = quotas
         self._canaries = canaries
         self._rollouts = rollouts
-        self._quarantine = quarantine
+        self._quarantines = quarantines
         self._usage = UsageReporter()
 
     def gather(self, must_refresh: bool) -> None:
@@ -48,7 +48,7 @@
             changed.update(
                 {instance: self._load.own(instance) for instance in self._load.own_instances()}
             )
-        self._quarantine.add_to(self._outbox, must_refresh)
+        self._quarantines.add_to(self._outbox, must_refresh)
         self._quotas.tick()
         self._usage.add_to(self._outbox, dict(self._quotas.own_usage()), must_refresh)
         for instance, load in changed.items():
--- a/src/weirscale/gateway/gossip/group_relay.py
+++ b/src/weirscale/gateway/gossip/group_relay.py
@@ -186,6 +186,10 @@
             outbox.add_crash(crash)
         for answered in gossip.answered:
             outbox.add_answered(answered)
+        for blocks_crash in gossip.blocks_crashes:
+            outbox.add_blocks_crash(blocks_crash)
+        for answered_block in gossip.answered_blocks:
+            outbox.add_answered_block(answered_block)
         for leaving in gossip.leaving:
             outbox.add_leaving(leaving)
         for ended in gossip.ended:
--- a/src/weirscale/gateway/gossip/inbox.py
+++ b/src/weirscale/gateway/gossip/inbox.py
@@ -22,7 +22,7 @@
     StateReply,
     StreamBegan,
 )
-from weirscale.gateway.quarantine.keeper import Quarantine
+from weirscale.gateway.quarantine.quarantines import Quarantines
 from weirscale.gateway.replication.age_exchange import AgeExchange
 from weirscale.gateway.replication.publisher import ChangePublisher
 from weirscale.gateway.replication.subscription import StateSubscription
@@ -59,7 +59,7 @@
         dispatcher: Records prompts at engines, and engines that load weights.
         health: Records back ends that other nodes cannot reach.
         rollouts: Records the tallies and moves of rollouts.
-        quarantine: Records crashes of back ends during requests.
+        quarantines: Record crashes of back ends during requests and with prompt blocks.
         clock: Returns monotonic seconds.
     """
 
@@ -73,7 +73,7 @@
         dispatcher: Dispatcher,
         health: BackEndHealth,
         rollouts: RolloutReporter,
-        quarantine: Quarantine,
+        quarantines: Quarantines,
         clock: Callable[[], float],
     ) -> None:
         self._cluster = cluster
@@ -84,7 +84,7 @@
         self._dispatcher = dispatcher
         self._health = health
         self._rollouts = rollouts
-        self._quarantine = quarantine
+        self._quarantines = quarantines
         self._clock = clock
 
     def receive(self, gossip: Gossip) -> None:
@@ -97,7 +97,7 @@
             self._receive_send(send, is_sum=bool(gossip.group))
         for loading in gossip.loading:
             self._receive_loading(loading)
-        self._quarantine.receive(gossip)
+        self._quarantines.receive(gossip)
         for suspect in gossip.suspects:
             if self._cluster.directory.get(suspect.instance) is not None:
                 self._health.told_unreachable(suspect.instance, now_s)
--- a/src/weirscale/gateway/limits/isolation.py
+++ b/src/weirscale/gateway/limits/isolation.py
@@ -51,10 +51,17 @@
     def is_isolated(self) -> bool:
         """Return whether neither the store nor half of the nodes were in contact recently."""
         age_s = self._cluster.age_s()
-        share = self._quotas.contact_share(self._clock() - PEER_TIMEOUT_S)
+        share = self._contact_share()
         is_isolated = age_s > ISOLATION_AGE_S and share < ISOLATION_SHARE
         if is_isolated != self._was_isolated:
             self._was_isolated = is_isolated
             event_name = "cut_off" if is_isolated else "contact_regained"
             self._event_log.event(event_name, proof_age_s=age_s, share=share)
         return is_isolated
+
+    def hears_most_nodes(self) -> bool:
+        """Return whether at least half of the nodes, including this one, sent messages lately."""
+        return self._contact_share() >= ISOLATION_SHARE
+
+    def _contact_share(self) -> float:
+        return self._quotas.contact_share(self._clock() - PEER_TIMEOUT_S)
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -23,11 +23,9 @@
 )
 from weirscale.gateway.peers.messages import PeerMessage
 from weirscale.gateway.peers.outbox import GossipOutbox
-from weirscale.gateway.peers.rank_delay import rank_delay_s
 from weirscale.gateway.ports.back_end import BackEndConnector
 from weirscale.gateway.ports.callers import RequestCodec
 from weirscale.gateway.ports.state_feed import StateFeed
-from weirscale.gateway.quarantine.keeper import Quarantine
 from weirscale.gateway.replication.age_exchange import AgeExchange
 from weirscale.gateway.replication.follower import StateFollower
 from weirscale.gateway.replication.publisher import ChangePublisher
@@ -111,7 +109,7 @@
         self._make_holder_tasks()
 
     def _make_rollouts(self) -> None:
-        """Create the components for rollouts of service versions, and the quarantine."""
+        """Create the components for rollouts of service versions."""
         clock = self._clock
         tallies = FleetTallies()
         self.rollout_reporter = RolloutReporter(
@@ -126,10 +124,6 @@
             self.peers.num_nodes, self._rollout_alarms, tallies, self._random, clock,
             self.metrics.count_rollout_end,
         )  # fmt: skip
-        self.quarantine = Quarantine(
-            self.settings.name, self.cluster, self._store,
-            lambda: rank_delay_s(self.peers.rank()), self._event_log, clock,
-        )  # fmt: skip
 
     def _make_gossip(self) -> None:
         """Create the components that send gossip to the other nodes."""
@@ -147,7 +141,7 @@
         self._notices.observe_brittle(self.outbox.add_brittle)
         self.gatherer = GossipGatherer(
             self.outbox, self.load, self.quotas, self.canary_traffic, self.rollout_reporter,
-            self.quarantine,
+            self.quarantines,
         )  # fmt: skip
         self.version_check = VersionCheck(
             self.cluster, self._ports.port_of, self.outbox.add_loading, clock
@@ -172,7 +166,7 @@
         )
         receiver = GossipReceiver(
             self.cluster, self.stated_limits, self.relay, self.load, self.quotas, self.dispatcher,
-            self.health, self.rollout_reporter, self.quarantine, clock,
+            self.health, self.rollout_reporter, self.quarantines, clock,
         )  # fmt: skip
         self._permit_exchange = PermitExchange(
             settings.name, self.stated_limits, self.permits, self._permit_issuer,
@@ -220,7 +214,7 @@
                 self._event_log, self.metrics, clock,
             ),
             crash_reporter=CrashReporter(
-                self.cluster, port_of, self.quarantine, self.health, self.outbox,
+                self.cluster, port_of, self.quarantines, self.health, self.outbox,
                 self._send_gossip_now, self._event_log, clock,
             ),
             log=RequestLog(
@@ -278,8 +272,8 @@
                 self.gossip_task, self.relay, self._permit_exchange, self._lease,
                 self._weights_rollout,
                 self._rollout_holder, self.version_check, self.context.crash_reporter.crash_check,
-                self.quarantine, self.context.timeouts, self._maintenance, self.path_checks,
-                self.relay_server, self._holder_paths,
+                self.quarantines, self.context.timeouts, self._maintenance,
+                self.path_checks, self.relay_server, self._holder_paths,
             ):  # fmt: skip
                 tasks.start_soon(task.run)
             await anyio.sleep_forever()
--- a/src/weirscale/gateway/node_gauges.py
+++ b/src/weirscale/gateway/node_gauges.py
@@ -7,7 +7,7 @@
 from weirscale.gateway.paths.path_state import PathState
 from weirscale.gateway.paths.relay_server import RelayGate
 from weirscale.gateway.peers.registrations import PeerDirectory
-from weirscale.gateway.quarantine.keeper import Quarantine
+from weirscale.gateway.quarantine.quarantines import Quarantines
 from weirscale.gateway.requests.request_context import RequestContext
 from weirscale.gateway.rollouts.canary_traffic import CanaryTraffic
 from weirscale.gateway.state.cluster_state import ClusterState
@@ -22,7 +22,7 @@
     budget: SharedRetryBudget
     quotas: QuotaLedger
     canary_traffic: CanaryTraffic
-    quarantine: Quarantine
+    quarantines: Quarantines
     paths: PathState
     relay_gate: RelayGate
     context: RequestContext
@@ -53,8 +53,10 @@
         quota_levels=node.quotas.levels(),
         rollout_stages=node.canary_traffic.stages(),
         num_displaced=node.cluster.back_ends.num_displaced,
-        num_suspects=node.quarantine.num_suspects(),
-        num_quarantined=node.quarantine.num_quarantined(),
+        num_suspects=node.quarantines.requests.num_suspects(),
+        num_quarantined=node.quarantines.requests.num_quarantined(),
+        num_suspect_blocks=node.quarantines.blocks.num_suspects(),
+        num_quarantined_blocks=node.quarantines.blocks.num_quarantined(),
         num_lost_paths=node.paths.num_lost(),
         are_all_paths_lost=node.paths.are_all_lost(),
         num_relayed_for_peers=node.relay_gate.num_open,
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -17,9 +17,13 @@
 from weirscale.gateway.paths.relay_choice import RelayChoice
 from weirscale.gateway.paths.relay_server import RelayGate, RelayServer
 from weirscale.gateway.paths.relays import StreamOpener
+from weirscale.gateway.peers.rank_delay import rank_delay_s
 from weirscale.gateway.peers.registrations import PeerDirectory, Registration, RegistrationTask
 from weirscale.gateway.ports.back_end import BackEndConnector
 from weirscale.gateway.ports.state_feed import StateFeed
+from weirscale.gateway.quarantine.block_keeper import BlockQuarantine
+from weirscale.gateway.quarantine.keeper import Quarantine
+from weirscale.gateway.quarantine.quarantines import Quarantines
 from weirscale.gateway.request_limits.brittle import NodeRank
 from weirscale.gateway.request_limits.issuers import PermitIssuers
 from weirscale.gateway.request_limits.permit_issuer import PermitIssuer
@@ -84,6 +88,7 @@
         self._store = CountedStore(store, self.metrics.count_store_call)
         self._make_state()
         self._make_limits()
+        self._make_quarantines()
         self._make_permits()
         self._make_paths(opener)
         self._make_routing(connect)
@@ -120,6 +125,20 @@
         )
         self.isolation = IsolationDetector(self.cluster, self.quotas, self._event_log, clock)
 
+    def _make_quarantines(self) -> None:
+        """Create the quarantines of what crashes back ends."""
+        name, cluster, store = self.settings.name, self.cluster, self._store
+        log, clock = self._event_log, self._clock
+
+        def delay_s() -> float:
+            return rank_delay_s(self.peers.rank())
+
+        self.quarantine = Quarantine(name, cluster, store, delay_s, log, clock)
+        blocks = BlockQuarantine(
+            name, cluster, store, delay_s, self.isolation.hears_most_nodes, log, clock
+        )
+        self.quarantines = Quarantines(self.quarantine, blocks)
+
     def _make_permits(self) -> None:
         """Create the components that enforce the request limits stated by back ends."""
         name, clock = self.settings.name, self._clock
--- a/src/weirscale/gateway/peers/gossip_entries.py
+++ b/src/weirscale/gateway/peers/gossip_entries.py
@@ -167,3 +167,31 @@
     """
 
     request: str
+
+
+class BlocksCrashGossip(msgspec.Struct, frozen=True, array_like=True):
+    """A back end crashed while it began to answer a request.
+
+    Attributes:
+        run: The back end's run.
+        request: The request's fingerprint.
+        blocks: Keys of the prompt's shared blocks.
+        was_sent_after_crash: Whether a crash with one of them was known when the request was sent.
+    """
+
+    run: str
+    request: str
+    blocks: tuple[str, ...]
+    was_sent_after_crash: bool
+
+
+class AnsweredBlockGossip(msgspec.Struct, frozen=True, array_like=True):
+    """A back end answered a request with a block with which other back ends had crashed.
+
+    Attributes:
+        block: The block's key.
+        was_before: Whether it was answered only before the sender heard of these crashes.
+    """
+
+    block: str
+    was_before: bool = False
--- a/src/weirscale/gateway/peers/messages.py
+++ b/src/weirscale/gateway/peers/messages.py
@@ -14,7 +14,9 @@
 import msgspec
 
 from weirscale.gateway.peers.gossip_entries import (
+    AnsweredBlockGossip,
     AnsweredGossip,
+    BlocksCrashGossip,
     BrittleGossip,
     CanaryGossip,
     CrashGossip,
@@ -63,6 +65,9 @@
         ended: Back ends at whose address another run answered. Ignored like `leaving`.
         limits: Request limits stated by back ends. Ignored like `leaving`.
         brittle: Brittle back ends. Ignored like `leaving`.
+        blocks_crashes: Crashes and the prompt blocks of the requests that they interrupted.
+            Ignored like `leaving`.
+        answered_blocks: Prompt blocks of requests that were answered. Ignored like `leaving`.
     """
 
     sender: str
@@ -83,6 +88,8 @@
     ended: tuple[EndedGossip, ...] = ()
     limits: tuple[LimitGossip, ...] = ()
     brittle: tuple[BrittleGossip, ...] = ()
+    blocks_crashes: tuple[BlocksCrashGossip, ...] = ()
+    answered_blocks: tuple[AnsweredBlockGossip, ...] = ()
 
 
 class StateQuery(msgspec.Struct, frozen=True, array_like=True, tag="query"):
--- a/src/weirscale/gateway/peers/outbox.py
+++ b/src/weirscale/gateway/peers/outbox.py
@@ -1,8 +1,12 @@
 """Collects the gossip for a node's next message."""
 
+from typing import TypeVar
+
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.peers.gossip_entries import (
+    AnsweredBlockGossip,
     AnsweredGossip,
+    BlocksCrashGossip,
     BrittleGossip,
     CanaryGossip,
     CrashGossip,
@@ -26,10 +30,17 @@
 """Maximum number of crashes in one message, which bounds the datagram's size; the others wait for
 the next message."""
 
+MAX_ANSWERED_BLOCKS_PER_MESSAGE = 64
+"""Maximum number of answered blocks in one message, which bounds the datagram's size; the others
+wait for the next message."""
+
 MAX_WAITING_CRASHES = 4096
 """Maximum number of queued crashes; beyond it, the oldest are dropped. So many crash at once only
 if a whole region fails."""
 
+KeyT = TypeVar("KeyT")
+ItemT = TypeVar("ItemT")
+
 
 class GossipOutbox:
     """Collects gossip until the next message is taken.
@@ -46,10 +57,12 @@
         self._sender_run = sender_run
         self._num_nodes = 1
         self._crashes: dict[tuple[str, str], CrashGossip] = {}
+        self._blocks_crashes: dict[tuple[str, str], BlocksCrashGossip] = {}
+        self._answered_blocks: dict[str, AnsweredBlockGossip] = {}
         self._clear()
 
     def _clear(self) -> None:
-        """Start the next message; crashes that did not fit into the last one are kept."""
+        """Start the next message; what did not fit into the last one is kept."""
         self._loads: dict[InstanceId, LoadGossip] = {}
         self._sends: list[SendGossip] = []
         self._loading: list[LoadingGossip] = []
@@ -99,13 +112,24 @@
     def add_crash(self, gossip: CrashGossip) -> None:
         """Add a crash during a request; the oldest are dropped if there are too many."""
         self._crashes[(gossip.request, gossip.run)] = gossip
-        if len(self._crashes) > MAX_WAITING_CRASHES:
-            del self._crashes[next(iter(self._crashes))]
+        _drop_excess(self._crashes)
 
     def add_answered(self, gossip: AnsweredGossip) -> None:
         """Add a request that was answered after back ends had crashed while serving it."""
         self._answered[gossip.request] = gossip
 
+    def add_blocks_crash(self, gossip: BlocksCrashGossip) -> None:
+        """Add a crash with prompt blocks; the oldest are dropped if there are too many."""
+        self._blocks_crashes[(gossip.request, gossip.run)] = gossip
+        _drop_excess(self._blocks_crashes)
+
+    def add_answered_block(self, gossip: AnsweredBlockGossip) -> None:
+        """Add an answered block; an answer since the crashes is not replaced by one before them."""
+        queued = self._answered_blocks.get(gossip.block)
+        if queued is None or queued.was_before:
+            self._answered_blocks[gossip.block] = gossip
+        _drop_excess(self._answered_blocks)
+
     def add_leaving(self, gossip: LeavingGossip) -> None:
         """Add a back end that is leaving."""
         self._leaving[gossip.run] = gossip
@@ -124,10 +148,6 @@
         if queued is None or gossip.is_refusal or not queued.is_refusal:
             self._brittle[gossip.run] = gossip
 
-    def _take_crashes(self) -> tuple[CrashGossip, ...]:
-        taken = list(self._crashes)[:MAX_CRASHES_PER_MESSAGE]
-        return tuple(self._crashes.pop(key) for key in taken)
-
     def take(self, group: str | None = None, with_empty: bool = False) -> Gossip | None:
         """Return the message and start the next one; None if the message would be empty.
 
@@ -149,12 +169,14 @@
             canary_counts=tuple(self._canary_counts.values()),
             moved_nodes=tuple(self._moved_nodes.values()),
             sender_run=self._sender_run,
-            crashes=self._take_crashes(),
+            crashes=_take(self._crashes, MAX_CRASHES_PER_MESSAGE),
             answered=tuple(self._answered.values()),
             leaving=tuple(self._leaving.values()),
             ended=tuple(self._ended.values()),
             limits=tuple(self._limits.values()),
             brittle=tuple(self._brittle.values()),
+            blocks_crashes=_take(self._blocks_crashes, MAX_CRASHES_PER_MESSAGE),
+            answered_blocks=_take(self._answered_blocks, MAX_ANSWERED_BLOCKS_PER_MESSAGE),
         )
         self._clear()
         return gossip
@@ -174,4 +196,16 @@
             or self._ended
             or self._limits
             or self._brittle
+            or self._blocks_crashes
+            or self._answered_blocks
         )
+
+
+def _drop_excess(waiting: dict[KeyT, ItemT]) -> None:
+    if len(waiting) > MAX_WAITING_CRASHES:
+        del waiting[next(iter(waiting))]
+
+
+def _take(waiting: dict[KeyT, ItemT], num: int) -> tuple[ItemT, ...]:
+    taken = list(waiting)[:num]
+    return tuple(waiting.pop(key) for key in taken)
--- a/src/weirscale/gateway/quarantine/__init__.py
+++ b/src/weirscale/gateway/quarantine/__init__.py
@@ -1,7 +1,9 @@
-"""Recognizes requests that repeatedly crash back ends, and refuses them for a time.
+"""Recognizes what repeatedly crashes back ends, and refuses it for a time.
 
-`fingerprint` identifies a request. `crash_check` distinguishes a crash from other reasons why a
-connection ends. `suspects` holds the rule that decides which request causes crashes. `keeper`
-decides which requests are refused now, and shares this with the other nodes through `gossip` and
-`record`. Design and costs: docs/design/0022-quarantine.md.
+That is either one request that is sent again and again, or a block that the prompts of many
+different requests share. `crash_check` distinguishes a crash from other reasons why a connection
+ends. For requests, `fingerprint` identifies them and `suspects` holds the rule that decides which
+one causes crashes; for blocks, `block_key` and `block_suspects` do. `keeper` and `block_keeper`
+decide what is refused now (`active`), and share this with the other nodes through `gossip` and
+`record`. Designs and costs: docs/design/0022-quarantine.md, docs/design/0028-shared-blocks.md.
 """
--- a/src/weirscale/gateway/quarantine/crash_check.py
+++ b/src/weirscale/gateway/quarantine/crash_check.py
@@ -14,6 +14,7 @@
 from weirscale.gateway.model.back_ends import ACCEPTING_STATES, BackEnd, BackEndState
 from weirscale.gateway.model.identifiers import RunId
 from weirscale.gateway.ports.back_end import BackEndPort, RunState
+from weirscale.gateway.quarantine.block_key import BlockKey
 from weirscale.gateway.quarantine.fingerprint import RequestFingerprint
 from weirscale.gateway.state.cluster_state import ClusterState
 
@@ -37,13 +38,15 @@
         was_sent_after_crash: Whether an earlier crash during the request was known when it was
             sent to this back end.
         blocks: The shared blocks of its prompt, in order.
+        were_blocks_suspect: Whether a crash with one of them was known when it was sent.
         writing_s: Seconds from the first event of its answer to the end of the connection; None if
             no event arrived.
     """
 
     fingerprint: RequestFingerprint
     was_sent_after_crash: bool
-    blocks: tuple[str, ...] = ()
+    blocks: tuple[BlockKey, ...] = ()
+    were_blocks_suspect: bool = False
     writing_s: float | None = None
 
 
--- a/src/weirscale/gateway/quarantine/gossip.py
+++ b/src/weirscale/gateway/quarantine/gossip.py
@@ -1,22 +1,29 @@
-"""Sends the other nodes what this node has seen: crashes during requests, and answered requests."""
+"""Sends the other nodes what this node has seen: crashes, and what was answered."""
 
 from collections.abc import Iterable
 
-from weirscale.gateway.peers.gossip_entries import AnsweredGossip, CrashGossip
+from weirscale.gateway.peers.gossip_entries import (
+    AnsweredBlockGossip,
+    AnsweredGossip,
+    BlocksCrashGossip,
+    CrashGossip,
+)
 from weirscale.gateway.peers.outbox import GossipOutbox
 
 RESEND_FOR_S = 3.0
 """Seconds for which an item is repeated with each refresh, once a second: datagrams may be lost."""
 
+QuarantineItem = CrashGossip | AnsweredGossip | BlocksCrashGossip | AnsweredBlockGossip
+
 
 class QuarantineGossip:
     """Queues new items, and repeats those sent recently."""
 
     def __init__(self) -> None:
-        self._unsent: list[CrashGossip | AnsweredGossip] = []
-        self._sent: list[tuple[CrashGossip | AnsweredGossip, float]] = []
+        self._unsent: list[QuarantineItem] = []
+        self._sent: list[tuple[QuarantineItem, float]] = []
 
-    def add(self, item: CrashGossip | AnsweredGossip) -> None:
+    def add(self, item: QuarantineItem) -> None:
         """Queue an item for the next message."""
         self._unsent.append(item)
 
@@ -31,9 +38,14 @@
         _add_all(outbox, [*unsent, *repeated])
 
 
-def _add_all(outbox: GossipOutbox, items: Iterable[CrashGossip | AnsweredGossip]) -> None:
+def _add_all(outbox: GossipOutbox, items: Iterable[QuarantineItem]) -> None:
     for item in items:
-        if isinstance(item, CrashGossip):
-            outbox.add_crash(item)
-        else:
-            outbox.add_answered(item)
+        match item:
+            case CrashGossip():
+                outbox.add_crash(item)
+            case AnsweredGossip():
+                outbox.add_answered(item)
+            case BlocksCrashGossip():
+                outbox.add_blocks_crash(item)
+            case AnsweredBlockGossip():
+                outbox.add_answered_block(item)
--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -75,7 +75,7 @@
 
     async def run(self) -> AttemptEnd:
         """Send the request, relay the answer if permitted, and return how the attempt ended."""
-        was_crash_suspect = self._start()
+        self._start()
         verdict = Verdict(AttemptEnd.UNCERTAIN, CANCELLED)
         is_first = self._history.num_attempts == 1
         scope = anyio.CancelScope()
@@ -99,13 +99,11 @@
         if verdict.end in (AttemptEnd.NEVER_SENT, AttemptEnd.NOT_RUN):
             self._context.admission.refund(self._admitted)
         self._history.add_verdict(self._back_end.instance, verdict)
-        self._guard.add_verdict(
-            self._back_end, verdict, was_crash_suspect, self._times.writing_s(took_s)
-        )
+        self._guard.attempt_ended(self._back_end, verdict, self._times.writing_s(took_s))
         return verdict.end
 
-    def _start(self) -> bool:
-        """Record the start; return whether the request may already have crashed a back end."""
+    def _start(self) -> None:
+        """Record the start of the attempt."""
         history = self._history
         history.num_attempts += 1
         self._began_s = self._context.clock()
@@ -115,7 +113,7 @@
         self._context.admission.charge(self._admitted)
         if history.num_attempts == 1:
             self._records.verdicts.add_canary_allowance(self._back_end.service)
-        return self._guard.is_crash_suspect()
+        self._guard.attempt_begins()
 
     def _create_timeout(self, scope: anyio.CancelScope) -> AttemptTimeout:
         """Return the attempt's timeout, started only if another back end could take over."""
--- a/src/weirscale/gateway/requests/crash_reports.py
+++ b/src/weirscale/gateway/requests/crash_reports.py
@@ -2,21 +2,42 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from weirscale.gateway.durations import MILLISECONDS_PER_S
 from weirscale.gateway.model.back_ends import BackEnd
 from weirscale.gateway.peers.gossip_entries import SuspectGossip
 from weirscale.gateway.peers.outbox import GossipOutbox
 from weirscale.gateway.ports.back_end import BackEndPort
+from weirscale.gateway.quarantine.block_keeper import counted_blocks
+from weirscale.gateway.quarantine.block_key import group_text
+from weirscale.gateway.quarantine.block_suspects import BlocksCrash
 from weirscale.gateway.quarantine.crash_check import CrashCheck, InterruptedRequest
 from weirscale.gateway.quarantine.fingerprint import RequestFingerprint, fingerprint_of
-from weirscale.gateway.quarantine.keeper import Quarantine
+from weirscale.gateway.quarantine.quarantines import Quarantines
 from weirscale.gateway.requests.admission import AdmittedRequest
 from weirscale.gateway.requests.attempt_verdict import CONNECTION_LOST, SUCCESS, Verdict
 from weirscale.gateway.routing.health import BackEndHealth
 from weirscale.gateway.state.cluster_state import ClusterState
-from weirscale.gateway.telemetry.request_summary import MAX_LOGGED_ID_CHARS
+from weirscale.gateway.telemetry.request_summary import RequestCause
 from weirscale.ports.event_log import EventLog
 
+HARMLESS_WRITING_S = 1.0
+"""Seconds after the first event of an answer at which its prompt no longer counts as what crashed
+the back end: a block that crashes back ends does so as they begin to write."""
+
+
+class QuarantineRefusal(msgspec.Struct, frozen=True):
+    """Why a request is refused because of crashes.
+
+    Attributes:
+        cause: Cause for the log.
+        remaining_s: Seconds for which it is still refused.
+    """
+
+    cause: RequestCause
+    remaining_s: float
+
 
 class CrashReporter:
     """Checks back ends after lost connections and reports crashes.
@@ -26,7 +47,7 @@
     Args:
         cluster: Registrations of the back ends.
         port_of: Returns the port of a back end.
-        quarantine: Tracks requests that crash back ends.
+        quarantines: Track requests and prompt blocks that crash back ends.
         health: Circuit breakers of the back ends.
         outbox: Queues gossip for the other nodes.
         send_gossip_now: Sends queued gossip without waiting for the next regular message.
@@ -38,14 +59,15 @@
         self,
         cluster: ClusterState,
         port_of: Callable[[BackEnd], BackEndPort],
-        quarantine: Quarantine,
+        quarantines: Quarantines,
         health: BackEndHealth,
         outbox: GossipOutbox,
         send_gossip_now: Callable[[], None],
         event_log: EventLog,
         clock: Callable[[], float],
     ) -> None:
-        self.quarantine = quarantine
+        self.quarantine = quarantines.requests
+        self.blocks = quarantines.blocks
         self._cluster = cluster
         self.crash_check = CrashCheck(cluster, port_of, self._report_crash)
         self._health = health
@@ -68,13 +90,20 @@
             self.quarantine.note_crash(
                 request.fingerprint, back_end.run_id, request.was_sent_after_crash
             )
+            if request.writing_s is None or request.writing_s < HARMLESS_WRITING_S:
+                self.blocks.note_crash(
+                    BlocksCrash(
+                        back_end.run_id, request.fingerprint, request.blocks,
+                        request.were_blocks_suspect,
+                    )
+                )  # fmt: skip
         self._send_gossip_now()
 
     def _log_interrupted(self, back_end: BackEnd, request: InterruptedRequest) -> None:
         writing_s = request.writing_s
         self._event_log.event(
             "request_interrupted", request=request.fingerprint, run=back_end.run_id,
-            blocks=",".join(block[:MAX_LOGGED_ID_CHARS] for block in request.blocks),
+            blocks=",".join(request.blocks),
             writing_ms="none" if writing_s is None else round(writing_s * MILLISECONDS_PER_S),
         )  # fmt: skip
 
@@ -91,54 +120,59 @@
         self._reporter = reporter
         self._quarantine = reporter.quarantine
         self._admitted = admitted
+        prompt = admitted.request.prompt
+        shared = () if prompt is None else prompt.shared_blocks
+        self._blocks = counted_blocks([block.block_id for block in shared])
         self._has_lost_back_end = False
+        self._was_suspect = False
+        self._were_blocks_suspect = False
         self.known_fingerprint: RequestFingerprint | None = None
         """Fingerprint of the request; computed only for the few requests that need it."""
+        self.quarantined_blocks = ""
+        """The blocks for which the request was refused, as text; empty if it was not."""
 
-    def quarantined_for_s(self) -> float | None:
-        """Return for how many seconds the request is still quarantined, or None if it is not.
+    def refusal(self) -> QuarantineRefusal | None:
+        """Return why the request is refused because of crashes, or None if it may be sent.
 
-        The quarantine also covers requests that the caller sent to other nodes before.
+        A quarantine also covers requests that the caller sent to other nodes before.
         """
+        refused = self._reporter.blocks.refusal(self._blocks) if self._blocks else None
+        if refused is not None:
+            self.quarantined_blocks = group_text(refused.group)
+            return QuarantineRefusal(RequestCause.BLOCKS_QUARANTINED, refused.remaining_s)
         if not self._quarantine.is_tracking_requests():
             return None
-        return self._quarantine.remaining_s(self._fingerprint())
+        remaining_s = self._quarantine.remaining_s(self._fingerprint())
+        if remaining_s is None:
+            return None
+        return QuarantineRefusal(RequestCause.QUARANTINED, remaining_s)
 
-    def is_crash_suspect(self) -> bool:
-        """Return whether a back end may already have crashed while serving the request."""
-        if self._has_lost_back_end or not self._quarantine.is_tracking_requests():
-            return self._has_lost_back_end
-        return self._quarantine.is_suspect(self._fingerprint())
+    def attempt_begins(self) -> None:
+        """Record which crashes are known when the request is sent to a back end."""
+        self._were_blocks_suspect = self._reporter.blocks.is_suspect(self._blocks)
+        self._was_suspect = self._has_lost_back_end
+        if not self._was_suspect and self._quarantine.is_tracking_requests():
+            self._was_suspect = self._quarantine.is_suspect(self._fingerprint())
 
-    def add_verdict(
-        self,
-        back_end: BackEnd,
-        verdict: Verdict,
-        was_crash_suspect: bool,
-        writing_s: float | None = None,
-    ) -> None:
+    def attempt_ended(self, back_end: BackEnd, verdict: Verdict, writing_s: float | None) -> None:
         """Request a crash check if the connection was lost, or record that the request succeeded.
 
         Args:
             back_end: Back end of the attempt.
             verdict: How the attempt ended.
-            was_crash_suspect: Result of `is_crash_suspect` before the attempt.
             writing_s: Seconds from the first event to the end; None if no event arrived.
         """
         if verdict.reason in CONNECTION_LOST:
             self._has_lost_back_end = True
             interrupted = InterruptedRequest(
-                self._fingerprint(), was_crash_suspect, self._shared_blocks(), writing_s
-            )
+                self._fingerprint(), self._was_suspect, self._blocks, self._were_blocks_suspect,
+                writing_s,
+            )  # fmt: skip
             self._reporter.crash_check.request(back_end, interrupted)
-        elif verdict == SUCCESS and self._quarantine.is_tracking_requests():
-            self._quarantine.note_answered(self._fingerprint())
-
-    def _shared_blocks(self) -> tuple[str, ...]:
-        prompt = self._admitted.request.prompt
-        if prompt is None:
-            return ()
-        return tuple(block.block_id for block in prompt.shared_blocks)
+        elif verdict == SUCCESS:
+            self._reporter.blocks.note_answered(self._blocks)
+            if self._quarantine.is_tracking_requests():
+                self._quarantine.note_answered(self._fingerprint())
 
     def _fingerprint(self) -> RequestFingerprint:
         if self.known_fingerprint is None:
--- a/src/weirscale/gateway/requests/request_handler.py
+++ b/src/weirscale/gateway/requests/request_handler.py
@@ -120,9 +120,9 @@
 
     async def _attempt_until_done(self, admitted: AdmittedRequest, guard: CrashGuard) -> None:
         while True:
-            quarantined_for_s = guard.quarantined_for_s()
-            if quarantined_for_s is not None:
-                await self._give_up(RequestCause.QUARANTINED, quarantined_for_s)
+            refusal = guard.refusal()
+            if refusal is not None:
+                await self._give_up(refusal.cause, refusal.remaining_s)
                 return
             choice = self._context.selector.choose(admitted, self._history)
             if choice is None:
@@ -248,4 +248,5 @@
             quota=admission.quota if isinstance(admission, Refusal) else None,
             fingerprint=self._guard.known_fingerprint if self._guard else None,
             stream_version=self._history.stream_version,
+            quarantined_blocks=self._guard.quarantined_blocks if self._guard else "",
         )
--- a/src/weirscale/gateway/requests/request_log.py
+++ b/src/weirscale/gateway/requests/request_log.py
@@ -67,6 +67,8 @@
             fields.update(_quota_fields(summary.quota))
         if summary.fingerprint is not None:
             fields["request"] = summary.fingerprint
+        if summary.quarantined_blocks:
+            fields["blocks"] = summary.quarantined_blocks
         if summary.causes:
             fields["causes"] = ",".join(summary.causes)
         return fields
--- a/src/weirscale/gateway/telemetry/metrics.py
+++ b/src/weirscale/gateway/telemetry/metrics.py
@@ -86,6 +86,33 @@
             self._tokens.labels("read_shared").inc(_shared_read_tokens(summary))
 
 
+class _QuarantineGauges:
+    """Gauges of what is suspected or refused because of crashes."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        gauge = partial(Gauge, registry=registry)
+        self._suspects = gauge(
+            "weirscale_crash_suspects", "Requests that back ends crashed under of late"
+        )
+        self._quarantined = gauge(
+            "weirscale_quarantined_requests", "Requests that are refused for their crashes"
+        )
+        self._suspect_blocks = gauge(
+            "weirscale_crash_suspect_blocks", "Prompt blocks that back ends crashed with of late"
+        )
+        self._quarantined_blocks = gauge(
+            "weirscale_quarantined_blocks",
+            "Groups of prompt blocks whose requests are refused for crashes",
+        )
+
+    def update(self, values: GaugeValues) -> None:
+        """Set the gauges to the given values."""
+        self._suspects.set(values.num_suspects)
+        self._quarantined.set(values.num_quarantined)
+        self._suspect_blocks.set(values.num_suspect_blocks)
+        self._quarantined_blocks.set(values.num_quarantined_blocks)
+
+
 class _NodeGauges:
     """Gauges that are updated at each scrape."""
 
@@ -111,12 +138,7 @@
         self._quota_left = gauge(
             "weirscale_quota_left", "What is left of a tenant's quota, in its unit", ("tenant",)
         )
-        self._suspects = gauge(
-            "weirscale_crash_suspects", "Requests that back ends crashed under of late"
-        )
-        self._quarantined = gauge(
-            "weirscale_quarantined_requests", "Requests that are refused for their crashes"
-        )
+        self._quarantines = _QuarantineGauges(registry)
         self._lost_paths = gauge(
             "weirscale_lost_paths", "Back ends that other nodes reach and this node does not"
         )
@@ -146,8 +168,7 @@
         for tenant, left in values.quota_levels.items():
             if tenant_labels.label_of(tenant) == tenant:
                 self._quota_left.labels(tenant).set(left)
-        self._suspects.set(values.num_suspects)
-        self._quarantined.set(values.num_quarantined)
+        self._quarantines.update(values)
         self._lost_paths.set(values.num_lost_paths)
         self._all_paths_lost.set(1 if values.are_all_paths_lost else 0)
         self._relayed_for_peers.set(values.num_relayed_for_peers)
--- a/src/weirscale/gateway/telemetry/node_metrics.py
+++ b/src/weirscale/gateway/telemetry/node_metrics.py
@@ -25,6 +25,8 @@
         rollout_stages: Stage of the rollout, by service.
         num_suspects: Number of requests that back ends recently crashed while serving.
         num_quarantined: Number of requests that are refused because of such crashes.
+        num_suspect_blocks: Number of prompt blocks tracked because back ends crashed with them.
+        num_quarantined_blocks: Number of groups of such blocks whose requests are refused.
         num_lost_paths: Number of back ends that other nodes reach and this node does not.
         are_all_paths_lost: Whether this node's paths to all back ends count as lost.
         num_relayed_for_peers: Connections to back ends that this node relays for other nodes now.
@@ -41,6 +43,8 @@
     num_displaced: int = 0
     num_suspects: int = 0
     num_quarantined: int = 0
+    num_suspect_blocks: int = 0
+    num_quarantined_blocks: int = 0
     num_lost_paths: int = 0
     are_all_paths_lost: bool = False
     num_relayed_for_peers: int = 0
--- a/src/weirscale/gateway/telemetry/request_summary.py
+++ b/src/weirscale/gateway/telemetry/request_summary.py
@@ -34,6 +34,8 @@
     """The request alone costs more than the tenant's quota can ever hold."""
     QUARANTINED = "quarantined"
     """Back ends crashed while serving the request."""
+    BLOCKS_QUARANTINED = "blocks_quarantined"
+    """Back ends crashed on blocks that the request's prompt shares with others."""
     NO_BACK_END = "no_back_end"
     """No back end accepts requests."""
     STREAM_UNKNOWN = "stream_unknown"
@@ -94,6 +96,7 @@
         fingerprint: Fingerprint, the same each time that a caller sends this request; None if it
             was not computed.
         stream_version: Service version that made the stream's first event; None for no stream.
+        quarantined_blocks: The blocks of the prompt for which it was refused, if it was.
     """
 
     request: CallerRequest
@@ -111,6 +114,7 @@
     quota: QuotaDecision | None = None
     fingerprint: RequestFingerprint | None = None
     stream_version: SoftwareVersion | None = None
+    quarantined_blocks: str = ""
 
     def is_late(self) -> bool:
         """Return whether the answer missed the route's objective for delay or pauses."""
@@ -130,7 +134,7 @@
 
     def is_quarantine_refusal(self) -> bool:
         """Return whether quarantine stopped the request, before or after its first attempt."""
-        return RequestCause.QUARANTINED in self.causes
+        return RequestCause.QUARANTINED in self.causes or bool(self.quarantined_blocks)
 
     def deadline_passed_after_sending(self) -> bool:
         """Return whether the request timed out after at least one attempt."""
