A stream that ends inside an event has been broken off, whatever ended the connection

What callers saw: an answer without length or chunks ends with its connection. Where the back end had crashed, the incomplete rest of an event was sent on, and then a proper end: a broken stream looked whole. With no event at all it looked like an empty stream. Streams with CRLF line ends were held back until their end. Cause: relay_stream sent what was left at the end, since an event splitter that knows only LF had to. Change: the splitter knows CRLF and comments; a stream that ends inside an event, or unframed before its first one, is broken: continued at another back end where its route and budget allow, else cut visibly. Answers of other content types are relayed whole. A take-up after the last event may be empty.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -75,6 +75,42 @@
     And the second back end was asked to resume after event 2
     And the answer has the headers of the back end tried first
 
+  # An answer without length and chunks ends with its connection, also where the back end has crashed.
+  Scenario Outline: A stream that ends inside an event is continued at another back end
+    Given two back ends of which the one asked first does "<fault>" once
+    When a resumable request is sent
+    Then the caller gets "stream"
+    And the request has run 2 times
+
+    Examples:
+      | fault            |
+      | end_inside       |
+      | end_before_blank |
+      | end_before_event |
+      | crlf_end_inside  |
+
+  Scenario Outline: A stream that ends inside an event is broken off where it cannot be continued
+    Given two back ends of which the one asked first does "<fault>" once
+    When a single request is sent
+    Then the caller gets "<answer>"
+
+    Examples:
+      | fault            | answer |
+      | end_inside       | cut    |
+      | end_before_blank | cut    |
+      | end_before_event | 502    |
+      | crlf_end_inside  | cut    |
+
+  Scenario: An answer of another content type on a streaming route is relayed whole
+    Given two back ends of which the one asked first does "text" once
+    When a single request is sent
+    Then the caller gets "whole"
+
+  Scenario: A stream whose lines end with a carriage return and a line feed is whole at its end
+    Given two back ends of which the one asked first does "crlf" once
+    When a single request is sent
+    Then the caller gets the whole stream with the line ends of the back end
+
   # Without the id of the last event, another back end would start from the first event again.
   Scenario: A stream whose events have no ids is broken off rather than begun again
     Given two back ends of which the one asked first does "break" once
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -101,6 +101,12 @@
     assert not context.answer.is_complete
 
 
+@then("the caller gets the whole stream with the line ends of the back end")
+def step_line_ends(context):
+    assert context.answer.is_complete, context.answer
+    assert context.answer.body == WHOLE_STREAM.replace(b"\n", b"\r\n"), context.answer.body
+
+
 @given("no back end")
 def step_none(context):
     prepare(context, None)
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -17,7 +17,7 @@
 CRASH_CHECK_INTERVAL_S = 0.05
 """The longest time between the end of a process and the cut of its connections."""
 
-BREAKING = ("hang", "reset", "break", "stall")
+BREAKING = ("hang", "reset", "break", "stall", "end_inside", "end_before_blank", "end_before_event")
 """Faults with which an answer never completes."""
 
 
@@ -257,6 +257,11 @@
             run.ended_s = anyio.current_time()
             return httpx.Response(200, headers=headers, content=body)
         headers["X-Weight-Versions"] = str(self.version)
+        if fault == "text":
+            headers["Content-Type"] = "text/plain"
+            return httpx.Response(
+                200, headers=headers, content=b"done by " + self.instance.encode()
+            )
         after = int(request.headers.get("last-event-id") or 0)
         stream = EventStream(self, run, after, fault)
         return httpx.Response(200, headers=headers, stream=stream)
@@ -334,6 +339,19 @@
                 if self._fault == "break" and number == 3:
                     yield event[:9]
                     raise httpx.RemoteProtocolError("incomplete chunked read")
+                if self._fault == "end_before_event":
+                    return
+                if self._fault == "end_inside" and number == 3:
+                    yield event[:9]
+                    return
+                if self._fault == "end_before_blank" and number == NUM_EVENTS:
+                    yield event[:-1]
+                    return
+                if self._fault == "crlf":
+                    event = event.replace(b"\n", b"\r\n")
+                if self._fault == "crlf_end_inside" and number == 3:
+                    yield event[:-2] + b"\r\n"
+                    return
                 if self._fault == "stall" and number == 3:
                     await anyio.sleep(HANG_S)
                 if self._fault.startswith("pause:") and number == 3:
--- a/src/weirscale/gateway/ports/back_end.py
+++ b/src/weirscale/gateway/ports/back_end.py
@@ -57,6 +57,8 @@
         is_signed: Whether the answer carries the back end's signature.
         weight_version: Version of the weights, or None.
         body: Chunks in order; raises `BodyBrokenError` if the body ends early.
+        ends_with_connection: Whether nothing but the end of the connection marks the end of the
+            body. A back end that crashed may then look as if it had ended its answer.
     """
 
     status: int
@@ -67,6 +69,7 @@
     is_signed: bool
     weight_version: int | None
     body: AsyncIterator[bytes]
+    ends_with_connection: bool = False
 
 
 class AnswerNotice(msgspec.Struct, frozen=True):
--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -18,6 +18,7 @@
     judge_failure,
 )
 from weirscale.gateway.requests.crash_reports import CrashGuard
+from weirscale.gateway.requests.events import may_be_events
 from weirscale.gateway.requests.relay import AnswerRelay, read_whole_body
 from weirscale.gateway.requests.request_context import RequestContext
 from weirscale.gateway.requests.retry_decision import (
@@ -178,8 +179,11 @@
     async def _relay_answer(self, answer: Answer, verdict: Verdict) -> Verdict:
         """Relay an answer, or keep it if the back end failed, because a retry may succeed."""
         is_stream = self._admitted.route.kind is RequestKind.STREAMING
-        if is_stream and verdict == SUCCESS:
-            await self._relay.relay_stream(answer, self)
+        if is_stream and verdict == SUCCESS and may_be_events(answer.headers):
+            # A caller that already has the last event gets no more of a stream that it takes up.
+            is_taken_up = self._admitted.request.resume_after is not None
+            must_have_events = answer.ends_with_connection and not is_taken_up
+            await self._relay.relay_stream(answer, self, must_have_events)
             return verdict
         body = await read_whole_body(answer)
         if verdict.end is AttemptEnd.FAILED:
--- a/src/weirscale/gateway/requests/events.py
+++ b/src/weirscale/gateway/requests/events.py
@@ -1,13 +1,24 @@
 """Splits a stream into complete events without decoding them, and reads their ids.
 
-Format: server-sent events (WHATWG HTML, section 9.2). An event ends with a blank line. A line
-`id: TEXT` sets the event's id.
+Format: server-sent events (WHATWG HTML, section 9.2). An event ends with a blank line; lines end
+with LF or CRLF. A line `id: TEXT` sets the event's id, a line `: TEXT` is a comment.
 """
 
-_EVENT_END = b"\n\n"
+from weirscale.gateway.ports.callers import Headers
+
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+_COMMENT = b":"
+_CONTENT_TYPE = b"content-type"
+_EVENTS_TYPE = b"text/event-stream"
 _ID_FIELD = b"id:"
 
 
+def may_be_events(headers: Headers) -> bool:
+    """Return whether an answer may be a stream of events: its content type is that, or unstated."""
+    content_type = dict(headers).get(_CONTENT_TYPE, _EVENTS_TYPE)
+    return content_type.strip().lower().startswith(_EVENTS_TYPE)
+
+
 class EventSplitter:
     """Returns complete events and buffers the incomplete event at the end of the data.
 
@@ -22,19 +33,18 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk, and return all events that are now complete, unchanged."""
         data = self._incomplete + chunk if self._incomplete else chunk
-        end = data.rfind(_EVENT_END)
-        if end < 0:
+        split_at = max(_end_of_last(data, event_end) for event_end in _EVENT_ENDS)
+        if split_at == 0:
             self._incomplete = data
             return b""
-        split_at = end + len(_EVENT_END)
         events, self._incomplete = data[:split_at], data[split_at:]
         self._record_last_id(events)
         return events
 
-    def take_incomplete(self) -> bytes:
-        """Return and clear the buffered data; used at the end of the stream."""
-        incomplete, self._incomplete = self._incomplete, b""
-        return incomplete
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun that is not complete."""
+        lines = self._incomplete.splitlines()
+        return any(line and not line.startswith(_COMMENT) for line in lines)
 
     def discard_incomplete(self) -> None:
         """Discard the incomplete event of an interrupted stream."""
@@ -50,3 +60,9 @@
             return
         end = events.index(b"\n", start)
         self.last_id = events[start + len(_ID_FIELD) : end].strip().decode("latin-1")
+
+
+def _end_of_last(data: bytes, event_end: bytes) -> int:
+    """Return the position after the last occurrence of an event's end; 0 if there is none."""
+    start = data.rfind(event_end)
+    return start + len(event_end) if start >= 0 else 0
--- a/src/weirscale/gateway/requests/relay.py
+++ b/src/weirscale/gateway/requests/relay.py
@@ -83,11 +83,19 @@
         self._set_first_byte()
         await self._responder.send_whole(status, headers, body)
 
-    async def relay_stream(self, answer: Answer, observer: StreamObserver) -> None:
+    async def relay_stream(
+        self, answer: Answer, observer: StreamObserver, must_have_events: bool = False
+    ) -> None:
         """Relay complete events as they arrive, up to the end of the stream.
 
+        Args:
+            answer: The answer.
+            observer: Observes the stream.
+            must_have_events: Whether an answer without events is broken, not empty.
+
         Raises:
-            BodyBrokenError: The stream ended early; another attempt may resume it.
+            BodyBrokenError: The stream ended early, or inside an event; another attempt may resume
+                it.
         """
         splitter, responder = self._splitter, self._responder
         splitter.discard_incomplete()
@@ -103,11 +111,12 @@
             await responder.send_part(events)
             # Do not count the time that a slow caller blocks the send as a pause of the engine.
             self._last_event_s = self._clock()
+        if splitter.is_inside_event():
+            raise BodyBrokenError("the stream ended inside an event")
         if not responder.has_begun:
+            if must_have_events:
+                raise BodyBrokenError("the connection ended before the first event")
             await self._send_head(answer)
-        incomplete = splitter.take_incomplete()
-        if incomplete:
-            await responder.send_part(incomplete)
         await responder.send_end()
 
     async def _send_head(self, answer: Answer) -> None:
