Close new connections unread while more arrive than the process accepts

Cause: nothing bounded what a node takes; uvloop accepts one connection a turn, so an overload is neither seen in the event loop's delay nor in the number of requests. Change: ConnectionShedder watches the listener's queue each tick; if eight turns do not empty it at four successive ticks, what still waits is accepted and closed without a byte read.

--- a/src/weirscale/gateway/program.py
+++ b/src/weirscale/gateway/program.py
@@ -16,6 +16,7 @@
 from weirscale.gateway.ports.back_end import BackEndConnector
 from weirscale.gateway.ports.callers import RequestCodec
 from weirscale.gateway.ports.state_feed import StateFeed
+from weirscale.gateway.requests.connection_shedding import ConnectionShedder
 from weirscale.gateway.settings import GatewaySettings, ListenAddress
 from weirscale.gateway.settings_watch import SettingsWatch
 from weirscale.gateway.telemetry.line_log import LineLog
@@ -122,7 +123,12 @@
             limits = ConnectionLimits()
             self.node.cluster.observe_table(partial(_apply_limits, limits))
             finish_s = settings.bounds.stop_s - READINESS_DRAIN_S - STOP_MARGIN_S
+            shedder = ConnectionShedder(
+                listeners[0], self._event_log, self.node.metrics.count_shed_connection,
+                lambda: self.node.app.num_running,
+            )  # fmt: skip
             async with anyio.create_task_group() as serving:
+                serving.start_soon(shedder.run, closed)
                 serving.start_soon(
                     serve_on_listeners, self.node.app, listeners, closed, finish_s, limits
                 )
--- a/src/weirscale/gateway/telemetry/metrics.py
+++ b/src/weirscale/gateway/telemetry/metrics.py
@@ -212,6 +212,10 @@
             "weirscale_streams_resumed", "Streams that callers take up, by how they are known",
             ("known_by",), registry=self.registry,
         )  # fmt: skip
+        self._shed_connections = Counter(
+            "weirscale_shed_connections", "Callers' connections closed unread in an overload",
+            registry=self.registry,
+        )  # fmt: skip
         self._relayed_connections = Counter(
             "weirscale_relayed_connections", "Connections to back ends opened through other nodes",
             registry=self.registry,
@@ -233,6 +237,10 @@
         """Count a stream that a caller takes up, by how its origin is known."""
         self._resumed_streams.labels(known_by).inc()
 
+    def count_shed_connection(self) -> None:
+        """Count a connection of a caller that was closed unread because of an overload."""
+        self._shed_connections.inc()
+
     def count_relayed_connection(self) -> None:
         """Count a connection to a back end that was opened through another node."""
         self._relayed_connections.inc()
--- a/src/weirscale/gateway/telemetry/node_metrics.py
+++ b/src/weirscale/gateway/telemetry/node_metrics.py
@@ -73,6 +73,10 @@
         """Count a connection to a back end that was opened through another node."""
         ...
 
+    def count_shed_connection(self) -> None:
+        """Count a connection of a caller that was closed unread because of an overload."""
+        ...
+
     def text(self, values: GaugeValues) -> bytes:
         """Return all metrics as text, with these gauge values."""
         ...
@@ -96,6 +100,9 @@
     def count_relayed_connection(self) -> None:
         """Do nothing."""
 
+    def count_shed_connection(self) -> None:
+        """Do nothing."""
+
     def text(self, values: GaugeValues) -> bytes:
         """Return an empty text."""
         return b""
