Soak: back ends that crash on a prompt block, most new connections to one node, torn ends of streams

Stand-ins served by hypercorn always use chunks: answers without length and chunks are played in virtual time only.

--- a/bench/fault_soak/back_ends.py
+++ b/bench/fault_soak/back_ends.py
@@ -12,6 +12,8 @@
     BrittleFell,
     BrittlePeriod,
     Disturbance,
+    FatalCrash,
+    FatalPeriod,
     InstanceName,
     LeavingSaid,
     LimitChanged,
@@ -36,11 +38,13 @@
     RUNNERS_KEY,
     STORE_PORT,
     fence_of,
+    has_block,
 )
 
 ANSWER_FAULTS = (
     *("cross", "unsealed", "error", "unproved", "refuse", "hang"),
     *("break", "break", "break"),
+    *("end_inside", "end_before_blank"),
 )
 MAX_ANSWER_FAULTS = 6
 ORDERING_RUN_S = 0.15
@@ -67,6 +71,11 @@
 """Seconds from the first statement until fewer requests may wait."""
 
 FALLEN_S = 2.0
+FATAL_DELAY_S = 0.1
+"""Seconds from the beginning of a run with a fatal block until its back end crashes."""
+
+FATAL_REST_S = 5.0
+"""Longer than a request's deadline."""
 LOAD_S = 0.6
 TICK_S = 0.05
 HEARTBEAT_S = 1.0
@@ -106,6 +115,8 @@
         """Requests that it lets run or wait; None for any number."""
         self.is_busy = False
         """Whether a fault affects this back end now."""
+        self.is_down = False
+        """Whether it has crashed on a fatal block and not started again."""
 
     def start(self) -> None:
         """Start the next incarnation and register it."""
@@ -200,6 +211,9 @@
                 has_key="authorization" in run.headers,
             )
         )
+        block = self._fleet.fatal_block
+        if block is not None and has_block(run.headers, block):
+            self._fleet.tasks.start_soon(self._fleet.crash_on, self, self.stand_in, block)
 
     def _record_statements(
         self, instance: InstanceName, request: str, is_leaving: bool, rest: str | None
@@ -254,6 +268,8 @@
         self._store_server = ServedStandIn(self.store, store_host, STORE_PORT)
         self.back_ends: list[BackEnd] = []
         self.is_store_disturbed = False
+        self.fatal_block: str | None = None
+        """The block on which back ends crash as they begin to write; None for none."""
 
     def start(self, hosts: Sequence[str], num_ordering: int, random: Random) -> None:
         """Start the store, and a back end at each address.
@@ -304,6 +320,35 @@
         back_end.start()
         self.recorder.record_disturbance(Disturbance.BACK_END, began_s)
 
+    async def crash_on_block(self, block: str, lasts_s: float) -> None:
+        """Let the generating back ends crash on a block, unless another fault affects any."""
+        affected = [one for one in self.back_ends if one.service == GENERATING]
+        if any(one.is_busy for one in affected) or self.fatal_block is not None:
+            return
+        for one in affected:
+            one.is_busy = True
+        began_s = self.recorder.now_s()
+        self.fatal_block = block
+        await anyio.sleep(lasts_s)
+        self.recorder.record(FatalPeriod(at_s=began_s, block=block, until_s=self.recorder.now_s()))
+        # Requests with the block may still be on their way.
+        await anyio.sleep(FATAL_REST_S)
+        self.fatal_block = None
+        await anyio.sleep(FALLEN_S)
+        for one in affected:
+            one.is_busy = False
+
+    async def crash_on(self, back_end: BackEnd, stand_in: Any, block: str) -> None:
+        """Crash a back end on a fatal block, unless its run has already ended."""
+        await anyio.sleep(FATAL_DELAY_S)
+        if back_end.stand_in is not stand_in or back_end.is_down:
+            return
+        back_end.is_down = True
+        instance = InstanceName(back_end.stand_in.instance)
+        self.recorder.record(FatalCrash(at_s=self.recorder.now_s(), block=block, instance=instance))
+        await self.crash(back_end, FALLEN_S)
+        back_end.is_down = False
+
     async def fall(self, back_end: BackEnd) -> None:
         """Crash a brittle back end, unless another fault already affects it."""
         if back_end.is_busy:
--- a/bench/fault_soak/callers.py
+++ b/bench/fault_soak/callers.py
@@ -44,12 +44,26 @@
 SWITCH_SHARE = 0.1
 """How often a caller switches to another node although its own still answers."""
 
+FIRST_BLOCKS = ("aa", "ab", "ac")
+FATAL_SHARE = 0.2
 BODY_SIZES = (0, 5, 400, 9000)
 DEADLINES_S = (1.5, 4.0, 4.0, 4.0, 4.0, 5.0)
 RECONNECT_PAUSE_S = 0.5
 READ_BYTES = 4096
 
 
+class Pressure(msgspec.Struct):
+    """What all callers do besides their usual requests.
+
+    Attributes:
+        block: A block on which back ends crash, which some prompts have; None for none.
+        node: The node that gets all new connections; None if each caller chooses.
+    """
+
+    block: str | None = None
+    node: NodeName | None = None
+
+
 class Call(msgspec.Struct, frozen=True):
     """A request for a caller to send."""
 
@@ -62,6 +76,9 @@
     disconnect_after_s: float | None = None
     resumes: RequestId | None = None
     after: int = 0
+    blocks: tuple[str, ...] = ()
+    is_last: bool = False
+    """Whether the caller wants the connection closed after the answer."""
 
 
 class _PartialResponse(msgspec.Struct):
@@ -104,6 +121,7 @@
                 deadline_s=min(call.deadline_s, TIMEOUT_S),
                 resumes=call.resumes,
                 after=call.after,
+                blocks=call.blocks,
             )
         )
         response = _PartialResponse()
@@ -127,8 +145,11 @@
     async def _exchange(self, node: NodeName, call: Call, response: _PartialResponse) -> Outcome:
         url = f"http://{self._hosts[node]}:{CALLER_PORT}{call.path}"
         headers = request_headers(
-            call.request, call.kind, call.deadline_s, call.key, call.resumes, call.after
-        )
+            call.request, call.kind, call.deadline_s, call.key, call.resumes, call.after,
+            call.blocks,
+        )  # fmt: skip
+        if call.is_last:
+            headers["Connection"] = "close"
         try:
             async with self._client.stream(
                 "POST", url, headers=headers, content=call.body
@@ -156,6 +177,7 @@
         random: Determines requests and their times.
         ready_nodes: Returns the nodes that accept new connections now.
         newest_keys: Returns the keys of the newest configuration, newest last.
+        pressure: What all callers do now besides.
     """
 
     def __init__(
@@ -165,7 +187,9 @@
         random: Random,
         ready_nodes: Callable[[], Sequence[NodeName]],
         newest_keys: Callable[[], Sequence[str]],
+        pressure: Pressure,
     ) -> None:
+        self._pressure = pressure
         self._name = name
         self._client = client
         self._random = random
@@ -177,7 +201,7 @@
         """Send requests until `stop` is set, and let the last request finish."""
         node: NodeName | None = None
         while not stop.is_set():
-            if node is None or self._random.random() < SWITCH_SHARE:
+            if node is None or self._pressure.node or self._random.random() < SWITCH_SHARE:
                 node = self._choose_node()
             if node is None:
                 await anyio.sleep(NO_NODE_PAUSE_S)
@@ -212,6 +236,8 @@
 
     def _choose_node(self) -> NodeName | None:
         nodes = self._ready_nodes()
+        if self._pressure.node in nodes:
+            return self._pressure.node
         return self._random.choice(nodes) if nodes else None
 
     def _make_call(self) -> Call:
@@ -229,8 +255,20 @@
             key=self._random.choice(self._newest_keys()) if path == KEYED_PATH else None,
             deadline_s=self._random.choice(DEADLINES_S),
             disconnect_after_s=self._random.uniform(0.0, max_delay_s) if disconnects else None,
+            blocks=self._draw_blocks(PATHS[path]),
+            is_last=self._pressure.node is not None,
         )
 
+    def _draw_blocks(self, kind: RequestKind) -> tuple[str, ...]:
+        """Return the shared blocks of a prompt; a fatal one is in some of them."""
+        if kind not in (RequestKind.STREAM, RequestKind.RESUMABLE_STREAM):
+            return ()
+        blocks = (self._random.choice(FIRST_BLOCKS),)
+        fatal = self._pressure.block
+        if fatal is not None and self._random.random() < FATAL_SHARE:
+            return (*blocks, fatal)
+        return blocks
+
 
 def _may_take_up(call: Call, ended: RequestEnded) -> bool:
     """Return whether a caller comes again for the rest of a stream."""
--- a/bench/fault_soak/fault_injector.py
+++ b/bench/fault_soak/fault_injector.py
@@ -6,7 +6,8 @@
 import anyio
 
 from bench.fault_soak.back_ends import BackEnd, BackEndFleet
-from bench.fault_soak.history import Disturbance, SignalName
+from bench.fault_soak.callers import Pressure
+from bench.fault_soak.history import Disturbance, FavoredPeriod, SignalName
 from bench.fault_soak.nodes import SoakNode
 from bench.fault_soak.operator import Operator
 from bench.fault_soak.recorder import Recorder
@@ -31,6 +32,7 @@
         back_ends: The store and the back ends.
         operator: Writes configurations and weight versions.
         recorder: Records disturbances of the store.
+        pressure: What all callers do besides.
     """
 
     def __init__(
@@ -39,7 +41,9 @@
         back_ends: BackEndFleet,
         operator: Operator,
         recorder: Recorder,
+        pressure: Pressure,
     ) -> None:
+        self._pressure = pressure
         self._nodes = nodes
         self._back_ends = back_ends
         self._operator = operator
@@ -66,6 +70,8 @@
             FaultKind.LOSE_PATHS: self._lose_paths,
             FaultKind.SILENT_BACK_END: self._silent_back_end,
             FaultKind.BRITTLE_BACK_ENDS: self._brittle_back_ends,
+            FaultKind.FATAL_BLOCK: self._fatal_block,
+            FaultKind.MOST_CONNECTIONS: self._most_connections,
             FaultKind.BREAK_ANSWERS: self._break_answers,
             FaultKind.LATE_ORDERS: self._late_orders,
             FaultKind.LOST_ORDERS: self._lost_orders,
@@ -216,6 +222,29 @@
         service = random.choice(self._back_ends.back_ends).service
         await self._back_ends.be_brittle(service, fault.lasts_s)
 
+    async def _fatal_block(self, fault: Fault, _random: Random) -> None:
+        block = f"fatal{fault.seed}"
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._back_ends.crash_on_block, block, fault.lasts_s)
+            await anyio.sleep(0.0)
+            if self._back_ends.fatal_block != block:
+                return  # Other faults affect the back ends.
+            self._pressure.block = block
+            await anyio.sleep(fault.lasts_s)
+            self._pressure.block = None
+
+    async def _most_connections(self, fault: Fault, random: Random) -> None:
+        ready = [node.name for node in self._nodes if node.is_ready]
+        if self._pressure.node is not None or not ready:
+            return
+        began_s = self._recorder.now_s()
+        node = self._pressure.node = random.choice(ready)
+        await anyio.sleep(fault.lasts_s)
+        self._pressure.node = None
+        self._recorder.record(
+            FavoredPeriod(at_s=began_s, node=node, until_s=self._recorder.now_s())
+        )
+
     async def _break_answers(self, _fault: Fault, random: Random) -> None:
         self._back_ends.break_answers(random)
 
--- a/bench/fault_soak/history.py
+++ b/bench/fault_soak/history.py
@@ -83,6 +83,8 @@
     """The try that received the first event of the stream which this one takes up."""
     after: int = 0
     """Number of the last event that the caller has."""
+    blocks: tuple[str, ...] = ()
+    """Blocks of its prompt that other requests have too."""
 
 
 class RequestEnded(Record, frozen=True, kw_only=True):
@@ -260,6 +262,27 @@
     until_s: float
 
 
+class FatalPeriod(Record, frozen=True, kw_only=True):
+    """Some requests had a block on which back ends crash, from `at_s` until `until_s`."""
+
+    block: str
+    until_s: float
+
+
+class FatalCrash(Record, frozen=True, kw_only=True):
+    """A back end crashed on a fatal block."""
+
+    block: str
+    instance: InstanceName
+
+
+class FavoredPeriod(Record, frozen=True, kw_only=True):
+    """All new connections went to one node, from `at_s` until `until_s`."""
+
+    node: NodeName
+    until_s: float
+
+
 class FaultsEnded(Record, frozen=True, kw_only=True):
     """The last fault is over: everything works from now on."""
 
@@ -286,6 +309,9 @@
     | PathsLost
     | BrittlePeriod
     | BrittleFell
+    | FatalPeriod
+    | FatalCrash
+    | FavoredPeriod
     | FaultsEnded
 )
 
--- a/bench/fault_soak/rules.py
+++ b/bench/fault_soak/rules.py
@@ -31,6 +31,11 @@
     RunBegan,
     SignalName,
 )
+from bench.fault_soak.load_rules import (
+    fatal_blocks_stop,
+    favored_node_serves,
+    sound_blocks_go_on,
+)
 from bench.fault_soak.path_rules import lost_paths_are_served
 from bench.fault_soak.stream_rules import streams_have_one_version, taken_up_streams_go_on
 from bench.fault_soak.violations import Rule, Violation
@@ -427,6 +432,9 @@
     lost_paths_are_served,
     streams_have_one_version,
     taken_up_streams_go_on,
+    fatal_blocks_stop,
+    sound_blocks_go_on,
+    favored_node_serves,
     nodes_stay_up,
     serves_again,
 )
--- a/bench/fault_soak/run.py
+++ b/bench/fault_soak/run.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 
 from bench.fault_soak.back_ends import BackEndFleet
-from bench.fault_soak.callers import Caller, CallerClient, hold_connections
+from bench.fault_soak.callers import Caller, CallerClient, Pressure, hold_connections
 from bench.fault_soak.evidence import Bounds
 from bench.fault_soak.fault_injector import FaultInjector
 from bench.fault_soak.history import (
@@ -120,6 +120,7 @@
         self.processes = ProcessSet(directory)
         self._network = _choose_network()
         self._nodes: list[SoakNode] = []
+        self._pressure = Pressure()
 
     async def run(self) -> SoakOutcome:
         """Run the soak test, write its history, and judge it."""
@@ -158,7 +159,8 @@
             async with anyio.create_task_group() as callers:
                 self._start_callers(operator, callers, stop)
                 await self._inject_faults(
-                    schedule, FaultInjector(self._nodes, back_ends, operator, self._recorder)
+                    schedule,
+                    FaultInjector(self._nodes, back_ends, operator, self._recorder, self._pressure),
                 )
                 self._recorder.record(FaultsEnded(at_s=self._recorder.now_s()))
                 await self._wait_for_recovery()
@@ -193,6 +195,7 @@
                 Random(self._random.getrandbits(32)),
                 self._ready_nodes,
                 operator.newest_keys,
+                self._pressure,
             )
             tasks.start_soon(caller.run, stop)
         marker_caller = MarkerCaller(
--- a/bench/fault_soak/schedule.py
+++ b/bench/fault_soak/schedule.py
@@ -46,6 +46,10 @@
     """One back end is silent for a second or so, to all nodes."""
     BRITTLE_BACK_ENDS = "brittle_back_ends"
     """The back ends of one service end if they must refuse too many requests, and say so."""
+    FATAL_BLOCK = "fatal_block"
+    """Some prompts have a block on which the generating back ends crash as they begin to write."""
+    MOST_CONNECTIONS = "most_connections"
+    """All callers open new connections for each request, all to one node."""
     BREAK_ANSWERS = "break_answers"
     """Half of the back ends answer for another request, unsigned, cut, with refusals or errors."""
     LATE_ORDERS = "late_orders"
@@ -99,6 +103,8 @@
     FaultRow(FaultKind.LOSE_PATHS, 4, 3, 9),
     FaultRow(FaultKind.SILENT_BACK_END, 2, 0.5, 1.5),
     FaultRow(FaultKind.BRITTLE_BACK_ENDS, 2, 5, 10),
+    FaultRow(FaultKind.FATAL_BLOCK, 2, 8, 12),
+    FaultRow(FaultKind.MOST_CONNECTIONS, 2, 4, 7),
     FaultRow(FaultKind.BREAK_ANSWERS, 4),
     FaultRow(FaultKind.LATE_ORDERS, 1, 2, 8),
     FaultRow(FaultKind.LOST_ORDERS, 3, 10, 18),
--- a/features/fault_soak.feature
+++ b/features/fault_soak.feature
@@ -84,6 +84,12 @@
       | more requests than a limit allows                                        | limits_are_kept      |
       | three brittle back ends that end                                         | brittle_back_ends_stand |
 
+    Examples: Blocks and new connections
+      | change                                                      | rule                |
+      | four late runs with a fatal block                           | fatal_blocks_stop   |
+      | sound streams that are refused while a fatal block is known | sound_blocks_go_on  |
+      | a node with all new connections that refuses most requests  | favored_node_serves |
+
     Examples: Paths
       | change                                          | rule                  |
       | a node without paths that refuses most requests | lost_paths_are_served |
@@ -101,6 +107,11 @@
       | a node without paths that answers two thirds of its requests |
       | a node without paths that refuses ten requests |
       | a node that refuses most requests just after its paths were lost |
+      | three late runs with a fatal block |
+      | four late runs with a fatal block after four crashes |
+      | a third of the sound streams that are refused while a fatal block is known |
+      | a node with all new connections that answers three quarters |
+      | a node with all new connections that closes most unread |
       | two brittle back ends that end |
       | a run on old weights that a lost path held up |
       | nodes that refuse most requests while none has paths |
--- a/features/support/platform_words.py
+++ b/features/support/platform_words.py
@@ -148,8 +148,12 @@
     key: str | None,
     resumes: RequestId | None = None,
     after: int = 0,
+    blocks: Sequence[str] = (),
 ) -> dict[str, str]:
-    """Return the header fields of a request of a caller, which may take up a stream."""
+    """Return the header fields of a request of a caller, which may take up a stream.
+
+    `blocks` are the blocks of its prompt that other requests have too.
+    """
     headers = {
         "Host": HOST,
         "X-Attempt-Id": request,
@@ -160,13 +164,20 @@
     if kind in (RequestKind.STREAM, RequestKind.RESUMABLE_STREAM):
         headers["X-Model"] = MODEL
         headers["X-Token-Usage"] = "1000,20"
-        headers["X-Prefix-Hash"] = f"aa:800,{prompt_hash(request):x}:200"
+        shared = "".join(f"{block}:400," for block in blocks)
+        headers["X-Prefix-Hash"] = f"{shared}{prompt_hash(request):x}:200"
     if resumes is not None:
         headers["Resumes"] = resumes
         headers["Last-Event-Id"] = str(after)
     return headers
 
 
+def has_block(headers: Mapping[str, str], block: str) -> bool:
+    """Return whether a request's prompt has a block."""
+    parts = headers.get("x-prefix-hash", "").split(",")
+    return any(part.partition(":")[0] == block for part in parts)
+
+
 def prompt_hash(request: RequestId) -> int:
     """Return the hash of the last part of a request's prompt."""
     return int.from_bytes(request.encode()[-6:], "big")
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -8,7 +8,10 @@
     ConfigurationAcknowledged,
     Disturbance,
     Disturbed,
+    FatalCrash,
+    FatalPeriod,
     FaultsEnded,
+    FavoredPeriod,
     LeavingSaid,
     LimitChanged,
     LimitStated,
@@ -258,6 +261,54 @@
     return [period, *falls]
 
 
+def fatal(num_late, num_crashes=5, num_refused=0, num_answered=0):
+    """Return the records of a fatal block, of late runs with it and of sound streams meanwhile."""
+    blocks = {"kind": RequestKind.STREAM, "path": "/f/1"}
+    records = [FatalPeriod(at_s=30.0, block="dead", until_s=45.0)]
+    for number in range(num_crashes):
+        records.append(FatalCrash(at_s=30.5 + number / 10, block="dead", instance=f"lm-{number}"))
+    for number in range(num_late):
+        name, at_s = f"qf{number}", 36.0 + number / 10
+        records += [
+            sent(at_s, name, blocks=("aa", "dead"), **blocks),
+            ran(at_s + 0.01, name, ENGINE, path="/f/1"),
+        ]
+    for number in range(30):
+        records += _sound_stream(26.0 + number / 10, f"qu{number}", 200, blocks)
+    for number in range(num_refused + num_answered):
+        status = 503 if number < num_refused else 200
+        records += _sound_stream(38.0 + number / 10, f"qs{number}", status, blocks)
+    return records
+
+
+def _sound_stream(at_s, name, status, fields):
+    if status != 200:
+        return [sent(at_s, name, blocks=("aa",), **fields), refused(at_s + 0.01, name, status)]
+    first, run, end = streamed(at_s, name)
+    return [
+        msgspec.structs.replace(first, blocks=("aa",)),
+        msgspec.structs.replace(run, weights=2),
+        end,
+    ]
+
+
+def favored(num_others, num_answered, is_unread=False):
+    """Return the records of a node with all new connections, which does not answer all requests."""
+    records = [FavoredPeriod(at_s=30.0, node=NODE, until_s=40.0)]
+    for number in range(30):
+        records += answered(26.0 + number / 10, f"qu{number}")
+    for number in range(num_others):
+        name, at_s = f"qn{number}", 34.0 + number / 10
+        if is_unread:
+            end = RequestEnded(at_s=at_s + 0.01, request=name, outcome=Outcome.BROKEN)
+        else:
+            end = refused(at_s + 0.01, name, 503)
+        records += [sent(at_s, name), end]
+    for number in range(num_answered):
+        records += answered(34.05 + number / 10, f"qa{number}")
+    return records
+
+
 CHANGES = {
     # Answers.
     "an unsigned success": [sent(30.0, "qx"), ran(30.1, "qx"), ended(30.2, "qx", signature=None)],
@@ -553,6 +604,16 @@
         *lost_paths(30.0, 38.0, NODE, 40, 20),
         NodeSignalled(at_s=33.0, node=OTHER_NODE, signal=SignalName.TERMINATE),
     ],
+    "four late runs with a fatal block": fatal(4),
+    "three late runs with a fatal block": fatal(3),
+    "four late runs with a fatal block after four crashes": fatal(4, num_crashes=4),
+    "sound streams that are refused while a fatal block is known": fatal(0, num_refused=30),
+    "a third of the sound streams that are refused while a fatal block is known": fatal(
+        0, num_refused=10, num_answered=20
+    ),
+    "a node with all new connections that refuses most requests": favored(20, 10),
+    "a node with all new connections that answers three quarters": favored(7, 23),
+    "a node with all new connections that closes most unread": favored(20, 20, is_unread=True),
     "three brittle back ends that end": fallen(3, 33.5),
     "two brittle back ends that end": fallen(2, 33.5),
     "brittle back ends that end just after they first said so": fallen(3, 30.5),
