A row for blocks that explain strictly more crashes: a mutation that no test noticed

scripts/mutate.py 'shared blocks': without the rule that a block with strictly more runs is blamed alone, all rows passed, because the other block of the only such row was no candidate. The new row is blamed a+d without it.

--- a/features/block_suspect_rules.feature
+++ b/features/block_suspect_rules.feature
@@ -17,6 +17,7 @@
       | a,d@1 a,d@2+ a,d@3+ a,d@4+ a,d@5+ ok:a                        | d       |
       | a,d@1 a,d@2+ a,d@3+ a,d@4+ a,d@5+ ok:d                        | a       |
       | a,d@1 a,d@2+ a,d@3+ a,d@4+ b,d@5+                             | d       |
+      | a,d@1 a,d@2+ a,d@3+ a,d@4+ a,d@5+ b,d@6+                      | d       |
       | a,d@1 b,d@2+ c,d@3+ a,d@4+ b,d@5+ ok:d                        |         |
       | a,d@1 a,d@2+ a,d@3+ a,d@4+ a,d@5+ b,e@6 b,e@7+ b,e@8+ b,e@9+ b,e@10+ | a+d b+e |
       | a,d@1 before:a before:d a,d@2+ a,d@3+ a,d@4+ a,d@5+           | a+d     |
