Log a crash that another node saw only from the second with a block on

Cause: at 400 nodes each node would log a line for each request that any crash interrupts anywhere. Change: as crash_under_request does, a first crash is logged only where it was seen. gateway_shared_blocks 20 passed, recorded_forms, gateway_log, architecture_layers pass.

--- a/src/weirscale/gateway/quarantine/block_keeper.py
+++ b/src/weirscale/gateway/quarantine/block_keeper.py
@@ -156,14 +156,21 @@
         for block in crash.blocks:
             if block in self._answered and self._suspects.note_answered_before(block):
                 self._gossip.add(AnsweredBlockGossip(block, was_before=True))
+        self._log_crash(crash, source)
+        self._quarantine_causes(source)
+        return True
+
+    def _log_crash(self, crash: BlocksCrash, source: str) -> None:
+        """Log a crash, unless another node saw it and it is the first with each of its blocks."""
+        num_crashes = [len(self._suspects.runs(frozenset([block]))) for block in crash.blocks]
+        if source != "own" and max(num_crashes, default=0) <= 1:
+            return
         self._event_log.event(
             "crash_with_blocks", run=crash.run, request=crash.request,
             blocks=",".join(crash.blocks), source=source,
             came_again=int(crash.was_sent_after_crash),
-            crashes=",".join(str(len(self._suspects.runs(frozenset([b])))) for b in crash.blocks),
+            crashes=",".join(str(num) for num in num_crashes),
         )  # fmt: skip
-        self._quarantine_causes(source)
-        return True
 
     def _quarantine_causes(self, source: str) -> None:
         if not len(self._suspects):
