--- a/features/block_suspect_rules.feature
+++ b/features/block_suspect_rules.feature
@@ -28,3 +28,15 @@
     Given a tracker of the blocks with which back ends crashed
     When it is told 6 crashes under one request with blocks "a,d"
     Then it blames ""
+
+  Scenario: An answer to one block of a group leaves the others refused
+    Given a node that refuses requests with the blocks "a,d" after 5 crashes
+    When a request with the block "a" is answered
+    Then requests with the blocks "b,d" are refused for "d"
+    And requests with the blocks "a" are not refused
+    And "blocks_released" and then "blocks_quarantined" are logged
+
+  Scenario: An answer that another node tells ends a quarantine
+    Given a node that refuses requests with the blocks "a,d" after 5 crashes
+    When another node tells of answers with the blocks "a,d"
+    Then requests with the blocks "a,d" are not refused
--- a/features/gateway_shared_blocks.feature
+++ b/features/gateway_shared_blocks.feature
@@ -53,6 +53,13 @@
     Then at most 3 requests with it reach back ends from 3 seconds after the fifth crash on
     And sound requests are then answered at least half as often as before
 
+  Scenario: Nodes of other groups count the same crashes while the store does not respond
+    Given 40 nodes in 4 zones and 16 back ends that crash on a prompt block
+    When callers send 20 sound requests a second for 22 seconds
+    And 4 requests a second have the fatal block from second 5 on
+    And the store does not respond from second 4 on
+    Then at most 3 requests with it reach back ends from 3 seconds after the fifth crash on
+
   Scenario: Nothing is refused when back ends crash in series for other reasons
     Given 7 nodes and 9 back ends that crash on a prompt block
     When callers send 20 sound requests a second for 34 seconds
--- a/features/steps/gateway_shared_blocks_steps.py
+++ b/features/steps/gateway_shared_blocks_steps.py
@@ -6,9 +6,14 @@
 from behave import given, then, when
 
 from features.support.fatal_blocks import CONTACT_S, BlockTraffic
+from features.support.platform_fleet import EventRecorder
+from weirscale.gateway.peers.gossip_entries import AnsweredBlockGossip
+from weirscale.gateway.peers.messages import Gossip
+from weirscale.gateway.quarantine.block_keeper import BlockQuarantine, counted_blocks
 from weirscale.gateway.quarantine.block_key import BlockKey, group_text
 from weirscale.gateway.quarantine.block_suspects import BlocksCrash, BlockSuspects
 from weirscale.gateway.quarantine.record import BLOCKS_PREFIX
+from weirscale.gateway.state.cluster_state import ClusterState
 
 FIRST_CRASH_S = 5.0
 EVENT_INTERVAL_S = 0.5
@@ -287,6 +292,56 @@
     assert sorted(group_text(group) for group in causes) == groups.split(), causes
 
 
+@given('a node that refuses requests with the blocks "{blocks}" after {num:d} crashes')
+def step_refusing(context, blocks, num):
+    context.now_s = 0.0
+    context.log = EventRecorder()
+    cluster = ClusterState(context.log, lambda: context.now_s)
+    context.keeper = BlockQuarantine(
+        "node-1", cluster, None, lambda: 0.0, lambda: True, context.log, lambda: context.now_s
+    )
+    for number in range(num):
+        context.now_s += EVENT_INTERVAL_S
+        crash = BlocksCrash(
+            f"i-{number}@0", f"{number:032x}", counted_blocks(blocks.split(",")), number > 0
+        )
+        context.keeper.note_crash(crash)
+    refused = context.keeper.refusal(counted_blocks(blocks.split(",")))
+    assert refused.group == frozenset(blocks.split(",")), refused
+    context.log.events.clear()
+
+
+@when('a request with the block "{block}" is answered')
+def step_block_answered(context, block):
+    context.keeper.note_answered(counted_blocks([block]))
+    # Another report makes the node judge anew, as its task does five times a second.
+    context.keeper.note_crash(BlocksCrash("i-9@0", f"{9:032x}", counted_blocks(["d"]), True))
+
+
+@when('another node tells of answers with the blocks "{blocks}"')
+def step_told_answers(context, blocks):
+    answered = tuple(AnsweredBlockGossip(block) for block in blocks.split(","))
+    context.keeper.receive(Gossip("node-2", answered_blocks=answered))
+
+
+@then('requests with the blocks "{blocks}" are refused for "{group}"')
+def step_refused_for(context, blocks, group):
+    refused = context.keeper.refusal(counted_blocks(blocks.split(",")))
+    assert refused is not None
+    assert group_text(refused.group) == group
+
+
+@then('requests with the blocks "{blocks}" are not refused')
+def step_not_refused(context, blocks):
+    assert context.keeper.refusal(counted_blocks(blocks.split(","))) is None
+
+
+@then('"{first}" and then "{second}" are logged')
+def step_logged_in_turn(context, first, second):
+    names = [name for name, _ in context.log.events if name in (first, second)]
+    assert names == [first, second], names
+
+
 @then('it blames ""')
 def step_blames_none(context):
     assert not context.suspects.causes(context.now_s + 1.0)
