Review: case 3, a key that was taken away works again (CONFIG)

Cause: a node that starts right after the store came back from a copy takes the configuration of the copy for current, and accepts keys that were taken away since, until the operator has written again. Change: review/3; the stand-in of the store can come back from a copy.

--- a/review/standins/gateways.py
+++ b/review/standins/gateways.py
@@ -172,6 +172,10 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def is_running(self) -> bool:
+        """Return whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
     def end(self) -> None:
         """End the process."""
         if self.process is None:
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -1,4 +1,7 @@
-"""A stand-in of the platform's metadata store, as `PROTOCOL.md` describes it; always sound."""
+"""A stand-in of the platform's metadata store, as `PROTOCOL.md` describes it.
+
+It is sound, but may come back from a copy (`Store-Era`), where a case asks for that.
+"""
 
 import asyncio
 import base64
@@ -37,16 +40,28 @@
         }
 
 
+@dataclass
+class Copy:
+    """What the store held at one moment."""
+
+    revision: int
+    items: dict[str, Item]
+    lease_lives_s: dict[int, tuple[float, float]]
+
+
 class Store:
     """Keys, leases and history in memory, served over HTTP."""
 
     def __init__(self) -> None:
         self.revision = 100
+        self._oldest_revision = 0
         self.items: dict[str, Item] = {}
         self.leases: dict[int, tuple[float, float]] = {}
         self.events: list[tuple[float, dict[str, object]]] = []
         self._changed = asyncio.Event()
         self._next_lease = 7000
+        self._era = 0
+        self._is_away = False
         self.address = ""
 
     async def start(self, host: str) -> None:
@@ -64,6 +79,35 @@
         """Delete a key; return the revision."""
         return self._apply([], [key])
 
+    def copy(self) -> Copy:
+        """Return a copy of what the store holds now."""
+        now_s = time.monotonic()
+        lives_s = {
+            lease: (until_s - now_s, life_s) for lease, (until_s, life_s) in self.leases.items()
+        }
+        return Copy(self.revision, dict(self.items), lives_s)
+
+    def go_away(self) -> None:
+        """Answer nobody until `come_back`."""
+        self._is_away = True
+        self._wake()
+
+    def come_back(self, copy: Copy) -> None:
+        """Answer again from a copy; what was written since then is gone, leases too."""
+        now_s = time.monotonic()
+        self._era += 1
+        self.revision, self.items, self.events = copy.revision, dict(copy.items), []
+        self._oldest_revision = copy.revision
+        self.leases = {
+            lease: (now_s + left_s, life_s)
+            for lease, (left_s, life_s) in copy.lease_lives_s.items()
+        }
+        self._is_away = False
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
     def _apply(self, puts: list[tuple[str, bytes, int]], deletes: list[str]) -> int:
         self.revision += 1
         now_s = time.monotonic()
@@ -77,8 +121,7 @@
             if self.items.pop(key, None) is not None:
                 gone = {"private_key": key, "revision": self.revision, "gone": True}
                 self.events.append((now_s, gone))
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        self._wake()
         return self.revision
 
     async def _sweep(self) -> None:
@@ -89,7 +132,7 @@
                 if until_s <= now_s:
                     self._end_lease(lease)
             while self.events and self.events[0][0] < now_s - HISTORY_S:
-                self.events.pop(0)
+                self._oldest_revision = int(str(self.events.pop(0)[1]["revision"]))
 
     def _end_lease(self, lease: int) -> None:
         self.leases.pop(lease, None)
@@ -103,8 +146,11 @@
                 await read_body(reader, request)
                 await asyncio.sleep(ANSWER_S)
                 status, body = await self._answer(request)
+                if self._is_away:
+                    break
                 data = json.dumps(body).encode() if body is not None else b""
-                writer.write(answer_bytes(status, [("Content-Type", "application/json")], data))
+                headers = [("Content-Type", "application/json"), ("Store-Era", str(self._era))]
+                writer.write(answer_bytes(status, headers, data))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -149,7 +195,10 @@
     async def _watch(self, query: dict[str, str]) -> tuple[int, object]:
         prefix, after = query.get("path_prefix", ""), int(query["after"])
         until_s = time.monotonic() + int(query["wait_ms"]) / 1000
+        era = self._era
         while True:
+            if self._is_away or era != self._era or not self._has_history(after):
+                return 410, None
             found = [
                 event
                 for _, event in self.events
@@ -165,6 +214,9 @@
             except TimeoutError:
                 continue
 
+    def _has_history(self, after: int) -> bool:
+        return self._oldest_revision <= after <= self.revision
+
     def _transaction(self, body: dict[str, list]) -> tuple[int, object]:
         rows = body.get("if_revision", [])
         current = [self.items.get(row["private_key"]) for row in rows]
