--- a/review/standins/gateways.py
+++ b/review/standins/gateways.py
@@ -1,7 +1,9 @@
 """Starts the project's gateway as the deploy file says, on loopback addresses."""
 
 import asyncio
+import atexit
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -85,6 +87,13 @@
 """
 
 
+def temporary_folder() -> Path:
+    """Return a new folder that is removed at the end of this process."""
+    folder = Path(tempfile.mkdtemp(prefix="weirscale-review-"))
+    atexit.register(shutil.rmtree, folder, ignore_errors=True)
+    return folder
+
+
 def free_ports(host: str, number: int) -> list[int]:
     """Return ports that are free for TCP at an address."""
     sockets = []
@@ -191,7 +200,7 @@
     Raises:
         RuntimeError: A gateway was not ready in time.
     """
-    directory = Path(tempfile.mkdtemp(prefix="weirscale-review-"))
+    directory = temporary_folder()
     zones = ("bole-hall", "kirkos-hall", "yeka-hall")
     gateways = [
         Gateway(f"edge-{index}", f"127.0.0.{11 + index}", zones[index % 3], store, directory)
