Review case 6: the entry's address is a loopback one

Cause: the address in the entry lay in fd00::/8, and each address in a case has to be a loopback one.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -37,7 +37,7 @@
 FOREIGN_KEY = "servers/i-5f21c0aa"
 FOREIGN_ENTRY = {
     "service": "qalam-spare",
-    "address": "[fd00::12:8080",
+    "address": "[::1:8080",
     "zone": "hall-a",
     "version": "v1",
     "slots": 64,
