Entries: an address that cannot be dialled is unreadable, and is kept in one form

What callers saw: one entry of another writer (`[::1:8080`, of a service that nobody names) ended the process that gives orders as soon as a version of weights was named, eight times in 28 s.

Cause: the reader removed brackets with `strip("[]")` and so accepted four ways of wrong brackets. The client kept the text and built a URL of it for each call, outside the handling of failures: `httpx.InvalidURL` and `UnicodeEncodeError` (a name of an instance that is not ASCII) are no `httpx.HTTPError`, left the task that orders loads, and with it the process.

Change: `model/addresses.py` parses the whole address with `ipaddress` and keeps its canonical form, so that what cannot be dialled cannot be held. It refuses scopes, unspecified and multicast addresses; leading zeros, long forms and mapped IPv4 addresses become the one form by which claims and paths are looked up. Names of instances must be visible ASCII, versions non-negative and at most 2^53 (a report's greater number could not be encoded into the next order). Headers are encoded as bytes, the health path is quoted, and what h11 refuses to send is a failure of that call. The source of connections dials the back end's own address: of a URL's host the brackets were lost.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -22,6 +22,20 @@
       | address         | "10.3.0.1:99999"        |
       | address         | "10.3.0.1:-1"           |
       | address         | "host.example:80"       |
+      | address         | "[::1:8080"             |
+      | address         | "[::1]]:8080"           |
+      | address         | "[[::1]:8080"           |
+      | address         | "[]::1:8080"            |
+      | address         | "::1:8080"              |
+      | address         | "127.0.0.1]:8080"       |
+      | address         | "]127.0.0.1[:8080"      |
+      | address         | "[127.0.0.1]:8080"      |
+      | address         | "[fe80::1%lo]:8080"     |
+      | address         | "0.0.0.0:8080"          |
+      | address         | "224.0.0.1:8080"        |
+      | address         | "10.3.0.1 :8080"        |
+      | models          | [{"name": "m", "version": -1}] |
+      | models          | [{"name": "m", "version": 100000000000000000000000000000}] |
       | zone            | nothing                 |
       | version         | nothing                 |
       | version         | 5                       |
@@ -64,3 +78,37 @@
   Scenario: No bytes make a read fail
     Given any bytes, and valid entries with any field changed, omitted or duplicated
     Then each is read as an entry or rejected as unreadable, and nothing else happens
+
+  # Guards against an entry of another writer that ends the process of the node which gives orders, again
+  # and again, so that no engine gets new weights (VERSION).
+  # Cause: an address with a missing bracket was accepted, and calling its back end raised an error that is
+  # no failure of a call. The same holds for an instance whose name cannot be sent in a header.
+  Scenario: Calls to a back end with any entry that is accepted fail only as calls without an answer
+    Given entries with any address, instance name, versions and health path
+    When each kind of call is sent to the back end of each entry that is accepted
+    Then every call ends without an answer, and no other error is raised
+
+  Scenario Outline: An entry whose key is <key> names no back end
+    When an entry is read under the key <key>
+    Then it is rejected as unreadable
+
+    Examples:
+      | key              |
+      | "servers/"       |
+      | "servers/i 1"    |
+      | "servers/i-é"    |
+      | "servers/i\n1"   |
+      | "servers/i\u0000" |
+
+  Scenario Outline: Back ends are known by one address, however it is written: <written>
+    When the address <written> is read
+    Then the back end's address is <address>
+
+    Examples:
+      | written                    | address          |
+      | 10.3.0.1:8080              | 10.3.0.1:8080    |
+      | 10.3.0.1:08080             | 10.3.0.1:8080    |
+      | [::1]:8080                 | [::1]:8080       |
+      | [0:0:0:0:0:0:0:1]:8080     | [::1]:8080       |
+      | [2001:DB8::A]:8080         | [2001:db8::a]:8080 |
+      | [::ffff:10.3.0.1]:8080     | 10.3.0.1:8080    |
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -2,7 +2,9 @@
 
 import json
 from base64 import b64encode
+from functools import partial
 
+import anyio
 import msgspec
 from behave import given, then, when
 from hypothesis import given as given_examples
@@ -10,10 +12,20 @@
 from hypothesis import strategies as st
 
 from features.support.platform_fleet import EventRecorder
-from weirscale.domain.identifiers import ServiceName
+from weirscale.domain.identifiers import ServiceName, TenantName
+from weirscale.gateway.model.identifiers import RequestId
 from weirscale.gateway.peers.messages import StateReply, decode_message, encode_message
+from weirscale.gateway.ports.back_end import (
+    LoadMode,
+    OrderOutcome,
+    OutboundRequest,
+    RunState,
+    WeightOrder,
+)
+from weirscale.gateway.ports.callers import CallerRequest
 from weirscale.gateway.ports.state_feed import BackEndRegistered, StateBatch, Unreadable
 from weirscale.gateway.state.cluster_state import ClusterState
+from weirscale_platform.back_end_client import BackEndClientConnector
 from weirscale_platform.items import StoreItem, read_item
 
 WHOLE_ENTRIES = {
@@ -191,3 +203,122 @@
             assert change.back_end.slots >= 1
             assert change.back_end.service
             msgspec.msgpack.encode(change)
+
+
+class NoConnections:
+    """A dialer that opens no connection, and records for which addresses it was called."""
+
+    def __init__(self):
+        self.dialed = []
+
+    async def open(self, address):
+        self.dialed.append(address)
+        raise ConnectionRefusedError
+
+    open_directly = open
+
+    def generation(self, address):
+        return 0
+
+
+CALL_TIMEOUT_S = 0.2
+ANY_INSTANCE = st.text(st.characters(min_codepoint=33, max_codepoint=126), min_size=1) | st.text()
+BRACKETS = st.sampled_from(["", "[", "]", "[]", "[[", "]]"])
+HOSTS = st.sampled_from(["::1", "127.0.0.1", "fe80::1%lo", "::ffff:127.0.0.1", "2001:db8::1", ""])
+ANY_ADDRESS = st.sampled_from(["10.3.0.1:8080", "[::1]:8080", "[::1:8080"]) | st.builds(
+    "{}{}{}:{}".format, BRACKETS, HOSTS | st.text(max_size=4), BRACKETS,
+    st.sampled_from(["9", "09", "0", "65535", "65536", "x", "\u0663"]) | st.text(max_size=3),
+)  # fmt: skip
+
+
+@given("entries with any address, instance name, versions and health path")
+def step_any_entries(context):
+    context.accepted = []
+
+    @settings(max_examples=400, deadline=None, database=None, derandomize=True)
+    @given_examples(
+        ANY_INSTANCE,
+        ANY_ADDRESS,
+        st.integers(0, 2**54) | st.integers(),
+        st.text(max_size=8),
+        st.text(max_size=5),
+    )
+    def read_any(instance, address, version, path, tenant):
+        entry = valid_entry(1) | {
+            "address": address,
+            "models": [{"name": "m", "version": version}],
+        }
+        change = read_item(item(instance, json.dumps(entry).encode(), 1)).change
+        if isinstance(change, BackEndRegistered):
+            context.accepted.append((change.back_end, path, tenant))
+
+    read_any()
+
+
+@when("each kind of call is sent to the back end of each entry that is accepted")
+def step_call_each(context):
+    context.num_answered = 0
+    context.dialer = NoConnections()
+
+    async def call_all():
+        for back_end, path, tenant in context.accepted:
+            await call_back_end(context, back_end, path, tenant)
+
+    anyio.run(call_all)
+
+
+async def call_back_end(context, back_end, path, tenant):
+    """Make every kind of call to a back end, and check that each ends without an answer."""
+    port = BackEndClientConnector()(back_end, 4, lambda *_: None, context.dialer)
+    assert await port.report(CALL_TIMEOUT_S) is None
+    version = back_end.models[0].version
+    order = WeightOrder("m", version, "node-1", 1, 2**53, back_end.instance, LoadMode.AFTER_RUNS)
+    assert await port.order(order, CALL_TIMEOUT_S) is OrderOutcome.UNKNOWN
+    assert await port.is_healthy(path, CALL_TIMEOUT_S) is False
+    for check in (partial(port.run_state, path), partial(port.check_run, path)):
+        assert await check(CALL_TIMEOUT_S) in (RunState.ENDED, RunState.UNKNOWN)
+    async with port.send(outbound(back_end, tenant)) as sent:
+        assert sent.is_err(), sent
+    await port.close()
+    context.num_answered += 1
+
+
+def outbound(back_end, tenant):
+    request = CallerRequest(
+        request_id=RequestId("q"), method="POST", target=b"/a/x", host="h", path="/a/x",
+        key=None, timeout_s=None, prompt=None, num_tokens=None, resume_after=None, resumes=None,
+        headers=((b"host", b"h"), (b"x-attempt-id", b"q")),
+    )  # fmt: skip
+    return OutboundRequest(
+        request=request, body=b"x", instance=back_end.instance, timeout_s=1.0,
+        tenant=TenantName(tenant), weight_version=back_end.models[0].version,
+    )  # fmt: skip
+
+
+@then("every call ends without an answer, and no other error is raised")
+def step_all_called(context):
+    assert len(context.accepted) >= 20, len(context.accepted)
+    assert context.num_answered == len(context.accepted)
+    assert set(context.dialer.dialed) <= {back_end.address for back_end, _, _ in context.accepted}
+
+
+@when("an entry is read under the key {key}")
+def step_read_key(context, key):
+    value = b64encode(json.dumps(valid_entry(1)).encode()).decode()
+    context.change = read_item(StoreItem(json.loads(key), 1, value)).change
+
+
+@then("it is rejected as unreadable")
+def step_is_unreadable(context):
+    assert isinstance(context.change, Unreadable), context.change
+
+
+@when("the address {written} is read")
+def step_read_address(context, written):
+    entry = json.dumps(valid_entry(1) | {"address": written}).encode()
+    context.change = read_item(item("A", entry, 1)).change
+
+
+@then("the back end's address is {address}")
+def step_address(context, address):
+    assert context.change.back_end.address == address, context.change
--- a/src/weirscale/gateway/model/identifiers.py
+++ b/src/weirscale/gateway/model/identifiers.py
@@ -14,4 +14,4 @@
 carry the same."""
 
 Address = NewType("Address", str)
-"""IP:PORT."""
+"""IP:PORT in the form that `addresses.read_address` returns."""
--- a/src/weirscale/gateway/paths/tcp_opener.py
+++ b/src/weirscale/gateway/paths/tcp_opener.py
@@ -7,6 +7,7 @@
 from anyio.abc import ByteStream, SocketStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from weirscale.gateway.model.addresses import host_of, port_of
 from weirscale.gateway.model.identifiers import Address
 from weirscale.gateway.paths.relay_messages import (
     FrameDecoder,
@@ -52,8 +53,7 @@
     Raises:
         OSError: The connection could not be opened.
     """
-    host, _, port = address.rpartition(":")
-    return keep_alive(await anyio.connect_tcp(host, int(port)))
+    return keep_alive(await anyio.connect_tcp(host_of(address), port_of(address)))
 
 
 async def _request_connection(
--- a/src/weirscale/ports/h11_connection.py
+++ b/src/weirscale/ports/h11_connection.py
@@ -41,6 +41,7 @@
             timeout_s: How long writing the request may take; None for no limit.
 
         Raises:
+            httpx.LocalProtocolError: The request cannot be encoded; nothing was sent.
             httpx.WriteTimeout: The request could not be written in time.
         """
         data = self._encode(request)
@@ -56,11 +57,14 @@
 
     def _encode(self, request: httpx.Request) -> bytes:
         target = request.extensions.get("target", request.url.raw_path)
-        head = h11.Request(method=request.method, target=target, headers=request.headers.raw)
-        parts = [self._state.send(head)]
-        if request.content:
-            parts.append(self._state.send(h11.Data(data=request.content)))
-        parts.append(self._state.send(h11.EndOfMessage()))
+        try:
+            head = h11.Request(method=request.method, target=target, headers=request.headers.raw)
+            parts = [self._state.send(head)]
+            if request.content:
+                parts.append(self._state.send(h11.Data(data=request.content)))
+            parts.append(self._state.send(h11.EndOfMessage()))
+        except h11.LocalProtocolError as error:
+            raise httpx.LocalProtocolError(str(error)) from error
         return b"".join(part for part in parts if part)
 
     async def read_head(self, timeout_s: float | None) -> h11.Response:
--- a/src/weirscale/ports/http_client.py
+++ b/src/weirscale/ports/http_client.py
@@ -50,4 +50,7 @@
 
 def was_never_sent(error: httpx.HTTPError) -> bool:
     """Return whether an error of the client proves that the request was not sent."""
-    return isinstance(error, httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout)
+    return isinstance(
+        error,
+        httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout | httpx.LocalProtocolError,
+    )
