A request that cannot be encoded fails alone: no back end is blamed for it

Cause: h11.LocalProtocolError is no httpx.HTTPError, so it left the attempt as an internal error.

What remains (a tenant's name) is a failure of its own kind, `unsendable`: given up at once as not run, with no effect on health, retries at other back ends or the retry budget. The fleet's stand-in of the transport encodes requests as the real one does.

--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -150,7 +150,10 @@
     headers = [
         (name, value.encode()) for name, value in zip(PROMPT_HEADERS, values, strict=True) if value
     ]
-    scope = {"method": "POST", "raw_path": b"/a/", "query_string": b"", "headers": headers}
+    scope = {
+        "http_version": "1.1", "method": "POST", "raw_path": b"/a/", "query_string": b"",
+        "headers": headers,
+    }  # fmt: skip
     context.prompt = HeaderCodec().parse(scope).prompt
 
 
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -7,6 +7,7 @@
 from random import Random
 
 import anyio
+import h11
 import httpx
 
 ADAPTER = Path(__file__).resolve().parents[2] / "platform"
@@ -84,6 +85,7 @@
         self.is_closed = True
 
     async def handle_async_request(self, request):
+        check_encoding(request)
         address = f"{request.url.host}:{request.url.port}"
         self._fleet.sent_requests.append((self._node_name, request.url.path))
         await self._fleet.wait_while_frozen(self._node_name)
@@ -172,6 +174,15 @@
         self._transport.return_connection(self._connection)
 
 
+def check_encoding(request):
+    """Raise the error of the real transport if a request cannot be encoded."""
+    target = request.extensions.get("target", request.url.raw_path)
+    try:
+        h11.Request(method=request.method, target=target, headers=request.headers.raw)
+    except h11.LocalProtocolError as error:
+        raise httpx.LocalProtocolError(str(error)) from error
+
+
 @dataclass
 class Answer:
     """The answer that a caller received."""
@@ -452,6 +463,7 @@
     on_body_part=None,
     part_delay_s=0.0,
     answer=None,
+    http_version="1.1",
 ):
     """Send one request to a node's application.
 
@@ -488,6 +500,7 @@
 
     scope = {
         "type": "http",
+        "http_version": http_version,
         "method": method,
         "path": raw_path,
         "raw_path": raw_path.encode(),
--- a/src/weirscale/gateway/ports/back_end.py
+++ b/src/weirscale/gateway/ports/back_end.py
@@ -157,6 +157,8 @@
 
     NEVER_SENT = "never_sent"
     """No connection was established."""
+    UNSENDABLE = "unsendable"
+    """The request cannot be encoded, for this back end or any other; nothing was sent."""
     CLOSED = "closed"
     """The request was sent, but the connection closed or no valid answer arrived."""
 
--- a/src/weirscale/gateway/requests/attempt_verdict.py
+++ b/src/weirscale/gateway/requests/attempt_verdict.py
@@ -16,7 +16,7 @@
     """What the end of an attempt proves about the request."""
 
     NEVER_SENT = "never_sent"
-    """No connection was made: the request did not run, and the back end may be down."""
+    """Nothing was sent: the request did not run, and the back end may be down."""
     NOT_RUN = "unrun"
     """The back end proved that it did not run the request and never will."""
     ANSWERED = "answered"
@@ -45,6 +45,9 @@
 NOT_CONNECTED = "connect"
 """Reason: no connection was made."""
 
+UNSENDABLE = "unsendable"
+"""Reason: the request cannot be encoded, whichever back end is chosen."""
+
 NO_ANSWER = "no_answer"
 """Reason: the connection ended before the head of an answer arrived."""
 
@@ -91,6 +94,8 @@
     """Return the verdict on an attempt without an answer."""
     if failure.kind is SendFailureKind.NEVER_SENT:
         return Verdict(AttemptEnd.NEVER_SENT, NOT_CONNECTED)
+    if failure.kind is SendFailureKind.UNSENDABLE:
+        return Verdict(AttemptEnd.NEVER_SENT, UNSENDABLE)
     return Verdict(AttemptEnd.UNCERTAIN, NO_ANSWER)
 
 
--- a/src/weirscale/gateway/requests/back_end_verdicts.py
+++ b/src/weirscale/gateway/requests/back_end_verdicts.py
@@ -16,6 +16,7 @@
     NO_ANSWER,
     NOT_CONNECTED,
     TOO_SLOW,
+    UNSENDABLE,
     AttemptEnd,
     Verdict,
     is_target_mismatch,
@@ -94,6 +95,8 @@
                 self._version_check.request(instance)
             else:
                 self._report_if_brittle(back_end)
+        elif verdict.reason == UNSENDABLE:
+            return  # The fault is in the request, not in the back end.
         elif verdict.end is AttemptEnd.NEVER_SENT:
             self._record_unreachable(back_end, verdict.reason, now_s)
         elif verdict.end is AttemptEnd.FAILED or verdict.reason in BACK_END_FAULTS:
--- a/src/weirscale/gateway/requests/retry_decision.py
+++ b/src/weirscale/gateway/requests/retry_decision.py
@@ -1,5 +1,7 @@
 """Decides after an attempt whether a request is retried or given up.
 
+A request that cannot be encoded is given up at once.
+
 An attempt that never reached a back end costs nothing. It is followed by another one while time is
 left and there is a back end that was not found unreachable.
 
@@ -31,7 +33,7 @@
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.peers.registrations import PeerDirectory
 from weirscale.gateway.ports.callers import Headers
-from weirscale.gateway.requests.attempt_verdict import AttemptEnd, Verdict
+from weirscale.gateway.requests.attempt_verdict import UNSENDABLE, AttemptEnd, Verdict
 from weirscale.gateway.telemetry.request_summary import AnswerBody, RequestCause
 
 MIN_ATTEMPT_S = 0.02
@@ -68,6 +70,7 @@
             not run.
         num_refusals: Number of all refusals with proof that the request did not run.
         unreachable: Back ends in `tried` that could not be reached when they were last tried.
+        is_unsendable: Whether the request cannot be encoded, so that each attempt would fail.
         may_have_run: Whether any attempt may have run the request.
         holds_retry: Whether a retry of the shared budget was already taken for the next attempt.
         failed_answer: Last answer of a back end that ran the request and failed.
@@ -82,6 +85,7 @@
     refused: set[InstanceId] = msgspec.field(default_factory=set)
     num_refusals: int = 0
     unreachable: set[InstanceId] = msgspec.field(default_factory=set)
+    is_unsendable: bool = False
     may_have_run: bool = False
     holds_retry: bool = False
     failed_answer: FailedAnswer | None = None
@@ -91,7 +95,9 @@
 
     def add_verdict(self, instance: InstanceId, verdict: Verdict) -> None:
         """Add the verdict on an attempt at a back end."""
-        if verdict.end is AttemptEnd.NEVER_SENT:
+        if verdict.reason == UNSENDABLE:
+            self.is_unsendable = True
+        elif verdict.end is AttemptEnd.NEVER_SENT:
             self.unreachable.add(instance)
         else:
             self._add_reached(instance, verdict)
@@ -137,6 +143,7 @@
 class GiveUpReason(enum.Enum):
     """Why no further attempt may follow; the value is the cause for the log, or None."""
 
+    UNSENDABLE = RequestCause.UNSENDABLE
     NO_TIME = RequestCause.NO_TIME
     MAY_HAVE_RUN = None
     """The request may have run, and its route does not allow it to run twice. The log has only the
@@ -164,6 +171,8 @@
         relay: What has been relayed to the caller.
         take_retry: Takes a retry from the shared budget; returns False if none is left.
     """
+    if history.is_unsendable:
+        return GiveUpReason.UNSENDABLE
     if time_left_s < MIN_ATTEMPT_S:
         return GiveUpReason.NO_TIME
     if last_end is AttemptEnd.NEVER_SENT:
--- a/src/weirscale/gateway/telemetry/request_summary.py
+++ b/src/weirscale/gateway/telemetry/request_summary.py
@@ -49,6 +49,8 @@
     """All back ends that could run the request have reached their request limits or are resting."""
     FULL = "full"
     """All back ends that could run the request are brittle and have no place for this node."""
+    UNSENDABLE = "unsendable"
+    """The request cannot be encoded for any back end, by the caller's or the operators' words."""
     OVERLOADED = "overloaded"
     """The queues are too long."""
     NO_TIME = "no_time"
