An unexpected error of one back end, node or entry ends that piece of work, not the process

Cause, besides the address: every task that works for all back ends (loads of weights, health checks, crash checks, checks of versions and of paths), for all nodes (their messages, relayed connections) or for all entries runs one loop or one task group, so any error of one of them ended the group and the process. The error of the next defect would do the same.

Change: five places where work for one subject begins catch what no one expected, and report it: `GuardedPort` (calls to a back end: counts as a call without an answer, so the circuit, the probe and the planner treat that back end as one that is silent), path checks, relayed connections, messages of other nodes, changes of the state. `unexpected_error` names the work, the subject and the place, `weirscale_unexpected_errors` counts them. Errors of a caller's request end that request, as before.

--- a/bench/relay_cost.py
+++ b/bench/relay_cost.py
@@ -20,6 +20,7 @@
 from weirscale.gateway.peers.registrations import RelayPeer
 from weirscale.gateway.settings import ListenAddress
 from weirscale.ports.event_log import SilentEventLog
+from weirscale.ports.unexpected_errors import UnexpectedErrors
 
 LOOPBACK = "127.0.0.1"
 TOKEN = "token"
@@ -66,7 +67,9 @@
     )  # fmt: skip
     state = PathState(SilentEventLog(), time.monotonic)
     gate = RelayGate(TOKEN, directory, state, TcpOpener(), Random(1))
-    return RelayServer(ListenAddress(LOOPBACK, port), gate, SilentEventLog(), time.monotonic)
+    log = SilentEventLog()
+    listen = ListenAddress(LOOPBACK, port)
+    return RelayServer(listen, gate, log, time.monotonic, UnexpectedErrors(log))
 
 
 async def _main() -> None:
--- a/features/steps/gateway_group_places_steps.py
+++ b/features/steps/gateway_group_places_steps.py
@@ -6,6 +6,7 @@
 from features.steps.gateway_groups_steps import RegisteredNodes, make_members
 from features.support.attempt_records import attempt_records
 from features.support.loopback import free_address
+from features.support.platform_fleet import EventRecorder
 from weirscale.gateway.gossip.gossip_task import GossipTask
 from weirscale.gateway.model.back_ends import BackEnd, BackEndState
 from weirscale.gateway.peers.gossip_entries import LoadGossip
@@ -17,6 +18,7 @@
 from weirscale.gateway.routing.candidate import Candidate, Choice
 from weirscale.gateway.routing.load import FleetLoad, Load
 from weirscale.gateway.settings import ListenAddress
+from weirscale.ports.unexpected_errors import UnexpectedErrors
 
 
 class TestDirectory(RegisteredNodes):
@@ -137,8 +139,9 @@
     async def main():
         directory = SingleOtherNode(context.other_address)
         gossip_task = GossipTask(
-            context.own_address, directory, SlowGroupRelay(), outbox, None, gather
-        )
+            context.own_address, directory, SlowGroupRelay(), outbox, None, gather,
+            UnexpectedErrors(EventRecorder()),
+        )  # fmt: skip
         back_end = BackEnd("r-1", "lm", "10.3.0.1:1", "hall-0", BackEndState.READY, 16)
         choice = Choice(Candidate(back_end, Load(), False), read_tokens=tokens)
         records = attempt_records(load, gossip_task.request_flush)
--- a/features/steps/path_checks_steps.py
+++ b/features/steps/path_checks_steps.py
@@ -19,6 +19,7 @@
 from weirscale.gateway.peers.registrations import RelayPeer
 from weirscale.gateway.requests.path_verdicts import PathVerdicts
 from weirscale.gateway.settings import ListenAddress
+from weirscale.ports.unexpected_errors import UnexpectedErrors
 
 
 class IdleStream:
@@ -70,7 +71,7 @@
         self.dialer = RelayingDialer(self.state, choice, self.opener, lambda: None)
         self.checks = PathChecks(
             self.state, self.dialer, TrafficWatch(anyio.current_time), self.directory, Random(1),
-            anyio.current_time,
+            anyio.current_time, UnexpectedErrors(EventRecorder()),
         )  # fmt: skip
 
     def play(self, script):
--- a/features/steps/relayed_connections_steps.py
+++ b/features/steps/relayed_connections_steps.py
@@ -27,6 +27,7 @@
 from weirscale.gateway.peers.registrations import RelayPeer
 from weirscale.gateway.settings import ListenAddress
 from weirscale.ports.h11_transport import H11Transport
+from weirscale.ports.unexpected_errors import UnexpectedErrors
 
 TOKEN = "secret"
 NUM_DIVISIONS = 200
@@ -64,8 +65,9 @@
         self.directory.put(BackEnd(instance, "s", address, "z", BackEndState.READY, 4))
 
         self.relay_server = RelayServer(
-            self.relay.address, self.gate, EventRecorder(), anyio.current_time
-        )
+            self.relay.address, self.gate, EventRecorder(), anyio.current_time,
+            UnexpectedErrors(EventRecorder()),
+        )  # fmt: skip
 
     async def run_relay(self):
         with self.relay_scope:
--- a/src/weirscale/gateway/gossip/gossip_task.py
+++ b/src/weirscale/gateway/gossip/gossip_task.py
@@ -17,6 +17,7 @@
 from weirscale.gateway.peers.registrations import PeerDirectory
 from weirscale.gateway.settings import ListenAddress
 from weirscale.gateway.ticks import nearest_tick_s, next_tick_s
+from weirscale.ports.unexpected_errors import UnexpectedErrors
 
 MIN_FLUSH_INTERVAL_S = 0.01
 """Seconds between two messages, at least, including requested ones. Later changes wait for the next
@@ -37,6 +38,7 @@
         outbox: Next message to the group.
         receiver: Handles the messages of other nodes.
         gather: Adds the changed values to the outbox, or all values if its argument is true.
+        errors: Reports unexpected errors of single messages.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         outbox: GossipOutbox,
         receiver: MessageReceiver,
         gather: Callable[[bool], None],
+        errors: UnexpectedErrors,
     ) -> None:
         self._address = address
         self._directory = directory
@@ -54,6 +57,7 @@
         self._outbox = outbox
         self._receiver = receiver
         self._gather = gather
+        self._errors = errors
         self._socket: DatagramSocket | None = None
         self._flush_requested = anyio.Event()
         self._flush_due_s = float("-inf")
@@ -81,9 +85,12 @@
 
     async def _receive(self, socket: DatagramSocket) -> None:
         for datagram, sender in socket.receive():
-            message = decode_message(datagram)
-            if message is not None:
-                await self._receiver.receive(message, sender)
+            try:
+                message = decode_message(datagram)
+                if message is not None:
+                    await self._receiver.receive(message, sender)
+            except Exception as error:
+                self._errors.report("peer_message", sender.host, error)
 
     def _is_flush_due(self) -> bool:
         """Return whether to send now: the interval has passed, or a flush was requested.
--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -183,8 +183,9 @@
             self._permit_exchange, self.permits, self._origin_exchange,
         )  # fmt: skip
         self.gossip_task = GossipTask(
-            settings.peers, self.peers, self.relay, self.outbox, self.inbox, self.gatherer.gather
-        )
+            settings.peers, self.peers, self.relay, self.outbox, self.inbox, self.gatherer.gather,
+            self.errors,
+        )  # fmt: skip
 
     def _make_requests(self, codec: RequestCodec) -> None:
         """Create the components that serve callers."""
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -47,6 +47,7 @@
 from weirscale.gateway.telemetry.store_calls import CountedFeed, CountedStore
 from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValuePort
+from weirscale.ports.unexpected_errors import UnexpectedErrors
 
 RELAY_TOKEN_BYTES = 8
 
@@ -85,6 +86,7 @@
         self._topology = Topology(settings.regions)
         self._canary_limits = settings.bounds.canary
         self.metrics = new_metrics(settings)
+        self.errors = UnexpectedErrors(event_log, self.metrics.count_unexpected_error)
         self._feed = CountedFeed(feed, self.metrics.count_store_call)
         self._store = CountedStore(store, self.metrics.count_store_call)
         self._make_state()
@@ -98,7 +100,7 @@
         """Create the cluster state, the peers, and the records of back ends and streams."""
         settings, clock = self.settings, self._clock
         capacity = settings.machine.capacity()
-        self.cluster = ClusterState(self._event_log, clock, settings.is_first_start)
+        self.cluster = ClusterState(self._event_log, clock, settings.is_first_start, self.errors)
         self.peers = PeerDirectory(settings.name, self.cluster, clock, settings.zone, capacity)
         self.cluster.store_outages.num_others = lambda: len(self.peers.addresses())
         self._relay_token = secrets.token_hex(RELAY_TOKEN_BYTES)
@@ -163,10 +165,10 @@
         )
         self.traffic = TrafficWatch(clock)
         self.path_checks = PathChecks(
-            self.paths, self._dialer, self.traffic, directory, self._random, clock
+            self.paths, self._dialer, self.traffic, directory, self._random, clock, self.errors
         )
         self.relay_gate = RelayGate(self._relay_token, directory, self.paths, opener, self._random)
-        self.relay_server = RelayServer(settings.peers, self.relay_gate, log, clock)
+        self.relay_server = RelayServer(settings.peers, self.relay_gate, log, clock, self.errors)
 
     def _make_routing(self, connect: BackEndConnector) -> None:
         """Create the components that select back ends and maintain their ports and health."""
@@ -191,7 +193,7 @@
             self.cluster, back_pressure, self.stated_limits, self._event_log, clock
         )
         self._ports = BackEndPorts(
-            connect, self.cluster, self.load, self._notices.take, self._dialer
+            connect, self.cluster, self.load, self._notices.take, self._dialer, self.errors
         )
         self._probe_permits = ProbePermits(self.cluster, back_pressure, clock)
         self._maintenance = BackEndMaintenance(
--- a/src/weirscale/gateway/paths/path_checks.py
+++ b/src/weirscale/gateway/paths/path_checks.py
@@ -11,6 +11,7 @@
 from weirscale.gateway.paths.path_state import CHECK_INTERVAL_S, PathState
 from weirscale.gateway.ports.connections import BackEndDialer
 from weirscale.gateway.ticks import sleep_to_tick
+from weirscale.ports.unexpected_errors import UnexpectedErrors
 
 INTERVAL_S = 0.1
 """Seconds between two rounds."""
@@ -80,6 +81,7 @@
         directory: The registered back ends.
         random: Source of randomness.
         clock: Returns monotonic seconds.
+        errors: Reports unexpected errors of checks.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         directory: BackEndDirectory,
         random: Random,
         clock: Callable[[], float],
+        errors: UnexpectedErrors,
     ) -> None:
         self._state = state
         self._dialer = dialer
@@ -97,6 +100,7 @@
         self._directory = directory
         self._random = random
         self._clock = clock
+        self._errors = errors
         self._due_at_s = float("-inf")
         self._num_lost = 0
         """Number of lost paths at the last check."""
@@ -156,4 +160,7 @@
             stream = await open_stream(address)
         except OSError:
             return  # The dialer has recorded the failure.
+        except Exception as error:
+            self._errors.report("path_check", address, error)
+            return
         await anyio.aclose_forcefully(stream)
--- a/src/weirscale/gateway/paths/relay_server.py
+++ b/src/weirscale/gateway/paths/relay_server.py
@@ -29,6 +29,7 @@
 from weirscale.ports.keep_alive import keep_alive
 from weirscale.ports.refusals import is_caused_by_refusal
 from weirscale.ports.running_timeout import run_within
+from weirscale.ports.unexpected_errors import UnexpectedErrors
 
 CONNECT_TIMEOUT_S = 0.12
 """Seconds to wait for a connection to a back end. The requesting node waits for two attempts."""
@@ -160,6 +161,7 @@
         gate: Decides which connections are relayed.
         event_log: Logs refused requests.
         clock: Returns monotonic seconds.
+        errors: Reports unexpected errors of connections.
     """
 
     def __init__(
@@ -168,11 +170,13 @@
         gate: RelayGate,
         event_log: EventLog,
         clock: Callable[[], float],
+        errors: UnexpectedErrors,
     ) -> None:
         self._address = address
         self._gate = gate
         self._event_log = event_log
         self._clock = clock
+        self._errors = errors
         self._moved_at_s = float("-inf")
 
     async def run(self) -> None:
@@ -199,6 +203,8 @@
                 self._event_log.event("relay_request_unreadable", reason=type(error).__name__)
             except BROKEN_ERRORS:
                 return  # The node broke the connection; the one to the back end is closed now.
+            except Exception as error:
+                self._errors.report("relayed_connection", "", error)
 
     async def _serve_request(self, node: SocketStream, received: BufferedByteReceiveStream) -> None:
         data = await run_within(REQUEST_TIMEOUT_S, partial(receive_message, received))
--- a/src/weirscale/gateway/routing/back_end_ports.py
+++ b/src/weirscale/gateway/routing/back_end_ports.py
@@ -1,13 +1,17 @@
 """Ports (clients) of back ends, one for each instance; closed once their requests have ended."""
 
+from functools import partial
+
 from anyio.abc import TaskGroup
 
 from weirscale.gateway.model.back_ends import BackEnd
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.ports.back_end import BackEndConnector, BackEndPort, NoticeHandler
 from weirscale.gateway.ports.connections import BackEndDialer
+from weirscale.gateway.routing.guarded_port import GuardedPort
 from weirscale.gateway.routing.load import NO_LOAD, FleetLoad
 from weirscale.gateway.state.cluster_state import ClusterState
+from weirscale.ports.unexpected_errors import UnexpectedErrors
 
 DEFAULT_MAX_CONNECTIONS = 100
 """Maximum connections to a back end whose service is not declared; also the service default."""
@@ -29,6 +33,7 @@
         load: Supplies the load of this node on a back end.
         on_notice: Called with the notices in answers.
         dialer: Opens the connections to back ends.
+        errors: Reports unexpected errors of calls.
     """
 
     def __init__(
@@ -38,12 +43,14 @@
         load: FleetLoad,
         on_notice: NoticeHandler,
         dialer: BackEndDialer,
+        errors: UnexpectedErrors,
     ) -> None:
         self._connect = connect
         self._cluster = cluster
         self._load = load
         self._on_notice = on_notice
         self._dialer = dialer
+        self._errors = errors
         self._ports: dict[InstanceId, BackEndPort] = {}
         self._closing: dict[InstanceId, BackEndPort] = {}
 
@@ -51,12 +58,16 @@
         """Return the port of a back end. The first call creates it."""
         port = self._ports.get(back_end.instance)
         if port is None:
-            port = self._connect(
+            client = self._connect(
                 back_end, self._max_connections(back_end), self._on_notice, self._dialer
             )
+            port = GuardedPort(client, partial(self._report_error, back_end.instance))
             self._ports[back_end.instance] = port
         return port
 
+    def _report_error(self, instance: InstanceId, call: str, error: Exception) -> None:
+        self._errors.report(f"back_end_{call}", instance, error)
+
     def _max_connections(self, back_end: BackEnd) -> int:
         table = self._cluster.table
         service = table.service(back_end.service) if table else None
--- a/src/weirscale/gateway/state/cluster_state.py
+++ b/src/weirscale/gateway/state/cluster_state.py
@@ -42,6 +42,7 @@
 from weirscale.gateway.state.stored_records import StoredRecords
 from weirscale.gateway.state.target_versions import TargetVersion, TargetVersions
 from weirscale.ports.event_log import EventLog
+from weirscale.ports.unexpected_errors import UnexpectedErrors
 
 LOST_RETENTION_S = 6.0
 """Seconds for which entries stay in force that the store lost when it was restored from a backup.
@@ -57,6 +58,7 @@
         event_log: Receives an event for each change.
         clock: Monotonic seconds.
         is_first_start: Whether the whole system starts for the first time.
+        errors: Reports unexpected errors of single changes.
 
     Attributes:
         table: Routes, services, tenants and limits; None until a configuration has been read.
@@ -78,9 +80,11 @@
     """
 
     def __init__(
-        self, event_log: EventLog, clock: Callable[[], float], is_first_start: bool = False
-    ) -> None:
+        self, event_log: EventLog, clock: Callable[[], float], is_first_start: bool = False,
+        errors: UnexpectedErrors | None = None,
+    ) -> None:  # fmt: skip
         self._event_log = event_log
+        self._errors = errors or UnexpectedErrors(event_log)
         self._clock = clock
         self._created_at_s = clock()
         self._first_read = anyio.Event()
@@ -198,10 +202,17 @@
             if change.revision > self._revisions.get(change.key, 0):
                 self._revisions[change.key] = change.revision
                 self.log.add(change)
-                self._apply_change(change.change, change)
+                self._apply_or_report(change)
         self.revision = max(self.revision, batch.revision)
         self.confirm(asked_at_s)
 
+    def _apply_or_report(self, change: VersionedChange) -> None:
+        """Apply one change; an error must not keep the others from being applied."""
+        try:
+            self._apply_change(change.change, change)
+        except Exception as error:
+            self._errors.report("state_change", change.key, error)
+
     def confirm(self, proved_at_s: float) -> None:
         """Record that the state includes everything that the store acknowledged before a time."""
         if proved_at_s <= self.confirmed_at_s:
--- a/src/weirscale/gateway/telemetry/metrics.py
+++ b/src/weirscale/gateway/telemetry/metrics.py
@@ -222,6 +222,10 @@
             "weirscale_shed_connections", "Callers' connections closed unread in an overload",
             registry=self.registry,
         )  # fmt: skip
+        self._unexpected_errors = Counter(
+            "weirscale_unexpected_errors", "Defects that ended one piece of work", ("work",),
+            registry=self.registry,
+        )  # fmt: skip
         self._relayed_connections = Counter(
             "weirscale_relayed_connections", "Connections to back ends opened through other nodes",
             registry=self.registry,
@@ -243,6 +247,10 @@
         """Count a stream that a caller takes up, by how its origin is known."""
         self._resumed_streams.labels(known_by).inc()
 
+    def count_unexpected_error(self, work: str) -> None:
+        """Count an error that nobody expected, by the kind of the work that it ended."""
+        self._unexpected_errors.labels(work).inc()
+
     def count_shed_connection(self) -> None:
         """Count a connection of a caller that was closed unread because of an overload."""
         self._shed_connections.inc()
--- a/src/weirscale/gateway/telemetry/node_metrics.py
+++ b/src/weirscale/gateway/telemetry/node_metrics.py
@@ -77,6 +77,10 @@
         """Count a connection of a caller that was closed unread because of an overload."""
         ...
 
+    def count_unexpected_error(self, work: str) -> None:
+        """Count an error that nobody expected, by the kind of the work that it ended."""
+        ...
+
     def text(self, values: GaugeValues) -> bytes:
         """Return all metrics as text, with these gauge values."""
         ...
@@ -103,6 +107,9 @@
     def count_shed_connection(self) -> None:
         """Do nothing."""
 
+    def count_unexpected_error(self, work: str) -> None:
+        """Do nothing."""
+
     def text(self, values: GaugeValues) -> bytes:
         """Return an empty text."""
         return b""
