Registrations of nodes: a host or port that no socket takes names no node

An entry of another writer under weirscale/nodes/ with the port 99999 or a zero byte in its host ended each process that sent gossip to it; one with a name in place of an IP number made the process wait for a name server.

Cause: `Registration` was taken as it stood in the store; `sendto` then raised OverflowError or ValueError, which are no OSError, or looked the name up.

Change: the host must be the IPv4 address of one host, the port one of 1 to 65,535, the capacity one of 0 to 2^31; any other registration counts as none, as an undecodable one did.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -70,6 +70,29 @@
       | from another node        |
       | at the start of the node |
 
+  # Guards against a process that ends, or waits for a name server, as it sends its gossip: a registration of
+  # a node was taken as it stood, so a port or a host that no socket takes raised an error of no OSError.
+  Scenario Outline: The registration of a node states <host> and <port>
+    Given a node that knows another node's registration
+    When another writer overwrites it with the host <host>, the port <port> and the capacity <capacity>
+    Then the node sends gossip to the addresses that it knows, and no error is raised
+    And it knows no other node
+
+    Examples:
+      | host           | port    | capacity |
+      | "10.1.0.2"     | 0       | 1        |
+      | "10.1.0.2"     | -1      | 1        |
+      | "10.1.0.2"     | 99999   | 1        |
+      | "10.1.0.2"     | 18446744073709551616 | 1 |
+      | "10.1.0.2"     | 7000    | -1       |
+      | ""             | 7000    | 1        |
+      | "host.example" | 7000    | 1        |
+      | "10.1.0.2\u0000" | 7000 | 1        |
+      | "[::1]"        | 7000    | 1        |
+      | "::1"          | 7000    | 1        |
+      | "0.0.0.0"      | 7000    | 1        |
+      | "010.1.0.2"    | 7000    | 1        |
+
   Scenario: Ten thousand foreign entries beside valid ones
     Given a node that knows back ends "A" and "B"
     When 10000 foreign entries are read in a full read
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -5,16 +5,20 @@
 from functools import partial
 
 import anyio
+import cbor2
 import msgspec
 from behave import given, then, when
 from hypothesis import given as given_examples
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from features.steps.relayed_connections_steps import free_address
 from features.support.platform_fleet import EventRecorder
 from weirscale.domain.identifiers import ServiceName, TenantName
 from weirscale.gateway.model.identifiers import RequestId
+from weirscale.gateway.peers.datagrams import DatagramSocket
 from weirscale.gateway.peers.messages import StateReply, decode_message, encode_message
+from weirscale.gateway.peers.registrations import NODE_PREFIX, PeerDirectory
 from weirscale.gateway.ports.back_end import (
     LoadMode,
     OrderOutcome,
@@ -23,7 +27,14 @@
     WeightOrder,
 )
 from weirscale.gateway.ports.callers import CallerRequest
-from weirscale.gateway.ports.state_feed import BackEndRegistered, StateBatch, Unreadable
+from weirscale.gateway.ports.state_feed import (
+    BackEndRegistered,
+    RecordChanged,
+    StateBatch,
+    Unreadable,
+    VersionedChange,
+)
+from weirscale.gateway.settings import ListenAddress
 from weirscale.gateway.state.cluster_state import ClusterState
 from weirscale_platform.back_end_client import BackEndClientConnector
 from weirscale_platform.items import StoreItem, read_item
@@ -322,3 +333,46 @@
 @then("the back end's address is {address}")
 def step_address(context, address):
     assert context.change.back_end.address == address, context.change
+
+
+OTHER_NODE_KEY = f"{NODE_PREFIX}node-2"
+
+
+@given("a node that knows another node's registration")
+def step_peer(context):
+    context.cluster = ClusterState(EventRecorder(), lambda: 100.0)
+    context.directory = PeerDirectory("node-1", context.cluster, lambda: 100.0)
+    write_registration(context, 1, ("10.1.0.2", 7000, "hall-a", 1, "token"))
+    assert context.directory.addresses() == {"node-2": ListenAddress("10.1.0.2", 7000)}
+
+
+def write_registration(context, revision, fields):
+    change = RecordChanged(OTHER_NODE_KEY, cbor2.dumps(fields))
+    versioned = VersionedChange(OTHER_NODE_KEY, revision, change)
+    context.cluster.apply(StateBatch(revision, (versioned,)), 100.0)
+
+
+@when(
+    "another writer overwrites it with the host {host}, the port {port} and the capacity {capacity}"
+)
+def step_foreign_peer(context, host, port, capacity):
+    fields = (json.loads(host), json.loads(port), "hall-a", json.loads(capacity), "token")
+    write_registration(context, 2, fields)
+
+
+@then("the node sends gossip to the addresses that it knows, and no error is raised")
+def step_gossip(context):
+    free = free_address()
+    socket = DatagramSocket(ListenAddress(free.host, free.port))
+    try:
+        for address in context.directory.addresses().values():
+            socket.send(b"gossip", address)
+    finally:
+        socket.close()
+
+
+@then("it knows no other node")
+def step_no_peer(context):
+    assert context.directory.addresses() == {}
+    assert context.directory.relays() == []
+    assert len(context.directory.members()) == 1
--- a/src/weirscale/gateway/model/addresses.py
+++ b/src/weirscale/gateway/model/addresses.py
@@ -1,6 +1,6 @@
 """Reads and writes addresses of back ends, each of which has only one form."""
 
-from ipaddress import IPv4Address, IPv6Address, ip_address
+from ipaddress import IPv4Address, IPv6Address
 
 from weirscale.gateway.model.identifiers import Address
 
@@ -27,6 +27,17 @@
         raise ValueError(f"the address is not IP:PORT of one host: {quoted}") from error
 
 
+def read_ipv4_host(text: str) -> IPv4Address:
+    """Return the host that a text states.
+
+    Raises:
+        ValueError: The text is not the IPv4 address of one host.
+    """
+    host = IPv4Address(text)
+    _check_one_host(host)
+    return host
+
+
 def host_of(address: Address) -> str:
     """Return the host of an address, without brackets."""
     host, _, _ = address.rpartition(":")
@@ -53,21 +64,19 @@
         if not text.endswith("]"):
             raise ValueError("the closing bracket is missing")
         return _in_brackets(IPv6Address(text[1:-1]))
-    host = ip_address(text)
-    if isinstance(host, IPv6Address):
-        raise ValueError("the brackets are missing")
-    return str(_of_one_host(host))
+    return str(read_ipv4_host(text))
 
 
 def _in_brackets(host: IPv6Address) -> str:
     if host.scope_id is not None:
         raise ValueError("a scope has a meaning on one machine only")
     if host.ipv4_mapped is not None:
-        return str(_of_one_host(host.ipv4_mapped))
-    return f"[{_of_one_host(host)}]"
+        _check_one_host(host.ipv4_mapped)
+        return str(host.ipv4_mapped)
+    _check_one_host(host)
+    return f"[{host}]"
 
 
-def _of_one_host(host: IPv4Address | IPv6Address) -> IPv4Address | IPv6Address:
+def _check_one_host(host: IPv4Address | IPv6Address) -> None:
     if host.is_unspecified or host.is_multicast:
         raise ValueError("the address is not one of a single host")
-    return host
--- a/src/weirscale/gateway/peers/registrations.py
+++ b/src/weirscale/gateway/peers/registrations.py
@@ -1,6 +1,7 @@
 """Registers this node in the store, and discovers the other nodes from their registrations."""
 
 from collections.abc import Callable
+from typing import Annotated
 
 import anyio
 import cbor2
@@ -8,6 +9,7 @@
 from result import Err
 
 from weirscale.domain.identifiers import ZoneName
+from weirscale.gateway.model.addresses import MAX_PORT, read_ipv4_host
 from weirscale.gateway.peers.groups import Division, Member, divide
 from weirscale.gateway.settings import ListenAddress
 from weirscale.gateway.state.cluster_state import ClusterState
@@ -39,6 +41,9 @@
 not change the division. The head of a group is determined by received gossip, not by registrations
 (docs/DECISIONS.md, T3)."""
 
+MAX_CAPACITY = 2**31
+"""Higher capacities are no node's; sums of them still fit into 64 bits."""
+
 BUDGET_RETENTION_S = 60.0
 """Seconds for which a node whose registration ended still counts for shared budgets."""
 
@@ -47,9 +52,9 @@
     """A node's entry in the store: an array, whose order of fields is part of the format."""
 
     host: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
     zone: str = ""
-    capacity: int = 0
+    capacity: Annotated[int, msgspec.Meta(ge=0, le=MAX_CAPACITY)] = 0
     relay_token: str = ""
     """Must accompany requests to relay connections; empty if the node relays none."""
 
@@ -222,11 +227,14 @@
 
 def _read_registration(value: bytes) -> Registration | None:
     try:
-        return msgspec.convert(cbor2.loads(value), Registration)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError):
+        registration = msgspec.convert(cbor2.loads(value), Registration)
+        # Sockets between nodes are IPv4. A name would be looked up while everything waits.
+        read_ipv4_host(registration.host)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, RecursionError):
         # A node with an unreadable registration is ignored, as if it were not registered. This runs
         # at each change of the records, so logging it each time would flood the log.
         return None
+    return registration
 
 
 class RegistrationTask:
