--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -85,6 +85,11 @@
       | m     | a           | 120,9  | 0   | 0      |
       | m     | a:100       | many   | 0   | 0      |
       |       | a:100       | 120,9  | 0   | 0      |
+      | m     | a:-100      | 120,9  | 0   | 0      |
+      | m     | a:100       | -120,9 | 0   | 0      |
+      | m     | a:100       | 120,-9 | 0   | 0      |
+      | m     | a:100       | 1e5,9  | 0   | 0      |
+      | m     | a:100       | 99999999999999999999,9 | 1 | 10000000 |
 
   Scenario Outline: Idle connections to a runner are kept as long as its answers allow
     Given a runner whose answers have the Keep-Alive header "<header>"
--- a/features/steps/gateway_groups_steps.py
+++ b/features/steps/gateway_groups_steps.py
@@ -9,6 +9,7 @@
 
 from features.support.platform_fleet import EventRecorder, Fleet, configuration, with_fleet
 from features.support.platform_runner import RunnerStandIn
+from features.support.quota_fleet import host_of_node
 from features.support.virtual_time import run_in_virtual_time
 from weirscale.gateway.gossip.group_relay import GroupRelay
 from weirscale.gateway.gossip.intervals import gossip_interval_s
@@ -304,7 +305,7 @@
             self.register(member, number)
 
     def register(self, member, number):
-        address = Registration(f"10.9.0.{number}", 7000, member.zone, member.capacity)
+        address = Registration(host_of_node(number), 7000, member.zone, member.capacity)
         self._change(member.name, cbor2.dumps(msgspec.to_builtins(address)))
 
     def remove(self, name):
--- a/features/steps/gateway_quota_steps.py
+++ b/features/steps/gateway_quota_steps.py
@@ -363,7 +363,10 @@
 @then("a request that names {named} costs {cost:d}")
 def step_cost(context, named, cost):
     headers = [] if named == "nothing" else [(b"x-token-usage", named.encode())]
-    scope = {"headers": headers, "raw_path": b"/a/", "query_string": b"", "method": "POST"}
+    scope = {
+        "http_version": "1.1", "headers": headers, "raw_path": b"/a/", "query_string": b"",
+        "method": "POST",
+    }  # fmt: skip
     assert cost_of(context.quota, HeaderCodec().parse(scope).num_tokens) == cost
 
 
--- a/features/support/quota_fleet.py
+++ b/features/support/quota_fleet.py
@@ -41,6 +41,11 @@
     raise AssertionError("the coroutine waits")
 
 
+def host_of_node(number):
+    """Return the IP number of a node."""
+    return f"10.9.{number // 256}.{number % 256}"
+
+
 class QuotaNode:
     """A node with the parts that enforce quotas."""
 
@@ -87,7 +92,9 @@
         return now_s >= self.suspended_until_s and now_s >= self.down_until_s
 
     async def send(self, message, addresses):
-        self.fleet.deliver(self, message, [address.host for address in addresses])
+        self.fleet.deliver(
+            self, message, [self.fleet.name_at[address.host] for address in addresses]
+        )
 
     def tick(self):
         if not self.is_up() or self.fleet.now_s < self.next_tick_s:
@@ -127,6 +134,7 @@
         self.num_messages = self.num_bytes = 0
         self.bytes_by_sender = Counter()
         names = [f"node-{number}" for number in range(num_nodes)]
+        self.name_at = {host_of_node(number): name for number, name in enumerate(names)}
         self.registrations = StateBatch(
             num_nodes,
             tuple(
@@ -137,7 +145,9 @@
                         NODE_PREFIX + name,
                         cbor2.dumps(
                             msgspec.to_builtins(
-                                Registration(name, 1, f"hall-{number % num_zones}", 100)
+                                Registration(
+                                    host_of_node(number), 1, f"hall-{number % num_zones}", 100
+                                )
                             )
                         ),
                     ),
--- a/src/weirscale/ports/kept_connections.py
+++ b/src/weirscale/ports/kept_connections.py
@@ -28,7 +28,7 @@
 """Smaller reductions, in seconds, of the time that answers state are ignored."""
 
 KEEP_ALIVE_HEADER = b"keep-alive"
-KEEP_ALIVE_TIMEOUT = "timeout="
+KEEP_ALIVE_TIMEOUT = "timeout"
 
 MakeTransport = Callable[[float], httpx.AsyncBaseTransport]
 """Takes the idle timeout of connections in seconds."""
@@ -116,7 +116,7 @@
     """Return how long the server keeps an idle connection; None if its answer does not state it."""
     header_value = next((value for name, value in raw if name.lower() == KEEP_ALIVE_HEADER), b"")
     for part in header_value.decode("latin-1").split(","):
-        text = part.strip().lower()
-        if text.startswith(KEEP_ALIVE_TIMEOUT) and text[len(KEEP_ALIVE_TIMEOUT) :].isdigit():
-            return float(text[len(KEEP_ALIVE_TIMEOUT) :])
+        name, _, timeout = part.strip().lower().partition("=")
+        if name == KEEP_ALIVE_TIMEOUT and timeout.isascii() and timeout.isdecimal():
+            return float(timeout)
     return None
