Bytes without end that are no answer end one call, in time and in bounded memory

Probed with real sockets: a health check, a report, an order, a check of a run and a read of the store then lasted for ever or grew without bound (each part reset the time-out; `aread` has no bound, and unpacks). 1xx answers without end were read until the caller's deadline. An event without end was held and copied again for each part; 24 whole answers without end were held with 16 MiB each, over the 300 MB of a machine.

Cause: bounds on one part, not on the whole: h11 bounds one head, `read` times one part, the 16 MiB held for one answer.

A discarded answer is a broken one: never complete, resumable after its last relayed event.

Not changed: the older node (`ports/engine_http`), which callers do not meet in the gateway.

--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -100,9 +100,6 @@
         await connection.check()
         response.stream = ClosableBody(self, response.stream, connection)
         response.extensions[CONNECTION_EXTENSION] = connection
-        if self._is_for_probes:
-            # Such answers have been read: httpx does not iterate over their stream.
-            self.return_connection(connection)
         return response
 
     async def _answer_in_time(self, target, request):
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -30,6 +30,12 @@
 so for some time. After `crash_reborn`, another process runs at once at the same address.
 """
 
+ENDLESS = ("endless_body", "endless_event")
+"""Faults with which an answer has bytes without end: a whole body, or one event after a sound one."""
+
+ENDLESS_PART = b"x" * 65_536
+ENDLESS_INTERVAL_S = 0.001
+
 UNFRAMED = (
     *("unframed", "end_inside", "end_before_blank", "end_before_event", "crlf_end_inside"),
     *CRASHES,
@@ -92,6 +98,8 @@
     """The version of its program, as the registration states it."""
     born_ms: int | None = None
     """The start time of its process, if the registration states it."""
+    num_endless_bytes: int = 0
+    """Number of bytes that its answers without end had."""
     is_crashed: bool = False
     """Whether the process has ended; the connections of its requests in flight are then cut."""
     on_crash: object = None
@@ -269,6 +277,8 @@
         if fault == "reset":
             raise httpx.ReadError("reset")
         headers = {"X-Attempt-Id": request_id, "X-Response-Seal": f"seal-{self.instance}"}
+        if fault in ENDLESS:
+            return httpx.Response(200, headers=headers, stream=EndlessBody(self, fault))
         if fault == "cross":
             headers["X-Attempt-Id"] = "another"
         if fault == "unsealed":
@@ -358,6 +368,22 @@
             self.version = self.loading_version
 
 
+class EndlessBody(httpx.AsyncByteStream):
+    """A body of bytes without end; those of a stream begin with one whole event."""
+
+    def __init__(self, runner, fault):
+        self._runner = runner
+        self._begin = b"id: 1\ndata: one\n\n" if fault == "endless_event" else b""
+
+    async def __aiter__(self):
+        if self._begin:
+            yield self._begin
+        while True:
+            await anyio.sleep(ENDLESS_INTERVAL_S)
+            self._runner.num_endless_bytes += len(ENDLESS_PART)
+            yield ENDLESS_PART
+
+
 class EventStream(httpx.AsyncByteStream):
     """A stream of numbered events that a fault may break off, pause or stall."""
 
--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -207,7 +207,7 @@
             must_have_events = ends_with_connection and not is_taken_up
             await self._relay.relay_stream(answer, self, must_have_events)
             return verdict
-        body = await read_whole_body(answer)
+        body = await read_whole_body(answer, self._context.answer_buffers)
         await self.body_ended()
         if verdict.end is AttemptEnd.FAILED:
             self._history.failed_answer = FailedAnswer(answer.status, answer.headers, body)
--- a/src/weirscale/gateway/requests/events.py
+++ b/src/weirscale/gateway/requests/events.py
@@ -41,6 +41,11 @@
         self._record_last_id(events)
         return events
 
+    @property
+    def num_incomplete(self) -> int:
+        """Number of bytes of the incomplete event at the end of the data."""
+        return len(self._incomplete)
+
     def is_inside_event(self) -> bool:
         """Return whether an event has begun that is not complete."""
         lines = self._incomplete.splitlines()
--- a/src/weirscale/gateway/requests/relay.py
+++ b/src/weirscale/gateway/requests/relay.py
@@ -10,12 +10,16 @@
 
 from weirscale.gateway.ports.back_end import Answer, BodyBrokenError, BodyEnd
 from weirscale.gateway.ports.callers import Headers
+from weirscale.gateway.requests.answer_buffers import AnswerBuffer, AnswerBuffers
 from weirscale.gateway.requests.events import EventSplitter
 from weirscale.gateway.requests.responder import Responder
 
 MAX_BUFFERED_ANSWER_BYTES = 16 * 1024 * 1024
 """Maximum size in bytes of an answer that is buffered before it is relayed."""
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Maximum size in bytes of an event, which is held until it is complete."""
+
 
 class StreamObserver(Protocol):
     """Observes the stream of one attempt."""
@@ -51,14 +55,20 @@
 
     Args:
         responder: Sends the response to the caller.
+        buffers: All answers that the node holds.
         arrived_at_s: When the request arrived.
         clock: Returns the current time in monotonic seconds.
     """
 
     def __init__(
-        self, responder: Responder, arrived_at_s: float, clock: Callable[[], float]
+        self,
+        responder: Responder,
+        buffers: AnswerBuffers,
+        arrived_at_s: float,
+        clock: Callable[[], float],
     ) -> None:
         self._responder = responder
+        self._buffers = buffers
         self._arrived_at_s = arrived_at_s
         self._clock = clock
         self._splitter = EventSplitter()
@@ -105,9 +115,32 @@
             BodyBrokenError: The stream ended early or inside an event, or its back end may not have
                 ended it; another attempt may resume it.
         """
+        buffer = self._buffers.open(self._splitter.discard_incomplete)
+        try:
+            await self._relay_events(answer, observer, buffer)
+        finally:
+            buffer.close()
+        if self._splitter.is_inside_event():
+            raise BodyBrokenError(BodyEnd.INSIDE_EVENT)
+        if must_have_events and not self.has_begun:
+            raise BodyBrokenError(BodyEnd.BEFORE_EVENT)
+        await observer.body_ended()
+        if not self.has_begun:
+            await self._send_head(answer)
+        await self._responder.send_end()
+
+    async def _relay_events(
+        self, answer: Answer, observer: StreamObserver, buffer: AnswerBuffer
+    ) -> None:
+        """Relay complete events until the body ends; the incomplete event is in the buffer."""
         splitter, responder = self._splitter, self._responder
         splitter.discard_incomplete()
         async for chunk in answer.body:
+            # Checked before the next part is read: events that are complete are relayed first, so
+            # that another attempt goes on after them.
+            if splitter.num_incomplete > MAX_EVENT_BYTES:
+                raise BodyBrokenError(BodyEnd.TOO_LARGE)
+            buffer.resize(splitter.num_incomplete)
             events = splitter.feed(chunk)
             if not events:
                 continue
@@ -119,14 +152,7 @@
             await responder.send_part(events)
             # Do not count the time that a slow caller blocks the send as a pause of the engine.
             self._last_event_s = self._clock()
-        if splitter.is_inside_event():
-            raise BodyBrokenError(BodyEnd.INSIDE_EVENT)
-        if must_have_events and not responder.has_begun:
-            raise BodyBrokenError(BodyEnd.BEFORE_EVENT)
-        await observer.body_ended()
-        if not responder.has_begun:
-            await self._send_head(answer)
-        await responder.send_end()
+        buffer.check()
 
     async def _send_head(self, answer: Answer) -> None:
         self._set_first_byte()
@@ -145,17 +171,27 @@
             self.first_byte_s = self._clock() - self._arrived_at_s
 
 
-async def read_whole_body(answer: Answer) -> bytes:
+async def read_whole_body(answer: Answer, buffers: AnswerBuffers) -> bytes:
     """Return the complete body of an answer.
 
+    Args:
+        answer: The answer.
+        buffers: All answers that the node holds.
+
     Raises:
-        BodyBrokenError: The body ended early or is larger than `MAX_BUFFERED_ANSWER_BYTES`.
+        BodyBrokenError: The body ended early, is larger than `MAX_BUFFERED_ANSWER_BYTES`, or was
+            the largest when the node held too much.
     """
     parts: list[bytes] = []
-    num_bytes = 0
-    async for chunk in answer.body:
-        num_bytes += len(chunk)
-        if num_bytes > MAX_BUFFERED_ANSWER_BYTES:
-            raise BodyBrokenError(BodyEnd.TOO_LARGE)
-        parts.append(chunk)
-    return b"".join(parts)
+    buffer = buffers.open(parts.clear)
+    try:
+        async for chunk in answer.body:
+            num_bytes = buffer.num_bytes + len(chunk)
+            if num_bytes > MAX_BUFFERED_ANSWER_BYTES:
+                raise BodyBrokenError(BodyEnd.TOO_LARGE)
+            parts.append(chunk)
+            buffer.resize(num_bytes)
+        buffer.check()
+        return b"".join(parts)
+    finally:
+        buffer.close()
--- a/src/weirscale/gateway/requests/request_context.py
+++ b/src/weirscale/gateway/requests/request_context.py
@@ -8,6 +8,7 @@
 from weirscale.gateway.paths.path_checks import TrafficWatch
 from weirscale.gateway.ports.back_end import BackEndPort
 from weirscale.gateway.requests.admission import AdmissionControl
+from weirscale.gateway.requests.answer_buffers import AnswerBuffers
 from weirscale.gateway.requests.answer_ends import AnswerEnds
 from weirscale.gateway.requests.attempt_records import AttemptRecords
 from weirscale.gateway.requests.attempt_timeout import AttemptTimeoutWatch
@@ -36,6 +37,7 @@
         answer_ends: Proves answers whole whose end nothing but their connection marks.
         crash_reporter: Reports crashes of back ends.
         log: Logs and counts requests that have ended.
+        answer_buffers: Limits the memory of the answers that the node holds.
     """
 
     clock: Callable[[], float]
@@ -51,3 +53,4 @@
     answer_ends: AnswerEnds
     crash_reporter: CrashReporter
     log: RequestLog
+    answer_buffers: AnswerBuffers = msgspec.field(default_factory=AnswerBuffers)
--- a/src/weirscale/gateway/requests/request_handler.py
+++ b/src/weirscale/gateway/requests/request_handler.py
@@ -66,7 +66,7 @@
         self._body = body
         self._responder = responder
         self._arrived_at_s = arrived_at_s
-        self._relay = AnswerRelay(responder, arrived_at_s, context.clock)
+        self._relay = AnswerRelay(responder, context.answer_buffers, arrived_at_s, context.clock)
         self._history = AttemptHistory()
         self._admission: AdmittedRequest | Refusal | None = None
         self._guard: CrashGuard | None = None
--- a/src/weirscale/ports/h11_connection.py
+++ b/src/weirscale/ports/h11_connection.py
@@ -13,6 +13,10 @@
 READ_BYTES = 64 * 1024
 """Maximum bytes of one read; also the maximum size of an answer's head."""
 
+MAX_BYTES_BEFORE_HEAD = 2 * READ_BYTES
+"""Maximum bytes that are read before an answer's head is complete, informational answers included:
+these may be followed by any number of others, and by none that ends the call."""
+
 
 class H11Connection:
     """Sends requests and reads their answers, one exchange after another.
@@ -31,6 +35,7 @@
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
         self._poller = _poller(raw_socket(stream))
         self._has_body_ended = False
+        self._num_bytes_before_head = 0
         self.idle_since_s = 0.0
 
     async def send(self, request: httpx.Request, timeout_s: float | None) -> None:
@@ -45,6 +50,7 @@
             httpx.WriteTimeout: The request could not be written in time.
         """
         data = self._encode(request)
+        self._num_bytes_before_head = 0
         try:
             with anyio.fail_after(timeout_s):
                 await self._stream.send(data)
@@ -91,7 +97,9 @@
                 self._has_body_ended = False
                 return event
             if event is h11.NEED_DATA:
-                await self._read_more()
+                self._num_bytes_before_head += await self._read_more()
+                if self._num_bytes_before_head > MAX_BYTES_BEFORE_HEAD:
+                    raise httpx.RemoteProtocolError("the head of the answer does not end")
             elif not isinstance(event, h11.InformationalResponse):
                 raise httpx.RemoteProtocolError("the connection ended without an answer")
 
@@ -139,7 +147,8 @@
         except TimeoutError as error:
             raise httpx.ReadTimeout("no further part of the answer arrived in time") from error
 
-    async def _read_more(self) -> None:
+    async def _read_more(self) -> int:
+        """Read more bytes, and return how many."""
         try:
             data = await self._stream.receive(READ_BYTES)
         except anyio.EndOfStream:
@@ -147,6 +156,7 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
             raise httpx.ReadError(str(error)) from error
         self._state.receive_data(data)
+        return len(data)
 
     def prepare_for_reuse(self, now_s: float) -> bool:
         """Prepare for the next exchange; return False if the connection must not be reused.
--- a/src/weirscale/ports/h11_transport.py
+++ b/src/weirscale/ports/h11_transport.py
@@ -16,7 +16,7 @@
 from anyio.abc import ByteStream
 
 from weirscale.ports.h11_connection import H11Connection, raw_socket
-from weirscale.ports.running_timeout import run_within
+from weirscale.ports.running_timeout import SUSPENSION_THRESHOLD_S, run_within
 
 SocketOption = tuple[int, int, int]
 """Level, name and value: the arguments of `socket.setsockopt`."""
@@ -25,6 +25,9 @@
 CONNECTION_EXTENSION = "connection"
 """Extension of a response: the connection on which it arrived, for comparison only."""
 
+BODY_TIMEOUT_EXTENSION = "body_timeout"
+"""Extension of a request: how long reading the whole body of its answer may take, in seconds."""
+
 
 class ConnectionSource(Protocol):
     """Opens the connections of a transport."""
@@ -62,7 +65,8 @@
 
     A request's extensions must contain the timeouts `connect` and `pool`. `read` and `write` may be
     None: the caller must then limit the time, which saves a cancel scope for each part of an
-    answer.
+    answer. Otherwise `read` limits the head and each part of the body, and the extension
+    `BODY_TIMEOUT_EXTENSION`, if there is one, the whole body.
 
     Args:
         max_connections: Maximum number of connections in use at once.
@@ -97,6 +101,7 @@
             httpx.HTTPError: The request may have been sent.
         """
         timeouts = request.extensions["timeout"]
+        body_timeout_s = request.extensions.get(BODY_TIMEOUT_EXTENSION)
         await self._acquire_slot(timeouts["pool"])
         try:
             connection = await self._acquire_connection(request.url, timeouts["connect"])
@@ -113,7 +118,7 @@
         return httpx.Response(
             head.status_code,
             headers=head.headers.raw_items(),
-            stream=_Body(self, connection, timeouts["read"]),
+            stream=_Body(self, connection, timeouts["read"], body_timeout_s),
             extensions={CONNECTION_EXTENSION: connection},
         )
 
@@ -196,18 +201,43 @@
         transport: Owner of the connection.
         connection: The connection on which the answer arrives.
         timeout_s: How long reading each part may take; None for no limit.
+        total_s: How long reading all parts may take; None for no limit.
     """
 
     def __init__(
-        self, transport: H11Transport, connection: H11Connection, timeout_s: float | None
+        self,
+        transport: H11Transport,
+        connection: H11Connection,
+        timeout_s: float | None,
+        total_s: float | None,
     ) -> None:
         self._transport = transport
         self._connection = connection
         self._timeout_s = timeout_s
+        self._left_s = total_s
+
+    async def _read_part(self) -> bytes | None:
+        """Read the next part within the time that is left for the body.
+
+        Raises:
+            httpx.ReadTimeout: The time is over.
+        """
+        if self._left_s is None or self._timeout_s is None:
+            return await self._connection.read_body(self._timeout_s)
+        if self._left_s <= 0.0:
+            raise httpx.ReadTimeout("the answer did not end in time")
+        began_s = anyio.current_time()
+        timeout_s = min(self._timeout_s, self._left_s)
+        part = await self._connection.read_body(timeout_s)
+        took_s = anyio.current_time() - began_s
+        if took_s < timeout_s + SUSPENSION_THRESHOLD_S:
+            # The time in which this process was suspended does not count.
+            self._left_s -= took_s
+        return part
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         while True:
-            part = await self._connection.read_body(self._timeout_s)
+            part = await self._read_part()
             if part is None:
                 await self._transport.return_connection(self._connection)
                 return
