A first start that the settings claim is believed only if no node has run before

What callers saw: another system joined streams from two versions after all its nodes were killed at once (ORDER).

Cause: at the system's first start no registration can have ended before the first read, so that read proves that a single version has been there always. Nothing but the settings told that it was the first start.

Change: one node leaves the record `weirscale/started` after its first renewal (2 s after its start); a store that has it, or that was restored from a copy, has been used by this system before. The proof then begins with the read, as after any restart.

The callers of these scenarios now wait while no node is up, instead of giving their streams up: without that, no take-up followed the kill.

--- a/features/gateway_stream_versions.feature
+++ b/features/gateway_stream_versions.feature
@@ -30,6 +30,24 @@
       | nodes are killed while the store is down                       |
       | nodes are killed and a third of the datagrams is lost          |
 
+  # Guards against streams that are joined from two versions without a sign after all nodes lost power at
+  # once (ORDER): what a node that has just started reads proves nothing about what was there before.
+  Scenario Outline: All nodes are killed at once and come back, <case>
+    Given 4 nodes before back ends of the versions "v1 v1 v2 v2"
+    When streams are sent to all nodes, and all nodes are killed at once and come back, <case>
+    Then no stream has events of two versions, or events missing or twice
+    And streams that begin after that are complete
+
+    Examples:
+      | case                                                             |
+      | while both versions serve                                        |
+      | as the old version has just left                                 |
+      | as the old version leaves meanwhile                              |
+      | twice, as the old version has just left                          |
+      | as the old version has just left, and the settings still say that the system starts for the first time |
+      | as the old version has just left, and the store is back from a copy of before it came |
+      | as the old version has just left, and the store is back from a copy and the settings say first start |
+
   Scenario Outline: A take-up whose version is not known is refused at once, unrun, <case>
     Given 7 nodes before back ends of the versions "v1 v1 v2 v2 v2"
     When a stream is taken up <case>
--- a/features/steps/gateway_stream_versions_steps.py
+++ b/features/steps/gateway_stream_versions_steps.py
@@ -12,6 +12,9 @@
 STREAMS_PER_S = 40
 WAIT_S = 5.0
 MAX_BEGINNINGS = 40
+SETTLED_S = 1.5
+"""Seconds after which nodes that came back serve as before."""
+
 MIN_RATE_SHARE = 0.9
 """Streams taken up go on at least at this share of the rate at which new ones begin."""
 
@@ -145,6 +148,75 @@
     send_during(context, lambda: kill_each_second(simulation, names), 10.0)
 
 
+async def restart_all(simulation, case):
+    """Kill all nodes at once in the middle of their streams, and start them again."""
+    fleet = simulation.fleet
+    is_restored = "copy" in case
+    if is_restored:
+        fleet.store.take_backup()
+        for back_end in simulation.back_ends[:2]:
+            del fleet.store.backup[0][f"servers/{back_end.instance}"]
+    await anyio.sleep(1.5)
+    is_first_start = "first" in case
+    if "has just left" in case:
+        simulation.remove_version("v1")
+    if is_restored:
+        fleet.store.restore()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(simulation.restart_all, 0.5, is_first_start)
+        if "meanwhile" in case:
+            await anyio.sleep(0.2)
+            simulation.remove_version("v1")
+    if "twice" in case:
+        await anyio.sleep(1.0)
+        await simulation.restart_all()
+    simulation.came_back_s = anyio.current_time()
+
+
+@when("streams are sent to all nodes, and all nodes are killed at once and come back, {case}")
+def step_restart_all(context, case):
+    simulation = context.simulation
+    send_during(context, lambda: restart_all(simulation, case), 7.0)
+
+
+@then("streams that begin after that are complete")
+def step_complete_later(context):
+    simulation = context.simulation.play()
+    later_s = simulation.came_back_s + SETTLED_S
+    later = [
+        stream for stream in simulation.streams if stream.tries and stream.tries[0].at_s >= later_s
+    ]
+    assert len(later) >= 10, len(later)
+    num_complete = sum(stream.is_complete for stream in later)
+    assert num_complete >= 0.9 * len(later), f"{num_complete} of {len(later)}"
+
+
+@when('12 seconds later the back end is back as "v2" under its id, and its streams are taken up')
+def step_reborn(context):
+    simulation = context.simulation
+
+    async def act():
+        await anyio.sleep(12.0)
+        for _ in range(4):
+            await begin_and_cut(simulation)
+        be_reborn(simulation, simulation.back_ends[0])
+        await anyio.sleep(0.5)
+        for stream in simulation.streams:
+            stream.tries[0].request_id = "never-seen"
+            await simulation.send_try(stream, "node-3")
+
+    simulation.actions.append(act)
+
+
+def be_reborn(simulation, old):
+    """Replace a back end by one of version v2 that registers under its id."""
+    reborn = simulation.make_back_end("v2", 0)
+    reborn.instance, reborn.name_in_events = old.instance, "v2-0"
+    old.is_crashed = True
+    simulation.fleet.remove_runner(old)
+    simulation.fleet.add_runner(reborn)
+
+
 async def wait_for_events(stream):
     """Wait until a stream has two events."""
     with anyio.fail_after(WAIT_S):
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -88,6 +88,8 @@
     event_interval_s: float = EVENT_INTERVAL_S
     names_request: bool = False
     """Whether bodies and events contain the id of the request and the name of this instance."""
+    name_in_events: str | None = None
+    """What its bodies and events name instead of its instance; None for that."""
     numbers_events: bool = True
     """Whether its events have ids."""
     on_run: object = None
@@ -445,7 +447,7 @@
 
     def _token(self, number):
         if self._runner.names_request:
-            return f"{self._run.request_id} {self._runner.instance}"
+            return f"{self._run.request_id} {self._runner.name_in_events or self._runner.instance}"
         return f"token-{number}"
 
 
--- a/features/support/stream_callers.py
+++ b/features/support/stream_callers.py
@@ -157,7 +157,8 @@
         while len(stream.tries) < self.max_tries and anyio.current_time() < deadline_s:
             node = self._choose_node(stream)
             if node is None:
-                break
+                await anyio.sleep(DEFAULT_RETRY_S)
+                continue
             last = await self.send_try(stream, node)
             if last.answer.is_complete and last.answer.status == HTTP_OK:
                 return stream
@@ -213,12 +214,24 @@
         for scope in self.tries_at.pop(name, ()):
             scope.cancel()
 
-    async def restart_node(self, name, down_s=0.5):
+    async def restart_node(self, name, down_s=0.5, is_first_start=False):
         await self.kill_node(name)
         await anyio.sleep(down_s)
         number = int(name.rpartition("-")[2])
         zone = f"hall-{(number - 1) % self.num_zones}"
-        await self.fleet.start_node(name, is_first_start=False, zone=zone, number=number)
+        await self.fleet.start_node(name, is_first_start=is_first_start, zone=zone, number=number)
+
+    async def restart_all(self, down_s=0.5, is_first_start=False):
+        """End all nodes' processes at the same moment, and start them again."""
+        async with anyio.create_task_group() as tasks:
+            for name in list(self.fleet.nodes):
+                tasks.start_soon(self.restart_node, name, down_s, is_first_start)
+
+    def remove_version(self, version):
+        """Take all back ends of a version away, with their registrations."""
+        for back_end in [one for one in self.back_ends if one.version_name == version]:
+            self.fleet.remove_runner(back_end)
+            self.fleet.store.delete(f"servers/{back_end.instance}")
 
 
 def _pause_s(answer):
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -107,7 +107,9 @@
         own = Registration(
             settings.peers.host, settings.peers.port, settings.zone, capacity, self._relay_token
         )
-        self.registration = RegistrationTask(settings.name, own, self._store, self._event_log)
+        self.registration = RegistrationTask(
+            settings.name, own, self._store, self._event_log, self.peers.must_record_start
+        )
         self.origins = OriginStore(clock)
         self.load = FleetLoad()
         self.health = BackEndHealth(self._event_log, self._random)
--- a/src/weirscale/gateway/state/cluster_state.py
+++ b/src/weirscale/gateway/state/cluster_state.py
@@ -37,6 +37,7 @@
 from weirscale.gateway.state.back_end_registry import BackEndRegistry
 from weirscale.gateway.state.change_log import ChangeLog
 from weirscale.gateway.state.engine_versions import EngineVersions
+from weirscale.gateway.state.first_start import has_run_before
 from weirscale.gateway.state.rollout_orders import RolloutRegistry
 from weirscale.gateway.state.store_outages import NEVER_S, StoreOutageDetector
 from weirscale.gateway.state.stored_records import StoredRecords
@@ -140,17 +141,13 @@
             self._remove_missing(present)
         self.log.begin(batch.revision)
         self.apply(batch, asked_at_s)
-        self.followed_since_s = self._first_change_s(asked_at_s)
+        # No registration has ended yet when a system that has never run before is first read.
+        is_first_read = self._is_first_start and not self.has_read_all
+        hides_nothing = is_first_read and not has_run_before(self.records, self.era())
+        self.followed_since_s = NEVER_S if hides_nothing else asked_at_s
         self.has_read_all = True
         self._first_read.set()
 
-    def _first_change_s(self, asked_at_s: float) -> float:
-        """Return from which time on a full read and what follows it hide no earlier change.
-
-        No registration ends as early as the first read of a system that has never run before.
-        """
-        return NEVER_S if self._is_first_start and not self.has_read_all else asked_at_s
-
     def _remove_missing(self, present: Collection[str]) -> None:
         self.back_ends.end_missing(present)
         for key in self._missing_orders(present):
