A version that a back end replaces under its id has ended at that time

Cause: the new registration overwrote the old one. `ServiceVersions` lists what is registered and what ended since; the old version was in neither list, so the new one was "the only one".

Change: a registration whose service or version differs from the one before records that as ended.

Evidence: features/gateway_stream_versions.feature, "A back end is back under its id at another version", failed before (4 of 4 streams), passes now; its mutation is noticed.

--- a/features/gateway_stream_versions.feature
+++ b/features/gateway_stream_versions.feature
@@ -48,6 +48,13 @@
       | as the old version has just left, and the store is back from a copy of before it came |
       | as the old version has just left, and the store is back from a copy and the settings say first start |
 
+  # Guards against the same where a back end registers another version under the id that it had.
+  # Cause: the registration was overwritten, and the version that it had stated was not known as ended.
+  Scenario: A back end is back under its id at another version
+    Given 4 nodes before back ends of the versions "v1"
+    When 12 seconds later the back end is back as "v2" under its id, and its streams are taken up
+    Then no stream has events of two versions, or events missing or twice
+
   Scenario Outline: A take-up whose version is not known is refused at once, unrun, <case>
     Given 7 nodes before back ends of the versions "v1 v1 v2 v2 v2"
     When a stream is taken up <case>
--- a/src/weirscale/gateway/state/back_end_registry.py
+++ b/src/weirscale/gateway/state/back_end_registry.py
@@ -94,6 +94,8 @@
         previous = self._claims.get(back_end.instance)
         if previous is not None and _is_reverted_by_restore(previous, back_end, revision):
             self._leaving.add(back_end.run_id)
+        if previous is not None:
+            self.versions.record_replaced(previous.back_end, back_end)
         self._claims.put(key, back_end, revision)
         self.versions.record_seen(back_end)
         if previous is not None and previous.back_end.address != back_end.address:
--- a/src/weirscale/gateway/state/service_versions.py
+++ b/src/weirscale/gateway/state/service_versions.py
@@ -41,6 +41,11 @@
         """Record that a back end is gone."""
         self._ended_s[back_end.service, back_end.software] = self._clock()
 
+    def record_replaced(self, previous: BackEnd, current: BackEnd) -> None:
+        """Record that a back end registers again, perhaps with another service or version."""
+        if (previous.service, previous.software) != (current.service, current.software):
+            self.record_ended(previous)
+
     def record_unread_ended(self) -> None:
         """Record that a back end is gone whose registration this node never read."""
         self._unread_ended_s = self._clock()
