A request that comes late in a planned stop and might not end before it is refused unsent

Cause: a stop closes listeners and idle connections after 2.3 s, but a connection on which a request has begun lives on, and nothing asked whether what it brings can still end.

Change: `PlannedStop` knows from when on callers should have gone elsewhere (2.3 s, less than the 3 s that the rule excuses) and when running requests are cut. From the former on, a request is admitted only if its deadline, by which it is answered at the latest, lies before the latter; any other gets 503 `stopping`, not run, before it is sent, and goes to another node at once. Requests that are not late are sent as before.

Evidence: features/gateway_planned_stop.feature; the first scenario failed before (no answer, and the back end had received it). The other ways in which a request can come late, probed in the same way: a slow head (its connection is closed unread as listeners close) and a further stream of HTTP/2 (hypercorn resets it): not sent on before either. Both mutations are noticed.

--- a/src/weirscale/gateway/node.py
+++ b/src/weirscale/gateway/node.py
@@ -199,7 +199,7 @@
         self.context = RequestContext(
             clock=clock,
             admission=AdmissionControl(
-                self.cluster, self.quotas, self.isolation, self.settings.bounds
+                self.cluster, self.quotas, self.isolation, self.settings.bounds, self.planned_stop
             ),
             selector=BackEndSelector(self.dispatcher, self.canary_traffic),
             port_of=port_of,
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -29,6 +29,7 @@
 from weirscale.gateway.request_limits.permit_issuer import PermitIssuer
 from weirscale.gateway.request_limits.request_permits import RequestPermits
 from weirscale.gateway.request_limits.stated_limits import StatedLimits
+from weirscale.gateway.requests.planned_stop import PlannedStop
 from weirscale.gateway.rollouts.gate import VersionGate
 from weirscale.gateway.rollouts.view import RecordReader
 from weirscale.gateway.routing.back_end_maintenance import BackEndMaintenance
@@ -128,6 +129,7 @@
         self.budget = SharedRetryBudget(
             settings.retry_budget, clock(), skips_first_window=not settings.is_first_start
         )
+        self.planned_stop = PlannedStop(clock)
         self.isolation = IsolationDetector(self.cluster, self.quotas, self._event_log, clock)
 
     def _make_quarantines(self) -> None:
--- a/src/weirscale/gateway/program.py
+++ b/src/weirscale/gateway/program.py
@@ -135,7 +135,9 @@
                 self._event_log.event("node_started", callers=settings.callers.port)
                 _tune_garbage_collector()
                 await stop.wait()
-                stopped_by_s = boot_time_s() + settings.bounds.stop_s - STOP_MARGIN_S
+                began_s = boot_time_s()
+                stopped_by_s = began_s + settings.bounds.stop_s - STOP_MARGIN_S
+                self.node.planned_stop.begin(began_s + READINESS_DRAIN_S, stopped_by_s)
                 self.node.relay_gate.is_stopping = True
                 await self._leave(closed)
             await self.node.relay_server.drain(stopped_by_s)
--- a/src/weirscale/gateway/requests/admission.py
+++ b/src/weirscale/gateway/requests/admission.py
@@ -23,6 +23,7 @@
 from weirscale.gateway.limits.quota import QuotaDecision, QuotaLedger
 from weirscale.gateway.model.configuration import Route, Tenant
 from weirscale.gateway.ports.callers import CallerRequest
+from weirscale.gateway.requests.planned_stop import PlannedStop
 from weirscale.gateway.routing.traffic_split import TrafficSplit
 from weirscale.gateway.settings import Guarantees
 from weirscale.gateway.state.cluster_state import ClusterState
@@ -35,6 +36,9 @@
 """Retry-After in seconds of an isolated node. It is short because the caller's next connection goes
 to another node."""
 
+STOPPING_RETRY_S = 0.02
+"""Retry-After in seconds of a node that is being stopped; short for the same reason."""
+
 FIRST_READ_WAIT_S = 1.0
 """Until this time in seconds after its start, a node lets requests wait for its first read of the
 state. It takes about 0.5 s from the start until the node listens and reads the state."""
@@ -101,6 +105,7 @@
         quotas: Quotas of the tenants.
         isolation: Detects whether this node is isolated.
         guarantees: Guarantees of the deployment.
+        stop: The planned stop of this node.
     """
 
     def __init__(
@@ -109,8 +114,10 @@
         quotas: QuotaLedger,
         isolation: IsolationDetector,
         guarantees: Guarantees,
+        stop: PlannedStop,
     ) -> None:
         self._cluster = cluster
+        self._stop = stop
         self._quotas = quotas
         self._isolation = isolation
         self._key_removal_s = guarantees.key_removal_s
@@ -171,6 +178,8 @@
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
         deadline_s = arrived_at_s + timeout_s
+        if not self._stop.may_begin(deadline_s):
+            return _refuse_for_stop(route, service, tenant)
         cost = 0.0
         if tenant is not None:
             decision = self._quotas.admit(tenant, request.num_tokens, route.priority)
@@ -201,6 +210,12 @@
         return self._refuse(cause, route)
 
 
+def _refuse_for_stop(route: Route, service: ServiceName, tenant: Tenant | None) -> Refusal:
+    """Return a refusal after which the caller may go to another node at once."""
+    status, cause = HTTPStatus.SERVICE_UNAVAILABLE, RequestCause.STOPPING
+    return Refusal(status, cause, STOPPING_RETRY_S, route, service, tenant)
+
+
 def _refuse_for_quota(
     decision: QuotaDecision, route: Route, service: ServiceName, tenant: Tenant
 ) -> Refusal:
--- a/src/weirscale/gateway/telemetry/request_summary.py
+++ b/src/weirscale/gateway/telemetry/request_summary.py
@@ -51,6 +51,8 @@
     """All back ends that could run the request are brittle and have no place for this node."""
     UNSENDABLE = "unsendable"
     """The request cannot be encoded for any back end, by the caller's or the operators' words."""
+    STOPPING = "stopping"
+    """The node is being stopped, and the request might not end before it."""
     OVERLOADED = "overloaded"
     """The queues are too long."""
     NO_TIME = "no_time"
