An error of one connection does not end the server's stop

A caller with an open HTTP/2 stream at the end of the time for a stop made the process end with an error, before it had written `node_stopped`, flushed its log and ended the connections that it relays.

Cause: hypercorn cancels what is still open, an HTTP/2 connection raises a RuntimeError of its own as that happens, and the wait for all connections passes the first error on. Any error of one connection during a stop would end the wait for the others in the same way.

Change: a connection's task reports its error to the event loop, as it was reported before a stop, and ends without one.

--- a/features/server_stop.feature
+++ b/features/server_stop.feature
@@ -27,3 +27,16 @@
       | loop    |
       | uvloop  |
       | asyncio |
+
+  # Guards against a process that ends with an error, before it has flushed its log and ended what it relays,
+  # because of one caller: hypercorn raises an error of its own as it cancels a connection with open HTTP/2
+  # streams, and that error left the wait for all connections.
+  Scenario Outline: An open stream of HTTP/2 at the end of the time for a stop does not end the server by an error
+    Given a server on the event loop "<loop>" with an open stream of HTTP/2
+    When it is stopped, and the time for the stop is over
+    Then the server has ended without an error
+
+    Examples:
+      | loop    |
+      | uvloop  |
+      | asyncio |
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -1,9 +1,11 @@
 """Steps of `server_stop.feature`."""
 
 import asyncio
+import contextlib
 
 import anyio
 import anyio.lowlevel
+import httpx
 from behave import given, then, when
 
 from weirscale.ports.http_server import serve_on_listeners
@@ -148,3 +150,51 @@
 @then("the event loop reported no error")
 def step_no_report(context):
     assert not context.reported, context.reported
+
+
+async def stop_with_open_stream():
+    """Stop a server while a stream of an HTTP/2 connection is open."""
+    listener = open_listener(LOOPBACK, 0)
+    port = port_of(listener)
+    stop = anyio.Event()
+
+    async def post_without_end(scope):
+        with scope, contextlib.suppress(httpx.HTTPError):
+            async with httpx.AsyncClient(http1=False, http2=True, timeout=20.0) as client:
+                await client.post(f"http://{LOOPBACK}:{port}/", content=endless_body())
+
+    scope = anyio.CancelScope()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(post_without_end, scope)
+        tasks.start_soon(set_later, stop)
+        await serve_on_listeners(endless_app, [listener], stop, SHORT_FINISH_S)
+        scope.cancel()
+
+
+async def endless_body():
+    yield b"x"
+    await anyio.sleep_forever()
+
+
+async def set_later(stop):
+    await anyio.sleep(2 * SHORT_FINISH_S)
+    stop.set()
+
+
+@given('a server on the event loop "{loop}" with an open stream of HTTP/2')
+def step_open_stream(context, loop):
+    context.options = {"use_uvloop": loop == "uvloop"}
+
+
+@when("it is stopped, and the time for the stop is over")
+def step_stop_open_stream(context):
+    context.error = None
+    try:
+        anyio.run(stop_with_open_stream, backend_options=context.options)
+    except Exception as error:
+        context.error = error
+
+
+@then("the server has ended without an error")
+def step_ended(context):
+    assert context.error is None, context.error
--- a/src/weirscale/ports/limited_connections.py
+++ b/src/weirscale/ports/limited_connections.py
@@ -50,6 +50,19 @@
     _head_started_s: float | None = None
     """When the first byte of a head arrived that is not complete yet."""
 
+    async def run(self) -> None:
+        """Serve the connection; an error ends it alone.
+
+        As the server stops, it waits for all connections together: an error of one would end the
+        wait for the others, whose requests are running.
+        """
+        try:
+            await super().run()
+        except Exception as error:
+            self.loop.call_exception_handler(
+                {"message": "an error ended a connection", "exception": error}
+            )
+
     async def _idle_timeout(self) -> None:
         started_s = self.loop.time()
         while (remaining_s := started_s + self._limits().keep_alive_s - self.loop.time()) > 0.0:
