The begin of a stream that lasts is announced twice, as datagrams may be lost

Cause: the nodes that keep a stream's origin are told once, by one datagram each. Where most of them are killed and one datagram in three is lost, one stream in ten is known to no living node.

Change: a stream that still runs 0.2 s after its first event is announced once more. Most streams have ended by then, so it costs little; those that last are the likeliest to be taken up.

--- a/features/steps/answer_buffer_rules_steps.py
+++ b/features/steps/answer_buffer_rules_steps.py
@@ -56,6 +56,9 @@
     async def stream_begins(self):
         pass
 
+    async def events_relayed(self):
+        pass
+
     async def body_ended(self):
         pass
 
--- a/src/weirscale/gateway/requests/attempt.py
+++ b/src/weirscale/gateway/requests/attempt.py
@@ -46,6 +46,10 @@
 DEFAULT_TENANT_PRIORITY = 1
 """Tenant priority of a request without a tenant, or of a tenant without a priority."""
 
+ANNOUNCEMENT_REPEAT_S = 0.2
+"""Seconds after which the begin of a stream is announced again. Most streams have ended by then;
+those that have not are the likeliest to be taken up at another node."""
+
 
 class Attempt:
     """Runs one attempt at a request.
@@ -84,6 +88,7 @@
         self._times = AttemptTimes()
         self._timeout: AttemptTimeout | None = None
         """None if the attempt must not be abandoned when the back end is silent."""
+        self._announce_again_at_s: float | None = None
 
     async def run(self) -> AttemptEnd:
         """Send the request, relay the answer if permitted, and return how the attempt ended."""
@@ -236,6 +241,14 @@
         if self._history.stream_version is None:
             self._history.stream_version = self._back_end.software
             await self._context.streams.announce(self._admitted, self._back_end.software)
+            self._announce_again_at_s = self._context.clock() + ANNOUNCEMENT_REPEAT_S
+
+    async def events_relayed(self) -> None:
+        """Announce a stream once more that lasts, as datagrams may be lost."""
+        due_s = self._announce_again_at_s
+        if due_s is not None and self._context.clock() >= due_s:
+            self._announce_again_at_s = None
+            await self._context.streams.announce(self._admitted, self._back_end.software)
 
     async def body_ended(self) -> None:
         """Make sure that the back end, not its crash, ended the body.
--- a/src/weirscale/gateway/requests/relay.py
+++ b/src/weirscale/gateway/requests/relay.py
@@ -32,6 +32,10 @@
         """Handle that the first event of the whole answer is about to be relayed."""
         ...
 
+    async def events_relayed(self) -> None:
+        """Handle that complete events were relayed, and the stream goes on."""
+        ...
+
     async def body_ended(self) -> None:
         """Handle the end of the body.
 
@@ -150,6 +154,7 @@
                 await self._send_head(answer)
             self._measure_pause(observer)
             await responder.send_part(events)
+            await observer.events_relayed()
             # Do not count the time that a slow caller blocks the send as a pause of the engine.
             self._last_event_s = self._clock()
         buffer.check()
