An answer whose status is none of HTTP is no answer

Probed here with a real node before real sockets: 000, 099, 101, 2000, 20 and -200 were broken answers already: 502 without a signature, or another attempt. 600 and 999 were passed on as the back end's answer, and counted as health checks' answers (which prove that a run lives); the older node passed 600 on too.

Cause: h11 refuses statuses below 100 and accepts 600 to 999; nothing else asked. RFC 9110, section 15: statuses are 100 to 599.

Change: the transport takes a head with a higher status for no answer, as it does any other that is not valid, so that requests, calls and relayed connections treat it alike; the older node's service port counts such an answer as corrupt.

--- a/features/steps/gateway_planned_stop_steps.py
+++ b/features/steps/gateway_planned_stop_steps.py
@@ -29,11 +29,12 @@
 """Seconds before the stop at which the first request is sent."""
 
 
-def make_program(back_end, stop_s):
-    """Return the program of a node on loopback before a back end on a real socket."""
+def make_program(back_ends, stop_s, written=None):
+    """Return the program of a node on loopback before back ends on real sockets."""
     fleet = Fleet()
-    fleet.store.put("op/config", configuration())
-    fleet.store.put(f"servers/{back_end.instance}", back_end.entry())
+    fleet.store.put("op/config", written or configuration())
+    for back_end in back_ends:
+        fleet.store.put(f"servers/{back_end.instance}", back_end.entry())
 
     def transport(_connections, _keepalive_s, source=None):
         return Transport(fleet, "node-1", source)
@@ -41,8 +42,9 @@
     store = StoreClient(STORE_ADDRESS, transport)
     callers, readiness, peers = (ListenAddress(LOOPBACK, free_port()) for _ in range(3))
     settings = GatewaySettings(
-        "node-1", "hall-a", callers, readiness, peers=peers, bounds=Guarantees(stop_s=stop_s)
-    )
+        "node-1", "hall-a", callers, readiness, peers=peers, bounds=Guarantees(stop_s=stop_s),
+        is_first_start=True,
+    )  # fmt: skip
     adapter = SimpleNamespace(
         settings=lambda: settings, feed=lambda: StateFeedAdapter(store),
         store=lambda: KeyValueAdapter(store), connector=BackEndClientConnector, codec=HeaderCodec,
@@ -149,7 +151,7 @@
         stopping, is_late = stop(), late()
         async with anyio.create_task_group() as tasks:
             await tasks.start(context.back_end.run)
-            program = make_program(context.back_end, context.stop_s)
+            program = make_program([context.back_end], context.stop_s)
             address = program.node.settings.callers
 
             async def run_program():
--- a/features/support/slow_back_end.py
+++ b/features/support/slow_back_end.py
@@ -1,7 +1,5 @@
 """A back end on a loopback port that answers each request whole after a time of work."""
 
-import json
-
 import anyio
 from anyio.abc import SocketAttribute
 
@@ -17,12 +15,14 @@
         instance: Its instance name.
         service: Its service.
         work_s: Seconds of work for each request.
+        status: The status in its answers to requests.
     """
 
-    def __init__(self, instance, service, work_s):
+    def __init__(self, instance, service, work_s=0.0, status="200"):
         self.instance = instance
         self._service = service
         self._work_s = work_s
+        self._status = status
         self.received = []
         """Ids of the requests that it has received."""
         self.address = None
@@ -64,11 +64,7 @@
             self.received.append(request_id)
             await anyio.sleep(self._work_s)
         head = [
-            "HTTP/1.1 200 OK", f"X-Instance-Id: {self.instance}", f"Content-Length: {len(BODY)}",
+            f"HTTP/1.1 {self._status} Status", f"X-Instance-Id: {self.instance}", f"Content-Length: {len(BODY)}",
             f"X-Attempt-Id: {request_id}", f"X-Response-Seal: seal-{self.instance}",
         ]  # fmt: skip
         await stream.send("\r\n".join([*head, "", ""]).encode() + BODY)
-
-    def registration(self):
-        """Return the value of its entry in the store."""
-        return json.dumps(self.entry())
--- a/src/weirscale/ports/h11_connection.py
+++ b/src/weirscale/ports/h11_connection.py
@@ -17,6 +17,9 @@
 """Maximum bytes that are read before an answer's head is complete, informational answers included:
 these may be followed by any number of others, and by none that ends the call."""
 
+MAX_STATUS = 599
+"""The highest status of HTTP (RFC 9110, section 15). h11 accepts 600 to 999 too, none below 100."""
+
 
 class H11Connection:
     """Sends requests and reads their answers, one exchange after another.
@@ -94,6 +97,8 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise httpx.RemoteProtocolError(f"{event.status_code} is no HTTP status")
                 self._has_body_ended = False
                 return event
             if event is h11.NEED_DATA:
--- a/src/weirscale/ports/service_http.py
+++ b/src/weirscale/ports/service_http.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from weirscale.domain.request.model import ServiceRequest, ServiceResponse
+from weirscale.ports.h11_connection import MAX_STATUS
 from weirscale.ports.http_client import CONNECT_TIMEOUT_S, new_client, was_never_sent
 from weirscale.ports.service import ServiceFailure, ServiceFailureKind
 from weirscale.ports.service_headers import (
@@ -83,6 +84,9 @@
         if not answers_request(response.headers, request):
             detail = "the answer belongs to another request"
             return Err(ServiceFailure(ServiceFailureKind.CORRUPT, detail))
+        if response.status_code > MAX_STATUS:
+            detail = f"{response.status_code} is no HTTP status"
+            return Err(ServiceFailure(ServiceFailureKind.CORRUPT, detail))
         body = bytearray()
         async for part in response.aiter_raw():
             body += part
