--- a/features/answer_end_rules.feature
+++ b/features/answer_end_rules.feature
@@ -33,6 +33,28 @@
       | slow          | 0.7        | whole  | 0.9      |
       | too slow      | 0.9        | broken | 1        |
 
+  # Guards against a stream that a crash cut off and that ends as complete, because its back end is back
+  # under the name that it had before the connection's end arrives, from behind a cut (ORDER).
+  # Cause: runs were told apart by that name alone.
+  Scenario: A run whose name a later run has registered did not end its answer
+    Given a run whose health checks are answered after 0.004 seconds
+    And a later run is registered under its name
+    When an answer of it ends
+    Then the answer is broken after 0 seconds
+
+  Scenario Outline: A health check states the start <answered> of a run registered with the start <registered>
+    Given a run that its registration states to have started at <registered> ms
+    When a health check is answered under its name with the start <answered> ms
+    Then the state of that run is "<state>"
+
+    Examples:
+      | registered | answered | state |
+      | 1000       | 1000     | lives |
+      | 1000       | 2000     | ended |
+      | 2000       | 1000     | ended |
+      | 1000       | no       | lives |
+      | no         | 2000     | lives |
+
   Scenario: Another answer that waits goes on if the first one is abandoned
     Given a run whose health checks are answered after 0.1 seconds
     When two answers of it end and the first one is abandoned after 0.05 seconds
--- a/features/steps/answer_end_rules_steps.py
+++ b/features/steps/answer_end_rules_steps.py
@@ -7,13 +7,13 @@
 
 from features.support.platform_fleet import EventRecorder
 from features.support.virtual_time import run_in_virtual_time
-from weirscale.gateway.model.back_ends import BackEnd, BackEndState, ServedModel
+from weirscale.gateway.model.back_ends import BackEnd, BackEndDirectory, BackEndState, ServedModel
 from weirscale.gateway.ports.back_end import Answer, RunState
 from weirscale.gateway.requests.answer_ends import AnswerEnds
 from weirscale.gateway.requests.attempt_verdict import proves_run
 from weirscale.ports.h11_transport import CONNECTION_EXTENSION
 from weirscale_platform.answers import answer_of
-from weirscale_platform.run_probe import RunProbe
+from weirscale_platform.run_probe import RunProbe, state_of
 
 SILENCE_S = 3600.0
 WAIT_TOLERANCE_S = 0.02
@@ -51,20 +51,27 @@
 
 
 class ScriptedCluster:
-    """A platform without a configuration."""
+    """A platform without a configuration, with registered runs of back ends."""
 
     table = None
 
+    def __init__(self, registered=()):
+        self.directory = BackEndDirectory()
+        for run in registered:
+            self.directory.put(run)
 
-def back_end(name="lm-1"):
+
+def back_end(name="lm-1", started_ms=None):
     models = (ServedModel("m", 1),)
-    return BackEnd(name, "lm", "10.0.0.1:8080", "z", BackEndState.READY, 4, models)
+    ready = BackEndState.READY
+    return BackEnd(name, "lm", "10.0.0.1:8080", "z", ready, 4, models, started_ms=started_ms)
 
 
 def new_ends(context):
     context.permits = getattr(context, "permits", None) or ScriptedPermits()
     clock = anyio.current_time
-    return AnswerEnds(ScriptedCluster(), context.permits, EventRecorder(), clock)
+    cluster = ScriptedCluster(getattr(context, "registered", ()))
+    return AnswerEnds(cluster, context.permits, EventRecorder(), clock)
 
 
 def end_answers(context, after_s, script=None):
@@ -286,3 +293,30 @@
 @then("it proves that the run was running as the request was sent: {proved}")
 def step_proves_run(context, proved):
     assert proves_run(context.answer, "q1", "lm-1") is (proved == "yes"), context.answer
+
+
+@given("a later run is registered under its name")
+def step_registered_again(context):
+    context.registered = [back_end(started_ms=2000)]
+
+
+@given("a run that its registration states to have started at {registered} ms")
+def step_started(context, registered):
+    context.back_end = back_end(started_ms=read_start(registered))
+
+
+def read_start(text):
+    return None if text == "no" else int(text)
+
+
+@when("a health check is answered under its name with the start {answered} ms")
+def step_answered_start(context, answered):
+    start = read_start(answered)
+    body = b"" if start is None else b'{"id": "lm-1", "born": %d}' % start
+    answer = httpx.Response(200, headers={"X-Instance-Id": "lm-1"}, content=body)
+    context.state = state_of(Ok(answer), context.back_end)
+
+
+@then('the state of that run is "{state}"')
+def step_state_of_run(context, state):
+    assert context.state.value == state, context.state
--- a/src/weirscale/gateway/requests/answer_ends.py
+++ b/src/weirscale/gateway/requests/answer_ends.py
@@ -126,6 +126,8 @@
             port: Its port; it may have been retired, as the run may have left the registry.
         """
         ended_at_s = self._clock()
+        if self._is_replaced(back_end):
+            return self._judged(back_end, EndProof(RunState.ENDED, 0.0))
         watched = self._watched.setdefault(back_end.run_id, _WatchedRun())
         watched.num_waiting += 1
         try:
@@ -135,11 +137,19 @@
             watched.num_waiting -= 1
             if not watched.num_waiting:
                 del self._watched[back_end.run_id]
-        proof = EndProof(state, self._clock() - ended_at_s)
+        return self._judged(back_end, EndProof(state, self._clock() - ended_at_s))
+
+    def _is_replaced(self, back_end: BackEnd) -> bool:
+        """Return whether a later run is registered under the name of this one."""
+        registered = self._cluster.directory.get(back_end.instance)
+        return registered is not None and registered.run_id != back_end.run_id
+
+    def _judged(self, back_end: BackEnd, proof: EndProof) -> EndProof:
+        """Return a proof, and log it if the answer is not whole."""
         if not proof.is_whole:
             self._event_log.event(
                 "answer_end_unproved", instance=back_end.instance, run=back_end.run_id,
-                state=state.value, waited_s=round(proof.waited_s, 3),
+                state=proof.state.value, waited_s=round(proof.waited_s, 3),
             )  # fmt: skip
         return proof
 
