A node that starts as the store is back from a backup accepts no key it cannot be sure of

Cause: such a node took the configuration of the backup, just read, for current: the proof that a configuration is current is the age of the read alone. The order fence waits in a new era until what was lost has been written again; the keys did not.

Change: a node whose first read is in an era above 0 counts its configuration as unproved (503 on routes with keys, public ones are served) until the configuration is written after that read, the era is settled, or 6 s have passed, the time for which what was lost counts elsewhere. So that later starts need not wait, one node records that the era is settled, whether orders are given or not; the order fence's own writing of that record goes. `FleetRecords` writes both records of that kind. The waiting for a first read moves out of `ClusterState`.

Evidence: features/gateway_store_restored.feature, 3 new scenarios, two failed before (the revoked key was served; a new node accepted keys at once).

--- a/features/gateway_store_restored.feature
+++ b/features/gateway_store_restored.feature
@@ -34,6 +34,26 @@
     Then none of the requests is served
     And each node uses configuration 5
 
+  # Guards against a key that was taken away and works again (CONFIG): a node that starts as the store is back
+  # took the configuration of the backup for current.
+  Scenario: A node that starts as the store is back accepts no key until the operator has written again
+    Given 3 nodes and a store that was backed up
+    When the operator writes configuration 5, which revokes an API key, and the store is restored from the backup
+    And a new node starts at once, and gets requests with that key for 2 seconds
+    Then none of the requests is served
+    When the operator writes configuration 5 again, which has another key
+    Then the new node serves that key within 1 second, and refuses the revoked one as unknown
+
+  Scenario: A node that starts as the store is back accepts keys after a time if the operator writes nothing
+    Given 3 nodes and a store that was backed up
+    When the store is restored from the backup, and a new node starts at once
+    Then the new node accepts keys between 5.5 and 7 seconds later
+
+  Scenario: A node that starts later after a restore accepts keys at once
+    Given 3 nodes and a store that was backed up
+    When the store is restored from the backup, and a new node starts 10 seconds later
+    Then the new node accepts keys between 0 and 0.5 seconds later
+
   Scenario: A back end that registered after the backup stays in use, and registers again
     Given 3 nodes and a store that was backed up
     When "lm-9" registers, and the store is restored from the backup
--- a/features/steps/gateway_connection_limits_steps.py
+++ b/features/steps/gateway_connection_limits_steps.py
@@ -69,7 +69,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(program.run, anyio.Event())
         with anyio.fail_after(START_S):
-            await program.node.cluster.wait_until_read()
+            await program.node.cluster.first_read.wait()
         caller = await anyio.connect_tcp(LOOPBACK, program.node.settings.callers.port)
         result = await exchange(program.node, caller)
         await caller.aclose()
--- a/features/steps/gateway_planned_stop_steps.py
+++ b/features/steps/gateway_planned_stop_steps.py
@@ -163,7 +163,7 @@
 
             tasks.start_soon(run_program)
             with anyio.fail_after(START_S):
-                await program.node.cluster.wait_until_read()
+                await program.node.cluster.first_read.wait()
             early = send_in_two_parts(address, head_of("early", 9.0, 1), b"x", AlreadySet())
             tasks.start_soon(keep, "early", early)
             tasks.start_soon(keep, "late", SENDERS[arrives](address, deadline_s, is_late))
--- a/features/steps/gateway_store_restored_steps.py
+++ b/features/steps/gateway_store_restored_steps.py
@@ -45,6 +45,9 @@
     context.restore_run = RestoreRun()
 
 
+REQUEST_PAUSE_S = 0.1
+
+
 @when("{lost:d} changes later the store is restored from the backup")
 def step_restore(context, lost):
     restore_run = context.restore_run
@@ -655,3 +658,82 @@
     outcome = context.client_fixture.outcome
     assert isinstance(outcome, Err), outcome
     assert outcome.err_value.kind is KeyValueFailureKind.AMBIGUOUS, outcome
+
+
+NEW_NODE = "node-9"
+MAX_ACCEPT_S = 9.0
+
+
+async def start_new_node(restore_run):
+    return await restore_run.fleet.start_node(NEW_NODE, is_first_start=False)
+
+
+async def ask_with_key(restore_run, node, key):
+    """Send a request with a key to one node, and return its answer."""
+    await restore_run._send_request(node, key)
+    return restore_run.answers.pop()
+
+
+@when("a new node starts at once, and gets requests with that key for {for_s:d} seconds")
+def step_new_node_asked(context, for_s):
+    restore_run = context.restore_run
+
+    async def act():
+        node = restore_run.new_node = await start_new_node(restore_run)
+        until_s = anyio.current_time() + for_s
+        while anyio.current_time() < until_s:
+            restore_run.answers.append(await ask_with_key(restore_run, node, "good"))
+            await anyio.sleep(REQUEST_PAUSE_S)
+        restore_run.write_configuration(5, ("other",))
+        await anyio.sleep(1.0)
+        restore_run.other_answer = await ask_with_key(restore_run, node, "other")
+        restore_run.revoked_answer = await ask_with_key(restore_run, node, "good")
+
+    restore_run.actions.append(act)
+
+
+@when("the operator writes configuration 5 again, which has another key")
+def step_written_again(context):
+    """The action of the step before has done it."""
+
+
+@then("the new node serves that key within 1 second, and refuses the revoked one as unknown")
+def step_new_key(context):
+    restore_run = context.restore_run.play()
+    assert restore_run.other_answer.status == 200, restore_run.other_answer
+    assert restore_run.revoked_answer.status == 401, restore_run.revoked_answer
+
+
+@when("the store is restored from the backup, and a new node starts at once")
+def step_restore_and_start(context):
+    measure_acceptance(context, 0.0)
+
+
+@when("the store is restored from the backup, and a new node starts {later_s:d} seconds later")
+def step_restore_and_start_later(context, later_s):
+    measure_acceptance(context, later_s)
+
+
+def measure_acceptance(context, later_s):
+    """Measure after which time a node that starts after a restore serves a key."""
+    restore_run = context.restore_run
+
+    async def act():
+        await restore_run.restore()
+        await anyio.sleep(later_s)
+        node = await start_new_node(restore_run)
+        began_s = anyio.current_time()
+        while anyio.current_time() < began_s + MAX_ACCEPT_S:
+            answer = await ask_with_key(restore_run, node, "good")
+            if answer.status == 200:
+                break
+            await anyio.sleep(REQUEST_PAUSE_S)
+        restore_run.accepted_after_s = anyio.current_time() - began_s
+
+    restore_run.actions.append(act)
+
+
+@then("the new node accepts keys between {from_s:g} and {to_s:g} seconds later")
+def step_accepts(context, from_s, to_s):
+    restore_run = context.restore_run.play()
+    assert from_s <= restore_run.accepted_after_s <= to_s, restore_run.accepted_after_s
--- a/features/steps/invalid_statuses_steps.py
+++ b/features/steps/invalid_statuses_steps.py
@@ -44,7 +44,7 @@
             program = make_program(back_ends, STOP_S, configuration(routes=routes))
             tasks.start_soon(program.run, anyio.Event())
             with anyio.fail_after(START_S):
-                await program.node.cluster.wait_until_read()
+                await program.node.cluster.first_read.wait()
             address = program.node.settings.callers
             url = f"http://{address.host}:{address.port}{PATHS[kind]}"
             async with httpx.AsyncClient(timeout=TIMEOUT_S) as client:
--- a/features/support/recorded_forms.py
+++ b/features/support/recorded_forms.py
@@ -361,7 +361,9 @@
     async def start(store, tasks):
         registration = Registration("10.0.0.2", 7340, "z", 85, "5f2c")
         tasks.start_soon(
-            RegistrationTask("node-1", registration, store, EventRecorder(), lambda: False).run
+            RegistrationTask(
+                "node-1", registration, store, EventRecorder(), anyio.sleep_forever
+            ).run
         )
 
     return _written_by(start)
--- a/src/weirscale/gateway/node_parts.py
+++ b/src/weirscale/gateway/node_parts.py
@@ -17,6 +17,7 @@
 from weirscale.gateway.paths.relay_choice import RelayChoice
 from weirscale.gateway.paths.relay_server import RelayGate, RelayServer
 from weirscale.gateway.paths.relays import StreamOpener
+from weirscale.gateway.peers.fleet_records import FleetRecords
 from weirscale.gateway.peers.rank_delay import rank_delay_s
 from weirscale.gateway.peers.registrations import PeerDirectory, Registration, RegistrationTask
 from weirscale.gateway.ports.back_end import BackEndConnector
@@ -109,8 +110,9 @@
             settings.peers.host, settings.peers.port, settings.zone, capacity, self._relay_token
         )
         self.registration = RegistrationTask(
-            settings.name, own, self._store, self._event_log, self.peers.must_record_start
-        )
+            settings.name, own, self._store, self._event_log,
+            FleetRecords(self.cluster, self.peers, self._store, clock).write_due,
+        )  # fmt: skip
         self.origins = OriginStore(clock)
         self.load = FleetLoad()
         self.health = BackEndHealth(self._event_log, self._random)
--- a/src/weirscale/gateway/peers/registrations.py
+++ b/src/weirscale/gateway/peers/registrations.py
@@ -1,6 +1,6 @@
 """Registers this node in the store, and discovers the other nodes from their registrations."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Annotated
 
 import anyio
@@ -13,7 +13,6 @@
 from weirscale.gateway.peers.groups import Division, Member, divide
 from weirscale.gateway.settings import ListenAddress
 from weirscale.gateway.state.cluster_state import ClusterState
-from weirscale.gateway.state.first_start import STARTED_KEY
 from weirscale.gateway.ticks import sleep_to_tick
 from weirscale.ports.event_log import EventLog
 from weirscale.ports.key_value import KeyValueFailureKind, KeyValuePort
@@ -205,10 +204,6 @@
         num_left = sum(1 for left_at_s in self._left_at_s.values() if left_at_s >= since_s)
         return 1 + len(self._registrations) + num_left
 
-    def must_record_start(self) -> bool:
-        """Return whether this node has to record that the system has started: one node does."""
-        return STARTED_KEY not in self._cluster.records and self.rank() == 0
-
     def rank(self) -> int:
         """Return this node's rank among the registered nodes; the latest registration has rank 0.
 
@@ -250,7 +245,7 @@
         registration: The entry to write.
         store: The key-value service.
         event_log: Receives an event when the registration is lost.
-        must_record_start: Returns whether this node has to record that the system has started.
+        write_records: Writes what else is due; called after each renewal.
     """
 
     def __init__(
@@ -259,13 +254,13 @@
         registration: Registration,
         store: KeyValuePort,
         event_log: EventLog,
-        must_record_start: Callable[[], bool],
+        write_records: Callable[[], Awaitable[None]],
     ) -> None:
         self._key = NODE_PREFIX + name
         self._value: bytes = cbor2.dumps(msgspec.to_builtins(registration))
         self._store = store
         self._event_log = event_log
-        self._must_record_start = must_record_start
+        self._write_records = write_records
         self._lease_id = 0
         self._is_withdrawn = False
 
@@ -302,9 +297,7 @@
     async def _renew(self) -> bool:
         renewed = await self._store.keep_lease_alive(self._lease_id)
         if not isinstance(renewed, Err):
-            if self._must_record_start():
-                # A lost write is repeated after the next renewal.
-                await self._store.compare_and_swap(STARTED_KEY, 0, b"")
+            await self._write_records()
             return True
         if renewed.err_value.kind is KeyValueFailureKind.LEASE_LOST:
             self._event_log.event("registration_lost", key=self._key, lease=self._lease_id)
--- a/src/weirscale/gateway/replication/age_exchange.py
+++ b/src/weirscale/gateway/replication/age_exchange.py
@@ -78,7 +78,7 @@
 
     async def run(self) -> None:
         """Send queries whenever ages are in doubt, until cancelled."""
-        await self._cluster.wait_until_read()
+        await self._cluster.first_read.wait()
         started_at_s = self._clock()
         while True:
             now_s = self._clock()
--- a/src/weirscale/gateway/requests/admission.py
+++ b/src/weirscale/gateway/requests/admission.py
@@ -128,7 +128,9 @@
         self._key_removal_s = guarantees.key_removal_s
 
     def is_configuration_current(self) -> bool:
-        """Return whether the last proof of the configuration is recent enough to check keys."""
+        """Return whether this node's configuration is proved recent enough to check keys."""
+        if self._cluster.may_lack_configuration():
+            return False
         bound_s = self._key_removal_s
         return bound_s is None or self._cluster.age_s() <= PROOF_SHARE * bound_s
 
@@ -148,7 +150,7 @@
         if timeout_s is not None:
             max_wait_s = min(max_wait_s, FIRST_READ_SHARE * timeout_s)
         with anyio.move_on_after(max_wait_s):
-            await self._cluster.wait_for_first_read(FIRST_READ_WAIT_S)
+            await self._cluster.first_read.wait_within(FIRST_READ_WAIT_S)
 
     def admit(
         self, request: CallerRequest, body: bytes, arrived_at_s: float
--- a/src/weirscale/gateway/state/cluster_state.py
+++ b/src/weirscale/gateway/state/cluster_state.py
@@ -13,8 +13,6 @@
 from collections.abc import Callable, Collection
 from functools import singledispatchmethod
 
-import anyio
-
 from weirscale.gateway.durations import age_ms
 from weirscale.gateway.model.back_ends import BackEndDirectory
 from weirscale.gateway.model.rollout_order import Epoch, RolloutOrder
@@ -37,7 +35,9 @@
 from weirscale.gateway.state.back_end_registry import BackEndRegistry
 from weirscale.gateway.state.change_log import ChangeLog
 from weirscale.gateway.state.engine_versions import EngineVersions
+from weirscale.gateway.state.first_read import FirstRead
 from weirscale.gateway.state.first_start import has_run_before
+from weirscale.gateway.state.restored_start import RestoredStart, is_era_settled
 from weirscale.gateway.state.rollout_orders import RolloutRegistry
 from weirscale.gateway.state.store_outages import NEVER_S, StoreOutageDetector
 from weirscale.gateway.state.stored_records import StoredRecords
@@ -75,6 +75,7 @@
         store_outages: Detects when the store was unavailable to all nodes.
         followed_since_s: This node has missed no change since the store answered this read.
         has_read_all: Whether a full read has been completed.
+        first_read: Lets tasks wait for that.
         target_changed_at_s: When this node last received a new target version.
         incomplete_until_s: Until this time, the state may lack entries that the store lost when it
             was restored from a backup.
@@ -87,8 +88,8 @@
         self._event_log = event_log
         self._errors = errors or UnexpectedErrors(event_log)
         self._clock = clock
-        self._created_at_s = clock()
-        self._first_read = anyio.Event()
+        self.first_read = FirstRead(clock)
+        self._restored_start = RestoredStart()
         self._revisions: dict[str, int] = {}
         self._table_observers: list[Callable[[RouteTable], None]] = []
         self.table: RouteTable | None = None
@@ -115,17 +116,10 @@
         """Call `observer` with the route table of each new configuration."""
         self._table_observers.append(observer)
 
-    async def wait_until_read(self) -> None:
-        """Wait until a full read has been completed."""
-        await self._first_read.wait()
-
-    async def wait_for_first_read(self, timeout_s: float) -> None:
-        """Wait for the first full read, at most until `timeout_s` after this object was created."""
-        if self.has_read_all:
-            return
-        left_s = self._created_at_s + timeout_s - self._clock()
-        with anyio.move_on_after(max(0.0, left_s)):
-            await self._first_read.wait()
+    def may_lack_configuration(self) -> bool:
+        """Return whether a later configuration than this node's may have been in force before."""
+        may_lack = self._restored_start.may_lack_configuration(self._clock())
+        return may_lack and not is_era_settled(self.records, self.era())
 
     def replace_all(self, batch: StateBatch, asked_at_s: float) -> None:
         """Apply a full read; entries that are missing from it have been removed.
@@ -146,7 +140,7 @@
         hides_nothing = is_first_read and not has_run_before(self.records, self.era())
         self.followed_since_s = NEVER_S if hides_nothing else asked_at_s
         self.has_read_all = True
-        self._first_read.set()
+        self.first_read.complete()
 
     def _remove_missing(self, present: Collection[str]) -> None:
         self.back_ends.end_missing(present)
@@ -168,6 +162,7 @@
         now_s = self._clock()
         self.incomplete_until_s = now_s + LOST_RETENTION_S
         if not self.has_read_all:
+            self._restored_start.begin(batch.revision, self.incomplete_until_s)
             return
         lapsed = self.back_ends.lapse_missing(present)
         lost = self.records.mark_lost(present, self.incomplete_until_s)
@@ -253,6 +248,7 @@
     def _apply_configuration(
         self, change: ConfigurationChanged, versioned: VersionedChange
     ) -> None:
+        self._restored_start.configuration_written(versioned.revision)
         version = change.configuration.version
         previous = self.table.version if self.table else None
         if previous is not None and version <= previous:
--- a/src/weirscale/gateway/weights/order_fence.py
+++ b/src/weirscale/gateway/weights/order_fence.py
@@ -7,8 +7,8 @@
 
 A store that was restored from a backup has lost the record. So no node sends orders until the lost
 records no longer count. By then the previous holder has stopped, and enough time has passed since
-its last order. The first node that sends orders afterwards writes that the store's era is settled,
-so nodes that start later need not wait.
+its last order. One node then writes that the store's era is settled (`peers/fleet_records.py`), so
+nodes that start later need not wait.
 """
 
 from collections.abc import Callable
@@ -16,8 +16,9 @@
 import anyio
 from result import Err
 
-from weirscale.gateway.model.store_positions import FIRST_ERA, StoreEra, era_of
+from weirscale.gateway.model.store_positions import era_of
 from weirscale.gateway.state.cluster_state import ClusterState
+from weirscale.gateway.state.restored_start import is_era_settled
 from weirscale.ports.key_value import KeyValueFailureKind, KeyValuePort
 
 RENEWAL_VALIDITY_S = 0.4
@@ -25,10 +26,6 @@
 
 FENCE_KEY = "weirscale/orders"
 
-SETTLED_KEY = "weirscale/settled_era"
-"""Key of the record with the last settled era of the store. An era is settled once a holder has
-waited, before its first order in that era, until the holders of earlier eras had stopped."""
-
 
 class OrderFence:
     """Permits this node's orders while no order of another holder can be in flight.
@@ -95,10 +92,7 @@
             return False
         self._lease_id = granted.ok_value
         self._is_written = False
-        is_written = await self._write()
-        if is_written and not self.is_era_settled():
-            await self._settle()
-        return is_written
+        return await self._write()
 
     def _may_be_lost(self) -> bool:
         """Return whether the store may have lost a record of another holder."""
@@ -106,17 +100,7 @@
 
     def is_era_settled(self) -> bool:
         """Return whether the holders of all earlier eras have stopped."""
-        era = self._cluster.era()
-        return era == FIRST_ERA or self._cluster.records.get(SETTLED_KEY) == _settled_value(era)
-
-    async def _settle(self) -> None:
-        """Write that the current era is settled.
-
-        If the write fails, nodes that start later wait longer; it has no other effect.
-        """
-        records, value = self._cluster.records, _settled_value(self._cluster.era())
-        revision = self._cluster.revision_of(SETTLED_KEY) if SETTLED_KEY in records else 0
-        await self._store.compare_and_swap(SETTLED_KEY, revision, value)
+        return is_era_settled(self._cluster.records, self._cluster.era())
 
     async def _keep_lease(self) -> bool:
         renewed = await self._store.keep_lease_alive(self._lease_id)
@@ -152,7 +136,3 @@
 
     def _is_renewed(self) -> bool:
         return self._clock() - self._renewed_at_s <= RENEWAL_VALIDITY_S
-
-
-def _settled_value(era: StoreEra) -> bytes:
-    return str(era).encode()
