A planned stop has the time that the settings name as it begins

Cause: `GatewayProgram.run` worked out both times of a stop from the settings at the start of the process, and hypercorn got its time for open requests then.

Change: the settings are read once more as the stop begins, since the file may change with no signal, and both times follow from them; the server takes its time as it is told to stop. A shorter time holds as well: the process is not killed in the middle.

Evidence: features/gateway_planned_stop.feature, "The time for a stop is the one that the settings name", both rows failed before (4 then 6 s: cut; 6 then 4 s: the process ended after 5.2 s); both mutations are noticed.

--- a/features/gateway_planned_stop.feature
+++ b/features/gateway_planned_stop.feature
@@ -25,6 +25,19 @@
     When it is stopped, and a request whose body was slow is complete 2.6 s later with a deadline of 3.2 s
     Then it is answered whole
 
+  # Guards against streams that are cut, or a process that is killed, because the time for a stop that the settings
+  # named at the start of the process was kept, and not the one that they name as the stop begins (LOST).
+  Scenario Outline: The time for a stop is the one that the settings name as it begins: <started> s, then <named> s
+    Given a node on real sockets with <started> s for its stop, before a back end that needs 3.5 s
+    When its settings name <named> s, and it is stopped
+    Then the request that was sent before the stop is answered whole: <whole>
+    And the process has ended within <most> s
+
+    Examples:
+      | started | named | whole | most |
+      | 4       | 6     | yes   | 5.5  |
+      | 6       | 4     | no    | 4    |
+
   Scenario Outline: Which requests a node that is being stopped may begin
     Given a stop that begins at 100 s, late from 102.3 s and ends at 107.2 s
     Then a request that arrives at <arrives> s with a deadline of <deadline> s may begin: <answer>
--- a/features/steps/gateway_planned_stop_steps.py
+++ b/features/steps/gateway_planned_stop_steps.py
@@ -5,6 +5,7 @@
 
 import anyio
 import httpx
+import msgspec
 from behave import given, then, when
 
 from features.steps.gateway_connection_limits_steps import LOOPBACK, START_S, free_port
@@ -46,10 +47,12 @@
         is_first_start=True,
     )  # fmt: skip
     adapter = SimpleNamespace(
-        settings=lambda: settings, feed=lambda: StateFeedAdapter(store),
+        settings=lambda: adapter.current, current=settings, feed=lambda: StateFeedAdapter(store),
         store=lambda: KeyValueAdapter(store), connector=BackEndClientConnector, codec=HeaderCodec,
     )  # fmt: skip
-    return GatewayProgram(adapter, settings, EventRecorder(), Random(1))
+    program = GatewayProgram(adapter, settings, EventRecorder(), Random(1))
+    program.adapter = adapter
+    return program
 
 
 @given(
@@ -225,3 +228,47 @@
 def step_may_begin(context, now_s, deadline_s, answer):
     context.clock.now_s = now_s
     assert context.stop.may_begin(deadline_s) == (answer == "yes")
+
+
+@when("its settings name {named_s:g} s, and it is stopped")
+def step_named(context, named_s):
+    async def main():
+        stopping = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(context.back_end.run)
+            program = make_program([context.back_end], context.stop_s)
+            address = program.node.settings.callers
+
+            async def ask_early():
+                request = head_of("early", 9.0, 1)
+                context.early = await send_in_two_parts(address, request, b"x", AlreadySet())
+
+            async def run_program():
+                await program.run(stopping)
+                context.ended_after_s = anyio.current_time() - began_s
+
+            tasks.start_soon(run_program)
+            with anyio.fail_after(START_S):
+                await program.node.cluster.first_read.wait()
+            tasks.start_soon(ask_early)
+            await anyio.sleep(EARLY_S)
+            began_s = anyio.current_time()
+            settings = program.adapter.current
+            bounds = msgspec.structs.replace(settings.bounds, stop_s=named_s)
+            program.adapter.current = msgspec.structs.replace(settings, bounds=bounds)
+            stopping.set()
+            await anyio.sleep(max(named_s, context.stop_s))
+            tasks.cancel_scope.cancel()
+
+    context.early = None
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+@then("the request that was sent before the stop is answered whole: {whole}")
+def step_early_whole(context, whole):
+    assert (context.early == (200, BODY)) == (whole == "yes"), context.early
+
+
+@then("the process has ended within {most_s:g} s")
+def step_ended_within(context, most_s):
+    assert context.ended_after_s <= most_s, context.ended_after_s
--- a/src/weirscale/gateway/program.py
+++ b/src/weirscale/gateway/program.py
@@ -122,7 +122,6 @@
             tasks.start_soon(self.settings_watch.run)
             limits = ConnectionLimits()
             self.node.cluster.observe_table(partial(_apply_limits, limits))
-            finish_s = settings.bounds.stop_s - READINESS_DRAIN_S - STOP_MARGIN_S
             shedder = ConnectionShedder(
                 listeners[0], self._event_log, self.node.metrics.count_shed_connection,
                 lambda: self.node.app.num_running,
@@ -130,13 +129,17 @@
             async with anyio.create_task_group() as serving:
                 serving.start_soon(shedder.run, closed)
                 serving.start_soon(
-                    serve_on_listeners, self.node.app, listeners, closed, finish_s, limits
-                )
+                    serve_on_listeners, self.node.app, listeners, closed,
+                    _finish_s(settings.bounds.stop_s), limits,
+                )  # fmt: skip
                 self._event_log.event("node_started", callers=settings.callers.port)
                 _tune_garbage_collector()
                 await stop.wait()
                 began_s = boot_time_s()
-                stopped_by_s = began_s + settings.bounds.stop_s - STOP_MARGIN_S
+                self.settings_watch.read_now()
+                stop_s = self.settings_watch.settings.bounds.stop_s
+                limits.finish_s = _finish_s(stop_s)
+                stopped_by_s = began_s + stop_s - STOP_MARGIN_S
                 self.node.planned_stop.begin(began_s + READINESS_DRAIN_S, stopped_by_s)
                 self.node.relay_gate.is_stopping = True
                 await self._leave(closed)
@@ -158,6 +161,15 @@
         closed.set()
 
 
+def _finish_s(stop_s: float) -> float:
+    """Return how long requests may continue once no new connections arrive.
+
+    Args:
+        stop_s: Seconds from the beginning of the stop until the process is killed.
+    """
+    return stop_s - READINESS_DRAIN_S - STOP_MARGIN_S
+
+
 def _apply_limits(limits: ConnectionLimits, table: RouteTable) -> None:
     """Apply the operators' connection limits; timeouts that are not positive are ignored."""
     configured = table.configuration.limits
--- a/src/weirscale/gateway/settings_watch.py
+++ b/src/weirscale/gateway/settings_watch.py
@@ -41,6 +41,11 @@
         self._signalled = anyio.Event()
         self._last_problem = ""
 
+    @property
+    def settings(self) -> GatewaySettings:
+        """The settings that were read last."""
+        return self._settings
+
     def signal(self) -> None:
         """Request that the settings be read now."""
         self._signalled.set()
@@ -51,9 +56,10 @@
             with anyio.move_on_after(READ_INTERVAL_S):
                 await self._signalled.wait()
             self._signalled = anyio.Event()
-            self._reload()
+            self.read_now()
 
-    def _reload(self) -> None:
+    def read_now(self) -> None:
+        """Read the settings, and apply what has changed."""
         try:
             settings = self._read()
         except SettingsError as error:
--- a/src/weirscale/ports/connection_limits.py
+++ b/src/weirscale/ports/connection_limits.py
@@ -23,8 +23,11 @@
         keep_alive_s: Time without a complete request head while no request runs.
         silence_s: Time without a byte from the client, even while it waits for an answer.
         head_s: Time from the first byte of a request's head to its last byte.
+        finish_s: How long open requests may continue after a stop; None for the time with which the
+            server was started.
     """
 
     keep_alive_s: float = KEEP_ALIVE_S
     silence_s: float = RECEIVE_TIMEOUT_S
     head_s: float = HEAD_TIMEOUT_S
+    finish_s: float | None = None
--- a/src/weirscale/ports/http_server.py
+++ b/src/weirscale/ports/http_server.py
@@ -5,6 +5,7 @@
 
 import socket
 from collections.abc import Mapping, Sequence
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -15,7 +16,7 @@
 from weirscale.ports.listeners import LISTEN_BACKLOG
 
 if TYPE_CHECKING:
-    from hypercorn.config import Config
+    from weirscale.ports.limited_connections import LimitedConfig
 
 MAX_HEAD_BYTES = 64 * 1024
 """Maximum size of an incomplete request head in HTTP/1.1 and HTTP/2, and of a body's chunk headers.
@@ -75,12 +76,12 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_stop_when_cancelled, stop)
         with anyio.CancelScope(shield=True):
-            await serve(app, config, shutdown_trigger=stop.wait)
+            await serve(app, config, shutdown_trigger=partial(_wait_for_stop, stop, config))
 
 
 def _configuration(
     listeners: Sequence[socket.socket], finish_timeout_s: float, limits: ConnectionLimits
-) -> "Config":
+) -> "LimitedConfig":
     from weirscale.ports.limited_connections import LimitedConfig
 
     config = LimitedConfig(limits)
@@ -107,6 +108,13 @@
         loop.default_exception_handler(context)
 
 
+async def _wait_for_stop(stop: anyio.Event, config: "LimitedConfig") -> None:
+    """Wait for the stop, and apply the time that open requests have by then."""
+    await stop.wait()
+    if config.limits.finish_s is not None:
+        config.graceful_timeout = config.limits.finish_s
+
+
 async def _stop_when_cancelled(stop: anyio.Event) -> None:
     try:
         await stop.wait()
