A refusal is believed only if it names the request that it refuses

A back end rejected a health check and sent that rejection once more later, on a kept connection, in the place of the answer to an order.

Cause: `judge_answer` believed any proof of "not run" before it asked to which request the answer belongs.

Change: an answer that does not name its request is another's answer, whatever it states: the request may have run. One to a request without an id names none (a back end refuses such a request with 400).

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -7,6 +7,9 @@
   answer), break (body cut), cross (answer of another request), unsealed (no response seal), unproved
   (503 without proof), error (500), stall (silence between events), hang (silence before the answer).
 
+  # The refusals of another request, or of a health check, guard against a caller that is told that its order
+  # did not run and never will, although it runs (REFUSED): such a refusal may come late, a second time, in
+  # the place of the order's answer. It was believed before it was asked to which request it belongs.
   Scenario Outline: One back end has the fault "<fault>" during <kind> request
     Given two back ends of which the one asked first does "<fault>" once
     When <kind> request is sent
@@ -21,6 +24,8 @@
       | an order         | reset    | 502      | 1    |
       | an order         | break    | 502      | 1    |
       | an order         | cross    | 502      | 1    |
+      | an order         | refusal of another | 502 | 1  |
+      | an order         | refusal of a health check | 502 | 1 |
       | an order         | unsealed | 502      | 1    |
       | an order         | unproved | 502      | 1    |
       | an order         | error    | 500      | 1    |
@@ -30,6 +35,7 @@
       | a status         | reset    | whole    | 2    |
       | a status         | break    | whole    | 2    |
       | a status         | cross    | whole    | 2    |
+      | a status         | refusal of a health check | whole | 2 |
       | a status         | unsealed | whole    | 2    |
       | a status         | unproved | whole    | 2    |
       | a status         | error    | whole    | 2    |
@@ -48,6 +54,7 @@
       | a single         | refuse   | 503      | 0    |
       | a single         | reset    | 502      | 1    |
       | a single         | cross    | 502      | 1    |
+      | a single         | refusal of a health check | 502 | 1 |
       | a single         | break    | cut      | 1    |
       | a single         | stall    | cut      | 1    |
       | a single         | hang     | 504      | 1    |
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -33,6 +33,9 @@
 ENDLESS = ("endless_body", "endless_event")
 """Faults with which an answer has bytes without end: a whole body, or one event after a sound one."""
 
+NAMELESS = "nameless"
+"""Extension of an answer that names no request, as those to health checks do not."""
+
 ENDLESS_PART = b"x" * 65_536
 ENDLESS_INTERVAL_S = 0.001
 
@@ -172,6 +175,8 @@
             stated = [("Server-Limit", limit) for limit in self.limits]
             response.headers = httpx.Headers([*response.headers.multi_items(), *stated])
         request_id = request.headers.get("x-attempt-id")
+        if request_id is not None and NAMELESS not in response.extensions:
+            response.headers.setdefault("X-Attempt-Id", request_id)
         if self.on_limit is not None and request_id and "server-limit" in response.headers:
             self.on_limit(request_id)
         if self.brittle is not None:
@@ -281,6 +286,11 @@
         headers = {"X-Attempt-Id": request_id, "X-Response-Seal": f"seal-{self.instance}"}
         if fault in ENDLESS:
             return httpx.Response(200, headers=headers, stream=EndlessBody(self, fault))
+        if fault == "refusal of another":
+            rejected = {"X-Attempt-Id": "another", "X-Not-Executed": "1"}
+            return httpx.Response(503, headers=rejected)
+        if fault == "refusal of a health check":
+            return httpx.Response(503, headers={"X-Not-Executed": "1"}, extensions={NAMELESS: True})
         if fault == "cross":
             headers["X-Attempt-Id"] = "another"
         if fault == "unsealed":
--- a/src/weirscale/gateway/requests/attempt_verdict.py
+++ b/src/weirscale/gateway/requests/attempt_verdict.py
@@ -102,13 +102,14 @@
 def judge_answer(answer: Answer, request_id: RequestId, instance: InstanceId) -> Verdict:
     """Return the verdict on the head of an answer.
 
-    A successful answer must carry the back end's signature and belong to this request. An answer
+    Any answer must belong to this request, a refusal too: one to another call may arrive late, in
+    the place of this answer. A successful answer must carry the back end's signature. An answer
     whose status promises "not run" is not relayed unless it carries a proof of that.
     """
+    if not _belongs_to(answer, request_id):
+        return Verdict(AttemptEnd.UNCERTAIN, OTHER_ANSWER)
     if answer.is_proved_unrun:
         return Verdict(AttemptEnd.NOT_RUN, f"refused_{answer.status}")
-    if answer.request_id != request_id:
-        return Verdict(AttemptEnd.UNCERTAIN, OTHER_ANSWER)
     if answer.instance is not None and answer.instance != instance:
         return Verdict(AttemptEnd.UNCERTAIN, OTHER_INSTANCE)
     if HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES:
@@ -122,6 +123,11 @@
     return Verdict(AttemptEnd.ANSWERED, f"status_{answer.status}")
 
 
+def _belongs_to(answer: Answer, request_id: RequestId) -> bool:
+    """Return whether an answer names its request; one to a request without an id names none."""
+    return answer.request_id == (request_id or None)
+
+
 def proves_run(answer: Answer, request_id: RequestId, instance: InstanceId) -> bool:
     """Return whether an answer proves that the instance was running when its request was sent.
 
