Soak: entries that nothing can be sent to, and answers without end

Change: two kinds of faults, drawn on their own so that a seed's other faults stay: another writer registers three back ends with unusable addresses and names, and a node with an unusable host or port, for some seconds; one back end answers one to three requests with bytes without end, as a body or as an event after a sound one, in chunks or unframed.

Not made: callers whose bodies arrive late in a stop; features/gateway_planned_stop.feature plays those on real sockets.

--- a/bench/fault_soak/back_end_server.py
+++ b/bench/fault_soak/back_end_server.py
@@ -17,6 +17,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from bench.fault_soak.served_stand_in import StandIn
+from features.support.platform_runner import UNENDING
 from features.support.platform_words import REQUEST_ID_HEADER
 
 READ_BYTES = 64 * 1024
@@ -127,6 +128,8 @@
     if not request_id:
         return Framing.LENGTH
     choice = zlib.crc32(request_id.encode()) % len(Framing)
+    if UNENDING in response.extensions:
+        return Framing.CHUNKS if choice == 0 else Framing.CONNECTION
     if choice == 0 or response.status_code >= httpx.codes.BAD_REQUEST:
         return Framing.CHUNKS if is_stream else Framing.LENGTH
     return Framing.CONNECTION if choice == 1 else Framing.CHUNKS
--- a/bench/fault_soak/fault_injector.py
+++ b/bench/fault_soak/fault_injector.py
@@ -73,6 +73,8 @@
             FaultKind.FATAL_BLOCK: self._fatal_block,
             FaultKind.MOST_CONNECTIONS: self._most_connections,
             FaultKind.BREAK_ANSWERS: self._break_answers,
+            FaultKind.FOREIGN_ENTRIES: self._foreign_entries,
+            FaultKind.ENDLESS_ANSWERS: self._endless_answers,
             FaultKind.LATE_ORDERS: self._late_orders,
             FaultKind.LOST_ORDERS: self._lost_orders,
             FaultKind.STORE_DOWN: self._store_down,
@@ -248,6 +250,12 @@
     async def _break_answers(self, _fault: Fault, random: Random) -> None:
         self._back_ends.break_answers(random)
 
+    async def _foreign_entries(self, fault: Fault, random: Random) -> None:
+        await self._back_ends.add_foreign_entries(random, fault.lasts_s)
+
+    async def _endless_answers(self, _fault: Fault, random: Random) -> None:
+        self._back_ends.answer_without_end(random)
+
     async def _late_orders(self, fault: Fault, random: Random) -> None:
         await self._with_idle_back_end(
             random, lambda back_end: self._back_ends.take_orders_late(back_end, fault.lasts_s)
--- a/bench/fault_soak/schedule.py
+++ b/bench/fault_soak/schedule.py
@@ -1,6 +1,7 @@
 """Draws the faults of a soak test from a weighted table, determined by a seed."""
 
 import enum
+from collections.abc import Sequence
 from random import Random
 
 import msgspec
@@ -52,6 +53,10 @@
     """All callers open new connections for each request, all to one node."""
     BREAK_ANSWERS = "break_answers"
     """Half of the back ends answer for another request, unsigned, cut, with refusals or errors."""
+    FOREIGN_ENTRIES = "foreign_entries"
+    """Another writer registers back ends that nothing can be sent to, and such a node."""
+    ENDLESS_ANSWERS = "endless_answers"
+    """One back end answers some requests with bytes that do not end."""
     LATE_ORDERS = "late_orders"
     """One back end accepts orders late, and the answers to them are lost."""
     LOST_ORDERS = "lost_orders"
@@ -117,6 +122,15 @@
     FaultRow(FaultKind.STORE_FORGETS, 1),
 )
 
+FOREIGN_TABLE = (
+    FaultRow(FaultKind.FOREIGN_ENTRIES, 1, 2, 10),
+    FaultRow(FaultKind.ENDLESS_ANSWERS, 1),
+)
+"""Faults of what others send. They are drawn on their own, so that a seed's other faults stay."""
+
+FOREIGN_INTERVAL_FACTOR = 4.0
+"""Mean interval of these faults, as a multiple of that of the others."""
+
 
 STORE_FAULTS = frozenset(
     {
@@ -160,6 +174,16 @@
     random = Random(seed)
     has_store_faults = random.random() < STORE_FAULTS_SHARE
     table = [row for row in TABLE if has_store_faults or row.kind not in STORE_FAULTS]
+    faults = _draw_faults(random, table, duration_s, mean_interval_s)
+    interval_s = FOREIGN_INTERVAL_FACTOR * mean_interval_s
+    faults += _draw_faults(Random(f"foreign {seed}"), FOREIGN_TABLE, duration_s, interval_s)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_faults(
+    random: Random, table: Sequence[FaultRow], duration_s: float, mean_interval_s: float
+) -> list[Fault]:
+    """Draw faults from a table."""
     weights = [row.weight for row in table]
     faults = []
     at_s = FIRST_FAULT_S
--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -17,7 +17,19 @@
 CRASH_CHECK_INTERVAL_S = 0.05
 """The longest time between the end of a process and the cut of its connections."""
 
-BREAKING = ("hang", "reset", "break", "stall", "end_inside", "end_before_blank", "end_before_event")
+ENDLESS = ("endless_body", "endless_event")
+"""Faults with which an answer has bytes without end: a whole body, or one event after a sound one."""
+
+BREAKING = (
+    *ENDLESS,
+    "hang",
+    "reset",
+    "break",
+    "stall",
+    "end_inside",
+    "end_before_blank",
+    "end_before_event",
+)
 """Faults with which an answer never completes."""
 
 CRASHES = (
@@ -30,12 +42,12 @@
 so for some time. After `crash_reborn`, another process runs at once at the same address.
 """
 
-ENDLESS = ("endless_body", "endless_event")
-"""Faults with which an answer has bytes without end: a whole body, or one event after a sound one."""
-
 NAMELESS = "nameless"
 """Extension of an answer that names no request, as those to health checks do not."""
 
+UNENDING = "unending"
+"""Extension of an answer whose body does not end."""
+
 ENDLESS_PART = b"x" * 65_536
 ENDLESS_INTERVAL_S = 0.001
 
@@ -58,6 +70,8 @@
     headers: dict
     began_s: float
     ended_s: float | None = None
+    is_own_answer: bool = True
+    """Whether its answer names its request and has the signature of its back end."""
     first_event_s: float | None = None
     """When the first event was generated; before, the run does not count as begun."""
 
@@ -285,12 +299,14 @@
             raise httpx.ReadError("reset")
         headers = {"X-Attempt-Id": request_id, "X-Response-Seal": f"seal-{self.instance}"}
         if fault in ENDLESS:
-            return httpx.Response(200, headers=headers, stream=EndlessBody(self, fault))
+            stream = EndlessBody(self, request, fault)
+            return httpx.Response(200, headers=headers, stream=stream, extensions={UNENDING: True})
         if fault == "refusal of another":
             rejected = {"X-Attempt-Id": "another", "X-Not-Executed": "1"}
             return httpx.Response(503, headers=rejected)
         if fault == "refusal of a health check":
             return httpx.Response(503, headers={"X-Not-Executed": "1"}, extensions={NAMELESS: True})
+        run.is_own_answer = fault not in ("cross", "unsealed")
         if fault == "cross":
             headers["X-Attempt-Id"] = "another"
         if fault == "unsealed":
@@ -383,9 +399,12 @@
 class EndlessBody(httpx.AsyncByteStream):
     """A body of bytes without end; those of a stream begin with one whole event."""
 
-    def __init__(self, runner, fault):
+    def __init__(self, runner, request, fault):
         self._runner = runner
-        self._begin = b"id: 1\ndata: one\n\n" if fault == "endless_event" else b""
+        number = int(request.headers.get("last-event-id") or 0) + 1
+        token = f"{request.headers.get('x-attempt-id')} {runner.instance}"
+        event = f"id: {number}\ndata: {token}\n\n".encode()
+        self._begin = event if fault == "endless_event" else b""
 
     async def __aiter__(self):
         if self._begin:
