--- a/bench/fault_soak/back_end_server.py
+++ b/bench/fault_soak/back_end_server.py
@@ -202,10 +202,14 @@
     length = str(len(body) + num_missing).encode()
     await _send_event(stream, state, _head(response, (b"content-length", length)))
     await _send_event(stream, state, h11.Data(data=body))
-    if num_missing:
-        return False
-    await _send_event(stream, state, h11.EndOfMessage())
-    return True
+    return await _send_end(stream, state, is_whole=num_missing == 0)
+
+
+async def _send_end(stream: SocketStream, state: h11.Connection, is_whole: bool) -> bool:
+    """Send the end of a body that is whole; return whether it is."""
+    if is_whole:
+        await _send_event(stream, state, h11.EndOfMessage())
+    return is_whole
 
 
 async def _send_in_chunks(
@@ -213,13 +217,13 @@
 ) -> bool:
     """Send the body in chunks; one that is cut short has no last chunk."""
     await _send_event(stream, state, _head(response, (b"transfer-encoding", b"chunked")))
+    is_whole = True
     try:
         async for part in _parts(response):
             await _send_event(stream, state, h11.Data(data=part))
     except httpx.TransportError:
-        return False
-    await _send_event(stream, state, h11.EndOfMessage())
-    return True
+        is_whole = False
+    return await _send_end(stream, state, is_whole)
 
 
 async def _send_unframed(
--- a/features/steps/answer_end_rules_steps.py
+++ b/features/steps/answer_end_rules_steps.py
@@ -53,7 +53,8 @@
 class ScriptedCluster:
     """A platform without a configuration, with registered runs of back ends."""
 
-    table = None
+    def health_path(self, _service):
+        return "/healthz"
 
     def __init__(self, registered=()):
         self.directory = BackEndDirectory()
--- a/src/weirscale/gateway/quarantine/crash_check.py
+++ b/src/weirscale/gateway/quarantine/crash_check.py
@@ -12,7 +12,6 @@
 from anyio.abc import TaskGroup
 
 from weirscale.gateway.model.back_ends import ACCEPTING_STATES, BackEnd, BackEndState
-from weirscale.gateway.model.configuration import UNDECLARED_HEALTH_PATH
 from weirscale.gateway.model.identifiers import RunId
 from weirscale.gateway.ports.back_end import BackEndPort, RunState
 from weirscale.gateway.quarantine.block_key import BlockKey
@@ -122,7 +121,5 @@
             return RunState.ENDED
         if registered.state is BackEndState.LEAVING:
             return RunState.RUNNING
-        table = self._cluster.table
-        service = table.service(registered.service) if table else None
-        path = service.health_path if service else UNDECLARED_HEALTH_PATH
+        path = self._cluster.health_path(registered.service)
         return await self._port_of(registered).run_state(path, PROBE_TIMEOUT_S)
--- a/src/weirscale/gateway/requests/answer_ends.py
+++ b/src/weirscale/gateway/requests/answer_ends.py
@@ -15,7 +15,6 @@
 import msgspec
 
 from weirscale.gateway.model.back_ends import BackEnd
-from weirscale.gateway.model.configuration import UNDECLARED_HEALTH_PATH
 from weirscale.gateway.model.identifiers import RunId
 from weirscale.gateway.ports.back_end import BackEndPort, RunState
 from weirscale.gateway.routing.probe_permits import ProbePermits
@@ -157,7 +156,7 @@
         self, watched: _WatchedRun, back_end: BackEnd, port: BackEndPort, ended_at_s: float
     ) -> None:
         """Probe a run, one probe at a time for all answers that wait."""
-        path = self._health_path(back_end)
+        path = self._cluster.health_path(back_end.service)
         for timeout_s in PROBE_TIMEOUTS_S:
             async with watched.probing:
                 if watched.state_after(ended_at_s) is not RunState.UNKNOWN:
@@ -169,11 +168,6 @@
                 watched.learn(state, sent_at_s)
             await anyio.sleep(max(0.0, sent_at_s + timeout_s - self._clock()))
 
-    def _health_path(self, back_end: BackEnd) -> str:
-        table = self._cluster.table
-        service = table.service(back_end.service) if table else None
-        return service.health_path if service else UNDECLARED_HEALTH_PATH
-
 
 async def _find_state(
     watched: _WatchedRun, probe: Callable[[], Coroutine[Any, Any, None]], ended_at_s: float
--- a/src/weirscale/gateway/routing/back_end_maintenance.py
+++ b/src/weirscale/gateway/routing/back_end_maintenance.py
@@ -5,7 +5,6 @@
 import anyio
 
 from weirscale.gateway.model.back_ends import ACCEPTING_STATES
-from weirscale.gateway.model.configuration import UNDECLARED_HEALTH_PATH
 from weirscale.gateway.model.identifiers import InstanceId
 from weirscale.gateway.routing.back_end_ports import BackEndPorts
 from weirscale.gateway.routing.health import BackEndHealth
@@ -58,16 +57,14 @@
 
     async def _probe(self, instance: InstanceId) -> None:
         back_end = self._cluster.directory.get(instance)
-        table = self._cluster.table
-        if back_end is None or table is None:
+        if back_end is None or self._cluster.table is None:
             self._health.forget(instance)
             return
         if back_end.state not in ACCEPTING_STATES:
             return
         if not self._permits.try_take(back_end):
             return
-        service = table.service(back_end.service)
-        path = service.health_path if service else UNDECLARED_HEALTH_PATH
+        path = self._cluster.health_path(back_end.service)
         if await self._ports.port_of(back_end).is_healthy(path, PROBE_TIMEOUT_S):
             self._health.probe_succeeded(instance, self._clock())
         else:
--- a/src/weirscale/gateway/state/cluster_state.py
+++ b/src/weirscale/gateway/state/cluster_state.py
@@ -13,8 +13,10 @@
 from collections.abc import Callable, Collection
 from functools import singledispatchmethod
 
+from weirscale.domain.identifiers import ServiceName
 from weirscale.gateway.durations import age_ms
 from weirscale.gateway.model.back_ends import BackEndDirectory
+from weirscale.gateway.model.configuration import UNDECLARED_HEALTH_PATH
 from weirscale.gateway.model.rollout_order import Epoch, RolloutOrder
 from weirscale.gateway.model.routes import RouteTable
 from weirscale.gateway.model.store_positions import StoreEra, era_of, revision_at
@@ -116,6 +118,11 @@
         """Call `observer` with the route table of each new configuration."""
         self._table_observers.append(observer)
 
+    def health_path(self, service: ServiceName) -> str:
+        """Return the path of the health check of a service, which may not be declared."""
+        declared = self.table.service(service) if self.table else None
+        return declared.health_path if declared else UNDECLARED_HEALTH_PATH
+
     def may_lack_configuration(self) -> bool:
         """Return whether a later configuration than this node's may have been in force before."""
         may_lack = self._restored_start.may_lack_configuration(self._clock())
