--- a/bench/fault_soak/back_ends.py
+++ b/bench/fault_soak/back_ends.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 import anyio
-import cbor2
 from anyio.abc import TaskGroup
 
 from bench.fault_soak.back_end_server import BackEndServer, Framing
+from bench.fault_soak.foreign_entries import write_foreign_entries
 from bench.fault_soak.history import (
     AnswerSent,
     BackEndEnded,
@@ -52,20 +52,6 @@
 )
 MAX_ANSWER_FAULTS = 6
 MAX_ENDLESS_ANSWERS = 3
-NUM_FOREIGN_ENTRIES = 3
-FOREIGN_ADDRESSES = (
-    "[::1:9",
-    "[::1]]:9",
-    "[]::1:9",
-    "127.0.0.1]:9",
-    "127.0.0.1:0",
-    "here",
-    "[::]:9",
-)
-NODE_PREFIX = "weirscale/nodes/"
-FOREIGN_NAMES = ("foreign-{}", "foreign {}", "foreign-\u00e9-{}")
-FOREIGN_HOSTS = ("127.0.0.1\0", "", "0.0.0.0", "[::1]")
-FOREIGN_PORTS = (0, -1, 99_999, 9)
 ORDERING_RUN_S = 0.15
 EVENT_INTERVALS_S = (0.02, 0.1, 0.4)
 """A stream of the slowest back end takes two seconds, so that it runs on while its node stops."""
@@ -445,16 +431,9 @@
         stand_in.faults.extend(random.choices(ENDLESS, k=random.randint(1, MAX_ENDLESS_ANSWERS)))
 
     async def add_foreign_entries(self, random: Random, lasts_s: float) -> None:
-        """Write entries of back ends and a node that nothing can be sent to, for some time."""
-        keys = []
-        for address in random.sample(FOREIGN_ADDRESSES, NUM_FOREIGN_ENTRIES):
-            entry = random.choice(self.back_ends).stand_in.entry() | {"address": address}
-            name = random.choice(FOREIGN_NAMES).format(random.getrandbits(32))
-            keys.append(f"{RUNNERS_KEY}{name}")
-            self.store.put(keys[-1], entry)
-        keys.append(f"{NODE_PREFIX}foreign-{random.getrandbits(32)}")
-        registration = (random.choice(FOREIGN_HOSTS), random.choice(FOREIGN_PORTS), "", 1, "x")
-        self.store.put(keys[-1], cbor2.dumps(registration))
+        """Let another writer write entries that nothing can be sent to, for some time."""
+        entries = [back_end.stand_in.entry() for back_end in self.back_ends]
+        keys = write_foreign_entries(self.store, entries, random)
         await anyio.sleep(lasts_s)
         for key in keys:
             self.store.delete(key)
