--- a/features/support/platform_runner.py
+++ b/features/support/platform_runner.py
@@ -404,7 +404,8 @@
         number = int(request.headers.get("last-event-id") or 0) + 1
         token = f"{request.headers.get('x-attempt-id')} {runner.instance}"
         event = f"id: {number}\ndata: {token}\n\n".encode()
-        self._begin = event if fault == "endless_event" else b""
+        has_event = fault == "endless_event" and number <= NUM_EVENTS
+        self._begin = event if has_event else b""
 
     async def __aiter__(self):
         if self._begin:
